Set up the build, lint with import limits, and the contracts between modules

Cause: an empty repository. The message types, refusal table, rule types and the replicated log's interface come first so that the parts can be written side by side.

--- /dev/null
+++ b/bench/fuzz/models.ts
@@ -0,0 +1,6 @@
+/** The models that the fuzz command and CI run. */
+
+import type {FuzzModel} from './fuzzModel';
+
+/** One entry a state machine. */
+export const FUZZ_MODELS: readonly FuzzModel[] = [];
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,81 @@
+// Bundles each program to one CommonJS file in dist/; with --binary it also
+// makes the single executable dist/marlpulley.
+import {execFileSync} from 'node:child_process';
+import {
+  chmodSync,
+  copyFileSync,
+  existsSync,
+  mkdirSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import path from 'node:path';
+import {build} from 'esbuild';
+
+const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const ENTRY_POINTS = {
+  'marlpulley-app': 'src/cli/main.ts',
+  fakes: 'fakes/main.ts',
+  bench: 'bench/main.ts',
+  fuzz: 'bench/fuzz.ts',
+  mutants: 'bench/mutants.ts',
+  quickstart: 'bench/quickstart.ts',
+};
+
+const dist = path.resolve(import.meta.dirname, '..', 'dist');
+mkdirSync(dist, {recursive: true});
+for (const [name, source] of Object.entries(ENTRY_POINTS)) {
+  if (!existsSync(source)) continue;
+  await build({
+    entryPoints: [source],
+    outfile: path.join(dist, `${name}.cjs`),
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    // Optional native add-ons of hot-shots and bunyan; both do without them.
+    // esbuild is loaded from node_modules by the mutant runner only.
+    external: ['unix-dgram', 'dtrace-provider', 'esbuild'],
+    // meow is an ES module that reads import.meta.url.
+    define: {'import.meta': 'bundleMeta'},
+    banner: {
+      js: "const bundleMeta = {url: require('node:url').pathToFileURL(__filename).href};",
+    },
+    sourcemap: false,
+    logLevel: 'warning',
+  });
+}
+if (process.argv.includes('--binary')) makeBinary();
+
+function makeBinary() {
+  const config = path.join(dist, 'sea.json');
+  const blob = path.join(dist, 'sea.blob');
+  const binary = path.join(dist, 'marlpulley');
+  writeFileSync(
+    config,
+    JSON.stringify({
+      main: path.join(dist, 'marlpulley-app.cjs'),
+      output: blob,
+      disableExperimentalSEAWarning: true,
+    })
+  );
+  execFileSync(process.execPath, ['--experimental-sea-config', config], {
+    stdio: 'pipe',
+  });
+  rmSync(binary, {force: true});
+  copyFileSync(process.execPath, binary);
+  chmodSync(binary, 0o755);
+  const postject = path.resolve(
+    dist,
+    '..',
+    'node_modules',
+    'postject',
+    'dist',
+    'cli.js'
+  );
+  execFileSync(
+    process.execPath,
+    [postject, binary, 'NODE_SEA_BLOB', blob, '--sentinel-fuse', SENTINEL],
+    {stdio: 'pipe'}
+  );
+}
--- /dev/null
+++ b/src/control/state/command.ts
@@ -0,0 +1,134 @@
+/** Commands in the replicated log, and their results. */
+
+/** A recorded answer of a non-idempotent call. */
+export interface RecordedAnswer {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly bodyBase64: string;
+}
+
+/** How a claim ended. */
+export type Settlement =
+  | {readonly kind: 'answered'; readonly answer: RecordedAnswer}
+  | {readonly kind: 'not run'}
+  | {readonly kind: 'unknown'};
+
+/** Submits a rule file under its own revision number. */
+export interface SubmitCommand {
+  readonly kind: 'submit';
+  readonly revision: number;
+  /** SHA-256 of the text, hex. */
+  readonly digest: string;
+  readonly text: string;
+  readonly submittedBy: string;
+}
+
+/** Claims a key for one dispatch to one boot of one agent. */
+export interface ClaimCommand {
+  readonly kind: 'claim';
+  readonly customer: string;
+  readonly key: string;
+  /** SHA-256 over method, path and body, hex. */
+  readonly digest: string;
+  readonly entryId: string;
+  readonly targetId: string;
+  readonly agentBootId: string;
+  /** Wall-clock time at the proposer, for retention only. */
+  readonly atMs: number;
+}
+
+/** Records the end of one attempt under a key. */
+export interface SettleCommand {
+  readonly kind: 'settle';
+  readonly customer: string;
+  readonly key: string;
+  readonly attempt: number;
+  readonly settlement: Settlement;
+}
+
+/** Starts a new epoch of orders to one group of ranks; the result fences. */
+export interface FenceCommand {
+  readonly kind: 'fence';
+  readonly group: string;
+  readonly holder: string;
+}
+
+/** Records the decision on an expert map, before any rank acts on it. */
+export interface MapDecisionCommand {
+  readonly kind: 'mapDecision';
+  readonly group: string;
+  readonly fence: number;
+  readonly version: number;
+  /** Step from which all ranks use the map. */
+  readonly switchStep: number;
+  readonly decision: 'commit' | 'abort';
+  /** Physical slots: expert of each slot, by rank. */
+  readonly slots: readonly (readonly number[])[];
+}
+
+/** Written by a new leader to commit what earlier terms left. */
+export interface NoopCommand {
+  readonly kind: 'noop';
+}
+
+/** Any command. */
+export type Command =
+  | SubmitCommand
+  | ClaimCommand
+  | SettleCommand
+  | FenceCommand
+  | MapDecisionCommand
+  | NoopCommand;
+
+/** Result of a submission. */
+export type SubmitResult =
+  | {
+      readonly kind: 'accepted';
+      readonly revision: number;
+      readonly resent: boolean;
+    }
+  | {
+      readonly kind: 'superseded';
+      readonly revision: number;
+      readonly current: number;
+    }
+  | {
+      readonly kind: 'conflict';
+      readonly revision: number;
+      readonly current: number;
+      /** Who holds that number. */
+      readonly winner: string;
+    }
+  | {readonly kind: 'gap'; readonly revision: number; readonly current: number};
+
+/** Result of a claim. */
+export type ClaimResult =
+  | {readonly kind: 'granted'; readonly attempt: number}
+  | {readonly kind: 'recorded'; readonly answer: RecordedAnswer}
+  | {
+      readonly kind: 'pending';
+      readonly attempt: number;
+      readonly entryId: string;
+      readonly targetId: string;
+      readonly agentBootId: string;
+    }
+  | {readonly kind: 'unknown'}
+  | {readonly kind: 'mismatch'}
+  | {readonly kind: 'expired'}
+  | {readonly kind: 'full'};
+
+/** Result of a settlement; `ignored` when another one came first. */
+export type SettleResult =
+  {readonly kind: 'settled'} | {readonly kind: 'ignored'};
+
+/** Result of any command. */
+export type CommandResult =
+  | {readonly command: 'submit'; readonly result: SubmitResult}
+  | {readonly command: 'claim'; readonly result: ClaimResult}
+  | {readonly command: 'settle'; readonly result: SettleResult}
+  | {readonly command: 'fence'; readonly result: {readonly fence: number}}
+  | {
+      readonly command: 'mapDecision';
+      readonly result: {readonly kind: 'recorded' | 'fenced'};
+    }
+  | {readonly command: 'noop'};
--- /dev/null
+++ b/src/core/progress.ts
@@ -0,0 +1,39 @@
+/** Carries the deadline and the cancellation of one call through every step. */
+
+import {refuse, Step} from './refusal';
+
+/** Deadline and cancel of a call. Times are `performance.now()` milliseconds. */
+export class Progress {
+  private readonly controller = new AbortController();
+
+  constructor(
+    readonly requestId: string,
+    readonly deadlineAt: number,
+    private readonly processId: string
+  ) {}
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Milliseconds left, never negative. */
+  remainingMs(): number {
+    return Math.max(0, this.deadlineAt - performance.now());
+  }
+
+  /** Stops all work of the call, for instance when the caller has gone. */
+  cancel(reason: string): void {
+    this.controller.abort(new Error(reason));
+  }
+
+  /** Throws `deadline-passed` once nothing can be answered in time. */
+  assertInTime(step: Step): void {
+    if (this.remainingMs() > 0) return;
+    throw refuse(
+      'deadline-passed',
+      step,
+      this.processId,
+      'the deadline has passed'
+    );
+  }
+}
--- /dev/null
+++ b/src/core/refusal.ts
@@ -0,0 +1,227 @@
+/** Every reason for which marlpulley refuses a request, and what it proves. */
+
+/** Whether the request can have taken effect at its target. */
+export type RunOutcome = 'not run' | 'outcome unknown';
+
+interface RefusalKind {
+  /** HTTP status towards the caller. */
+  readonly status: number;
+  readonly outcome: RunOutcome;
+  /** Whether sending the same request again can help and is harmless. */
+  readonly retryable: boolean;
+  /** Whether the entry may itself try another target after this refusal. */
+  readonly tryElsewhere: boolean;
+  readonly meaning: string;
+}
+
+const kind = (
+  status: number,
+  outcome: RunOutcome,
+  retryable: boolean,
+  tryElsewhere: boolean,
+  meaning: string
+): RefusalKind => ({status, outcome, retryable, tryElsewhere, meaning});
+
+/** The table of refusals; docs/OPERATORS.md and docs/CALLERS.md list the same. */
+export const REFUSALS = {
+  'malformed-request': kind(
+    400,
+    'not run',
+    false,
+    false,
+    'the request is not valid HTTP or JSON'
+  ),
+  'body-too-large': kind(
+    413,
+    'not run',
+    false,
+    false,
+    'the body exceeds the configured size'
+  ),
+  'unknown-customer': kind(
+    401,
+    'not run',
+    false,
+    false,
+    'no known customer was named'
+  ),
+  'no-route': kind(
+    404,
+    'not run',
+    false,
+    false,
+    'no rule sends this customer and path to a pool'
+  ),
+  'key-required': kind(
+    400,
+    'not run',
+    false,
+    false,
+    'a non-idempotent call needs an Idempotency-Key'
+  ),
+  'key-conflict': kind(
+    422,
+    'not run',
+    false,
+    false,
+    'the key was used with another request'
+  ),
+  'key-expired': kind(
+    409,
+    'not run',
+    false,
+    false,
+    'the key is older than the retention'
+  ),
+  'key-record-full': kind(
+    503,
+    'not run',
+    true,
+    false,
+    'no more keys can be recorded for this customer'
+  ),
+  'in-progress': kind(
+    409,
+    'outcome unknown',
+    true,
+    false,
+    'the same key is being worked on'
+  ),
+  'outcome-unknown': kind(
+    502,
+    'outcome unknown',
+    false,
+    false,
+    'the request may have run; its answer was lost'
+  ),
+  'customer-limit': kind(
+    429,
+    'not run',
+    true,
+    false,
+    'the customer is over its own limit'
+  ),
+  overloaded: kind(503, 'not run', true, true, 'the queue is full'),
+  'deadline-too-short': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the queue is longer than the deadline allows'
+  ),
+  'deadline-passed': kind(
+    504,
+    'not run',
+    true,
+    false,
+    'the deadline passed while the request was queued'
+  ),
+  'no-target': kind(
+    503,
+    'not run',
+    true,
+    false,
+    'no target of the pool may take new work'
+  ),
+  'rules-unproven': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the process cannot prove that its rules are current'
+  ),
+  'zone-out': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the availability zone is out of service'
+  ),
+  'target-leaving': kind(503, 'not run', true, true, 'the target is leaving'),
+  'target-cold': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the target is in a cold start and full'
+  ),
+  'target-changed': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the agent or target restarted since it was chosen'
+  ),
+  'target-unreachable': kind(
+    502,
+    'not run',
+    true,
+    true,
+    'no connection; no byte was sent'
+  ),
+  'claim-fenced': kind(
+    409,
+    'not run',
+    true,
+    false,
+    'the claim was settled as not run before it arrived'
+  ),
+  'control-unavailable': kind(
+    503,
+    'not run',
+    true,
+    false,
+    'the key could not be agreed on a quorum'
+  ),
+  draining: kind(503, 'not run', true, true, 'the process is shutting down'),
+} as const satisfies Record<string, RefusalKind>;
+
+/** The name of a refusal, as in headers, bodies, logs and counters. */
+export type RefusalReason = keyof typeof REFUSALS;
+
+/** Where in the path of a request something happened. */
+export type Step =
+  | 'receive'
+  | 'identify'
+  | 'classify'
+  | 'admit'
+  | 'claim'
+  | 'route'
+  | 'dispatch'
+  | 'gate'
+  | 'target'
+  | 'answer'
+  | 'settle';
+
+/** One refusal, as it travels from agent to entry to caller. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  readonly step: Step;
+  /** Id of the process or target at which it arose. */
+  readonly peer: string;
+  /** For a person; never parsed. */
+  readonly detail: string;
+  /** Milliseconds after which a retry can help. */
+  readonly retryAfterMs?: number;
+}
+
+/** Thrown by a filter or a gate; turned into an answer at the wire only. */
+export class RefusalError extends Error {
+  constructor(readonly refusal: Refusal) {
+    super(
+      `${refusal.reason} at ${refusal.step} (${refusal.peer}): ${refusal.detail}`
+    );
+    this.name = 'RefusalError';
+  }
+}
+
+/** Builds a RefusalError in one line. */
+export function refuse(
+  reason: RefusalReason,
+  step: Step,
+  peer: string,
+  detail: string,
+  retryAfterMs?: number
+): RefusalError {
+  return new RefusalError({reason, step, peer, detail, retryAfterMs});
+}
--- /dev/null
+++ b/src/core/wire.ts
@@ -0,0 +1,130 @@
+/** Messages between our processes, and the limits of the internal protocol. */
+
+import type {Refusal} from './refusal';
+
+/** Version of the internal protocol; peers that differ refuse each other. */
+export const PROTOCOL_VERSION = '1';
+
+/** Header with the Dispatch, entry to agent. */
+export const DISPATCH_HEADER = 'marlpulley-dispatch';
+/** Header with the DispatchReport, agent to entry. */
+export const REPORT_HEADER = 'marlpulley-report';
+
+/** How far a target is in its cold start. */
+export type Temperature = 'cold' | 'warming' | 'warm';
+
+/** What a target's agent tells of itself with every poll. */
+export interface Announcement {
+  readonly targetId: string;
+  readonly pool: string;
+  readonly availabilityZone: string;
+  /** Address of the agent, where entries dispatch. */
+  readonly host: string;
+  readonly port: number;
+  /** Random at each start of the agent. */
+  readonly agentBootId: string;
+  /** Time of the agent's start; a later boot replaces an earlier one. */
+  readonly agentBootAtMs: number;
+  /** Grows with every announcement of one boot. */
+  readonly seq: number;
+  readonly state: 'serving' | 'leaving';
+  readonly temperature: Temperature;
+  /** Requests that the target may run at once now. */
+  readonly limit: number;
+  readonly outstanding: number;
+  readonly queued: number;
+  /** For engines. */
+  readonly model?: string;
+  readonly modelVersion?: string;
+  /** Group of ranks and place in it. */
+  readonly group?: {readonly id: string; readonly rank: number};
+  /** Tokens in work and waiting, as the target last reported. */
+  readonly tokensInWork?: number;
+  /** Milliseconds since the target made its last load report. */
+  readonly loadAgeMs?: number;
+  /** Recently cached prompt prefixes, as short digests. */
+  readonly prefixes?: readonly string[];
+}
+
+/** What an entry or agent asks every control instance, over and over. */
+export interface PollRequest {
+  readonly processId: string;
+  readonly role: 'entry' | 'agent';
+  readonly bootId: string;
+  readonly heldRevision: number;
+  readonly announcement?: Announcement;
+  /** Membership version held from this very instance and boot. */
+  readonly membership?: {readonly bootId: string; readonly version: number};
+  /** Use since the last poll to this instance, from entries. */
+  readonly usage?: readonly UsageDelta[];
+}
+
+/** Use by one customer, since it was last told. */
+export interface UsageDelta {
+  readonly customer: string;
+  readonly requests: number;
+  readonly tokens: number;
+  readonly queueMs: number;
+}
+
+/** What a control instance answers to a poll, for itself alone. */
+export interface PollAnswer {
+  readonly instanceId: string;
+  readonly bootId: string;
+  /** Whether this instance votes; only voters count towards a proof. */
+  readonly voter: boolean;
+  readonly voterCount: number;
+  readonly leaderId?: string;
+  /**
+   * Highest revision anywhere in its log, committed or not. A process that
+   * hears from a majority of voters that none holds more than it does itself
+   * knows that nothing newer had been accepted when it asked.
+   */
+  readonly lastRevision: number;
+  readonly committedRevision: number;
+  /** The committed rules, when newer than held. */
+  readonly rules?: {readonly revision: number; readonly text: string};
+  /** Announcements changed since the held version; all, when `full`. */
+  readonly members?: {
+    readonly version: number;
+    readonly full: boolean;
+    readonly changed: readonly Announcement[];
+    readonly removed: readonly string[];
+  };
+}
+
+/** What an entry tells an agent about a request. */
+export interface Dispatch {
+  readonly requestId: string;
+  readonly entryId: string;
+  readonly customer: string;
+  readonly pool: string;
+  /** Revision of the entry's rules; an agent that holds less refuses. */
+  readonly revision: number;
+  readonly remainingMs: number;
+  readonly attempt: number;
+  /** Estimated cost: prompt and expected output tokens, or 1 for a service. */
+  readonly cost: number;
+  readonly idempotent: boolean;
+  /** The agent's boot that the entry chose; another boot refuses. */
+  readonly agentBootId: string;
+  /** For non-idempotent calls with a key. */
+  readonly claim?: {readonly key: string; readonly attempt: number};
+  /** For a stream that goes on: tokens already delivered. */
+  readonly resumeFrom?: number;
+  readonly priority: number;
+}
+
+/** What the agent tells the entry beside every answer. */
+export interface DispatchReport {
+  readonly targetId: string;
+  readonly agentBootId: string;
+  readonly revision: number;
+  readonly temperature: Temperature;
+  readonly limit: number;
+  readonly outstanding: number;
+  readonly queued: number;
+  readonly queuedMs: number;
+  /** Present when the agent refused; the target has then seen nothing. */
+  readonly refusal?: Refusal;
+}
