--- /dev/null
+++ b/src/policy/ramp.ts
@@ -0,0 +1,105 @@
+/**
+ * How much a fresh target may run at once, from its first signal on.
+ *
+ * The limit grows only over time in which the target has answered under load,
+ * so an idle target is no warmer for having waited, and it falls to the start
+ * at any sign of cold.
+ */
+
+/** What the operators allow; a `warmup` rule has these fields. */
+export interface WarmupLimits {
+  /** Requests at once on a target that has just started. */
+  readonly start: number;
+  /** Requests at once on a warm target. */
+  readonly full: number;
+  /** Least time from start to full, under load. */
+  readonly overMs: number;
+}
+
+/** Where a target stands in its ramp. */
+export interface RampState {
+  /** Requests at once that it has shown to bear; undefined: at the start. */
+  readonly level: number | undefined;
+  /** Until when time under load has been credited. */
+  readonly creditedAtMs: number;
+  /** Since when it has been taken for cold or strained. */
+  readonly sinceMs: number;
+}
+
+/** One request that the target answered well. */
+export interface RampSample {
+  readonly nowMs: number;
+  /** When the target began the request. */
+  readonly startedAtMs: number;
+  /** Requests that ran at the end, this one included. */
+  readonly outstanding: number;
+  /** Its latency over that of a lightly loaded target; 1 when unknown. */
+  readonly slowdown: number;
+}
+
+/** Part of the limit that must be in use for the limit to grow. */
+const MIN_USE = 0.5;
+/** Latency over the unloaded one at which growth stops. */
+const HOLD_SLOWDOWN = 1.5;
+/** Latency over the unloaded one at which the limit shrinks. */
+const SHRINK_SLOWDOWN = 2;
+const SHRINK_FACTOR = 0.7;
+
+/** A target that has just started, or whose past isn't known. */
+export function freshRamp(nowMs: number): RampState {
+  return {level: undefined, creditedAtMs: nowMs, sinceMs: nowMs};
+}
+
+/** Requests that the target may run at once, at least 1. */
+export function rampLimit(
+  state: RampState,
+  rule: WarmupLimits,
+  _nowMs: number
+): number {
+  return Math.max(1, Math.floor(currentLevel(state, rule)));
+}
+
+/** Whether the target bears all that the rule allows. */
+export function rampComplete(state: RampState, rule: WarmupLimits): boolean {
+  return currentLevel(state, rule) >= rule.full;
+}
+
+/** Grows, holds or shrinks the limit after a good answer. */
+export function rampServed(
+  state: RampState,
+  rule: WarmupLimits,
+  sample: RampSample
+): RampState {
+  const level = currentLevel(state, rule);
+  const creditedAtMs = Math.max(state.creditedAtMs, sample.nowMs);
+  if (sample.slowdown >= SHRINK_SLOWDOWN) {
+    const shrunk = Math.max(Math.min(rule.start, level), level * SHRINK_FACTOR);
+    return {...state, level: shrunk, creditedAtMs};
+  }
+  const idle = sample.outstanding < Math.floor(level) * MIN_USE;
+  if (idle || sample.slowdown >= HOLD_SLOWDOWN)
+    return {...state, level, creditedAtMs};
+  const from = Math.max(state.creditedAtMs, sample.startedAtMs);
+  const creditMs = Math.max(0, sample.nowMs - from);
+  const rate = (rule.full - rule.start) / Math.max(1, rule.overMs);
+  const grown = Math.min(rule.full, level + rate * creditMs);
+  return {...state, level: grown, creditedAtMs};
+}
+
+/** Back to the start: lost connection, new boot, silence, or a cold report. */
+export function rampCold(state: RampState, nowMs: number): RampState {
+  return {
+    level: undefined,
+    creditedAtMs: Math.max(nowMs, state.creditedAtMs),
+    sinceMs: nowMs,
+  };
+}
+
+/**
+ * The level is kept in requests, not as progress: a rule that raises start or
+ * full mid-ramp would otherwise lift the limit at once, past what the target
+ * has shown to bear. A lower full applies at once.
+ */
+function currentLevel(state: RampState, rule: WarmupLimits): number {
+  return Math.min(rule.full, state.level ?? rule.start);
+}
