--- /dev/null
+++ b/bench/emulator/gate.ts
@@ -0,0 +1,264 @@
+/** The gate beside an emulated engine; it drives the decisions that ship. */
+
+import {
+  concurrencyLimit,
+  freshConcurrency,
+  latencyRise,
+  observeLatency,
+  type ConcurrencyState,
+} from '../../src/policy/concurrencyLimit';
+import {
+  FairQueue,
+  type OfferResult,
+  type QueueItem,
+} from '../../src/policy/fairQueue';
+import {
+  freshRamp,
+  rampCold,
+  rampComplete,
+  rampLimit,
+  rampServed,
+  type RampState,
+  type WarmupLimits,
+} from '../../src/policy/ramp';
+import type {Engine, StepEvent} from './engine';
+import type {EventQueue} from './eventQueue';
+import type {EmulatedRequest} from './workload';
+
+/** Why a gate gave a job back without having run it. */
+export type GateRefusal =
+  | 'overloaded'
+  | 'customer-limit'
+  | 'deadline-too-short'
+  | 'deadline-passed'
+  | 'zone-out';
+
+/** One attempt at a gate. */
+export interface Job {
+  readonly id: string;
+  readonly req: EmulatedRequest;
+  readonly cost: number;
+  /** Output tokens that earlier attempts have delivered. */
+  readonly delivered: number;
+  readonly onFirstToken: () => void;
+  readonly onDone: () => void;
+  readonly onLost: () => void;
+  readonly onRefused: (reason: GateRefusal) => void;
+}
+
+/** What the gate asks of a queue; the baseline is first in, first out. */
+export interface JobQueue {
+  readonly size: number;
+  offer(item: QueueItem<Job>, nowMs: number): OfferResult;
+  take(nowMs: number, freeSlots: number): QueueItem<Job> | undefined;
+  expire(nowMs: number): readonly QueueItem<Job>[];
+  finished(customer: string): void;
+  served(cost: number, elapsedMs: number): void;
+}
+
+/** How a gate is set up; each baseline leaves one thing out. */
+export interface GateOptions {
+  readonly queue: 'fair' | 'fifo';
+  readonly ramp: boolean;
+  readonly warmup: WarmupLimits;
+}
+
+/** First in, first out, with the same bound. */
+export class FifoQueue implements JobQueue {
+  private readonly items: QueueItem<Job>[] = [];
+
+  get size(): number {
+    return this.items.length;
+  }
+
+  offer(item: QueueItem<Job>): OfferResult {
+    if (this.items.length >= MAX_QUEUED)
+      return {kind: 'refused', reason: 'overloaded', retryAfterMs: 1000};
+    this.items.push(item);
+    return {kind: 'queued'};
+  }
+
+  take(): QueueItem<Job> | undefined {
+    return this.items.shift();
+  }
+
+  expire(): readonly QueueItem<Job>[] {
+    return [];
+  }
+
+  finished(): void {}
+
+  served(): void {}
+}
+
+const MAX_QUEUED = 400;
+const MAX_QUEUED_PER_CUSTOMER = 200;
+/** Steps between two samples of the ramp. */
+const RAMP_SAMPLE_STEPS = 5;
+
+/** One gate. */
+export class Gate {
+  zoneOut = false;
+  /** Time of the last job that the engine got; -Infinity for none. */
+  lastStartAt = -Infinity;
+  onWork: (customer: string, cost: number) => void = () => undefined;
+  private queue: JobQueue;
+  private ramp: RampState;
+  private concurrency: ConcurrencyState;
+  private running = 0;
+  private steps = 0;
+  private boot = 0;
+
+  constructor(
+    private readonly events: EventQueue,
+    readonly engine: Engine,
+    private options: GateOptions,
+    warm: boolean
+  ) {
+    this.queue = this.freshQueue();
+    this.concurrency = freshConcurrency(options.warmup);
+    const ramp = freshRamp(events.now);
+    this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
+    engine.onStep = step => this.observe(step);
+    engine.onFall = () => this.takeForCold();
+  }
+
+  get queued(): number {
+    return this.queue.size;
+  }
+
+  get outstanding(): number {
+    return this.running;
+  }
+
+  get isWarm(): boolean {
+    return !this.options.ramp || rampComplete(this.ramp, this.options.warmup);
+  }
+
+  get limit(): number {
+    const {warmup} = this.options;
+    if (!this.options.ramp) return warmup.full;
+    const ramp = rampLimit(this.ramp, warmup, this.events.now);
+    return Math.min(ramp, concurrencyLimit(this.concurrency, warmup));
+  }
+
+  /** A changed warm-up rule. */
+  configure(warmup: WarmupLimits): void {
+    this.options = {...this.options, warmup};
+  }
+
+  takeForCold(): void {
+    this.ramp = rampCold(this.ramp, this.events.now);
+  }
+
+  /** Forgets all, as a restarted agent; what its engine ran is lost too. */
+  restart(): void {
+    this.boot++;
+    this.running = 0;
+    this.queue = this.freshQueue();
+    this.takeForCold();
+  }
+
+  offer(job: Job): void {
+    if (this.zoneOut) {
+      job.onRefused('zone-out');
+      return;
+    }
+    const {load, deadlineAt} = job.req;
+    const {customer, share, priority} = load;
+    const {id, cost} = job;
+    const result = this.queue.offer(
+      {id, customer, share, priority, cost, deadlineAt, payload: job},
+      this.events.now
+    );
+    if (result.kind === 'refused') job.onRefused(result.reason);
+    else this.pump();
+  }
+
+  /** Takes the zone out: what waits is given back, what runs goes on. */
+  setZoneOut(out: boolean): void {
+    this.zoneOut = out;
+    if (!out) return;
+    const waiting: Job[] = [];
+    for (;;) {
+      const item = this.queue.take(this.events.now, Infinity);
+      if (item === undefined) break;
+      this.queue.finished(item.customer);
+      waiting.push(item.payload);
+    }
+    for (const job of waiting) job.onRefused('zone-out');
+  }
+
+  private freshQueue(): JobQueue {
+    if (this.options.queue === 'fifo') return new FifoQueue();
+    return new FairQueue<Job>({
+      maxQueued: MAX_QUEUED,
+      maxQueuedPerCustomer: MAX_QUEUED_PER_CUSTOMER,
+    });
+  }
+
+  private pump(): void {
+    const {now} = this.events;
+    for (const item of this.queue.expire(now))
+      item.payload.onRefused('deadline-passed');
+    while (this.running < this.limit) {
+      const free = this.limit - this.running;
+      const item = this.queue.take(now, free);
+      if (item === undefined) return;
+      this.begin(item.payload);
+    }
+  }
+
+  private begin(job: Job): void {
+    const {req, delivered} = job;
+    const {customer} = req.load;
+    const startedAt = this.events.now;
+    const boot = this.boot;
+    this.running++;
+    this.lastStartAt = startedAt;
+    this.onWork(customer, job.cost);
+    const end = () => {
+      if (boot !== this.boot) return;
+      this.running--;
+      this.queue.finished(customer);
+    };
+    this.engine.start({
+      prefixKey: req.prefixKey,
+      prefixTokens: req.prefixTokens,
+      promptLeft: req.promptTokens + delivered,
+      outputLeft: req.outputTokens - delivered,
+      onFirstToken: job.onFirstToken,
+      onDone: () => {
+        end();
+        this.queue.served(job.cost, this.events.now - startedAt);
+        job.onDone();
+        this.pump();
+      },
+      onLost: () => {
+        end();
+        this.takeForCold();
+        job.onLost();
+      },
+    });
+  }
+
+  private observe(step: StepEvent): void {
+    const {now} = this.events;
+    const {warmup} = this.options;
+    if (!step.prefilled)
+      this.concurrency = observeLatency(this.concurrency, warmup, {
+        latencyMs: step.durationMs,
+        outstanding: step.running,
+      });
+    if (++this.steps % RAMP_SAMPLE_STEPS !== 0) return;
+    if (!rampComplete(this.ramp, warmup)) {
+      this.ramp = rampServed(this.ramp, warmup, {
+        nowMs: now,
+        startedAtMs: now - step.durationMs * RAMP_SAMPLE_STEPS,
+        outstanding: step.running,
+        slowdown: latencyRise(this.concurrency),
+      });
+      this.pump();
+    }
+  }
+}
--- /dev/null
+++ b/bench/report/table.ts
@@ -0,0 +1,61 @@
+/** The results as a plain text table. */
+
+import type {Figures, MeasureResult} from '../measure';
+
+/** One measure of the report. */
+export interface ReportedResult {
+  readonly key: string;
+  readonly result: MeasureResult;
+  readonly elapsedMs: number;
+}
+
+const NAME_WIDTH = 44;
+const VALUE_WIDTH = 16;
+
+/** A table a measure: a row a figure, a column for ours and each baseline. */
+export function textTable(results: readonly ReportedResult[]): string {
+  return results.map(measureTable).join('\n');
+}
+
+function measureTable({key, result}: ReportedResult): string {
+  const columns = columnsOf(result);
+  const header = row(
+    key,
+    columns.map(([name]) => name)
+  );
+  const rows = figureNames(columns).map(name =>
+    row(
+      `  ${name}`,
+      columns.map(([, figures]) => formatFigure(figures[name]))
+    )
+  );
+  const verdict = result.met ? 'met' : `SHORT: ${result.cause ?? 'no cause'}`;
+  return [header, ...rows, `  mark: ${result.mark}: ${verdict}`, ''].join('\n');
+}
+
+/** Ours first, then the bound, then the baselines. */
+export function columnsOf(
+  result: MeasureResult
+): readonly (readonly [string, Figures])[] {
+  const bound = result.bound ? [['bound', result.bound] as const] : [];
+  return [['ours', result.ours], ...bound, ...Object.entries(result.baselines)];
+}
+
+/** All figures that occur in any column. */
+export function figureNames(
+  columns: readonly (readonly [string, Figures])[]
+): readonly string[] {
+  return [...new Set(columns.flatMap(([, figures]) => Object.keys(figures)))];
+}
+
+/** Three significant digits, or a dash. */
+export function formatFigure(value: number | undefined): string {
+  if (value === undefined) return '-';
+  if (Number.isInteger(value)) return String(value);
+  return String(Number(value.toPrecision(3)));
+}
+
+function row(name: string, cells: readonly string[]): string {
+  const padded = cells.map(cell => cell.padStart(VALUE_WIDTH));
+  return name.padEnd(NAME_WIDTH) + padded.join('');
+}
--- a/src/policy/concurrencyLimit.ts
+++ b/src/policy/concurrencyLimit.ts
@@ -37,10 +37,10 @@
 const BASELINE_RISE = 0.002;
 const MIN_USE = 0.8;
 
-/** Starts a limit at its lower bound. */
+/** Starts a limit at its upper bound; the cold-start ramp guards the rest. */
 export function freshConcurrency(bounds: ConcurrencyBounds): ConcurrencyState {
   return {
-    limit: bounds.start,
+    limit: bounds.full,
     baselineMs: undefined,
     recentMs: undefined,
     samples: 0,
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -18,10 +18,13 @@
 const FLOOR_SAVED_S = 2;
 /** Requests whose earned retries may be saved up. */
 const SAVED_REQUESTS = 500;
+/** Replacements that each request earns. */
+const REPLACEMENTS_PER_REQUEST = 0.5;
 
 /** One budget for a pool at an entry; retries and hedges draw on it. */
 export class RetryBudget {
   private earned = 0;
+  private replacements = 0;
   private floor: number;
   private lastMs: number;
 
@@ -44,6 +47,23 @@
   request(): void {
     const gain = this.options.percent / 100;
     this.earned = Math.min(this.maxEarned(), this.earned + gain);
+    this.replacements = Math.min(
+      SAVED_REQUESTS,
+      this.replacements + REPLACEMENTS_PER_REQUEST
+    );
+  }
+
+  /**
+   * Spends one replacement of an attempt that certainly holds no capacity any
+   * more: refused before it ran, or its target is gone. Such an attempt adds
+   * no load, and a lost zone takes a third of all streams at once, which the
+   * retries could not cover. It is still bounded: requests that kill every
+   * target they reach would otherwise go round for ever.
+   */
+  tryReplace(nowMs: number): boolean {
+    if (this.replacements < 1) return this.tryRetry(nowMs);
+    this.replacements--;
+    return true;
   }
 
   /** Spends one retry or hedge; false when the budget is used up. */
