--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -2,6 +2,14 @@
 
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
+import {coldStart} from './measures/coldStart';
+import {fairness} from './measures/fairness';
+import {zoneOutage} from './measures/zoneOutage';
 
 /** One entry a measure; each stands in a file of its own in bench/measures. */
-export const MEASURES: readonly Measure[] = [balance];
+export const MEASURES: readonly Measure[] = [
+  zoneOutage,
+  fairness,
+  coldStart,
+  balance,
+];
--- /dev/null
+++ b/bench/measures/coldStart.ts
@@ -0,0 +1,192 @@
+/**
+ * `coldStart`: the most work over what a cold engine bears, and the time until
+ * it carries full load, behind a gate whose callers want all it can give.
+ */
+
+import {Engine, ENGINE_SHAPE, type ColdShape} from '../emulator/engine';
+import {EventQueue} from '../emulator/eventQueue';
+import {Gate, type GateOptions} from '../emulator/gate';
+import {COLD, OUR_GATE, WARMUP, engineCapacity} from '../emulator/cluster';
+import {tenCustomers, Workload} from '../emulator/workload';
+import type {
+  Figures,
+  Measure,
+  MeasureOptions,
+  MeasureResult,
+  PlotSeries,
+} from '../measure';
+
+interface Scenario {
+  readonly name: string;
+  readonly cold: ColdShape;
+  /** Demand over what a full engine answers. */
+  readonly load: number;
+  readonly disturb?: (run: Run) => void;
+}
+
+interface Run {
+  readonly events: EventQueue;
+  readonly engine: Engine;
+  readonly gate: Gate;
+}
+
+const END_MS = 150_000;
+const SAMPLE_MS = 500;
+const FLOOD_LOAD = 3;
+/** Stands for a time that did not end within the run. */
+const NEVER = -1;
+
+const SCENARIOS: readonly Scenario[] = [
+  {name: 'asTheRuleSays', cold: COLD, load: FLOOD_LOAD},
+  {
+    name: 'twiceAsSlow',
+    cold: {...COLD, warmMs: COLD.warmMs * 2},
+    load: FLOOD_LOAD,
+  },
+  {name: 'slowAtFirst', cold: {...COLD, exponent: 2}, load: FLOOD_LOAD},
+  {name: 'moderateLoad', cold: COLD, load: 0.6},
+  {
+    name: 'ruleRaisedMidRamp',
+    cold: COLD,
+    load: FLOOD_LOAD,
+    disturb: ({events, gate}) =>
+      events.after(8000, () => gate.configure({...WARMUP, start: 32})),
+  },
+  {
+    name: 'agentRestartsMidRamp',
+    cold: COLD,
+    load: FLOOD_LOAD,
+    disturb: ({events, engine, gate}) =>
+      events.after(10_000, () => {
+        engine.kill(true);
+        gate.restart();
+        engine.revive(COLD);
+      }),
+  },
+];
+
+interface ColdFigures {
+  readonly overBearable: number;
+  readonly falls: number;
+  readonly fullAtMs: number;
+  readonly curve: PlotSeries;
+}
+
+function offerLoad(run: Run, load: number, seed: number): void {
+  const perSecond = load * engineCapacity();
+  const workload = new Workload(tenCustomers(perSecond), seed);
+  const {events, gate} = run;
+  for (const customer of workload.customers) {
+    const arrive = () => {
+      const req = workload.next(customer, events.now);
+      gate.offer({
+        id: req.id,
+        req,
+        cost: req.outputTokens,
+        delivered: 0,
+        onFirstToken: () => undefined,
+        onDone: () => undefined,
+        onLost: () => undefined,
+        onRefused: () => undefined,
+      });
+      events.after(workload.gapMs(customer, events.now), arrive);
+    };
+    events.after(workload.gapMs(customer, 0), arrive);
+  }
+}
+
+function runScenario(
+  scenario: Scenario,
+  options: GateOptions,
+  seed: number
+): ColdFigures {
+  const events = new EventQueue();
+  const engine = new Engine(events, ENGINE_SHAPE);
+  engine.turnCold(scenario.cold);
+  const gate = new Gate(events, engine, options, false);
+  const run = {events, engine, gate};
+  offerLoad(run, scenario.load, seed);
+  scenario.disturb?.(run);
+  const points: {x: number; y: number}[] = [];
+  let fullAtMs = Infinity;
+  for (let at = SAMPLE_MS; at <= END_MS; at += SAMPLE_MS) {
+    events.runUntil(at);
+    points.push({x: at / 1000, y: engine.running});
+    const bearsAll = engine.bearable() === Infinity && engine.isAlive;
+    const carries = gate.limit >= WARMUP.full && bearsAll;
+    if (carries && fullAtMs === Infinity) fullAtMs = at;
+  }
+  return {
+    overBearable: engine.mostOverBearable,
+    falls: engine.falls,
+    fullAtMs,
+    curve: {name: scenario.name, points},
+  };
+}
+
+/** The shortest time in which such an engine can carry all. */
+function shortestMs(scenario: Scenario): number {
+  const lostMs = scenario.name === 'agentRestartsMidRamp' ? 10_000 : 0;
+  return scenario.cold.warmMs + lostMs;
+}
+
+function timeOverShortest(scenario: Scenario, run: ColdFigures): number {
+  if (run.fullAtMs === Infinity) return NEVER;
+  return run.fullAtMs / shortestMs(scenario);
+}
+
+/** The worst of all seeds. */
+function summarize(
+  runs: readonly (readonly [Scenario, ColdFigures])[]
+): Figures {
+  const most = Math.max(...runs.map(([, run]) => run.overBearable));
+  const falls = runs.reduce((sum, [, run]) => sum + run.falls, 0);
+  const byName = SCENARIOS.flatMap(({name}) => {
+    const own = runs.filter(([scenario]) => scenario.name === name);
+    const times = own.map(([scenario, run]) => timeOverShortest(scenario, run));
+    const peaks = own.map(([, run]) => run.overBearable);
+    const longest = times.includes(NEVER) ? NEVER : Math.max(...times);
+    return [
+      [`${name}.timeOverShortest`, longest],
+      [`${name}.mostOverBearable`, Math.max(...peaks)],
+    ] as const;
+  });
+  return {
+    mostOverBearable: most,
+    falls,
+    ...Object.fromEntries(byName),
+  };
+}
+
+async function run(options: MeasureOptions): Promise<MeasureResult> {
+  const seeds = options.quick ? 3 : 20;
+  const runAll = (gate: GateOptions) =>
+    Array.from({length: seeds}, (_, index) => options.seed + index).flatMap(
+      seed =>
+        SCENARIOS.map(
+          scenario => [scenario, runScenario(scenario, gate, seed)] as const
+        )
+    );
+  const runs = runAll(OUR_GATE);
+  const ours = summarize(runs);
+  const noRamp = summarize(runAll({...OUR_GATE, ramp: false}));
+  const met = ours['mostOverBearable']! <= 1;
+  return {
+    ours,
+    baselines: {noRamp},
+    bound: {mostOverBearable: 1},
+    mark: 'most work over bearable at most 1.0, always; -1 is never full',
+    met,
+    cause: met ? undefined : 'a cold engine was given more than it bears',
+    plots: [
+      {
+        title: 'Requests on a cold engine',
+        unit: 'requests',
+        series: runs.slice(0, 4).map(([, figures]) => figures.curve),
+      },
+    ],
+  };
+}
+
+/** The measure. */
+export const coldStart: Measure = {key: 'coldStart', run};
--- /dev/null
+++ b/bench/measures/zoneOutage.ts
@@ -0,0 +1,167 @@
+/**
+ * `zoneOutage`: what callers see while one of three zones leaves and returns,
+ * by rule and by a silent loss, at 60% load.
+ */
+
+import type {GateOptions} from '../emulator/gate';
+import {
+  ABZEICHENWERK,
+  Cluster,
+  COLD,
+  engineCapacity,
+  OUR_GATE,
+  SHANNONSIDE,
+  type ClusterOptions,
+  type DeploymentShape,
+} from '../emulator/cluster';
+import {WindowFigures, type Window} from '../emulator/recorder';
+import {tenCustomers, Workload} from '../emulator/workload';
+import type {Figures, Measure, MeasureOptions, MeasureResult} from '../measure';
+
+const LOAD = 0.6;
+const ZONE = 'zone-b';
+const STEADY_FROM_MS = 20_000;
+const OUT_AT_MS = 80_000;
+const IN_AT_MS = 140_000;
+const END_MS = 240_000;
+const DRAIN_MS = 60_000;
+const MAX_LATENCY_RATIO = 1.5;
+const MAX_GONE_MS = 3000;
+
+const WINDOWS: readonly Window[] = [
+  {name: 'steady', fromMs: STEADY_FROM_MS, toMs: OUT_AT_MS},
+  {name: 'out', fromMs: OUT_AT_MS, toMs: IN_AT_MS},
+  {name: 'return', fromMs: IN_AT_MS, toMs: END_MS},
+];
+
+type Kind = 'graceful' | 'sudden';
+
+interface Policy {
+  readonly gate: GateOptions;
+  readonly entry: ClusterOptions['entry'];
+}
+
+const OURS: Policy = {
+  gate: OUR_GATE,
+  entry: {retries: true, gradualReturn: true, answersCarryLoad: false},
+};
+
+const BASELINES: Readonly<Record<string, Policy>> = {
+  noRetry: {...OURS, entry: {...OURS.entry, retries: false}},
+  noGradualReturn: {
+    gate: {...OURS.gate, ramp: false},
+    entry: {...OURS.entry, gradualReturn: false},
+  },
+};
+
+function runOne(
+  shape: DeploymentShape,
+  kind: Kind,
+  policy: Policy,
+  seed: number
+): Figures {
+  const perSecond = LOAD * shape.targets * engineCapacity();
+  const workload = new Workload(tenCustomers(perSecond), seed);
+  const cluster = new Cluster(
+    {shape, chooser: 'ours', ...policy, maxReportLagMs: 5000, seed},
+    workload,
+    WINDOWS
+  );
+  const goneMs = outage(cluster, kind);
+  return figuresOf(cluster, goneMs);
+}
+
+/** Runs it all; returns how long the zone still got new work. */
+function outage(cluster: Cluster, kind: Kind): number {
+  const {events} = cluster;
+  const zone = cluster.inZone(ZONE);
+  events.runUntil(OUT_AT_MS);
+  if (kind === 'graceful') cluster.setZoneOut(ZONE, true);
+  else cluster.killZone(ZONE);
+  events.runUntil(IN_AT_MS);
+  const last = Math.max(...zone.map(({gate}) => gate.lastStartAt));
+  if (kind === 'graceful') {
+    // Maintenance restarts the engines, so they return cold.
+    zone.forEach(({gate}) => gate.engine.kill(false));
+    cluster.reviveZone(ZONE, COLD);
+    cluster.setZoneOut(ZONE, false);
+  } else {
+    cluster.reviveZone(ZONE, COLD);
+  }
+  events.runUntil(END_MS + DRAIN_MS);
+  return Math.max(0, last - OUT_AT_MS);
+}
+
+function figuresOf(cluster: Cluster, newWorkGoneMs: number): Figures {
+  const [steady, out, back] = ['steady', 'out', 'return'].map(name =>
+    cluster.recorder.window(name)
+  );
+  const sum = (pick: (figures: WindowFigures) => number) =>
+    pick(steady!) + pick(out!) + pick(back!);
+  const firstToken = (figures: WindowFigures) =>
+    WindowFigures.ms(figures.firstToken, 95);
+  const between = (figures: WindowFigures) =>
+    WindowFigures.ms(figures.betweenTokens, 95);
+  const engines = cluster.targets.map(({gate}) => gate.engine);
+  return {
+    failed: sum(figures => figures.outcomes.failed),
+    refused: sum(figures => figures.outcomes.refused),
+    late: sum(figures => figures.outcomes.late),
+    answered: sum(figures => figures.outcomes.answered),
+    newWorkGoneMs,
+    firstTokenP95SteadyMs: firstToken(steady!),
+    firstTokenP95OutRatio: firstToken(out!) / firstToken(steady!),
+    firstTokenP95ReturnRatio: firstToken(back!) / firstToken(steady!),
+    betweenTokensP95SteadyMs: between(steady!),
+    betweenTokensP95OutRatio: between(out!) / between(steady!),
+    betweenTokensP95ReturnRatio: between(back!) / between(steady!),
+    coldOverBearable: Math.max(...engines.map(e => e.mostOverBearable)),
+    coldFalls: engines.reduce((total, engine) => total + engine.falls, 0),
+  };
+}
+
+function runAll(policy: Policy, options: MeasureOptions): Figures {
+  const all: [string, number][] = [];
+  for (const shape of [SHANNONSIDE, ABZEICHENWERK])
+    for (const kind of ['graceful', 'sudden'] as const) {
+      const figures = runOne(shape, kind, policy, options.seed);
+      for (const [name, value] of Object.entries(figures))
+        all.push([`${shape.name}.${kind}.${name}`, value]);
+    }
+  return Object.fromEntries(all);
+}
+
+function judge(ours: Figures): string | undefined {
+  for (const [name, value] of Object.entries(ours)) {
+    if (name.endsWith('.failed') && value > 0)
+      return `${name}: the retry budget was used up`;
+    if (name.endsWith('.newWorkGoneMs') && value > MAX_GONE_MS)
+      return `${name} is ${value} ms`;
+    if (name.endsWith('.coldFalls') && value > 0)
+      return `${name}: a cold engine was overloaded`;
+    if (/firstTokenP95(Out|Return)Ratio$/.test(name))
+      if (value > MAX_LATENCY_RATIO)
+        return `${name} is ${value.toFixed(2)}: the rest runs fuller batches`;
+  }
+  return undefined;
+}
+
+async function run(options: MeasureOptions): Promise<MeasureResult> {
+  const ours = runAll(OURS, options);
+  const baselines = Object.fromEntries(
+    Object.entries(BASELINES).map(
+      ([name, policy]) => [name, runAll(policy, options)] as const
+    )
+  );
+  const cause = judge(ours);
+  return {
+    ours,
+    baselines,
+    mark: 'none failed, new work gone in 3 s, p95 first token at most 1.5 of steady, no cold engine overloaded',
+    met: cause === undefined,
+    cause,
+  };
+}
+
+/** The measure. */
+export const zoneOutage: Measure = {key: 'zoneOutage', run};
