Give small customers credit and reserved slots in the fair queue

Cause: at one of twelve targets a share of 1 in 24 is one request in 3.7 s. Start tags made two requests that met at a target wait that long, and a flood held every slot. `take` now also gets the number of free slots.

--- a/src/policy/fairQueue.ts
+++ b/src/policy/fairQueue.ts
@@ -55,6 +55,15 @@
   startTag: number;
 }
 
+/** Part of the slots that customers over their share leave free. */
+const RESERVED_PART = 0.2;
+/**
+ * Items of mean cost that a customer may run at once after using less than its
+ * share. At one of many targets a small share is one item in seconds, so that
+ * two which happen to meet there would otherwise wait that long.
+ */
+const CREDIT_ITEMS = 8;
+const COST_SMOOTHING = 0.05;
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 30_000;
 /** Weight of the newest sample in the estimate of the service rate. */
@@ -69,6 +78,7 @@
   private queued = 0;
   private running = 0;
   private earliestDeadline = Infinity;
+  private meanCost = 0;
   /** Cost served in a millisecond by one slot; unknown before any service. */
   private slotRate: number | undefined;
 
@@ -94,8 +104,11 @@
       this.forgetIdle(queue);
       return refused(refusal, waitMs);
     }
-    if (queue.items.length === 0)
-      queue.startTag = Math.max(queue.startTag, this.virtualTime);
+    this.meanCost += COST_SMOOTHING * (item.cost - this.meanCost);
+    if (queue.items.length === 0) {
+      const earliest = this.virtualTime - this.credit(queue.share);
+      queue.startTag = Math.max(queue.startTag, earliest);
+    }
     insertByPriority(queue.items, item);
     queue.queuedCost += item.cost;
     this.queued++;
@@ -103,11 +116,21 @@
     return {kind: 'queued'};
   }
 
-  /** The next item to serve; call `finished` once its service has ended. */
-  take(nowMs: number): QueueItem<T> | undefined {
+  /**
+   * The next item to serve, when `freeSlots` more may run; call `finished`
+   * once its service has ended.
+   *
+   * The last free slots go to customers in credit only, as long as there are
+   * any. Without this a flood holds every slot, and a small customer waits for
+   * one to end each time, though it is the first in the queue.
+   */
+  take(nowMs: number, freeSlots: number): QueueItem<T> | undefined {
+    if (freeSlots < 1) return undefined;
+    const reserved = this.isReserved(freeSlots);
     let best: CustomerQueue<T> | undefined;
     for (const queue of this.customers.values()) {
       if (queue.running >= queue.concurrentLimit) continue;
+      if (reserved && queue.startTag >= this.virtualTime) continue;
       if (!queue.items.some(item => item.deadlineAt > nowMs)) continue;
       if (best === undefined || queue.startTag < best.startTag) best = queue;
     }
@@ -187,6 +210,20 @@
     return ahead / (this.slotRate * Math.max(1, this.running));
   }
 
+  private isReserved(freeSlots: number): boolean {
+    const slots = this.running + freeSlots;
+    if (freeSlots > Math.floor(slots * RESERVED_PART)) return false;
+    for (const queue of this.customers.values())
+      if (queue.items.length === 0 || queue.startTag < this.virtualTime)
+        return true;
+    return false;
+  }
+
+  /** How far behind the virtual time a customer may start after a pause. */
+  private credit(share: number): number {
+    return (this.meanCost * CREDIT_ITEMS) / share;
+  }
+
   private ownCostAhead(
     item: Pick<QueueItem<T>, 'customer' | 'priority'>
   ): number {
@@ -230,7 +267,7 @@
       items: [],
       queuedCost: 0,
       running: 0,
-      startTag: this.virtualTime,
+      startTag: this.virtualTime - this.credit(item.share),
     };
     this.customers.set(item.customer, queue);
     return queue;
@@ -253,14 +290,14 @@
     this.queued--;
   }
 
-  /** Keeps a customer in debt until the virtual time has caught up. */
+  /** Remembers a customer until it has all its credit back. */
   private forgetIdle(queue: CustomerQueue<T>): void {
     if (this.queued === 0 && this.running === 0) {
       this.customers.clear();
       return;
     }
     if (queue.items.length > 0 || queue.running > 0) return;
-    if (queue.startTag > this.virtualTime) return;
+    if (queue.startTag > this.virtualTime - this.credit(queue.share)) return;
     this.customers.delete(queue.customer);
   }
 }
