Ramp along a square, credit only the part in use, keep the baseline slow

Cause: a ramp in a straight line meets what a slower engine bears, the latency baseline rose with the strain that it should show, and a quarter used limit grew as fast as a full one, so that a burst then filled it at once. The emulated engine also left calls open after a fall; it now refuses them.

--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -81,6 +81,7 @@
   private stepping = false;
   private boot = 0;
   private alive = true;
+  private silent = false;
   private cold: ColdShape | undefined;
   private warmedMs = 0;
 
@@ -97,6 +98,11 @@
     return this.alive;
   }
 
+  /** Whether connections to it are refused, rather than left open. */
+  get refuses(): boolean {
+    return !this.alive && !this.silent;
+  }
+
   /** Tokens still to make, for a chooser with perfect knowledge. */
   get tokensLeft(): number {
     let total = 0;
@@ -131,7 +137,10 @@
   }
 
   start(sequence: Sequence): void {
-    if (!this.alive) return;
+    if (!this.alive) {
+      if (!this.silent) this.events.after(0, sequence.onLost);
+      return;
+    }
     const bearable = this.bearable();
     const over = (this.running + 1) / bearable;
     this.mostOverBearable = Math.max(this.mostOverBearable, over);
@@ -148,6 +157,7 @@
 
   /** Stops at once; what ran is lost, and callers learn it or not. */
   kill(tellCallers: boolean): void {
+    this.silent = !tellCallers;
     const lost = [...this.decoding, ...this.prefilling];
     this.decoding.clear();
     this.prefilling.length = 0;
--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -31,7 +31,8 @@
   | 'customer-limit'
   | 'deadline-too-short'
   | 'deadline-passed'
-  | 'zone-out';
+  | 'zone-out'
+  | 'target-unreachable';
 
 /** One attempt at a gate. */
 export interface Job {
@@ -125,7 +126,10 @@
     const ramp = freshRamp(events.now);
     this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
     engine.onStep = step => this.observe(step);
-    engine.onFall = () => this.takeForCold();
+    engine.onFall = () => {
+      this.takeForCold();
+      this.giveBack('target-unreachable');
+    };
   }
 
   get queued(): number {
@@ -169,6 +173,10 @@
       job.onRefused('zone-out');
       return;
     }
+    if (this.engine.refuses) {
+      job.onRefused('target-unreachable');
+      return;
+    }
     const {load, deadlineAt} = job.req;
     const {customer, share, priority} = load;
     const {id, cost} = job;
@@ -183,7 +191,10 @@
   /** Takes the zone out: what waits is given back, what runs goes on. */
   setZoneOut(out: boolean): void {
     this.zoneOut = out;
-    if (!out) return;
+    if (out) this.giveBack('zone-out');
+  }
+
+  private giveBack(reason: GateRefusal): void {
     const waiting: Job[] = [];
     for (;;) {
       const item = this.queue.take(this.events.now, Infinity);
@@ -191,7 +202,7 @@
       this.queue.finished(item.customer);
       waiting.push(item.payload);
     }
-    for (const job of waiting) job.onRefused('zone-out');
+    for (const job of waiting) job.onRefused(reason);
   }
 
   private freshQueue(): JobQueue {
--- a/src/policy/concurrencyLimit.ts
+++ b/src/policy/concurrencyLimit.ts
@@ -33,8 +33,12 @@
 const TOLERANCE = 2;
 const DECREASE = 0.9;
 const RECENT_SMOOTHING = 0.2;
-/** The baseline follows a slower target within some hundred answers. */
-const BASELINE_RISE = 0.002;
+/**
+ * The baseline follows a target that got slower for good within some ten
+ * thousand samples. Faster, it would follow a target under strain, and the
+ * strain would no longer show.
+ */
+const BASELINE_RISE = 0.0001;
 const MIN_USE = 0.8;
 
 /** Starts a limit at its upper bound; the cold-start ramp guards the rest. */
--- a/src/policy/ramp.ts
+++ b/src/policy/ramp.ts
@@ -37,12 +37,12 @@
   readonly slowdown: number;
 }
 
-/** Part of the limit that must be in use for the limit to grow. */
-const MIN_USE = 0.5;
+/** Part of the limit that must be in use for the limit to grow at all. */
+const MIN_USE = 0.25;
 /** Latency over the unloaded one at which growth stops. */
-const HOLD_SLOWDOWN = 1.5;
+const HOLD_SLOWDOWN = 2.1;
 /** Latency over the unloaded one at which the limit shrinks. */
-const SHRINK_SLOWDOWN = 2;
+const SHRINK_SLOWDOWN = 2.6;
 const SHRINK_FACTOR = 0.7;
 
 /** A target that has just started, or whose past isn't known. */
@@ -76,14 +76,13 @@
     const shrunk = Math.max(Math.min(rule.start, level), level * SHRINK_FACTOR);
     return {...state, level: shrunk, creditedAtMs};
   }
-  const idle = sample.outstanding < Math.floor(level) * MIN_USE;
-  if (idle || sample.slowdown >= HOLD_SLOWDOWN)
+  const use = Math.min(1, sample.outstanding / Math.max(1, Math.floor(level)));
+  if (use < MIN_USE || sample.slowdown >= HOLD_SLOWDOWN)
     return {...state, level, creditedAtMs};
   const from = Math.max(state.creditedAtMs, sample.startedAtMs);
   const creditMs = Math.max(0, sample.nowMs - from);
-  const rate = (rule.full - rule.start) / Math.max(1, rule.overMs);
-  const grown = Math.min(rule.full, level + rate * creditMs);
-  return {...state, level: grown, creditedAtMs};
+  const part = (use * creditMs) / Math.max(1, rule.overMs);
+  return {...state, level: grow(level, rule, part), creditedAtMs};
 }
 
 /** Back to the start: lost connection, new boot, silence, or a cold report. */
@@ -95,6 +94,20 @@
   };
 }
 
+/**
+ * The next level after a part of the rule's time under load. The curve is a
+ * square: as soon at full as a straight line, but below it all the way, since
+ * what a fresh target bears grows slowly at first (caches, compilation) and
+ * one request too many makes it fall over.
+ */
+function grow(level: number, rule: WarmupLimits, part: number): number {
+  const span = rule.full - rule.start;
+  if (span <= 0) return rule.full;
+  if (level < rule.start) return Math.min(rule.start, level + span * part);
+  const progress = Math.sqrt((level - rule.start) / span) + part;
+  return Math.min(rule.full, rule.start + span * progress * progress);
+}
+
 /**
  * The level is kept in requests, not as progress: a rule that raises start or
  * full mid-ramp would otherwise lift the limit at once, past what the target
