Leave the concurrency limit alone while a target ramps

Cause: strain in the cold start shrank both limits, and the concurrency limit took long to grow back; and each sample under strain cut the ramp anew.

--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -4,6 +4,7 @@
   concurrencyLimit,
   freshConcurrency,
   latencyRise,
+  learnLatency,
   observeLatency,
   type ConcurrencyState,
 } from '../../src/policy/concurrencyLimit';
@@ -259,16 +260,23 @@
     });
   }
 
+  private observeLatency(step: StepEvent, ramping: boolean): void {
+    const {durationMs, running} = step;
+    this.concurrency = ramping
+      ? learnLatency(this.concurrency, durationMs)
+      : observeLatency(this.concurrency, this.options.warmup, {
+          latencyMs: durationMs,
+          outstanding: running,
+        });
+  }
+
   private observe(step: StepEvent): void {
     const {now} = this.events;
     const {warmup} = this.options;
-    if (!step.prefilled)
-      this.concurrency = observeLatency(this.concurrency, warmup, {
-        latencyMs: step.durationMs,
-        outstanding: step.running,
-      });
+    const ramping = !rampComplete(this.ramp, warmup);
+    if (!step.prefilled) this.observeLatency(step, ramping);
     if (++this.steps % RAMP_SAMPLE_STEPS !== 0) return;
-    if (!rampComplete(this.ramp, warmup)) {
+    if (ramping) {
       this.ramp = rampServed(this.ramp, warmup, {
         nowMs: now,
         startedAtMs: now - step.durationMs * RAMP_SAMPLE_STEPS,
--- a/src/policy/concurrencyLimit.ts
+++ b/src/policy/concurrencyLimit.ts
@@ -71,7 +71,7 @@
   bounds: ConcurrencyBounds,
   sample: LatencySample
 ): ConcurrencyState {
-  const next = smooth(state, sample.latencyMs);
+  const next = learnLatency(state, sample.latencyMs);
   const limit = concurrencyLimit(state, bounds);
   if (next.samples < limit) return {...next, limit: state.limit};
   if (latencyRise(next) > TOLERANCE) {
@@ -83,7 +83,15 @@
   return {...next, limit: higher, samples: 0};
 }
 
-function smooth(state: ConcurrencyState, latencyMs: number): ConcurrencyState {
+/**
+ * Takes in a latency without moving the limit, for a target in its cold
+ * start: the ramp alone answers to its strain, and a limit that shrank as well
+ * would hold it back long after.
+ */
+export function learnLatency(
+  state: ConcurrencyState,
+  latencyMs: number
+): ConcurrencyState {
   const recent = state.recentMs ?? latencyMs;
   const baseline = state.baselineMs ?? latencyMs;
   const risen = baseline + BASELINE_RISE * (latencyMs - baseline);
--- a/src/policy/ramp.ts
+++ b/src/policy/ramp.ts
@@ -73,7 +73,11 @@
   const level = currentLevel(state, rule);
   const creditedAtMs = Math.max(state.creditedAtMs, sample.nowMs);
   if (sample.slowdown >= SHRINK_SLOWDOWN) {
-    const shrunk = Math.max(Math.min(rule.start, level), level * SHRINK_FACTOR);
+    // From what runs, not from the last limit: what runs ends slowly, and a
+    // limit cut anew with each sample meanwhile would fall to the start.
+    const eased = sample.outstanding * SHRINK_FACTOR;
+    const lowest = Math.min(rule.start, level);
+    const shrunk = Math.min(level, Math.max(lowest, eased));
     return {...state, level: shrunk, creditedAtMs};
   }
   const use = Math.min(1, sample.outstanding / Math.max(1, Math.floor(level)));
