--- a/src/policy/ramp.ts
+++ b/src/policy/ramp.ts
@@ -107,7 +107,7 @@
 function grow(level: number, rule: WarmupLimits, part: number): number {
   const span = rule.full - rule.start;
   if (span <= 0) return rule.full;
-  if (level < rule.start) return Math.min(rule.start, level + rule.full * part);
+  if (level < rule.start) return Math.min(rule.start, level + span * part);
   const progress = Math.sqrt((level - rule.start) / span) + part;
   return Math.min(rule.full, rule.start + span * progress * progress);
 }
