--- a/bench/measures/coldStart.ts
+++ b/bench/measures/coldStart.ts
@@ -47,7 +47,7 @@
   {name: 'moderateLoad', cold: COLD, load: 0.6},
   {
     name: 'ruleRaisedMidRamp',
-    cold: COLD,
+    cold: {...COLD, exponent: 2},
     load: FLOOD_LOAD,
     disturb: ({events, gate}) =>
       events.after(8000, () => gate.configure({...WARMUP, start: 32})),
