--- /dev/null
+++ b/tests/balance.spec.ts
@@ -0,0 +1,131 @@
+import {
+  chooseTarget,
+  requestCost,
+  type RoutedRequest,
+  type TargetView,
+} from '../src/policy/balance';
+import {SeededRandom} from '../bench/fuzz/schedule';
+
+const REQ: RoutedRequest = {
+  promptTokens: 1000,
+  outputTokens: 300,
+  availabilityZone: 'zone-a',
+};
+
+function view(targetId: string, fields: Partial<TargetView> = {}): TargetView {
+  return {
+    targetId,
+    availabilityZone: 'zone-a',
+    temperature: 'warm',
+    limit: 32,
+    reportedOutstanding: 16,
+    reportedQueued: 0,
+    reportedTokens: 16 * 300,
+    reportAgeMs: 100,
+    ownOutstanding: 5,
+    ownTokens: 1500,
+    ownSinceReport: 0,
+    prefixTokens: 0,
+    recentFailures: 0,
+    groupStraggle: 1,
+    ...fields,
+  };
+}
+
+/** How often each target is chosen out of a thousand. */
+function counts(targets: readonly TargetView[]): ReadonlyMap<string, number> {
+  const random = new SeededRandom(7);
+  const result = new Map<string, number>();
+  for (let i = 0; i < 1000; i++) {
+    const chosen = chooseTarget(REQ, targets, () => random.next());
+    const id = chosen?.targetId ?? 'none';
+    result.set(id, (result.get(id) ?? 0) + 1);
+  }
+  return result;
+}
+
+const chosenMost = (targets: readonly TargetView[]) =>
+  [...counts(targets)].sort((a, b) => b[1] - a[1])[0]?.[0];
+
+describe('choice of target', () => {
+  it('should choose none when none may take work', () => {
+    expect(chooseTarget(REQ, [], () => 0)).toBeUndefined();
+    const out = [view('a', {limit: 0}), view('b', {limit: 0})];
+    expect(chooseTarget(REQ, out, () => 0)).toBeUndefined();
+  });
+
+  it.each([
+    ['fewer outstanding requests', {reportedOutstanding: 8}],
+    ['its prompt prefix cached', {prefixTokens: 900}],
+    ['a larger limit', {limit: 64}],
+  ])('should prefer a target with %s', (_why, fields) => {
+    expect(chosenMost([view('a'), view('b', fields), view('c')])).toBe('b');
+  });
+
+  it.each([
+    ['a straggler in its group', {groupStraggle: 2}],
+    ['recent failures', {recentFailures: 3}],
+    ['a place in another zone', {availabilityZone: 'zone-b'}],
+    ['requests sent since its report', {ownSinceReport: 6}],
+    ['a queue', {reportedQueued: 8}],
+  ])('should avoid a target with %s', (_why, fields) => {
+    const chosen = counts([view('a', fields), view('b')]);
+    expect(chosen.get('a') ?? 0).toBeLessThan(chosen.get('b') ?? 0);
+  });
+
+  it('should leave the zone rather than pile up in it', () => {
+    const local = view('local', {reportedOutstanding: 30});
+    const remote = view('remote', {availabilityZone: 'zone-b'});
+    expect(chosenMost([local, remote])).toBe('remote');
+  });
+
+  it('should not herd onto the one target that looked idle', () => {
+    // Several entries hold the same seconds-old report of one idle target
+    // among twenty. If each sent everything there, it would be the most
+    // loaded one long before its next report.
+    const idle = view('idle', {reportedOutstanding: 0, reportAgeMs: 3000});
+    const others = Array.from({length: 19}, (_, i) =>
+      view(`t${i}`, {reportAgeMs: 3000})
+    );
+    const part = (counts([idle, ...others]).get('idle') ?? 0) / 1000;
+    expect(part).toBeLessThan(0.3);
+  });
+
+  it('should trust an old report less than a new one', () => {
+    const idleLongAgo = {reportedOutstanding: 4, reportAgeMs: 20_000};
+    const lately = view('lately', {reportedOutstanding: 6});
+    const others = [view('a'), view('b')];
+    const longAgo = view('longAgo', idleLongAgo);
+    expect(chosenMost([longAgo, lately, ...others])).toBe('lately');
+  });
+
+  it('should send no more to a cold target than it may run', () => {
+    const cold = view('cold', {
+      temperature: 'cold',
+      limit: 4,
+      reportedOutstanding: 1,
+      ownOutstanding: 3,
+      ownSinceReport: 3,
+    });
+    const busy = view('busy', {reportedOutstanding: 60, reportedQueued: 40});
+    expect(counts([cold, busy]).get('cold') ?? 0).toBe(0);
+  });
+
+  it('should give a returning target its part of the share only', () => {
+    const returning = view('back', {
+      returnWeight: 0.1,
+      reportedOutstanding: 0,
+      ownOutstanding: 0,
+    });
+    const others = Array.from({length: 9}, (_, i) => view(`t${i}`));
+    const weighed = counts([returning, ...others]).get('back') ?? 0;
+    const usual = {...returning, returnWeight: 1};
+    const unweighed = counts([usual, ...others]).get('back') ?? 0;
+    expect(weighed).toBeLessThan(unweighed / 2);
+  });
+
+  it('should count cached prompt tokens out of the cost', () => {
+    expect(requestCost(REQ)).toBeGreaterThan(requestCost(REQ, 900));
+    expect(requestCost({promptTokens: 0, outputTokens: 0})).toBe(1);
+  });
+});
--- /dev/null
+++ b/tests/emulator.spec.ts
@@ -0,0 +1,67 @@
+import {
+  Cluster,
+  COLD,
+  engineCapacity,
+  OUR_GATE,
+  SHANNONSIDE,
+} from '../bench/emulator/cluster';
+import {tenCustomers, Workload} from '../bench/emulator/workload';
+
+function cluster(load: number, seed: number): Cluster {
+  const perSecond = load * SHANNONSIDE.targets * engineCapacity();
+  return new Cluster(
+    {
+      shape: SHANNONSIDE,
+      chooser: 'ours',
+      gate: OUR_GATE,
+      entry: {retries: true, gradualReturn: true, answersCarryLoad: false},
+      maxReportLagMs: 5000,
+      seed,
+    },
+    new Workload(tenCustomers(perSecond), seed),
+    [{name: 'all', fromMs: 0, toMs: 60_000}]
+  );
+}
+
+describe('load decisions in an emulated deployment', () => {
+  it('should see the same run again under the same seed', () => {
+    const seen = [1, 1, 2].map(seed => {
+      const run = cluster(0.6, seed);
+      run.events.runUntil(8000);
+      return run.targets.map(({gate}) => gate.engine.running).join();
+    });
+    expect(seen[0]).toBe(seen[1]);
+    expect(seen[0]).not.toBe(seen[2]);
+  });
+
+  it('should answer everything though a zone goes silent and returns cold', () => {
+    // Four of twelve engines vanish without a word, with a third of all
+    // streams. The entries notice a second later and resume elsewhere; the
+    // engines return cold, while the other two zones are nearly full.
+    const run = cluster(0.5, 3);
+    run.events.runUntil(10_000);
+    run.killZone('zone-b');
+    run.events.runUntil(20_000);
+    run.reviveZone('zone-b', COLD);
+    run.events.runUntil(150_000);
+    const {failed, refused, answered} = run.recorder.window('all').outcomes;
+    expect({failed, refused}).toEqual({failed: 0, refused: 0});
+    expect(answered).toBeGreaterThan(1000);
+    for (const {gate} of run.inZone('zone-b')) {
+      expect(gate.engine.mostOverBearable).toBeLessThanOrEqual(1);
+      expect(gate.lastStartAt).toBeGreaterThan(20_000);
+    }
+  });
+
+  it('should start nothing in a zone seconds after it was taken out', () => {
+    const run = cluster(0.5, 4);
+    run.events.runUntil(10_000);
+    run.setZoneOut('zone-c', true);
+    run.events.runUntil(30_000);
+    for (const {gate} of run.inZone('zone-c')) {
+      expect(gate.lastStartAt).toBeLessThan(13_000);
+      expect(gate.queued).toBe(0);
+    }
+    expect(run.recorder.window('all').outcomes.failed).toBe(0);
+  });
+});
--- /dev/null
+++ b/tests/fairQueue.spec.ts
@@ -0,0 +1,182 @@
+import {FairQueue, type QueueItem} from '../src/policy/fairQueue';
+
+const LIMITS = {maxQueued: 100, maxQueuedPerCustomer: 40};
+
+let count = 0;
+
+function item(
+  customer: string,
+  fields: Partial<QueueItem<string>> = {}
+): QueueItem<string> {
+  return {
+    id: `item-${count++}`,
+    customer,
+    share: 1,
+    cost: 10,
+    deadlineAt: 1e9,
+    priority: 0,
+    payload: customer,
+    ...fields,
+  };
+}
+
+function fill(
+  queue: FairQueue<string>,
+  items: number,
+  customer: string,
+  fields: Partial<QueueItem<string>> = {}
+): void {
+  for (let i = 0; i < items; i++) queue.offer(item(customer, fields), 0);
+}
+
+function takeAndFinish(queue: FairQueue<string>, times: number): string[] {
+  const order: string[] = [];
+  for (let i = 0; i < times; i++) {
+    const taken = queue.take(0, 100);
+    if (taken === undefined) break;
+    order.push(taken.customer);
+    queue.finished(taken.customer);
+  }
+  return order;
+}
+
+describe('fair queue', () => {
+  it('should divide cost by the shares of those who wait', () => {
+    const queue = new FairQueue<string>({
+      maxQueued: 1000,
+      maxQueuedPerCustomer: 400,
+    });
+    fill(queue, 300, 'large', {share: 3});
+    fill(queue, 150, 'small', {share: 1, cost: 20});
+    const order = takeAndFinish(queue, 280);
+    const large = order.filter(customer => customer === 'large').length;
+    const small = order.length - large;
+    expect((large * 10) / (small * 20)).toBeCloseTo(3, 0);
+  });
+
+  it('should put the higher priority first among one customer’s items only', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    queue.offer(item('a', {payload: 'low'}), 0);
+    queue.offer(item('a', {payload: 'high', priority: 9}), 0);
+    queue.offer(item('b', {payload: 'other'}), 0);
+    const payloads = [1, 2, 3].map(() => queue.take(0, 10)?.payload);
+    expect(payloads.indexOf('high')).toBeLessThan(payloads.indexOf('low'));
+    expect(payloads.indexOf('other')).toBeLessThan(2);
+  });
+
+  it('should keep room for others while one customer floods', () => {
+    // A large customer sends a hundred requests at once. Had it filled the
+    // whole queue, the next small customer would be refused as overloaded,
+    // though it is far below its share.
+    const queue = new FairQueue<string>({
+      maxQueued: 20,
+      maxQueuedPerCustomer: 100,
+    });
+    const refusals = Array.from({length: 100}, () =>
+      queue.offer(item('flood'), 0)
+    ).filter(result => result.kind === 'refused');
+    expect(refusals.length).toBeGreaterThan(0);
+    expect(refusals[0]).toMatchObject({reason: 'customer-limit'});
+    expect(queue.offer(item('small'), 0)).toEqual({kind: 'queued'});
+  });
+
+  it('should refuse beyond the bound of one customer and of all', () => {
+    const queue = new FairQueue<string>({
+      maxQueued: 8,
+      maxQueuedPerCustomer: 2,
+    });
+    for (const customer of ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'])
+      queue.offer(item(customer), 0);
+    expect(queue.size).toBe(8);
+    expect(queue.offer(item('i'), 0)).toMatchObject({reason: 'overloaded'});
+    const other = new FairQueue<string>({
+      maxQueued: 80,
+      maxQueuedPerCustomer: 2,
+    });
+    fill(other, 2, 'a');
+    expect(other.offer(item('a'), 0)).toMatchObject({reason: 'customer-limit'});
+  });
+
+  it('should refuse at once what would wait past its deadline', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    fill(queue, 1, 'a');
+    queue.take(0, 1);
+    queue.served(10, 1000);
+    fill(queue, 10, 'a');
+    expect(queue.expectedWaitMs(item('a'))).toBeCloseTo(10_000);
+    const refused = queue.offer(item('a', {deadlineAt: 2000}), 0);
+    expect(refused).toMatchObject({reason: 'deadline-too-short'});
+    expect(refused).toHaveProperty('retryAfterMs', 10_000);
+    const other = queue.offer(item('b', {deadlineAt: 3000}), 0);
+    expect(other).toEqual({kind: 'queued'});
+  });
+
+  it('should hand out expired items once and never serve them', () => {
+    // The caller's deadline passes while the request waits. Served then, it
+    // would take a slot for an answer that nobody waits for; never handed
+    // out, its caller would get no answer at all.
+    const queue = new FairQueue<string>(LIMITS);
+    queue.offer(item('a', {payload: 'dead', deadlineAt: 100}), 0);
+    queue.offer(item('a', {payload: 'alive', deadlineAt: 900}), 0);
+    expect(queue.nextExpiryAt()).toBe(100);
+    expect(queue.take(100, 5)?.payload).toBe('alive');
+    expect(queue.expire(100).map(({payload}) => payload)).toEqual(['dead']);
+    expect(queue.expire(100)).toEqual([]);
+    expect(queue.size).toBe(0);
+  });
+
+  it('should let a small customer in while a flood holds all other slots', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    queue.offer(item('small'), 0);
+    queue.take(0, 8);
+    fill(queue, 40, 'flood', {share: 4});
+    let free = 7;
+    while (queue.take(0, free) !== undefined) free--;
+    expect(free).toBe(2);
+    queue.offer(item('small'), 0);
+    expect(queue.take(0, free)?.customer).toBe('small');
+  });
+
+  it('should use every slot when only one customer has work', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    fill(queue, 40, 'flood');
+    let free = 8;
+    while (queue.take(0, free) !== undefined) free--;
+    expect(free).toBe(0);
+  });
+
+  it('should keep a customer to its limit of requests at once', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    fill(queue, 5, 'a', {concurrentLimit: 2});
+    queue.take(0, 9);
+    queue.take(0, 8);
+    expect(queue.take(0, 7)).toBeUndefined();
+    queue.finished('a');
+    expect(queue.take(0, 8)?.customer).toBe('a');
+  });
+
+  it('should not let a long pause save up more than the bounded credit', () => {
+    const queue = new FairQueue<string>({
+      maxQueued: 2000,
+      maxQueuedPerCustomer: 900,
+    });
+    fill(queue, 1, 'idle');
+    takeAndFinish(queue, 1);
+    fill(queue, 500, 'busy');
+    takeAndFinish(queue, 400);
+    fill(queue, 60, 'idle');
+    const order = takeAndFinish(queue, 40);
+    const first = order.indexOf('busy');
+    expect(first).toBeGreaterThanOrEqual(1);
+    expect(first).toBeLessThanOrEqual(12);
+  });
+
+  it('should take out a waiting item whose caller has gone', () => {
+    const queue = new FairQueue<string>(LIMITS);
+    const gone = item('a');
+    queue.offer(gone, 0);
+    expect(queue.remove(gone.id)).toBe(gone);
+    expect(queue.remove(gone.id)).toBeUndefined();
+    expect(queue.take(0, 1)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/tests/ramp.spec.ts
@@ -0,0 +1,107 @@
+import {
+  freshRamp,
+  rampCold,
+  rampComplete,
+  rampLimit,
+  rampServed,
+  type RampState,
+} from '../src/policy/ramp';
+
+const RULE = {start: 2, full: 32, overMs: 10_000};
+
+/** Good answers every 100 ms with the whole limit in use. */
+function loaded(state: RampState, fromMs: number, toMs: number): RampState {
+  let next = state;
+  for (let nowMs = fromMs + 100; nowMs <= toMs; nowMs += 100)
+    next = rampServed(next, RULE, {
+      nowMs,
+      startedAtMs: nowMs - 100,
+      outstanding: rampLimit(next, RULE, nowMs),
+      slowdown: 1,
+    });
+  return next;
+}
+
+describe('cold-start ramp', () => {
+  it('should go from start to full in the time of the rule under load', () => {
+    const fresh = freshRamp(0);
+    expect(rampLimit(fresh, RULE, 0)).toBe(2);
+    expect(rampComplete(loaded(fresh, 0, 9800), RULE)).toBe(false);
+    expect(rampComplete(loaded(fresh, 0, 10_100), RULE)).toBe(true);
+  });
+
+  it('should stay below a straight line on the way', () => {
+    const half = loaded(freshRamp(0), 0, 5000);
+    expect(rampLimit(half, RULE, 5000)).toBeLessThan((2 + 32) / 2);
+  });
+
+  it('should gain nothing from time without load', () => {
+    // A fresh target is idle for a minute; then everything arrives at once.
+    // Had the ramp counted the idle minute, the target would get its full
+    // load cold and fall over.
+    const idle = rampServed(freshRamp(0), RULE, {
+      nowMs: 60_000,
+      startedAtMs: 59_990,
+      outstanding: 2,
+      slowdown: 1,
+    });
+    expect(rampLimit(idle, RULE, 60_000)).toBe(2);
+  });
+
+  it('should credit the same span of time once for all requests in it', () => {
+    let state = freshRamp(0);
+    for (let i = 0; i < 50; i++)
+      state = rampServed(state, RULE, {
+        nowMs: 1000,
+        startedAtMs: 0,
+        outstanding: 2,
+        slowdown: 1,
+      });
+    const once = loaded(freshRamp(0), 0, 1000);
+    expect(rampLimit(state, RULE, 1000)).toBe(rampLimit(once, RULE, 1000));
+  });
+
+  it('should not grow while hardly used', () => {
+    const half = loaded(freshRamp(0), 0, 5000);
+    const idle = rampServed(half, RULE, {
+      nowMs: 6000,
+      startedAtMs: 5000,
+      outstanding: 1,
+      slowdown: 1,
+    });
+    expect(idle.level).toBe(half.level);
+  });
+
+  it('should hold under strain and shrink under more', () => {
+    const half = loaded(freshRamp(0), 0, 5000);
+    const sample = {nowMs: 5100, startedAtMs: 5000, outstanding: 9};
+    const held = rampServed(half, RULE, {...sample, slowdown: 2.2});
+    expect(held.level).toBe(half.level);
+    const shrunk = rampServed(half, RULE, {...sample, slowdown: 3});
+    expect(shrunk.level).toBeLessThan(half.level!);
+    expect(shrunk.level).toBeGreaterThanOrEqual(RULE.start);
+  });
+
+  it('should fall to the start at any sign of cold', () => {
+    // A warm target restarts unseen and its load report still says warm. At
+    // the first lost connection the limit must be that of a fresh target.
+    const warm = loaded(freshRamp(0), 0, 12_000);
+    const cold = rampCold(warm, 12_000);
+    expect(rampLimit(cold, RULE, 12_000)).toBe(2);
+    const late = rampServed(cold, RULE, {
+      nowMs: 12_000,
+      startedAtMs: 2000,
+      outstanding: 30,
+      slowdown: 1,
+    });
+    expect(rampLimit(late, RULE, 12_000)).toBe(2);
+  });
+
+  it('should not jump when a rule raises start and full mid-ramp', () => {
+    const half = loaded(freshRamp(0), 0, 5000);
+    const before = rampLimit(half, RULE, 5000);
+    const raised = {start: 24, full: 64, overMs: 10_000};
+    expect(rampLimit(half, raised, 5000)).toBe(before);
+    expect(rampLimit(half, {...RULE, full: 4}, 5000)).toBe(4);
+  });
+});
