--- /dev/null
+++ b/src/target/engineAdapter.ts
@@ -0,0 +1,170 @@
+/** A model engine: its status page, orders, cancel and request headers. */
+
+import {z} from 'zod';
+import type {Dispatch} from '../core/wire';
+import {
+  CancelAnswer,
+  CacheEvents,
+  OrderAnswer,
+  RequestHeaders,
+  TargetAdapter,
+  TargetObservation,
+  TargetOrder,
+} from './targetAdapter';
+import {TargetClient} from './targetClient';
+
+const STATUS_PATH = '/engine/status';
+const CANCEL_PATH = '/engine/cancel';
+const ORDER_PATH = '/engine/orders';
+
+const COUNT = z.number().nonnegative();
+const CACHE_EVENT = z.object({
+  seq: z.number().int().positive(),
+  kind: z.enum(['stored', 'removed']),
+  prefix: z.string(),
+});
+const STATUS = z.object({
+  bootId: z.string().min(1),
+  state: z.enum(['ready', 'loading']),
+  cold: z.boolean().optional(),
+  /** The engine's clock at the answer. */
+  nowMs: z.number(),
+  load: z.object({
+    running: COUNT,
+    waiting: COUNT,
+    tokensInWork: COUNT,
+    reportedAtMs: z.number(),
+  }),
+  model: z.string(),
+  modelVersion: z.string(),
+  role: z.enum(['mixed', 'prefill', 'decode']),
+  adapters: z.array(z.string()),
+  group: z
+    .object({
+      id: z.string(),
+      rank: z.number().int().nonnegative(),
+      step: z.number().int().nonnegative(),
+      mapVersion: z.number().int().nonnegative(),
+      preparedVersion: z.number().int().optional(),
+      holding: z.boolean(),
+    })
+    .optional(),
+  /** Totals since the boot. */
+  expertTokens: z.array(COUNT).optional(),
+  cacheEvents: z.array(CACHE_EVENT),
+});
+type Status = z.infer<typeof STATUS>;
+
+const ORDER_ANSWER = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('done')}),
+  z.object({kind: z.literal('fenced'), highestFence: z.number()}),
+  z.object({kind: z.literal('failed'), detail: z.string()}),
+  z.object({kind: z.literal('unsupported')}),
+]);
+const CANCEL_ANSWER = z.object({cancelled: z.boolean()});
+
+const NOT_FOUND = 404;
+
+/** The adapter to one model engine. */
+export class EngineAdapter implements TargetAdapter {
+  readonly peer: string;
+  private readonly client: TargetClient;
+  private last: Status | undefined;
+  private lastCacheSeq = 0;
+
+  constructor(host: string, port: number) {
+    this.client = new TargetClient(host, port);
+    this.peer = this.client.peer;
+  }
+
+  async observe(signal: AbortSignal): Promise<TargetObservation> {
+    const path = `${STATUS_PATH}?cacheSince=${this.lastCacheSeq}`;
+    const answer = await this.client.get(path, signal);
+    const status = this.read(STATUS, answer.status, answer.body);
+    return this.take(status);
+  }
+
+  requestHeaders(dispatch: Dispatch): RequestHeaders {
+    const headers: Record<string, string> = {
+      'x-request-id': dispatch.requestId,
+      'x-priority': String(dispatch.priority),
+      'x-deadline-ms': String(Math.floor(dispatch.remainingMs)),
+    };
+    // Token ids count from 0, so the last delivered one is one below the count.
+    if (dispatch.resumeFrom !== undefined && dispatch.resumeFrom > 0)
+      headers['last-event-id'] = String(dispatch.resumeFrom - 1);
+    return headers;
+  }
+
+  async cancel(requestId: string, signal: AbortSignal): Promise<CancelAnswer> {
+    const answer = await this.client.post(CANCEL_PATH, {requestId}, signal);
+    if (answer.status === NOT_FOUND) return {kind: 'unsupported'};
+    const {cancelled} = this.read(CANCEL_ANSWER, answer.status, answer.body);
+    return cancelled ? {kind: 'cancelled'} : {kind: 'not running'};
+  }
+
+  async order(order: TargetOrder, signal: AbortSignal): Promise<OrderAnswer> {
+    const answer = await this.client.post(ORDER_PATH, order, signal);
+    if (answer.status === NOT_FOUND) return {kind: 'unsupported'};
+    return this.read(ORDER_ANSWER, answer.status, answer.body);
+  }
+
+  close(): void {
+    this.client.close();
+  }
+
+  /** Answers can overtake each other; an older one must not win. */
+  private take(status: Status): TargetObservation {
+    const before = this.last?.bootId === status.bootId ? this.last : undefined;
+    const late = before !== undefined && before.nowMs > status.nowMs;
+    const newest = late ? before : status;
+    const cacheEvents = this.takeCacheEvents(status, before === undefined);
+    this.last = newest;
+    return {
+      bootId: newest.bootId,
+      state: newest.state,
+      cold: newest.cold,
+      load: {
+        ...newest.load,
+        loadAgeMs: Math.max(0, newest.nowMs - newest.load.reportedAtMs),
+      },
+      model: newest.model,
+      modelVersion: newest.modelVersion,
+      role: newest.role,
+      adapters: newest.adapters,
+      group: newest.group,
+      expertCounts: increase(newest.expertTokens, before?.expertTokens),
+      cacheEvents,
+    };
+  }
+
+  private takeCacheEvents(status: Status, newBoot: boolean): CacheEvents {
+    if (newBoot) this.lastCacheSeq = 0;
+    const events = status.cacheEvents
+      .filter(event => event.seq > this.lastCacheSeq)
+      .sort((a, b) => a.seq - b.seq);
+    const highest = events.at(-1)?.seq ?? this.lastCacheSeq;
+    const missed = highest - this.lastCacheSeq - events.length;
+    this.lastCacheSeq = highest;
+    return {events, missed};
+  }
+
+  private read<T>(schema: z.ZodType<T>, status: number, body: unknown): T {
+    const result = schema.safeParse(body);
+    if (result.success) return result.data;
+    throw this.client.rejected(
+      status,
+      `unexpected answer: ${z.prettifyError(result.error)}`
+    );
+  }
+}
+
+/** Growth of running totals; the totals themselves after a restart. */
+function increase(
+  now: readonly number[] | undefined,
+  before: readonly number[] | undefined
+): readonly number[] | undefined {
+  return now?.map((total, expert) =>
+    Math.max(0, total - (before?.[expert] ?? 0))
+  );
+}
