--- /dev/null
+++ b/src/control/memberTable.ts
@@ -0,0 +1,159 @@
+/**
+ * Which targets and processes this instance hears from. Soft state: it is
+ * built from polls, lost on a restart, and full again one poll later.
+ */
+
+import type {Announcement, PollRequest} from '../core/wire';
+
+/** Silence after which a target or process is no longer listed. */
+export const MEMBER_TTL_MS = 3_000;
+/** How long a removed boot is remembered, against late announcements. */
+const TOMBSTONE_TTL_MS = 60_000;
+
+interface Heard {
+  readonly announcement: Announcement;
+  readonly heardAtMs: number;
+  readonly version: number;
+}
+
+interface Tombstone {
+  readonly bootAtMs: number;
+  readonly seq: number;
+  readonly atMs: number;
+  readonly version: number;
+}
+
+/** A process as last heard of. */
+export interface HeardProcess {
+  readonly processId: string;
+  readonly role: 'entry' | 'agent';
+  readonly bootId: string;
+  readonly availabilityZone: string;
+  readonly heldRevision: number;
+  readonly heardAtMs: number;
+  readonly provenAgeMs?: number;
+}
+
+/** What changed since a version. */
+export interface MemberChanges {
+  readonly version: number;
+  readonly full: boolean;
+  readonly changed: readonly Announcement[];
+  readonly removed: readonly string[];
+}
+
+/** The targets and processes heard of; times are `performance.now()` ms. */
+export class MemberTable {
+  private readonly targets = new Map<string, Heard>();
+  private readonly tombstones = new Map<string, Tombstone>();
+  private readonly processes = new Map<string, HeardProcess>();
+  private version = 0;
+
+  heard(request: PollRequest, nowMs: number): void {
+    const {
+      processId,
+      role,
+      bootId,
+      availabilityZone,
+      heldRevision,
+      provenAgeMs,
+    } = request;
+    this.processes.set(processId, {
+      processId,
+      role,
+      bootId,
+      availabilityZone,
+      heldRevision,
+      provenAgeMs,
+      heardAtMs: nowMs,
+    });
+    if (request.announcement !== undefined)
+      this.announce(request.announcement, nowMs);
+  }
+
+  /** Drops what fell silent. */
+  expire(nowMs: number): void {
+    for (const [id, {heardAtMs, announcement}] of this.targets) {
+      if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
+      this.targets.delete(id);
+      const {agentBootAtMs: bootAtMs, seq} = announcement;
+      this.tombstones.set(id, {
+        bootAtMs,
+        seq,
+        atMs: nowMs,
+        version: ++this.version,
+      });
+    }
+    for (const [id, {heardAtMs}] of this.processes) {
+      if (nowMs - heardAtMs > MEMBER_TTL_MS) this.processes.delete(id);
+    }
+    for (const [id, {atMs}] of this.tombstones) {
+      if (nowMs - atMs > TOMBSTONE_TTL_MS) this.tombstones.delete(id);
+    }
+  }
+
+  /** Changes after `since`; everything when `since` is undefined. */
+  changesSince(since: number | undefined): MemberChanges {
+    const from = since ?? -1;
+    const changed = [...this.targets.values()]
+      .filter(heard => heard.version > from)
+      .map(heard => heard.announcement);
+    const removed = [...this.tombstones]
+      .filter(
+        ([id, tombstone]) => tombstone.version > from && !this.targets.has(id)
+      )
+      .map(([id]) => id);
+    return {version: this.version, full: since === undefined, changed, removed};
+  }
+
+  listTargets(): readonly Announcement[] {
+    return [...this.targets.values()].map(heard => heard.announcement);
+  }
+
+  listProcesses(): readonly HeardProcess[] {
+    return [...this.processes.values()];
+  }
+
+  private announce(announcement: Announcement, nowMs: number): void {
+    const {targetId} = announcement;
+    const known = this.targets.get(targetId)?.announcement;
+    if (known !== undefined && !isNewer(announcement, known)) return;
+    const tombstone = this.tombstones.get(targetId);
+    if (tombstone !== undefined && isBuried(announcement, tombstone)) return;
+    this.tombstones.delete(targetId);
+    const merged =
+      known === undefined ? announcement : keepLeaving(known, announcement);
+    this.targets.set(targetId, {
+      announcement: merged,
+      heardAtMs: nowMs,
+      version: ++this.version,
+    });
+  }
+}
+
+/** Orders announcements of one target: by boot, then by sequence. */
+export function isNewer(candidate: Announcement, known: Announcement): boolean {
+  if (candidate.agentBootId === known.agentBootId)
+    return candidate.seq > known.seq;
+  return candidate.agentBootAtMs >= known.agentBootAtMs;
+}
+
+function isBuried(candidate: Announcement, tombstone: Tombstone): boolean {
+  if (candidate.agentBootAtMs !== tombstone.bootAtMs) {
+    return candidate.agentBootAtMs < tombstone.bootAtMs;
+  }
+  return candidate.seq <= tombstone.seq;
+}
+
+/**
+ * A boot that began to leave stays leaving: an announcement made before the
+ * goodbye but numbered after it by a confused agent must not bring it back.
+ */
+export function keepLeaving(
+  known: Announcement,
+  next: Announcement
+): Announcement {
+  const sameBoot = known.agentBootId === next.agentBootId;
+  if (!sameBoot || known.state !== 'leaving') return next;
+  return {...next, state: 'leaving'};
+}
--- /dev/null
+++ b/src/control/state/claimState.ts
@@ -0,0 +1,190 @@
+/**
+ * Claims of idempotency keys. A non-idempotent call is dispatched only after
+ * its key was claimed here, so two entries that hold the same key cannot both
+ * dispatch it, and a resend finds the recorded answer.
+ */
+
+import {parse, version as uuidVersion, validate} from 'uuid';
+import {unreachable} from '../../core/errors';
+import type {
+  ClaimCommand,
+  ClaimResult,
+  RecordedAnswer,
+  SettleCommand,
+  SettleResult,
+} from './command';
+
+/** How long answers are kept, and how old a time-stamped key may be. */
+export const KEY_RETENTION_MS = 24 * 60 * 60 * 1000;
+/** Keys remembered for one customer; a new key beyond them is refused. */
+export const MAX_KEYS_PER_CUSTOMER = 200_000;
+/** A key stamped further ahead than this is treated as one without a time. */
+const MAX_CLOCK_SKEW_MS = 5 * 60 * 1000;
+/** Old records looked at with each claim, so that pruning never stalls. */
+const PRUNE_PER_CLAIM = 8;
+
+type ClaimStatus =
+  | {
+      readonly kind: 'pending';
+      readonly requestId: string;
+      readonly entryId: string;
+      readonly targetId: string;
+      readonly agentBootId: string;
+    }
+  | {readonly kind: 'answered'; readonly answer: RecordedAnswer}
+  | {readonly kind: 'not run'}
+  | {readonly kind: 'unknown'}
+  /** Only the fact that the key was used is still held. */
+  | {readonly kind: 'spent'};
+
+interface ClaimRecord {
+  readonly digest: string;
+  readonly attempt: number;
+  readonly atMs: number;
+  readonly status: ClaimStatus;
+}
+
+/** The claims as stored in snapshots. */
+export interface ClaimsSnapshot {
+  readonly clockMs: number;
+  readonly customers: readonly (readonly [
+    string,
+    readonly (readonly [string, ClaimRecord])[],
+  ])[];
+}
+
+/** Applies claims and settlements in log order. */
+export class ClaimState {
+  private customers = new Map<string, Map<string, ClaimRecord>>();
+  /** Latest time in any claim: the log's own clock, equal on all instances. */
+  private clockMs = 0;
+
+  claim(command: ClaimCommand): ClaimResult {
+    this.clockMs = Math.max(this.clockMs, command.atMs);
+    const keys = this.keysOf(command.customer);
+    this.prune(keys);
+    const record = keys.get(command.key);
+    if (record !== undefined) return this.claimAgain(keys, record, command);
+    if (this.isPast(command.key)) return {kind: 'expired'};
+    if (keys.size >= MAX_KEYS_PER_CUSTOMER) return {kind: 'full'};
+    return this.grant(keys, command, 1);
+  }
+
+  settle(command: SettleCommand): SettleResult {
+    const keys = this.keysOf(command.customer);
+    const record = keys.get(command.key);
+    if (record === undefined || record.attempt !== command.attempt)
+      return {kind: 'ignored'};
+    if (!maySettle(record.status, command.settlement.kind))
+      return {kind: 'ignored'};
+    keys.set(command.key, {...record, status: command.settlement});
+    return {kind: 'settled'};
+  }
+
+  snapshot(): ClaimsSnapshot {
+    const customers = [...this.customers].map(
+      ([name, keys]) => [name, [...keys]] as const
+    );
+    return {clockMs: this.clockMs, customers};
+  }
+
+  restore(snapshot: ClaimsSnapshot): void {
+    this.clockMs = snapshot.clockMs;
+    this.customers = new Map(
+      snapshot.customers.map(([name, keys]) => [name, new Map(keys)])
+    );
+  }
+
+  private claimAgain(
+    keys: Map<string, ClaimRecord>,
+    record: ClaimRecord,
+    command: ClaimCommand
+  ): ClaimResult {
+    if (record.digest !== command.digest) return {kind: 'mismatch'};
+    const {status, attempt} = record;
+    switch (status.kind) {
+      case 'pending': {
+        // The proposer's answer was lost and it asks again: still its claim.
+        if (status.requestId === command.requestId)
+          return {kind: 'granted', attempt};
+        const {entryId, targetId, agentBootId} = status;
+        return {kind: 'pending', attempt, entryId, targetId, agentBootId};
+      }
+      case 'answered':
+        return {kind: 'recorded', answer: status.answer};
+      case 'not run':
+        return this.grant(keys, command, attempt + 1);
+      case 'unknown':
+        return {kind: 'unknown'};
+      case 'spent':
+        return {kind: 'expired'};
+      default:
+        return unreachable(status);
+    }
+  }
+
+  private grant(
+    keys: Map<string, ClaimRecord>,
+    command: ClaimCommand,
+    attempt: number
+  ): ClaimResult {
+    const {requestId, entryId, targetId, agentBootId, digest, atMs} = command;
+    const status = {
+      kind: 'pending',
+      requestId,
+      entryId,
+      targetId,
+      agentBootId,
+    } as const;
+    // Deleting first moves the key behind older ones for the pruning order.
+    keys.delete(command.key);
+    keys.set(command.key, {digest, attempt, atMs, status});
+    return {kind: 'granted', attempt};
+  }
+
+  private keysOf(customer: string): Map<string, ClaimRecord> {
+    const known = this.customers.get(customer);
+    if (known !== undefined) return known;
+    const keys = new Map<string, ClaimRecord>();
+    this.customers.set(customer, keys);
+    return keys;
+  }
+
+  /**
+   * Frees what retention allows. A key that carries its own time can be
+   * forgotten, because a later use is refused by that time; any other key is
+   * kept without its answer, or it would run again.
+   */
+  private prune(keys: Map<string, ClaimRecord>): void {
+    let looked = 0;
+    for (const [key, record] of keys) {
+      if (looked++ >= PRUNE_PER_CLAIM) return;
+      if (this.clockMs - record.atMs <= KEY_RETENTION_MS) return;
+      keys.delete(key);
+      if (this.isPast(key)) continue;
+      keys.set(key, {...record, atMs: this.clockMs, status: {kind: 'spent'}});
+    }
+  }
+
+  private isPast(key: string): boolean {
+    const stampMs = keyTimeMs(key);
+    if (stampMs === undefined || stampMs > this.clockMs + MAX_CLOCK_SKEW_MS)
+      return false;
+    return this.clockMs - stampMs > KEY_RETENTION_MS;
+  }
+}
+
+/** An answer found late is better than "unknown"; nothing else overwrites. */
+function maySettle(
+  status: ClaimStatus,
+  to: SettleCommand['settlement']['kind']
+): boolean {
+  if (status.kind === 'pending') return true;
+  return status.kind === 'unknown' && to === 'answered';
+}
+
+/** The time inside a version 7 UUID, in milliseconds; none for other keys. */
+export function keyTimeMs(key: string): number | undefined {
+  if (!validate(key) || uuidVersion(key) !== 7) return undefined;
+  return Buffer.from(parse(key)).readUIntBE(0, 6);
+}
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -1,5 +1,7 @@
 /** Commands in the replicated log, and their results. */
 
+import type {CustomerUsage} from '../../core/wire';
+
 /** A recorded answer of a non-idempotent call. */
 export interface RecordedAnswer {
   readonly status: number;
@@ -31,9 +33,11 @@
   /** SHA-256 over method, path and body, hex. */
   readonly digest: string;
   readonly entryId: string;
+  /** A claim resent under the same request id is the same claim. */
+  readonly requestId: string;
   readonly targetId: string;
   readonly agentBootId: string;
-  /** Wall-clock time at the proposer, for retention only. */
+  /** Wall-clock time at the leader, for retention only. */
   readonly atMs: number;
 }
 
@@ -66,6 +70,13 @@
   readonly slots: readonly (readonly number[])[];
 }
 
+/** Records what one boot of one entry has counted so far, for charging. */
+export interface UsageCommand {
+  readonly kind: 'usage';
+  readonly entryBootId: string;
+  readonly totals: readonly CustomerUsage[];
+}
+
 /** Written by a new leader to commit what earlier terms left. */
 export interface NoopCommand {
   readonly kind: 'noop';
@@ -78,6 +89,7 @@
   | SettleCommand
   | FenceCommand
   | MapDecisionCommand
+  | UsageCommand
   | NoopCommand;
 
 /** Result of a submission. */
@@ -131,4 +143,5 @@
       readonly command: 'mapDecision';
       readonly result: {readonly kind: 'recorded' | 'fenced'};
     }
+  | {readonly command: 'usage'}
   | {readonly command: 'noop'};
--- /dev/null
+++ b/src/control/state/rulesState.ts
@@ -0,0 +1,71 @@
+/**
+ * The accepted rule files. A submission is a compare-and-set on the revision
+ * number, and its result is recorded, so that a resend after a lost answer
+ * gets the answer of the first and never a second change.
+ */
+
+import type {SubmitCommand, SubmitResult} from './command';
+
+interface AcceptedFile {
+  readonly digest: string;
+  readonly submittedBy: string;
+}
+
+/** Accepted submissions that can still be told apart on a resend. */
+const HISTORY_LIMIT = 20_000;
+
+/** The replicated state of the rules, as stored in snapshots. */
+export interface RulesSnapshot {
+  readonly revision: number;
+  readonly text: string;
+  readonly history: readonly (readonly [number, AcceptedFile])[];
+}
+
+/** Applies submissions in log order. */
+export class RulesState {
+  private history = new Map<number, AcceptedFile>();
+  revision = 0;
+  text = '';
+
+  apply(command: SubmitCommand): SubmitResult {
+    const {revision} = command;
+    if (revision === this.revision + 1) return this.accept(command);
+    const current = this.revision;
+    if (revision > current) return {kind: 'gap', revision, current};
+    const accepted = this.history.get(revision);
+    if (accepted === undefined) return {kind: 'superseded', revision, current};
+    if (accepted.digest !== command.digest) {
+      return {
+        kind: 'conflict',
+        revision,
+        current,
+        winner: accepted.submittedBy,
+      };
+    }
+    if (revision < current) return {kind: 'superseded', revision, current};
+    return {kind: 'accepted', revision, resent: true};
+  }
+
+  snapshot(): RulesSnapshot {
+    return {
+      revision: this.revision,
+      text: this.text,
+      history: [...this.history],
+    };
+  }
+
+  restore(snapshot: RulesSnapshot): void {
+    this.revision = snapshot.revision;
+    this.text = snapshot.text;
+    this.history = new Map(snapshot.history);
+  }
+
+  private accept(command: SubmitCommand): SubmitResult {
+    const {revision, digest, submittedBy} = command;
+    this.revision = revision;
+    this.text = command.text;
+    this.history.set(revision, {digest, submittedBy});
+    this.history.delete(revision - HISTORY_LIMIT);
+    return {kind: 'accepted', revision, resent: false};
+  }
+}
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -8,7 +8,7 @@
   | {readonly kind: 'lost'}
   | {readonly kind: 'timeout'}
   /** The peer answered with an error of its own. */
-  | {readonly kind: 'rejected'; readonly code: number}
+  | {readonly kind: 'rejected'; readonly code: number; readonly data?: unknown}
   | {readonly kind: 'version'; readonly theirs: string};
 
 /** A failed call to a peer process. */
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -55,12 +55,15 @@
   readonly announcement?: Announcement;
   /** Membership version held from this very instance and boot. */
   readonly membership?: {readonly bootId: string; readonly version: number};
-  /** Use since the last poll to this instance, from entries. */
-  readonly usage?: readonly UsageDelta[];
+  /** Use counted since the start of this boot, from entries. */
+  readonly usage?: readonly CustomerUsage[];
+  readonly availabilityZone: string;
+  /** Milliseconds since its rules were last proven current, if ever. */
+  readonly provenAgeMs?: number;
 }
 
-/** Use by one customer, since it was last told. */
-export interface UsageDelta {
+/** Use by one customer, counted since the start of a boot. */
+export interface CustomerUsage {
   readonly customer: string;
   readonly requests: number;
   readonly tokens: number;
