--- /dev/null
+++ b/src/rules/ruleSchema.ts
@@ -0,0 +1,125 @@
+/** The words of the rule file, each with its values, as one union. */
+
+import {z} from 'zod';
+import {
+  duration,
+  integer,
+  name,
+  oneOf,
+  pathPrefix,
+  percent,
+} from './fieldSchemas';
+
+/** Lines by their first word. Keys are spelled as in the file. */
+export const RULE_SCHEMA = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('revision'),
+    number: integer(1, 999_999_999),
+  }),
+  z.strictObject({
+    kind: z.literal('pool'),
+    pool: name(),
+    targets: oneOf('engine', 'service'),
+  }),
+  z.strictObject({
+    kind: z.literal('route'),
+    customer: name(),
+    path: pathPrefix(),
+    pool: name(),
+    weight: integer(0, 1000).optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('customer'),
+    customer: name(),
+    share: integer(1, 1000),
+    concurrent: integer(1, 100_000).optional(),
+    queue: integer(0, 100_000).optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('once'),
+    method: oneOf('GET', 'POST', 'PUT', 'PATCH', 'DELETE'),
+    path: pathPrefix(),
+    key: oneOf('required', 'optional'),
+  }),
+  z.strictObject({
+    kind: z.literal('warmup'),
+    pool: name(),
+    start: integer(1, 10_000),
+    full: integer(1, 10_000),
+    over: duration('1s', '60m'),
+  }),
+  z.strictObject({
+    kind: z.literal('limit'),
+    pool: name(),
+    timeout: duration('100ms', '60m').optional(),
+    'first-token': duration('10ms', '10m').optional(),
+    attempts: integer(1, 10).optional(),
+    'retry-budget': percent(0, 100).optional(),
+    'hedge-after': duration('10ms', '10m').optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('zone'),
+    zone: name(),
+    state: oneOf('in', 'out'),
+  }),
+  z.strictObject({
+    kind: z.literal('rebalance'),
+    pool: name(),
+    state: oneOf('on', 'off'),
+    gain: percent(0, 100).optional(),
+  }),
+]);
+
+/** One typed line, still with the keys of the file. */
+export type RuleValues = z.infer<typeof RULE_SCHEMA>;
+
+/** The first word of a line. */
+export type RuleWord = RuleValues['kind'];
+
+/** Values that stand by their place and not as `key=value`. */
+export const POSITIONAL: Readonly<Record<RuleWord, readonly string[]>> = {
+  revision: ['number'],
+  pool: ['pool', 'targets'],
+  route: [],
+  customer: ['customer'],
+  once: ['method', 'path'],
+  warmup: ['pool'],
+  limit: ['pool'],
+  zone: ['zone', 'state'],
+  rebalance: ['pool', 'state'],
+};
+
+/** One value of a line, for messages and the page for operators. */
+export interface RuleField {
+  readonly key: string;
+  readonly positional: boolean;
+  readonly optional: boolean;
+  /** Accepted values in words. */
+  readonly range: string;
+}
+
+function describeFields(
+  option: (typeof RULE_SCHEMA.options)[number]
+): readonly [RuleWord, readonly RuleField[]] {
+  const word = option.shape.kind.value;
+  const fields = Object.entries(option.shape as Record<string, z.ZodType>)
+    .filter(([key]) => key !== 'kind')
+    .map(([key, schema]) => ({
+      key,
+      positional: POSITIONAL[word].includes(key),
+      optional: schema instanceof z.ZodOptional,
+      range: rangeOf(schema),
+    }));
+  return [word, fields];
+}
+
+function rangeOf(schema: z.ZodType): string {
+  if (schema instanceof z.ZodOptional)
+    return rangeOf(schema.unwrap() as z.ZodType);
+  return schema.description ?? '';
+}
+
+/** The fields of every word, in the order in which they are printed. */
+export const RULE_FIELDS: ReadonlyMap<string, readonly RuleField[]> = new Map(
+  RULE_SCHEMA.options.map(describeFields)
+);
