--- /dev/null
+++ b/src/agent/targetState.ts
@@ -0,0 +1,135 @@
+/**
+ * How much the target may run now: its ramp from cold, and the work that an
+ * earlier boot of the agent may have left running there.
+ */
+
+import type {Temperature} from '../core/wire';
+import {
+  ConcurrencyState,
+  freshConcurrency,
+  latencyRise,
+  observeLatency,
+} from '../policy/concurrencyLimit';
+import {
+  RampState,
+  WarmupLimits,
+  freshRamp,
+  rampCold,
+  rampComplete,
+  rampLimit,
+  rampServed,
+} from '../policy/ramp';
+import type {TargetObservation} from '../target/targetAdapter';
+
+/** Why the target was taken for cold. */
+export type ColdReason =
+  'restarted' | 'unreachable' | 'loading' | 'claims cold' | 'connection lost';
+
+/** One answered request, for the ramp. */
+export interface ServedSample {
+  readonly nowMs: number;
+  readonly startedAtMs: number;
+  readonly outstanding: number;
+  /** Estimated cost, see `requestCost`. */
+  readonly cost: number;
+}
+
+/** Tracks one target; times are `performance.now()` milliseconds. */
+export class TargetState {
+  private ramp: RampState;
+  private latency: ConcurrencyState = freshConcurrency({start: 1, full: 1});
+  private targetBootId: string | undefined;
+  private answering = false;
+  /** Undefined until a report made after this boot's start has come. */
+  private leftover: number | undefined;
+
+  constructor(private readonly startedAtMs: number) {
+    this.ramp = freshRamp(startedAtMs);
+  }
+
+  /** Whether the target answers and is ready. */
+  get ready(): boolean {
+    return this.answering;
+  }
+
+  /** Takes in one look at the target; returns why it now counts as cold. */
+  observed(
+    seen: TargetObservation,
+    ownOutstanding: number,
+    nowMs: number
+  ): ColdReason | undefined {
+    this.countLeftover(seen, ownOutstanding, nowMs);
+    const reason = this.coldReason(seen);
+    this.targetBootId = seen.bootId;
+    this.answering = seen.state === 'ready';
+    if (reason !== undefined) this.ramp = rampCold(this.ramp, nowMs);
+    return reason;
+  }
+
+  /**
+   * Any silence or lost connection is cold until proven otherwise: the target
+   * may have restarted without a word, and full load would topple it.
+   */
+  lost(nowMs: number): void {
+    this.answering = false;
+    this.ramp = rampCold(this.ramp, nowMs);
+  }
+
+  /** A request failed on its connection while the target seemed well. */
+  strained(nowMs: number): void {
+    this.ramp = rampCold(this.ramp, nowMs);
+  }
+
+  served(sample: ServedSample, rule: WarmupLimits): void {
+    const {nowMs, startedAtMs, outstanding, cost} = sample;
+    const latencyMs = (nowMs - startedAtMs) / Math.max(1, cost);
+    this.latency = observeLatency(this.latency, rule, {latencyMs, outstanding});
+    const slowdown = latencyRise(this.latency);
+    this.ramp = rampServed(this.ramp, rule, {
+      nowMs,
+      startedAtMs,
+      outstanding,
+      slowdown,
+    });
+  }
+
+  /** Requests that this agent may have running at once. */
+  limit(rule: WarmupLimits, nowMs: number): number {
+    if (!this.answering || this.leftover === undefined) return 0;
+    return Math.max(0, rampLimit(this.ramp, rule, nowMs) - this.leftover);
+  }
+
+  temperature(rule: WarmupLimits): Temperature {
+    if (rampComplete(this.ramp, rule)) return 'warm';
+    return this.ramp.level === undefined ? 'cold' : 'warming';
+  }
+
+  private coldReason(seen: TargetObservation): ColdReason | undefined {
+    if (this.targetBootId !== undefined && seen.bootId !== this.targetBootId)
+      return 'restarted';
+    if (seen.state === 'loading') return 'loading';
+    if (seen.cold === true) return 'claims cold';
+    return undefined;
+  }
+
+  /**
+   * An agent that restarted does not know what its earlier boot left running.
+   * A report made before the restart can miss some of it, so nothing starts
+   * until a later report has come; what that counts beyond our own work is
+   * left over, and it only shrinks.
+   */
+  private countLeftover(
+    seen: TargetObservation,
+    ownOutstanding: number,
+    nowMs: number
+  ): void {
+    const {load} = seen;
+    if (load === undefined) {
+      this.leftover = 0;
+      return;
+    }
+    if (nowMs - load.loadAgeMs < this.startedAtMs) return;
+    const foreign = Math.max(0, load.running + load.waiting - ownOutstanding);
+    this.leftover = Math.min(this.leftover ?? foreign, foreign);
+  }
+}
--- /dev/null
+++ b/src/control/controlContext.ts
@@ -0,0 +1,18 @@
+/** What the methods of a control instance work with. */
+
+import type {Logger} from '../core/logger';
+import type {ReplicatedLog} from './log/replicatedLog';
+import type {MemberTable} from './memberTable';
+import type {ControlState} from './state/controlState';
+import type {UsageTable} from './usageTable';
+
+/** One instance's parts. */
+export interface ControlContext {
+  readonly instanceId: string;
+  readonly bootId: string;
+  readonly log: ReplicatedLog;
+  readonly state: ControlState;
+  readonly members: MemberTable;
+  readonly usage: UsageTable;
+  readonly logger: Logger;
+}
--- /dev/null
+++ b/src/control/controlProcess.ts
@@ -0,0 +1,128 @@
+/** Starts and stops a control instance. */
+
+import {randomUUID} from 'node:crypto';
+import {Subscription, exhaustMap, interval} from 'rxjs';
+import type {Logger} from '../core/logger';
+import type {Metrics} from '../core/metrics';
+import {z} from 'zod';
+import {METHODS} from '../rpc/messages';
+import {PeerAddress, PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerServer} from '../rpc/peerServer';
+import type {ControlContext} from './controlContext';
+import {createReplicatedLog} from './log/createReplicatedLog';
+import type {ReplicatedLog} from './log/replicatedLog';
+import {MemberTable} from './memberTable';
+import {claimMethod, settleMethod} from './methods/claimMethods';
+import {pollMethod} from './methods/pollMethod';
+import {statusMethod, usageMethod} from './methods/statusMethods';
+import {submitMethod} from './methods/submitMethod';
+import {ControlState} from './state/controlState';
+import {UsageTable} from './usageTable';
+
+const PEER_TIMEOUT_MS = 1_000;
+const USAGE_PERIOD_MS = 5_000;
+
+/** Settings that the instance runs by. */
+export interface ControlProcessOptions {
+  readonly id: string;
+  readonly host: string;
+  readonly port: number;
+  readonly secret: string;
+  /** All control instances, this one included. */
+  readonly instances: readonly PeerAddress[];
+  readonly dataDir: string;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Called when the disk can no longer be trusted; the process must end. */
+  readonly onFatal: (err: Error) => void;
+}
+
+/** A running control instance. */
+export class ControlProcess {
+  private constructor(
+    readonly port: number,
+    private readonly server: PeerServer,
+    private readonly log: ReplicatedLog,
+    private readonly subscription: Subscription
+  ) {}
+
+  static async start(options: ControlProcessOptions): Promise<ControlProcess> {
+    const server = new PeerServer(options);
+    const state = new ControlState();
+    const log = await openLog(options, state);
+    const context: ControlContext = {
+      instanceId: options.id,
+      bootId: randomUUID(),
+      log,
+      state,
+      members: new MemberTable(),
+      usage: new UsageTable(),
+      logger: options.logger,
+    };
+    addMethods(server, context);
+    const port = await server.listen();
+    const usage = interval(USAGE_PERIOD_MS).pipe(
+      exhaustMap(() => logUsage(context))
+    );
+    return new ControlProcess(port, server, log, usage.subscribe());
+  }
+
+  async stop(): Promise<void> {
+    this.subscription.unsubscribe();
+    await this.server.close();
+    await this.log.close();
+  }
+}
+
+function openLog(
+  options: ControlProcessOptions,
+  state: ControlState
+): Promise<ReplicatedLog> {
+  const agent = createPeerAgent(options.secret, options.id);
+  const peers = options.instances
+    .filter(peer => peer.id !== options.id)
+    .map(address => {
+      const client = new PeerClient(address, agent);
+      const send = (message: unknown) =>
+        client.call<unknown>(METHODS.log, {message}, PEER_TIMEOUT_MS);
+      return {id: address.id, send};
+    });
+  const {id, dataDir, logger, onFatal} = options;
+  return createReplicatedLog({
+    id,
+    peers,
+    dataDir,
+    stateMachine: state,
+    logger,
+    random: Math.random,
+    onFatal,
+  });
+}
+
+function addMethods(server: PeerServer, context: ControlContext): void {
+  server.addMethod(METHODS.poll, pollMethod(context));
+  server.addMethod(METHODS.submit, submitMethod(context));
+  server.addMethod(METHODS.claim, claimMethod(context));
+  server.addMethod(METHODS.settle, settleMethod(context));
+  server.addMethod(METHODS.status, statusMethod(context));
+  server.addMethod(METHODS.usage, usageMethod(context));
+  server.addMethod(METHODS.log, {
+    params: z.object({message: z.unknown()}),
+    handle: ({message}) => context.log.receive(message),
+  });
+}
+
+/** The leader makes the counters that it has heard of durable. */
+async function logUsage({log, usage, logger}: ControlContext): Promise<void> {
+  if (log.status().role !== 'leader') return;
+  for (const report of usage.takeChanged()) {
+    try {
+      await log.propose({kind: 'usage', ...report});
+    } catch (err) {
+      logger.warn(
+        {err: String(err)},
+        'usage not logged; the next report covers it'
+      );
+    }
+  }
+}
--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -3,6 +3,7 @@
  * built from polls, lost on a restart, and full again one poll later.
  */
 
+import {isNewer, keepLeaving} from '../core/announcements';
 import type {Announcement, PollRequest} from '../core/wire';
 
 /** Silence after which a target or process is no longer listed. */
@@ -131,29 +132,9 @@
   }
 }
 
-/** Orders announcements of one target: by boot, then by sequence. */
-export function isNewer(candidate: Announcement, known: Announcement): boolean {
-  if (candidate.agentBootId === known.agentBootId)
-    return candidate.seq > known.seq;
-  return candidate.agentBootAtMs >= known.agentBootAtMs;
-}
-
 function isBuried(candidate: Announcement, tombstone: Tombstone): boolean {
   if (candidate.agentBootAtMs !== tombstone.bootAtMs) {
     return candidate.agentBootAtMs < tombstone.bootAtMs;
   }
   return candidate.seq <= tombstone.seq;
 }
-
-/**
- * A boot that began to leave stays leaving: an announcement made before the
- * goodbye but numbered after it by a confused agent must not bring it back.
- */
-export function keepLeaving(
-  known: Announcement,
-  next: Announcement
-): Announcement {
-  const sameBoot = known.agentBootId === next.agentBootId;
-  if (!sameBoot || known.state !== 'leaving') return next;
-  return {...next, state: 'leaving'};
-}
--- /dev/null
+++ b/src/control/methods/pollMethod.ts
@@ -0,0 +1,60 @@
+/** Answers polls of entries and agents, each instance for itself alone. */
+
+import type {PollAnswer, PollRequest} from '../../core/wire';
+import {pollRequest} from '../../rpc/messages';
+import type {RpcMethod} from '../../rpc/peerServer';
+import type {ControlContext} from '../controlContext';
+
+/** The `poll` method. */
+export function pollMethod(
+  context: ControlContext
+): RpcMethod<PollRequest, PollAnswer> {
+  return {params: pollRequest, handle: request => answerPoll(context, request)};
+}
+
+function answerPoll(context: ControlContext, request: PollRequest): PollAnswer {
+  const {log, state, members, instanceId, bootId} = context;
+  const nowMs = performance.now();
+  members.expire(nowMs);
+  members.heard(request, nowMs);
+  if (request.usage !== undefined)
+    context.usage.report(request.bootId, request.usage);
+  const status = log.status();
+  const {revision, text} = state.rules;
+  return {
+    instanceId,
+    bootId,
+    voter: status.voter,
+    voterCount: status.voterIds.length,
+    term: status.term,
+    leaderId: status.leaderId,
+    lastRevision: lastRevision(context),
+    committedRevision: revision,
+    rules: revision > request.heldRevision ? {revision, text} : undefined,
+    members:
+      request.role === 'entry' ? memberChanges(context, request) : undefined,
+  };
+}
+
+/**
+ * Counts submissions that are in the log but not known to be committed: they
+ * may be accepted already, with this copy as one of the majority.
+ */
+function lastRevision({log, state}: ControlContext): number {
+  let last = state.rules.revision;
+  for (const command of log.uncommitted()) {
+    if (command.kind === 'submit' && command.revision > last)
+      last = command.revision;
+  }
+  return last;
+}
+
+function memberChanges(
+  {members, bootId}: ControlContext,
+  request: PollRequest
+): PollAnswer['members'] {
+  const held = request.membership;
+  return members.changesSince(
+    held?.bootId === bootId ? held.version : undefined
+  );
+}
--- /dev/null
+++ b/src/control/methods/statusMethods.ts
@@ -0,0 +1,50 @@
+/** What operators ask: the state of the system, and use by customer. */
+
+import type {StatusAnswer, UsageAnswer} from '../../core/operatorAnswers';
+import {noParams} from '../../rpc/messages';
+import type {RpcMethod} from '../../rpc/peerServer';
+import type {ControlContext} from '../controlContext';
+import {readHere} from './leaderOnly';
+
+/** The `status` method: this instance's own view, whether it leads or not. */
+export function statusMethod(
+  context: ControlContext
+): RpcMethod<object | undefined, StatusAnswer> {
+  return {params: noParams, handle: () => status(context)};
+}
+
+function status({
+  instanceId,
+  log,
+  state,
+  members,
+}: ControlContext): StatusAnswer {
+  const nowMs = performance.now();
+  members.expire(nowMs);
+  const {role, term, leaderId, voter, commitIndex} = log.status();
+  const processes = members.listProcesses().map(({heardAtMs, ...process}) => ({
+    ...process,
+    pollAgeMs: Math.round(nowMs - heardAtMs),
+  }));
+  return {
+    instance: {instanceId, role, term, leaderId, voter, commitIndex},
+    revision: state.rules.revision,
+    rulesText: state.rules.text,
+    processes,
+    targets: members.listTargets(),
+  };
+}
+
+/** The `usage` method: linearizable, since customers are charged by it. */
+export function usageMethod({
+  log,
+  state,
+}: ControlContext): RpcMethod<object | undefined, UsageAnswer> {
+  return {
+    params: noParams,
+    handle: async () => {
+      await readHere(log);
+      return {customers: state.usage.totals()};
+    },
+  };
+}
--- /dev/null
+++ b/src/control/methods/submitMethod.ts
@@ -0,0 +1,40 @@
+/** Takes a rule file from an operator. */
+
+import {createHash} from 'node:crypto';
+import type {SubmitAnswer} from '../../core/operatorAnswers';
+import {SubmitRequest, submitRequest} from '../../rpc/messages';
+import type {RpcMethod} from '../../rpc/peerServer';
+import {parseRules} from '../../rules/parseRules';
+import type {ControlContext} from '../controlContext';
+import {proposeHere} from './leaderOnly';
+
+/** The `submit` method; repeating it is safe. */
+export function submitMethod(
+  context: ControlContext
+): RpcMethod<SubmitRequest, SubmitAnswer> {
+  return {params: submitRequest, handle: request => submit(context, request)};
+}
+
+async function submit(
+  context: ControlContext,
+  {text}: SubmitRequest
+): Promise<SubmitAnswer> {
+  const parsed = parseRules(text);
+  if (!parsed.ok) return {kind: 'invalid', problems: parsed.problems};
+  const {revision, rules} = parsed.ruleSet;
+  const digest = createHash('sha256').update(text).digest('hex');
+  const submittedBy =
+    rules.find(rule => rule.kind === 'revision')?.askedBy ?? 'unknown';
+  const {result} = await proposeHere(context.log, {
+    kind: 'submit',
+    revision,
+    digest,
+    text,
+    submittedBy,
+  });
+  context.logger.info(
+    {revision, result: result.kind, submittedBy},
+    'submission'
+  );
+  return result;
+}
--- a/src/control/state/claimState.ts
+++ b/src/control/state/claimState.ts
@@ -6,13 +6,8 @@
 
 import {parse, version as uuidVersion, validate} from 'uuid';
 import {unreachable} from '../../core/errors';
-import type {
-  ClaimCommand,
-  ClaimResult,
-  RecordedAnswer,
-  SettleCommand,
-  SettleResult,
-} from './command';
+import type {ClaimResult, RecordedAnswer} from '../../core/claims';
+import type {ClaimCommand, SettleCommand, SettleResult} from './command';
 
 /** How long answers are kept, and how old a time-stamped key may be. */
 export const KEY_RETENTION_MS = 24 * 60 * 60 * 1000;
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -1,20 +1,9 @@
 /** Commands in the replicated log, and their results. */
 
+import type {ClaimResult, Settlement} from '../../core/claims';
+import type {SubmitResult} from '../../core/operatorAnswers';
 import type {CustomerUsage} from '../../core/wire';
 
-/** A recorded answer of a non-idempotent call. */
-export interface RecordedAnswer {
-  readonly status: number;
-  readonly headers: readonly (readonly [string, string])[];
-  readonly bodyBase64: string;
-}
-
-/** How a claim ended. */
-export type Settlement =
-  | {readonly kind: 'answered'; readonly answer: RecordedAnswer}
-  | {readonly kind: 'not run'}
-  | {readonly kind: 'unknown'};
-
 /** Submits a rule file under its own revision number. */
 export interface SubmitCommand {
   readonly kind: 'submit';
@@ -92,43 +81,6 @@
   | UsageCommand
   | NoopCommand;
 
-/** Result of a submission. */
-export type SubmitResult =
-  | {
-      readonly kind: 'accepted';
-      readonly revision: number;
-      readonly resent: boolean;
-    }
-  | {
-      readonly kind: 'superseded';
-      readonly revision: number;
-      readonly current: number;
-    }
-  | {
-      readonly kind: 'conflict';
-      readonly revision: number;
-      readonly current: number;
-      /** Who holds that number. */
-      readonly winner: string;
-    }
-  | {readonly kind: 'gap'; readonly revision: number; readonly current: number};
-
-/** Result of a claim. */
-export type ClaimResult =
-  | {readonly kind: 'granted'; readonly attempt: number}
-  | {readonly kind: 'recorded'; readonly answer: RecordedAnswer}
-  | {
-      readonly kind: 'pending';
-      readonly attempt: number;
-      readonly entryId: string;
-      readonly targetId: string;
-      readonly agentBootId: string;
-    }
-  | {readonly kind: 'unknown'}
-  | {readonly kind: 'mismatch'}
-  | {readonly kind: 'expired'}
-  | {readonly kind: 'full'};
-
 /** Result of a settlement; `ignored` when another one came first. */
 export type SettleResult =
   {readonly kind: 'settled'} | {readonly kind: 'ignored'};
--- /dev/null
+++ b/src/control/state/controlState.ts
@@ -0,0 +1,58 @@
+/** All replicated state of control, as one state machine. */
+
+import {unreachable} from '../../core/errors';
+import type {StateMachine} from '../log/replicatedLog';
+import {ClaimState, ClaimsSnapshot} from './claimState';
+import type {Command, CommandResult} from './command';
+import {RulesSnapshot, RulesState} from './rulesState';
+import {UsageSnapshot, UsageState} from './usageState';
+
+interface Snapshot {
+  readonly rules: RulesSnapshot;
+  readonly claims: ClaimsSnapshot;
+  readonly usage: UsageSnapshot;
+}
+
+/** Applies committed commands in order; every instance ends up the same. */
+export class ControlState implements StateMachine {
+  readonly rules = new RulesState();
+  readonly claims = new ClaimState();
+  readonly usage = new UsageState();
+
+  apply(command: Command, _index: number): CommandResult {
+    switch (command.kind) {
+      case 'submit':
+        return {command: 'submit', result: this.rules.apply(command)};
+      case 'claim':
+        return {command: 'claim', result: this.claims.claim(command)};
+      case 'settle':
+        return {command: 'settle', result: this.claims.settle(command)};
+      case 'usage':
+        this.usage.apply(command);
+        return {command: 'usage'};
+      case 'fence':
+      case 'mapDecision':
+        throw new Error(`no state for ${command.kind} yet`);
+      case 'noop':
+        return {command: 'noop'};
+      default:
+        return unreachable(command);
+    }
+  }
+
+  snapshot(): string {
+    const snapshot: Snapshot = {
+      rules: this.rules.snapshot(),
+      claims: this.claims.snapshot(),
+      usage: this.usage.snapshot(),
+    };
+    return JSON.stringify(snapshot);
+  }
+
+  restore(text: string): void {
+    const snapshot = JSON.parse(text) as Snapshot;
+    this.rules.restore(snapshot.rules);
+    this.claims.restore(snapshot.claims);
+    this.usage.restore(snapshot.usage);
+  }
+}
--- a/src/control/state/rulesState.ts
+++ b/src/control/state/rulesState.ts
@@ -4,7 +4,8 @@
  * gets the answer of the first and never a second change.
  */
 
-import type {SubmitCommand, SubmitResult} from './command';
+import type {SubmitResult} from '../../core/operatorAnswers';
+import type {SubmitCommand} from './command';
 
 interface AcceptedFile {
   readonly digest: string;
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -77,6 +77,8 @@
   /** Whether this instance votes; only voters count towards a proof. */
   readonly voter: boolean;
   readonly voterCount: number;
+  readonly term: number;
+  /** The leader of that term, where known. */
   readonly leaderId?: string;
   /**
    * Highest revision anywhere in its log, committed or not. A process that
--- /dev/null
+++ b/src/sync/controlSync.ts
@@ -0,0 +1,202 @@
+/**
+ * Keeps one process in step with control: polls every control instance,
+ * announces the target, holds the newest rules and the proof that they are
+ * current, and finds the leader for calls that need it.
+ */
+
+import {
+  BehaviorSubject,
+  Subscription,
+  defer,
+  exhaustMap,
+  merge,
+  timer,
+} from 'rxjs';
+import {PeerError} from '../core/errors';
+import type {Logger} from '../core/logger';
+import type {Metrics} from '../core/metrics';
+import type {
+  Announcement,
+  CustomerUsage,
+  PollAnswer,
+  PollRequest,
+} from '../core/wire';
+import {METHODS} from '../rpc/messages';
+import {PeerClient} from '../rpc/peerClient';
+import {parseRules} from '../rules/parseRules';
+import {RuleIndex} from '../rules/ruleIndex';
+import {Freshness, FreshnessProof} from './freshness';
+import {LeaderCalls} from './leaderCalls';
+import {TargetDirectory} from './targetDirectory';
+
+/** What the process tells of itself; evaluated at each poll. */
+export interface SelfReport {
+  readonly announcement?: Announcement;
+  readonly usage?: readonly CustomerUsage[];
+}
+
+/** Settings of the loop. */
+export interface ControlSyncOptions {
+  readonly processId: string;
+  readonly role: 'entry' | 'agent';
+  readonly bootId: string;
+  readonly availabilityZone: string;
+  readonly instances: readonly PeerClient[];
+  readonly pollMs: number;
+  readonly proofMs: number;
+  readonly report: () => SelfReport;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Rules as held here. */
+export interface HeldRules {
+  readonly revision: number;
+  readonly index: RuleIndex;
+}
+
+/** The link of one process to control. */
+export class ControlSync {
+  readonly directory = new TargetDirectory();
+  readonly leader: LeaderCalls;
+  /** Undefined until the first rules are known. */
+  readonly rules$ = new BehaviorSubject<HeldRules | undefined>(undefined);
+  private readonly proof: FreshnessProof;
+  private subscription: Subscription | undefined;
+  private wasProven = false;
+
+  constructor(private readonly options: ControlSyncOptions) {
+    this.proof = new FreshnessProof(options.instances.length, options.proofMs);
+    this.leader = new LeaderCalls(options.instances);
+  }
+
+  start(): void {
+    const {instances, pollMs} = this.options;
+    // Each instance has its own loop: one that is silent delays no other.
+    const loops = instances.map((instance, i) =>
+      timer((pollMs * i) / instances.length, pollMs).pipe(
+        exhaustMap(() => defer(() => this.poll(instance)))
+      )
+    );
+    this.subscription = merge(...loops).subscribe();
+  }
+
+  stop(): void {
+    this.subscription?.unsubscribe();
+  }
+
+  get rules(): HeldRules | undefined {
+    return this.rules$.value;
+  }
+
+  freshness(): Freshness {
+    const freshness = this.proof.judge(performance.now());
+    if (freshness.kind === 'unproven' && this.wasProven) {
+      this.options.metrics.count('rules.unproven');
+      this.options.logger.warn(
+        {ageMs: freshness.ageMs},
+        'the rules can no longer be proven current'
+      );
+    }
+    this.wasProven = freshness.kind !== 'unproven';
+    return freshness;
+  }
+
+  /** Another process showed that a revision exists. */
+  sawRevision(revision: number): void {
+    this.proof.sawRevision(revision);
+  }
+
+  /** Tells every control instance at once, as when a target leaves. */
+  async announceNow(): Promise<void> {
+    await Promise.all(
+      this.options.instances.map(instance => this.poll(instance))
+    );
+  }
+
+  private async poll(instance: PeerClient): Promise<void> {
+    const askedAtMs = performance.now();
+    const instanceId = instance.address.id;
+    try {
+      const answer = await instance.call<PollAnswer>(
+        METHODS.poll,
+        this.question(instanceId),
+        this.options.proofMs
+      );
+      this.apply(answer, askedAtMs);
+    } catch (err) {
+      if (!(err instanceof PeerError)) throw err;
+      this.failed(instanceId, askedAtMs, err);
+    }
+    this.directory.expire(performance.now());
+  }
+
+  private question(instanceId: string): PollRequest {
+    const {processId, role, bootId, availabilityZone} = this.options;
+    const freshness = this.proof.judge(performance.now());
+    return {
+      processId,
+      role,
+      bootId,
+      availabilityZone,
+      heldRevision: this.proof.heldRevision,
+      provenAgeMs: freshness.kind === 'proven' ? freshness.ageMs : undefined,
+      membership:
+        role === 'entry' ? this.directory.heldFrom(instanceId) : undefined,
+      ...this.options.report(),
+    };
+  }
+
+  private apply(answer: PollAnswer, askedAtMs: number): void {
+    if (answer.rules !== undefined) this.applyRules(answer.rules);
+    const {voter, lastRevision, instanceId} = answer;
+    this.proof.add(instanceId, {
+      kind: 'answered',
+      askedAtMs,
+      voter,
+      lastRevision,
+    });
+    this.directory.apply(answer, performance.now());
+    if (answer.leaderId !== undefined)
+      this.leader.hint(answer.leaderId, answer.term);
+  }
+
+  /**
+   * Only a higher revision is taken: a late answer of a slow instance would
+   * otherwise bring rules back that operators have replaced.
+   */
+  private applyRules(rules: {
+    readonly revision: number;
+    readonly text: string;
+  }): void {
+    const {logger, metrics} = this.options;
+    if (rules.revision <= this.proof.heldRevision) {
+      if (rules.revision < this.proof.heldRevision)
+        metrics.count('rules.regressed');
+      return;
+    }
+    const parsed = parseRules(rules.text);
+    if (!parsed.ok) {
+      logger.error(
+        {revision: rules.revision, problems: parsed.problems},
+        'accepted rules do not parse here'
+      );
+      return;
+    }
+    this.rules$.next({
+      revision: rules.revision,
+      index: new RuleIndex(parsed.ruleSet),
+    });
+    this.proof.hold(rules.revision);
+    metrics.count('rules.applied');
+    logger.info({revision: rules.revision}, 'rules in force');
+  }
+
+  private failed(instanceId: string, askedAtMs: number, err: PeerError): void {
+    this.options.logger.debug({err: err.message}, 'poll failed');
+    const {fault} = err;
+    if (fault.kind === 'unreachable' && fault.refusedByHost) {
+      this.proof.add(instanceId, {kind: 'not running', askedAtMs});
+    }
+  }
+}
--- /dev/null
+++ b/src/sync/targetDirectory.ts
@@ -0,0 +1,123 @@
+/**
+ * The targets that an entry knows of, merged from what each control instance
+ * has heard. Views are kept apart by instance, so that a cut-off instance's
+ * old view can be dropped without touching the others.
+ */
+
+import {isNewer, keepLeaving} from '../core/announcements';
+import type {Announcement, PollAnswer} from '../core/wire';
+
+/** An instance that has been silent for longer adds nothing any more. */
+const VIEW_TTL_MS = 5_000;
+
+interface View {
+  readonly bootId: string;
+  readonly targets: Map<string, Announcement>;
+  version: number;
+  heardAtMs: number;
+}
+
+/** One merged view; times are `performance.now()` milliseconds. */
+export class TargetDirectory {
+  private readonly views = new Map<string, View>();
+  /** When each announcement was first seen, by target. */
+  private readonly seen = new Map<
+    string,
+    {readonly seq: string; readonly atMs: number}
+  >();
+  private merged: readonly Announcement[] | undefined;
+
+  apply(answer: PollAnswer, nowMs: number): void {
+    const {members, instanceId, bootId} = answer;
+    if (members === undefined) return;
+    const known = this.views.get(instanceId);
+    const keep =
+      known !== undefined && known.bootId === bootId && !members.full;
+    const view: View = keep
+      ? known
+      : {
+          bootId,
+          targets: new Map(),
+          version: members.version,
+          heardAtMs: nowMs,
+        };
+    for (const targetId of members.removed) view.targets.delete(targetId);
+    for (const announcement of members.changed) {
+      view.targets.set(announcement.targetId, announcement);
+    }
+    view.version = members.version;
+    view.heardAtMs = nowMs;
+    this.views.set(instanceId, view);
+    if (!keep || members.changed.length > 0 || members.removed.length > 0) {
+      this.merged = undefined;
+    }
+  }
+
+  /** What to ask an instance for: only changes after this. */
+  heldFrom(
+    instanceId: string
+  ): {readonly bootId: string; readonly version: number} | undefined {
+    const view = this.views.get(instanceId);
+    return view === undefined
+      ? undefined
+      : {bootId: view.bootId, version: view.version};
+  }
+
+  /**
+   * Drops views that fell silent, but never the last ones: when all of
+   * control is gone, the targets known last are still there, and each agent
+   * refuses what it must.
+   */
+  expire(nowMs: number): void {
+    const silent = [...this.views].filter(
+      ([, view]) => nowMs - view.heardAtMs > VIEW_TTL_MS
+    );
+    if (silent.length === 0 || silent.length === this.views.size) return;
+    for (const [instanceId] of silent) this.views.delete(instanceId);
+    this.merged = undefined;
+  }
+
+  /** The newest announcement of every target. */
+  list(): readonly Announcement[] {
+    this.merged ??= this.merge();
+    return this.merged;
+  }
+
+  /** Milliseconds since this announcement of the target first came in. */
+  ageMs(announcement: Announcement, nowMs: number): number {
+    const seen = this.seen.get(announcement.targetId);
+    return seen === undefined ? 0 : nowMs - seen.atMs;
+  }
+
+  private merge(): readonly Announcement[] {
+    const newest = new Map<string, Announcement>();
+    for (const view of this.views.values()) {
+      for (const candidate of view.targets.values()) {
+        const known = newest.get(candidate.targetId);
+        newest.set(
+          candidate.targetId,
+          known === undefined ? candidate : newer(known, candidate)
+        );
+      }
+    }
+    this.noteArrivals(newest);
+    return [...newest.values()];
+  }
+
+  private noteArrivals(newest: ReadonlyMap<string, Announcement>): void {
+    const nowMs = performance.now();
+    for (const [targetId, {agentBootId, seq}] of newest) {
+      const stamp = `${agentBootId}/${seq}`;
+      if (this.seen.get(targetId)?.seq === stamp) continue;
+      this.seen.set(targetId, {seq: stamp, atMs: nowMs});
+    }
+    for (const targetId of this.seen.keys()) {
+      if (!newest.has(targetId)) this.seen.delete(targetId);
+    }
+  }
+}
+
+function newer(known: Announcement, candidate: Announcement): Announcement {
+  if (isNewer(candidate, known)) return keepLeaving(known, candidate);
+  return keepLeaving(candidate, known);
+}
