Load the settings of each role from INI and name every fault

A process learns its addresses and zone from its settings; a wrong key found only at run time would surface as a refused connection far away. Each role has one schema; unknown sections and keys, bad values, a control instance listed at another address than its own and a proof that could not outlast four polls are reported together, with file, section, key and accepted range.

--- a/src/core/nearestName.ts
+++ b/src/core/nearestName.ts
@@ -3,23 +3,27 @@
 /** Most edits at which two spellings still count as near. */
 const MAX_EDITS = 3;
 
-/** Levenshtein distance: edits of one character between two words. */
+/** Edits of one character, or swaps of two neighbours, between two words. */
 function editDistance(from: string, to: string): number {
-  let previous = Array.from({length: to.length + 1}, (_, index) => index);
+  const rows = [Array.from({length: to.length + 1}, (_, col) => col)];
+  const at = (row: number, col: number) => rows[row]?.[col] ?? Infinity;
   for (let row = 1; row <= from.length; row++) {
     const current = [row];
+    rows.push(current);
     for (let col = 1; col <= to.length; col++) {
-      const change = from[row - 1] === to[col - 1] ? 0 : 1;
+      const same = from[row - 1] === to[col - 1];
+      const swapped =
+        from[row - 1] === to[col - 2] && from[row - 2] === to[col - 1];
       const best = Math.min(
-        (previous[col] ?? 0) + 1,
-        (current[col - 1] ?? 0) + 1,
-        (previous[col - 1] ?? 0) + change
+        at(row - 1, col) + 1,
+        at(row, col - 1) + 1,
+        at(row - 1, col - 1) + (same ? 0 : 1),
+        swapped ? at(row - 2, col - 2) + 1 : Infinity
       );
       current.push(best);
     }
-    previous = current;
   }
-  return previous[to.length] ?? 0;
+  return at(from.length, to.length);
 }
 
 /** The known name nearest to `name`; none when all are far off. */
--- a/src/rules/ruleSchema.ts
+++ b/src/rules/ruleSchema.ts
@@ -1,14 +1,8 @@
 /** The words of the rule file, each with its values, as one union. */
 
 import {z} from 'zod';
-import {
-  duration,
-  integer,
-  name,
-  oneOf,
-  pathPrefix,
-  percent,
-} from './fieldSchemas';
+import {integer, name, oneOf, rangeOf} from '../core/textSchemas';
+import {duration, pathPrefix, percent} from './fieldSchemas';
 
 /** Lines by their first word. Keys are spelled as in the file. */
 export const RULE_SCHEMA = z.discriminatedUnion('kind', [
@@ -113,12 +107,6 @@
   return [word, fields];
 }
 
-function rangeOf(schema: z.ZodType): string {
-  if (schema instanceof z.ZodOptional)
-    return rangeOf(schema.unwrap() as z.ZodType);
-  return schema.description ?? '';
-}
-
 /** The fields of every word, in the order in which they are printed. */
 export const RULE_FIELDS: ReadonlyMap<string, readonly RuleField[]> = new Map(
   RULE_SCHEMA.options.map(describeFields)
--- /dev/null
+++ b/src/settings/loadSettings.ts
@@ -0,0 +1,173 @@
+/** Loads the settings of a role; anything wrong is a ConfigError. */
+
+import {readFileSync} from 'node:fs';
+import path from 'node:path';
+import {ConfigError} from '../core/errors';
+import {rangeOf} from '../core/textSchemas';
+import {secret} from './settingSchemas';
+import {readSections} from './readSections';
+import type {SettingsRole, SettingsValues} from './sections';
+import type {
+  AgentSettings,
+  ClientSettings,
+  ControlSettings,
+  EntrySettings,
+  SettingsOf,
+} from './settings';
+
+type AnyValues = SettingsValues<SettingsRole>;
+
+/** A proof must outlive a few polls, or one late answer would stop service. */
+const MIN_POLLS_PER_PROOF = 4;
+
+function failureText(err: unknown): string {
+  return err instanceof Error ? err.message : String(err);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (err) {
+    throw new ConfigError([`${file}: ${failureText(err)}`]);
+  }
+}
+
+function readKeyFile(place: string, problems: string[]): string {
+  try {
+    const text = readFileSync(place, 'utf8').trim();
+    if (secret().safeParse(text).success) return text;
+    problems.push(`[internal] key-file must hold ${rangeOf(secret())}`);
+  } catch (err) {
+    problems.push(`[internal] key-file: ${failureText(err)}`);
+  }
+  return '';
+}
+
+/** The shared secret, given in the file or in a file of its own. */
+function readSecret(
+  file: string,
+  internal: AnyValues['internal'],
+  problems: string[]
+): string {
+  const keyFile = internal['key-file'];
+  if ((internal.key === undefined) === (keyFile === undefined)) {
+    problems.push('[internal] give either key or key-file');
+    return '';
+  }
+  if (keyFile === undefined) return internal.key ?? '';
+  return readKeyFile(path.resolve(path.dirname(file), keyFile), problems);
+}
+
+function checkProcess(values: AnyValues, problems: string[]): void {
+  if (!('process' in values)) return;
+  const {process} = values;
+  const both =
+    (process['metrics-host'] === undefined) ===
+    (process['metrics-port'] === undefined);
+  if (!both)
+    problems.push('[process] metrics-host and metrics-port go together');
+}
+
+function checkProof(values: AnyValues, problems: string[]): void {
+  const {control} = values;
+  if (!('proof-ms' in control)) return;
+  if (control['proof-ms'] < MIN_POLLS_PER_PROOF * control['poll-ms'])
+    problems.push(
+      `[control] proof-ms must be ${MIN_POLLS_PER_PROOF} times poll-ms or more`
+    );
+}
+
+/** A control instance is reached at the address that the others know. */
+function checkOwnAddress(values: AnyValues, problems: string[]): void {
+  if (!('data' in values)) return;
+  const {process, internal, control} = values;
+  const own = control.instances.find(item => item.id === process.id);
+  if (own === undefined)
+    problems.push(`[control] instances do not list "${process.id}", this one`);
+  else if (own.host !== process.host || own.port !== internal.port)
+    problems.push(
+      `[control] instances give "${process.id}" as ${own.host}:${own.port}, [process] and [internal] as ${process.host}:${internal.port}`
+    );
+}
+
+function camelCase(key: string): string {
+  return key.replace(/-(\w)/g, (_, letter: string) => letter.toUpperCase());
+}
+
+type Section = Readonly<Record<string, unknown>>;
+
+function camelKeys(section: Section): Section {
+  return Object.fromEntries(
+    Object.entries(section).map(([key, value]) => [camelCase(key), value])
+  );
+}
+
+function sectionValue(
+  file: string,
+  name: string,
+  section: Section,
+  key: string
+): Section | ReadonlyMap<string, unknown> {
+  switch (name) {
+    case 'customer-keys':
+      return new Map(Object.entries(section));
+    case 'data':
+      return {folder: path.resolve(path.dirname(file), String(section.folder))};
+    case 'internal':
+      return section.port === undefined ? {key} : {port: section.port, key};
+    default:
+      return camelKeys(section);
+  }
+}
+
+/** Rebuilds the values under the names that the code uses. */
+function toSettings<R extends SettingsRole>(
+  file: string,
+  values: AnyValues,
+  key: string
+): SettingsOf<R> {
+  const sections = Object.entries(values).map(([name, section]) => [
+    camelCase(name),
+    sectionValue(file, name, section as Section, key),
+  ]);
+  return Object.fromEntries(sections) as SettingsOf<R>;
+}
+
+/** Loads the settings of any role. */
+export function loadSettings<R extends SettingsRole>(
+  role: R,
+  file: string
+): SettingsOf<R> {
+  const read = readSections(role, readText(file));
+  if (!read.ok)
+    throw new ConfigError(read.problems.map(text => `${file}: ${text}`));
+  const values: AnyValues = read.values;
+  const problems: string[] = [];
+  const key = readSecret(file, values.internal, problems);
+  checkProcess(values, problems);
+  checkProof(values, problems);
+  checkOwnAddress(values, problems);
+  if (problems.length > 0)
+    throw new ConfigError(problems.map(text => `${file}: ${text}`));
+  return toSettings<R>(file, values, key);
+}
+
+/** Loads the settings of an entry. */
+export function loadEntrySettings(file: string): EntrySettings {
+  return loadSettings('entry', file);
+}
+
+/** Loads the settings of an agent. */
+export function loadAgentSettings(file: string): AgentSettings {
+  return loadSettings('agent', file);
+}
+
+/** Loads the settings of a control instance. */
+export function loadControlSettings(file: string): ControlSettings {
+  return loadSettings('control', file);
+}
+
+/** Loads the settings of the operators' client. */
+export function loadClientSettings(file: string): ClientSettings {
+  return loadSettings('client', file);
+}
--- /dev/null
+++ b/src/settings/sections.ts
@@ -0,0 +1,158 @@
+/** The settings of each role: one schema a section, keys as in the file. */
+
+import {z} from 'zod';
+import {integer, name, oneOf} from '../core/textSchemas';
+import {
+  anyPort,
+  filePath,
+  fixedPort,
+  headerName,
+  instanceList,
+  ipAddress,
+  secret,
+  setting,
+} from './settingSchemas';
+
+const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error'] as const;
+const KIB = 1024;
+const MIB = 1024 * KIB;
+const MINUTE_MS = 60_000;
+
+const PROCESS = z.strictObject({
+  id: setting(name(), 'name of this process, unique in the deployment'),
+  'availability-zone': setting(name(), 'where this process runs'),
+  host: setting(ipAddress(), 'where it listens and where others reach it'),
+  'log-level': setting(
+    oneOf(...LOG_LEVELS).default('info'),
+    'least level of the JSON log lines on stderr'
+  ),
+  'metrics-host': setting(
+    ipAddress().optional(),
+    'where counters go in the StatsD protocol; needs metrics-port too'
+  ),
+  'metrics-port': setting(fixedPort().optional(), 'UDP port of metrics-host'),
+});
+
+const SECRET = {
+  key: setting(
+    secret().optional(),
+    'secret that all processes share; either this or key-file'
+  ),
+  'key-file': setting(filePath().optional(), 'file that holds the secret'),
+};
+
+const INTERNAL = z.strictObject({
+  port: setting(anyPort().default(0), 'port for the other processes'),
+  ...SECRET,
+});
+
+const INTERNAL_FIXED = z.strictObject({
+  port: setting(fixedPort(), 'port for the other processes'),
+  ...SECRET,
+});
+
+const INSTANCES = setting(instanceList(), 'all control instances');
+
+const CONTROL = z.strictObject({
+  instances: INSTANCES,
+  'proof-ms': setting(
+    integer(500, MINUTE_MS).default(2500),
+    'age at which a proof that the rules are current runs out'
+  ),
+  'poll-ms': setting(
+    integer(20, 10_000).default(250),
+    'time between two polls of a control instance'
+  ),
+});
+
+const CALLERS = z.strictObject({
+  port: setting(anyPort(), 'port for callers'),
+  'customer-header': setting(
+    headerName().default('x-customer'),
+    'header that names the customer'
+  ),
+  'max-body-bytes': setting(
+    integer(KIB, 64 * MIB).default(MIB),
+    'largest body of a request'
+  ),
+  'max-header-bytes': setting(
+    integer(KIB, MIB).default(16 * KIB),
+    'largest head of a request'
+  ),
+  'header-timeout-ms': setting(
+    integer(100, 10 * MINUTE_MS).default(10_000),
+    'time a caller has to send the head of a request'
+  ),
+  'drain-ms': setting(
+    integer(0, 10 * MINUTE_MS).default(5000),
+    'time after SIGTERM in which new requests are still served, until the platform sends no more'
+  ),
+});
+
+const CUSTOMER_KEYS = z
+  .record(z.string(), name())
+  .default({})
+  .meta({meaning: 'secret = customer; with any line, callers must send one'});
+
+const TARGET = z.strictObject({
+  id: setting(name(), 'name of the target beside this agent, unique'),
+  pool: setting(name(), 'pool of the target, as in the rule file'),
+  kind: setting(oneOf('engine', 'service'), 'what the target is'),
+  host: setting(ipAddress(), 'where the target listens'),
+  port: setting(fixedPort(), 'port of the target'),
+  'probe-interval-ms': setting(
+    integer(20, MINUTE_MS).default(250),
+    'time between two probes of the target'
+  ),
+  'drain-ms': setting(
+    integer(0, 60 * MINUTE_MS).default(30_000),
+    'longest wait after SIGTERM for requests in work'
+  ),
+});
+
+const DATA = z.strictObject({
+  folder: setting(filePath(), 'folder for everything that must survive'),
+});
+
+const CLIENT_CONTROL = z.strictObject({
+  instances: INSTANCES,
+  'timeout-ms': setting(
+    integer(100, 10 * MINUTE_MS).default(5000),
+    'longest wait for one answer'
+  ),
+});
+
+/** Sections of the settings by role. */
+export const SECTIONS = {
+  entry: z.strictObject({
+    process: PROCESS,
+    internal: INTERNAL,
+    control: CONTROL,
+    callers: CALLERS,
+    'customer-keys': CUSTOMER_KEYS,
+  }),
+  agent: z.strictObject({
+    process: PROCESS,
+    internal: INTERNAL,
+    control: CONTROL,
+    target: TARGET,
+  }),
+  control: z.strictObject({
+    process: PROCESS,
+    internal: INTERNAL_FIXED,
+    control: z.strictObject({instances: INSTANCES}),
+    data: DATA,
+  }),
+  client: z.strictObject({
+    internal: z.strictObject(SECRET),
+    control: CLIENT_CONTROL,
+  }),
+} as const;
+
+/** Who reads a settings file. */
+export type SettingsRole = keyof typeof SECTIONS;
+
+/** Values of one role, keys as in the file. */
+export type SettingsValues<R extends SettingsRole> = z.infer<
+  (typeof SECTIONS)[R]
+>;
