Add the agent: gate, claims of one boot, cold-start state, drain

Cause: limits, zones, leaving and claims must hold for what all entries send together, so they are checked beside the target, the one place all work passes. Weighed: checks at the entries alone (several entries together exceed the limit; a cut-off entry acts on old rules).

--- /dev/null
+++ b/src/agent/agentProcess.ts
@@ -0,0 +1,124 @@
+/** Starts and drains the agent beside one target. */
+
+import {randomUUID} from 'node:crypto';
+import {Subscription, distinctUntilChanged, filter, map} from 'rxjs';
+import type {Logger} from '../core/logger';
+import type {Metrics} from '../core/metrics';
+import {METHODS, fenceClaimRequest} from '../rpc/messages';
+import {PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerServer} from '../rpc/peerServer';
+import type {AgentSettings} from '../settings/settings';
+import {ControlSync} from '../sync/controlSync';
+import {createTargetAdapter} from '../target/createTargetAdapter';
+import {AgentCore} from './agentCore';
+import {dispatchHandler} from './dispatchHandler';
+import {fenceClaim} from './fenceClaim';
+import {watchTarget} from './targetWatcher';
+
+const DRAIN_CHECK_MS = 50;
+
+/** A running agent. */
+export class AgentProcess {
+  private constructor(
+    private readonly core: AgentCore,
+    private readonly server: PeerServer,
+    private readonly sync: ControlSync,
+    private readonly subscription: Subscription
+  ) {}
+
+  static async start(
+    settings: AgentSettings,
+    logger: Logger,
+    metrics: Metrics
+  ): Promise<AgentProcess> {
+    const {process, target, internal} = settings;
+    const adapter = createTargetAdapter(target.kind, target.host, target.port);
+    const {availabilityZone, host} = process;
+    const core = new AgentCore({
+      target,
+      availabilityZone,
+      host,
+      adapter,
+      logger,
+      metrics,
+    });
+    const server = new PeerServer({
+      host,
+      port: internal.port,
+      secret: internal.key,
+      logger,
+      metrics,
+      fallback: dispatchHandler(core),
+    });
+    server.addMethod(METHODS.fenceClaim, {
+      params: fenceClaimRequest,
+      handle: request => fenceClaim(core, request),
+    });
+    core.port = await server.listen();
+    const sync = createSync(settings, core, logger, metrics);
+    core.attach(sync);
+    const subscription = watchTarget(core);
+    subscription.add(recheckOnNewRules(core, sync));
+    sync.start();
+    return new AgentProcess(core, server, sync, subscription);
+  }
+
+  get port(): number {
+    return this.core.port;
+  }
+
+  /**
+   * Lets the work in hand finish, up to the drain time, and takes none that is
+   * new. The leaving state is told at once, but the gate alone is enough: an
+   * entry that has not heard of it is refused and goes elsewhere.
+   */
+  async drain(): Promise<void> {
+    this.core.leave();
+    await this.sync.announceNow();
+    const deadlineAt = performance.now() + this.core.target.drainMs;
+    while (this.core.gate.outstanding > 0 && performance.now() < deadlineAt) {
+      await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
+    }
+    await this.stop();
+  }
+
+  async stop(): Promise<void> {
+    this.sync.stop();
+    this.subscription.unsubscribe();
+    await this.server.close();
+    this.core.adapter.close();
+    this.core.metrics.close();
+  }
+}
+
+function createSync(
+  {process, internal, control}: AgentSettings,
+  core: AgentCore,
+  logger: Logger,
+  metrics: Metrics
+): ControlSync {
+  const agent = createPeerAgent(internal.key, process.id);
+  return new ControlSync({
+    processId: process.id,
+    role: 'agent',
+    bootId: randomUUID(),
+    availabilityZone: process.availabilityZone,
+    instances: control.instances.map(address => new PeerClient(address, agent)),
+    pollMs: control.pollMs,
+    proofMs: control.proofMs,
+    report: () => ({announcement: core.announcement()}),
+    logger,
+    metrics,
+  });
+}
+
+/** Queued work must not start, nor wait on, under rules that bar it. */
+function recheckOnNewRules(core: AgentCore, sync: ControlSync): Subscription {
+  return sync.rules$
+    .pipe(
+      filter(held => held !== undefined),
+      map(held => held.revision),
+      distinctUntilChanged()
+    )
+    .subscribe(() => core.gate.recheck());
+}
--- /dev/null
+++ b/src/agent/dispatchHandler.ts
@@ -0,0 +1,79 @@
+/** Takes dispatches of entries at the wire and brings them to the target. */
+
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {Refusal, RefusalError, refuse} from '../core/refusal';
+import {DISPATCH_HEADER, Dispatch, REPORT_HEADER} from '../core/wire';
+import {sendJson} from '../core/sendJson';
+import type {AgentCore} from './agentCore';
+import {serveDispatch} from './serveDispatch';
+
+const dispatchSchema: z.ZodType<Dispatch> = z.object({
+  requestId: z.string(),
+  entryId: z.string(),
+  customer: z.string(),
+  pool: z.string(),
+  revision: z.number(),
+  remainingMs: z.number(),
+  attempt: z.number(),
+  cost: z.number().positive(),
+  idempotent: z.boolean(),
+  agentBootId: z.string(),
+  claim: z.object({key: z.string(), attempt: z.number()}).optional(),
+  resumeFrom: z.number().optional(),
+  priority: z.number(),
+});
+
+const HTTP_UNAVAILABLE = 503;
+
+/** The handler for everything that is no RPC on the agent's internal port. */
+export function dispatchHandler(
+  core: AgentCore
+): (req: IncomingMessage, res: ServerResponse) => void {
+  return (req, res) => {
+    handle(core, req, res).catch((err: unknown) => {
+      if (err instanceof RefusalError)
+        return answerRefusal(core, res, err.refusal);
+      core.logger.error({err: String(err)}, 'dispatch failed');
+      return res.destroy();
+    });
+  };
+}
+
+async function handle(
+  core: AgentCore,
+  req: IncomingMessage,
+  res: ServerResponse
+): Promise<void> {
+  await serveDispatch(core, parseDispatch(core, req), req, res);
+}
+
+function parseDispatch(core: AgentCore, req: IncomingMessage): Dispatch {
+  const header = req.headers[DISPATCH_HEADER];
+  try {
+    return dispatchSchema.parse(JSON.parse(String(header)));
+  } catch (err) {
+    core.metrics.count('peer.rejected', {reason: 'invalid'});
+    throw refuse(
+      'malformed-request',
+      'gate',
+      core.targetId,
+      `bad dispatch header: ${String(err)}`
+    );
+  }
+}
+
+function answerRefusal(
+  core: AgentCore,
+  res: ServerResponse,
+  refusal: Refusal
+): void {
+  const {reason, step} = refusal;
+  core.metrics.count('request.refused', {reason, step});
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  const report = JSON.stringify({...core.report(0), refusal});
+  sendJson(res, HTTP_UNAVAILABLE, {refusal}, {[REPORT_HEADER]: report});
+}
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -93,17 +93,12 @@
 
   /** Refuses all that waits and may no longer start, as when a zone goes out. */
   recheck(): void {
-    const kept: QueueItem<Waiting>[] = [];
-    const nowMs = performance.now();
-    for (;;) {
-      const item = this.queue.take(nowMs);
-      if (item === undefined) break;
-      this.queue.finished(item.customer);
+    for (const item of this.queue.waiting()) {
       const refusal = this.view.refusal(item.payload.dispatch);
-      if (refusal === undefined) kept.push(item);
-      else item.payload.fail(new RefusalError(refusal));
+      if (refusal === undefined) continue;
+      this.queue.remove(item.id);
+      item.payload.fail(new RefusalError(refusal));
     }
-    for (const item of kept) this.offerItem(item, nowMs);
     this.pump();
   }
 
--- /dev/null
+++ b/src/core/httpHeaders.ts
@@ -0,0 +1,53 @@
+/** Which headers a relay passes on. Raw header lists are flat, as in Node. */
+
+const HOP_BY_HOP = new Set([
+  'connection',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+]);
+const OWN_PREFIX = 'marlpulley-';
+
+/**
+ * Drops what belongs to one connection, and every header of our own: a target
+ * or caller that sent one could otherwise pass for an agent.
+ */
+export function endToEndHeaders(raw: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i] ?? '';
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || lower.startsWith(OWN_PREFIX)) continue;
+    kept.push(name, raw[i + 1] ?? '');
+  }
+  return kept;
+}
+
+/** Replaces or adds headers in a raw list; names are lower case. */
+export function withHeaders(
+  raw: readonly string[],
+  set: Readonly<Record<string, string>>
+): string[] {
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    if (raw[i]!.toLowerCase() in set) continue;
+    kept.push(raw[i]!, raw[i + 1]!);
+  }
+  for (const [name, value] of Object.entries(set)) kept.push(name, value);
+  return kept;
+}
+
+/** Pairs of a raw list, for records. */
+export function headerPairs(
+  raw: readonly string[]
+): readonly (readonly [string, string])[] {
+  const pairs: [string, string][] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2)
+    pairs.push([raw[i]!, raw[i + 1]!]);
+  return pairs;
+}
--- a/src/policy/fairQueue.ts
+++ b/src/policy/fairQueue.ts
@@ -142,6 +142,11 @@
     return this.queued === 0 ? Infinity : this.earliestDeadline;
   }
 
+  /** All items that wait, in no particular order. */
+  waiting(): readonly QueueItem<T>[] {
+    return [...this.customers.values()].flatMap(queue => queue.items);
+  }
+
   /** Takes out one waiting item, for instance when its caller has gone. */
   remove(id: string): QueueItem<T> | undefined {
     for (const queue of this.customers.values()) {
