Add the replicated log: a pure core, durable segments and a driver

Cause: submissions, claims and expert map decisions need agreed durable state, and no ready-made consensus is used. The core takes events and gives effects; the driver connects it to rxjs timers, peers and the disk. Quorums count incarnations, which stand on the disk, and only synced copies. Weighed: swapping a wiped member in one change was ruled out, since quorums before and after it need not overlap; it is taken out and then put in.

--- /dev/null
+++ b/src/control/log/coreEvents.ts
@@ -0,0 +1,111 @@
+/** What goes into the pure core of the log, and what comes out. */
+
+import type {Command} from '../state/command';
+import type {LogEntry, LogSnapshot, LogWrite} from './entry';
+import type {CoreReply, CoreRequest} from './messages';
+
+/** Something that happened; each is handed over with the present time. */
+export type CoreEvent =
+  | {readonly kind: 'tick'}
+  | {
+      readonly kind: 'request';
+      readonly ticket: number;
+      readonly message: CoreRequest;
+    }
+  | {readonly kind: 'reply'; readonly from: string; readonly message: CoreReply}
+  /** The request got no answer; whether it took effect is not known. */
+  | {
+      readonly kind: 'sendFailed';
+      readonly to: string;
+      readonly message: CoreRequest;
+    }
+  /** All writes up to this number are durable. */
+  | {readonly kind: 'synced'; readonly seq: number}
+  | {
+      readonly kind: 'propose';
+      readonly ticket: number;
+      readonly command: Command;
+    }
+  | {readonly kind: 'readBarrier'; readonly ticket: number}
+  /** The state machine's snapshot right after applying `index`. */
+  | {
+      readonly kind: 'snapshotTaken';
+      readonly index: number;
+      readonly data: string;
+    };
+
+/** Something that the driver has to do, in the order given. */
+export type CoreEffect =
+  | {
+      readonly kind: 'persist';
+      readonly seq: number;
+      readonly writes: readonly LogWrite[];
+    }
+  | {
+      readonly kind: 'send';
+      readonly to: string;
+      readonly message: CoreRequest;
+    }
+  | {
+      readonly kind: 'reply';
+      readonly ticket: number;
+      readonly message: CoreReply;
+    }
+  | {readonly kind: 'apply'; readonly entries: readonly LogEntry[]}
+  | {readonly kind: 'restore'; readonly snapshot: LogSnapshot}
+  /** The proposal stands in the leader's log; its outcome is still open. */
+  | {
+      readonly kind: 'proposed';
+      readonly ticket: number;
+      readonly index: number;
+    }
+  /** The proposal or barrier was not taken in. */
+  | {
+      readonly kind: 'refused';
+      readonly ticket: number;
+      readonly leaderId?: string;
+    }
+  | {
+      readonly kind: 'readReady';
+      readonly ticket: number;
+      readonly index: number;
+    }
+  | {readonly kind: 'elected'; readonly term: number}
+  /** Outcomes of open proposals will not be known here. */
+  | {readonly kind: 'leadershipLost'}
+  /** What stands on this disk belongs to no group; start as a wiped one. */
+  | {readonly kind: 'rejoin'; readonly reason: string};
+
+/** Times of elections and replication, in milliseconds. */
+export interface LogTiming {
+  readonly heartbeatMs: number;
+  readonly electionMinMs: number;
+  readonly electionMaxMs: number;
+  /** A leader that heard from no quorum for so long steps down. */
+  readonly checkQuorumMs: number;
+  /** An unanswered append or snapshot is sent again after this. */
+  readonly resendMs: number;
+}
+
+/** Defaults: a new leader stands within about a second. */
+export const DEFAULT_TIMING: LogTiming = {
+  heartbeatMs: 100,
+  electionMinMs: 500,
+  electionMaxMs: 1000,
+  checkQuorumMs: 1000,
+  resendMs: 1000,
+};
+
+/** Fixed facts of one instance. */
+export interface CoreOptions {
+  readonly id: string;
+  /** Ids of the other instances in the settings. */
+  readonly peerIds: readonly string[];
+  /** From 0 to below 1. */
+  readonly random: () => number;
+  readonly timing: LogTiming;
+  /** Most entries in one append. */
+  readonly batchEntries: number;
+  /** Entries kept behind a snapshot for followers that lag a little. */
+  readonly trailingEntries: number;
+}
--- /dev/null
+++ b/src/control/log/logDriver.ts
@@ -0,0 +1,394 @@
+/** Connects the pure core to timers, peers, disk and state machine. */
+
+import type {Observable, Subscription} from 'rxjs';
+import {BehaviorSubject, interval} from 'rxjs';
+import {PeerError, unreachable} from '../../core/errors';
+import type {Command, CommandResult} from '../state/command';
+import type {
+  LogLimits,
+  LogPeer,
+  ReplicatedLogOptions,
+} from './createReplicatedLog';
+import type {CoreEffect, CoreEvent, LogTiming} from './coreEvents';
+import type {DurableState, LogEntry} from './entry';
+import type {LogStorage} from './logStorage';
+import {LogWriter} from './logWriter';
+import type {CoreReply, CoreRequest, PeerReply, PeerRequest} from './messages';
+import {PEER_REPLY, PEER_REQUEST} from './messages';
+import {NotLeaderError} from './notLeaderError';
+import {PendingCalls} from './pendingCalls';
+import {RaftCore} from './raftCore';
+import type {LogStatus, ReplicatedLog} from './replicatedLog';
+
+const TICK_MS = 25;
+const READ_TIMEOUT_MS = 3000;
+const BAD_MESSAGE_CODE = 400;
+const CLOSED_CODE = 503;
+
+/** Options with all defaults filled in. */
+export interface LogDriverOptions extends ReplicatedLogOptions {
+  readonly timing: LogTiming;
+  readonly limits: LogLimits;
+  /** Empties the storage and gives a new incarnation. */
+  readonly startAfresh: () => Promise<DurableState>;
+}
+
+/** The running log of one instance. */
+export class LogDriver implements ReplicatedLog {
+  private core: RaftCore;
+  private readonly writer: LogWriter;
+  private readonly peers: ReadonlyMap<string, LogPeer>;
+  private readonly calls = new PendingCalls();
+  private readonly answers = new Map<number, (reply: PeerReply) => void>();
+  private readonly ticks: Subscription;
+  private readonly statusSubject: BehaviorSubject<LogStatus>;
+  private readonly events: CoreEvent[] = [];
+  private handling = false;
+  /** While false, events and calls are turned away. */
+  private running = true;
+  private closed = false;
+  private nextRequest = 1;
+  private appliedIndex: number;
+  private snapshotIndex: number;
+
+  constructor(
+    private readonly options: LogDriverOptions,
+    private readonly storage: LogStorage,
+    durable: DurableState
+  ) {
+    this.peers = new Map(options.peers.map(peer => [peer.id, peer]));
+    this.writer = new LogWriter(storage, err => this.fail(err));
+    const {snapshot} = durable;
+    if (snapshot !== undefined) options.stateMachine.restore(snapshot.data);
+    this.appliedIndex = snapshot?.index ?? 0;
+    this.snapshotIndex = this.appliedIndex;
+    this.core = this.createCore(durable);
+    this.statusSubject = new BehaviorSubject(this.core.status());
+    this.ticks = interval(TICK_MS).subscribe(() => this.handle({kind: 'tick'}));
+  }
+
+  get status$(): Observable<LogStatus> {
+    return this.statusSubject.asObservable();
+  }
+
+  status(): LogStatus {
+    return this.core.status();
+  }
+
+  uncommitted(): readonly Command[] {
+    return this.core.uncommitted();
+  }
+
+  async propose(command: Command): Promise<CommandResult> {
+    this.assertRunning('propose');
+    return this.calls.proposal(ticket =>
+      this.handle({kind: 'propose', ticket, command})
+    );
+  }
+
+  async readBarrier(): Promise<void> {
+    this.assertRunning('readBarrier');
+    const {role, leaderId} = this.core.status();
+    if (role === 'leader') {
+      await this.leaderBarrier();
+      return;
+    }
+    const leader =
+      leaderId === undefined ? undefined : this.peers.get(leaderId);
+    if (leader === undefined)
+      throw new NotLeaderError('readBarrier', this.options.id, leaderId);
+    const index = await this.askReadIndex(leader);
+    await this.waitApplied(index);
+  }
+
+  async receive(message: unknown): Promise<unknown> {
+    this.assertRunning('receive');
+    const parsed = PEER_REQUEST.safeParse(message);
+    if (!parsed.success)
+      throw new PeerError(
+        {kind: 'rejected', code: BAD_MESSAGE_CODE},
+        'receive',
+        this.options.id,
+        parsed.error.message
+      );
+    return this.answer(parsed.data);
+  }
+
+  async close(): Promise<void> {
+    this.stop(
+      new PeerError(
+        {kind: 'lost'},
+        'close',
+        this.options.id,
+        'the log was closed'
+      )
+    );
+    await this.writer.idle();
+    await this.storage.close();
+  }
+
+  private createCore(durable: DurableState): RaftCore {
+    const {id, peers, random, timing, limits} = this.options;
+    return new RaftCore(
+      {
+        id,
+        peerIds: peers.map(peer => peer.id),
+        random,
+        timing,
+        batchEntries: limits.batchEntries,
+        trailingEntries: limits.trailingEntries,
+      },
+      durable,
+      performance.now()
+    );
+  }
+
+  private async answer(message: PeerRequest): Promise<PeerReply> {
+    if (message.kind === 'readIndex') return this.answerReadIndex();
+    return new Promise(resolve => {
+      const ticket = this.nextRequest++;
+      this.answers.set(ticket, resolve);
+      this.handle({kind: 'request', ticket, message});
+    });
+  }
+
+  private async answerReadIndex(): Promise<PeerReply> {
+    try {
+      return {kind: 'readIndex', index: await this.leaderBarrier()};
+    } catch (err) {
+      if (!(err instanceof NotLeaderError)) throw err;
+      return {kind: 'notLeader', leaderId: err.leaderId};
+    }
+  }
+
+  private leaderBarrier(): Promise<number> {
+    return this.calls.barrier(ticket =>
+      this.handle({kind: 'readBarrier', ticket})
+    );
+  }
+
+  private async askReadIndex(leader: LogPeer): Promise<number> {
+    const message: PeerRequest = {kind: 'readIndex', from: this.options.id};
+    const reply = PEER_REPLY.parse(await leader.send(message));
+    if (reply.kind === 'readIndex') return reply.index;
+    const leaderId = reply.kind === 'notLeader' ? reply.leaderId : undefined;
+    throw new NotLeaderError('readBarrier', this.options.id, leaderId);
+  }
+
+  private async waitApplied(index: number): Promise<void> {
+    if (index <= this.appliedIndex) return;
+    const timeout = new PeerError(
+      {kind: 'timeout'},
+      'readBarrier',
+      this.options.id,
+      `entry ${index} did not come`
+    );
+    await this.calls.applied(index, READ_TIMEOUT_MS, timeout);
+  }
+
+  /** Runs events one after another; effects may raise further events. */
+  private handle(event: CoreEvent): void {
+    if (!this.running) return;
+    this.events.push(event);
+    if (this.handling) return;
+    this.handling = true;
+    try {
+      this.drain();
+    } catch (err) {
+      this.fail(err);
+    } finally {
+      this.handling = false;
+    }
+  }
+
+  private drain(): void {
+    for (;;) {
+      const event = this.events.shift();
+      if (event === undefined || !this.running) return;
+      for (const effect of this.core.step(event, performance.now()))
+        this.perform(effect);
+      this.publishStatus();
+    }
+  }
+
+  private perform(effect: CoreEffect): void {
+    switch (effect.kind) {
+      case 'persist':
+        return this.persist(effect);
+      case 'send':
+        return this.send(effect.to, effect.message);
+      case 'reply':
+        return this.reply(effect.ticket, effect.message);
+      case 'apply':
+        return this.apply(effect.entries);
+      case 'restore':
+        return this.restore(effect);
+      case 'proposed':
+        return this.calls.place(effect.ticket, effect.index);
+      case 'refused':
+        return this.refuse(effect.ticket, effect.leaderId);
+      case 'readReady':
+        return this.calls.ready(effect.ticket, effect.index);
+      case 'elected':
+        return this.reportElected(effect.term);
+      case 'leadershipLost':
+        return this.loseProposals();
+      case 'rejoin':
+        return this.rejoin(effect.reason);
+      default:
+        return unreachable(effect);
+    }
+  }
+
+  private persist(effect: Extract<CoreEffect, {kind: 'persist'}>): void {
+    const {core} = this;
+    this.writer.write(effect.writes, () => {
+      this.options.metrics?.count('log.synced');
+      if (core === this.core) this.handle({kind: 'synced', seq: effect.seq});
+    });
+  }
+
+  private send(to: string, message: CoreRequest): void {
+    const peer = this.peers.get(to);
+    if (peer === undefined) return;
+    peer.send(message).then(
+      answer => this.takeAnswer(to, message, answer),
+      () => this.handle({kind: 'sendFailed', to, message})
+    );
+  }
+
+  private takeAnswer(to: string, message: CoreRequest, answer: unknown): void {
+    const parsed = PEER_REPLY.safeParse(answer);
+    if (!parsed.success) {
+      this.options.logger.warn({step: message.kind, peer: to}, 'bad answer');
+      this.handle({kind: 'sendFailed', to, message});
+      return;
+    }
+    const reply = parsed.data;
+    if (reply.kind === 'readIndex' || reply.kind === 'notLeader') return;
+    this.handle({kind: 'reply', from: to, message: reply});
+  }
+
+  private reply(ticket: number, message: CoreReply): void {
+    this.answers.get(ticket)?.(message);
+    this.answers.delete(ticket);
+  }
+
+  private apply(entries: readonly LogEntry[]): void {
+    const {stateMachine} = this.options;
+    for (const {index, body} of entries) {
+      this.appliedIndex = index;
+      if (body.kind === 'configuration') continue;
+      this.calls.resolveAt(index, stateMachine.apply(body.command, index));
+    }
+    this.calls.reached(this.appliedIndex);
+    this.snapshotIfDue();
+  }
+
+  private snapshotIfDue(): void {
+    const {snapshotEntries, snapshotBytes} = this.options.limits;
+    const grown = this.appliedIndex - this.snapshotIndex;
+    if (grown === 0) return;
+    if (
+      grown < snapshotEntries &&
+      this.storage.bytesSinceSnapshot < snapshotBytes
+    )
+      return;
+    this.snapshotIndex = this.appliedIndex;
+    const data = this.options.stateMachine.snapshot();
+    this.handle({kind: 'snapshotTaken', index: this.appliedIndex, data});
+  }
+
+  private restore({snapshot}: Extract<CoreEffect, {kind: 'restore'}>): void {
+    this.options.stateMachine.restore(snapshot.data);
+    this.appliedIndex = snapshot.index;
+    this.snapshotIndex = snapshot.index;
+    this.calls.reached(this.appliedIndex);
+  }
+
+  private refuse(ticket: number, leaderId: string | undefined): void {
+    const err = new NotLeaderError('propose', this.options.id, leaderId);
+    this.calls.refuse(ticket, err);
+  }
+
+  private reportElected(term: number): void {
+    this.options.metrics?.count('log.elected');
+    this.options.logger.info({step: 'election', term}, 'this instance leads');
+  }
+
+  private loseProposals(): void {
+    this.options.logger.warn({step: 'election'}, 'leadership ended');
+    this.calls.rejectPlaced(
+      new PeerError(
+        {kind: 'lost'},
+        'propose',
+        this.options.id,
+        'leadership ended before the outcome was known'
+      )
+    );
+  }
+
+  /** Drops a founding that failed, and joins the group that was founded. */
+  private rejoin(reason: string): void {
+    if (this.closed) return;
+    this.options.logger.error({step: 'rejoin', reason}, 'starting afresh');
+    this.running = false;
+    this.events.length = 0;
+    this.answers.clear();
+    this.writer.stop();
+    this.writer
+      .idle()
+      .then(() => this.options.startAfresh())
+      .then(durable => {
+        if (this.closed) return;
+        this.core = this.createCore(durable);
+        this.running = true;
+        this.publishStatus();
+      })
+      .catch((err: unknown) => this.fail(err));
+  }
+
+  private publishStatus(): void {
+    const next = this.core.status();
+    if (!sameStatus(this.statusSubject.value, next))
+      this.statusSubject.next(next);
+  }
+
+  private fail(err: unknown): void {
+    this.options.logger.fatal({step: 'log', err}, 'the log stops');
+    this.stop(err);
+    this.options.onFatal(err);
+  }
+
+  private stop(err: unknown): void {
+    this.running = false;
+    this.closed = true;
+    this.ticks.unsubscribe();
+    this.writer.stop();
+    this.calls.rejectAll(err);
+    this.answers.clear();
+    this.statusSubject.complete();
+  }
+
+  private assertRunning(step: string): void {
+    if (this.running) return;
+    throw new PeerError(
+      {kind: 'rejected', code: CLOSED_CODE},
+      step,
+      this.options.id,
+      'the log is not running'
+    );
+  }
+}
+
+function sameStatus(a: LogStatus, b: LogStatus): boolean {
+  return (
+    a.role === b.role &&
+    a.term === b.term &&
+    a.leaderId === b.leaderId &&
+    a.commitIndex === b.commitIndex &&
+    a.lastIndex === b.lastIndex &&
+    a.voters === b.voters &&
+    a.incarnation === b.incarnation
+  );
+}
--- /dev/null
+++ b/src/control/log/raftCore.ts
@@ -0,0 +1,172 @@
+/**
+ * The pure core of the replicated log: events in, effects out. It does no I/O
+ * and has no clock; the same events give the same effects.
+ */
+
+import {unreachable} from '../../core/errors';
+import type {Command} from '../state/command';
+import {onSnapshotTaken} from './commit';
+import type {CoreEffect, CoreEvent, CoreOptions} from './coreEvents';
+import {CoreState} from './coreState';
+import {onVoteReply, onVoteRequest, startPreVote} from './election';
+import type {DurableState} from './entry';
+import {onAppend, onSnapshot} from './followerLog';
+import type {EmptyPeers} from './founding';
+import {isStranded, onHello, onHelloForFounder, tickEmpty} from './founding';
+import type {CoreReply, CoreRequest} from './messages';
+import {onReadBarrier} from './reads';
+import {
+  appendAsLeader,
+  onHelloForLeader,
+  onProgress,
+  onSendFailed,
+  onStranger,
+  tickLeader,
+} from './replication';
+import type {LogStatus} from './replicatedLog';
+
+/** One instance of the log. */
+export class RaftCore {
+  private readonly state: CoreState;
+  private readonly emptyPeers: EmptyPeers = new Map();
+
+  constructor(options: CoreOptions, durable: DurableState, nowMs: number) {
+    this.state = new CoreState(options, durable, nowMs);
+  }
+
+  /** Handles one event; the effects are to be carried out in order. */
+  step(event: CoreEvent, nowMs: number): readonly CoreEffect[] {
+    this.state.effects = [];
+    this.state.now = nowMs;
+    // Timers go first: a leader that was paused must step down before it
+    // handles whatever arrived meanwhile.
+    this.tick();
+    this.handle(event);
+    return this.state.effects;
+  }
+
+  status(): LogStatus {
+    const {state} = this;
+    return {
+      role: state.role,
+      term: state.term,
+      leaderId: state.leaderId,
+      commitIndex: state.commitIndex,
+      lastIndex: state.log.lastIndex,
+      voter: state.isVoter,
+      voterIds: state.voters.map(({id}) => id),
+      incarnation: state.incarnation,
+      voters: state.voters,
+    };
+  }
+
+  /** Commands after the commit index. */
+  uncommitted(): readonly Command[] {
+    const {log, commitIndex} = this.state;
+    return log
+      .between(commitIndex, log.lastIndex)
+      .flatMap(({body}) => (body.kind === 'command' ? [body.command] : []));
+  }
+
+  private tick(): void {
+    const {state} = this;
+    if (state.leadership !== undefined) tickLeader(state, state.leadership);
+    else if (state.isEmpty) tickEmpty(state, this.emptyPeers);
+    else if (state.isVoter && state.now >= state.electionDeadline)
+      startPreVote(state);
+  }
+
+  private handle(event: CoreEvent): void {
+    const {state} = this;
+    switch (event.kind) {
+      case 'tick':
+        return;
+      case 'request':
+        return this.onRequest(event.ticket, event.message);
+      case 'reply':
+        return this.onReply(event.from, event.message);
+      case 'sendFailed':
+        if ('seq' in event.message)
+          onSendFailed(state, event.to, event.message.seq);
+        return;
+      case 'synced':
+        return state.onSynced(event.seq);
+      case 'propose':
+        return this.onPropose(event.ticket, event.command);
+      case 'readBarrier':
+        return onReadBarrier(state, event.ticket);
+      case 'snapshotTaken':
+        return onSnapshotTaken(state, event.index, event.data);
+      default:
+        return unreachable(event);
+    }
+  }
+
+  private onRequest(ticket: number, message: CoreRequest): void {
+    const {state} = this;
+    if (message.kind === 'hello') return onHello(state, ticket, message);
+    if (this.refuseStranger(ticket, message)) return;
+    switch (message.kind) {
+      case 'preVote':
+      case 'vote':
+        return onVoteRequest(state, ticket, message);
+      case 'append':
+        return onAppend(state, ticket, message);
+      case 'snapshot':
+        return onSnapshot(state, ticket, message);
+      default:
+        return unreachable(message);
+    }
+  }
+
+  /** Refuses what was meant for another incarnation or group. */
+  private refuseStranger(
+    ticket: number,
+    message: Exclude<CoreRequest, {kind: 'hello'}>
+  ): boolean {
+    const {state} = this;
+    const {group} = state.hard;
+    const addressed = message.toIncarnation === state.incarnation;
+    const sameGroup = group === undefined || group === message.group;
+    if (addressed && sameGroup) return false;
+    const fromLeader = message.kind === 'append' || message.kind === 'snapshot';
+    if (addressed && fromLeader && isStranded(state))
+      state.emit({kind: 'rejoin', reason: 'another group was founded'});
+    state.reply(ticket, {
+      kind: 'stranger',
+      incarnation: state.incarnation,
+      addressed: message.toIncarnation,
+      group,
+    });
+    return true;
+  }
+
+  private onReply(from: string, message: CoreReply): void {
+    const {state} = this;
+    switch (message.kind) {
+      case 'hello':
+        if (state.leadership !== undefined)
+          return onHelloForLeader(state, from, message);
+        return onHelloForFounder(state, this.emptyPeers, from, message);
+      case 'vote':
+        return onVoteReply(state, message);
+      case 'progress':
+        return onProgress(state, from, message);
+      case 'stranger':
+        return onStranger(state, from, message);
+      default:
+        return unreachable(message);
+    }
+  }
+
+  private onPropose(ticket: number, command: Command): void {
+    const {state} = this;
+    const {leadership, leaderId} = state;
+    if (leadership === undefined) {
+      state.emit({kind: 'refused', ticket, leaderId});
+      return;
+    }
+    const index = appendAsLeader(state, {kind: 'command', command});
+    state.emit({kind: 'proposed', ticket, index});
+  }
+}
--- a/src/control/log/replicatedLog.ts
+++ b/src/control/log/replicatedLog.ts
@@ -2,6 +2,7 @@
 
 import type {Observable} from 'rxjs';
 import type {Command, CommandResult} from '../state/command';
+import type {Voter} from './entry';
 
 /** Role of this instance in the current term. */
 export type LogRole = 'leader' | 'follower' | 'candidate' | 'learner';
@@ -16,6 +17,10 @@
   /** Whether this instance has a vote: false until a wiped one is whole. */
   readonly voter: boolean;
   readonly voterIds: readonly string[];
+  /** Random name of what stands on this instance's disk. */
+  readonly incarnation: string;
+  /** The voting members; quorums count their incarnations. */
+  readonly voters: readonly Voter[];
 }
 
 /** Commands agreed on a quorum and synced there before any answer. */
--- /dev/null
+++ b/tests/replicatedLog.spec.ts
@@ -0,0 +1,87 @@
+import {NotLeaderError} from '../src/control/log/notLeaderError';
+import {fence, LogCluster} from './logCluster';
+
+const THREE = ['control-1', 'control-2', 'control-3'];
+
+describe('replicated log', () => {
+  let cluster: LogCluster;
+
+  const use = async (ids: readonly string[]): Promise<void> => {
+    cluster = new LogCluster(ids);
+    await cluster.start(...ids);
+  };
+
+  afterEach(async () => {
+    await cluster.close();
+    expect(cluster.fatal).toEqual([]);
+  });
+
+  it.each([[['control-1']], [THREE], [[...THREE, 'control-4', 'control-5']]])(
+    'should elect a leader and commit with the settings %j',
+    async ids => {
+      await use(ids);
+      expect(await cluster.commit('first')).toEqual({
+        command: 'fence',
+        result: {fence: 1},
+      });
+      const {voters} = cluster.at(await cluster.leader()).log.status();
+      expect(voters.map(({id}) => id).sort()).toEqual(ids);
+    }
+  );
+
+  it('should name the leader when another instance is asked', async () => {
+    await use(THREE);
+    const leader = await cluster.leader();
+    const other = THREE.find(id => id !== leader) ?? '';
+    await cluster.until(other, ({leaderId}) => leaderId === leader);
+    const refused = cluster.at(other).log.propose(fence('other'));
+    await expect(refused).rejects.toBeInstanceOf(NotLeaderError);
+    await expect(refused).rejects.toMatchObject({
+      leaderId: leader,
+      fault: {kind: 'rejected'},
+    });
+  });
+
+  it('should show every earlier commit behind a read barrier, at any instance', async () => {
+    await use(THREE);
+    await cluster.commit('first');
+    for (const id of THREE) {
+      const {log, state} = cluster.at(id);
+      const leader = await cluster.leader();
+      await cluster.until(id, ({leaderId}) => leaderId === leader);
+      await log.readBarrier();
+      expect(state.holders).toEqual(['first']);
+    }
+  });
+
+  it('should commit proposals made at once in the order they were made', async () => {
+    await use(THREE);
+    const {log} = cluster.at(await cluster.leader());
+    const names = Array.from({length: 300}, (_, i) => `holder-${i}`);
+    const results = await Promise.all(
+      names.map(name => log.propose(fence(name)))
+    );
+    expect(results).toEqual(
+      names.map((_, i) => ({command: 'fence', result: {fence: i + 1}}))
+    );
+  });
+
+  it('should keep what was accepted when all instances restart', async () => {
+    await use(THREE);
+    await cluster.commit('first');
+    await cluster.stop(...THREE);
+    await cluster.start(...THREE);
+    await cluster.commit('second');
+    const {state} = cluster.at(await cluster.leader());
+    expect(state.holders).toEqual(['first', 'second']);
+  });
+
+  it('should elect another leader when the leader is gone', async () => {
+    await use(THREE);
+    await cluster.commit('first');
+    await cluster.stop(await cluster.leader());
+    await cluster.commit('second');
+    const {state} = cluster.at(await cluster.leader());
+    expect(state.holders).toEqual(['first', 'second']);
+  });
+});
