Add the fakes: engine, ledger and weight store

The engine batches continuously, caches prefixes in bounded memory, resumes by Last-Event-ID, reports load and cache events late and with gaps, holds an expert map at its switch step, and falls over when a cold one gets more than it bears. The ledger counts runs by key; each has faults on request.

Found by the tests: the target client added a connect listener for every reuse of a connection; it now adds one only while connecting.

--- /dev/null
+++ b/fakes/ledger.ts
@@ -0,0 +1,221 @@
+/**
+ * A fake plain service that records every run: plug assignments and badge
+ * awards may run at most once, and this is where a test counts.
+ */
+
+import {createHash, randomUUID} from 'node:crypto';
+import type http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {z} from 'zod';
+import {
+  FakeServer,
+  headerOf,
+  parseJson,
+  pathOf,
+  queryOf,
+  sendJson,
+} from './http';
+
+const FAULT = z.object({
+  kind: z.enum([
+    'answerLate',
+    'closeAfterRun',
+    'closeBeforeRead',
+    'truncate',
+    'refuse',
+  ]),
+  /** Requests that still get it. */
+  times: z.number().int().positive().default(1),
+  /** For `answerLate`. */
+  ms: z.number().nonnegative().default(1000),
+  /** Only requests whose path starts so. */
+  path: z.string().default('/'),
+});
+type Fault = z.infer<typeof FAULT>;
+
+/** Settings; times in milliseconds. */
+export interface LedgerConfig {
+  readonly port: number;
+  /** Time that a run takes. */
+  readonly latencyMs: number;
+}
+
+/** One run of one request. */
+export interface LedgerRun {
+  readonly path: string;
+  readonly method: string;
+  readonly key?: string;
+  readonly requestId?: string;
+  readonly digest: string;
+}
+
+/** A service that runs until closed. */
+export class FakeLedger {
+  port = 0;
+  readonly runs: LedgerRun[] = [];
+  private readonly bootId = randomUUID();
+  private readonly faults: Fault[] = [];
+  private running = 0;
+  private maxRunning = 0;
+  private readonly cfg: LedgerConfig;
+  private readonly server: FakeServer;
+
+  constructor(cfg: Partial<LedgerConfig> = {}) {
+    this.cfg = {port: 0, latencyMs: 0, ...cfg};
+    this.server = new FakeServer((req, res, body) =>
+      this.handle(req, res, body)
+    );
+  }
+
+  async start(): Promise<this> {
+    this.port = await this.server.listen(this.cfg.port);
+    return this;
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  /** Breaks the next requests. */
+  breakNext(fault: z.input<typeof FAULT>): void {
+    this.faults.push(FAULT.parse(fault));
+  }
+
+  /** Runs by idempotency key; those without one count under `none`. */
+  runsByKey(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const run of this.runs)
+      counts[run.key ?? 'none'] = (counts[run.key ?? 'none'] ?? 0) + 1;
+    return counts;
+  }
+
+  private async handle(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    body: Buffer
+  ): Promise<void> {
+    switch (pathOf(req)) {
+      case '/fake/fault':
+        this.breakNext(FAULT.parse(parseJson(body)));
+        return sendJson(res, 200, {});
+      case '/fake/state':
+        return sendJson(res, 200, this.report());
+      case '/health':
+        return sendJson(res, 200, this.health());
+      default:
+        return this.serve(req, res, body);
+    }
+  }
+
+  private async serve(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    body: Buffer
+  ): Promise<void> {
+    const fault = this.takeFault(pathOf(req));
+    if (fault?.kind === 'closeBeforeRead') return void res.destroy();
+    if (fault?.kind === 'refuse') return sendJson(res, 503, {error: 'refused'});
+    this.record(req, body);
+    this.running++;
+    this.maxRunning = Math.max(this.maxRunning, this.running);
+    const lateMs = fault?.kind === 'answerLate' ? fault.ms : 0;
+    await delay(this.cfg.latencyMs + lateMs);
+    this.running--;
+    if (fault?.kind === 'closeAfterRun') return void res.destroy();
+    if (fault?.kind === 'truncate') return truncate(res);
+    this.answer(req, res, body);
+  }
+
+  private takeFault(path: string): Fault | undefined {
+    const fault = this.faults.find(f => f.times > 0 && path.startsWith(f.path));
+    if (fault !== undefined) fault.times--;
+    return fault;
+  }
+
+  private record(req: http.IncomingMessage, body: Buffer): void {
+    this.runs.push({
+      path: pathOf(req),
+      method: req.method ?? 'GET',
+      key: headerOf(req, 'idempotency-key'),
+      requestId: headerOf(req, 'x-request-id'),
+      digest: digestOf(body),
+    });
+  }
+
+  private answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    body: Buffer
+  ): void {
+    const path = pathOf(req);
+    switch (`${req.method} ${path}`) {
+      case 'POST /assign':
+      case 'POST /award':
+        return sendJson(res, 201, {
+          run: this.runs.length,
+          key: headerOf(req, 'idempotency-key'),
+          accepted: parseJson(body),
+        });
+      case 'GET /status':
+        return sendJson(res, 200, {runs: this.runs.length});
+      default:
+        return echo(req, res, body);
+    }
+  }
+
+  private health(): unknown {
+    const nowMs = Date.now();
+    const load = {running: this.running, waiting: 0, reportedAtMs: nowMs};
+    return {bootId: this.bootId, state: 'ready', nowMs, load};
+  }
+
+  private report(): unknown {
+    return {
+      runs: this.runs.length,
+      runsByKey: this.runsByKey(),
+      maxRunning: this.maxRunning,
+      log: this.runs,
+    };
+  }
+}
+
+function digestOf(body: Buffer): string {
+  return createHash('sha256').update(body).digest('hex');
+}
+
+/** Promises more than it sends, then closes. */
+function truncate(res: http.ServerResponse): void {
+  res.writeHead(200, {'content-length': 100});
+  res.write('{"cut":', () => res.destroy());
+}
+
+/** `?bytes=N` for a large answer, `?chunks=N` for a chunked one with a trailer. */
+function echo(
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+  body: Buffer
+): void {
+  const query = queryOf(req);
+  const bytes = Number(query.get('bytes') ?? 0);
+  const chunks = Number(query.get('chunks') ?? 0);
+  if (bytes > 0) {
+    res.writeHead(200, {'content-length': bytes});
+    res.end(Buffer.alloc(bytes, 'x'));
+    return;
+  }
+  if (chunks > 0) return sendChunks(res, chunks);
+  sendJson(res, 200, {
+    method: req.method,
+    path: req.url,
+    headers: req.headers,
+    bytes: body.length,
+    digest: digestOf(body),
+  });
+}
+
+function sendChunks(res: http.ServerResponse, chunks: number): void {
+  res.writeHead(200, {trailer: 'x-chunks'});
+  for (let i = 0; i < chunks; i++) res.write(`chunk ${i}\n`);
+  res.addTrailers({'x-chunks': String(chunks)});
+  res.end();
+}
--- /dev/null
+++ b/src/core/promptPrefix.ts
@@ -0,0 +1,49 @@
+/**
+ * Digests of the leading blocks of a prompt, for prefix-cache affinity. They
+ * are made of text, so that an entry can make them without a tokenizer.
+ */
+
+import {createHash} from 'node:crypto';
+
+/** Characters in one block; the last block of a message may be shorter. */
+export const BLOCK_CHARS = 1024;
+/** Leading blocks that are told apart; longer prompts share the rest. */
+export const MAX_BLOCKS = 32;
+const DIGEST_CHARS = 16;
+const CHARS_PER_TOKEN = 4;
+
+/** One message of a prompt, its content as plain text. */
+export interface PromptMessage {
+  readonly role: string;
+  readonly text: string;
+}
+
+/** Estimated tokens of a text. */
+export function estimateTokens(text: string): number {
+  return Math.ceil(text.length / CHARS_PER_TOKEN);
+}
+
+/** Chained digests, shortest prefix first: each covers all blocks before it. */
+export function prefixDigests(
+  messages: readonly PromptMessage[]
+): readonly string[] {
+  const digests: string[] = [];
+  let previous = '';
+  for (const block of blocksOf(messages)) {
+    previous = createHash('sha256')
+      .update(`${previous}\0${block}`)
+      .digest('hex')
+      .slice(0, DIGEST_CHARS);
+    digests.push(previous);
+    if (digests.length === MAX_BLOCKS) break;
+  }
+  return digests;
+}
+
+function* blocksOf(messages: readonly PromptMessage[]): Generator<string> {
+  for (const message of messages) {
+    const text = `${message.role}\n${message.text}`;
+    for (let start = 0; start < text.length; start += BLOCK_CHARS)
+      yield text.slice(start, start + BLOCK_CHARS);
+  }
+}
--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -95,7 +95,7 @@
     let connected = false;
     req.on('socket', socket => {
       connected = !socket.connecting;
-      socket.once('connect', () => (connected = true));
+      if (!connected) socket.once('connect', () => (connected = true));
     });
     return new Promise((resolve, reject) => {
       const fail = (err: NodeJS.ErrnoException) => {
--- /dev/null
+++ b/tests/targetAdapter.spec.ts
@@ -0,0 +1,318 @@
+import {FakeEngine} from '../fakes/engine';
+import {StepClock} from '../fakes/engine/stepClock';
+import {FakeLedger} from '../fakes/ledger';
+import {FakeWeightStore} from '../fakes/weightStore';
+import type {Dispatch} from '../src/core/wire';
+import type {TargetOrder} from '../src/target/targetAdapter';
+import {
+  adapterOf,
+  CHAT_PATH,
+  chatBody,
+  closeTargets,
+  never,
+  scripted,
+  send,
+  started,
+} from './fixtures/targets';
+
+const dispatch: Dispatch = {
+  requestId: 'r1',
+  entryId: 'e1',
+  customer: 'harbour',
+  pool: 'planner',
+  revision: 1,
+  remainingMs: 900.7,
+  attempt: 1,
+  cost: 10,
+  idempotent: true,
+  agentBootId: 'b1',
+  priority: 3,
+};
+
+const engineStatus = {
+  bootId: 'b1',
+  state: 'ready',
+  nowMs: 100,
+  load: {running: 1, waiting: 0, tokensInWork: 9, reportedAtMs: 90},
+  model: 'm',
+  modelVersion: 'v1',
+  role: 'mixed',
+  adapters: [],
+  cacheEvents: [],
+};
+
+afterEach(closeTargets);
+
+describe('engine adapter', () => {
+  it('should observe boot, model, load and cache events with their gaps', async () => {
+    const engine = await started(
+      new FakeEngine({
+        cacheEventLagMs: 0,
+        reportLagMs: 0,
+        loseEveryNthCacheEvent: 2,
+      })
+    );
+    const adapter = adapterOf('engine', engine.port);
+    const long = 'x'.repeat(5000);
+    await send(engine.port, CHAT_PATH, chatBody(1, long));
+    const seen = await adapter.observe(never);
+    expect(seen).toMatchObject({
+      bootId: engine.current.bootId,
+      state: 'ready',
+      model: 'planner',
+      modelVersion: 'v1',
+      cold: false,
+      load: {running: 0, waiting: 0, tokensInWork: 0},
+    });
+    // Five blocks stored; the second and the fourth event are lost.
+    expect(seen.cacheEvents.events.map(e => e.seq)).toEqual([1, 3, 5]);
+    expect(seen.cacheEvents.missed).toBe(2);
+    const again = await adapter.observe(never);
+    expect(again.cacheEvents).toEqual({events: [], missed: 0});
+  });
+
+  it('should show a new boot after a crash, and count its events afresh', async () => {
+    const engine = await started(
+      new FakeEngine({cacheEventLagMs: 0, restartMs: 0})
+    );
+    const adapter = adapterOf('engine', engine.port);
+    await send(engine.port, CHAT_PATH, chatBody(1));
+    const before = await adapter.observe(never);
+    engine.control({kind: 'crash'});
+    while (engine.current.bootId === before.bootId)
+      await new Promise(setImmediate);
+    await send(engine.port, CHAT_PATH, chatBody(1));
+    const after = await adapter.observe(never);
+    expect(after.bootId).not.toBe(before.bootId);
+    expect(after.cold).toBe(true);
+    expect((await adapter.observe(never)).cacheEvents.events).toHaveLength(1);
+  });
+
+  it('should not let an answer that was overtaken set the load back', async () => {
+    // Two looks at the target are under way at once; the older answer comes
+    // last. Taking it would show a load that the target no longer has, and
+    // send new work to a target that is already full.
+    const held: (() => void)[] = [];
+    const {port} = await scripted((_req, res) => {
+      const nowMs = 100 + held.length * 100;
+      const load = {...engineStatus.load, running: nowMs, reportedAtMs: nowMs};
+      const body = JSON.stringify({...engineStatus, nowMs, load});
+      held.push(() => res.end(body));
+      if (held.length === 2) held[1]?.();
+    });
+    const adapter = adapterOf('engine', port);
+    const both = [adapter.observe(never), adapter.observe(never)];
+    const newer = await Promise.any(both);
+    held[0]?.();
+    const loads = (await Promise.all(both)).map(seen => seen.load?.running);
+    expect(newer.load?.running).toBe(200);
+    expect(loads).toEqual([200, 200]);
+  });
+
+  it.each([
+    ['no JSON', 200, 'hello', {kind: 'rejected', code: 200}],
+    ['a missing field', 200, '{"bootId":"x"}', {kind: 'rejected', code: 200}],
+    ['an error status', 500, '{}', {kind: 'rejected', code: 500}],
+    ['a closed connection', 0, '', {kind: 'lost'}],
+  ])('should reject %s', async (_name, status, text, fault) => {
+    const {port} = await scripted((_req, res) => {
+      if (status === 0) return void res.destroy();
+      res.statusCode = status;
+      res.end(text);
+    });
+    const adapter = adapterOf('engine', port);
+    await expect(adapter.observe(never)).rejects.toMatchObject({
+      step: 'target',
+      peer: adapter.peer,
+      fault,
+    });
+  });
+
+  it('should tell an unreachable target from one that fell silent', async () => {
+    const {server, port} = await scripted(() => undefined);
+    const adapter = adapterOf('engine', port);
+    const abort = new AbortController();
+    const silent = adapter.observe(abort.signal);
+    server.once('request', () => abort.abort());
+    await expect(silent).rejects.toMatchObject({fault: {kind: 'timeout'}});
+    await closeTargets();
+    await expect(adapter.observe(never)).rejects.toMatchObject({
+      fault: {kind: 'unreachable', refusedByHost: true},
+    });
+  });
+
+  it('should look again when an idle connection closed at the moment of reuse', async () => {
+    // The target closes the idle connection just as the next look is written.
+    // Taken for a lost target it would start a cold ramp; a GET is safe to
+    // send once more, on a connection of its own.
+    let requests = 0;
+    const {port} = await scripted((_req, res) => {
+      requests++;
+      if (requests === 2) res.destroy();
+      else res.end(JSON.stringify(engineStatus));
+    });
+    const adapter = adapterOf('engine', port);
+    await adapter.observe(never);
+    await new Promise(setImmediate);
+    expect((await adapter.observe(never)).bootId).toBe('b1');
+    expect(requests).toBe(3);
+  });
+
+  const orders: readonly TargetOrder[] = [
+    {kind: 'loadModel', fence: 5, model: 'm2', modelVersion: 'v7'},
+    {kind: 'loadAdapter', fence: 5, adapter: 'a1'},
+    {kind: 'setVersion', fence: 5, modelVersion: 'v8'},
+    {kind: 'setRole', fence: 5, role: 'decode'},
+    {kind: 'prepareMap', fence: 5, version: 1, switchStep: 9, slots: [[0]]},
+    {kind: 'decideMap', fence: 5, version: 1, decision: 'abort'},
+    {kind: 'loadExpert', fence: 5, expert: 3, slot: 0},
+  ];
+  it.each(orders.map(order => [order.kind, order] as const))(
+    'should order %s, and be fenced by a newer number where engines check',
+    async (_kind, order) => {
+      const strict = await started(new FakeEngine());
+      const lax = await started(new FakeEngine({refuseOldFences: false}));
+      const newer: TargetOrder = {kind: 'setRole', fence: 6, role: 'mixed'};
+      for (const [engine, expected] of [
+        [strict, {kind: 'fenced', highestFence: 6}],
+        [lax, {kind: 'done'}],
+      ] as const) {
+        const adapter = adapterOf('engine', engine.port);
+        expect(await adapter.order(order, never)).toEqual({kind: 'done'});
+        await adapter.order(newer, never);
+        expect(await adapter.order(order, never)).toEqual(expected);
+      }
+    }
+  );
+
+  it('should report a load that the weight store limits as failed', async () => {
+    const store = await started(
+      new FakeWeightStore({burst: 1, requestsPerSecond: 0})
+    );
+    const weightStore = `http://127.0.0.1:${store.port}`;
+    const engine = await started(new FakeEngine({weightStore}));
+    const adapter = adapterOf('engine', engine.port);
+    const order = (expert: number) =>
+      adapter.order({kind: 'loadExpert', fence: 1, expert, slot: 0}, never);
+    expect(await order(1)).toEqual({kind: 'done'});
+    expect(await order(2)).toEqual({
+      kind: 'failed',
+      detail: 'weight store: status 429',
+    });
+  });
+
+  it('should cancel by request id, once', async () => {
+    const engine = await started(new FakeEngine());
+    const adapter = adapterOf('engine', engine.port);
+    const headers = adapter.requestHeaders(dispatch);
+    const reply = send(engine.port, CHAT_PATH, chatBody(100000), headers);
+    while (engine.current.batch.size === 0) await adapter.observe(never);
+    expect(await adapter.cancel('r1', never)).toEqual({kind: 'cancelled'});
+    expect(await adapter.cancel('r1', never)).toEqual({kind: 'not running'});
+    expect((await reply).whole).toBe(false);
+    expect(engine.counters.cancelled).toBe(1);
+  });
+
+  it('should resume after the tokens that were delivered', async () => {
+    const engine = await started(new FakeEngine({stepMs: 0}));
+    const adapter = adapterOf('engine', engine.port);
+    const whole = await send(engine.port, CHAT_PATH, chatBody(6), {
+      ...adapter.requestHeaders(dispatch),
+    });
+    const rest = await send(engine.port, CHAT_PATH, chatBody(6), {
+      ...adapter.requestHeaders({...dispatch, resumeFrom: 4}),
+    });
+    expect(adapter.requestHeaders(dispatch)).toEqual({
+      'x-request-id': 'r1',
+      'x-priority': '3',
+      'x-deadline-ms': '900',
+    });
+    expect(rest.text).toMatch(/^id: 4\n/);
+    expect(whole.text.endsWith(rest.text)).toBe(true);
+    expect(engine.counters.runsByRequest).toEqual({r1: 2});
+  });
+});
+
+describe('service adapter', () => {
+  it('should see a service by its health path, or by a connect', async () => {
+    const ledger = await started(new FakeLedger());
+    const probed = await adapterOf('service', ledger.port, '/health').observe(
+      never
+    );
+    expect(probed).toMatchObject({state: 'ready', load: {running: 0}});
+    expect(probed.bootId).toBeDefined();
+    const connected = await adapterOf('service', ledger.port).observe(never);
+    expect(connected.state).toBe('ready');
+    expect(ledger.runs).toEqual([]);
+  });
+
+  it('should take no orders, and reject when unhealthy or gone', async () => {
+    const {port} = await scripted((_req, res) => {
+      res.statusCode = 503;
+      res.end('{}');
+    });
+    const adapter = adapterOf('service', port, '/health');
+    const bare = adapterOf('service', port);
+    const order: TargetOrder = {kind: 'setRole', fence: 1, role: 'mixed'};
+    expect(await adapter.order(order, never)).toEqual({kind: 'unsupported'});
+    expect(await adapter.cancel('r1', never)).toEqual({kind: 'unsupported'});
+    await expect(adapter.observe(never)).rejects.toMatchObject({
+      fault: {kind: 'rejected', code: 503},
+    });
+    await closeTargets();
+    await expect(bare.observe(never)).rejects.toMatchObject({
+      fault: {kind: 'unreachable', refusedByHost: true},
+    });
+  });
+});
+
+describe('fake engine', () => {
+  it('should fall over when it bears less than it gets, claiming to be warm', async () => {
+    // The engine turns cold with no restart and still claims to be warm. Two
+    // requests are borne; the third makes it lose all three and start again.
+    const slow = {restartMs: 0, coldCapacity: 2, warmupMs: 1e9};
+    const engine = await started(new FakeEngine(slow));
+    const boot = engine.current.bootId;
+    engine.control({kind: 'turnCold', claimLagMs: 60_000});
+    const adapter = adapterOf('engine', engine.port);
+    expect((await adapter.observe(never)).cold).toBe(false);
+    const replies = [1, 2, 3].map(() =>
+      send(engine.port, CHAT_PATH, chatBody(100000)).then(
+        reply => reply.whole,
+        () => false
+      )
+    );
+    expect(await Promise.all(replies)).toEqual([false, false, false]);
+    expect(engine.counters).toMatchObject({overloads: 1, worstColdRatio: 1.5});
+    while (engine.current.bootId === boot) await new Promise(setImmediate);
+    expect(engine.current.cold.claimsCold(Date.now())).toBe(true);
+  });
+
+  it('should hold all ranks at the switch step until the last one knows', async () => {
+    const clock = new StepClock(0);
+    const ranks = await Promise.all(
+      [0, 1, 2].map(rank => started(new FakeEngine({group: 'g1', rank}, clock)))
+    );
+    const adapters = ranks.map(engine => adapterOf('engine', engine.port));
+    const stepOf = async () =>
+      (await adapters[0]!.observe(never)).group?.step ?? 0;
+    const switchStep = (await stepOf()) + 500;
+    const prepare = {kind: 'prepareMap', fence: 1, version: 1} as const;
+    const decide = {kind: 'decideMap', fence: 1, version: 1} as const;
+    for (const adapter of adapters)
+      await adapter.order({...prepare, switchStep, slots: [[1]]}, never);
+    for (const adapter of adapters.slice(1))
+      await adapter.order({...decide, decision: 'commit'}, never);
+    while ((await stepOf()) < switchStep - 1);
+    const held = await Promise.all(adapters.map(a => a.observe(never)));
+    expect(held.map(seen => seen.group?.step)).toEqual(
+      [1, 2, 3].map(() => switchStep - 1)
+    );
+    expect(held[0]?.group).toMatchObject({holding: true, preparedVersion: 1});
+    await adapters[0]!.order({...decide, decision: 'commit'}, never);
+    while ((await stepOf()) < switchStep);
+    expect(ranks.map(engine => engine.current.rank.history.at(-1))).toEqual(
+      [1, 2, 3].map(() => ({fromStep: switchStep, mapVersion: 1}))
+    );
+  });
+});
