--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -116,6 +116,13 @@
     false,
     'the deadline passed while the request was queued'
   ),
+  'timed-out': kind(
+    504,
+    'outcome unknown',
+    false,
+    false,
+    'the target did not begin to answer before the deadline'
+  ),
   'no-target': kind(
     503,
     'not run',
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -2,9 +2,6 @@
 
 import type {Refusal} from './refusal';
 
-/** Version of the internal protocol; peers that differ refuse each other. */
-export const PROTOCOL_VERSION = '1';
-
 /** Header with the Dispatch, entry to agent. */
 export const DISPATCH_HEADER = 'marlpulley-dispatch';
 /** Header with the DispatchReport, agent to entry. */
--- /dev/null
+++ b/src/entry/attempts.ts
@@ -0,0 +1,157 @@
+/** Tries targets in turn until one answers or nothing more may be tried. */
+
+import type {IncomingMessage} from 'node:http';
+import {Refusal, RefusalError, refuse} from '../core/refusal';
+import type {Announcement, DispatchReport} from '../core/wire';
+import type {ClassifiedCall} from './call';
+import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
+import type {EntryCore} from './entryCore';
+import {route} from './route';
+
+/** A target's answer whose body is still to be read. */
+export interface Answered {
+  readonly answer: IncomingMessage;
+  readonly report: DispatchReport;
+  readonly target: Announcement;
+  /** Ends the accounting of the attempt; safe to call twice. */
+  done(): void;
+}
+
+/** Where to go on, for a stream that lost its first target. */
+export interface ResumePoint {
+  readonly fromToken: number;
+  readonly modelVersion: string;
+}
+
+const NO_TARGET_RETRY_MS = 500;
+
+/**
+ * Refusals that cost the target nothing and tell the entry something it did
+ * not know yet: they draw on no retry budget, or a zone that goes out would
+ * use it up.
+ */
+const FREE_TO_RETRY: ReadonlySet<Refusal['reason']> = new Set([
+  'zone-out',
+  'target-leaving',
+  'target-changed',
+  'draining',
+]);
+
+/** The attempts of one call. */
+export class Attempts {
+  private readonly tried = new Set<string>();
+  private count = 0;
+
+  constructor(
+    private readonly core: EntryCore,
+    private readonly call: ClassifiedCall
+  ) {
+    this.budget().request();
+  }
+
+  /** Resolves with the first answer; rejects with the last RefusalError. */
+  async run(resume?: ResumePoint): Promise<Answered> {
+    let last: Refusal | undefined;
+    for (;;) {
+      this.call.progress.assertInTime('route');
+      const next = this.next(last, resume);
+      const outcome = await this.attempt(next.target, next.cost, resume);
+      if (outcome.kind === 'answered') return outcome.answered;
+      last = outcome.refusal;
+      this.assertMayRepeat(last);
+    }
+  }
+
+  private next(last: Refusal | undefined, resume: ResumePoint | undefined) {
+    const chosen = route(
+      this.core,
+      this.call,
+      this.tried,
+      resume?.modelVersion
+    );
+    if (chosen.kind === 'target') return chosen;
+    // A target that refused said more than "there is no other".
+    if (last !== undefined) throw new RefusalError(last);
+    throw refuse(
+      'no-target',
+      'route',
+      this.core.entryId,
+      chosen.detail,
+      NO_TARGET_RETRY_MS
+    );
+  }
+
+  private async attempt(
+    target: Announcement,
+    cost: number,
+    resume: ResumePoint | undefined
+  ): Promise<
+    | {readonly kind: 'answered'; readonly answered: Answered}
+    | Extract<AttemptOutcome, {kind: 'refused'}>
+  > {
+    const {core, call} = this;
+    this.tried.add(target.targetId);
+    core.load.began(target.targetId, cost);
+    const done = once(() => core.load.ended(target.targetId, cost));
+    const outcome = await dispatchOnce(core, call, {
+      number: ++this.count,
+      target,
+      cost,
+      resumeFrom: resume?.fromToken,
+      signal: call.progress.signal,
+    });
+    if (outcome.kind === 'answered') {
+      const {answer, report} = outcome;
+      return {kind: 'answered', answered: {answer, report, target, done}};
+    }
+    done();
+    return outcome;
+  }
+
+  private assertMayRepeat(refusal: Refusal): void {
+    const {call, core} = this;
+    const {signal} = call.progress;
+    if (signal.aborted) throw this.timedOut();
+    const idempotent = call.once === undefined;
+    const repeatable =
+      mayTryElsewhere(refusal, idempotent) && call.body.kind !== 'streaming';
+    const last =
+      this.count >= call.limit.attempts && !FREE_TO_RETRY.has(refusal.reason);
+    if (!repeatable || last || !this.mayAfford(refusal))
+      throw new RefusalError(refusal);
+    core.metrics.count('request.retried', {reason: refusal.reason});
+    call.logger.info({refusal}, 'trying another target');
+  }
+
+  private mayAfford(refusal: Refusal): boolean {
+    return (
+      FREE_TO_RETRY.has(refusal.reason) ||
+      this.budget().tryRetry(performance.now())
+    );
+  }
+
+  /** The deadline passed while a target had the request. */
+  private timedOut(): RefusalError {
+    const {core} = this;
+    return refuse(
+      'timed-out',
+      'dispatch',
+      core.entryId,
+      'no answer before the deadline'
+    );
+  }
+
+  private budget() {
+    const {pool, limit} = this.call;
+    return this.core.budgets.of(pool, limit.retryBudgetPercent);
+  }
+}
+
+function once(action: () => void): () => void {
+  let pending = true;
+  return () => {
+    if (!pending) return;
+    pending = false;
+    action();
+  };
+}
--- /dev/null
+++ b/src/entry/call.ts
@@ -0,0 +1,63 @@
+/** A caller's request on its way through the filters. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Logger} from '../core/logger';
+import type {Progress} from '../core/progress';
+import type {OnceRule} from '../rules/rule';
+import type {PoolLimit, RuleIndex} from '../rules/ruleIndex';
+
+/** As received. */
+export interface ReceivedCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly requestId: string;
+  readonly logger: Logger;
+  /** Rules in force when it came; the same for the whole call. */
+  readonly rules: RuleIndex;
+}
+
+/** With its customer known. */
+export interface IdentifiedCall extends ReceivedCall {
+  readonly customer: string;
+}
+
+/** Body that was read ahead, or is still on its way. */
+export type CallBody =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'buffered'; readonly bytes: Buffer}
+  /** Passed on as it comes: it can be sent once only. */
+  | {readonly kind: 'streaming'};
+
+/** With its pool, cost and kind known. */
+export interface ClassifiedCall extends IdentifiedCall {
+  readonly progress: Progress;
+  readonly pool: string;
+  readonly limit: PoolLimit;
+  readonly body: CallBody;
+  /** Present for calls that are not idempotent. */
+  readonly once: OnceRule | undefined;
+  readonly chat: ChatShape | undefined;
+  readonly priority: number;
+}
+
+/** What routing needs of a chat completion. */
+export interface ChatShape {
+  readonly stream: boolean;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly prefixes: readonly string[];
+}
+
+/** One step of the chain: passes on an enriched call, or throws a refusal. */
+export type Filter<I, O> = (
+  call: I,
+  next: (call: O) => Promise<void>
+) => Promise<void>;
+
+/** Runs `second` on what `first` passes on. */
+export function chain<A, B, C>(
+  first: Filter<A, B>,
+  second: Filter<B, C>
+): Filter<A, C> {
+  return (call, next) => first(call, passed => second(passed, next));
+}
--- /dev/null
+++ b/src/entry/entryProcess.ts
@@ -0,0 +1,83 @@
+/** Starts and drains an entry. */
+
+import {randomUUID} from 'node:crypto';
+import https from 'node:https';
+import type {Logger} from '../core/logger';
+import type {Metrics} from '../core/metrics';
+import {PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {clientTls} from '../rpc/peerTls';
+import type {EntrySettings} from '../settings/settings';
+import {ControlSync} from '../sync/controlSync';
+import {CallerServer} from './callerServer';
+import {RetryBudgets} from './retryBudgets';
+import {TargetLoad} from './targetLoad';
+import {UsageCounter} from './usageCounter';
+
+/** A running entry. */
+export class EntryProcess {
+  private constructor(
+    readonly port: number,
+    private readonly server: CallerServer,
+    private readonly sync: ControlSync,
+    private readonly metrics: Metrics
+  ) {}
+
+  static async start(
+    settings: EntrySettings,
+    logger: Logger,
+    metrics: Metrics
+  ): Promise<EntryProcess> {
+    const {process, internal, control} = settings;
+    const usage = new UsageCounter();
+    const keptAgent = createPeerAgent(internal.key, process.id);
+    const singleAgent = new https.Agent({
+      ...clientTls(internal.key, process.id),
+      keepAlive: false,
+    });
+    const sync = new ControlSync({
+      processId: process.id,
+      role: 'entry',
+      bootId: randomUUID(),
+      availabilityZone: process.availabilityZone,
+      instances: control.instances.map(
+        address => new PeerClient(address, keptAgent)
+      ),
+      pollMs: control.pollMs,
+      proofMs: control.proofMs,
+      report: () => ({usage: usage.report()}),
+      logger,
+      metrics,
+    });
+    const server = new CallerServer(
+      {
+        entryId: process.id,
+        availabilityZone: process.availabilityZone,
+        sync,
+        load: new TargetLoad(),
+        budgets: new RetryBudgets(),
+        usage,
+        keptAgent,
+        singleAgent,
+        logger,
+        metrics,
+        random: Math.random,
+      },
+      settings
+    );
+    const port = await server.listen();
+    sync.start();
+    return new EntryProcess(port, server, sync, metrics);
+  }
+
+  /** Every request in hand gets its whole answer; see CallerServer.drain. */
+  async drain(): Promise<void> {
+    await this.server.drain();
+    await this.stop();
+  }
+
+  async stop(): Promise<void> {
+    await this.server.close();
+    this.sync.stop();
+    this.metrics.close();
+  }
+}
--- /dev/null
+++ b/src/entry/filters/classify.ts
@@ -0,0 +1,100 @@
+/** Finds the pool, the limits and the kind of a call, and reads its body. */
+
+import {Progress} from '../../core/progress';
+import {refuse} from '../../core/refusal';
+import {hasBody, readBody} from '../../core/upstream';
+import type {RouteCandidate} from '../../rules/ruleIndex';
+import type {CallBody, ClassifiedCall, Filter, IdentifiedCall} from '../call';
+import {readChatShape} from '../chatShape';
+
+/** Bodies up to this size are held, so that the call can be retried. */
+const MAX_REPLAY_BYTES = 64 * 1024;
+const PRIORITY_HEADER = 'x-priority';
+const MAX_PRIORITY = 9;
+
+/** What classifying needs of its surroundings. */
+export interface ClassifyOptions {
+  readonly entryId: string;
+  readonly maxBodyBytes: number;
+  readonly random: () => number;
+}
+
+/** Refuses calls that no rule routes, and bodies that are too large. */
+export function classify(
+  options: ClassifyOptions
+): Filter<IdentifiedCall, ClassifiedCall> {
+  return async (call, next) => {
+    const {req, rules, customer, requestId} = call;
+    const path = req.url ?? '/';
+    const pool = pickPool(rules.routes(customer, path), options.random);
+    if (pool === undefined) {
+      throw refuse(
+        'no-route',
+        'classify',
+        options.entryId,
+        `no route for ${customer} and this path`
+      );
+    }
+    const limit = rules.limit(pool);
+    const once = rules.onceRule(req.method ?? 'GET', path);
+    const engine = rules.poolKind(pool) === 'engine';
+    const progress = new Progress(
+      requestId,
+      performance.now() + limit.timeoutMs,
+      options.entryId
+    );
+    const body = await takeBody(call, engine || once !== undefined, options);
+    const chat =
+      engine && body.kind === 'buffered'
+        ? readChatShape(body.bytes, options.entryId)
+        : undefined;
+    await next({
+      ...call,
+      progress,
+      pool,
+      limit,
+      once,
+      body,
+      chat,
+      priority: priorityOf(call),
+    });
+  };
+}
+
+/** Picks in proportion to the weights. */
+function pickPool(
+  routes: readonly RouteCandidate[],
+  random: () => number
+): string | undefined {
+  const total = routes.reduce((sum, route) => sum + route.weight, 0);
+  let point = random() * total;
+  for (const route of routes) {
+    point -= route.weight;
+    if (point < 0) return route.pool;
+  }
+  return routes.at(-1)?.pool;
+}
+
+async function takeBody(
+  {req}: IdentifiedCall,
+  mustHold: boolean,
+  {entryId, maxBodyBytes}: ClassifyOptions
+): Promise<CallBody> {
+  if (!hasBody(req)) return {kind: 'none'};
+  const length = Number(req.headers['content-length'] ?? Infinity);
+  if (!mustHold && length > MAX_REPLAY_BYTES) return {kind: 'streaming'};
+  const tooLarge = `more than ${maxBodyBytes} bytes`;
+  if (length !== Infinity && length > maxBodyBytes) {
+    throw refuse('body-too-large', 'classify', entryId, tooLarge);
+  }
+  const bytes = await readBody(req, maxBodyBytes);
+  if (bytes === undefined)
+    throw refuse('body-too-large', 'classify', entryId, tooLarge);
+  return {kind: 'buffered', bytes};
+}
+
+function priorityOf({req}: IdentifiedCall): number {
+  const value = Number(req.headers[PRIORITY_HEADER] ?? 0);
+  if (!Number.isInteger(value)) return 0;
+  return Math.min(MAX_PRIORITY, Math.max(0, value));
+}
--- /dev/null
+++ b/src/entry/filters/identify.ts
@@ -0,0 +1,57 @@
+/** Finds out for whom a request is made. */
+
+import {refuse} from '../../core/refusal';
+import type {CustomerKeys} from '../../settings/settings';
+import type {Filter, IdentifiedCall, ReceivedCall} from '../call';
+
+const BEARER = /^Bearer +(.+)$/i;
+
+/** How customers are told apart. */
+export interface IdentifyOptions {
+  readonly entryId: string;
+  /** Header that names the customer, when no keys are set. */
+  readonly customerHeader: string;
+  readonly customerKeys: CustomerKeys;
+}
+
+/** Refuses callers that name no customer of the rules. */
+export function identify(
+  options: IdentifyOptions
+): Filter<ReceivedCall, IdentifiedCall> {
+  const {entryId} = options;
+  return (call, next) => {
+    const customer = customerOf(call, options);
+    if (customer === undefined)
+      throw refuse(
+        'unknown-customer',
+        'identify',
+        entryId,
+        'no customer named'
+      );
+    if (!call.rules.isKnown(customer)) {
+      throw refuse(
+        'unknown-customer',
+        'identify',
+        entryId,
+        `no rule names ${customer}`
+      );
+    }
+    return next({
+      ...call,
+      customer,
+      logger: call.logger.child({customer}, true),
+    });
+  };
+}
+
+function customerOf(
+  {req}: ReceivedCall,
+  options: IdentifyOptions
+): string | undefined {
+  if (options.customerKeys.size > 0) {
+    const key = BEARER.exec(req.headers.authorization ?? '')?.[1];
+    return key === undefined ? undefined : options.customerKeys.get(key);
+  }
+  const header = req.headers[options.customerHeader];
+  return typeof header === 'string' ? header : undefined;
+}
--- /dev/null
+++ b/src/entry/route.ts
@@ -0,0 +1,79 @@
+/** Chooses the next target for a call among those that may take new work. */
+
+import {chooseTarget, requestCost} from '../policy/balance';
+import type {Announcement} from '../core/wire';
+import type {ClassifiedCall} from './call';
+import type {EntryCore} from './entryCore';
+
+/** Why no target could be chosen. */
+export type RouteResult =
+  | {
+      readonly kind: 'target';
+      readonly target: Announcement;
+      readonly cost: number;
+    }
+  | {readonly kind: 'none'; readonly detail: string};
+
+/**
+ * `tried` are targets that this call has had already. A stream goes on only
+ * at the model version that began it.
+ */
+export function route(
+  core: EntryCore,
+  call: ClassifiedCall,
+  tried: ReadonlySet<string>,
+  modelVersion?: string
+): RouteResult {
+  const nowMs = performance.now();
+  const pooled = core.sync.directory
+    .list()
+    .filter(target => target.pool === call.pool);
+  const serving = pooled.filter(
+    target =>
+      target.state === 'serving' &&
+      (modelVersion === undefined || target.modelVersion === modelVersion)
+  );
+  const inZones = serving.filter(
+    target => !call.rules.isZoneOut(target.availabilityZone)
+  );
+  const open = inZones.filter(target => !tried.has(target.targetId));
+  const views = open.map(target =>
+    core.load.view(
+      target,
+      core.sync.directory.ageMs(target, nowMs),
+      cachedTokens(call, target),
+      nowMs
+    )
+  );
+  const chosen = chooseTarget(
+    {
+      promptTokens: call.chat?.promptTokens ?? 0,
+      outputTokens: call.chat?.outputTokens ?? 0,
+      availabilityZone: core.availabilityZone,
+    },
+    views,
+    core.random
+  );
+  const target = open.find(
+    candidate => candidate.targetId === chosen?.targetId
+  );
+  if (target === undefined) {
+    const detail = `${pooled.length} targets known, ${serving.length} serving, ${inZones.length} in zones in service, ${open.length} untried`;
+    return {kind: 'none', detail};
+  }
+  return {kind: 'target', target, cost: costOf(call, target)};
+}
+
+function costOf(call: ClassifiedCall, target: Announcement): number {
+  return call.chat === undefined
+    ? 1
+    : requestCost(call.chat, cachedTokens(call, target));
+}
+
+/** The longest leading run of messages that the target has cached. */
+function cachedTokens({chat}: ClassifiedCall, target: Announcement): number {
+  if (chat === undefined || target.prefixes === undefined) return 0;
+  const held = new Set(target.prefixes);
+  const longest = chat.prefixes.findLastIndex(prefix => held.has(prefix));
+  return (chat.promptTokens * (longest + 1)) / chat.prefixes.length;
+}
--- /dev/null
+++ b/src/entry/targetLoad.ts
@@ -0,0 +1,111 @@
+/** What this entry itself has sent to each target, for the choice of one. */
+
+import type {Announcement, DispatchReport} from '../core/wire';
+import type {TargetView} from '../policy/balance';
+
+const FAILURE_MEMORY_MS = 5_000;
+
+interface Load {
+  outstanding: number;
+  tokens: number;
+  sinceReport: number;
+  failedAtMs: number[];
+  report: DispatchReport | undefined;
+  reportedAtMs: number;
+}
+
+/** Own work by target. */
+export class TargetLoad {
+  private readonly loads = new Map<string, Load>();
+
+  began(targetId: string, cost: number): void {
+    const load = this.loadOf(targetId);
+    load.outstanding++;
+    load.tokens += cost;
+    load.sinceReport++;
+  }
+
+  ended(targetId: string, cost: number): void {
+    const load = this.loadOf(targetId);
+    load.outstanding--;
+    load.tokens -= cost;
+  }
+
+  failed(targetId: string, nowMs: number): void {
+    this.loadOf(targetId).failedAtMs.push(nowMs);
+  }
+
+  /** A report that came with an answer is newer than any announcement. */
+  reported(report: DispatchReport, nowMs: number): void {
+    const load = this.loadOf(report.targetId);
+    load.report = report;
+    load.reportedAtMs = nowMs;
+    load.sinceReport = 0;
+  }
+
+  view(
+    announcement: Announcement,
+    announcedAgeMs: number,
+    prefixTokens: number,
+    nowMs: number
+  ): TargetView {
+    const load = this.loadOf(announcement.targetId);
+    load.failedAtMs = load.failedAtMs.filter(
+      at => nowMs - at < FAILURE_MEMORY_MS
+    );
+    const {targetId, availabilityZone, tokensInWork} = announcement;
+    const newest = newestReport(announcement, announcedAgeMs, load, nowMs);
+    return {
+      targetId,
+      availabilityZone,
+      temperature: newest.temperature,
+      limit: newest.limit,
+      reportedOutstanding: newest.outstanding,
+      reportedQueued: newest.queued,
+      reportedTokens: tokensInWork ?? 0,
+      reportAgeMs: newest.ageMs,
+      ownOutstanding: load.outstanding,
+      ownTokens: load.tokens,
+      ownSinceReport: load.sinceReport,
+      prefixTokens,
+      recentFailures: load.failedAtMs.length,
+      groupStraggle: 1,
+    };
+  }
+
+  private loadOf(targetId: string): Load {
+    const known = this.loads.get(targetId);
+    if (known !== undefined) return known;
+    const load: Load = {
+      outstanding: 0,
+      tokens: 0,
+      sinceReport: 0,
+      failedAtMs: [],
+      report: undefined,
+      reportedAtMs: -Infinity,
+    };
+    this.loads.set(targetId, load);
+    return load;
+  }
+}
+
+type Reported = Pick<
+  Announcement,
+  'temperature' | 'limit' | 'outstanding' | 'queued'
+> & {
+  readonly ageMs: number;
+};
+
+function newestReport(
+  announcement: Announcement,
+  announcedAgeMs: number,
+  {report, reportedAtMs}: Load,
+  nowMs: number
+): Reported {
+  const reportAgeMs = nowMs - reportedAtMs;
+  const sameBoot = report?.agentBootId === announcement.agentBootId;
+  if (report === undefined || !sameBoot || reportAgeMs > announcedAgeMs) {
+    return {...announcement, ageMs: announcedAgeMs};
+  }
+  return {...report, ageMs: reportAgeMs};
+}
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -3,7 +3,7 @@
 import https from 'node:https';
 import {JSONRPCClient, JSONRPCErrorException} from 'json-rpc-2.0';
 import {PeerError, PeerFault} from '../core/errors';
-import {PROTOCOL_VERSION} from '../core/wire';
+import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {PROTOCOL_HEADER, RPC_PATH} from './peerServer';
 import {clientTls} from './peerTls';
 
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -8,7 +8,7 @@
 import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
-import {PROTOCOL_VERSION} from '../core/wire';
+import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {peerIdentity, serverTls} from './peerTls';
 
 /** Path of all JSON-RPC calls. */
