Add check, submit, status, explain and usage to the client

Operators drive the system by editing and submitting, so the answer to a submission has to be plain: accepted, already accepted, superseded, conflict with the winner's name, or a gap, each with what to do next. submit then follows the revision from process to process and remembers who it saw, since control forgets a silent process after a few seconds and would otherwise turn a laggard into a success. A lost answer is tried again on the next instance; a submission is idempotent by revision and text.

status merges the words of all instances: one that was cut off still answers with an old revision and departed targets, so the latest heard counts.

--- /dev/null
+++ b/src/cli/statusCommand.ts
@@ -0,0 +1,111 @@
+/** `status`: instances, processes and targets as control knows them. */
+
+import type {Announcement} from '../core/wire';
+import {connectControl} from './connectControl';
+import type {
+  ClusterStatus,
+  InstanceStatus,
+  ProcessStatus,
+} from './controlClient';
+import {EXIT_CODES} from './exitCodes';
+import {standingOf} from './inForce';
+import {runCommand} from './runCommand';
+import {formatTable} from './table';
+
+const HELP = `
+  Usage
+    $ marlpulley status --settings CLIENT.ini
+
+  Shows the revision in force, the control instances, which process holds which
+  revision, and the targets that announced themselves.
+
+  Options
+    --settings  settings of the client (required)
+    --json      one JSON object in place of tables
+
+  Exit codes
+    0  shown
+    1  no control instance answered
+    2  wrong arguments or settings
+`;
+
+function instanceRow(instance: InstanceStatus): readonly string[] {
+  const {id, role, term, voter, commitIndex} = instance;
+  return [id, role, String(term), voter ? 'yes' : 'no', String(commitIndex)];
+}
+
+function processRow(
+  process: ProcessStatus,
+  revision: number
+): readonly string[] {
+  const {provenAgeMs} = process;
+  return [
+    process.processId,
+    process.role,
+    process.availabilityZone,
+    String(process.heldRevision),
+    standingOf(process, revision),
+    `${Math.round(process.pollAgeMs)} ms`,
+    provenAgeMs === undefined ? 'never' : `${Math.round(provenAgeMs)} ms`,
+  ];
+}
+
+function targetRow(target: Announcement): readonly string[] {
+  return [
+    target.targetId,
+    target.pool,
+    target.availabilityZone,
+    target.state,
+    target.temperature,
+    `${target.outstanding}/${target.limit}`,
+    String(target.queued),
+    [target.model, target.modelVersion].filter(Boolean).join(' '),
+  ];
+}
+
+/** Lines of the status page. */
+export function formatStatus(status: ClusterStatus): readonly string[] {
+  const {revision} = status;
+  return [
+    `revision ${revision}`,
+    '',
+    ...formatTable(
+      ['instance', 'role', 'term', 'voter', 'commit index'],
+      status.instances.map(instanceRow)
+    ),
+    ...status.silent.map(({id, reason}) => `${id} gave no answer: ${reason}`),
+    '',
+    ...formatTable(
+      ['process', 'role', 'zone', 'holds', 'standing', 'heard', 'proven'],
+      status.processes.map(process => processRow(process, revision))
+    ),
+    '',
+    ...formatTable(
+      ['target', 'pool', 'zone', 'state', 'is', 'work', 'queued', 'model'],
+      status.targets.map(targetRow)
+    ),
+  ];
+}
+
+/** Runs `status`. */
+export function runStatus(argv: readonly string[]): Promise<number> {
+  const spec = {
+    help: HELP,
+    flags: {
+      settings: {type: 'string', isRequired: true},
+      json: {type: 'boolean', default: false},
+    },
+    inputs: [],
+  } as const;
+  return runCommand(spec, argv, async ({flags}, print) => {
+    const client = connectControl(flags.settings);
+    try {
+      const status = await client.status();
+      if (flags.json) print(JSON.stringify(status));
+      else for (const line of formatStatus(status)) print(line);
+      return EXIT_CODES.ok;
+    } finally {
+      client.close();
+    }
+  });
+}
--- a/src/cli/subcommands.ts
+++ b/src/cli/subcommands.ts
@@ -8,4 +8,25 @@
 }
 
 /** Subcommands by name. */
-export const SUBCOMMANDS: Readonly<Record<string, Subcommand>> = {};
+export const SUBCOMMANDS: Readonly<Record<string, Subcommand>> = {
+  check: {
+    summary: 'read a rule file and print its faults',
+    run: async argv => (await import('./checkCommand')).runCheck(argv),
+  },
+  submit: {
+    summary: 'put a rule file in force',
+    run: async argv => (await import('./submitCommand')).runSubmit(argv),
+  },
+  status: {
+    summary: 'show instances, processes and targets',
+    run: async argv => (await import('./statusCommand')).runStatus(argv),
+  },
+  explain: {
+    summary: 'show where a request would go, and why',
+    run: async argv => (await import('./explainCommand')).runExplain(argv),
+  },
+  usage: {
+    summary: 'show use by customer',
+    run: async argv => (await import('./usageCommand')).runUsage(argv),
+  },
+};
--- /dev/null
+++ b/src/cli/submitCommand.ts
@@ -0,0 +1,119 @@
+/** `submit`: hands a rule file to the control instances. */
+
+import {userInfo} from 'node:os';
+import type {SubmitResult} from '../control/state/command';
+import {unreachable} from '../core/errors';
+import {checkRules} from './checkCommand';
+import {connectControl} from './connectControl';
+import type {ControlClient} from './controlClient';
+import {ControlUnavailableError} from './controlClient';
+import {EXIT_CODES} from './exitCodes';
+import {followInForce} from './inForce';
+import {runCommand, UsageError} from './runCommand';
+import type {Print} from './runCommand';
+
+const HELP = `
+  Usage
+    $ marlpulley submit FILE --settings CLIENT.ini
+
+  Submits a rule file whose revision is one more than the revision in force,
+  then shows where it is in force. A resend of the same file changes nothing
+  and gives the answer of the first, so submit again whenever in doubt.
+
+  Options
+    --settings  settings of the client (required)
+    --as        who submits, shown to others in a conflict (default: the user)
+    --wait-ms   longest wait until it is in force everywhere (default: 10000)
+
+  Exit codes
+    0  accepted and in force everywhere
+    1  no control instance answered
+    2  the file or the settings have faults; nothing was sent
+    3  not accepted: conflict, superseded or gap
+    4  accepted, but not seen in force everywhere in time
+`;
+
+/** What to tell the operator of an answer. */
+export function describeSubmit(result: SubmitResult): string {
+  const {revision} = result;
+  switch (result.kind) {
+    case 'accepted':
+      return result.resent
+        ? `already accepted as revision ${revision}; the same file was sent before, nothing was changed`
+        : `accepted as revision ${revision}`;
+    case 'superseded':
+      return `superseded: revision ${revision} has been followed by others up to ${result.current}; nothing was changed. To bring it back, number it ${result.current + 1} and submit it`;
+    case 'conflict':
+      return `conflict: revision ${revision} was taken by another file, submitted by ${result.winner}; nothing was changed. Merge your change into the file in force (revision ${result.current}), number it ${result.current + 1} and submit it`;
+    case 'gap':
+      return `gap: revision ${revision} cannot follow ${result.current}, which is in force; nothing was changed. Number the file ${result.current + 1} if it was made from revision ${result.current}`;
+    default:
+      return unreachable(result);
+  }
+}
+
+function describeUnavailable(err: ControlUnavailableError): string {
+  const advice = err.mayHaveTakenEffect
+    ? 'the file may have been accepted; submit the same file again to learn it, a resend never applies twice'
+    : 'nothing was sent';
+  return `${err.message}\n${advice}`;
+}
+
+/** What `submit` needs besides the client. */
+export interface SubmitOptions {
+  readonly submittedBy: string;
+  readonly waitMs: number;
+}
+
+/** Submits a checked text and follows it; resolves with the exit code. */
+export async function submitText(
+  client: ControlClient,
+  text: string,
+  options: SubmitOptions,
+  print: Print
+): Promise<number> {
+  try {
+    const result = await client.submit(text, options.submittedBy);
+    print(describeSubmit(result));
+    if (result.kind !== 'accepted') return EXIT_CODES.refused;
+    const {revision} = result;
+    const everywhere = await followInForce(
+      client,
+      revision,
+      options.waitMs,
+      print
+    );
+    return everywhere ? EXIT_CODES.ok : EXIT_CODES.notEverywhere;
+  } catch (err) {
+    if (!(err instanceof ControlUnavailableError)) throw err;
+    print(describeUnavailable(err));
+    return EXIT_CODES.unavailable;
+  }
+}
+
+/** Runs `submit`. */
+export function runSubmit(argv: readonly string[]): Promise<number> {
+  const spec = {
+    help: HELP,
+    flags: {
+      settings: {type: 'string', isRequired: true},
+      as: {type: 'string'},
+      waitMs: {type: 'number', default: 10_000},
+    },
+    inputs: ['FILE'],
+  } as const;
+  return runCommand(spec, argv, async ({inputs: [file = ''], flags}, print) => {
+    const ruleSet = checkRules(file, print);
+    if (ruleSet === undefined) return EXIT_CODES.badInput;
+    if (!(flags.waitMs >= 0))
+      throw new UsageError('--wait-ms must be 0 or more');
+    const client = connectControl(flags.settings);
+    const submittedBy = flags.as ?? userInfo().username;
+    const options = {submittedBy, waitMs: flags.waitMs};
+    try {
+      return await submitText(client, ruleSet.text, options, print);
+    } finally {
+      client.close();
+    }
+  });
+}
