--- a/src/cli/rpcControlClient.ts
+++ b/src/cli/rpcControlClient.ts
@@ -72,7 +72,10 @@
   private readonly peers: readonly PeerClient[];
   private readonly timeoutMs: number;
 
-  constructor(cfg: ClientSettings) {
+  constructor(
+    cfg: ClientSettings,
+    private readonly submitRounds = SUBMIT_ROUNDS
+  ) {
     this.agent = createPeerAgent(cfg.internal.key, CLIENT_IDENTITY);
     this.peers = cfg.control.instances.map(
       address => new PeerClient(address, this.agent)
@@ -86,7 +89,7 @@
    */
   async submit(text: string, submittedBy: string): Promise<SubmitResult> {
     const faults = new Faults();
-    for (let round = 0; round < SUBMIT_ROUNDS; round++) {
+    for (let round = 0; round < this.submitRounds; round++) {
       if (round > 0) await firstValueFrom(timer(RETRY_EVERY_MS));
       const params = {text, submittedBy};
       const result = await this.firstAnswer<SubmitResult>(
--- /dev/null
+++ b/tests/operatorClient.spec.ts
@@ -0,0 +1,315 @@
+import {writeFileSync, mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {runCheck} from '../src/cli/checkCommand';
+import type {
+  ClusterStatus,
+  ControlClient,
+  ProcessStatus,
+} from '../src/cli/controlClient';
+import {ControlUnavailableError} from '../src/cli/controlClient';
+import {explainRequest} from '../src/cli/explainRequest';
+import {followInForce} from '../src/cli/inForce';
+import {mergeStatus} from '../src/cli/mergeStatus';
+import {submitText} from '../src/cli/submitCommand';
+import type {SubmitResult} from '../src/control/state/command';
+import type {Announcement} from '../src/core/wire';
+import {parseRules} from '../src/rules/parseRules';
+import {RuleIndex} from '../src/rules/ruleIndex';
+
+const RULES = `revision 7 # asked by Una
+pool planner engine # asked by Una
+pool allocation service # asked by Una
+customer harbour share=4 # asked by Una
+customer depot share=1 # asked by Una
+route customer=any path=/v1/ pool=planner # asked by Una
+route customer=harbour path=/assign pool=allocation # asked by Una
+once POST /assign key=required # asked by Una
+zone zone-b out # asked by Niall
+`;
+
+function indexOf(text: string): RuleIndex {
+  const result = parseRules(text);
+  if (!result.ok) throw new Error(JSON.stringify(result.problems));
+  return new RuleIndex(result.ruleSet);
+}
+
+function processAt(processId: string, heldRevision: number): ProcessStatus {
+  return {
+    processId,
+    role: 'entry',
+    availabilityZone: 'zone-a',
+    heldRevision,
+    pollAgeMs: 10,
+  };
+}
+
+function statusOf(...processes: readonly ProcessStatus[]): ClusterStatus {
+  return {instances: [], revision: 7, processes, targets: [], silent: []};
+}
+
+function target(targetId: string, changes: Partial<Announcement>) {
+  const base: Announcement = {
+    targetId,
+    pool: 'planner',
+    availabilityZone: 'zone-a',
+    host: '127.0.0.1',
+    port: 1,
+    agentBootId: 'boot-1',
+    agentBootAtMs: 1,
+    seq: 1,
+    state: 'serving',
+    temperature: 'warm',
+    limit: 8,
+    outstanding: 0,
+    queued: 0,
+  };
+  return {...base, ...changes};
+}
+
+/** Gives the statuses one after another, the last one for ever. */
+class FakeControl implements ControlClient {
+  constructor(
+    private readonly answer: SubmitResult | Error,
+    private readonly statuses: ClusterStatus[] = [statusOf()]
+  ) {}
+
+  async submit(): Promise<SubmitResult> {
+    if (this.answer instanceof Error) throw this.answer;
+    return this.answer;
+  }
+
+  async status(): Promise<ClusterStatus> {
+    const [first] = this.statuses;
+    if (this.statuses.length > 1) this.statuses.shift();
+    if (first === undefined) throw new Error('no status given');
+    return first;
+  }
+
+  async rules() {
+    return {revision: 7, text: RULES};
+  }
+
+  async usage() {
+    return {customers: []};
+  }
+
+  close(): void {}
+}
+
+describe('submit', () => {
+  const cases: readonly (readonly [SubmitResult, number, string])[] = [
+    [
+      {kind: 'accepted', revision: 7, resent: false},
+      0,
+      'accepted as revision 7',
+    ],
+    [
+      {kind: 'accepted', revision: 7, resent: true},
+      0,
+      'already accepted as revision 7; the same file was sent before',
+    ],
+    [
+      {kind: 'superseded', revision: 7, current: 9},
+      3,
+      'superseded: revision 7 has been followed by others up to 9',
+    ],
+    [
+      {kind: 'conflict', revision: 7, current: 7, winner: 'aoife'},
+      3,
+      'taken by another file, submitted by aoife; nothing was changed',
+    ],
+    [
+      {kind: 'gap', revision: 9, current: 7},
+      3,
+      'gap: revision 9 cannot follow 7',
+    ],
+  ];
+
+  it.each(cases)(
+    'should tell %j with exit code %i',
+    async (result, code, say) => {
+      const lines: string[] = [];
+      const options = {submittedBy: 'niall', waitMs: 0};
+      const exit = await submitText(
+        new FakeControl(result),
+        RULES,
+        options,
+        line => lines.push(line)
+      );
+      expect(exit).toBe(code);
+      expect(lines.join('\n')).toContain(say);
+    }
+  );
+
+  it.each([
+    [true, 'may have been accepted; submit the same file again'],
+    [false, 'nothing was sent'],
+  ])('should say what an unanswered file came to (%s)', async (may, say) => {
+    const err = new ControlUnavailableError('submit', [], may);
+    const lines: string[] = [];
+    const options = {submittedBy: 'niall', waitMs: 0};
+    const exit = await submitText(new FakeControl(err), RULES, options, line =>
+      lines.push(line)
+    );
+    expect(exit).toBe(1);
+    expect(lines.join('\n')).toContain(say);
+  });
+});
+
+describe('following a revision', () => {
+  beforeEach(() => jest.useFakeTimers());
+  afterEach(() => jest.useRealTimers());
+
+  async function follow(statuses: ClusterStatus[], waitMs: number) {
+    const lines: string[] = [];
+    const client = new FakeControl(new Error('not submitted here'), statuses);
+    const done = followInForce(client, 7, waitMs, line => lines.push(line));
+    await jest.advanceTimersByTimeAsync(waitMs + 1000);
+    return {everywhere: await done, text: lines.join('\n')};
+  }
+
+  it('should name each process once as it comes', async () => {
+    const {everywhere, text} = await follow(
+      [
+        statusOf(processAt('e1', 7), processAt('e2', 6)),
+        statusOf(processAt('e1', 7), processAt('e2', 8)),
+      ],
+      5000
+    );
+    expect(everywhere).toBe(true);
+    expect(text.split('\n').map(line => line.replace(/ \(.*/, ''))).toEqual([
+      'in force: entry e1 in zone-a',
+      'in force: entry e2 in zone-a',
+      'revision 7 is in force on all 2 processes',
+    ]);
+  });
+
+  it('should name laggards when the time is up', async () => {
+    const {everywhere, text} = await follow(
+      [statusOf(processAt('e2', 6))],
+      900
+    );
+    expect(everywhere).toBe(false);
+    expect(text).toContain('behind: entry e2 in zone-a holds 6');
+  });
+
+  // The operator would read "in force on all processes" although one is cut
+  // off with the old rules: it is seen once with revision 6, then falls
+  // silent, and control drops it from its list after a few seconds. The
+  // follower remembers whom it saw, so the process stays on the page.
+  it('should not count out a process that control forgot', async () => {
+    const {everywhere, text} = await follow(
+      [
+        statusOf(processAt('e1', 7), processAt('e2', 6)),
+        statusOf(processAt('e1', 7)),
+      ],
+      900
+    );
+    expect(everywhere).toBe(false);
+    expect(text).toContain('silent: entry e2 in zone-a');
+  });
+});
+
+describe('merged status', () => {
+  // The page would show an old revision and a target that has left: an
+  // instance that was cut off silently still answers the operator with what
+  // it knew. The latest word on each process and target counts instead.
+  it('should not let a cut-off instance hide what the others know', () => {
+    const stale = {...statusOf({...processAt('e1', 6), pollAgeMs: 2900})};
+    const leaving = target('t1', {seq: 9, state: 'leaving'});
+    const merged = mergeStatus(
+      [
+        {...statusOf(processAt('e1', 7)), targets: [leaving]},
+        {...stale, revision: 6, targets: [target('t1', {seq: 8})]},
+      ],
+      [{id: 'c3', reason: 'timeout'}]
+    );
+    expect(merged.revision).toBe(7);
+    expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
+    expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
+    expect(merged.silent).toHaveLength(1);
+  });
+});
+
+describe('explain', () => {
+  const index = indexOf(RULES);
+  const query = {customer: 'harbour', method: 'POST', path: '/v1/chat'};
+
+  it('should name the lines and the fitness of each target', () => {
+    const targets = [
+      target('t1', {}),
+      target('t2', {availabilityZone: 'zone-b'}),
+      target('t3', {state: 'leaving'}),
+      target('t4', {temperature: 'cold', limit: 0}),
+    ];
+    const {lines, refusal} = explainRequest(index, targets, query);
+    expect(refusal).toBeUndefined();
+    const text = lines.join('\n');
+    expect(text).toContain('line 6: route customer=any path=/v1/');
+    expect(text).toContain('t1 in zone-a: may take it');
+    expect(text).toContain('t2 in zone-b: may not: zone-out');
+    expect(text).toContain('t3 in zone-a: may not: target-leaving');
+    expect(text).toContain('t4 in zone-a: may not: target-cold');
+  });
+
+  it.each([
+    [{customer: 'nobody'}, 'unknown-customer'],
+    [{customer: 'depot', path: '/assign'}, 'no-route'],
+    [{path: '/v1/chat'}, 'no-target'],
+  ])('should foresee the refusal of %j', (changes, reason) => {
+    const asked = {...query, ...changes};
+    const {lines, refusal} = explainRequest(index, [], asked);
+    expect(refusal).toBe(reason);
+    expect(lines.at(-1)).toContain(`refused: ${reason}`);
+  });
+
+  it('should find a call not idempotent however its path is spelled', () => {
+    const asked = {...query, path: '//x/../%61ssign?box=4'};
+    const {lines} = explainRequest(index, undefined, asked);
+    expect(lines.join('\n')).toContain('not idempotent by line 8');
+  });
+});
+
+describe('check', () => {
+  let folder: string;
+  let printed: string;
+  beforeEach(() => {
+    folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-check-'));
+    printed = '';
+    const capture = (text: string | Uint8Array) => {
+      printed += String(text);
+      return true;
+    };
+    jest.spyOn(process.stdout, 'write').mockImplementation(capture);
+    jest.spyOn(process.stderr, 'write').mockImplementation(capture);
+  });
+  afterEach(() => {
+    jest.restoreAllMocks();
+    rmSync(folder, {recursive: true});
+  });
+
+  async function check(text: string): Promise<number> {
+    const file = path.join(folder, 'site.rules');
+    writeFileSync(file, text);
+    return runCheck([file]);
+  }
+
+  it('should pass a good file', async () => {
+    expect(await check(RULES)).toBe(0);
+    expect(printed).toContain('revision 7, 9 rules, no faults');
+  });
+
+  it('should print each fault where an editor can jump to it', async () => {
+    expect(await check(`${RULES}zone zone-c off # asked by Una\n`)).toBe(2);
+    expect(printed).toContain('site.rules:10:13: state must be one of');
+    expect(printed).toContain('1 fault; nothing was applied');
+  });
+
+  it('should refuse a missing argument and a missing file', async () => {
+    expect(await runCheck([])).toBe(2);
+    expect(printed).toContain('expected FILE');
+    expect(await runCheck([path.join(folder, 'none')])).toBe(2);
+    expect(printed).toContain('cannot read');
+  });
+});
