Keep the fault of a lost call and keep JSON-RPC off stderr

json-rpc-2.0 answers a failed send itself, with an error of code 0, so every timeout, lost answer and unreachable peer reached the caller as rejected. A claim or submission whose answer was lost then looked refused. The fault is kept beside the client and goes first. Found by the test that an operator is told when a file may have been taken: red before, green after.

The library also wrote each failed method to stderr as plain text between the JSON log lines; that goes to the logger at debug now.

--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -42,21 +42,26 @@
     params: unknown,
     timeoutMs: number
   ): Promise<R> {
+    // The library turns a failed send into an error answer of code 0. Taken
+    // as such, a call whose answer was lost would look refused by the peer,
+    // and be repeated or reported "not run" although it may have run.
+    let sendFailure: unknown;
     const client = new JSONRPCClient(
       async request => {
-        const text = await this.post(
-          JSON.stringify(request),
-          method,
-          timeoutMs
-        );
-        client.receive(JSON.parse(text));
+        try {
+          const body = JSON.stringify(request);
+          client.receive(JSON.parse(await this.post(body, method, timeoutMs)));
+        } catch (err) {
+          sendFailure = err;
+          throw err;
+        }
       },
       () => this.nextId++
     );
     try {
       return (await client.request(method, params)) as R;
     } catch (err) {
-      throw this.toPeerError(err, method);
+      throw this.toPeerError(sendFailure ?? err, method);
     }
   }
 
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -55,7 +55,11 @@
 
 /** The internal port of a process. */
 export class PeerServer {
-  private readonly rpc = new JSONRPCServer<{readonly peer: string}>();
+  private readonly rpc = new JSONRPCServer<{readonly peer: string}>({
+    // The library would write failures to stderr, between the JSON log lines.
+    errorListener: (message, data) =>
+      this.options.logger.debug({err: String(data)}, message),
+  });
   readonly server: https.Server;
 
   constructor(private readonly options: PeerServerOptions) {
