Fit the operators' client to the answers of control

A silent instance holds a status up for 1 s at most, since the follower of a revision asks over and over.

--- a/src/cli/controlClient.ts
+++ b/src/cli/controlClient.ts
@@ -1,39 +1,12 @@
 /** What the operators' client asks of the control instances. */
 
-import type {LogRole} from '../control/log/replicatedLog';
-import type {SubmitResult} from '../control/state/command';
-import type {Announcement, CustomerUsage} from '../core/wire';
-
-/** One control instance, as it tells of itself. */
-export interface InstanceStatus {
-  readonly id: string;
-  readonly role: LogRole;
-  readonly term: number;
-  /** False until a wiped instance holds everything again. */
-  readonly voter: boolean;
-  readonly commitIndex: number;
-}
-
-/** An entry or agent, as a control instance hears it. */
-export interface ProcessStatus {
-  readonly processId: string;
-  readonly role: 'entry' | 'agent';
-  readonly availabilityZone: string;
-  readonly heldRevision: number;
-  /** Milliseconds since its last poll. */
-  readonly pollAgeMs: number;
-  /** Milliseconds since its rules were last proven current, if ever. */
-  readonly provenAgeMs?: number;
-}
-
-/** What one instance knows; of the instances it lists at least itself. */
-export interface StatusAnswer {
-  readonly instances: readonly InstanceStatus[];
-  /** The revision committed there. */
-  readonly revision: number;
-  readonly processes: readonly ProcessStatus[];
-  readonly targets: readonly Announcement[];
-}
+import type {
+  InstanceStatus,
+  ProcessStatus,
+  SubmitAnswer,
+  UsageAnswer,
+} from '../core/operatorAnswers';
+import type {Announcement} from '../core/wire';
 
 /** An instance that gave no answer. */
 export interface SilentInstance {
@@ -41,28 +14,22 @@
   readonly reason: string;
 }
 
-/** The answers of all instances, put together. */
-export interface ClusterStatus extends StatusAnswer {
+/** The status answers of all instances, put together. */
+export interface ClusterStatus {
+  readonly instances: readonly InstanceStatus[];
   readonly silent: readonly SilentInstance[];
-}
-
-/** The file in force; revision 0 and no text before the first. */
-export interface RulesAnswer {
+  /** 0 before the first accepted file. */
   readonly revision: number;
-  readonly text: string;
-}
-
-/** Use by customer since the deployment began. */
-export interface UsageAnswer {
-  readonly customers: readonly CustomerUsage[];
+  readonly rulesText: string;
+  readonly processes: readonly ProcessStatus[];
+  readonly targets: readonly Announcement[];
 }
 
 /** Calls to the control plane as a whole. */
 export interface ControlClient {
   /** Safe to call again with the same text after a lost answer. */
-  submit(text: string, submittedBy: string): Promise<SubmitResult>;
+  submit(text: string): Promise<SubmitAnswer>;
   status(): Promise<ClusterStatus>;
-  rules(): Promise<RulesAnswer>;
   usage(): Promise<UsageAnswer>;
   close(): void;
 }
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -6,7 +6,7 @@
 import {RuleIndex} from '../rules/ruleIndex';
 import {checkRules} from './checkCommand';
 import {connectControl} from './connectControl';
-import type {ControlClient} from './controlClient';
+import type {ClusterStatus} from './controlClient';
 import {EXIT_CODES} from './exitCodes';
 import {explainRequest} from './explainRequest';
 import {runCommand, UsageError} from './runCommand';
@@ -32,11 +32,10 @@
     2  wrong arguments, settings or file
 `;
 
-async function rulesInForce(client: ControlClient): Promise<RuleSet> {
-  const {text, revision} = await client.rules();
+function rulesInForce({revision, rulesText}: ClusterStatus): RuleSet {
   if (revision === 0)
     throw new UsageError('no rule file has been accepted yet');
-  const result = parseRules(text);
+  const result = parseRules(rulesText);
   if (result.ok) return result.ruleSet;
   throw new UsageError(
     `revision ${revision} cannot be read by this version of marlpulley`
@@ -54,8 +53,8 @@
 ): Promise<Source> {
   const client = connectControl(settings);
   try {
-    const {targets} = await client.status();
-    return {ruleSet: ruleSet ?? (await rulesInForce(client)), targets};
+    const status = await client.status();
+    return {ruleSet: ruleSet ?? rulesInForce(status), targets: status.targets};
   } finally {
     client.close();
   }
--- a/src/cli/inForce.ts
+++ b/src/cli/inForce.ts
@@ -1,11 +1,8 @@
 /** Follows an accepted revision until every process holds it. */
 
 import {firstValueFrom, timer} from 'rxjs';
-import type {
-  ClusterStatus,
-  ControlClient,
-  ProcessStatus,
-} from './controlClient';
+import type {ProcessStatus} from '../core/operatorAnswers';
+import type {ClusterStatus, ControlClient} from './controlClient';
 import type {Print} from './runCommand';
 
 /** Time between two looks at the status. */
--- a/src/cli/mergeStatus.ts
+++ b/src/cli/mergeStatus.ts
@@ -1,13 +1,8 @@
 /** Puts the answers of several control instances together. */
 
+import type {ProcessStatus, StatusAnswer} from '../core/operatorAnswers';
 import type {Announcement} from '../core/wire';
-import type {
-  ClusterStatus,
-  InstanceStatus,
-  ProcessStatus,
-  SilentInstance,
-  StatusAnswer,
-} from './controlClient';
+import type {ClusterStatus, SilentInstance} from './controlClient';
 
 /** The best item of each id, by first appearance. */
 function bestById<T>(
@@ -33,9 +28,8 @@
   return candidate.agentBootAtMs > known.agentBootAtMs;
 }
 
-function furtherOn(candidate: InstanceStatus, known: InstanceStatus): boolean {
-  if (candidate.term !== known.term) return candidate.term > known.term;
-  return candidate.commitIndex > known.commitIndex;
+function newest(answers: readonly StatusAnswer[]): StatusAnswer | undefined {
+  return [...answers].sort((a, b) => b.revision - a.revision)[0];
 }
 
 /**
@@ -48,12 +42,9 @@
   silent: readonly SilentInstance[]
 ): ClusterStatus {
   return {
-    instances: bestById(
-      answers.flatMap(answer => answer.instances),
-      item => item.id,
-      furtherOn
-    ),
-    revision: Math.max(0, ...answers.map(answer => answer.revision)),
+    instances: answers.map(answer => answer.instance),
+    revision: newest(answers)?.revision ?? 0,
+    rulesText: newest(answers)?.rulesText ?? '',
     processes: bestById(
       answers.flatMap(answer => answer.processes),
       item => item.processId,
--- a/src/cli/rpcControlClient.ts
+++ b/src/cli/rpcControlClient.ts
@@ -2,18 +2,20 @@
 
 import type {Agent} from 'node:https';
 import {firstValueFrom, timer} from 'rxjs';
-import type {SubmitResult} from '../control/state/command';
 import {PeerError} from '../core/errors';
+import type {
+  StatusAnswer,
+  SubmitAnswer,
+  UsageAnswer,
+} from '../core/operatorAnswers';
+import {METHODS} from '../rpc/messages';
 import {createPeerAgent, PeerClient} from '../rpc/peerClient';
 import {RPC_CODES} from '../rpc/peerServer';
 import type {ClientSettings} from '../settings/settings';
 import type {
   ClusterStatus,
   ControlClient,
-  RulesAnswer,
   SilentInstance,
-  StatusAnswer,
-  UsageAnswer,
 } from './controlClient';
 import {ControlUnavailableError} from './controlClient';
 import {mergeStatus} from './mergeStatus';
@@ -22,19 +24,11 @@
 const CLIENT_IDENTITY = 'operator';
 /** Wait before asking all instances again, as an election takes a moment. */
 const RETRY_EVERY_MS = 300;
+/** A silent instance must not hold up what the others have to tell. */
+const STATUS_TIMEOUT_MS = 1000;
 /** Rounds over all instances before a submission is given up. */
 const SUBMIT_ROUNDS = 10;
 
-/** Methods of a control instance that the client calls. */
-export const CONTROL_METHODS = {
-  submit: 'submit',
-  status: 'status',
-  rules: 'rules',
-  usage: 'usage',
-} as const;
-
-type ControlMethod = keyof typeof CONTROL_METHODS;
-
 /** Faults met so far, by instance. */
 class Faults {
   private readonly byId = new Map<string, string>();
@@ -87,24 +81,24 @@
    * Tries on after any fault: a submission is idempotent by revision and
    * text, so a second arrival gets the answer of the first.
    */
-  async submit(text: string, submittedBy: string): Promise<SubmitResult> {
+  async submit(text: string): Promise<SubmitAnswer> {
     const faults = new Faults();
     for (let round = 0; round < this.submitRounds; round++) {
       if (round > 0) await firstValueFrom(timer(RETRY_EVERY_MS));
-      const params = {text, submittedBy};
-      const result = await this.firstAnswer<SubmitResult>(
-        'submit',
-        params,
+      const answer = await this.firstAnswer<SubmitAnswer>(
+        METHODS.submit,
+        {text},
         faults
       );
-      if (result !== undefined) return result;
+      if (answer !== undefined) return answer;
     }
-    throw this.unavailable('submit', faults);
+    throw this.unavailable(METHODS.submit, faults);
   }
 
   async status(): Promise<ClusterStatus> {
+    const timeoutMs = Math.min(this.timeoutMs, STATUS_TIMEOUT_MS);
     const calls = this.peers.map(peer =>
-      peer.call<StatusAnswer>(CONTROL_METHODS.status, {}, this.timeoutMs)
+      peer.call<StatusAnswer>(METHODS.status, {}, timeoutMs)
     );
     const results = await Promise.allSettled(calls);
     const faults = new Faults();
@@ -112,41 +106,33 @@
       if (result.status === 'rejected')
         faults.add(this.peers[index]?.address.id ?? '', result.reason);
     const answers = settledValues(results);
-    if (answers.length === 0) throw this.unavailable('status', faults);
+    if (answers.length === 0) throw this.unavailable(METHODS.status, faults);
     return mergeStatus(answers, faults.list());
   }
 
-  rules(): Promise<RulesAnswer> {
-    return this.read<RulesAnswer>('rules');
-  }
-
-  usage(): Promise<UsageAnswer> {
-    return this.read<UsageAnswer>('usage');
+  async usage(): Promise<UsageAnswer> {
+    const faults = new Faults();
+    const answer = await this.firstAnswer<UsageAnswer>(
+      METHODS.usage,
+      {},
+      faults
+    );
+    if (answer === undefined) throw this.unavailable(METHODS.usage, faults);
+    return answer;
   }
 
   close(): void {
     this.agent.destroy();
   }
 
-  private async read<R>(method: ControlMethod): Promise<R> {
-    const faults = new Faults();
-    const answer = await this.firstAnswer<R>(method, {}, faults);
-    if (answer === undefined) throw this.unavailable(method, faults);
-    return answer;
-  }
-
   private async firstAnswer<R>(
-    method: ControlMethod,
+    method: string,
     params: unknown,
     faults: Faults
   ): Promise<R | undefined> {
     for (const peer of this.peers) {
       try {
-        return await peer.call<R>(
-          CONTROL_METHODS[method],
-          params,
-          this.timeoutMs
-        );
+        return await peer.call<R>(method, params, this.timeoutMs);
       } catch (err) {
         if (isFinal(err)) throw err;
         faults.add(peer.address.id, err);
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -1,6 +1,7 @@
 /** What all subcommands of the operators' client share. */
 
 import {readFileSync} from 'node:fs';
+import {pathToFileURL} from 'node:url';
 import meow from 'meow';
 import type {AnyFlags, Result} from 'meow';
 import {ConfigError} from '../core/errors';
@@ -44,7 +45,9 @@
   argv: readonly string[]
 ): CommandArguments<F> {
   const cli = meow(spec.help, {
-    importMeta: import.meta,
+    // Only asked where the package is; import.meta would keep tests, which
+    // run as CommonJS, from loading this file.
+    importMeta: {url: pathToFileURL(__filename).href} as ImportMeta,
     argv,
     flags: spec.flags,
     description: false,
--- a/src/cli/statusCommand.ts
+++ b/src/cli/statusCommand.ts
@@ -1,12 +1,9 @@
 /** `status`: instances, processes and targets as control knows them. */
 
+import type {InstanceStatus, ProcessStatus} from '../core/operatorAnswers';
 import type {Announcement} from '../core/wire';
 import {connectControl} from './connectControl';
-import type {
-  ClusterStatus,
-  InstanceStatus,
-  ProcessStatus,
-} from './controlClient';
+import type {ClusterStatus} from './controlClient';
 import {EXIT_CODES} from './exitCodes';
 import {standingOf} from './inForce';
 import {runCommand} from './runCommand';
@@ -30,8 +27,14 @@
 `;
 
 function instanceRow(instance: InstanceStatus): readonly string[] {
-  const {id, role, term, voter, commitIndex} = instance;
-  return [id, role, String(term), voter ? 'yes' : 'no', String(commitIndex)];
+  const {instanceId, role, term, voter, commitIndex} = instance;
+  return [
+    instanceId,
+    role,
+    String(term),
+    voter ? 'yes' : 'no',
+    String(commitIndex),
+  ];
 }
 
 function processRow(
--- a/src/cli/submitCommand.ts
+++ b/src/cli/submitCommand.ts
@@ -1,8 +1,8 @@
 /** `submit`: hands a rule file to the control instances. */
 
-import {userInfo} from 'node:os';
-import type {SubmitResult} from '../control/state/command';
 import {unreachable} from '../core/errors';
+import type {SubmitAnswer, SubmitResult} from '../core/operatorAnswers';
+import {formatProblem} from '../rules/ruleProblem';
 import {checkRules} from './checkCommand';
 import {connectControl} from './connectControl';
 import type {ControlClient} from './controlClient';
@@ -17,12 +17,12 @@
     $ marlpulley submit FILE --settings CLIENT.ini
 
   Submits a rule file whose revision is one more than the revision in force,
+  in the name of whoever its revision line says asked for it,
   then shows where it is in force. A resend of the same file changes nothing
   and gives the answer of the first, so submit again whenever in doubt.
 
   Options
     --settings  settings of the client (required)
-    --as        who submits, shown to others in a conflict (default: the user)
     --wait-ms   longest wait until it is in force everywhere (default: 10000)
 
   Exit codes
@@ -59,30 +59,30 @@
   return `${err.message}\n${advice}`;
 }
 
-/** What `submit` needs besides the client. */
-export interface SubmitOptions {
-  readonly submittedBy: string;
-  readonly waitMs: number;
+function printAnswer(answer: SubmitAnswer, print: Print): number {
+  if (answer.kind === 'invalid') {
+    for (const problem of answer.problems)
+      print(formatProblem('file', problem));
+    print('the control instances refuse the file; nothing was applied');
+    return EXIT_CODES.badInput;
+  }
+  print(describeSubmit(answer));
+  return answer.kind === 'accepted' ? EXIT_CODES.ok : EXIT_CODES.refused;
 }
 
 /** Submits a checked text and follows it; resolves with the exit code. */
 export async function submitText(
   client: ControlClient,
   text: string,
-  options: SubmitOptions,
+  waitMs: number,
   print: Print
 ): Promise<number> {
   try {
-    const result = await client.submit(text, options.submittedBy);
-    print(describeSubmit(result));
-    if (result.kind !== 'accepted') return EXIT_CODES.refused;
-    const {revision} = result;
-    const everywhere = await followInForce(
-      client,
-      revision,
-      options.waitMs,
-      print
-    );
+    const answer = await client.submit(text);
+    const code = printAnswer(answer, print);
+    if (answer.kind !== 'accepted') return code;
+    const {revision} = answer;
+    const everywhere = await followInForce(client, revision, waitMs, print);
     return everywhere ? EXIT_CODES.ok : EXIT_CODES.notEverywhere;
   } catch (err) {
     if (!(err instanceof ControlUnavailableError)) throw err;
@@ -97,7 +97,6 @@
     help: HELP,
     flags: {
       settings: {type: 'string', isRequired: true},
-      as: {type: 'string'},
       waitMs: {type: 'number', default: 10_000},
     },
     inputs: ['FILE'],
@@ -108,10 +107,8 @@
     if (!(flags.waitMs >= 0))
       throw new UsageError('--wait-ms must be 0 or more');
     const client = connectControl(flags.settings);
-    const submittedBy = flags.as ?? userInfo().username;
-    const options = {submittedBy, waitMs: flags.waitMs};
     try {
-      return await submitText(client, ruleSet.text, options, print);
+      return await submitText(client, ruleSet.text, flags.waitMs, print);
     } finally {
       client.close();
     }
--- a/tests/operatorClient.spec.ts
+++ b/tests/operatorClient.spec.ts
@@ -2,17 +2,13 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {runCheck} from '../src/cli/checkCommand';
-import type {
-  ClusterStatus,
-  ControlClient,
-  ProcessStatus,
-} from '../src/cli/controlClient';
+import type {ClusterStatus, ControlClient} from '../src/cli/controlClient';
 import {ControlUnavailableError} from '../src/cli/controlClient';
 import {explainRequest} from '../src/cli/explainRequest';
 import {followInForce} from '../src/cli/inForce';
 import {mergeStatus} from '../src/cli/mergeStatus';
 import {submitText} from '../src/cli/submitCommand';
-import type {SubmitResult} from '../src/control/state/command';
+import type {ProcessStatus, SubmitAnswer} from '../src/core/operatorAnswers';
 import type {Announcement} from '../src/core/wire';
 import {parseRules} from '../src/rules/parseRules';
 import {RuleIndex} from '../src/rules/ruleIndex';
@@ -38,6 +34,7 @@
   return {
     processId,
     role: 'entry',
+    bootId: 'boot-1',
     availabilityZone: 'zone-a',
     heldRevision,
     pollAgeMs: 10,
@@ -45,7 +42,8 @@
 }
 
 function statusOf(...processes: readonly ProcessStatus[]): ClusterStatus {
-  return {instances: [], revision: 7, processes, targets: [], silent: []};
+  const nothing = {instances: [], targets: [], silent: []};
+  return {...nothing, revision: 7, rulesText: RULES, processes};
 }
 
 function target(targetId: string, changes: Partial<Announcement>) {
@@ -70,11 +68,11 @@
 /** Gives the statuses one after another, the last one for ever. */
 class FakeControl implements ControlClient {
   constructor(
-    private readonly answer: SubmitResult | Error,
+    private readonly answer: SubmitAnswer | Error,
     private readonly statuses: ClusterStatus[] = [statusOf()]
   ) {}
 
-  async submit(): Promise<SubmitResult> {
+  async submit(): Promise<SubmitAnswer> {
     if (this.answer instanceof Error) throw this.answer;
     return this.answer;
   }
@@ -86,10 +84,6 @@
     return first;
   }
 
-  async rules() {
-    return {revision: 7, text: RULES};
-  }
-
   async usage() {
     return {customers: []};
   }
@@ -98,7 +92,7 @@
 }
 
 describe('submit', () => {
-  const cases: readonly (readonly [SubmitResult, number, string])[] = [
+  const cases: readonly (readonly [SubmitAnswer, number, string])[] = [
     [
       {kind: 'accepted', revision: 7, resent: false},
       0,
@@ -124,18 +118,19 @@
       3,
       'gap: revision 9 cannot follow 7',
     ],
+    [
+      {kind: 'invalid', problems: [{line: 2, column: 1, reason: 'bad word'}]},
+      2,
+      'file:2:1: bad word',
+    ],
   ];
 
   it.each(cases)(
     'should tell %j with exit code %i',
     async (result, code, say) => {
       const lines: string[] = [];
-      const options = {submittedBy: 'niall', waitMs: 0};
-      const exit = await submitText(
-        new FakeControl(result),
-        RULES,
-        options,
-        line => lines.push(line)
+      const exit = await submitText(new FakeControl(result), RULES, 0, line =>
+        lines.push(line)
       );
       expect(exit).toBe(code);
       expect(lines.join('\n')).toContain(say);
@@ -148,8 +143,7 @@
   ])('should say what an unanswered file came to (%s)', async (may, say) => {
     const err = new ControlUnavailableError('submit', [], may);
     const lines: string[] = [];
-    const options = {submittedBy: 'niall', waitMs: 0};
-    const exit = await submitText(new FakeControl(err), RULES, options, line =>
+    const exit = await submitText(new FakeControl(err), RULES, 0, line =>
       lines.push(line)
     );
     expect(exit).toBe(1);
@@ -216,15 +210,34 @@
   // instance that was cut off silently still answers the operator with what
   // it knew. The latest word on each process and target counts instead.
   it('should not let a cut-off instance hide what the others know', () => {
-    const stale = {...statusOf({...processAt('e1', 6), pollAgeMs: 2900})};
+    const instance = {
+      instanceId: 'c1',
+      role: 'leader',
+      term: 1,
+      voter: true,
+      commitIndex: 1,
+    };
     const leaving = target('t1', {seq: 9, state: 'leaving'});
     const merged = mergeStatus(
       [
-        {...statusOf(processAt('e1', 7)), targets: [leaving]},
-        {...stale, revision: 6, targets: [target('t1', {seq: 8})]},
+        {
+          instance,
+          revision: 6,
+          rulesText: 'old',
+          processes: [{...processAt('e1', 6), pollAgeMs: 2900}],
+          targets: [target('t1', {seq: 8})],
+        },
+        {
+          instance,
+          revision: 7,
+          rulesText: RULES,
+          processes: [processAt('e1', 7)],
+          targets: [leaving],
+        },
       ],
       [{id: 'c3', reason: 'timeout'}]
     );
+    expect(merged.rulesText).toBe(RULES);
     expect(merged.revision).toBe(7);
     expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
     expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
--- a/tests/rpcControlClient.spec.ts
+++ b/tests/rpcControlClient.spec.ts
@@ -26,7 +26,7 @@
       logger: createLogger('control', 'c', 'fatal'),
       metrics: new Metrics('c'),
     });
-    for (const method of ['submit', 'status', 'rules'])
+    for (const method of ['submit', 'status'])
       server.addMethod(method, {params: ANY, handle: handler});
     servers.push(server);
     return server.listen();
@@ -73,7 +73,7 @@
       await instance(notLeader),
       await instance(() => accepted)
     );
-    expect(await client.submit('text', 'una')).toEqual(accepted);
+    expect(await client.submit('text')).toEqual(accepted);
   });
 
   // The operator sees one accepted revision, not a conflict with himself: the
@@ -91,16 +91,13 @@
         return {...accepted, resent: true};
       })
     );
-    expect(await client.submit('text', 'una')).toMatchObject({resent: true});
-    expect(taken).toEqual([
-      {text: 'text', submittedBy: 'una'},
-      {text: 'text', submittedBy: 'una'},
-    ]);
+    expect(await client.submit('text')).toMatchObject({resent: true});
+    expect(taken).toEqual([{text: 'text'}, {text: 'text'}]);
   });
 
   it('should know when nothing can have been taken', async () => {
     const client = clientOf(await stoppedInstance(), await instance(notLeader));
-    const err = await unavailable(client.submit('text', 'una'));
+    const err = await unavailable(client.submit('text'));
     expect(err.mayHaveTakenEffect).toBe(false);
     expect(err.message).toContain('c1: ');
     expect(err.message).toContain('c2: ');
@@ -108,7 +105,7 @@
 
   it('should own up when the file may have been taken', async () => {
     const silent = await instance(() => new Promise(() => undefined));
-    const err = await unavailable(clientOf(silent).submit('text', 'una'));
+    const err = await unavailable(clientOf(silent).submit('text'));
     expect(err.mayHaveTakenEffect).toBe(true);
   });
 
@@ -120,11 +117,11 @@
       await instance(invalid),
       await instance(() => accepted)
     );
-    await expect(client.submit('text', 'una')).rejects.toThrow('line 3: no');
+    await expect(client.submit('text')).rejects.toThrow('line 3: no');
   });
 
   it('should show the status of those that answer and name the rest', async () => {
-    const answer = {instances: [], revision: 4, processes: [], targets: []};
+    const answer = {instance: {}, revision: 4, processes: [], targets: []};
     const client = clientOf(
       await stoppedInstance(),
       await instance(() => answer)
