--- a/src/cli/subcommands.ts
+++ b/src/cli/subcommands.ts
@@ -9,6 +9,18 @@
 
 /** Subcommands by name. */
 export const SUBCOMMANDS: Readonly<Record<string, Subcommand>> = {
+  entry: {
+    summary: 'run an entry, which callers reach',
+    run: async argv => (await import('./entryCommand')).runEntry(argv),
+  },
+  agent: {
+    summary: 'run the agent beside a target',
+    run: async argv => (await import('./agentCommand')).runAgent(argv),
+  },
+  control: {
+    summary: 'run a control instance, which has a disk',
+    run: async argv => (await import('./controlCommand')).runControl(argv),
+  },
   check: {
     summary: 'read a rule file and print its faults',
     run: async argv => (await import('./checkCommand')).runCheck(argv),
