Serve the whole path in the quick start; mend a log stopped for good by one command

Cause: with the quick start's four claims in flight, every later submission timed out. Followers checked commands against a hand-written list of kinds that lacked 'usage'; its entry was refused for ever and blocked all behind it. Ruled out: the claims themselves (they were answered) and the transport. Change: the kinds are a record that the compiler checks against the union. Also: one secureConnect listener a socket, not one a request.

--- /dev/null
+++ b/bench/deployment/childProcess.ts
@@ -0,0 +1,62 @@
+/** One process of a deployment under test or measurement. */
+
+import {ChildProcess, spawn} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
+import {once} from 'node:events';
+import readline from 'node:readline';
+
+const START_TIMEOUT_MS = 15_000;
+
+/** A started program whose first line of stdout is a JSON document. */
+export class Child {
+  private constructor(
+    readonly name: string,
+    readonly process: ChildProcess,
+    /** The first line of stdout. */
+    readonly hello: {readonly port: number; readonly ports?: readonly number[]}
+  ) {}
+
+  /** Starts `node ARGS`; its stderr goes to a file. */
+  static async start(
+    name: string,
+    args: readonly string[],
+    logFile: string
+  ): Promise<Child> {
+    const child = spawn(process.execPath, args, {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stderr.pipe(createWriteStream(logFile, {flags: 'a'}));
+    const lines = readline.createInterface({input: child.stdout});
+    const timeout = AbortSignal.timeout(START_TIMEOUT_MS);
+    const exit = once(child, 'exit', {signal: timeout}).then(([code]) => {
+      throw new Error(
+        `${name} ended with ${code} before it was ready; see ${logFile}`
+      );
+    });
+    exit.catch(() => undefined);
+    const [line] = (await Promise.race([
+      once(lines, 'line', {signal: timeout}),
+      exit,
+    ])) as [string];
+    return new Child(name, child, JSON.parse(line));
+  }
+
+  get pid(): number {
+    return this.process.pid ?? 0;
+  }
+
+  get running(): boolean {
+    return this.process.exitCode === null && this.process.signalCode === null;
+  }
+
+  /** Sends a signal; resolves with the exit code when the process has ended. */
+  async end(signal: NodeJS.Signals): Promise<number | null> {
+    if (!this.running) return this.process.exitCode;
+    const ended = once(this.process, 'exit');
+    this.process.kill(signal);
+    // A process that was stopped takes no signal but this one.
+    if (signal !== 'SIGKILL') this.process.kill('SIGCONT');
+    await ended;
+    return this.process.exitCode;
+  }
+}
--- /dev/null
+++ b/bench/deployment/deployment.ts
@@ -0,0 +1,278 @@
+/** Starts the whole system as separate processes, with fakes as targets. */
+
+import {mkdirSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {Child} from './childProcess';
+import {freePorts} from './freePorts';
+import type {DeploymentShape, PoolShape} from './shape';
+
+const SECRET = 'a shared secret for one machine';
+const HOST = '127.0.0.1';
+
+/** Programs of a build. */
+export interface Programs {
+  /** The bundle of marlpulley. */
+  readonly app: string;
+  readonly fakes: string;
+}
+
+/** One target with its agent. */
+export interface TargetPair {
+  readonly targetId: string;
+  readonly pool: string;
+  readonly availabilityZone: string;
+  readonly fakePort: number;
+}
+
+/** A running deployment; every process is named, and can be ended and restarted. */
+export class Deployment {
+  readonly folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-'));
+  readonly targets: TargetPair[] = [];
+  private readonly children = new Map<string, Child>();
+  private readonly starts = new Map<string, () => Promise<Child>>();
+  private controlList = '';
+
+  private constructor(
+    private readonly programs: Programs,
+    readonly shape: DeploymentShape
+  ) {
+    mkdirSync(path.join(this.folder, 'logs'));
+  }
+
+  static async start(
+    programs: Programs,
+    shape: DeploymentShape
+  ): Promise<Deployment> {
+    const deployment = new Deployment(programs, shape);
+    try {
+      await deployment.startAll();
+    } catch (err) {
+      await deployment.stop();
+      throw err;
+    }
+    return deployment;
+  }
+
+  /** Port for callers of an entry, from 0. */
+  entryPort(index: number): number {
+    return this.child(`entry-${index}`).hello.port;
+  }
+
+  child(name: string): Child {
+    const child = this.children.get(name);
+    if (child === undefined) throw new Error(`no process named ${name}`);
+    return child;
+  }
+
+  names(): readonly string[] {
+    return [...this.children.keys()];
+  }
+
+  /** Starts a process again under the same settings. */
+  async restart(name: string): Promise<void> {
+    const start = this.starts.get(name);
+    if (start === undefined) throw new Error(`no process named ${name}`);
+    this.children.set(name, await start());
+  }
+
+  dataFolder(controlName: string): string {
+    return path.join(this.folder, 'data', controlName);
+  }
+
+  /** Settings file of the operators' client. */
+  get clientSettings(): string {
+    return path.join(this.folder, 'client.ini');
+  }
+
+  /** Runs the operators' client; resolves with its output and exit code. */
+  async client(
+    args: readonly string[]
+  ): Promise<{readonly code: number; readonly output: string}> {
+    const {execFile} = await import('node:child_process');
+    const argv = [
+      this.programs.app,
+      ...args,
+      '--settings',
+      this.clientSettings,
+    ];
+    return new Promise(resolve => {
+      execFile(process.execPath, argv, (err, stdout, stderr) => {
+        const code = err === null ? 0 : Number(err.code ?? 1);
+        resolve({code, output: stdout + stderr});
+      });
+    });
+  }
+
+  /** Submits the text of a rule file. */
+  submit(
+    text: string
+  ): Promise<{readonly code: number; readonly output: string}> {
+    const file = path.join(this.folder, 'rules.txt');
+    writeFileSync(file, text);
+    return this.client(['submit', file]);
+  }
+
+  /**
+   * Ends all processes and cleans up. Resolves with whether every role ended
+   * with code 0, as it does when SIGTERM drains it.
+   */
+  async stop(signal: NodeJS.Signals = 'SIGKILL'): Promise<boolean> {
+    const roles = [...this.children.values()].filter(
+      child => !child.name.startsWith('fake-')
+    );
+    const codes = await Promise.all(roles.map(child => child.end(signal)));
+    await Promise.all(
+      [...this.children.values()].map(child => child.end('SIGKILL'))
+    );
+    rmSync(this.folder, {recursive: true, force: true});
+    return codes.every(code => code === 0);
+  }
+
+  private async startAll(): Promise<void> {
+    await this.startControls();
+    this.write('client', this.internalLines());
+    for (const pool of this.shape.pools) await this.startPool(pool);
+    const entries = Array.from({length: this.shape.entries}, (_, i) =>
+      this.startEntry(i)
+    );
+    await Promise.all(entries);
+  }
+
+  private async startControls(): Promise<void> {
+    const ports = await freePorts(this.shape.controls);
+    const ids = ports.map((_, i) => `control-${i}`);
+    this.controlList = ids
+      .map((id, i) => `${id}@${HOST}:${ports[i]}`)
+      .join(', ');
+    await Promise.all(
+      ids.map((id, i) => {
+        const file = this.write(id, [
+          ...this.processLines(id, i),
+          ...this.internalLines(`port = ${ports[i]}`),
+          '[data]',
+          `folder = ${this.dataFolder(id)}`,
+        ]);
+        return this.startRole('control', id, file);
+      })
+    );
+  }
+
+  private async startPool({
+    pool,
+    kind,
+    count,
+    fakeArgs,
+  }: PoolShape): Promise<void> {
+    const pairs = Array.from({length: count}, (_, i) =>
+      this.startTarget(pool, kind, i, fakeArgs)
+    );
+    await Promise.all(pairs);
+  }
+
+  private async startTarget(
+    pool: string,
+    kind: PoolShape['kind'],
+    index: number,
+    fakeArgs: readonly string[]
+  ): Promise<void> {
+    const targetId = `${pool}-${index}`;
+    const [fakePort = 0] = await freePorts(1);
+    const fake = kind === 'engine' ? 'engine' : 'ledger';
+    const args = [
+      this.programs.fakes,
+      fake,
+      '--port',
+      String(fakePort),
+      ...fakeArgs,
+    ];
+    await this.startChild(`fake-${targetId}`, args);
+    const id = `agent-${targetId}`;
+    const file = this.write(id, [
+      ...this.processLines(id, index),
+      ...this.internalLines('port = 0'),
+      '[target]',
+      `id = ${targetId}`,
+      `pool = ${pool}`,
+      `kind = ${kind}`,
+      `host = ${HOST}`,
+      `port = ${fakePort}`,
+      ...(this.shape.agentTargetLines ?? []),
+    ]);
+    await this.startRole('agent', id, file);
+    this.targets.push({
+      targetId,
+      pool,
+      availabilityZone: this.zone(index),
+      fakePort,
+    });
+  }
+
+  private async startEntry(index: number): Promise<void> {
+    const id = `entry-${index}`;
+    const [port] = await freePorts(1);
+    const file = this.write(id, [
+      ...this.processLines(id, index),
+      ...this.internalLines(),
+      '[callers]',
+      `port = ${port}`,
+      `drain-ms = ${this.shape.drainMs ?? 500}`,
+    ]);
+    await this.startRole('entry', id, file);
+  }
+
+  private startRole(
+    role: string,
+    id: string,
+    settings: string
+  ): Promise<Child> {
+    return this.startChild(id, [
+      this.programs.app,
+      role,
+      '--settings',
+      settings,
+    ]);
+  }
+
+  private async startChild(
+    name: string,
+    args: readonly string[]
+  ): Promise<Child> {
+    const log = path.join(this.folder, 'logs', `${name}.log`);
+    const start = () => Child.start(name, args, log);
+    this.starts.set(name, start);
+    const child = await start();
+    this.children.set(name, child);
+    return child;
+  }
+
+  private zone(index: number): string {
+    return this.shape.zones[index % this.shape.zones.length] ?? 'zone';
+  }
+
+  private processLines(id: string, index: number): readonly string[] {
+    return [
+      '[process]',
+      `id = ${id}`,
+      `availability-zone = ${this.zone(index)}`,
+      `host = ${HOST}`,
+      `log-level = ${this.shape.logLevel ?? 'info'}`,
+    ];
+  }
+
+  private internalLines(...extra: readonly string[]): readonly string[] {
+    return [
+      '[internal]',
+      `key = ${SECRET}`,
+      ...extra,
+      '[control]',
+      `instances = ${this.controlList}`,
+    ];
+  }
+
+  private write(name: string, lines: readonly string[]): string {
+    const file = path.join(this.folder, `${name}.ini`);
+    writeFileSync(file, `${lines.join('\n')}\n`);
+    return file;
+  }
+}
--- /dev/null
+++ b/bench/deployment/shape.ts
@@ -0,0 +1,34 @@
+/** What a deployment consists of. */
+
+/** A pool of like targets, spread over the zones in turn. */
+export interface PoolShape {
+  readonly pool: string;
+  readonly kind: 'engine' | 'service';
+  readonly count: number;
+  /** Arguments of the fake, such as `--step-ms 5`. */
+  readonly fakeArgs: readonly string[];
+}
+
+/** A whole deployment on one machine. */
+export interface DeploymentShape {
+  readonly zones: readonly string[];
+  readonly controls: number;
+  readonly entries: number;
+  readonly pools: readonly PoolShape[];
+  /** Extra settings of every agent's `[target]`, lines of INI. */
+  readonly agentTargetLines?: readonly string[];
+  /** Lame duck time of entries, milliseconds. */
+  readonly drainMs?: number;
+  readonly logLevel?: string;
+}
+
+/** Pool of twelve model workers and three allocation workers. */
+export const SHANNONSIDE: DeploymentShape = {
+  zones: ['quay-a', 'quay-b', 'quay-c'],
+  controls: 3,
+  entries: 2,
+  pools: [
+    {pool: 'planner', kind: 'engine', count: 12, fakeArgs: ['--step-ms', '5']},
+    {pool: 'allocation', kind: 'service', count: 3, fakeArgs: []},
+  ],
+};
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -6,14 +6,20 @@
 const INDEX = z.number().int().nonnegative();
 const ID = z.string().min(1);
 
-const COMMAND_KINDS = [
-  'submit',
-  'claim',
-  'settle',
-  'fence',
-  'mapDecision',
-  'noop',
-] as const;
+/**
+ * Every kind of command. A kind that a follower did not know here once stopped
+ * the whole log: its entry was refused for ever and nothing behind it could be
+ * committed. The type makes the compiler demand each one.
+ */
+const COMMAND_KINDS: Readonly<Record<Command['kind'], true>> = {
+  submit: true,
+  claim: true,
+  settle: true,
+  fence: true,
+  mapDecision: true,
+  usage: true,
+  noop: true,
+};
 
 /**
  * A command was validated where it was proposed, and every copy must stay
@@ -23,7 +29,9 @@
   value =>
     typeof value === 'object' &&
     value !== null &&
-    COMMAND_KINDS.some(kind => 'kind' in value && value.kind === kind)
+    'kind' in value &&
+    typeof value.kind === 'string' &&
+    Object.hasOwn(COMMAND_KINDS, value.kind)
 );
 
 const CONFIGURATION = z.strictObject({
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -60,7 +60,8 @@
     });
     req.on('socket', socket => {
       // A kept connection can take bytes at once, and may be closing meanwhile.
-      if (!socket.connecting) sent = true;
+      sent = !socket.connecting;
+      if (sent) return;
       const ready = socket instanceof TLSSocket ? 'secureConnect' : 'connect';
       socket.once(ready, () => (sent = true));
     });
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -88,8 +88,8 @@
         req.destroy();
       }, timeoutMs);
       req.on('socket', socket => {
-        if (!socket.connecting) connected = true;
-        socket.once('secureConnect', () => (connected = true));
+        connected = !socket.connecting;
+        if (!connected) socket.once('secureConnect', () => (connected = true));
       });
       req.on('close', () => clearTimeout(timer));
       req.on('error', (err: NodeJS.ErrnoException) => {
--- a/tests/replicatedLog.spec.ts
+++ b/tests/replicatedLog.spec.ts
@@ -1,6 +1,34 @@
+import type {Command} from '../src/control/state/command';
 import {NotLeaderError} from '../src/control/log/notLeaderError';
 import {fence, LogCluster} from './logCluster';
 
+const KEY = {customer: 'harbour', key: 'k'};
+const ONE_OF_EACH: readonly Command[] = [
+  {kind: 'submit', revision: 1, digest: 'd', text: '', submittedBy: 'Aoife'},
+  {
+    ...KEY,
+    kind: 'claim',
+    digest: 'd',
+    entryId: 'entry-1',
+    requestId: 'r',
+    targetId: 't',
+    agentBootId: 'b',
+    atMs: 1,
+  },
+  {...KEY, kind: 'settle', attempt: 1, settlement: {kind: 'unknown'}},
+  fence('control-1'),
+  {
+    kind: 'mapDecision',
+    group: 'g',
+    fence: 1,
+    version: 1,
+    switchStep: 1,
+    decision: 'abort',
+    slots: [],
+  },
+  {kind: 'usage', entryBootId: 'b', totals: []},
+  {kind: 'noop'},
+];
 const THREE = ['control-1', 'control-2', 'control-3'];
 
 describe('replicated log', () => {
@@ -29,6 +57,18 @@
     }
   );
 
+  // Operators see every submission time out, for good. One command of a kind
+  // that followers do not know is proposed; they refuse its entry each time it
+  // is sent, and nothing behind it can be committed any more.
+  it('should commit a command of every kind', async () => {
+    await use(THREE);
+    const {log} = cluster.at(await cluster.leader());
+    for (const command of ONE_OF_EACH) {
+      const done = log.propose(command).then(() => command.kind);
+      await expect(done).resolves.toBe(command.kind);
+    }
+  });
+
   it('should name the leader when another instance is asked', async () => {
     await use(THREE);
     const leader = await cluster.leader();
