--- a/bench/fuzz/logInstance.ts
+++ b/bench/fuzz/logInstance.ts
@@ -24,6 +24,8 @@
   readonly snapshotEntries: number;
   readonly trailingEntries: number;
   readonly batchEntries: number;
+  readonly batchChars: number;
+  readonly chunkChars: number;
   readonly syncMs: number;
 }
 
@@ -162,6 +164,8 @@
       random: () => random.next(),
       timing: DEFAULT_TIMING,
       batchEntries: sizes.batchEntries,
+      batchChars: sizes.batchChars,
+      chunkChars: sizes.chunkChars,
       trailingEntries: sizes.trailingEntries,
     };
   }
--- a/bench/fuzz/logModel.ts
+++ b/bench/fuzz/logModel.ts
@@ -43,6 +43,8 @@
       snapshotEntries: random.pick([3, 10, 30, 1000]),
       trailingEntries: random.pick([0, 2, 8]),
       batchEntries: random.pick([4, 16, 64]),
+      batchChars: random.pick([500, 100_000]),
+      chunkChars: random.pick([200, 2000]),
       syncMs: random.pick([0, 10, 60]),
     };
     this.drop = random.pick([0, 0.02, 0.15]);
--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -106,6 +106,10 @@
   readonly timing: LogTiming;
   /** Most entries in one append. */
   readonly batchEntries: number;
+  /** Most characters of entries in one append, unless one alone has more. */
+  readonly batchChars: number;
+  /** Most characters of a snapshot in one message. */
+  readonly chunkChars: number;
   /** Entries kept behind a snapshot for followers that lag a little. */
   readonly trailingEntries: number;
 }
--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -1,7 +1,14 @@
 /** State shared by the parts of the log's pure core, and its basic moves. */
 
 import type {CoreEffect, CoreOptions} from './coreEvents';
-import type {DurableState, HardState, LogEntry, LogWrite, Voter} from './entry';
+import type {
+  DurableState,
+  HardState,
+  LogEntry,
+  LogSnapshot,
+  LogWrite,
+  Voter,
+} from './entry';
 import {quorumOf} from './entry';
 import {EntryLog} from './entryLog';
 import type {CoreReply} from './messages';
@@ -17,6 +24,8 @@
   /** Request number of the append or snapshot that is on its way. */
   inFlight?: number;
   inFlightSince: number;
+  /** Snapshot on its way there, kept until it is whole there. */
+  transfer?: {readonly snapshot: LogSnapshot; readonly offset: number};
   /** Leader's clock when it sent the last message that was answered. */
   ackedSentAt: number;
   ackedRound: number;
@@ -42,6 +51,13 @@
   readonly granted: Set<string>;
 }
 
+/** A part of a leader's snapshot. */
+export interface IncomingSnapshot {
+  /** Sender and position; chunks of another one do not fit. */
+  readonly key: string;
+  readonly data: string;
+}
+
 interface HeldUntilSynced {
   readonly seq: number;
   readonly run: () => void;
@@ -63,6 +79,8 @@
   electionDeadline = 0;
   leadership: Leadership | undefined;
   candidacy: Candidacy | undefined;
+  /** Snapshot that is coming in. */
+  incoming: IncomingSnapshot | undefined;
   /** Number of the last request sent; numbers are never used twice. */
   requestSeq = 0;
   /** Entries up to here are durable on our own disk. */
--- a/src/control/log/createReplicatedLog.ts
+++ b/src/control/log/createReplicatedLog.ts
@@ -17,6 +17,8 @@
 const DEFAULT_SNAPSHOT_BYTES = 16 << 20;
 const DEFAULT_TRAILING_ENTRIES = 512;
 const DEFAULT_BATCH_ENTRIES = 256;
+const DEFAULT_BATCH_CHARS = 1 << 20;
+const DEFAULT_CHUNK_CHARS = 1 << 20;
 
 /** Another instance of the settings, and how to ask it. */
 export interface LogPeer {
@@ -54,6 +56,10 @@
   /** Entries kept behind a snapshot for followers that lag a little. */
   readonly trailingEntries: number;
   readonly batchEntries: number;
+  /** Characters of entries in one message, unless one alone has more. */
+  readonly batchChars: number;
+  /** Characters of a snapshot in one message. */
+  readonly chunkChars: number;
 }
 
 /** Loads what the disk holds, and takes part in the log from then on. */
@@ -72,6 +78,8 @@
         snapshotBytes: DEFAULT_SNAPSHOT_BYTES,
         trailingEntries: DEFAULT_TRAILING_ENTRIES,
         batchEntries: DEFAULT_BATCH_ENTRIES,
+        batchChars: DEFAULT_BATCH_CHARS,
+        chunkChars: DEFAULT_CHUNK_CHARS,
         ...options.limits,
       },
       startAfresh: () => setAsideAndStart(storage),
--- a/src/control/log/followerLog.ts
+++ b/src/control/log/followerLog.ts
@@ -6,7 +6,8 @@
 import {advanceCommit} from './commit';
 import {follow} from './election';
 
-type LeaderRequest = RequestOf<'append'> | RequestOf<'snapshot'>;
+/** What only a leader sends. */
+export type LeaderRequest = RequestOf<'append'> | RequestOf<'snapshot'>;
 
 /** Handles entries or a heartbeat. */
 export function onAppend(
@@ -17,7 +18,7 @@
   if (!acceptLeader(state, ticket, message)) return;
   const hint = mismatchHint(state, message);
   if (hint !== undefined) {
-    state.reply(ticket, progress(state, message, {ok: false, hint}));
+    state.reply(ticket, progressReply(state, message, {ok: false, hint}));
     return;
   }
   const entries = message.entries as readonly LogEntry[];
@@ -28,18 +29,18 @@
   state.replyStored(
     ticket,
     matchIndex,
-    progress(state, message, {ok: true, matchIndex})
+    progressReply(state, message, {ok: true, matchIndex})
   );
 }
 
 /** Answers an old leader, follows a present one. */
-function acceptLeader(
+export function acceptLeader(
   state: CoreState,
   ticket: number,
   message: LeaderRequest
 ): boolean {
   if (message.term < state.term) {
-    state.reply(ticket, progress(state, message, {ok: false, hint: 1}));
+    state.reply(ticket, progressReply(state, message, {ok: false, hint: 1}));
     return false;
   }
   if (state.leadership !== undefined && message.term === state.term)
@@ -52,15 +53,20 @@
 }
 
 /** Written before the first entry, so entries never stand without it. */
-function joinGroup(state: CoreState, group: string): void {
+export function joinGroup(state: CoreState, group: string): void {
   if (state.hard.group !== group) state.setHard({group});
 }
 
-function progress(
+/** Tells the leader how far this instance is. */
+export function progressReply(
   state: CoreState,
   message: LeaderRequest,
   outcome:
-    | {readonly ok: true; readonly matchIndex: number}
+    | {
+        readonly ok: true;
+        readonly matchIndex: number;
+        readonly received?: number;
+      }
     | {readonly ok: false; readonly hint: number}
 ): ReplyOf<'progress'> {
   const {seq, round, sentAt} = message;
@@ -71,6 +77,7 @@
     ok: outcome.ok,
     matchIndex: outcome.ok ? outcome.matchIndex : 0,
     hint: outcome.ok ? 0 : outcome.hint,
+    received: outcome.ok ? (outcome.received ?? 0) : 0,
     seq,
     round,
     sentAt,
@@ -107,41 +114,3 @@
     throw new Error(`committed entry ${first.index} would be replaced`);
   return entries.slice(at);
 }
-
-/** Takes the leader's state when this log ends before the leader's begins. */
-export function onSnapshot(
-  state: CoreState,
-  ticket: number,
-  message: RequestOf<'snapshot'>
-): void {
-  if (!acceptLeader(state, ticket, message)) return;
-  const {snapshot} = message;
-  joinGroup(state, message.group);
-  if (snapshot.index > state.commitIndex) install(state, snapshot);
-  state.replyStored(
-    ticket,
-    snapshot.index,
-    progress(state, message, {ok: true, matchIndex: snapshot.index})
-  );
-}
-
-function install(
-  state: CoreState,
-  snapshot: RequestOf<'snapshot'>['snapshot']
-): void {
-  const {index, term} = snapshot;
-  if (state.log.termAt(index) === term) {
-    advanceCommit(state, index);
-    return;
-  }
-  state.log.reset(snapshot);
-  state.commitIndex = index;
-  state.emit({kind: 'restore', snapshot});
-  const seq = state.persist({
-    kind: 'snapshot',
-    snapshot,
-    keepAfter: {index, term},
-    resetLog: true,
-  });
-  state.markReset(seq);
-}
--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -11,6 +11,7 @@
 } from './createReplicatedLog';
 import type {CoreEffect, CoreEvent, LogTiming} from './coreEvents';
 import type {DurableState, LogEntry} from './entry';
+import {LogApplier} from './logApplier';
 import type {LogStorage} from './logStorage';
 import {LogWriter} from './logWriter';
 import type {CoreReply, CoreRequest, PeerReply, PeerRequest} from './messages';
@@ -48,8 +49,7 @@
   private running = true;
   private closed = false;
   private nextRequest = 1;
-  private appliedIndex: number;
-  private snapshotIndex: number;
+  private readonly applier: LogApplier;
 
   constructor(
     private readonly options: LogDriverOptions,
@@ -58,10 +58,9 @@
   ) {
     this.peers = new Map(options.peers.map(peer => [peer.id, peer]));
     this.writer = new LogWriter(storage, err => this.fail(err));
-    const {snapshot} = durable;
-    if (snapshot !== undefined) options.stateMachine.restore(snapshot.data);
-    this.appliedIndex = snapshot?.index ?? 0;
-    this.snapshotIndex = this.appliedIndex;
+    const {stateMachine, limits} = options;
+    this.applier = new LogApplier(stateMachine, this.calls, limits);
+    if (durable.snapshot !== undefined) this.applier.restore(durable.snapshot);
     this.core = this.createCore(durable);
     this.statusSubject = new BehaviorSubject(this.core.status());
     this.ticks = interval(TICK_MS).subscribe(() => this.handle({kind: 'tick'}));
@@ -136,6 +135,8 @@
         random,
         timing,
         batchEntries: limits.batchEntries,
+        batchChars: limits.batchChars,
+        chunkChars: limits.chunkChars,
         trailingEntries: limits.trailingEntries,
       },
       durable,
@@ -176,7 +177,7 @@
   }
 
   private async waitApplied(index: number): Promise<void> {
-    if (index <= this.appliedIndex) return;
+    if (index <= this.applier.appliedIndex) return;
     const timeout = new PeerError(
       {kind: 'timeout'},
       'readBarrier',
@@ -222,7 +223,7 @@
       case 'apply':
         return this.apply(effect.entries);
       case 'restore':
-        return this.restore(effect);
+        return this.applier.restore(effect.snapshot);
       case 'proposed':
         return this.calls.place(effect.ticket, effect.index);
       case 'refused':
@@ -275,35 +276,9 @@
   }
 
   private apply(entries: readonly LogEntry[]): void {
-    const {stateMachine} = this.options;
-    for (const {index, body} of entries) {
-      this.appliedIndex = index;
-      if (body.kind === 'configuration') continue;
-      this.calls.resolveAt(index, stateMachine.apply(body.command, index));
-    }
-    this.calls.reached(this.appliedIndex);
-    this.snapshotIfDue();
-  }
-
-  private snapshotIfDue(): void {
-    const {snapshotEntries, snapshotBytes} = this.options.limits;
-    const grown = this.appliedIndex - this.snapshotIndex;
-    if (grown === 0) return;
-    if (
-      grown < snapshotEntries &&
-      this.storage.bytesSinceSnapshot < snapshotBytes
-    )
-      return;
-    this.snapshotIndex = this.appliedIndex;
-    const data = this.options.stateMachine.snapshot();
-    this.handle({kind: 'snapshotTaken', index: this.appliedIndex, data});
-  }
-
-  private restore({snapshot}: Extract<CoreEffect, {kind: 'restore'}>): void {
-    this.options.stateMachine.restore(snapshot.data);
-    this.appliedIndex = snapshot.index;
-    this.snapshotIndex = snapshot.index;
-    this.calls.reached(this.appliedIndex);
+    this.applier.apply(entries);
+    const taken = this.applier.snapshotIfDue(this.storage.bytesSinceSnapshot);
+    if (taken !== undefined) this.handle({kind: 'snapshotTaken', ...taken});
   }
 
   private refuse(ticket: number, leaderId: string | undefined): void {
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -78,8 +78,12 @@
       index: INDEX,
       term: INDEX,
       configuration: CONFIGURATION,
-      data: z.string(),
     }),
+    /** Where `chunk` begins in the data, in UTF-16 units. */
+    offset: INDEX,
+    chunk: z.string(),
+    /** Whether the data ends with this chunk. */
+    done: z.boolean(),
   }),
   z.strictObject({kind: z.literal('readIndex'), from: ID}),
 ]);
@@ -111,6 +115,8 @@
     matchIndex: INDEX,
     /** When not ok: where the leader should try next. */
     hint: INDEX,
+    /** Of an unfinished snapshot: how much of its data is here. */
+    received: INDEX,
     seq: INDEX,
     round: INDEX,
     sentAt: z.number(),
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -1,13 +1,16 @@
 /** The leader's side: sends entries and heartbeats, counts synced copies. */
 
 import type {CoreState, Leadership, PeerProgress} from './coreState';
-import type {EntryBody, Voter} from './entry';
+import type {EntryBody, LogEntry, Voter} from './entry';
 import {quorumOf} from './entry';
 import type {CoreReply, ReplyOf, RequestOf} from './messages';
 import {maybeReconfigure} from './membership';
 import {advanceCommit} from './commit';
 import {confirmReads} from './reads';
 import {follow} from './election';
+import {entryChars} from './entrySize';
+
+type WireConfiguration = RequestOf<'snapshot'>['snapshot']['configuration'];
 
 /** Takes the lead: puts a noop in the log and tells everyone. */
 export function startLeading(state: CoreState): void {
@@ -80,9 +83,10 @@
   progress.nextIndex = Math.min(progress.nextIndex, lastIndex);
   progress.inFlightSince = state.now;
   if (progress.nextIndex <= state.log.baseIndex) {
-    progress.inFlight = sendSnapshot(state, id, progress.incarnation);
+    progress.inFlight = sendSnapshot(state, id, progress);
     return;
   }
+  progress.transfer = undefined;
   const prevIndex = progress.nextIndex - 1;
   progress.inFlight = sendAppend(state, id, progress, prevIndex, true);
 }
@@ -94,32 +98,51 @@
   prevIndex: number,
   withEntries: boolean
 ): number {
-  const limit = withEntries ? state.options.batchEntries : 0;
   const message: RequestOf<'append'> = {
     kind: 'append',
     ...leaderFields(state, progress.incarnation ?? ''),
     prevIndex,
     prevTerm: state.log.termAt(prevIndex) ?? 0,
-    entries: [
-      ...state.log.slice(prevIndex + 1, limit),
-    ] as RequestOf<'append'>['entries'],
+    entries: (withEntries
+      ? nextBatch(state, prevIndex)
+      : []) as RequestOf<'append'>['entries'],
     commitIndex: state.commitIndex,
   };
   state.emit({kind: 'send', to: id, message});
   return message.seq;
 }
 
+/** Entries after `prevIndex`: at least one, and no more than the limits. */
+function nextBatch(state: CoreState, prevIndex: number): readonly LogEntry[] {
+  const {batchEntries, batchChars} = state.options;
+  const entries = state.log.slice(prevIndex + 1, batchEntries);
+  let chars = 0;
+  const over = entries.findIndex(entry => {
+    chars += entryChars(entry);
+    return chars > batchChars;
+  });
+  return over < 0 ? entries : entries.slice(0, Math.max(1, over));
+}
+
+/** Sends the next chunk; a snapshot once begun is sent to its end. */
 function sendSnapshot(
   state: CoreState,
   id: string,
-  incarnation: string
+  progress: PeerProgress
 ): number | undefined {
-  const {snapshot} = state.log;
+  const snapshot = progress.transfer?.snapshot ?? state.log.snapshot;
   if (snapshot === undefined) return undefined;
+  const offset = progress.transfer?.offset ?? 0;
+  progress.transfer = {snapshot, offset};
+  const end = offset + state.options.chunkChars;
+  const {index, term, configuration, data} = snapshot;
   const message: RequestOf<'snapshot'> = {
     kind: 'snapshot',
-    ...leaderFields(state, incarnation),
-    snapshot: snapshot as RequestOf<'snapshot'>['snapshot'],
+    ...leaderFields(state, progress.incarnation ?? ''),
+    snapshot: {index, term, configuration: configuration as WireConfiguration},
+    offset,
+    chunk: data.slice(offset, end),
+    done: end >= data.length,
   };
   state.emit({kind: 'send', to: id, message});
   return message.seq;
@@ -231,6 +254,7 @@
   if (answersInFlight) progress.inFlight = undefined;
   progress.ackedSentAt = Math.max(progress.ackedSentAt, message.sentAt);
   progress.ackedRound = Math.max(progress.ackedRound, message.round);
+  if (answersInFlight) onChunkTaken(progress, message);
   if (message.ok) onMatched(progress, message.matchIndex);
   else if (answersInFlight) onMismatch(progress, message.hint);
   commitByQuorum(state, leadership);
@@ -239,6 +263,18 @@
   replicate(state, from);
 }
 
+function onChunkTaken(
+  progress: PeerProgress,
+  message: ReplyOf<'progress'>
+): void {
+  if (progress.transfer === undefined || !message.ok) return;
+  const {snapshot} = progress.transfer;
+  const isWhole = message.matchIndex >= snapshot.index;
+  progress.transfer = isWhole
+    ? undefined
+    : {snapshot, offset: message.received};
+}
+
 function onMatched(progress: PeerProgress, matchIndex: number): void {
   progress.matchIndex = Math.max(progress.matchIndex, matchIndex);
   progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
