--- a/src/rules/crossCheck.ts
+++ b/src/rules/crossCheck.ts
@@ -2,6 +2,7 @@
 
 import {suggestion} from '../core/nearestName';
 import {unreachable} from '../core/errors';
+import {columnOf} from './parseLine';
 import type {PlacedRule} from './parseLine';
 import type {LimitRule, PoolRule, Rule, RouteRule} from './rule';
 import type {RuleProblem} from './ruleProblem';
@@ -46,7 +47,7 @@
   key: string | undefined,
   reason: string
 ): RuleProblem {
-  const column = key === undefined ? 1 : (item.columns.get(key) ?? 1);
+  const column = key === undefined ? 1 : columnOf(item, key);
   return {line: item.rule.line, column, reason};
 }
 
--- a/src/rules/parseLine.ts
+++ b/src/rules/parseLine.ts
@@ -11,11 +11,10 @@
 import type {Word} from './tokenizeLine';
 import {toRule} from './toRule';
 
-/** A rule with the columns of its values, for checks across lines. */
+/** A rule with its line as written, for checks across lines. */
 export interface PlacedRule {
   readonly rule: Rule;
-  /** Column of each value by its key in the file. */
-  readonly columns: ReadonlyMap<string, number>;
+  readonly text: string;
 }
 
 /** What a line came to; a blank or comment line has neither. */
@@ -136,12 +135,14 @@
 }
 
 function parseRule(
+  text: string,
   line: number,
   first: Word,
   rest: readonly Word[],
-  comment: Word | undefined,
-  end: number
+  comment: Word | undefined
 ): ParsedLine {
+  const last = rest.at(-1) ?? first;
+  const end = last.column + last.text.length;
   const fields = RULE_FIELDS.get(first.text);
   if (fields === undefined) {
     const known = [...RULE_FIELDS.keys()];
@@ -160,7 +161,7 @@
   if (!parsed.success || askedBy === undefined || reader.problems.length > 0)
     return {problems: reader.problems};
   const rule = toRule(parsed.data, {line, askedBy});
-  return {placed: {rule, columns: reader.columns}, problems: []};
+  return {placed: {rule, text}, problems: []};
 }
 
 /** The rule on one line, or all that is wrong with the line by itself. */
@@ -172,7 +173,14 @@
   }
   const [first, ...rest] = tokenized.words;
   if (first === undefined) return {problems: []};
-  const last = rest.at(-1) ?? first;
-  const end = last.column + last.text.length;
-  return parseRule(line, first, rest, tokenized.comment, end);
+  return parseRule(text, line, first, rest, tokenized.comment);
+}
+
+/** Column of one value in a good line; 1 when the line leaves it out. */
+export function columnOf({rule, text}: PlacedRule, key: string): number {
+  const tokenized = tokenizeLine(text);
+  const fields = RULE_FIELDS.get(rule.kind) ?? [];
+  const reader = new LineReader(rule.line, fields);
+  if (tokenized.ok) readWords(reader, rule.kind, tokenized.words.slice(1));
+  return reader.columns.get(key) ?? 1;
 }
--- a/src/rules/parseRules.ts
+++ b/src/rules/parseRules.ts
@@ -6,10 +6,9 @@
 import {ANY_CUSTOMER, crossCheck} from './crossCheck';
 import type {Declared} from './crossCheck';
 import {parseLine} from './parseLine';
-import type {PlacedRule} from './parseLine';
-import type {RuleSet} from './rule';
+import type {ParsedLine, PlacedRule} from './parseLine';
+import type {Rule, RuleSet} from './rule';
 import type {RuleProblem} from './ruleProblem';
-import {tokenizeLine} from './tokenizeLine';
 
 /** The rules, or why there are none. */
 export type ParseResult =
@@ -19,18 +18,16 @@
 /** Largest file taken, in characters. */
 const MAX_TEXT_LENGTH = 1_048_576;
 
+const DECLARATION = /^\s*(pool|customer)\s+([^\s#]+)/;
+
 /** Names declared on any line, also on one with another fault. */
 function declaredNames(lines: readonly string[]): Declared {
   const pools = new Set<string>();
   const customers = new Set<string>([ANY_CUSTOMER]);
   for (const line of lines) {
-    if (!/^\s*(pool|customer)\s/.test(line)) continue;
-    const tokenized = tokenizeLine(line);
-    if (!tokenized.ok) continue;
-    const [word, name] = tokenized.words;
-    if (name === undefined) continue;
-    if (word?.text === 'pool') pools.add(name.text);
-    if (word?.text === 'customer') customers.add(name.text);
+    const [, word, name = ''] = DECLARATION.exec(line) ?? [];
+    if (word === 'pool') pools.add(name);
+    if (word === 'customer') customers.add(name);
   }
   return {pools, customers};
 }
@@ -58,14 +55,46 @@
   return 0;
 }
 
-/** Parses the text of a rule file. */
-export function parseRules(text: string): ParseResult {
+function splitLines(text: string): readonly string[] {
+  return text.replace(/^\uFEFF/, '').split(/\r?\n/);
+}
+
+/** Good lines of the file before, as written. */
+function knownLines(previous: RuleSet | undefined): ReadonlyMap<string, Rule> {
+  const known = new Map<string, Rule>();
+  if (previous === undefined) return known;
+  const lines = splitLines(previous.text);
+  for (const rule of previous.rules) {
+    const text = lines[rule.line - 1];
+    if (text !== undefined) known.set(text, rule);
+  }
+  return known;
+}
+
+function parseLines(
+  lines: readonly string[],
+  known: ReadonlyMap<string, Rule>
+): readonly ParsedLine[] {
+  return lines.map((text, index) => {
+    const line = index + 1;
+    const rule = known.get(text);
+    if (rule === undefined) return parseLine(text, line);
+    const placed = {rule: rule.line === line ? rule : {...rule, line}, text};
+    return {placed, problems: []};
+  });
+}
+
+/**
+ * Parses the text of a rule file. Given the rules before, lines that stay as
+ * they were are not read again; the result is the same.
+ */
+export function parseRules(text: string, previous?: RuleSet): ParseResult {
   if (text.length > MAX_TEXT_LENGTH) {
     const reason = `the file is longer than ${MAX_TEXT_LENGTH} characters`;
     return {ok: false, problems: [{line: 1, column: 1, reason}]};
   }
-  const lines = text.replace(/^\uFEFF/, '').split(/\r?\n/);
-  const parsed = lines.map((line, index) => parseLine(line, index + 1));
+  const lines = splitLines(text);
+  const parsed = parseLines(lines, knownLines(previous));
   const placed = parsed.flatMap(item => item.placed ?? []);
   const problems = [
     ...parsed.flatMap(item => item.problems),
--- a/src/rules/tokenizeLine.ts
+++ b/src/rules/tokenizeLine.ts
@@ -22,20 +22,18 @@
 const MAX_LINE_LENGTH = 1000;
 const CONTROL_CHARACTER = /[\p{Cc}\p{Cf}\u2028\u2029]/u;
 const PLAIN_WORDS_ONLY =
-  'quotes, backslashes and ${} have no meaning here; write plain words';
+  'quotes, backslashes and "$" have no meaning here; write plain words';
 
 function failure(column: number, reason: string): TokenizedLine {
   return {ok: false, column, reason};
 }
 
-/** Variables stay as written; the check of the value then refuses the `$`. */
-function keepVariable(name: string): string {
-  return `$${name}`;
-}
+/** No variable has a value, so a word with one differs from its source. */
+const NO_VARIABLES: Readonly<Record<string, string>> = Object.create(null);
 
 function tokens(line: string): readonly ParseEntry[] | undefined {
   try {
-    return parse(line, keepVariable);
+    return parse(line, NO_VARIABLES);
   } catch {
     return undefined;
   }
