--- a/src/cli/inForce.ts
+++ b/src/cli/inForce.ts
@@ -52,6 +52,12 @@
   }
 }
 
+/** A later one is held after another submission, or since control lost all. */
+function laterHeld(process: ProcessStatus, revision: number): string {
+  const {heldRevision} = process;
+  return heldRevision > revision ? `, holds ${heldRevision} already` : '';
+}
+
 function describe({processId, role, availabilityZone}: ProcessStatus): string {
   return `${role} ${processId} in ${availabilityZone}`;
 }
@@ -81,7 +87,9 @@
     const status = await client.status().catch(() => undefined);
     const elapsedMs = performance.now() - startedAt;
     for (const process of status === undefined ? [] : tracker.update(status))
-      print(`in force: ${describe(process)} (${Math.round(elapsedMs)} ms)`);
+      print(
+        `in force: ${describe(process)} (${Math.round(elapsedMs)} ms${laterHeld(process, revision)})`
+      );
     const behind = tracker.withStanding('behind').length;
     const silent = tracker.withStanding('silent').length;
     if (status !== undefined && behind === 0 && silent === 0) {
--- a/src/control/state/rulesState.ts
+++ b/src/control/state/rulesState.ts
@@ -30,7 +30,7 @@
 
   apply(command: SubmitCommand): SubmitResult {
     const {revision} = command;
-    if (revision === this.revision + 1) return this.accept(command);
+    if (this.mayFollow(revision)) return this.accept(command);
     const current = this.revision;
     if (revision > current) return {kind: 'gap', revision, current};
     const accepted = this.history.get(revision);
@@ -61,6 +61,15 @@
     this.history = new Map(snapshot.history);
   }
 
+  /**
+   * The first file may have any number. When every disk of control was lost,
+   * processes still hold the last revision and take none below it: numbered
+   * from 1 again, the operators' files would be accepted and never in force.
+   */
+  private mayFollow(revision: number): boolean {
+    return this.revision === 0 || revision === this.revision + 1;
+  }
+
   private accept(command: SubmitCommand): SubmitResult {
     const {revision, digest, submittedBy} = command;
     this.revision = revision;
--- a/tests/operatorClient.spec.ts
+++ b/tests/operatorClient.spec.ts
@@ -172,6 +172,7 @@
       5000
     );
     expect(everywhere).toBe(true);
+    expect(text).toContain('e2 in zone-a (200 ms, holds 8 already)');
     expect(text.split('\n').map(line => line.replace(/ \(.*/, ''))).toEqual([
       'in force: entry e1 in zone-a',
       'in force: entry e2 in zone-a',
