--- a/tests/operatorClient.spec.ts
+++ b/tests/operatorClient.spec.ts
@@ -219,30 +219,30 @@
       commitIndex: 1,
     };
     const leaving = target('t1', {seq: 9, state: 'leaving'});
-    const merged = mergeStatus(
-      [
-        {
-          instance,
-          revision: 6,
-          rulesText: 'old',
-          processes: [{...processAt('e1', 6), pollAgeMs: 2900}],
-          targets: [target('t1', {seq: 8})],
-        },
-        {
-          instance,
-          revision: 7,
-          rulesText: RULES,
-          processes: [processAt('e1', 7)],
-          targets: [leaving],
-        },
-      ],
-      [{id: 'c3', reason: 'timeout'}]
-    );
-    expect(merged.rulesText).toBe(RULES);
-    expect(merged.revision).toBe(7);
-    expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
-    expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
-    expect(merged.silent).toHaveLength(1);
+    const old = {
+      instance,
+      revision: 6,
+      rulesText: 'old',
+      processes: [{...processAt('e1', 6), pollAgeMs: 2900}],
+      targets: [target('t1', {seq: 8})],
+    };
+    const current = {
+      instance,
+      revision: 7,
+      rulesText: RULES,
+      processes: [processAt('e1', 7)],
+      targets: [leaving],
+    };
+    const silent = [{id: 'c3', reason: 'timeout'}];
+    for (const answers of [
+      [old, current],
+      [current, old],
+    ]) {
+      const merged = mergeStatus(answers, silent);
+      expect(merged).toMatchObject({revision: 7, rulesText: RULES, silent});
+      expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
+      expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
+    }
   });
 });
 
