--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -175,7 +175,7 @@
         metrics.count('rules.regressed');
       return;
     }
-    const parsed = parseRules(rules.text);
+    const parsed = parseRules(rules.text, this.rules?.index.ruleSet);
     if (!parsed.ok) {
       logger.error(
         {revision: rules.revision, problems: parsed.problems},
