Resume streams at the exact token, decided without I/O

A state machine says of every event of a stream whether the caller gets it, and after a loss where another target must go on; a thin relay moves the bytes under back-pressure. The model version is read from the stream itself, since an announced one may be older than a switch. An end without a reason for having finished is a loss: a target that shuts down may end in good form.

Ruled out: resuming on any target and dropping by text, which cannot tell a repeated word from a repeated token.

--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -1,6 +1,7 @@
 /** The models that the fuzz command and CI run. */
 
 import type {FuzzModel} from './fuzzModel';
+import {streamModel} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [];
+export const FUZZ_MODELS: readonly FuzzModel[] = [streamModel];
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -94,6 +94,13 @@
     false,
     'the request may have run; its answer was lost'
   ),
+  'stream-cut': kind(
+    502,
+    'outcome unknown',
+    true,
+    false,
+    'the stream was lost and could not be resumed at the exact token'
+  ),
   'customer-limit': kind(
     429,
     'not run',
