Hold whole answers back so that a lost target can be replaced unseen

Up to a bound nothing reaches the caller before the answer is complete, so an idempotent call is tried again and any other gets an honest refusal; a larger answer passes through, and its loss breaks the connection off.

--- a/src/entry/chat/wholeAnswer.ts
+++ b/src/entry/chat/wholeAnswer.ts
@@ -68,6 +68,7 @@
   const stop = () => source.body.destroy();
   caller.once('close', stop);
   signal.addEventListener('abort', stop, {once: true});
+  if (caller.destroyed || signal.aborted) stop();
   try {
     for await (const chunk of source.body as AsyncIterable<Buffer>) {
       if (!head.pass(chunk)) await drained(caller, signal);
--- /dev/null
+++ b/tests/wholeAnswer.spec.ts
@@ -0,0 +1,174 @@
+import http from 'node:http';
+import {Writable} from 'node:stream';
+import {FakeLedger} from '../fakes/ledger';
+import {relayWhole, WholeEnd, WholeSource} from '../src/entry/chat/wholeAnswer';
+import {closeTargets, scripted, send, started} from './fixtures/targets';
+
+interface HttpSource extends WholeSource {
+  readonly res: http.IncomingMessage;
+}
+
+const HOLD_BYTES = 1000;
+
+/** Asks a target; what it answers becomes a source. */
+function ask(port: number, path: string): Promise<HttpSource> {
+  return new Promise((resolve, reject) => {
+    const req = http.request({host: '127.0.0.1', port, path, agent: false});
+    req.once('error', reject);
+    req.once('response', res =>
+      resolve({
+        res,
+        body: res,
+        complete: () => res.complete,
+        cancel: () => req.destroy(),
+      })
+    );
+    req.end();
+  });
+}
+
+/** A relay in front of a ledger; attempts beyond the first are allowed. */
+async function relayTo(
+  ledger: FakeLedger,
+  attempts: number,
+  signal = new AbortController().signal
+) {
+  const ends: WholeEnd<HttpSource>[] = [];
+  let left = attempts;
+  const {port} = await scripted((req, res) => {
+    const open = () => ask(ledger.port, req.url ?? '/');
+    const retry = () =>
+      --left > 0 ? open() : Promise.reject(new Error('no attempt left'));
+    void open().then(async source => {
+      const end = await relayWhole<HttpSource>({
+        source,
+        caller: res,
+        holdBytes: HOLD_BYTES,
+        signal,
+        writeHead: ({res: {statusCode, headers}}) =>
+          res.writeHead(statusCode ?? 500, headers),
+        writeEnd: () => res.end(),
+        retry: attempts > 1 ? retry : undefined,
+      });
+      ends.push(end);
+      if (end.kind === 'lost') res.writeHead(502).end(end.detail);
+    });
+  });
+  return {port, ends};
+}
+
+afterEach(closeTargets);
+
+describe('whole answers', () => {
+  it.each([
+    ['small', '/echo', 1],
+    ['large', '/echo?bytes=3000000', 3_000_000],
+    ['chunked', '/echo?chunks=50', 'chunk 0\n'.length * 50],
+  ])('should pass on a %s answer whole', async (_name, path, bytes) => {
+    const ledger = await started(new FakeLedger());
+    const {port, ends} = await relayTo(ledger, 2);
+    const relayed = await send(port, path, {});
+    expect(relayed).toMatchObject({status: 200, whole: true});
+    expect(relayed.text.length).toBeGreaterThanOrEqual(bytes);
+    expect(ends.map(end => end.kind)).toEqual(['done']);
+    expect(ledger.runs).toHaveLength(1);
+  });
+
+  it('should mend the loss of an idempotent answer unseen', async () => {
+    // The target dies within its answer. The caller has seen no byte yet, as
+    // small answers are held back, and gets the whole answer of another try.
+    const ledger = await started(new FakeLedger());
+    ledger.breakNext({kind: 'truncate', times: 2});
+    const {port, ends} = await relayTo(ledger, 3);
+    const reply = await send(port, '/echo', {});
+    expect(reply).toMatchObject({status: 200, whole: true});
+    expect(JSON.parse(reply.text)).toMatchObject({path: '/echo'});
+    expect(ends.map(end => end.kind)).toEqual(['done']);
+    expect(ledger.runs).toHaveLength(3);
+  });
+
+  it.each([
+    ['not idempotent', 1, 1],
+    ['out of attempts', 2, 2],
+  ])(
+    'should say that the answer is lost when %s',
+    async (_name, attempts, runs) => {
+      const ledger = await started(new FakeLedger());
+      ledger.breakNext({kind: 'truncate', times: 9});
+      const {port, ends} = await relayTo(ledger, attempts);
+      expect(await send(port, '/echo', {})).toMatchObject({status: 502});
+      expect(ends.map(end => end.kind)).toEqual(['lost']);
+      expect(ledger.runs).toHaveLength(runs);
+    }
+  );
+
+  it('should break off an answer whose head has gone out', async () => {
+    // The answer exceeds what is held back, so the caller has its head and
+    // some of the body when the target dies. A closed connection short of the
+    // promised length is all that is left; a retry would splice two answers.
+    const {port: broken} = await scripted((_req, res) => {
+      res.writeHead(200, {'content-length': 10_000});
+      res.write('x'.repeat(5000), () => res.destroy());
+    });
+    const ledger = {port: broken} as FakeLedger;
+    const {port, ends} = await relayTo(ledger, 3);
+    const reply = await send(port, '/', {});
+    expect(reply).toMatchObject({status: 200, whole: false});
+    expect(ends.map(end => end.kind)).toEqual(['cut']);
+  });
+
+  it.each([
+    ['the caller goes', 'caller gone'],
+    ['the deadline passes', 'lost'],
+  ])('should stop the target when %s', async (name, kind) => {
+    const abort = new AbortController();
+    let stopped: () => void;
+    const targetStopped = new Promise<void>(done => (stopped = done));
+    let caller: http.ClientRequest | undefined = undefined;
+    const {port: target} = await scripted((_req, res) => {
+      res.once('close', () => stopped());
+      res
+        .writeHead(200)
+        .write('x', () =>
+          name === 'the caller goes' ? caller?.destroy() : abort.abort()
+        );
+    });
+    const {port, ends} = await relayTo(
+      {port: target} as FakeLedger,
+      3,
+      abort.signal
+    );
+    caller = http.get({host: '127.0.0.1', port, agent: false});
+    caller.on('error', () => undefined);
+    await targetStopped;
+    while (ends.length === 0) await new Promise(setImmediate);
+    expect(ends.map(end => end.kind)).toEqual([kind]);
+  });
+
+  it('should not outrun a caller that reads slowly', async () => {
+    const written: number[] = [];
+    const waiting: (() => void)[] = [];
+    const caller = new Writable({
+      highWaterMark: 16,
+      write: (chunk: Buffer, _encoding, done) => {
+        written.push(chunk.length);
+        waiting.push(done);
+      },
+    });
+    const ledger = await started(new FakeLedger());
+    const source = await ask(ledger.port, '/echo?bytes=5000000');
+    const end = relayWhole({
+      source,
+      caller,
+      holdBytes: 0,
+      signal: new AbortController().signal,
+      writeHead: () => undefined,
+      writeEnd: () => caller.end(),
+    });
+    while (waiting.length === 0) await new Promise(setImmediate);
+    for (let i = 0; i < 50; i++) await new Promise(setImmediate);
+    expect(written).toHaveLength(1);
+    caller.destroy();
+    expect(await end).toEqual({kind: 'caller gone'});
+  });
+});
