--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -34,7 +34,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Called when the disk can no longer be trusted; the process must end. */
-  readonly onFatal: (err: Error) => void;
+  readonly onFatal: (err: unknown) => void;
 }
 
 /** A running control instance. */
@@ -87,13 +87,14 @@
         client.call<unknown>(METHODS.log, {message}, PEER_TIMEOUT_MS);
       return {id: address.id, send};
     });
-  const {id, dataDir, logger, onFatal} = options;
+  const {id, dataDir, logger, metrics, onFatal} = options;
   return createReplicatedLog({
     id,
     peers,
     dataDir,
     stateMachine: state,
     logger,
+    metrics,
     random: Math.random,
     onFatal,
   });
