--- a/bench/mutants.ts
+++ b/bench/mutants.ts
@@ -5,6 +5,7 @@
 
 import {spawnSync} from 'node:child_process';
 import {
+  existsSync,
   mkdtempSync,
   readFileSync,
   readdirSync,
@@ -47,7 +48,7 @@
 /** A scratch copy of the sources, so that the work tree is never touched. */
 function scratchCopy(): string {
   const dir = mkdtempSync(path.join(tmpdir(), 'marlpulley-mutants-'));
-  for (const name of COPIED)
+  for (const name of COPIED.filter(name => existsSync(path.join(ROOT, name))))
     cpSync(path.join(ROOT, name), path.join(dir, name), {recursive: true});
   symlinkSync(path.join(ROOT, 'node_modules'), path.join(dir, 'node_modules'));
   return dir;
