Name each attempt to an engine on its own

A stream can be resumed on the engine that lost it; the late cancel of the lost attempt then stopped the new one, as both bore one request id. The id at the engine now carries the attempt, and a cancel names it. Engines are also asked for plain bodies: a compressed stream cannot be read for ids. Ruled out: refusing to resume on the same engine, as it may be the only one.

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -232,7 +232,7 @@
     const {core, dispatch} = this;
     try {
       const answer = await core.adapter.cancel(
-        dispatch.requestId,
+        dispatch,
         AbortSignal.timeout(CANCEL_TIMEOUT_MS)
       );
       if (answer.kind === 'unsupported') core.state.strained(performance.now());
--- a/src/target/engineAdapter.ts
+++ b/src/target/engineAdapter.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 import type {Dispatch} from '../core/wire';
 import {
+  AttemptId,
   CancelAnswer,
   CacheEvents,
   OrderAnswer,
@@ -86,7 +87,9 @@
 
   requestHeaders(dispatch: Dispatch): RequestHeaders {
     const headers: Record<string, string> = {
-      'x-request-id': dispatch.requestId,
+      'x-request-id': engineRequestId(dispatch),
+      // Events are read on the way, which compressed ones could not be.
+      'accept-encoding': 'identity',
       'x-priority': String(dispatch.priority),
       'x-deadline-ms': String(Math.floor(dispatch.remainingMs)),
     };
@@ -96,7 +99,8 @@
     return headers;
   }
 
-  async cancel(requestId: string, signal: AbortSignal): Promise<CancelAnswer> {
+  async cancel(attempt: AttemptId, signal: AbortSignal): Promise<CancelAnswer> {
+    const requestId = engineRequestId(attempt);
     const answer = await this.client.post(CANCEL_PATH, {requestId}, signal);
     if (answer.status === NOT_FOUND) return {kind: 'unsupported'};
     const {cancelled} = this.read(CANCEL_ANSWER, answer.status, answer.body);
@@ -159,6 +163,14 @@
   }
 }
 
+/**
+ * A stream may be resumed on the very engine that lost it. The cancel of the
+ * lost attempt can arrive after that, and must not stop the new one.
+ */
+function engineRequestId({requestId, attempt}: AttemptId): string {
+  return `${requestId}.${attempt}`;
+}
+
 /** Growth of running totals; the totals themselves after a restart. */
 function increase(
   now: readonly number[] | undefined,
--- a/src/target/targetAdapter.ts
+++ b/src/target/targetAdapter.ts
@@ -120,6 +120,9 @@
   | {readonly kind: 'not running'}
   | {readonly kind: 'unsupported'};
 
+/** One attempt of one request; a Dispatch is one. */
+export type AttemptId = Pick<Dispatch, 'requestId' | 'attempt'>;
+
 /** Headers to set on a request to the target, lower case. */
 export type RequestHeaders = Readonly<Record<string, string>>;
 
@@ -134,8 +137,8 @@
   observe(signal: AbortSignal): Promise<TargetObservation>;
   /** Headers for the target, over those of the caller. */
   requestHeaders(dispatch: Dispatch): RequestHeaders;
-  /** Stops a request that still runs there. Safe to repeat. */
-  cancel(requestId: string, signal: AbortSignal): Promise<CancelAnswer>;
+  /** Stops one attempt that still runs there. Safe to repeat. */
+  cancel(attempt: AttemptId, signal: AbortSignal): Promise<CancelAnswer>;
   order(order: TargetOrder, signal: AbortSignal): Promise<OrderAnswer>;
   /** Drops idle connections to the target. */
   close(): void;
--- a/tests/streamRelay.spec.ts
+++ b/tests/streamRelay.spec.ts
@@ -116,7 +116,7 @@
       expect(reply).toMatchObject({whole: true});
       expect(reply.text.endsWith('data: [DONE]\n\n')).toBe(true);
       const resumed =
-        kind === 'repeatToken' || token === 0 ? {} : {r1: [token]};
+        kind === 'repeatToken' || token === 0 ? {} : {'r1.1': [token]};
       expect(second.counters.resumedFrom).toEqual(resumed);
     }
   );
--- a/tests/targetAdapter.spec.ts
+++ b/tests/targetAdapter.spec.ts
@@ -201,15 +201,26 @@
     });
   });
 
-  it('should cancel by request id, once', async () => {
+  it('should cancel one attempt and leave the one that took over', async () => {
+    // A stream is lost and resumed on the same engine. The cancel of the lost
+    // attempt comes late; it must not stop the attempt that goes on.
     const engine = await started(new FakeEngine());
     const adapter = adapterOf('engine', engine.port);
-    const headers = adapter.requestHeaders(dispatch);
-    const reply = send(engine.port, CHAT_PATH, chatBody(100000), headers);
-    while (engine.current.batch.size === 0) await adapter.observe(never);
-    expect(await adapter.cancel('r1', never)).toEqual({kind: 'cancelled'});
-    expect(await adapter.cancel('r1', never)).toEqual({kind: 'not running'});
-    expect((await reply).whole).toBe(false);
+    const second = {...dispatch, attempt: 2};
+    const run = (one: Dispatch, tokens: number) =>
+      send(engine.port, CHAT_PATH, chatBody(tokens), {
+        ...adapter.requestHeaders(one),
+      });
+    const replies = [run(dispatch, 100000), run(second, 200)];
+    while (engine.current.batch.size < 2) await adapter.observe(never);
+    expect(await adapter.cancel(dispatch, never)).toEqual({kind: 'cancelled'});
+    expect(await adapter.cancel(dispatch, never)).toEqual({
+      kind: 'not running',
+    });
+    expect((await Promise.all(replies)).map(r => r.whole)).toEqual([
+      false,
+      true,
+    ]);
     expect(engine.counters.cancelled).toBe(1);
   });
 
@@ -223,13 +234,14 @@
       ...adapter.requestHeaders({...dispatch, resumeFrom: 4}),
     });
     expect(adapter.requestHeaders(dispatch)).toEqual({
-      'x-request-id': 'r1',
+      'x-request-id': 'r1.1',
+      'accept-encoding': 'identity',
       'x-priority': '3',
       'x-deadline-ms': '900',
     });
     expect(rest.text).toMatch(/^id: 4\n/);
     expect(whole.text.endsWith(rest.text)).toBe(true);
-    expect(engine.counters.runsByRequest).toEqual({r1: 2});
+    expect(engine.counters.runsByRequest).toEqual({'r1.1': 2});
   });
 });
 
@@ -255,7 +267,9 @@
     const bare = adapterOf('service', port);
     const order: TargetOrder = {kind: 'setRole', fence: 1, role: 'mixed'};
     expect(await adapter.order(order, never)).toEqual({kind: 'unsupported'});
-    expect(await adapter.cancel('r1', never)).toEqual({kind: 'unsupported'});
+    expect(await adapter.cancel(dispatch, never)).toEqual({
+      kind: 'unsupported',
+    });
     await expect(adapter.observe(never)).rejects.toMatchObject({
       fault: {kind: 'rejected', code: 503},
     });
