--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -66,12 +66,13 @@
     false,
     'the key was used with another request'
   ),
+  // The record of an earlier request under the key may have been pruned.
   'key-expired': kind(
     409,
-    'not run',
+    'outcome unknown',
     false,
     false,
-    'the key is older than the retention'
+    'the key is older than the retention; an earlier request may have run'
   ),
   'key-record-full': kind(
     503,
