--- /dev/null
+++ b/src/policy/placement.ts
@@ -0,0 +1,104 @@
+/** Expert placement: the shape of a group, loads by rank, and their skew. */
+
+import type {ExpertMap} from '../core/mapMessages';
+
+/** Tokens by expert; only the proportions matter. */
+export type Popularity = readonly number[];
+
+/** The slots of a group of ranks, for one layer. */
+export interface PlacementShape {
+  readonly experts: number;
+  /** Slots of each rank. */
+  readonly slotsByRank: readonly number[];
+}
+
+/** One slot of one rank. */
+export interface SlotRef {
+  readonly rank: number;
+  readonly slot: number;
+}
+
+/** A slot that gets another expert: one load from the weight store. */
+export interface SlotChange extends SlotRef {
+  readonly expert: number;
+}
+
+/** Spreads the slots for experts and spares as evenly as possible. */
+export function evenShape(
+  ranks: number,
+  experts: number,
+  spareSlots: number
+): PlacementShape {
+  const total = experts + spareSlots;
+  const least = Math.floor(total / ranks);
+  const extra = total % ranks;
+  const slotsByRank = Array.from({length: ranks}, (_, rank) =>
+    rank < extra ? least + 1 : least
+  );
+  return {experts, slotsByRank};
+}
+
+/** The shape that a map has. */
+export function shapeOf(map: ExpertMap): PlacementShape {
+  const experts = 1 + Math.max(...map.slots.flat());
+  return {experts, slotsByRank: map.slots.map(slots => slots.length)};
+}
+
+/** Load of each rank, in the unit of the popularity. */
+export function rankLoads(
+  map: ExpertMap,
+  popularity: Popularity
+): readonly number[] {
+  return map.slots.map((slots, rank) => {
+    const shares = map.shares[rank] ?? [];
+    return slots.reduce(
+      (sum, expert, slot) =>
+        sum + (popularity[expert] ?? 0) * (shares[slot] ?? 0),
+      0
+    );
+  });
+}
+
+/** Slowest rank over the mean rank; 1 is perfect balance. */
+export function skewOf(loads: readonly number[]): number {
+  const total = loads.reduce((sum, load) => sum + load, 0);
+  if (total === 0) return 1;
+  return (Math.max(...loads) * loads.length) / total;
+}
+
+/** Skew of a map under a popularity. */
+export function mapSkew(map: ExpertMap, popularity: Popularity): number {
+  return skewOf(rankLoads(map, popularity));
+}
+
+/** Number of slots of a rank whose expert the rank did not hold before. */
+export function loadsNeeded(
+  from: ExpertMap | undefined,
+  to: ExpertMap
+): readonly number[] {
+  return to.slots.map((slots, rank) => {
+    const held = new Set(from?.slots[rank] ?? []);
+    return slots.filter(expert => !held.has(expert)).length;
+  });
+}
+
+/** Splits each expert evenly over its replicas, as engines do by default. */
+export function withEvenShares(slots: ExpertMap['slots']): ExpertMap {
+  const replicas = new Map<number, number>();
+  for (const expert of slots.flat())
+    replicas.set(expert, (replicas.get(expert) ?? 0) + 1);
+  const shares = slots.map(rankSlots =>
+    rankSlots.map(expert => 1 / (replicas.get(expert) ?? 1))
+  );
+  return {slots, shares};
+}
+
+/** Popularity scaled so that the mean rank has load 1. */
+export function scaledToMeanRank(
+  popularity: Popularity,
+  ranks: number
+): readonly number[] {
+  const total = popularity.reduce((sum, value) => sum + value, 0);
+  if (total === 0) return popularity;
+  return popularity.map(value => (value * ranks) / total);
+}
--- /dev/null
+++ b/src/policy/placementSplit.ts
@@ -0,0 +1,167 @@
+/**
+ * How the tokens of an expert are split over its replicas, for the least load
+ * of the slowest rank. The reachable loads form a base polytope, so the split
+ * with the least sum of squares also has the least maximum; filling one expert
+ * after the other to a common level converges to it.
+ */
+
+import type {ExpertMap} from '../core/mapMessages';
+import type {Popularity, SlotChange} from './placement';
+import {scaledToMeanRank} from './placement';
+
+const ENOUGH = 1e-5;
+
+interface Replica {
+  readonly rank: number;
+  readonly slot: number;
+  amount: number;
+}
+
+/** Slots, loads and split of one group while a plan is searched. */
+export class SplitState {
+  private constructor(
+    readonly popularity: readonly number[],
+    private readonly slots: number[][],
+    private readonly replicas: Replica[][],
+    readonly loads: number[]
+  ) {}
+
+  /** Starts from a map; loads are scaled so that their mean is 1. */
+  static of(map: ExpertMap, popularity: Popularity): SplitState {
+    const scaled = scaledToMeanRank(popularity, map.slots.length);
+    const replicas: Replica[][] = scaled.map(() => []);
+    const loads = map.slots.map(() => 0);
+    map.slots.forEach((slots, rank) =>
+      slots.forEach((expert, slot) => {
+        const share = map.shares[rank]?.[slot] ?? 0;
+        const amount = (scaled[expert] ?? 0) * share;
+        replicas[expert]?.push({rank, slot, amount});
+        loads[rank] = (loads[rank] ?? 0) + amount;
+      })
+    );
+    const slots = map.slots.map(list => [...list]);
+    return new SplitState(scaled, slots, replicas, loads);
+  }
+
+  clone(): SplitState {
+    return new SplitState(
+      this.popularity,
+      this.slots.map(list => [...list]),
+      this.replicas.map(list => list.map(replica => ({...replica}))),
+      [...this.loads]
+    );
+  }
+
+  expertAt(rank: number, slot: number): number {
+    return this.slots[rank]?.[slot] ?? -1;
+  }
+
+  slotsOf(rank: number): readonly number[] {
+    return this.slots[rank] ?? [];
+  }
+
+  replicasOf(expert: number): readonly Readonly<Replica>[] {
+    return this.replicas[expert] ?? [];
+  }
+
+  holds(rank: number, expert: number): boolean {
+    return this.slotsOf(rank).includes(expert);
+  }
+
+  /** Puts another expert into a slot and refills the two experts. */
+  change(change: SlotChange): void {
+    const {rank, slot, expert} = change;
+    const old = this.expertAt(rank, slot);
+    const list = this.replicas[old] ?? [];
+    const index = list.findIndex(r => r.rank === rank && r.slot === slot);
+    const [removed] = list.splice(index, 1);
+    this.addLoad(rank, -(removed?.amount ?? 0));
+    const row = this.slots[rank];
+    if (row) row[slot] = expert;
+    this.replicas[expert]?.push({rank, slot, amount: 0});
+    this.fill(old);
+    this.fill(expert);
+  }
+
+  /** Fills every replicated expert, until nothing moves or `sweeps` is over. */
+  relax(sweeps: number): void {
+    const replicated = this.replicas.flatMap((list, expert) =>
+      list.length > 1 ? [expert] : []
+    );
+    for (let sweep = 0; sweep < sweeps; sweep++) {
+      let moved = 0;
+      for (const expert of replicated) moved += this.fill(expert);
+      if (moved < ENOUGH) return;
+    }
+  }
+
+  /** Squares of the load above the mean; 0 in perfect balance. */
+  excess(): number {
+    return this.loads.reduce(
+      (sum, load) => sum + (load > 1 ? (load - 1) ** 2 : 0),
+      0
+    );
+  }
+
+  skew(): number {
+    return Math.max(...this.loads);
+  }
+
+  toMap(): ExpertMap {
+    const shares = this.slots.map(list => list.map(() => 0));
+    this.replicas.forEach((list, expert) => {
+      const total = this.popularity[expert] ?? 0;
+      for (const {rank, slot, amount} of list) {
+        const row = shares[rank];
+        if (row) row[slot] = total > 0 ? amount / total : 1 / list.length;
+      }
+    });
+    return {slots: this.slots.map(list => [...list]), shares};
+  }
+
+  private addLoad(rank: number, amount: number): void {
+    this.loads[rank] = (this.loads[rank] ?? 0) + amount;
+  }
+
+  /** Levels the ranks that hold the expert; returns the load that moved. */
+  private fill(expert: number): number {
+    const list = this.replicas[expert] ?? [];
+    const total = this.popularity[expert] ?? 0;
+    const base = list.map(r => (this.loads[r.rank] ?? 0) - r.amount);
+    const level = waterLevel(base, total);
+    let moved = 0;
+    list.forEach((replica, index) => {
+      const amount = Math.max(0, level - (base[index] ?? 0));
+      moved += Math.abs(amount - replica.amount);
+      this.addLoad(replica.rank, amount - replica.amount);
+      replica.amount = amount;
+    });
+    return moved;
+  }
+}
+
+/** The level to which `total` fills vessels that start at `base`. */
+export function waterLevel(base: readonly number[], total: number): number {
+  const sorted = [...base].sort((a, b) => a - b);
+  let sum = 0;
+  for (let count = 1; count <= sorted.length; count++) {
+    sum += sorted[count - 1] ?? 0;
+    const level = (sum + total) / count;
+    const next = sorted[count];
+    if (next === undefined || level <= next) return level;
+  }
+  return total;
+}
+
+/** Sweeps for a split that is put in force. */
+export const FULL_SWEEPS = 60;
+
+/** The same slots with the best split for a popularity. */
+export function withBestShares(
+  map: ExpertMap,
+  popularity: Popularity
+): ExpertMap {
+  const state = SplitState.of(map, popularity);
+  state.relax(FULL_SWEEPS);
+  return state.toMap();
+}
