--- /dev/null
+++ b/bench/measures/expertRun.ts
@@ -0,0 +1,156 @@
+/** Runs several ways of placing experts over the same popularity. */
+
+import {evenShape, rankLoads, skewOf} from '../../src/policy/placement';
+import {skewLowerBound} from '../../src/policy/placementBound';
+import {placeFromScratch} from '../../src/policy/placementGreedy';
+import type {RebalanceConfig} from '../../src/policy/rebalanceDecision';
+import {REBALANCE_DEFAULTS} from '../../src/policy/rebalanceDecision';
+import {SeededRandom} from '../fuzz/schedule';
+import type {PlacementPolicy, PolicySetup} from './expertPolicies';
+import {
+  IncrementalPolicy,
+  ScratchPolicy,
+  StaticPolicy,
+} from './expertPolicies';
+import type {WorldConfig} from './expertWorld';
+import {ExpertWorld, gaussian, WORLD} from './expertWorld';
+
+const SPARE_SLOTS = 32;
+const TICK_MS = 500;
+const WARM_UP_MS = 60_000;
+const HOUR_MS = 3_600_000;
+const BOUND_EVERY_TICKS = 20;
+
+/** Skews at the sampled steps, and costs an hour, of one policy. */
+export interface PolicyOutcome {
+  readonly name: string;
+  readonly mean: number;
+  readonly p50: number;
+  readonly p99: number;
+  readonly max: number;
+  readonly loadsPerHour: number;
+  readonly bytesPerHour: number;
+  readonly switchesPerHour: number;
+  readonly lostMsPerHour: number;
+  readonly skews: readonly number[];
+}
+
+/** Outcomes of all policies, and what no policy could beat. */
+export interface ExpertRunOutcome {
+  readonly policies: readonly PolicyOutcome[];
+  /** Mean of the lower bound with perfect knowledge and free moves. */
+  readonly bound: number;
+  /** Skew of a perfect map by the chance of tokens alone. */
+  readonly noiseMean: number;
+  readonly noiseP99: number;
+  readonly tickMs: number;
+}
+
+/** Value at a quantile of a list. */
+export function quantile(values: readonly number[], q: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.min(sorted.length - 1, Math.floor(q * sorted.length));
+  return sorted[index] ?? NaN;
+}
+
+/** Arithmetic mean of a list. */
+export function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Skew of one step: the expected loads and the chance of its tokens. */
+function sampledSkew(
+  loads: readonly number[],
+  world: WorldConfig,
+  random: SeededRandom
+): number {
+  const sampled = loads.map(load => {
+    const tokens = load * world.assignmentsPerStep;
+    return tokens + Math.sqrt(tokens) * gaussian(random);
+  });
+  return skewOf(sampled);
+}
+
+function outcomeOf(
+  policy: PlacementPolicy,
+  skews: readonly number[],
+  ms: number,
+  cfg: RebalanceConfig
+): PolicyOutcome {
+  const hours = ms / HOUR_MS;
+  const {loads, switches, lostMs} = policy.cost;
+  return {
+    name: policy.name,
+    mean: mean(skews),
+    p50: quantile(skews, 0.5),
+    p99: quantile(skews, 0.99),
+    max: Math.max(...skews),
+    loadsPerHour: loads / hours,
+    bytesPerHour: (loads * cfg.expertBytes) / hours,
+    switchesPerHour: switches / hours,
+    lostMsPerHour: lostMs / hours,
+    skews,
+  };
+}
+
+/** Parameters of a run. */
+export interface ExpertRunOptions {
+  readonly seed: number;
+  readonly durationMs: number;
+  readonly world?: WorldConfig;
+  readonly cfg?: RebalanceConfig;
+  readonly only?: readonly string[];
+}
+
+function policiesOf(setup: PolicySetup): readonly PlacementPolicy[] {
+  return [
+    new IncrementalPolicy('ours', setup),
+    new StaticPolicy('static', setup),
+    new ScratchPolicy('scratch', setup, 10_000, 'even', 0.01),
+    new ScratchPolicy('scratchWeighted', setup, 10_000, 'best', 0.01),
+  ];
+}
+
+/** Runs all policies over one seeded popularity. */
+export function runExperts(options: ExpertRunOptions): ExpertRunOutcome {
+  const world = options.world ?? WORLD;
+  const cfg = options.cfg ?? REBALANCE_DEFAULTS;
+  const source = new ExpertWorld(world, new SeededRandom(options.seed));
+  const noise = new SeededRandom(options.seed + 1_000_003);
+  const shape = evenShape(world.ranks, world.experts, SPARE_SLOTS);
+  const initial = placeFromScratch(shape, source.popularity());
+  const policies = policiesOf({shape, initial, cfg}).filter(
+    policy => options.only?.includes(policy.name) ?? true
+  );
+  const skews = policies.map((): number[] => []);
+  const bounds: number[] = [];
+  const floor: number[] = [];
+  const even = new Array<number>(world.ranks).fill(1 / world.ranks);
+  const ticks = (options.durationMs + WARM_UP_MS) / TICK_MS;
+  for (let tick = 0; tick < ticks; tick++) {
+    const samples = source.advance(TICK_MS);
+    const popularity = source.popularity();
+    const counted = source.nowMs > WARM_UP_MS;
+    policies.forEach((policy, index) => {
+      policy.observe(samples);
+      policy.tick(source.nowMs);
+      if (!counted) return;
+      const loads = rankLoads(policy.map, popularity);
+      skews[index]?.push(sampledSkew(loads, world, noise));
+    });
+    if (!counted) continue;
+    floor.push(sampledSkew(even, world, noise));
+    if (tick % BOUND_EVERY_TICKS === 0)
+      bounds.push(skewLowerBound(shape, popularity));
+  }
+  return {
+    policies: policies.map((policy, index) =>
+      outcomeOf(policy, skews[index] ?? [], options.durationMs + WARM_UP_MS, cfg)
+    ),
+    bound: mean(bounds),
+    noiseMean: mean(floor),
+    noiseP99: quantile(floor, 0.99),
+    tickMs: TICK_MS,
+  };
+}
+
--- a/bench/measures/expertWorld.ts
+++ b/bench/measures/expertWorld.ts
@@ -12,9 +12,13 @@
   readonly experts: number;
   readonly ranks: number;
   readonly zipf: number;
+  /** Most that one expert can have: each token takes several different ones. */
+  readonly maxShare: number;
   /** Standard deviation of the drift of each logarithm, and its time scale. */
   readonly driftSigma: number;
   readonly driftTauMs: number;
+  /** Turnover of the requests in work, which smooths the drift; 0 for none. */
+  readonly turnoverMs: number;
   readonly burstEveryMs: number;
   readonly burstExperts: number;
   readonly burstFactor: readonly [number, number];
@@ -31,13 +35,19 @@
   readonly reporters: number;
 }
 
-/** Zipf 0.8 keeps the hottest expert under the 1 in 8 that top-8 routing allows. */
+/**
+ * Every token takes 8 different experts, so that none has more than 1 in 8.
+ * An answer of 1000 tokens at 30 ms stays 30 s in work, and popularity is an
+ * average over the requests in work: hence the turnover.
+ */
 export const WORLD: WorldConfig = {
   experts: 256,
   ranks: 64,
   zipf: 0.8,
+  maxShare: 1 / 8,
   driftSigma: 0.5,
   driftTauMs: 30 * 60_000,
+  turnoverMs: 30_000,
   burstEveryMs: 4 * 60_000,
   burstExperts: 3,
   burstFactor: [2, 5],
@@ -48,9 +58,11 @@
   reportLagMs: [500, 5000],
   reportLoss: 0.1,
   reportEveryMs: 1000,
-  reporters: 8,
+  reporters: 64,
 };
 
+const CAP_PASSES = 4;
+
 interface Burst {
   readonly expert: number;
   readonly factor: number;
@@ -75,6 +87,7 @@
 /** Popularity that advances with the time, and the reports on their way. */
 export class ExpertWorld {
   private readonly base: readonly number[];
+  private readonly target: number[];
   private readonly drift: number[];
   private readonly boost: number[];
   private bursts: Burst[] = [];
@@ -88,7 +101,8 @@
   ) {
     const order = shuffled(cfg.experts, random);
     this.base = order.map(place => -cfg.zipf * Math.log(place + 1));
-    this.drift = order.map(() => cfg.driftSigma * gaussian(random));
+    this.target = order.map(() => cfg.driftSigma * gaussian(random));
+    this.drift = [...this.target];
     this.boost = order.map(() => 0);
     this.nextReportMs = Array.from({length: cfg.reporters}, () =>
       between(random, [0, cfg.reportEveryMs])
@@ -100,8 +114,7 @@
     const raw = this.base.map((base, expert) =>
       Math.exp(base + (this.drift[expert] ?? 0) + (this.boost[expert] ?? 0))
     );
-    const total = raw.reduce((sum, value) => sum + value, 0);
-    return raw.map(value => value / total);
+    return capped(raw, this.cfg.maxShare);
   }
 
   /** Moves the time on and returns the reports that arrive by then. */
@@ -118,8 +131,13 @@
   private driftBy(ms: number): void {
     const keep = Math.exp(-ms / this.cfg.driftTauMs);
     const noise = this.cfg.driftSigma * Math.sqrt(1 - keep * keep);
-    this.drift.forEach((value, expert) => {
-      this.drift[expert] = value * keep + noise * gaussian(this.random);
+    const {turnoverMs} = this.cfg;
+    const follow = turnoverMs > 0 ? 1 - Math.exp(-ms / turnoverMs) : 1;
+    this.target.forEach((value, expert) => {
+      const next = value * keep + noise * gaussian(this.random);
+      const drift = this.drift[expert] ?? 0;
+      this.target[expert] = next;
+      this.drift[expert] = drift + follow * (next - drift);
     });
   }
 
@@ -162,6 +180,17 @@
   }
 }
 
+/** Scales to a sum of 1 with no share above `most`. */
+function capped(raw: readonly number[], most: number): readonly number[] {
+  let shares = raw;
+  for (let pass = 0; pass < CAP_PASSES; pass++) {
+    const total = shares.reduce((sum, value) => sum + value, 0);
+    shares = shares.map(value => Math.min(most, value / total));
+  }
+  const total = shares.reduce((sum, value) => sum + value, 0);
+  return shares.map(value => value / total);
+}
+
 /** Counts of a sample; the normal approximation of the Poisson distribution. */
 export function sampleCounts(
   shares: readonly number[],
--- a/src/policy/placementSplit.ts
+++ b/src/policy/placementSplit.ts
@@ -10,6 +10,8 @@
 import {scaledToMeanRank} from './placement';
 
 const ENOUGH = 1e-5;
+/** Typical error of a rank's predicted load, in mean loads. */
+const LOAD_ERROR = 0.01;
 
 interface Replica {
   readonly rank: number;
@@ -17,6 +19,14 @@
   amount: number;
 }
 
+/** Ranks partitioned by whether load can pass between them. */
+export interface LevelGroups {
+  /** Number of the group of each rank. */
+  readonly groupOf: readonly number[];
+  /** Ranks in each group, by its number. */
+  readonly sizes: readonly number[];
+}
+
 /** Slots, loads and split of one group while a plan is searched. */
 export class SplitState {
   private constructor(
@@ -95,18 +105,46 @@
     }
   }
 
-  /** Squares of the load above the mean; 0 in perfect balance. */
-  excess(): number {
-    return this.loads.reduce(
-      (sum, load) => sum + (load > 1 ? (load - 1) ** 2 : 0),
+  /**
+   * Expected slowest rank when the loads are known up to an error: a smooth
+   * maximum, which also counts how many ranks stand near the top.
+   */
+  softSkew(): number {
+    const most = this.skew();
+    const sum = this.loads.reduce(
+      (total, load) => total + Math.exp((load - most) / LOAD_ERROR),
       0
     );
+    return most + LOAD_ERROR * Math.log(sum);
   }
 
   skew(): number {
     return Math.max(...this.loads);
   }
 
+  /**
+   * Ranks that can pass load to each other through experts that they share;
+   * by rank, the number of such ranks and itself.
+   */
+  levelGroups(): LevelGroups {
+    const parent = this.loads.map((_, rank) => rank);
+    const rootOf = (rank: number): number => {
+      let root = rank;
+      while (parent[root] !== root) root = parent[root] ?? root;
+      return root;
+    };
+    for (const list of this.replicas) {
+      const used = list.filter(replica => replica.amount > 0);
+      const first = used[0];
+      if (first === undefined) continue;
+      for (const {rank} of used) parent[rootOf(rank)] = rootOf(first.rank);
+    }
+    const groupOf = parent.map((_, rank) => rootOf(rank));
+    const sizes = parent.map(() => 0);
+    for (const group of groupOf) sizes[group] = (sizes[group] ?? 0) + 1;
+    return {groupOf, sizes};
+  }
+
   toMap(): ExpertMap {
     const shares = this.slots.map(list => list.map(() => 0));
     this.replicas.forEach((list, expert) => {
--- a/src/policy/popularity.ts
+++ b/src/policy/popularity.ts
@@ -23,9 +23,9 @@
 
 /** Defaults; docs/DESIGN.md has the measurements behind them. */
 export const POPULARITY_DEFAULTS: PopularityConfig = {
-  halfLifeMs: 4000,
-  significantSlope: 3,
-  maxAheadMs: 10_000,
+  halfLifeMs: 1000,
+  significantSlope: 1,
+  maxAheadMs: 5000,
 };
 
 /** Decayed sums of time and share; times are relative to `originMs`. */
--- a/src/policy/rebalance.ts
+++ b/src/policy/rebalance.ts
@@ -5,6 +5,7 @@
 
 import type {ExpertMap} from '../core/mapMessages';
 import type {Popularity, SlotChange} from './placement';
+import type {LevelGroups} from './placementSplit';
 import {FULL_SWEEPS, SplitState, waterLevel} from './placementSplit';
 
 /** Limits of one plan. */
@@ -22,8 +23,8 @@
 
 /** A plan and the skews expected under the popularity that it was made for. */
 export interface RebalancePlan {
-  readonly map: ExpertMap;
-  readonly loads: number;
+  /** Slots that get another expert; each is one load. */
+  readonly changes: readonly SlotChange[];
   /** With the map as it is, split included. */
   readonly skewNow: number;
   /** With the same slots and the best split. */
@@ -34,8 +35,9 @@
 /** Moves whose effect is worked out in full, of those that look best. */
 const CANDIDATES = 16;
 const TRIAL_SWEEPS = 8;
-/** Hottest ranks from which load may be taken. */
+/** Hottest ranks from which load may be taken, without and with their groups. */
 const HOT_RANKS = 2;
+const MAX_HOT_RANKS = 12;
 
 interface Candidate {
   readonly move: Move;
@@ -50,53 +52,58 @@
   limits: RebalanceLimits
 ): RebalancePlan {
   let state = SplitState.of(current, popularity);
-  const skewNow = state.skew();
+  const skewNow = state.softSkew();
   state.relax(FULL_SWEEPS);
-  const skewSplit = state.skew();
+  const skewSplit = state.softSkew();
   const loadsByRank = current.slots.map(() => 0);
-  let loads = 0;
-  while (loads < limits.maxLoads) {
+  const changes: SlotChange[] = [];
+  while (changes.length < limits.maxLoads) {
     const open = loadsByRank.map(n => n < limits.maxLoadsPerRank);
-    const best = bestMove(state, open, limits.maxLoads - loads);
+    const best = bestMove(state, open, limits.maxLoads - changes.length);
     if (best === undefined) break;
-    const gain = state.skew() - best.state.skew();
-    if (gain < limits.minGainPerLoad * best.move.length) break;
+    if (best.gainPerLoad < limits.minGainPerLoad) break;
     state = best.state;
-    loads += best.move.length;
+    changes.push(...best.move);
     for (const {rank} of best.move)
       loadsByRank[rank] = (loadsByRank[rank] ?? 0) + 1;
   }
   state.relax(FULL_SWEEPS);
-  return {
-    map: state.toMap(),
-    loads,
-    skewNow,
-    skewSplit,
-    skewAfter: state.skew(),
-  };
+  return {changes, skewNow, skewSplit, skewAfter: state.softSkew()};
+}
+
+/** The map with slots changed, and the best split for a popularity. */
+export function withChanges(
+  map: ExpertMap,
+  changes: readonly SlotChange[],
+  popularity: Popularity
+): ExpertMap {
+  const state = SplitState.of(map, popularity);
+  changes.forEach(change => state.change(change));
+  state.relax(FULL_SWEEPS);
+  return state.toMap();
 }
 
 interface TriedMove {
   readonly move: Move;
   readonly state: SplitState;
-  readonly excessPerLoad: number;
+  readonly gainPerLoad: number;
 }
 
-/** The move with the largest fall of excess for each load. */
+/** The move with the largest fall of the expected skew for each load. */
 function bestMove(
   state: SplitState,
   open: readonly boolean[],
   budget: number
 ): TriedMove | undefined {
-  const before = state.excess();
+  const before = state.softSkew();
   let best: TriedMove | undefined;
   for (const {move} of candidates(state, open, budget)) {
     const trial = state.clone();
     move.forEach(change => trial.change(change));
     trial.relax(TRIAL_SWEEPS);
-    const excessPerLoad = (before - trial.excess()) / move.length;
-    if (excessPerLoad <= (best?.excessPerLoad ?? 0)) continue;
-    best = {move, state: trial, excessPerLoad};
+    const gainPerLoad = (before - trial.softSkew()) / move.length;
+    if (gainPerLoad <= (best?.gainPerLoad ?? 0)) continue;
+    best = {move, state: trial, gainPerLoad};
   }
   return best;
 }
@@ -106,19 +113,30 @@
   open: readonly boolean[],
   budget: number
 ): readonly Candidate[] {
-  const hot = state.loads
-    .map((load, rank) => ({load, rank}))
-    .sort((a, b) => b.load - a.load)
-    .slice(0, HOT_RANKS);
+  const groups = state.levelGroups();
   const replacements: Candidate[] = [];
   const swaps: Candidate[] = [];
-  for (const {rank} of hot) {
+  for (const rank of hotRanks(state, groups)) {
     replacements.push(...replacementsFor(state, rank, open));
-    if (budget >= 2 && open[rank]) swaps.push(...swapsFor(state, rank, open));
+    if (budget < 2 || !open[rank]) continue;
+    swaps.push(...swapsFor(state, rank, open, groups));
   }
   return [...best(replacements), ...best(swaps)];
 }
 
+/** The hottest ranks and those that share their load. */
+function hotRanks(state: SplitState, groups: LevelGroups): readonly number[] {
+  const order = state.loads
+    .map((load, rank) => ({load, rank}))
+    .sort((a, b) => b.load - a.load);
+  const hottest = order.slice(0, HOT_RANKS).map(({rank}) => rank);
+  const hotGroups = new Set(hottest.map(rank => groups.groupOf[rank]));
+  return order
+    .filter(({rank}) => hotGroups.has(groups.groupOf[rank]))
+    .slice(0, MAX_HOT_RANKS)
+    .map(({rank}) => rank);
+}
+
 function best(list: Candidate[]): readonly Candidate[] {
   return list.sort((a, b) => a.score - b.score).slice(0, CANDIDATES);
 }
@@ -177,22 +195,29 @@
 function swapsFor(
   state: SplitState,
   hot: number,
-  open: readonly boolean[]
+  open: readonly boolean[],
+  groups: LevelGroups
 ): readonly Candidate[] {
   const found: Candidate[] = [];
   const hotLoad = state.loads[hot] ?? 0;
+  const hotSize = sizeOfGroup(groups, hot);
   state.loads.forEach((load, rank) => {
-    if (rank === hot || !open[rank] || load >= hotLoad) return;
+    const apart = groups.groupOf[rank] !== groups.groupOf[hot];
+    if (!apart || !open[rank] || load >= hotLoad) return;
+    const size = sizeOfGroup(groups, rank);
     state.slotsOf(hot).forEach((mine, slot) =>
       state.slotsOf(rank).forEach((theirs, theirSlot) => {
-        if (state.holds(rank, mine) || state.holds(hot, theirs)) return;
-        const by = amountAt(state, mine, hot) - amountAt(state, theirs, rank);
+        // How far replicas shift their load after a swap is not known here.
+        if (!isSingle(state, mine) || !isSingle(state, theirs)) return;
+        const by =
+          (state.popularity[mine] ?? 0) - (state.popularity[theirs] ?? 0);
         if (by <= 0) return;
+        // The change spreads over all ranks that share load with either one.
         const score =
-          excessOf(hotLoad - by) +
-          excessOf(load + by) -
-          excessOf(hotLoad) -
-          excessOf(load);
+          hotSize * imbalance(hotLoad - by / hotSize) +
+          size * imbalance(load + by / size) -
+          hotSize * imbalance(hotLoad) -
+          size * imbalance(load);
         const move = [
           {rank: hot, slot, expert: theirs},
           {rank, slot: theirSlot, expert: mine},
@@ -204,8 +229,16 @@
   return found;
 }
 
-function amountAt(state: SplitState, expert: number, rank: number): number {
-  return state.replicasOf(expert).find(r => r.rank === rank)?.amount ?? 0;
+function sizeOfGroup(groups: LevelGroups, rank: number): number {
+  return groups.sizes[groups.groupOf[rank] ?? rank] ?? 1;
+}
+
+function isSingle(state: SplitState, expert: number): boolean {
+  return state.replicasOf(expert).length === 1;
+}
+
+function imbalance(load: number): number {
+  return (load - 1) ** 2;
 }
 
 function excessOf(load: number): number {
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -5,8 +5,8 @@
  */
 
 import type {ExpertMap} from '../core/mapMessages';
-import type {Popularity} from './placement';
-import type {RebalancePlan} from './rebalance';
+import type {Popularity, SlotChange} from './placement';
+import {mapSkew} from './placement';
 import {planRebalance} from './rebalance';
 import {withBestShares} from './placementSplit';
 
@@ -31,49 +31,21 @@
   readonly minSlotsGain: number;
   /** Least fall of the skew that starts a change of the split alone. */
   readonly minSplitGain: number;
-  /** Least time between two changes of slots. */
-  readonly minSlotsIntervalMs: number;
 }
 
-/** What to do now. */
-export type RebalanceDecision =
-  | {readonly kind: 'keep'}
-  /** No bytes move. */
-  | {readonly kind: 'split'; readonly map: ExpertMap}
-  | {
-      readonly kind: 'slots';
-      readonly map: ExpertMap;
-      readonly loads: number;
-      readonly loadMs: number;
-    };
-
-/** Experts that the weight store can deliver, as a token bucket. */
-export class LoadBudget {
-  private loads: number;
-  private lastMs?: number;
-
-  constructor(
-    private readonly cfg: Pick<
-      RebalanceConfig,
-      'expertBytes' | 'storeBytesPerSecond' | 'maxLoads'
-    >
-  ) {
-    this.loads = cfg.maxLoads;
-  }
-
-  /** Whole experts that may be loaded now. */
-  available(nowMs: number): number {
-    const perMs = this.cfg.storeBytesPerSecond / this.cfg.expertBytes / 1000;
-    const since = Math.max(0, nowMs - (this.lastMs ?? nowMs));
-    this.loads = Math.min(this.cfg.maxLoads, this.loads + since * perMs);
-    this.lastMs = Math.max(nowMs, this.lastMs ?? nowMs);
-    return Math.floor(this.loads);
-  }
-
-  spend(loads: number): void {
-    this.loads -= loads;
-  }
-}
+/** Defaults for one layer of a group; docs/DESIGN.md has the measurements. */
+export const REBALANCE_DEFAULTS: RebalanceConfig = {
+  expertBytes: 44_000_000,
+  storeBytesPerSecond: 40_000_000,
+  maxLoadsPerRank: 1,
+  maxLoads: 2,
+  loadSlowdown: 0.05,
+  switchPauseMs: 5,
+  slotsHorizonMs: 60_000,
+  splitHorizonMs: 5_000,
+  minSlotsGain: 0.002,
+  minSplitGain: 0.001,
+};
 
 /** Time to load so many experts one after the other from the store. */
 export function loadTimeMs(cfg: RebalanceConfig, loads: number): number {
@@ -85,64 +57,45 @@
   return cfg.switchPauseMs + loadTimeMs(cfg, loads) * cfg.loadSlowdown;
 }
 
-/** Decides for one group; keeps what hysteresis needs. */
-export class RebalanceDecider {
-  private readonly budget: LoadBudget;
-  private slotsChangedMs = -Infinity;
-
-  constructor(private readonly cfg: RebalanceConfig) {
-    this.budget = new LoadBudget(cfg);
-  }
-
-  /** `popularity` is the one expected when the map would be in force. */
-  decide(
-    current: ExpertMap,
-    popularity: Popularity,
-    nowMs: number
-  ): RebalanceDecision {
-    const plan = planRebalance(current, popularity, {
-      maxLoads: this.loadsAllowed(nowMs),
-      maxLoadsPerRank: this.cfg.maxLoadsPerRank,
-      minGainPerLoad: this.minGainPerLoad(),
-    });
-    if (this.slotsPay(plan)) return this.changeSlots(plan, nowMs);
-    if (!this.splitPays(plan)) return {kind: 'keep'};
-    return {kind: 'split', map: withBestShares(current, popularity)};
-  }
-
-  private changeSlots(plan: RebalancePlan, nowMs: number): RebalanceDecision {
-    this.budget.spend(plan.loads);
-    this.slotsChangedMs = nowMs;
-    const loadMs = loadTimeMs(this.cfg, plan.loads);
-    return {kind: 'slots', map: plan.map, loads: plan.loads, loadMs};
-  }
-
-  private loadsAllowed(nowMs: number): number {
-    const available = this.budget.available(nowMs);
-    if (nowMs - this.slotsChangedMs < this.cfg.minSlotsIntervalMs) return 0;
-    return available;
-  }
-
-  /** A load must earn its own cost within the horizon. */
-  private minGainPerLoad(): number {
-    const costMs = loadTimeMs(this.cfg, 1) * this.cfg.loadSlowdown;
-    return costMs / this.cfg.slotsHorizonMs;
-  }
+/**
+ * Other shares on the same slots, when they pay; no bytes move. `popularity`
+ * is the one expected when the map would be in force.
+ */
+export function decideSplit(
+  cfg: RebalanceConfig,
+  current: ExpertMap,
+  popularity: Popularity
+): ExpertMap | undefined {
+  const best = withBestShares(current, popularity);
+  const gain = mapSkew(current, popularity) - mapSkew(best, popularity);
+  if (gain < cfg.minSplitGain) return undefined;
+  if (gain * cfg.splitHorizonMs <= cfg.switchPauseMs) return undefined;
+  return best;
+}
 
-  private slotsPay(plan: RebalancePlan): boolean {
-    if (plan.loads === 0) return false;
-    const gain = plan.skewSplit - plan.skewAfter;
-    const savedMs = gain * this.cfg.slotsHorizonMs;
-    // The threshold stands above the noise of the estimate: without it, maps
-    // would follow the noise to and fro and never earn back the bytes moved.
-    if (gain < this.cfg.minSlotsGain) return false;
-    return savedMs > planCostMs(this.cfg, plan.loads);
-  }
+/**
+ * Slots to load next, when they pay: beside the map in force, to be switched
+ * to once they are there. `expected` is the map with all earlier loads done.
+ */
+export function decideLoads(
+  cfg: RebalanceConfig,
+  expected: ExpertMap,
+  popularity: Popularity
+): readonly SlotChange[] {
+  const plan = planRebalance(expected, popularity, {
+    maxLoads: cfg.maxLoads,
+    maxLoadsPerRank: cfg.maxLoadsPerRank,
+    minGainPerLoad: minGainPerLoad(cfg),
+  });
+  const gain = plan.skewSplit - plan.skewAfter;
+  // The threshold stands above the noise of the estimate: without it, slots
+  // would follow the noise to and fro and never earn back the bytes moved.
+  if (gain < cfg.minSlotsGain) return [];
+  const savedMs = gain * cfg.slotsHorizonMs;
+  return savedMs > planCostMs(cfg, plan.changes.length) ? plan.changes : [];
+}
 
-  private splitPays(plan: RebalancePlan): boolean {
-    const gain = plan.skewNow - plan.skewSplit;
-    const savedMs = gain * this.cfg.splitHorizonMs;
-    if (gain < this.cfg.minSplitGain) return false;
-    return savedMs > this.cfg.switchPauseMs;
-  }
+/** A load must earn its own cost within the horizon. */
+function minGainPerLoad(cfg: RebalanceConfig): number {
+  return (loadTimeMs(cfg, 1) * cfg.loadSlowdown) / cfg.slotsHorizonMs;
 }
