--- a/bench/measures/expertPolicies.ts
+++ b/bench/measures/expertPolicies.ts
@@ -38,7 +38,7 @@
 }
 
 /** Time from the decision to the switch, beyond loading: two rounds, a barrier. */
-export const SWITCH_LEAD_MS = 500;
+export const SWITCH_LEAD_MS = 250;
 
 /** What every policy needs. */
 export interface PolicySetup {
@@ -151,7 +151,10 @@
     const popularity = this.estimate.predict(nowMs + SWITCH_LEAD_MS);
     if (this.pending === undefined) this.switchMaps(popularity, nowMs);
     const storeFreeMs = this.staged.at(-1)?.readyMs ?? 0;
-    if (storeFreeMs <= nowMs) this.stageNext(popularity, nowMs);
+    if (storeFreeMs > nowMs) return;
+    const loadedMs = nowMs + loadTimeMs(this.setup.cfg, this.setup.cfg.maxLoads);
+    const then = this.estimate.predict(loadedMs + SWITCH_LEAD_MS);
+    this.stageNext(then, nowMs);
   }
 
   private switchMaps(popularity: readonly number[], nowMs: number): void {
--- a/bench/measures/expertRun.ts
+++ b/bench/measures/expertRun.ts
@@ -16,7 +16,7 @@
 import {ExpertWorld, gaussian, WORLD} from './expertWorld';
 
 const SPARE_SLOTS = 32;
-const TICK_MS = 500;
+const TICK_MS = 250;
 const WARM_UP_MS = 60_000;
 const HOUR_MS = 3_600_000;
 const BOUND_EVERY_TICKS = 20;
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -39,11 +39,11 @@
   storeBytesPerSecond: 40_000_000,
   maxLoadsPerRank: 1,
   maxLoads: 2,
-  loadSlowdown: 0.05,
+  loadSlowdown: 0.005,
   switchPauseMs: 5,
   slotsHorizonMs: 60_000,
   splitHorizonMs: 5_000,
-  minSlotsGain: 0.002,
+  minSlotsGain: 0.0015,
   minSplitGain: 0.001,
 };
 
