--- a/src/policy/rebalance.ts
+++ b/src/policy/rebalance.ts
@@ -12,6 +12,8 @@
 export interface RebalanceLimits {
   /** Most loads from the weight store, over all ranks. */
   readonly maxLoads: number;
+  /** Most loads of a replacement with the moves that follow from it. */
+  readonly maxCompoundLoads: number;
   /** Most loads on one rank: its room for staging. */
   readonly maxLoadsPerRank: number;
   /** Least fall of the skew for each load. */
@@ -34,6 +36,9 @@
 
 /** Moves whose effect is worked out in full, of those that look best. */
 const CANDIDATES = 16;
+const COMPOUND_CANDIDATES = 8;
+/** Skew above which compound moves are looked for; they take longer to find. */
+const COMPOUND_FROM = 1.03;
 const TRIAL_SWEEPS = 8;
 /** Hottest ranks from which load may be taken, without and with their groups. */
 const HOT_RANKS = 2;
@@ -51,24 +56,22 @@
   popularity: Popularity,
   limits: RebalanceLimits
 ): RebalancePlan {
-  let state = SplitState.of(current, popularity);
-  const skewNow = state.softSkew();
-  state.relax(FULL_SWEEPS);
-  const skewSplit = state.softSkew();
-  const loadsByRank = current.slots.map(() => 0);
-  const changes: SlotChange[] = [];
-  while (changes.length < limits.maxLoads) {
-    const open = loadsByRank.map(n => n < limits.maxLoadsPerRank);
-    const best = bestMove(state, open, limits.maxLoads - changes.length);
-    if (best === undefined) break;
-    if (best.gainPerLoad < limits.minGainPerLoad) break;
-    state = best.state;
-    changes.push(...best.move);
-    for (const {rank} of best.move)
-      loadsByRank[rank] = (loadsByRank[rank] ?? 0) + 1;
+  const start = SplitState.of(current, popularity);
+  const skewNow = start.softSkew();
+  start.relax(FULL_SWEEPS);
+  const skewSplit = start.softSkew();
+  const none = current.slots.map(() => 0);
+  let found: Trial = {state: start, changes: [], loadsByRank: none};
+  while (found.changes.length < limits.maxLoads) {
+    const next = bestMove(found, limits.maxLoads, limits);
+    if (next === undefined) break;
+    found = next;
   }
-  state.relax(FULL_SWEEPS);
-  return {changes, skewNow, skewSplit, skewAfter: state.softSkew()};
+  if (found.changes.length === 0 && start.skew() > COMPOUND_FROM)
+    found = bestCompound(found, limits) ?? found;
+  found.state.relax(FULL_SWEEPS);
+  const skewAfter = found.state.softSkew();
+  return {changes: found.changes, skewNow, skewSplit, skewAfter};
 }
 
 /** The map with slots changed, and the best split for a popularity. */
@@ -83,45 +86,113 @@
   return state.toMap();
 }
 
-interface TriedMove {
-  readonly move: Move;
+/** A state in the search, and how it was reached. */
+interface Trial {
   readonly state: SplitState;
-  readonly gainPerLoad: number;
+  readonly changes: readonly SlotChange[];
+  readonly loadsByRank: readonly number[];
+}
+
+function after(trial: Trial, move: Move): Trial {
+  const state = trial.state.clone();
+  move.forEach(change => state.change(change));
+  state.relax(TRIAL_SWEEPS);
+  const loadsByRank = [...trial.loadsByRank];
+  for (const {rank} of move) loadsByRank[rank] = (loadsByRank[rank] ?? 0) + 1;
+  return {state, changes: [...trial.changes, ...move], loadsByRank};
+}
+
+/** Fall of the expected skew from one trial to a later one, for each load. */
+function gainPerLoad(from: Trial, to: Trial): number {
+  const loads = to.changes.length - from.changes.length;
+  return (from.state.softSkew() - to.state.softSkew()) / loads;
 }
 
-/** The move with the largest fall of the expected skew for each load. */
+/** The later trial with the largest gain for each load, if it is enough. */
+function bestOf(
+  from: Trial,
+  trials: readonly Trial[],
+  limits: RebalanceLimits
+): Trial | undefined {
+  let found: Trial | undefined;
+  let most = limits.minGainPerLoad;
+  for (const trial of trials) {
+    const gain = gainPerLoad(from, trial);
+    if (gain <= most) continue;
+    most = gain;
+    found = trial;
+  }
+  return found;
+}
+
+/** The best single replacement or swap. */
 function bestMove(
-  state: SplitState,
-  open: readonly boolean[],
-  budget: number
-): TriedMove | undefined {
-  const before = state.softSkew();
-  let best: TriedMove | undefined;
-  for (const {move} of candidates(state, open, budget)) {
-    const trial = state.clone();
-    move.forEach(change => trial.change(change));
-    trial.relax(TRIAL_SWEEPS);
-    const gainPerLoad = (before - trial.softSkew()) / move.length;
-    if (gainPerLoad <= (best?.gainPerLoad ?? 0)) continue;
-    best = {move, state: trial, gainPerLoad};
+  from: Trial,
+  maxLoads: number,
+  limits: RebalanceLimits
+): Trial | undefined {
+  const open = from.loadsByRank.map(n => n < limits.maxLoadsPerRank);
+  const {replacements, swaps} = candidates(from.state, open);
+  const moves = [...best(replacements, CANDIDATES), ...best(swaps, CANDIDATES)];
+  const fitting = moves.filter(
+    ({move}) => from.changes.length + move.length <= maxLoads
+  );
+  return bestOf(
+    from,
+    fitting.map(({move}) => after(from, move)),
+    limits
+  );
+}
+
+/**
+ * A replacement that makes things worse at first, with the moves that then
+ * put the ranks right which lost a replica. Without it the search ends where
+ * every spare replica is in use but another expert needs one more.
+ */
+function bestCompound(
+  from: Trial,
+  limits: RebalanceLimits
+): Trial | undefined {
+  const open = from.loadsByRank.map(() => true);
+  const hottest = indexOfMost(from.state.loads);
+  const largest = largestOn(from.state, hottest);
+  const firsts = replacementsFor(from.state, hottest, open).filter(
+    ({move}) => move[0]?.expert === largest
+  );
+  const trials: Trial[] = [];
+  for (const {move} of best(firsts, COMPOUND_CANDIDATES)) {
+    let trial = after(from, move);
+    while (trial.changes.length < limits.maxCompoundLoads) {
+      const next = bestMove(trial, limits.maxCompoundLoads, limits);
+      if (next === undefined) break;
+      trials.push(next);
+      trial = next;
+    }
   }
-  return best;
+  return bestOf(from, trials, limits);
+}
+
+function indexOfMost(loads: readonly number[]): number {
+  return loads.indexOf(Math.max(...loads));
+}
+
+function largestOn(state: SplitState, rank: number): number {
+  const load = (expert: number) => state.popularity[expert] ?? 0;
+  return state.slotsOf(rank).reduce((a, b) => (load(b) > load(a) ? b : a));
 }
 
 function candidates(
   state: SplitState,
-  open: readonly boolean[],
-  budget: number
-): readonly Candidate[] {
+  open: readonly boolean[]
+): {readonly replacements: Candidate[]; readonly swaps: Candidate[]} {
   const groups = state.levelGroups();
   const replacements: Candidate[] = [];
   const swaps: Candidate[] = [];
   for (const rank of hotRanks(state, groups)) {
     replacements.push(...replacementsFor(state, rank, open));
-    if (budget < 2 || !open[rank]) continue;
-    swaps.push(...swapsFor(state, rank, open, groups));
+    if (open[rank]) swaps.push(...swapsFor(state, rank, open, groups));
   }
-  return [...best(replacements), ...best(swaps)];
+  return {replacements, swaps};
 }
 
 /** The hottest ranks and those that share their load. */
@@ -137,8 +208,8 @@
     .map(({rank}) => rank);
 }
 
-function best(list: Candidate[]): readonly Candidate[] {
-  return list.sort((a, b) => a.score - b.score).slice(0, CANDIDATES);
+function best(list: Candidate[], count: number): readonly Candidate[] {
+  return list.sort((a, b) => a.score - b.score).slice(0, count);
 }
 
 /** A further replica of a hot rank's expert, in place of a spare replica. */
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -19,6 +19,8 @@
   readonly maxLoadsPerRank: number;
   /** Most loads of one plan, so that popularity has not drifted meanwhile. */
   readonly maxLoads: number;
+  /** The same where one change needs others to follow. */
+  readonly maxCompoundLoads: number;
   /** Step time lost by the group while one expert loads, 0 to 1. */
   readonly loadSlowdown: number;
   /** Step time lost by one switch of maps, milliseconds. */
@@ -39,12 +41,13 @@
   storeBytesPerSecond: 40_000_000,
   maxLoadsPerRank: 1,
   maxLoads: 2,
+  maxCompoundLoads: 5,
   loadSlowdown: 0.005,
   switchPauseMs: 5,
   slotsHorizonMs: 60_000,
   splitHorizonMs: 5_000,
   minSlotsGain: 0.0015,
-  minSplitGain: 0.001,
+  minSplitGain: 0.003,
 };
 
 /** Time to load so many experts one after the other from the store. */
@@ -84,6 +87,7 @@
 ): readonly SlotChange[] {
   const plan = planRebalance(expected, popularity, {
     maxLoads: cfg.maxLoads,
+    maxCompoundLoads: cfg.maxCompoundLoads,
     maxLoadsPerRank: cfg.maxLoadsPerRank,
     minGainPerLoad: minGainPerLoad(cfg),
   });
