--- a/bench/measures/expertPolicies.ts
+++ b/bench/measures/expertPolicies.ts
@@ -152,7 +152,8 @@
     if (this.pending === undefined) this.switchMaps(popularity, nowMs);
     const storeFreeMs = this.staged.at(-1)?.readyMs ?? 0;
     if (storeFreeMs > nowMs) return;
-    const loadedMs = nowMs + loadTimeMs(this.setup.cfg, this.setup.cfg.maxLoads);
+    const loadedMs =
+      nowMs + loadTimeMs(this.setup.cfg, this.setup.cfg.maxLoads);
     const then = this.estimate.predict(loadedMs + SWITCH_LEAD_MS);
     this.stageNext(then, nowMs);
   }
--- a/bench/measures/expertRun.ts
+++ b/bench/measures/expertRun.ts
@@ -5,13 +5,10 @@
 import {placeFromScratch} from '../../src/policy/placementGreedy';
 import type {RebalanceConfig} from '../../src/policy/rebalanceDecision';
 import {REBALANCE_DEFAULTS} from '../../src/policy/rebalanceDecision';
+import type {MeasureOptions} from '../measure';
 import {SeededRandom} from '../fuzz/schedule';
 import type {PlacementPolicy, PolicySetup} from './expertPolicies';
-import {
-  IncrementalPolicy,
-  ScratchPolicy,
-  StaticPolicy,
-} from './expertPolicies';
+import {IncrementalPolicy, ScratchPolicy, StaticPolicy} from './expertPolicies';
 import type {WorldConfig} from './expertWorld';
 import {ExpertWorld, gaussian, WORLD} from './expertWorld';
 
@@ -106,11 +103,33 @@
   return [
     new IncrementalPolicy('ours', setup),
     new StaticPolicy('static', setup),
-    new ScratchPolicy('scratch', setup, 10_000, 'even', 0.01),
-    new ScratchPolicy('scratchWeighted', setup, 10_000, 'best', 0.01),
+    new ScratchPolicy('scratchEvery10s', setup, 10_000, 'even'),
+    new ScratchPolicy('scratchEvery60s', setup, 60_000, 'even'),
+    new ScratchPolicy('scratchWeighted', setup, 10_000, 'best'),
   ];
 }
 
+const QUICK_MS = 4 * 60_000;
+const FULL_MS = 3_600_000;
+const shared = new Map<string, ExpertRunOutcome>();
+
+/** The run that the measures of placement share. */
+export function sharedRun(options: MeasureOptions): ExpertRunOutcome {
+  const id = `${options.seed} ${options.quick}`;
+  const durationMs = options.quick ? QUICK_MS : FULL_MS;
+  const known = shared.get(id);
+  const run = known ?? runExperts({seed: options.seed, durationMs});
+  shared.set(id, run);
+  return run;
+}
+
+/** One policy of a run. */
+export function policyOf(run: ExpertRunOutcome, name: string): PolicyOutcome {
+  const found = run.policies.find(policy => policy.name === name);
+  if (found === undefined) throw new Error(`no policy ${name}`);
+  return found;
+}
+
 /** Runs all policies over one seeded popularity. */
 export function runExperts(options: ExpertRunOptions): ExpertRunOutcome {
   const world = options.world ?? WORLD;
@@ -145,7 +164,12 @@
   }
   return {
     policies: policies.map((policy, index) =>
-      outcomeOf(policy, skews[index] ?? [], options.durationMs + WARM_UP_MS, cfg)
+      outcomeOf(
+        policy,
+        skews[index] ?? [],
+        options.durationMs + WARM_UP_MS,
+        cfg
+      )
     ),
     bound: mean(bounds),
     noiseMean: mean(floor),
@@ -153,4 +177,3 @@
     tickMs: TICK_MS,
   };
 }
-
--- a/bench/measures/expertWorld.ts
+++ b/bench/measures/expertWorld.ts
@@ -62,6 +62,7 @@
 };
 
 const CAP_PASSES = 4;
+const TABLE_SIZE = 1 << 16;
 
 interface Burst {
   readonly expert: number;
@@ -93,12 +94,15 @@
   private bursts: Burst[] = [];
   private pending: Pending[] = [];
   private nextReportMs: number[];
+  private readonly chance: GaussianTable;
+  private shares?: readonly number[];
   nowMs = 0;
 
   constructor(
     readonly cfg: WorldConfig,
     private readonly random: SeededRandom
   ) {
+    this.chance = new GaussianTable(random);
     const order = shuffled(cfg.experts, random);
     this.base = order.map(place => -cfg.zipf * Math.log(place + 1));
     this.target = order.map(() => cfg.driftSigma * gaussian(random));
@@ -111,6 +115,11 @@
 
   /** Share of each expert now; they add up to 1. */
   popularity(): readonly number[] {
+    this.shares ??= this.currentShares();
+    return this.shares;
+  }
+
+  private currentShares(): readonly number[] {
     const raw = this.base.map((base, expert) =>
       Math.exp(base + (this.drift[expert] ?? 0) + (this.boost[expert] ?? 0))
     );
@@ -120,6 +129,7 @@
   /** Moves the time on and returns the reports that arrive by then. */
   advance(ms: number): readonly PopularitySample[] {
     this.nowMs += ms;
+    this.shares = undefined;
     this.driftBy(ms);
     this.burstBy(ms);
     this.report();
@@ -173,7 +183,7 @@
   private sendReport(): void {
     const steps = this.cfg.reportEveryMs / this.cfg.stepMs;
     const tokens = (this.cfg.assignmentsPerStep / this.cfg.ranks) * steps;
-    const counts = sampleCounts(this.popularity(), tokens, this.random);
+    const counts = this.chance.counts(this.popularity(), tokens);
     const atMs = this.nowMs - this.cfg.reportEveryMs / 2;
     const arrivesMs = this.nowMs + between(this.random, this.cfg.reportLagMs);
     this.pending.push({arrivesMs, sample: {atMs, counts}});
@@ -191,16 +201,23 @@
   return shares.map(value => value / total);
 }
 
-/** Counts of a sample; the normal approximation of the Poisson distribution. */
-export function sampleCounts(
-  shares: readonly number[],
-  total: number,
-  random: SeededRandom
-): readonly number[] {
-  return shares.map(share => {
-    const mean = share * total;
-    return Math.max(0, Math.round(mean + Math.sqrt(mean) * gaussian(random)));
-  });
+/** Drawn once; a draw starts at a random place and goes on from there. */
+class GaussianTable {
+  private readonly values: readonly number[];
+
+  constructor(private readonly random: SeededRandom) {
+    this.values = Array.from({length: TABLE_SIZE}, () => gaussian(random));
+  }
+
+  /** Counts of a sample; normal approximation of the Poisson distribution. */
+  counts(shares: readonly number[], total: number): readonly number[] {
+    const start = this.random.int(0, TABLE_SIZE - 1);
+    return shares.map((share, index) => {
+      const mean = share * total;
+      const chance = this.values[(start + index) % TABLE_SIZE] ?? 0;
+      return Math.max(0, Math.round(mean + Math.sqrt(mean) * chance));
+    });
+  }
 }
 
 function shuffled(count: number, random: SeededRandom): readonly number[] {
--- a/src/policy/placementGreedy.ts
+++ b/src/policy/placementGreedy.ts
@@ -44,7 +44,9 @@
     if (!free || slots.includes(expert)) return;
     if (best < 0 || (loads[rank] ?? 0) < (loads[best] ?? 0)) best = rank;
   });
-  return best >= 0 ? best : placed.findIndex((s, r) => s.length < (shape.slotsByRank[r] ?? 0));
+  return best >= 0
+    ? best
+    : placed.findIndex((s, r) => s.length < (shape.slotsByRank[r] ?? 0));
 }
 
 /** Greedy replicate-and-pack with an even split; ignores what stands where. */
@@ -53,10 +55,10 @@
   popularity: Popularity
 ): ExpertMap {
   const items = greedyReplicas(shape, popularity).flatMap((count, expert) =>
-    Array.from(
-      {length: count},
-      (): Item => ({expert, load: (popularity[expert] ?? 0) / count})
-    )
+    Array.from({length: count}, (): Item => ({
+      expert,
+      load: (popularity[expert] ?? 0) / count,
+    }))
   );
   items.sort((a, b) => b.load - a.load || a.expert - b.expert);
   const placed: number[][] = shape.slotsByRank.map(() => []);
@@ -73,7 +75,10 @@
  * Gives the rows of a new map to the ranks that already hold most of each, so
  * that solving from scratch is not charged for mere renumbering.
  */
-export function relabelToFewestLoads(from: ExpertMap, to: ExpertMap): ExpertMap {
+export function relabelToFewestLoads(
+  from: ExpertMap,
+  to: ExpertMap
+): ExpertMap {
   const pairs = to.slots.flatMap((row, index) =>
     from.slots.flatMap((held, rank) => {
       if (held.length !== row.length) return [];
--- a/src/policy/popularity.ts
+++ b/src/policy/popularity.ts
@@ -82,7 +82,8 @@
 
   /** Expected share of each expert at a time; they add up to 1. */
   predict(atMs: number): readonly number[] {
-    if (!this.known) return new Array<number>(this.experts).fill(1 / this.experts);
+    if (!this.known)
+      return new Array<number>(this.experts).fill(1 / this.experts);
     const ahead = Math.min(atMs - this.newestMs, this.cfg.maxAheadMs);
     const time = this.newestMs + ahead - (this.originMs ?? 0);
     const raw = Array.from({length: this.experts}, (_, expert) =>
--- a/src/policy/rebalance.ts
+++ b/src/policy/rebalance.ts
@@ -149,10 +149,7 @@
  * put the ranks right which lost a replica. Without it the search ends where
  * every spare replica is in use but another expert needs one more.
  */
-function bestCompound(
-  from: Trial,
-  limits: RebalanceLimits
-): Trial | undefined {
+function bestCompound(from: Trial, limits: RebalanceLimits): Trial | undefined {
   const open = from.loadsByRank.map(() => true);
   const hottest = indexOfMost(from.state.loads);
   const largest = largestOn(from.state, hottest);
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -41,7 +41,7 @@
   storeBytesPerSecond: 40_000_000,
   maxLoadsPerRank: 1,
   maxLoads: 2,
-  maxCompoundLoads: 5,
+  maxCompoundLoads: 3,
   loadSlowdown: 0.005,
   switchPauseMs: 5,
   slotsHorizonMs: 60_000,
