Don't let a frozen control instance hold up the operators' client

A rejection other than 'not the leader' no longer counts as proof that nothing was taken: leadership can end after the proposal.

--- a/src/cli/controlClient.ts
+++ b/src/cli/controlClient.ts
@@ -43,7 +43,11 @@
     readonly mayHaveTakenEffect: boolean
   ) {
     const reasons = silent.map(({id, reason}) => `  ${id}: ${reason}`);
-    super([`${step}: no control instance answered`, ...reasons].join('\n'));
+    super(
+      [`${step}: no control instance gave a usable answer`, ...reasons].join(
+        '\n'
+      )
+    );
     this.name = 'ControlUnavailableError';
   }
 }
--- a/tests/rpcControlClient.spec.ts
+++ b/tests/rpcControlClient.spec.ts
@@ -18,7 +18,17 @@
     for (const server of servers.splice(0)) await server.close();
   });
 
-  async function instance(handler: Handler): Promise<number> {
+  const follower = {
+    instance: {role: 'follower'},
+    revision: 4,
+    processes: [],
+    targets: [],
+  };
+
+  async function instance(
+    handler: Handler,
+    status: Handler = () => follower
+  ): Promise<number> {
     const server = new PeerServer({
       host: '127.0.0.1',
       port: 0,
@@ -26,8 +36,8 @@
       logger: createLogger('control', 'c', 'fatal'),
       metrics: new Metrics('c'),
     });
-    for (const method of ['submit', 'status'])
-      server.addMethod(method, {params: ANY, handle: handler});
+    server.addMethod('submit', {params: ANY, handle: handler});
+    server.addMethod('status', {params: ANY, handle: status});
     servers.push(server);
     return server.listen();
   }
@@ -120,11 +130,44 @@
     await expect(client.submit('text')).rejects.toThrow('line 3: no');
   });
 
+  // An operator would wait out the whole timeout for each file: the leader
+  // freezes, another takes over, and the client asks the frozen one first
+  // because the settings name it first. Only those that answer are asked.
+  it('should not wait for a frozen instance', async () => {
+    const never = () => new Promise(() => undefined);
+    let asked = false;
+    const frozen = () => {
+      asked = true;
+      return never();
+    };
+    const leader = {...follower, instance: {role: 'leader'}};
+    const client = clientOf(
+      await instance(frozen, never),
+      await instance(notLeader),
+      await instance(
+        () => accepted,
+        () => leader
+      )
+    );
+    expect(await client.submit('text')).toEqual(accepted);
+    expect(asked).toBe(false);
+  });
+
+  it('should take a failure after the proposal for an open outcome', async () => {
+    const lost = () => {
+      throw new Error('leadership ended before the outcome was known');
+    };
+    const err = await unavailable(
+      clientOf(await instance(lost)).submit('text')
+    );
+    expect(err.mayHaveTakenEffect).toBe(true);
+    expect(err.message).toContain('leadership ended');
+  });
+
   it('should show the status of those that answer and name the rest', async () => {
-    const answer = {instance: {}, revision: 4, processes: [], targets: []};
     const client = clientOf(
       await stoppedInstance(),
-      await instance(() => answer)
+      await instance(() => accepted)
     );
     const status = await client.status();
     expect(status.revision).toBe(4);
