--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -1,6 +1,15 @@
 /** The measures of `npm run bench`, in the order of the report. */
 
 import type {Measure} from './measure';
+import {balance} from './measures/balance';
+import {coldStart} from './measures/coldStart';
+import {fairness} from './measures/fairness';
+import {zoneOutage} from './measures/zoneOutage';
 
 /** One entry a measure; each stands in a file of its own in bench/measures. */
-export const MEASURES: readonly Measure[] = [];
+export const MEASURES: readonly Measure[] = [
+  zoneOutage,
+  fairness,
+  coldStart,
+  balance,
+];
