--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -1,7 +1,8 @@
 /** The models that the fuzz command and CI run. */
 
 import type {FuzzModel} from './fuzzModel';
-import {streamModel} from './streamModel';
+import {LOG_MODEL} from './logModel';
+import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [streamModel];
+export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, STREAM_MODEL];
--- a/tests/streamResumer.spec.ts
+++ b/tests/streamResumer.spec.ts
@@ -1,5 +1,5 @@
 import {PassThrough, Readable, Writable} from 'node:stream';
-import {streamModel} from '../bench/fuzz/streamModel';
+import {STREAM_MODEL} from '../bench/fuzz/streamModel';
 import {refuse} from '../src/core/refusal';
 import {ResumePoint} from '../src/entry/chat/streamMachine';
 import {
@@ -332,7 +332,7 @@
   });
 
   it('should hold over seeded schedules, those that once failed included', () => {
-    for (const seed of [6, 9, 27]) streamModel.run(seed);
-    for (let seed = 1000; seed < 1300; seed++) streamModel.run(seed);
+    for (const seed of [6, 9, 27]) STREAM_MODEL.run(seed);
+    for (let seed = 1000; seed < 1300; seed++) STREAM_MODEL.run(seed);
   });
 });
