--- a/bench/fuzz/streamModel.ts
+++ b/bench/fuzz/streamModel.ts
@@ -171,7 +171,7 @@
 }
 
 /** Every token once and in order, or an explicit end. */
-export const streamModel: FuzzModel = {
+export const STREAM_MODEL: FuzzModel = {
   name: 'stream',
   run(seed) {
     const random = new SeededRandom(seed);
