--- a/bench/fuzz/queueModel.ts
+++ b/bench/fuzz/queueModel.ts
@@ -219,7 +219,7 @@
 }
 
 /** The model. */
-export const queueModel: FuzzModel = {
+export const QUEUE_MODEL: FuzzModel = {
   name: 'queue',
   run: seed => new QueueRun(seed).run(),
 };
--- a/bench/fuzz/rampModel.ts
+++ b/bench/fuzz/rampModel.ts
@@ -124,7 +124,7 @@
 }
 
 /** The model. */
-export const rampModel: FuzzModel = {
+export const RAMP_MODEL: FuzzModel = {
   name: 'ramp',
   run: seed => new RampRun(seed).run(),
 };
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -1,17 +1,8 @@
 /** Commands in the replicated log, and their results. */
 
-/** A recorded answer of a non-idempotent call. */
-export interface RecordedAnswer {
-  readonly status: number;
-  readonly headers: readonly (readonly [string, string])[];
-  readonly bodyBase64: string;
-}
-
-/** How a claim ended. */
-export type Settlement =
-  | {readonly kind: 'answered'; readonly answer: RecordedAnswer}
-  | {readonly kind: 'not run'}
-  | {readonly kind: 'unknown'};
+import type {ClaimResult, Settlement} from '../../core/claims';
+import type {SubmitResult} from '../../core/operatorAnswers';
+import type {CustomerUsage} from '../../core/wire';
 
 /** Submits a rule file under its own revision number. */
 export interface SubmitCommand {
@@ -31,9 +22,11 @@
   /** SHA-256 over method, path and body, hex. */
   readonly digest: string;
   readonly entryId: string;
+  /** A claim resent under the same request id is the same claim. */
+  readonly requestId: string;
   readonly targetId: string;
   readonly agentBootId: string;
-  /** Wall-clock time at the proposer, for retention only. */
+  /** Wall-clock time at the leader, for retention only. */
   readonly atMs: number;
 }
 
@@ -66,6 +59,13 @@
   readonly slots: readonly (readonly number[])[];
 }
 
+/** Records what one boot of one entry has counted so far, for charging. */
+export interface UsageCommand {
+  readonly kind: 'usage';
+  readonly entryBootId: string;
+  readonly totals: readonly CustomerUsage[];
+}
+
 /** Written by a new leader to commit what earlier terms left. */
 export interface NoopCommand {
   readonly kind: 'noop';
@@ -78,45 +78,9 @@
   | SettleCommand
   | FenceCommand
   | MapDecisionCommand
+  | UsageCommand
   | NoopCommand;
 
-/** Result of a submission. */
-export type SubmitResult =
-  | {
-      readonly kind: 'accepted';
-      readonly revision: number;
-      readonly resent: boolean;
-    }
-  | {
-      readonly kind: 'superseded';
-      readonly revision: number;
-      readonly current: number;
-    }
-  | {
-      readonly kind: 'conflict';
-      readonly revision: number;
-      readonly current: number;
-      /** Who holds that number. */
-      readonly winner: string;
-    }
-  | {readonly kind: 'gap'; readonly revision: number; readonly current: number};
-
-/** Result of a claim. */
-export type ClaimResult =
-  | {readonly kind: 'granted'; readonly attempt: number}
-  | {readonly kind: 'recorded'; readonly answer: RecordedAnswer}
-  | {
-      readonly kind: 'pending';
-      readonly attempt: number;
-      readonly entryId: string;
-      readonly targetId: string;
-      readonly agentBootId: string;
-    }
-  | {readonly kind: 'unknown'}
-  | {readonly kind: 'mismatch'}
-  | {readonly kind: 'expired'}
-  | {readonly kind: 'full'};
-
 /** Result of a settlement; `ignored` when another one came first. */
 export type SettleResult =
   {readonly kind: 'settled'} | {readonly kind: 'ignored'};
@@ -131,4 +95,5 @@
       readonly command: 'mapDecision';
       readonly result: {readonly kind: 'recorded' | 'fenced'};
     }
+  | {readonly command: 'usage'}
   | {readonly command: 'noop'};
