--- a/src/policy/fairQueue.ts
+++ b/src/policy/fairQueue.ts
@@ -55,6 +55,9 @@
   startTag: number;
 }
 
+/** Items, and part of its slots, that a customer may have waiting. */
+const MIN_BACKLOG = 2;
+const BACKLOG_PART = 0.5;
 /** Part of the slots that customers over their share leave free. */
 const RESERVED_PART = 0.25;
 /**
@@ -126,11 +129,13 @@
    */
   take(nowMs: number, freeSlots: number): QueueItem<T> | undefined {
     if (freeSlots < 1) return undefined;
+    const slots = this.running + freeSlots;
     const reserved = this.isReserved(freeSlots);
+    const perShare = reserved ? slots / this.knownShares() : Infinity;
     let best: CustomerQueue<T> | undefined;
     for (const queue of this.customers.values()) {
       if (queue.running >= queue.concurrentLimit) continue;
-      if (reserved && queue.startTag >= this.virtualTime) continue;
+      if (reserved && this.isFlooding(queue, perShare)) continue;
       if (!queue.items.some(item => item.deadlineAt > nowMs)) continue;
       if (best === undefined || queue.startTag < best.startTag) best = queue;
     }
@@ -234,6 +239,23 @@
     return false;
   }
 
+  /**
+   * A customer with a backlog, and out of credit. A few waiting items are no
+   * flood: after the loss of a zone every customer has them for a while, and
+   * the slots are needed then.
+   */
+  private isFlooding(queue: CustomerQueue<T>, perShare: number): boolean {
+    const entitledSlots = perShare * queue.share;
+    const backlog = Math.max(MIN_BACKLOG, entitledSlots * BACKLOG_PART);
+    return queue.items.length > backlog && queue.startTag >= this.virtualTime;
+  }
+
+  private knownShares(): number {
+    let shares = 0;
+    for (const queue of this.customers.values()) shares += queue.share;
+    return shares;
+  }
+
   /** How far behind the virtual time a customer may start after a pause. */
   private credit(share: number): number {
     return (this.meanCost * CREDIT_ITEMS) / share;
--- a/tests/fairQueue.spec.ts
+++ b/tests/fairQueue.spec.ts
@@ -145,6 +145,18 @@
     expect(free).toBe(0);
   });
 
+  it('should use every slot while nobody has more than a few waiting', () => {
+    // A zone is lost, and the targets of the others get half as much again.
+    // Every customer has an item or two waiting for a while. Slots kept free
+    // now would turn a short queue into a long one.
+    const queue = new FairQueue<string>(LIMITS);
+    for (const customer of ['a', 'b', 'c', 'd'])
+      fill(queue, 3, customer, {share: 2});
+    let free = 12;
+    while (queue.take(0, free) !== undefined) free--;
+    expect(free).toBe(0);
+  });
+
   it('should keep a customer to its limit of requests at once', () => {
     const queue = new FairQueue<string>(LIMITS);
     fill(queue, 5, 'a', {concurrentLimit: 2});
