Count a straggler before it has any load, and take load from answers

Cause: the score multiplied the load of a straggler only, so one with few requests looked as quick as the others. The measure now also lets answers carry the target's load, as dispatch reports do in what ships.

Ruled out: comparing more than 3 targets.

--- a/bench/measures/balance.ts
+++ b/bench/measures/balance.ts
@@ -53,7 +53,7 @@
       shape,
       chooser,
       gate: OUR_GATE,
-      entry: {retries: true, gradualReturn: true, answersCarryLoad: false},
+      entry: {retries: true, gradualReturn: true, answersCarryLoad: true},
       maxReportLagMs: MAX_REPORT_LAG_MS,
       seed,
     },
--- a/bench/measures/zoneOutage.ts
+++ b/bench/measures/zoneOutage.ts
@@ -43,7 +43,7 @@
 
 const OURS: Policy = {
   gate: OUR_GATE,
-  entry: {retries: true, gradualReturn: true, answersCarryLoad: false},
+  entry: {retries: true, gradualReturn: true, answersCarryLoad: true},
 };
 
 const BASELINES: Readonly<Record<string, Policy>> = {
--- a/src/policy/balance.ts
+++ b/src/policy/balance.ts
@@ -54,6 +54,11 @@
 const SERVICE_COST = 1;
 /** Age at which a report counts for half, the mean of the pool for the rest. */
 const REPORT_HALF_LIFE_MS = 2000;
+/**
+ * Step time of an empty target, in the step time that a full batch adds. A
+ * straggler is slow with one request already, so it must count without load.
+ */
+const UNLOADED_SCORE = 1;
 /** Targets compared for each request. */
 const SAMPLE_SIZE = 3;
 /** Added to the score for leaving the zone, in parts of a full target. */
@@ -155,7 +160,7 @@
   const load = (expectedOutstanding(target, pool) + part) / target.limit;
   const remote = target.availabilityZone === req.availabilityZone ? 0 : 1;
   return (
-    load * Math.max(1, target.groupStraggle) +
+    (UNLOADED_SCORE + load) * Math.max(1, target.groupStraggle) +
     remote * REMOTE_ZONE_SCORE +
     target.recentFailures * FAILURE_SCORE
   );
