Compare the holder of the prefix too, and trust reports longer

Cause: a sample of 3 in 12 misses the one target that has the prompt's prefix cached more often than not. With answers carrying the load a report is seldom old, so that half its weight after 2 s threw away good knowledge.

--- a/src/policy/balance.ts
+++ b/src/policy/balance.ts
@@ -53,7 +53,7 @@
 /** Cost of a call to a plain service. */
 const SERVICE_COST = 1;
 /** Age at which a report counts for half, the mean of the pool for the rest. */
-const REPORT_HALF_LIFE_MS = 2000;
+const REPORT_HALF_LIFE_MS = 8000;
 /**
  * Step time of an empty target, in the step time that a full batch adds. A
  * straggler is slow with one request already, so it must count without load.
@@ -87,7 +87,32 @@
   const withRoom = usable.filter(hasRoom);
   const candidates = withRoom.length > 0 ? withRoom : usable;
   const pool = summarize(usable);
-  return lowestScore(req, sample(candidates, random), pool);
+  const sampled = sample(candidates, random);
+  const cached = prefixHolder(candidates);
+  const compared = cached === undefined ? sampled : [...sampled, cached];
+  return lowestScore(req, compared, pool);
+}
+
+/**
+ * The least loaded of the targets that hold most of the prompt. A sample
+ * would miss it more often than not, and it can still lose to a lower load.
+ */
+function prefixHolder(targets: readonly TargetView[]): TargetView | undefined {
+  let best: TargetView | undefined;
+  for (const target of targets) {
+    if (target.prefixTokens === 0 || (target.returnWeight ?? 1) < 1) continue;
+    if (best === undefined || holdsMore(target, best)) best = target;
+  }
+  return best;
+}
+
+function holdsMore(target: TargetView, than: TargetView): boolean {
+  if (target.prefixTokens !== than.prefixTokens)
+    return target.prefixTokens > than.prefixTokens;
+  return (
+    reported(target) + target.ownSinceReport <
+    reported(than) + than.ownSinceReport
+  );
 }
 
 interface PoolSummary {
--- a/tests/balance.spec.ts
+++ b/tests/balance.spec.ts
@@ -91,6 +91,14 @@
     expect(part).toBeLessThan(0.3);
   });
 
+  it('should find the one of many targets that has the prefix cached', () => {
+    const holder = view('holder', {prefixTokens: 900});
+    const others = Array.from({length: 19}, (_, i) => view(`t${i}`));
+    expect(counts([holder, ...others]).get('holder')).toBe(1000);
+    const busy = {...holder, reportedOutstanding: 24};
+    expect(counts([busy, ...others]).get('holder') ?? 0).toBe(0);
+  });
+
   it('should trust an old report less than a new one', () => {
     const idleLongAgo = {reportedOutstanding: 4, reportAgeMs: 20_000};
     const lately = view('lately', {reportedOutstanding: 6});
