Ask engines to take in new prompts before those of resumed streams

Cause: after a silent loss a third of all streams resume at once, and new requests waited behind their prompts. The emulator also resumed a silent loss from the first token, which made that burst longer than it is; it now goes on after the last delivered token, and records the callers' silence.

--- a/bench/emulator/cluster.ts
+++ b/bench/emulator/cluster.ts
@@ -8,6 +8,7 @@
 import {
   Entry,
   makeReport,
+  SILENCE_MS,
   type EmulatedTarget,
   type EntryOptions,
 } from './entry';
@@ -96,7 +97,6 @@
 const MAX_VIEWS = 24;
 /** The bound compares more, though not all of a thousand targets. */
 const MAX_PERFECT_VIEWS = 96;
-const SILENCE_MS = 1000;
 const RULE_MIN_MS = 50;
 const RULE_MAX_MS = 2000;
 
--- a/bench/emulator/engine.ts
+++ b/bench/emulator/engine.ts
@@ -29,8 +29,8 @@
 
 /** One request inside an engine. */
 export interface Sequence {
-  /** Its prompt goes before those that are not urgent. */
-  readonly urgent: boolean;
+  /** Prompts of a higher priority are taken in first. */
+  readonly priority: number;
   readonly prefixKey: string;
   readonly prefixTokens: number;
   promptLeft: number;
@@ -176,7 +176,7 @@
 
   private enqueue(sequence: Sequence): void {
     const place = this.prefilling.findIndex(
-      other => sequence.urgent && !other.urgent
+      other => other.priority < sequence.priority
     );
     if (place < 0) this.prefilling.push(sequence);
     else this.prefilling.splice(place, 0, sequence);
--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -43,12 +43,21 @@
 const REMOTE_HOP_MS = 0.8;
 const MAX_ATTEMPTS = 4;
 const RETRY_PERCENT = 10;
+/** Silence after which an entry takes the streams of a target for lost. */
+export const SILENCE_MS = 1000;
+/** About the time between two tokens. */
+const MEAN_STEP_MS = 22;
 const FAILURE_MEMORY_MS = 5000;
 const BELIEVED_PREFIXES = 40;
 
+/** One attempt at a target. */
 interface Attempt {
-  readonly cost: number;
-  readonly lose: () => void;
+  /** When its first token was made. */
+  firstAt: number | undefined;
+  /** Ends it for good; false when it has ended before. */
+  readonly end: () => boolean;
+  /** The stream moved last that long ago. */
+  readonly lose: (silentMs: number) => void;
 }
 
 /** What the entry keeps of one target. */
@@ -122,6 +131,8 @@
   attempts: number;
   delivered: number;
   firstTokenAt: number | undefined;
+  /** Last token before the loss, while the stream waits to go on. */
+  silentSince: number | undefined;
 }
 
 /** One entry. */
@@ -162,7 +173,7 @@
   suspect(targetId: string): void {
     const memory = this.memory(targetId);
     memory.suspectedAt = this.events.now;
-    for (const attempt of [...memory.attempts]) attempt.lose();
+    for (const attempt of [...memory.attempts]) attempt.lose(SILENCE_MS);
   }
 
   submit(req: EmulatedRequest): void {
@@ -172,6 +183,7 @@
       attempts: 0,
       delivered: 0,
       firstTokenAt: undefined,
+      silentSince: undefined,
     });
   }
 
@@ -213,76 +225,83 @@
       promptTokens: req.promptTokens,
       outputTokens: EXPECTED_OUTPUT,
     });
-    const end = this.track(call, memory, cost);
+    const attempt = this.track(call, memory, cost);
     memory.rememberPrefix(req.prefixKey);
     const hop = this.hopMs(target);
     target.inFlight++;
     this.events.after(hop, () => {
       target.inFlight--;
-      target.gate.offer(this.job(call, memory, cost, end));
+      target.gate.offer(this.job(call, memory, cost, attempt));
     });
   }
 
-  /** Books an attempt; the returned function ends it once. */
-  private track(call: Call, memory: TargetMemory, cost: number): () => boolean {
-    let open = true;
+  /** Books an attempt. */
+  private track(call: Call, memory: TargetMemory, cost: number): Attempt {
     const attempt: Attempt = {
-      cost,
-      lose: () => {
-        if (end()) this.lost(call, memory);
+      firstAt: undefined,
+      end: () => {
+        if (!memory.attempts.delete(attempt)) return false;
+        memory.ownTokens -= cost;
+        return true;
+      },
+      lose: silentMs => {
+        if (!attempt.end()) return;
+        this.keepDelivered(call, attempt, silentMs);
+        this.lost(call, memory);
       },
-    };
-    const end = () => {
-      if (!open) return false;
-      open = false;
-      memory.attempts.delete(attempt);
-      memory.ownTokens -= cost;
-      return true;
     };
     memory.attempts.add(attempt);
     memory.ownTokens += cost;
     memory.sentAt.push(this.events.now);
-    return end;
+    return attempt;
   }
 
   private job(
     call: Call,
     memory: TargetMemory,
     cost: number,
-    end: () => boolean
+    attempt: Attempt
   ): Job {
     const {req} = call;
     const hop = this.hopMs(memory.target);
     const back = (action: () => void) => this.events.after(hop, action);
-    let first: number | undefined;
     return {
       id: `${req.id}.${call.attempts}`,
       req,
       cost,
       delivered: call.delivered,
       onFirstToken: () => {
-        first = this.events.now;
+        attempt.firstAt = this.events.now;
         back(() => this.firstToken(call, memory));
       },
-      onDone: () => back(() => end() && this.done(call, memory)),
-      onLost: () => {
-        if (first !== undefined) this.deliver(call, this.events.now - first);
-        back(() => end() && this.lost(call, memory));
-      },
+      onDone: () => back(() => attempt.end() && this.done(call, memory)),
+      onLost: () => back(() => attempt.lose(hop)),
       onRefused: reason =>
-        back(() => end() && this.refused(call, memory, reason)),
+        back(() => attempt.end() && this.refused(call, memory, reason)),
     };
   }
 
-  /** Tokens that reached the caller before the loss, about 22 ms each. */
-  private deliver(call: Call, elapsedMs: number): void {
-    const tokens = 1 + Math.floor(elapsedMs / 22);
+  /** The tokens that reached the caller before the loss stay delivered. */
+  private keepDelivered(
+    call: Call,
+    {firstAt}: Attempt,
+    silentMs: number
+  ): void {
+    if (firstAt === undefined) return;
+    const lastAt = Math.max(firstAt, this.events.now - silentMs);
+    const tokens = 1 + Math.floor((lastAt - firstAt) / MEAN_STEP_MS);
     const most = call.req.outputTokens - 1;
     call.delivered = Math.min(most, call.delivered + tokens);
+    call.silentSince ??= lastAt;
   }
 
   private firstToken(call: Call, memory: TargetMemory): void {
     this.learn(memory);
+    if (call.silentSince !== undefined) {
+      const gap = this.events.now - call.silentSince;
+      this.recorder.resumeGap(this.events.now, gap);
+      call.silentSince = undefined;
+    }
     if (call.firstTokenAt !== undefined) return;
     call.firstTokenAt = this.events.now;
     const latency = this.events.now - call.req.arrivedAt;
--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -8,6 +8,7 @@
   observeLatency,
   type ConcurrencyState,
 } from '../../src/policy/concurrencyLimit';
+import {enginePriority} from '../../src/policy/enginePriority';
 import {
   FairQueue,
   type OfferResult,
@@ -240,7 +241,10 @@
       this.queue.finished(customer);
     };
     this.engine.start({
-      urgent: this.queue.isInCredit(customer),
+      priority: enginePriority({
+        inCredit: this.queue.isInCredit(customer),
+        resumed: delivered > 0,
+      }),
       prefixKey: req.prefixKey,
       prefixTokens: req.prefixTokens,
       promptLeft: req.promptTokens + delivered,
--- a/bench/emulator/recorder.ts
+++ b/bench/emulator/recorder.ts
@@ -29,6 +29,8 @@
   /** Mean time between the tokens of one request. */
   readonly perToken = histogram();
   readonly betweenTokens = histogram();
+  /** From the loss of a stream until its next token. */
+  readonly resumeGap = histogram();
   readonly outcomes: Record<Outcome, number> = {
     answered: 0,
     late: 0,
@@ -67,6 +69,13 @@
     for (const figures of this.of(req)) figures.perToken.recordValue(value);
   }
 
+  /** The longest silence that the caller of a lost stream saw. */
+  resumeGap(nowMs: number, gapMs: number): void {
+    const value = Math.round(gapMs * SCALE);
+    for (const figures of this.at(this.figures, nowMs))
+      figures.resumeGap.recordValue(value);
+  }
+
   betweenTokens(nowMs: number, gapMs: number, count: number): void {
     if (count === 0) return;
     const value = Math.round(gapMs * SCALE);
--- a/bench/measures/zoneOutage.ts
+++ b/bench/measures/zoneOutage.ts
@@ -115,6 +115,7 @@
     betweenTokensP95SteadyMs: between(steady!),
     betweenTokensP95OutRatio: between(out!) / between(steady!),
     betweenTokensP95ReturnRatio: between(back!) / between(steady!),
+    resumeGapP95Ms: WindowFigures.ms(out!.resumeGap, 95),
     coldOverBearable: Math.max(...engines.map(e => e.mostOverBearable)),
     coldFalls: engines.reduce((total, engine) => total + engine.falls, 0),
   };
