--- a/bench/emulator/cluster.ts
+++ b/bench/emulator/cluster.ts
@@ -118,7 +118,7 @@
 
   constructor(
     readonly options: ClusterOptions,
-    private readonly workload: Workload,
+    readonly workload: Workload,
     windows: readonly Window[]
   ) {
     this.random = new SeededRandom(options.seed);
--- a/bench/emulator/recorder.ts
+++ b/bench/emulator/recorder.ts
@@ -46,6 +46,13 @@
   }
 }
 
+/** Milliseconds over the requests of several customers together. */
+export function pooledP95(histograms: readonly Histogram[]): number {
+  const all = histogram();
+  for (const one of histograms) all.add(one);
+  return WindowFigures.ms(all, 95);
+}
+
 /** Collects the figures of one run. */
 export class Recorder {
   private readonly figures: readonly WindowFigures[];
