--- a/src/agent/targetState.ts
+++ b/src/agent/targetState.ts
@@ -40,6 +40,7 @@
   private latency: ConcurrencyState = freshConcurrency({start: 1, full: 1});
   private targetBootId: string | undefined;
   private answering = false;
+  private claimedCold = false;
   /** Undefined until a report made after this boot's start has come. */
   private leftover: number | undefined;
 
@@ -61,6 +62,7 @@
     this.countLeftover(seen, ownOutstanding, nowMs);
     const reason = this.coldReason(seen);
     this.targetBootId = seen.bootId;
+    this.claimedCold = seen.cold === true;
     this.answering = seen.state === 'ready';
     if (reason !== undefined) this.ramp = rampCold(this.ramp, nowMs);
     return reason;
@@ -108,7 +110,9 @@
     if (this.targetBootId !== undefined && seen.bootId !== this.targetBootId)
       return 'restarted';
     if (seen.state === 'loading') return 'loading';
-    if (seen.cold === true) return 'claims cold';
+    // Only the turn counts: a target that says so until it is warm would
+    // otherwise be held at the start for good.
+    if (seen.cold === true && !this.claimedCold) return 'claims cold';
     return undefined;
   }
 
--- a/src/core/httpHeaders.ts
+++ b/src/core/httpHeaders.ts
@@ -42,6 +42,15 @@
   return kept;
 }
 
+/** Drops one header from a raw list; the name is lower case. */
+export function withoutHeader(raw: readonly string[], name: string): string[] {
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    if (raw[i]!.toLowerCase() !== name) kept.push(raw[i]!, raw[i + 1]!);
+  }
+  return kept;
+}
+
 /** Pairs of a raw list, for records. */
 export function headerPairs(
   raw: readonly string[]
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -80,8 +80,8 @@
     return;
   }
   body.on('end', () => {
-    if (body.rawTrailers.length > 0)
-      req.addTrailers(toTrailers(body.rawTrailers));
+    const trailers = trailersOf(body);
+    if (trailers.length > 0) req.addTrailers(trailers);
     req.end();
   });
   // A caller that breaks off its body must not look like one that ended it.
@@ -109,8 +109,8 @@
     if (onChunk !== undefined) source.on('data', onChunk);
     source.on('end', () => {
       if (!source.complete) return resolve('source cut');
-      if (source.rawTrailers.length > 0)
-        sink.addTrailers(toTrailers(source.rawTrailers));
+      const trailers = trailersOf(source);
+      if (trailers.length > 0) sink.addTrailers(trailers);
       sink.end(() => resolve('complete'));
     });
     source.on('error', () => resolve('source cut'));
@@ -149,8 +149,11 @@
   sink.destroy();
 }
 
-function toTrailers(raw: readonly string[]): [string, string][] {
-  return headerPairs(endToEndHeaders(raw)).map(([name, value]) => [
+/** Trailers of a message that was read to its end. */
+export function trailersOf({
+  rawTrailers,
+}: http.IncomingMessage): [string, string][] {
+  return headerPairs(endToEndHeaders(rawTrailers)).map(([name, value]) => [
     name,
     value,
   ]);
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -1,11 +1,12 @@
 /** Tries targets in turn until one answers or nothing more may be tried. */
 
 import type {IncomingMessage} from 'node:http';
-import {Refusal, RefusalError, refuse} from '../core/refusal';
+import {REFUSALS, Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {ClassifiedCall} from './call';
 import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
+import type {CallerResume} from './chat/chatRequest';
 import {route} from './route';
 
 /** A target's answer whose body is still to be read. */
@@ -17,12 +18,7 @@
   done(): void;
 }
 
-/** Where to go on, for a stream that lost its first target. */
-export interface ResumePoint {
-  readonly fromToken: number;
-  readonly modelVersion: string;
-}
-
+const NONE_TRIED: ReadonlySet<string> = new Set();
 const NO_TARGET_RETRY_MS = 500;
 
 /**
@@ -41,6 +37,7 @@
 export class Attempts {
   private readonly tried = new Set<string>();
   private count = 0;
+  private mayHaveRun = false;
 
   constructor(
     private readonly core: EntryCore,
@@ -50,7 +47,32 @@
   }
 
   /** Resolves with the first answer; rejects with the last RefusalError. */
-  async run(resume?: ResumePoint): Promise<Answered> {
+  async run(resume?: CallerResume): Promise<Answered> {
+    try {
+      return await this.tryAll(resume);
+    } catch (err) {
+      throw err instanceof RefusalError ? this.honest(err) : err;
+    }
+  }
+
+  /** The answer of an attempt was lost after it had begun. */
+  answerLost(): void {
+    this.mayHaveRun = true;
+  }
+
+  /**
+   * The last target's "not run" holds for that attempt alone: when an earlier
+   * one was lost on the way, the request may have run there.
+   */
+  private honest(err: RefusalError): RefusalError {
+    const {refusal} = err;
+    const saysNotRun = REFUSALS[refusal.reason].outcome === 'not run';
+    if (!this.mayHaveRun || !saysNotRun) return err;
+    const detail = `an earlier attempt was lost; then ${refusal.reason}: ${refusal.detail}`;
+    return new RefusalError({...refusal, reason: 'outcome-unknown', detail});
+  }
+
+  private async tryAll(resume: CallerResume | undefined): Promise<Answered> {
     let last: Refusal | undefined;
     for (;;) {
       this.call.progress.assertInTime('route');
@@ -58,18 +80,21 @@
       const outcome = await this.attempt(next.target, next.cost, resume);
       if (outcome.kind === 'answered') return outcome.answered;
       last = outcome.refusal;
+      this.mayHaveRun ||= REFUSALS[last.reason].outcome === 'outcome unknown';
       this.assertMayRepeat(last);
     }
   }
 
-  private next(last: Refusal | undefined, resume: ResumePoint | undefined) {
-    const chosen = route(
-      this.core,
-      this.call,
-      this.tried,
-      resume?.modelVersion
-    );
+  private next(last: Refusal | undefined, resume: CallerResume | undefined) {
+    const {core, call, tried} = this;
+    const chosen = route(core, call, tried, resume?.modelVersion);
     if (chosen.kind === 'target') return chosen;
+    // A stream may go on where it broke off, if there is nowhere else: only
+    // its connection may have been lost.
+    if (resume !== undefined && last === undefined) {
+      const again = route(core, call, NONE_TRIED, resume.modelVersion);
+      if (again.kind === 'target') return again;
+    }
     // A target that refused said more than "there is no other".
     if (last !== undefined) throw new RefusalError(last);
     throw refuse(
@@ -84,7 +109,7 @@
   private async attempt(
     target: Announcement,
     cost: number,
-    resume: ResumePoint | undefined
+    resume: CallerResume | undefined
   ): Promise<
     | {readonly kind: 'answered'; readonly answered: Answered}
     | Extract<AttemptOutcome, {kind: 'refused'}>
--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../core/logger';
 import type {Progress} from '../core/progress';
 import type {OnceRule} from '../rules/rule';
+import type {CallerResume, ChatRequest} from './chat/chatRequest';
 import type {PoolLimit, RuleIndex} from '../rules/ruleIndex';
 
 /** As received. */
@@ -36,18 +37,13 @@
   readonly body: CallBody;
   /** Present for calls that are not idempotent. */
   readonly once: OnceRule | undefined;
-  readonly chat: ChatShape | undefined;
+  /** Present for chat completions. */
+  readonly chat: ChatRequest | undefined;
+  /** Where a caller's own stream goes on. */
+  readonly resume: CallerResume | undefined;
   readonly priority: number;
 }
 
-/** What routing needs of a chat completion. */
-export interface ChatShape {
-  readonly stream: boolean;
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  readonly prefixes: readonly string[];
-}
-
 /** One step of the chain: passes on an enriched call, or throws a refusal. */
 export type Filter<I, O> = (
   call: I,
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -1,7 +1,7 @@
 /** One attempt at one target: the dispatch, and what its outcome proves. */
 
 import type {IncomingMessage} from 'node:http';
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {endToEndHeaders, withHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {REFUSALS, Refusal} from '../core/refusal';
 import {UpstreamError, sendUpstream} from '../core/upstream';
@@ -15,6 +15,8 @@
 import type {ClassifiedCall} from './call';
 import type {EntryCore} from './entryCore';
 
+const LAST_EVENT_HEADER = 'last-event-id';
+
 /** One attempt. */
 export interface Attempt {
   readonly number: number;
@@ -106,7 +108,11 @@
   };
   if (call.body.kind === 'buffered')
     own['content-length'] = String(call.body.bytes.length);
-  return withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  const headers = withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  // A target that saw the caller's own header would resume unasked.
+  return call.chat === undefined
+    ? headers
+    : withoutHeader(headers, LAST_EVENT_HEADER);
 }
 
 /** An answer without a report did not come from an agent, so proves nothing. */
--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -5,11 +5,18 @@
 import {hasBody, readBody} from '../../core/upstream';
 import type {RouteCandidate} from '../../rules/ruleIndex';
 import type {CallBody, ClassifiedCall, Filter, IdentifiedCall} from '../call';
-import {readChatShape} from '../chatShape';
+import {
+  ChatRequest,
+  isChatCompletion,
+  parseCallerResume,
+  parseChatRequest,
+} from '../chat/chatRequest';
 
 /** Bodies up to this size are held, so that the call can be retried. */
 const MAX_REPLAY_BYTES = 64 * 1024;
 const PRIORITY_HEADER = 'x-priority';
+const LAST_EVENT_HEADER = 'last-event-id';
+const MODEL_VERSION_HEADER = 'marlpulley-model-version';
 const MAX_PRIORITY = 9;
 
 /** What classifying needs of its surroundings. */
@@ -37,17 +44,19 @@
     }
     const limit = rules.limit(pool);
     const once = rules.onceRule(req.method ?? 'GET', path);
-    const engine = rules.poolKind(pool) === 'engine';
+    const isChat =
+      rules.poolKind(pool) === 'engine' &&
+      isChatCompletion(req.method ?? 'GET', path);
     const progress = new Progress(
       requestId,
       performance.now() + limit.timeoutMs,
       options.entryId
     );
-    const body = await takeBody(call, engine || once !== undefined, options);
-    const chat =
-      engine && body.kind === 'buffered'
-        ? readChatShape(body.bytes, options.entryId)
-        : undefined;
+    const body = await takeBody(call, isChat || once !== undefined, options);
+    const chat = isChat ? readChat(body, options.entryId) : undefined;
+    const resume =
+      chat?.stream === true ? readResume(call, options.entryId) : undefined;
+    const priority = priorityOf(call);
     await next({
       ...call,
       progress,
@@ -56,7 +65,8 @@
       once,
       body,
       chat,
-      priority: priorityOf(call),
+      resume,
+      priority,
     });
   };
 }
@@ -75,6 +85,23 @@
   return routes.at(-1)?.pool;
 }
 
+function readChat(body: CallBody, entryId: string): ChatRequest {
+  return parseChatRequest(
+    body.kind === 'buffered' ? body.bytes : Buffer.alloc(0),
+    entryId
+  );
+}
+
+function readResume({req}: IdentifiedCall, entryId: string) {
+  const version = req.headers[MODEL_VERSION_HEADER];
+  const known = typeof version === 'string' ? version : undefined;
+  return parseCallerResume(
+    req.headers[LAST_EVENT_HEADER]?.toString(),
+    known,
+    entryId
+  );
+}
+
 async function takeBody(
   {req}: IdentifiedCall,
   mustHold: boolean,
--- /dev/null
+++ b/src/entry/relayChat.ts
@@ -0,0 +1,98 @@
+/** Passes a token stream on, from one target after the other where needed. */
+
+import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {REFUSALS, Refusal} from '../core/refusal';
+import type {Answered, Attempts} from './attempts';
+import type {ClassifiedCall} from './call';
+import {StreamSource, relayStream} from './chat/streamResumer';
+import type {EntryCore} from './entryCore';
+import {countTokens} from './countTokens';
+import {withDeadline} from './serveCall';
+
+const MAX_LOSSES = 3;
+const MAX_EVENT_CHARS = 1024 * 1024;
+/** A gap between tokens that long means that the target has stalled. */
+const TOKEN_TIMEOUT_MS = 5_000;
+const CALLER_TIMEOUT_MS = 60_000;
+const HTTP_OK = 200;
+
+/** Whether an answer is a token stream. */
+export function isEventStream({answer}: Answered): boolean {
+  const type = answer.headers['content-type'] ?? '';
+  return answer.statusCode === HTTP_OK && type.startsWith('text/event-stream');
+}
+
+/** Resolves once the caller has all, or an error event, or has gone. */
+export async function relayChat(
+  core: EntryCore,
+  call: ClassifiedCall,
+  attempts: Attempts,
+  answered: Answered
+): Promise<void> {
+  const {res, limit, resume, progress} = call;
+  writeHead(call, answered);
+  let current = answered;
+  const end = await relayStream({
+    source: sourceOf(answered),
+    caller: res,
+    limits: {
+      fromToken: resume?.fromToken ?? 0,
+      modelVersion: resume?.modelVersion,
+      maxLosses: MAX_LOSSES,
+      maxEventChars: MAX_EVENT_CHARS,
+    },
+    firstTokenTimeoutMs: limit.firstTokenMs ?? limit.timeoutMs,
+    tokenTimeoutMs: TOKEN_TIMEOUT_MS,
+    callerTimeoutMs: CALLER_TIMEOUT_MS,
+    signal: progress.signal,
+    reopen: async point => {
+      current = await withDeadline(call, () => attempts.run(point));
+      if (isEventStream(current)) return sourceOf(current);
+      sourceOf(current).cancel();
+      throw new Error(`status ${current.answer.statusCode} to a resumption`);
+    },
+    describe: refusal => describe(call, refusal),
+    onResumed: cause => core.metrics.count('stream.resumed', {reason: cause}),
+    onTokens: count => countTokens(core, call, count),
+  });
+  current.done();
+  if (end.kind === 'cut') {
+    core.metrics.count('stream.cut');
+    call.logger.warn({refusal: end.refusal}, 'stream cut');
+  }
+  if (end.kind === 'caller gone') core.metrics.count('request.cancelled');
+}
+
+function writeHead(
+  {res, requestId}: ClassifiedCall,
+  {answer, report, target}: Answered
+): void {
+  const own: Record<string, string> = {
+    'marlpulley-request-id': requestId,
+    'marlpulley-target': report.targetId,
+  };
+  if (target.modelVersion !== undefined)
+    own['marlpulley-model-version'] = target.modelVersion;
+  // A stream that goes on elsewhere keeps no length that its first head named.
+  const headers = withHeaders(endToEndHeaders(answer.rawHeaders), own);
+  res.writeHead(HTTP_OK, headers);
+  res.flushHeaders();
+}
+
+function sourceOf(answered: Answered): StreamSource {
+  const {answer, target} = answered;
+  return {
+    body: answer,
+    peer: target.targetId,
+    modelVersion: target.modelVersion,
+    cancel: () => {
+      answered.done();
+      answer.destroy();
+    },
+  };
+}
+
+function describe({requestId}: ClassifiedCall, refusal: Refusal): string {
+  const {outcome, retryable} = REFUSALS[refusal.reason];
+  return JSON.stringify({error: {...refusal, outcome, retryable, requestId}});
+}
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -1,10 +1,13 @@
 /** Chooses the next target for a call among those that may take new work. */
 
 import {chooseTarget, requestCost} from '../policy/balance';
+import {BLOCK_CHARS, estimateTokens} from '../core/promptPrefix';
 import type {Announcement} from '../core/wire';
 import type {ClassifiedCall} from './call';
 import type {EntryCore} from './entryCore';
 
+const TOKENS_PER_BLOCK = estimateTokens(' '.repeat(BLOCK_CHARS));
+
 /** Why no target could be chosen. */
 export type RouteResult =
   | {
@@ -70,10 +73,11 @@
     : requestCost(call.chat, cachedTokens(call, target));
 }
 
-/** The longest leading run of messages that the target has cached. */
+/** Tokens of the longest leading run of blocks that the target has cached. */
 function cachedTokens({chat}: ClassifiedCall, target: Announcement): number {
   if (chat === undefined || target.prefixes === undefined) return 0;
   const held = new Set(target.prefixes);
-  const longest = chat.prefixes.findLastIndex(prefix => held.has(prefix));
-  return (chat.promptTokens * (longest + 1)) / chat.prefixes.length;
+  const missing = chat.prefixes.findIndex(prefix => !held.has(prefix));
+  const blocks = missing < 0 ? chat.prefixes.length : missing;
+  return Math.min(chat.promptTokens, blocks * TOKENS_PER_BLOCK);
 }
--- a/src/entry/serveCall.ts
+++ b/src/entry/serveCall.ts
@@ -1,24 +1,27 @@
 /** Serves calls that may be repeated, and those without a key. */
 
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
-import {cutOff, relayAnswer} from '../core/upstream';
-import {Answered, Attempts} from './attempts';
+import {Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
 import type {EntryCore} from './entryCore';
+import {isEventStream, relayChat} from './relayChat';
+import {relayPlain} from './relayPlain';
 
 /** Resolves once the answer has ended; rejects with RefusalError before it. */
 export async function serveCall(
   core: EntryCore,
   call: ClassifiedCall
 ): Promise<void> {
-  const answered = await withDeadline(call, () =>
-    new Attempts(core, call).run()
-  );
-  try {
-    await passOn(core, call, answered);
-  } finally {
-    answered.done();
-  }
+  const attempts = new Attempts(core, call);
+  const answered = await withDeadline(call, () => attempts.run(call.resume));
+  core.usage.add(call.customer, {
+    requests: 1,
+    queueMs: answered.report.queuedMs,
+  });
+  const relay =
+    call.chat?.stream === true && isEventStream(answered)
+      ? relayChat
+      : relayPlain;
+  await relay(core, call, attempts, answered);
 }
 
 /** Cancels the attempts when the deadline passes or the caller goes away. */
@@ -40,44 +43,3 @@
     res.off('close', onClose);
   }
 }
-
-async function passOn(
-  core: EntryCore,
-  call: ClassifiedCall,
-  answered: Answered
-): Promise<void> {
-  const {res, progress, limit, customer, requestId} = call;
-  const {answer, report} = answered;
-  core.usage.add(customer, {requests: 1, queueMs: report.queuedMs});
-  const own = {
-    'marlpulley-request-id': requestId,
-    'marlpulley-target': report.targetId,
-  };
-  res.writeHead(
-    answer.statusCode ?? 502,
-    answer.statusMessage,
-    withHeaders(endToEndHeaders(answer.rawHeaders), own)
-  );
-  res.flushHeaders();
-  // From here on the target is answering: only silence is an error.
-  answer.setTimeout(limit.timeoutMs, () =>
-    answer.destroy(new Error('the target fell silent'))
-  );
-  const end = await relayAnswer(answer, res);
-  switch (end) {
-    case 'complete':
-      return;
-    case 'source cut':
-      // The head is out, so the only honest sign left is a broken connection:
-      // neither chunked nor fixed-length readers take the rest for whole.
-      core.metrics.count('stream.cut');
-      call.logger.warn({target: report.targetId}, 'the answer broke off');
-      cutOff(res);
-      return;
-    case 'sink closed':
-      core.metrics.count('request.cancelled');
-      progress.cancel('the caller went away');
-      answer.destroy();
-      return;
-  }
-}
