--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -2,7 +2,7 @@
 
 import type {FuzzModel} from './fuzzModel';
 import {LOG_MODEL} from './logModel';
-import {streamModel} from './streamModel';
+import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, streamModel];
+export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, STREAM_MODEL];
