--- a/src/cli/statusCommand.ts
+++ b/src/cli/statusCommand.ts
@@ -19,6 +19,7 @@
   Options
     --settings  settings of the client (required)
     --json      one JSON object in place of tables
+    --rules     only the rule file in force, as it was submitted
 
   Exit codes
     0  shown
@@ -90,6 +91,16 @@
   ];
 }
 
+interface StatusFlags {
+  readonly json: boolean;
+  readonly rules: boolean;
+}
+
+function shown(status: ClusterStatus, flags: StatusFlags): readonly string[] {
+  if (flags.rules) return [status.rulesText.replace(/\n$/, '')];
+  return flags.json ? [JSON.stringify(status)] : formatStatus(status);
+}
+
 /** Runs `status`. */
 export function runStatus(argv: readonly string[]): Promise<number> {
   const spec = {
@@ -97,6 +108,7 @@
     flags: {
       settings: {type: 'string', isRequired: true},
       json: {type: 'boolean', default: false},
+      rules: {type: 'boolean', default: false},
     },
     inputs: [],
   } as const;
@@ -104,8 +116,7 @@
     const client = connectControl(flags.settings);
     try {
       const status = await client.status();
-      if (flags.json) print(JSON.stringify(status));
-      else for (const line of formatStatus(status)) print(line);
+      for (const line of shown(status, flags)) print(line);
       return EXIT_CODES.ok;
     } finally {
       client.close();
--- a/src/cli/submitCommand.ts
+++ b/src/cli/submitCommand.ts
@@ -44,7 +44,7 @@
     case 'superseded':
       return `superseded: revision ${revision} has been followed by others up to ${result.current}; nothing was changed. To bring it back, number it ${result.current + 1} and submit it`;
     case 'conflict':
-      return `conflict: revision ${revision} was taken by another file, submitted by ${result.winner}; nothing was changed. Merge your change into the file in force (revision ${result.current}), number it ${result.current + 1} and submit it`;
+      return `conflict: revision ${revision} was taken by another file, submitted by ${result.winner}; nothing was changed. Merge your change into the file in force (revision ${result.current}, shown by status --rules), number it ${result.current + 1} and submit it`;
     case 'gap':
       return `gap: revision ${revision} cannot follow ${result.current}, which is in force; nothing was changed. Number the file ${result.current + 1} if it was made from revision ${result.current}`;
     default:
--- a/tests/operatorClient.spec.ts
+++ b/tests/operatorClient.spec.ts
@@ -7,7 +7,9 @@
 import {explainRequest} from '../src/cli/explainRequest';
 import {followInForce} from '../src/cli/inForce';
 import {mergeStatus} from '../src/cli/mergeStatus';
+import {formatStatus} from '../src/cli/statusCommand';
 import {submitText} from '../src/cli/submitCommand';
+import {formatUsage} from '../src/cli/usageCommand';
 import type {ProcessStatus, SubmitAnswer} from '../src/core/operatorAnswers';
 import type {Announcement} from '../src/core/wire';
 import {parseRules} from '../src/rules/parseRules';
@@ -246,6 +248,35 @@
   });
 });
 
+describe('pages of the client', () => {
+  it('should show who is behind and which instance is silent', () => {
+    const status = {
+      ...statusOf(processAt('e1', 7), processAt('e2', 6)),
+      targets: [target('t1', {outstanding: 3, queued: 2, model: 'm'})],
+      silent: [{id: 'c3', reason: 'timeout: no answer'}],
+    };
+    const text = formatStatus(status).join('\n');
+    expect(text).toMatch(/^revision 7$/m);
+    expect(text).toMatch(/^e1 .* 7 +in force +10 ms +never$/m);
+    expect(text).toMatch(/^e2 .* 6 +behind/m);
+    expect(text).toMatch(/^t1 +planner +zone-a +serving +warm +3\/8 +2 +m$/m);
+    expect(text).toContain('c3 gave no answer: timeout');
+  });
+
+  it('should show the largest user first, with its part of all tokens', () => {
+    const lines = formatUsage([
+      {customer: 'depot', requests: 0, tokens: 0, queueMs: 0},
+      {customer: 'sligo', requests: 2, tokens: 100, queueMs: 5},
+      {customer: 'cork', requests: 4, tokens: 300, queueMs: 8},
+    ]);
+    expect(lines.slice(1)).toEqual([
+      expect.stringMatching(/^cork +4 +300 +75\.0% +2\.0 ms$/),
+      expect.stringMatching(/^sligo +2 +100 +25\.0% +2\.5 ms$/),
+      expect.stringMatching(/^depot +0 +0 +0\.0% +-$/),
+    ]);
+  });
+});
+
 describe('explain', () => {
   const index = indexOf(RULES);
   const query = {customer: 'harbour', method: 'POST', path: '/v1/chat'};
--- a/tests/settings.spec.ts
+++ b/tests/settings.spec.ts
@@ -1,6 +1,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {checkSettings} from '../src/cli/checkSettings';
 import {ConfigError} from '../src/core/errors';
 import {describeSettings} from '../src/settings/describeSettings';
 import {
@@ -119,6 +120,16 @@
     );
   });
 
+  it('should check a file without starting anything', () => {
+    const lines: string[] = [];
+    const print = (line: string) => lines.push(line);
+    expect(checkSettings('entry', file(ENTRY), print)).toBe(0);
+    const bad = ENTRY.replace('8080', 'x').replace('[callers]', '[caller]');
+    expect(checkSettings('entry', file(bad), print)).toBe(2);
+    expect(lines).toHaveLength(3);
+    expect(lines[1]).toContain('unknown section [caller]');
+  });
+
   it('should describe every key with its range and meaning', () => {
     for (const role of ['entry', 'agent', 'control', 'client'] as const)
       for (const key of describeSettings(role)) {
