Decide calls that run at most once in a pure machine, and drive it under faults

Cause: the decisions were woven into the I/O of the entry, so no schedule could reach them. Change: OnceMachine decides, serveOnce does; the fuzz model runs it with the agent's record and the claims of control, as they ship. A dispatch now names the boot that was claimed, an agent that is gone settles as unknown, and a wait on another's claim never ends in "not run". One request on one TCP connection is written once, so the model no longer doubles dispatches; late and lost ones stay.

--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -2,7 +2,12 @@
 
 import type {FuzzModel} from './fuzzModel';
 import {LOG_MODEL} from './logModel';
+import {ONCE_MODEL} from './onceModel';
 import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, STREAM_MODEL];
+export const FUZZ_MODELS: readonly FuzzModel[] = [
+  LOG_MODEL,
+  ONCE_MODEL,
+  STREAM_MODEL,
+];
--- a/src/entry/askAgent.ts
+++ b/src/entry/askAgent.ts
@@ -11,10 +11,9 @@
 /** Undefined when the agent cannot be asked, so that nothing is known. */
 export async function askAgent(
   core: EntryCore,
-  target: Announcement | undefined,
+  target: Announcement,
   request: FenceClaimRequest
 ): Promise<FenceClaimAnswer | undefined> {
-  if (target === undefined) return undefined;
   const {targetId: id, host, port} = target;
   const client = new PeerClient({id, host, port}, core.keptAgent);
   try {
