--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -1,12 +1,14 @@
 /** The models that the fuzz command and CI run. */
 
 import type {FuzzModel} from './fuzzModel';
+import {FRESHNESS_MODEL} from './freshnessModel';
 import {LOG_MODEL} from './logModel';
 import {ONCE_MODEL} from './onceModel';
 import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
 export const FUZZ_MODELS: readonly FuzzModel[] = [
+  FRESHNESS_MODEL,
   LOG_MODEL,
   ONCE_MODEL,
   STREAM_MODEL,
