Tie each answer to the asker's incarnation and term

A request of an earlier leadership came late, the peer answered it in its present term, and its round number, 73, confirmed round 43 of the new leadership at once. Answers now name the asker and the term asked in; two tests pin it.

--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -110,6 +110,7 @@
   state.reply(ticket, {
     kind: 'vote',
     incarnation: state.incarnation,
+    asker: message.fromIncarnation,
     preVote: message.kind === 'preVote',
     askedTerm: message.term,
     term: state.term,
@@ -163,6 +164,7 @@
   if (candidacy === undefined || !message.granted) return;
   const asked = candidacy.phase === 'preVote' ? state.term + 1 : state.term;
   if (message.askedTerm !== asked) return;
+  if (message.asker !== state.incarnation) return;
   if (message.preVote !== (candidacy.phase === 'preVote')) return;
   candidacy.granted.add(message.incarnation);
   countVotes(state);
--- a/src/control/log/followerLog.ts
+++ b/src/control/log/followerLog.ts
@@ -73,6 +73,8 @@
   return {
     kind: 'progress',
     incarnation: state.incarnation,
+    asker: message.fromIncarnation,
+    askedTerm: message.term,
     term: state.term,
     ok: outcome.ok,
     matchIndex: outcome.ok ? outcome.matchIndex : 0,
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -88,6 +88,13 @@
   z.strictObject({kind: z.literal('readIndex'), from: ID}),
 ]);
 
+/**
+ * Whose request is answered. The answerer's own term may have risen since: an
+ * answer to an earlier leadership of the asker, or to what was wiped there,
+ * would else pass for one to the present.
+ */
+const ASKED = {asker: ID, askedTerm: INDEX};
+
 /** Answers between instances. */
 export const PEER_REPLY = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -100,15 +107,15 @@
   z.strictObject({
     kind: z.literal('vote'),
     incarnation: ID,
+    ...ASKED,
     preVote: z.boolean(),
-    /** Term that was asked for. */
-    askedTerm: INDEX,
     term: INDEX,
     granted: z.boolean(),
   }),
   z.strictObject({
     kind: z.literal('progress'),
     incarnation: ID,
+    ...ASKED,
     term: INDEX,
     ok: z.boolean(),
     /** When ok: synced here and equal to the leader's up to this index. */
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -248,7 +248,10 @@
   const {leadership} = state;
   const progress = leadership?.progress.get(from);
   if (leadership === undefined || progress === undefined) return;
-  if (message.term !== state.term) return;
+  // An answer to an earlier term of ours would confirm a read round, or show a
+  // quorum, that was never asked for in this one.
+  if (message.askedTerm !== state.term) return;
+  if (message.asker !== state.incarnation) return;
   if (message.incarnation !== progress.incarnation) return;
   const answersInFlight = message.seq === progress.inFlight;
   if (answersInFlight) progress.inFlight = undefined;
--- a/tests/logCore.spec.ts
+++ b/tests/logCore.spec.ts
@@ -1,7 +1,11 @@
 import type {CoreEffect, CoreEvent} from '../src/control/log/coreEvents';
 import {DEFAULT_TIMING} from '../src/control/log/coreEvents';
 import type {DurableState, LogEntry} from '../src/control/log/entry';
-import type {CoreReply, CoreRequest} from '../src/control/log/messages';
+import type {
+  CoreReply,
+  CoreRequest,
+  ReplyOf,
+} from '../src/control/log/messages';
 import {RaftCore} from '../src/control/log/raftCore';
 
 const {electionMaxMs, checkQuorumMs, heartbeatMs} = DEFAULT_TIMING;
@@ -84,6 +88,7 @@
     return this.answer(incarnation.slice(0, 1), {
       kind: 'vote',
       incarnation,
+      asker: 'a/1',
       preVote,
       askedTerm: preVote ? term + 1 : term,
       term,
@@ -91,10 +96,16 @@
     });
   }
 
-  matched(incarnation: string, matchIndex: number): readonly CoreEffect[] {
+  matched(
+    incarnation: string,
+    matchIndex: number,
+    change: Partial<ReplyOf<'progress'>> = {}
+  ): readonly CoreEffect[] {
     return this.answer(incarnation.slice(0, 1), {
       kind: 'progress',
       incarnation,
+      asker: 'a/1',
+      askedTerm: this.status.term,
       term: this.status.term,
       ok: true,
       matchIndex,
@@ -103,6 +114,7 @@
       seq: 0,
       round: 0,
       sentAt: this.now,
+      ...change,
     });
   }
 
@@ -220,6 +232,25 @@
     expect(driven.status.role).toBe('follower');
   });
 
+  // A caller reads old state. The leader led once before, and a message of
+  // that time comes to a peer only now; the peer answers it in its present
+  // term. Taken for an answer to this term's read round, it would confirm a
+  // round that no quorum has seen, while another leader has gone on.
+  it.each([{askedTerm: 2}, {asker: 'a/0'}])(
+    'should not confirm a read by an answer to an earlier life: %j',
+    change => {
+      const driven = new Driven({...MEMBER, hard: {...MEMBER.hard, term: 3}});
+      driven.lead();
+      driven.matched('b/1', 2);
+      driven.step({kind: 'readBarrier', ticket: 7});
+      const round = {round: 73};
+      expect(driven.matched('b/1', 2, {...round, ...change})).toEqual([]);
+      expect(driven.matched('b/1', 2, {round: 1})).toMatchObject([
+        {kind: 'readReady', ticket: 7, index: 2},
+      ]);
+    }
+  );
+
   // A cut in one direction only: its heartbeats go out and keep the others
   // from electing anyone, but no answer comes back, so nothing commits.
   it('should step down when no quorum answers', () => {
