--- a/tests/logCluster.ts
+++ b/tests/logCluster.ts
@@ -7,6 +7,7 @@
 import type {Command, CommandResult} from '../src/control/state/command';
 import type {LogLimits, LogPeer} from '../src/control/log/createReplicatedLog';
 import {createReplicatedLog} from '../src/control/log/createReplicatedLog';
+import type {LogStorage} from '../src/control/log/logStorage';
 import type {
   LogStatus,
   ReplicatedLog,
@@ -62,6 +63,10 @@
   readonly fatal: unknown[] = [];
   /** Directed links that lose everything: `from>to`. */
   readonly cuts = new Set<string>();
+  /** Instances that never answer, as if stopped. */
+  readonly silent = new Set<string>();
+  /** In place of the real disk, by instance. */
+  readonly storages = new Map<string, LogStorage>();
 
   constructor(
     readonly ids: readonly string[],
@@ -111,6 +116,17 @@
     });
   }
 
+  /** Cuts all links from or to an instance. */
+  cut(id: string, direction: 'from' | 'to'): void {
+    for (const other of this.ids)
+      this.cuts.add(direction === 'from' ? `${id}>${other}` : `${other}>${id}`);
+  }
+
+  /** Resolves once every instance votes under its own incarnation. */
+  async whole(): Promise<void> {
+    for (const id of this.ids) await this.until(id, ({voter}) => voter);
+  }
+
   /** Proposes at whoever leads, again after each refusal. */
   async commit(holder: string): Promise<CommandResult> {
     for (;;) {
@@ -146,6 +162,7 @@
       random: Math.random,
       onFatal: err => this.fatal.push(err),
       limits: this.limits,
+      storage: this.storages.get(id),
     });
     this.running.set(id, {log, state});
   }
@@ -159,6 +176,7 @@
       id: to,
       send: async message => {
         if (lost(from, to)) throw new Error('lost');
+        if (this.silent.has(to)) return new Promise(() => undefined);
         const sent = JSON.parse(JSON.stringify(message));
         const answer = await this.at(to).log.receive(sent);
         if (lost(to, from)) throw new Error('lost');
