Let candidates step aside for one another, and retry sooner

Granting a pre-vote now holds the own candidacy back for one heartbeat, and candidates retry after 300 to 900 ms. Ruled out: denying by rank, which would livelock when the higher-ranked candidate hears in one direction only.

--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -218,9 +218,20 @@
 
   resetElectionTimer(): void {
     const {electionMinMs, electionMaxMs} = this.options.timing;
-    const spread = electionMaxMs - electionMinMs;
-    this.electionDeadline =
-      this.now + electionMinMs + this.options.random() * spread;
+    this.electionDeadline = this.randomDeadline(electionMinMs, electionMaxMs);
+  }
+
+  /** After a candidacy there is no leader to wait for, only other candidates. */
+  startRetryTimer(): void {
+    const {electionMinMs} = this.options.timing;
+    this.electionDeadline = this.randomDeadline(
+      electionMinMs / 2,
+      electionMinMs * 1.5
+    );
+  }
+
+  private randomDeadline(minMs: number, maxMs: number): number {
+    return this.now + minMs + this.options.random() * (maxMs - minMs);
   }
 
   private whenSynced(seq: number, run: () => void): void {
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -36,7 +36,7 @@
 export function startPreVote(state: CoreState): void {
   state.candidacy = {phase: 'preVote', granted: new Set()};
   state.leaderId = undefined;
-  state.resetElectionTimer();
+  state.startRetryTimer();
   state.candidacy.granted.add(state.incarnation);
   requestVotes(state, 'preVote', state.term + 1);
   countVotes(state);
@@ -45,7 +45,7 @@
 function startElection(state: CoreState): void {
   const candidacy = {phase: 'vote' as const, granted: new Set<string>()};
   state.candidacy = candidacy;
-  state.resetElectionTimer();
+  state.startRetryTimer();
   state.setHard({term: state.term + 1, votedFor: state.incarnation});
   // Our own vote counts, and others are asked, only once it is durable: after
   // a crash this instance could else vote for another in the same term.
@@ -119,11 +119,17 @@
 }
 
 function grantPreVote(state: CoreState, message: VoteRequest): boolean {
-  return (
-    !hearsLeader(state) &&
-    message.term > state.term &&
-    isUpToDate(state, message)
+  if (hearsLeader(state) || message.term <= state.term) return false;
+  if (!isUpToDate(state, message)) return false;
+  // Two that stand at once split the votes. This one holds back for a moment,
+  // shorter than any candidate's retry, so one that hears nobody cannot keep
+  // it back for ever.
+  const {heartbeatMs} = state.options.timing;
+  state.electionDeadline = Math.max(
+    state.electionDeadline,
+    state.now + heartbeatMs
   );
+  return true;
 }
 
 function grantVote(state: CoreState, message: VoteRequest): boolean {
