--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -2,6 +2,7 @@
 
 import type {FuzzModel} from './fuzzModel';
 import {LOG_MODEL} from './logModel';
+import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL];
+export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, STREAM_MODEL];
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -83,8 +83,9 @@
   /** Starts what may start now; called whenever the limit may have grown. */
   pump(): void {
     this.expire();
-    while (this.running < this.view.limit()) {
-      const item = this.queue.take(performance.now());
+    for (;;) {
+      const freeSlots = this.view.limit() - this.running;
+      const item = this.queue.take(performance.now(), freeSlots);
       if (item === undefined) break;
       this.start(item);
     }
--- a/tests/operatorClient.spec.ts
+++ b/tests/operatorClient.spec.ts
@@ -7,7 +7,9 @@
 import {explainRequest} from '../src/cli/explainRequest';
 import {followInForce} from '../src/cli/inForce';
 import {mergeStatus} from '../src/cli/mergeStatus';
+import {formatStatus} from '../src/cli/statusCommand';
 import {submitText} from '../src/cli/submitCommand';
+import {formatUsage} from '../src/cli/usageCommand';
 import type {ProcessStatus, SubmitAnswer} from '../src/core/operatorAnswers';
 import type {Announcement} from '../src/core/wire';
 import {parseRules} from '../src/rules/parseRules';
@@ -172,6 +174,7 @@
       5000
     );
     expect(everywhere).toBe(true);
+    expect(text).toContain('e2 in zone-a (200 ms, holds 8 already)');
     expect(text.split('\n').map(line => line.replace(/ \(.*/, ''))).toEqual([
       'in force: entry e1 in zone-a',
       'in force: entry e2 in zone-a',
@@ -218,30 +221,59 @@
       commitIndex: 1,
     };
     const leaving = target('t1', {seq: 9, state: 'leaving'});
-    const merged = mergeStatus(
-      [
-        {
-          instance,
-          revision: 6,
-          rulesText: 'old',
-          processes: [{...processAt('e1', 6), pollAgeMs: 2900}],
-          targets: [target('t1', {seq: 8})],
-        },
-        {
-          instance,
-          revision: 7,
-          rulesText: RULES,
-          processes: [processAt('e1', 7)],
-          targets: [leaving],
-        },
-      ],
-      [{id: 'c3', reason: 'timeout'}]
-    );
-    expect(merged.rulesText).toBe(RULES);
-    expect(merged.revision).toBe(7);
-    expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
-    expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
-    expect(merged.silent).toHaveLength(1);
+    const old = {
+      instance,
+      revision: 6,
+      rulesText: 'old',
+      processes: [{...processAt('e1', 6), pollAgeMs: 2900}],
+      targets: [target('t1', {seq: 8})],
+    };
+    const current = {
+      instance,
+      revision: 7,
+      rulesText: RULES,
+      processes: [processAt('e1', 7)],
+      targets: [leaving],
+    };
+    const silent = [{id: 'c3', reason: 'timeout'}];
+    for (const answers of [
+      [old, current],
+      [current, old],
+    ]) {
+      const merged = mergeStatus(answers, silent);
+      expect(merged).toMatchObject({revision: 7, rulesText: RULES, silent});
+      expect(merged.processes.map(item => item.heldRevision)).toEqual([7]);
+      expect(merged.targets.map(item => item.state)).toEqual(['leaving']);
+    }
+  });
+});
+
+describe('pages of the client', () => {
+  it('should show who is behind and which instance is silent', () => {
+    const status = {
+      ...statusOf(processAt('e1', 7), processAt('e2', 6)),
+      targets: [target('t1', {outstanding: 3, queued: 2, model: 'm'})],
+      silent: [{id: 'c3', reason: 'timeout: no answer'}],
+    };
+    const text = formatStatus(status).join('\n');
+    expect(text).toMatch(/^revision 7$/m);
+    expect(text).toMatch(/^e1 .* 7 +in force +10 ms +never$/m);
+    expect(text).toMatch(/^e2 .* 6 +behind/m);
+    expect(text).toMatch(/^t1 +planner +zone-a +serving +warm +3\/8 +2 +m$/m);
+    expect(text).toContain('c3 gave no answer: timeout');
+  });
+
+  it('should show the largest user first, with its part of all tokens', () => {
+    const lines = formatUsage([
+      {customer: 'depot', requests: 0, tokens: 0, queueMs: 0},
+      {customer: 'sligo', requests: 2, tokens: 100, queueMs: 5},
+      {customer: 'cork', requests: 4, tokens: 300, queueMs: 8},
+    ]);
+    expect(lines.slice(1)).toEqual([
+      expect.stringMatching(/^cork +4 +300 +75\.0% +2\.0 ms$/),
+      expect.stringMatching(/^sligo +2 +100 +25\.0% +2\.5 ms$/),
+      expect.stringMatching(/^depot +0 +0 +0\.0% +-$/),
+    ]);
   });
 });
 
