Show that instances added to the settings become voters by themselves

Cause: growing from one instance to three, or three to five, needs no operator command either. Also a failure is reported to the process once only.

--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -331,6 +331,7 @@
   }
 
   private fail(err: unknown): void {
+    if (this.closed) return;
     this.options.logger.fatal({step: 'log', err}, 'the log stops');
     this.stop(err);
     this.options.onFatal(err);
--- a/tests/logCluster.ts
+++ b/tests/logCluster.ts
@@ -69,7 +69,7 @@
   readonly storages = new Map<string, LogStorage>();
 
   constructor(
-    readonly ids: readonly string[],
+    public ids: readonly string[],
     private readonly limits: Partial<LogLimits> = {}
   ) {}
 
--- a/tests/logFailures.spec.ts
+++ b/tests/logFailures.spec.ts
@@ -151,6 +151,25 @@
     40_000
   );
 
+  it.each([
+    [['control-1'], THREE],
+    [THREE, [...THREE, 'control-4', 'control-5']],
+  ])(
+    'should take in instances that were added to the settings %j',
+    async (before, after) => {
+      await use(before);
+      await cluster.commit('first');
+      await cluster.stop(...before);
+      cluster.ids = after;
+      await cluster.start(...after);
+      await cluster.whole();
+      await cluster.stop('control-2');
+      await cluster.commit('second');
+      expect(await held()).toEqual(['first', 'second']);
+    },
+    40_000
+  );
+
   // The leader is cut off with a proposal under way: it may or may not have
   // reached the others, so its caller hears that the outcome is not known.
   it('should call a proposal lost when leadership ends before its outcome', async () => {
