--- /dev/null
+++ b/src/control/maps/mapSwitch.ts
@@ -0,0 +1,366 @@
+/**
+ * The controller's side of a switch of expert maps for one group: pure, driven
+ * by events. All ranks promise first, then the decision is agreed in the log,
+ * and only then is it told.
+ */
+
+import {unreachable} from '../../core/errors';
+import type {
+  ExpertMap,
+  FromRankMessage,
+  JoinRequest,
+  PromiseMessage,
+  RefusalMessage,
+} from '../../core/mapMessages';
+import {versionOf} from '../../core/mapMessages';
+import type {MapDecisionCommand} from '../state/command';
+import type {GroupMaps} from './mapState';
+import type {
+  AbortReason,
+  MapSwitchConfig,
+  SwitchAction,
+  SwitchEvent,
+} from './mapSwitchEvents';
+
+/** One attempt; `reason` is set once it is to be aborted. */
+interface Attempt {
+  readonly command: MapDecisionCommand;
+  readonly map: ExpertMap;
+  readonly promised: ReadonlySet<number>;
+  readonly deadlineMs: number;
+  readonly reason?: AbortReason;
+}
+
+/** A join and the first read that may answer it. */
+interface WaitingJoin {
+  readonly req: JoinRequest;
+  readonly seq: number;
+}
+
+type Phase =
+  | {readonly kind: 'following'}
+  | {readonly kind: 'fencing'}
+  | {readonly kind: 'idle'; readonly fence: number}
+  | {
+      readonly kind: 'preparing' | 'deciding';
+      readonly fence: number;
+      readonly attempt: Attempt;
+    };
+
+/** Decides for one group; the caller carries out the actions in order. */
+export class MapSwitch {
+  private phase: Phase = {kind: 'following'};
+  private switches = 0;
+  private marginSteps: number;
+  private joins = new Map<number, WaitingJoin>();
+  private readSeq = 0;
+  private newestFence = 0;
+  private sentAtMs = -Infinity;
+
+  constructor(private readonly cfg: MapSwitchConfig) {
+    this.marginSteps = cfg.marginSteps;
+  }
+
+  /** Whether a new switch may be started. */
+  get idle(): boolean {
+    return this.phase.kind === 'idle';
+  }
+
+  handle(event: SwitchEvent, nowMs: number): readonly SwitchAction[] {
+    switch (event.kind) {
+      case 'lead':
+        return this.phase.kind === 'following' ? this.takeFence(nowMs) : [];
+      case 'resign':
+        return this.resign();
+      case 'fence':
+        return this.onFence(event.fence);
+      case 'decided':
+        return this.onDecided(event.version, event.result, nowMs);
+      case 'read':
+        return this.onRead(event.seq, event.maps, nowMs);
+      case 'start':
+        return this.start(event.map, event.step, nowMs);
+      case 'message':
+        return this.onMessage(event.message);
+      case 'tick':
+        return this.onTick(nowMs);
+      default:
+        return unreachable(event);
+    }
+  }
+
+  private takeFence(nowMs: number): readonly SwitchAction[] {
+    this.phase = {kind: 'fencing'};
+    this.sentAtMs = nowMs;
+    return [this.fenceAction()];
+  }
+
+  private fenceAction(): SwitchAction {
+    const {group, holder} = this.cfg;
+    return {kind: 'propose', command: {kind: 'fence', group, holder}};
+  }
+
+  private resign(): readonly SwitchAction[] {
+    this.phase = {kind: 'following'};
+    this.joins.clear();
+    return [];
+  }
+
+  private onFence(fence: number): readonly SwitchAction[] {
+    // Taking a fence twice would give two switches the same version.
+    if (this.phase.kind !== 'fencing' || fence <= this.newestFence) return [];
+    this.phase = {kind: 'idle', fence};
+    this.newestFence = fence;
+    this.switches = 0;
+    return [this.read()];
+  }
+
+  private read(): SwitchAction {
+    return {kind: 'read', seq: ++this.readSeq};
+  }
+
+  private onRead(
+    seq: number,
+    maps: GroupMaps,
+    nowMs: number
+  ): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'idle') return [];
+    // A newer controller may have switches under way that are not known here.
+    if (maps.fence !== phase.fence) return this.takeFence(nowMs);
+    if (maps.current === undefined) return this.decideFirstMap(phase.fence);
+    return this.answerJoins(seq, maps);
+  }
+
+  /** No rank runs without a map, so that the first one needs no promise. */
+  private decideFirstMap(fence: number): readonly SwitchAction[] {
+    const map = this.cfg.initialMap;
+    const command = this.command(fence, map, 0);
+    const attempt = {
+      command,
+      map,
+      promised: new Set<number>(),
+      deadlineMs: Infinity,
+    };
+    return this.decide({kind: 'preparing', fence, attempt}, undefined);
+  }
+
+  private answerJoins(seq: number, maps: GroupMaps): readonly SwitchAction[] {
+    const {fence, current, previous} = maps;
+    if (current === undefined) return [];
+    const {group} = this.cfg;
+    // A read begun before the rank asked may be from before a switch in which
+    // that rank took part until it restarted.
+    const due = [...this.joins.values()].filter(join => join.seq <= seq);
+    due.forEach(({req}) => this.joins.delete(req.rank));
+    return due.map(({req: {rank, attempt}}): SwitchAction => ({
+      kind: 'send',
+      rank,
+      message: {
+        kind: 'joinAnswer',
+        group,
+        attempt,
+        fence,
+        current,
+        previous,
+      },
+    }));
+  }
+
+  private start(
+    map: ExpertMap,
+    step: number,
+    nowMs: number
+  ): readonly SwitchAction[] {
+    if (this.phase.kind !== 'idle') return [];
+    const {fence} = this.phase;
+    const command = this.command(fence, map, step + this.marginSteps);
+    const deadlineMs = nowMs + this.cfg.promiseTimeoutMs;
+    const attempt = {command, map, promised: new Set<number>(), deadlineMs};
+    this.phase = {kind: 'preparing', fence, attempt};
+    this.sentAtMs = nowMs;
+    return this.prepares(attempt);
+  }
+
+  private command(
+    fence: number,
+    map: ExpertMap,
+    switchStep: number
+  ): MapDecisionCommand {
+    const {group} = this.cfg;
+    const version = versionOf(fence, ++this.switches);
+    const decision = 'commit';
+    const {slots, shares} = map;
+    return {
+      kind: 'mapDecision',
+      group,
+      fence,
+      version,
+      switchStep,
+      decision,
+      slots,
+      shares,
+    };
+  }
+
+  private prepares(attempt: Attempt): readonly SwitchAction[] {
+    const {group, fence, version, switchStep} = attempt.command;
+    const {map} = attempt;
+    const message = {
+      kind: 'prepare',
+      group,
+      fence,
+      version,
+      switchStep,
+      map,
+    } as const;
+    return this.allRanks()
+      .filter(rank => !attempt.promised.has(rank))
+      .map(rank => ({kind: 'send', rank, message}));
+  }
+
+  private allRanks(): readonly number[] {
+    return Array.from({length: this.cfg.ranks}, (_, rank) => rank);
+  }
+
+  private onMessage(
+    message: Exclude<FromRankMessage, {kind: 'expertCounts'}>
+  ): readonly SwitchAction[] {
+    if (message.group !== this.cfg.group) return [];
+    switch (message.kind) {
+      case 'promise':
+        return this.onPromise(message);
+      case 'refusal':
+        return this.onRefusal(message);
+      case 'join':
+        return this.onJoin(message);
+      case 'decisionQuery': {
+        const {group, fence, version, rank} = message;
+        const id = {group, fence, version};
+        return [{kind: 'answerQuery', id, rank}];
+      }
+      default:
+        return unreachable(message);
+    }
+  }
+
+  private onPromise(message: PromiseMessage): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'preparing') return [];
+    if (message.version !== phase.attempt.command.version) return [];
+    const promised = new Set([...phase.attempt.promised, message.rank]);
+    const attempt = {...phase.attempt, promised};
+    const next = {...phase, attempt};
+    this.phase = next;
+    // Every rank must hold: one that does not would run on with the old map.
+    if (promised.size < this.cfg.ranks) return [];
+    this.marginSteps = this.cfg.marginSteps;
+    return this.decide(next, undefined);
+  }
+
+  private onRefusal(message: RefusalMessage): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'preparing') return [];
+    if (message.version !== phase.attempt.command.version) return [];
+    switch (message.reason) {
+      // A rank that starts or finishes an earlier switch may promise in time.
+      case 'unready':
+      case 'busy':
+        return [];
+      case 'passed':
+        this.marginSteps = Math.min(
+          2 * this.marginSteps,
+          this.cfg.maxMarginSteps
+        );
+        return this.decide(phase, 'passed');
+      case 'load-failed':
+      case 'fenced':
+        return this.decide(phase, message.reason);
+      default:
+        return unreachable(message.reason);
+    }
+  }
+
+  private onJoin(req: JoinRequest): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind === 'following') return [];
+    this.joins.set(req.rank, {req, seq: this.readSeq + 1});
+    // The rank has forgotten what it promised. What is pending must be decided
+    // before it is told a map, or it would miss the switch.
+    if (phase.kind === 'preparing') return this.decide(phase, 'joined');
+    return phase.kind === 'idle' ? [this.read()] : [];
+  }
+
+  /** Proposes the decision; nobody is told before it is recorded. */
+  private decide(
+    phase: Extract<Phase, {attempt: Attempt}>,
+    reason: AbortReason | undefined
+  ): readonly SwitchAction[] {
+    const decision = reason === undefined ? 'commit' : 'abort';
+    const command = {...phase.attempt.command, decision} as const;
+    const attempt = {...phase.attempt, command, reason};
+    this.phase = {kind: 'deciding', fence: phase.fence, attempt};
+    return [{kind: 'propose', command}];
+  }
+
+  private onDecided(
+    version: number,
+    result: 'recorded' | 'fenced',
+    nowMs: number
+  ): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'deciding') return [];
+    const {command, map, reason} = phase.attempt;
+    if (version !== command.version) return [];
+    if (result === 'fenced') return [ended('fenced'), ...this.takeFence(nowMs)];
+    this.phase = {kind: 'idle', fence: phase.fence};
+    const {group, fence, decision, switchStep} = command;
+    const message = {
+      kind: 'decision',
+      group,
+      fence,
+      version,
+      decision,
+      switchStep,
+    } as const;
+    const told = this.allRanks().map((rank): SwitchAction => ({
+      kind: 'send',
+      rank,
+      message,
+    }));
+    const outcome = reason ? ended(reason) : switched(map);
+    const read = this.joins.size > 0 ? [this.read()] : [];
+    return [...told, outcome, ...read];
+  }
+
+  private onTick(nowMs: number): readonly SwitchAction[] {
+    const {phase} = this;
+    if (phase.kind === 'preparing' && nowMs >= phase.attempt.deadlineMs)
+      return this.decide(phase, 'timeout');
+    if (nowMs - this.sentAtMs < this.cfg.resendMs) return [];
+    this.sentAtMs = nowMs;
+    switch (phase.kind) {
+      case 'following':
+        return [];
+      case 'fencing':
+        return [this.fenceAction()];
+      case 'idle':
+        return this.joins.size > 0 ? [this.read()] : [];
+      case 'preparing':
+        return this.prepares(phase.attempt);
+      // The same decision again, never another: the first may have counted.
+      case 'deciding':
+        return [{kind: 'propose', command: phase.attempt.command}];
+      default:
+        return unreachable(phase);
+    }
+  }
+}
+
+function ended(reason: AbortReason): SwitchAction {
+  return {kind: 'ended', result: {kind: 'aborted', reason}};
+}
+
+function switched(map: ExpertMap): SwitchAction {
+  return {kind: 'ended', result: {kind: 'switched', map}};
+}
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -68,6 +68,8 @@
   readonly decision: 'commit' | 'abort';
   /** Physical slots: expert of each slot, by rank. */
   readonly slots: readonly (readonly number[])[];
+  /** Part of the expert's tokens that each slot takes; even when absent. */
+  readonly shares?: readonly (readonly number[])[];
 }
 
 /** Records what one boot of one entry has counted so far, for charging. */
--- a/src/core/mapMessages.ts
+++ b/src/core/mapMessages.ts
@@ -29,6 +29,22 @@
   readonly version: number;
 }
 
+const VERSIONS_PER_FENCE = 1_000_000;
+
+/**
+ * Version of the nth switch under a fence. Two controllers can never use the
+ * same one, so that no late order of one is taken for an order of the other,
+ * also by engines that look at the version alone.
+ */
+export function versionOf(fence: number, nth: number): number {
+  return fence * VERSIONS_PER_FENCE + nth;
+}
+
+/** The fence under which a version was prepared. */
+export function fenceOfVersion(version: number): number {
+  return Math.floor(version / VERSIONS_PER_FENCE);
+}
+
 /** Controller to rank: load the map and do not pass the step undecided. */
 export interface PrepareMessage extends SwitchId {
   readonly kind: 'prepare';
@@ -40,6 +56,7 @@
 export interface DecisionMessage extends SwitchId {
   readonly kind: 'decision';
   readonly decision: 'commit' | 'abort';
+  readonly switchStep: number;
 }
 
 /** Rank to controller: the engine holds before the step until it is told. */
