--- a/src/agent/maps/rankSwitch.ts
+++ b/src/agent/maps/rankSwitch.ts
@@ -25,6 +25,8 @@
   readonly running: boolean;
   /** Next step to run. */
   readonly step: number;
+  /** Map of the last step that was run; 0 for none. */
+  readonly mapVersion: number;
   /** Version before whose step it holds until it is told. */
   readonly preparedVersion?: number;
 }
@@ -74,15 +76,10 @@
   readonly retryMs: number;
 }
 
-/** A decision as it was told; the switch is over once its step is reached. */
-type KnownDecision =
-  | {readonly kind: 'commit'; readonly switchStep: number}
-  | {readonly kind: 'abort'};
-
 interface PendingSwitch {
   readonly id: SwitchId;
   readonly state: 'loading' | 'promised';
-  readonly decision?: KnownDecision;
+  readonly decision?: 'commit' | 'abort';
 }
 
 /** `learning` until control has told fence and map, then `starting`, `ready`. */
@@ -167,11 +164,10 @@
     }
     const {id, decision} = pending;
     if (decision === undefined) return [];
-    if (held === id.version) return [decideAction(id, decision)];
+    if (held === id.version) return [{kind: 'decideEngine', id, decision}];
     // A restarted rank is told two maps only. With one more switch before the
-    // step of this one is reached there would be a third that it could need.
-    if (decision.kind === 'commit' && view.step < decision.switchStep)
-      return [];
+    // engine runs with this one there would be a third that it could need.
+    if (decision === 'commit' && view.mapVersion < id.version) return [];
     this.decidedVersion = Math.max(this.decidedVersion, id.version);
     this.pending = undefined;
     return [];
@@ -200,16 +196,16 @@
     return [this.startAction(answer)];
   }
 
-  /** The newest switch, if the engine has yet to reach its step. */
+  /** The newest switch, if the engine has yet to run with it. */
   private switchAhead(
     current: CommittedMap,
     view: EngineView
   ): PendingSwitch | undefined {
-    const {version, switchStep} = current;
-    if (view.step >= switchStep) return undefined;
+    const {version} = current;
+    if (view.mapVersion >= version) return undefined;
     const {group} = this.cfg;
     const id = {group, fence: fenceOfVersion(version), version};
-    return {id, state: 'promised', decision: {kind: 'commit', switchStep}};
+    return {id, state: 'promised', decision: 'commit'};
   }
 
   private startAction(answer: JoinAnswer): RankAction {
@@ -262,20 +258,16 @@
     this.pending = {...pending, state: 'promised'};
     // Only now, with the engine holding, is the promise true.
     if (decision === undefined) return [this.promise(id)];
-    return [decideAction(id, decision)];
+    return [{kind: 'decideEngine', id, decision}];
   }
 
   private onDecision(message: DecisionMessage): readonly RankAction[] {
     const {pending} = this;
     if (pending?.id.version !== message.version) return [];
-    const {switchStep} = message;
-    const decision: KnownDecision =
-      message.decision === 'commit'
-        ? {kind: 'commit', switchStep}
-        : {kind: 'abort'};
+    const {decision} = message;
     this.pending = {...pending, decision};
     if (pending.state === 'loading') return [];
-    return [decideAction(pending.id, decision)];
+    return [{kind: 'decideEngine', id: pending.id, decision}];
   }
 
   private onTick(nowMs: number): readonly RankAction[] {
@@ -333,7 +325,3 @@
     return {kind: 'send', message};
   }
 }
-
-function decideAction(id: SwitchId, decision: KnownDecision): RankAction {
-  return {kind: 'decideEngine', id, decision: decision.kind};
-}
--- a/src/control/maps/mapState.ts
+++ b/src/control/maps/mapState.ts
@@ -21,10 +21,7 @@
 }
 
 /** The answer to a rank that stands at its barrier. */
-export type SwitchOutcome =
-  | {readonly kind: 'commit'; readonly switchStep: number}
-  | {readonly kind: 'abort'}
-  | {readonly kind: 'undecided'};
+export type SwitchOutcome = 'commit' | 'abort' | 'undecided';
 
 /** As stored in snapshots. */
 export interface MapSnapshot {
@@ -57,14 +54,15 @@
     readonly kind: 'recorded' | 'fenced';
   } {
     const group = this.group(command.group);
-    const resent = this.outcome(command).kind === command.decision;
     const {fence, version} = command;
-    // A proposer whose answer was lost proposes the same again.
-    if (resent && version <= group.decidedVersion) return {kind: 'recorded'};
     // A late decision of a replaced controller must not count: ranks that
     // asked since have been told that its switch can no longer happen.
     if (fence !== group.fence) return {kind: 'fenced'};
-    if (version <= group.decidedVersion) return {kind: 'fenced'};
+    if (version <= group.decidedVersion) {
+      // A proposer whose answer was lost proposes the same again.
+      const same = this.outcome(command) === command.decision;
+      return {kind: same ? 'recorded' : 'fenced'};
+    }
     this.groups.set(command.group, decided(group, command));
     return {kind: 'recorded'};
   }
@@ -75,10 +73,10 @@
     const committed = [group.current, group.previous].find(
       map => map?.version === id.version
     );
-    if (committed) return {kind: 'commit', switchStep: committed.switchStep};
-    if (id.version <= group.decidedVersion) return {kind: 'abort'};
+    if (committed) return 'commit';
+    if (id.version <= group.decidedVersion) return 'abort';
     // No decision under an older fence can count any more.
-    return id.fence < group.fence ? {kind: 'abort'} : {kind: 'undecided'};
+    return id.fence < group.fence ? 'abort' : 'undecided';
   }
 
   snapshot(): MapSnapshot {
--- a/src/control/maps/mapSwitch.ts
+++ b/src/control/maps/mapSwitch.ts
@@ -54,16 +54,20 @@
   private marginSteps: number;
   private joins = new Map<number, WaitingJoin>();
   private readSeq = 0;
+  private readFrom = 0;
   private newestFence = 0;
+  /** Whether the group is known to have a map that ranks can run with. */
+  private hasMap = false;
   private sentAtMs = -Infinity;
 
   constructor(private readonly cfg: MapSwitchConfig) {
     this.marginSteps = cfg.marginSteps;
   }
 
-  /** Whether a new switch may be started. */
+  /** Whether a new switch may be started; ranks that wait to join go first. */
   get idle(): boolean {
-    return this.phase.kind === 'idle';
+    const free = this.phase.kind === 'idle' && this.joins.size === 0;
+    return free && this.hasMap;
   }
 
   handle(event: SwitchEvent, nowMs: number): readonly SwitchAction[] {
@@ -111,7 +115,9 @@
     if (this.phase.kind !== 'fencing' || fence <= this.newestFence) return [];
     this.phase = {kind: 'idle', fence};
     this.newestFence = fence;
+    this.readFrom = this.readSeq + 1;
     this.switches = 0;
+    this.hasMap = false;
     return [this.read()];
   }
 
@@ -125,10 +131,12 @@
     nowMs: number
   ): readonly SwitchAction[] {
     const {phase} = this;
-    if (phase.kind !== 'idle') return [];
+    // A read begun before the last decision may not show it.
+    if (phase.kind !== 'idle' || seq < this.readFrom) return [];
     // A newer controller may have switches under way that are not known here.
     if (maps.fence !== phase.fence) return this.takeFence(nowMs);
     if (maps.current === undefined) return this.decideFirstMap(phase.fence);
+    this.hasMap = true;
     return this.answerJoins(seq, maps);
   }
 
@@ -172,7 +180,7 @@
     step: number,
     nowMs: number
   ): readonly SwitchAction[] {
-    if (this.phase.kind !== 'idle') return [];
+    if (this.phase.kind !== 'idle' || !this.idle) return [];
     const {fence} = this.phase;
     const command = this.command(fence, map, step + this.marginSteps);
     const deadlineMs = nowMs + this.cfg.promiseTimeoutMs;
@@ -268,10 +276,7 @@
       case 'busy':
         return [];
       case 'passed':
-        this.marginSteps = Math.min(
-          2 * this.marginSteps,
-          this.cfg.maxMarginSteps
-        );
+        this.widenMargin();
         return this.decide(phase, 'passed');
       case 'load-failed':
       case 'fenced':
@@ -281,6 +286,11 @@
     }
   }
 
+  private widenMargin(): void {
+    const wider = 2 * this.marginSteps;
+    this.marginSteps = Math.min(wider, this.cfg.maxMarginSteps);
+  }
+
   private onJoin(req: JoinRequest): readonly SwitchAction[] {
     const {phase} = this;
     if (phase.kind === 'following') return [];
@@ -314,14 +324,14 @@
     if (version !== command.version) return [];
     if (result === 'fenced') return [ended('fenced'), ...this.takeFence(nowMs)];
     this.phase = {kind: 'idle', fence: phase.fence};
-    const {group, fence, decision, switchStep} = command;
+    this.readFrom = this.readSeq + 1;
+    const {group, fence, decision} = command;
     const message = {
       kind: 'decision',
       group,
       fence,
       version,
       decision,
-      switchStep,
     } as const;
     const told = this.allRanks().map((rank): SwitchAction => ({
       kind: 'send',
@@ -329,15 +339,24 @@
       message,
     }));
     const outcome = reason ? ended(reason) : switched(map);
-    const read = this.joins.size > 0 ? [this.read()] : [];
+    const unread = this.joins.size > 0 || !this.hasMap;
+    const read = unread ? [this.read()] : [];
     return [...told, outcome, ...read];
   }
 
+  private retryMs(): number {
+    const proposed =
+      this.phase.kind === 'fencing' || this.phase.kind === 'deciding';
+    return proposed ? this.cfg.proposeRetryMs : this.cfg.resendMs;
+  }
+
   private onTick(nowMs: number): readonly SwitchAction[] {
     const {phase} = this;
-    if (phase.kind === 'preparing' && nowMs >= phase.attempt.deadlineMs)
+    if (phase.kind === 'preparing' && nowMs >= phase.attempt.deadlineMs) {
+      this.widenMargin();
       return this.decide(phase, 'timeout');
-    if (nowMs - this.sentAtMs < this.cfg.resendMs) return [];
+    }
+    if (nowMs - this.sentAtMs < this.retryMs()) return [];
     this.sentAtMs = nowMs;
     switch (phase.kind) {
       case 'following':
@@ -345,7 +364,7 @@
       case 'fencing':
         return [this.fenceAction()];
       case 'idle':
-        return this.joins.size > 0 ? [this.read()] : [];
+        return this.joins.size > 0 || !this.hasMap ? [this.read()] : [];
       case 'preparing':
         return this.prepares(phase.attempt);
       // The same decision again, never another: the first may have counted.
--- a/src/control/maps/mapSwitchEvents.ts
+++ b/src/control/maps/mapSwitchEvents.ts
@@ -76,4 +76,9 @@
   readonly maxMarginSteps: number;
   readonly promiseTimeoutMs: number;
   readonly resendMs: number;
+  /**
+   * Time after which a proposal without answer is made again; above the usual
+   * delay of the log, since a fence that is asked for twice voids the first.
+   */
+  readonly proposeRetryMs: number;
 }
--- a/src/core/mapMessages.ts
+++ b/src/core/mapMessages.ts
@@ -56,7 +56,6 @@
 export interface DecisionMessage extends SwitchId {
   readonly kind: 'decision';
   readonly decision: 'commit' | 'abort';
-  readonly switchStep: number;
 }
 
 /** Rank to controller: the engine holds before the step until it is told. */
