--- a/bench/fuzz/lockStepEngine.ts
+++ b/bench/fuzz/lockStepEngine.ts
@@ -7,7 +7,10 @@
 } from '../../src/agent/maps/rankSwitch';
 
 /** Orders from the agent. */
-export type EngineOrder = Exclude<RankAction, {kind: 'send'}>;
+export type EngineOrder = Exclude<
+  RankAction,
+  {kind: 'send'} | {kind: 'stageEngine'}
+>;
 
 /** Answers to the agent. */
 export type EngineAnswer = Extract<RankEvent, {kind: 'prepared' | 'started'}>;
--- a/bench/fuzz/mapModel.ts
+++ b/bench/fuzz/mapModel.ts
@@ -185,6 +185,7 @@
   }
 
   private rankAction(rank: number, action: RankAction): void {
+    if (action.kind === 'stageEngine') return;
     if (action.kind !== 'send') {
       this.orderEngine(rank, action);
       return;
@@ -266,7 +267,7 @@
   }
 
   private fromRank(to: string, message: FromRankMessage): void {
-    if (message.kind === 'expertCounts') return;
+    if (message.kind === 'expertCounts' || message.kind === 'staged') return;
     this.toController(Number(to), {kind: 'message', message});
   }
 
--- a/bench/measures/expertPolicies.ts
+++ b/bench/measures/expertPolicies.ts
@@ -8,16 +8,11 @@
   relabelToFewestLoads,
 } from '../../src/policy/placementGreedy';
 import {withBestShares} from '../../src/policy/placementSplit';
-import {withChanges} from '../../src/policy/rebalance';
 import type {PopularitySample} from '../../src/policy/popularity';
 import {PopularityEstimate} from '../../src/policy/popularity';
 import type {RebalanceConfig} from '../../src/policy/rebalanceDecision';
-import {
-  decideLoads,
-  decideSplit,
-  loadTimeMs,
-  planCostMs,
-} from '../../src/policy/rebalanceDecision';
+import {loadTimeMs, planCostMs} from '../../src/policy/rebalanceDecision';
+import {RebalancePlanner} from '../../src/policy/rebalancePlanner';
 
 /** What a policy has cost so far. */
 export interface PolicyCost {
@@ -37,9 +32,6 @@
   tick(nowMs: number): void;
 }
 
-/** Time from the decision to the switch, beyond loading: two rounds, a barrier. */
-export const SWITCH_LEAD_MS = 250;
-
 /** What every policy needs. */
 export interface PolicySetup {
   readonly shape: PlacementShape;
@@ -91,7 +83,7 @@
       this.map = this.pending.map;
       this.pending = undefined;
     }
-    if (this.estimate.known) this.decide(nowMs);
+    this.decide(nowMs);
   }
 
   protected abstract decide(nowMs: number): void;
@@ -124,7 +116,10 @@
 
   protected override decide(nowMs: number): void {
     if (nowMs < this.nextMs || this.pending) return;
-    const popularity = this.estimate.predict(nowMs + SWITCH_LEAD_MS);
+    if (!this.estimate.known) return;
+    const popularity = this.estimate.predict(
+      nowMs + this.setup.cfg.switchLeadMs
+    );
     const packed = placeFromScratch(this.setup.shape, popularity);
     const relabelled = relabelToFewestLoads(this.map, packed);
     const map =
@@ -134,49 +129,40 @@
     const gain = mapSkew(this.map, popularity) - mapSkew(map, popularity);
     if (gain <= this.minGain) return;
     this.nextMs = nowMs + this.everyMs;
-    this.start(map, SWITCH_LEAD_MS, nowMs);
+    this.start(map, this.setup.cfg.switchLeadMs, nowMs);
   }
 }
 
-interface Staging {
-  readonly changes: readonly SlotChange[];
+interface Loading {
+  readonly change: SlotChange;
   readonly readyMs: number;
 }
 
-/** The policy that ships. */
+/** The policy that ships, with a store that delivers one expert at a time. */
 export class IncrementalPolicy extends DynamicPolicy {
-  private staged: readonly Staging[] = [];
+  private readonly planner: RebalancePlanner;
+  private loading: readonly Loading[] = [];
 
-  protected override decide(nowMs: number): void {
-    const popularity = this.estimate.predict(nowMs + SWITCH_LEAD_MS);
-    if (this.pending === undefined) this.switchMaps(popularity, nowMs);
-    const storeFreeMs = this.staged.at(-1)?.readyMs ?? 0;
-    if (storeFreeMs > nowMs) return;
-    const loadedMs =
-      nowMs + loadTimeMs(this.setup.cfg, this.setup.cfg.maxLoads);
-    const then = this.estimate.predict(loadedMs + SWITCH_LEAD_MS);
-    this.stageNext(then, nowMs);
+  constructor(name: string, setup: PolicySetup) {
+    super(name, setup);
+    this.planner = new RebalancePlanner(setup.cfg, setup.shape.experts);
   }
 
-  private switchMaps(popularity: readonly number[], nowMs: number): void {
-    const ready = this.staged.filter(item => item.readyMs <= nowMs);
-    this.staged = this.staged.filter(item => item.readyMs > nowMs);
-    const changes = ready.flatMap(item => item.changes);
-    const map =
-      changes.length > 0
-        ? withChanges(this.map, changes, popularity)
-        : decideSplit(this.setup.cfg, this.map, popularity);
-    if (map) this.start(map, SWITCH_LEAD_MS, nowMs);
+  override observe(samples: readonly PopularitySample[]): void {
+    samples.forEach(sample => this.planner.observe(sample));
   }
 
-  private stageNext(popularity: readonly number[], nowMs: number): void {
-    const {cfg} = this.setup;
-    const changes = this.staged.flatMap(item => item.changes);
-    const base = this.pending?.map ?? this.map;
-    const expected = withChanges(base, changes, popularity);
-    const next = decideLoads(cfg, expected, popularity);
-    if (next.length === 0) return;
-    const readyMs = nowMs + loadTimeMs(cfg, next.length);
-    this.staged = [...this.staged, {changes: next, readyMs}];
+  protected override decide(nowMs: number): void {
+    const {planner} = this;
+    const done = this.loading.filter(item => item.readyMs <= nowMs);
+    this.loading = this.loading.filter(item => item.readyMs > nowMs);
+    done.forEach(({change}) => planner.loaded(change));
+    const {switchTo, stage} = planner.next(this.map, this.pending?.map, nowMs);
+    if (switchTo) this.start(switchTo, this.setup.cfg.switchLeadMs, nowMs);
+    const loadMs = loadTimeMs(this.setup.cfg, 1);
+    stage?.forEach((change, index) => {
+      const readyMs = nowMs + (index + 1) * loadMs;
+      this.loading = [...this.loading, {change, readyMs}];
+    });
   }
 }
--- a/src/agent/maps/rankSwitch.ts
+++ b/src/agent/maps/rankSwitch.ts
@@ -12,6 +12,7 @@
   JoinAnswer,
   PrepareMessage,
   PromiseRefusal,
+  StageMessage,
   SwitchId,
   ToRankMessage,
 } from '../../core/mapMessages';
@@ -45,6 +46,11 @@
       readonly result: PrepareResult;
     }
   | {readonly kind: 'started'; readonly bootId: string}
+  | {
+      readonly kind: 'staged';
+      readonly order: StageMessage;
+      readonly ok: boolean;
+    }
   | {readonly kind: 'tick'};
 
 /** What is to be done. */
@@ -58,6 +64,7 @@
       readonly previous?: CommittedMap;
     }
   | {readonly kind: 'prepareEngine'; readonly order: PrepareMessage}
+  | {readonly kind: 'stageEngine'; readonly order: StageMessage}
   | {
       readonly kind: 'decideEngine';
       readonly id: SwitchId;
@@ -109,9 +116,11 @@
       case 'message':
         return this.onMessage(event.message);
       case 'prepared':
-        return this.onPrepared(event);
+        return this.onPrepared(event, nowMs);
       case 'started':
         return this.onStarted(event.bootId);
+      case 'staged':
+        return this.onStaged(event.order, event.ok);
       case 'tick':
         return this.onTick(nowMs);
       default:
@@ -128,6 +137,8 @@
         return this.onPrepare(message);
       case 'decision':
         return this.onDecision(message);
+      case 'stage':
+        return this.onStage(message);
       default:
         return unreachable(message);
     }
@@ -244,7 +255,8 @@
   }
 
   private onPrepared(
-    event: Extract<RankEvent, {kind: 'prepared'}>
+    event: Extract<RankEvent, {kind: 'prepared'}>,
+    nowMs: number
   ): readonly RankAction[] {
     const {pending} = this;
     if (event.bootId !== this.view?.bootId) return [];
@@ -256,11 +268,26 @@
       return [this.refusal(id, passed ? 'passed' : 'load-failed')];
     }
     this.pending = {...pending, state: 'promised'};
+    this.askedAtMs = nowMs;
     // Only now, with the engine holding, is the promise true.
     if (decision === undefined) return [this.promise(id)];
     return [{kind: 'decideEngine', id, decision}];
   }
 
+  private onStage(order: StageMessage): readonly RankAction[] {
+    if (this.stage !== 'ready' || order.fence < this.knownFence)
+      return this.onStaged(order, false);
+    this.knownFence = order.fence;
+    return [{kind: 'stageEngine', order}];
+  }
+
+  private onStaged(order: StageMessage, ok: boolean): readonly RankAction[] {
+    const {group, slot, expert} = order;
+    const {rank} = this.cfg;
+    const message = {kind: 'staged', group, rank, slot, expert, ok} as const;
+    return [{kind: 'send', message}];
+  }
+
   private onDecision(message: DecisionMessage): readonly RankAction[] {
     const {pending} = this;
     if (pending?.id.version !== message.version) return [];
--- a/src/control/maps/mapSwitch.ts
+++ b/src/control/maps/mapSwitch.ts
@@ -7,10 +7,10 @@
 import {unreachable} from '../../core/errors';
 import type {
   ExpertMap,
-  FromRankMessage,
   JoinRequest,
   PromiseMessage,
   RefusalMessage,
+  SwitchMessage,
 } from '../../core/mapMessages';
 import {versionOf} from '../../core/mapMessages';
 import type {MapDecisionCommand} from '../state/command';
@@ -231,9 +231,7 @@
     return Array.from({length: this.cfg.ranks}, (_, rank) => rank);
   }
 
-  private onMessage(
-    message: Exclude<FromRankMessage, {kind: 'expertCounts'}>
-  ): readonly SwitchAction[] {
+  private onMessage(message: SwitchMessage): readonly SwitchAction[] {
     if (message.group !== this.cfg.group) return [];
     switch (message.kind) {
       case 'promise':
--- a/src/control/maps/mapSwitchEvents.ts
+++ b/src/control/maps/mapSwitchEvents.ts
@@ -2,8 +2,8 @@
 
 import type {
   ExpertMap,
-  FromRankMessage,
   SwitchId,
+  SwitchMessage,
   ToRankMessage,
 } from '../../core/mapMessages';
 import type {FenceCommand, MapDecisionCommand} from '../state/command';
@@ -45,7 +45,7 @@
     }
   | {
       readonly kind: 'message';
-      readonly message: Exclude<FromRankMessage, {kind: 'expertCounts'}>;
+      readonly message: SwitchMessage;
     }
   | {readonly kind: 'tick'};
 
--- a/src/core/mapMessages.ts
+++ b/src/core/mapMessages.ts
@@ -52,6 +52,26 @@
   readonly map: ExpertMap;
 }
 
+/** Controller to rank: load weights beside those in use; promises nothing. */
+export interface StageMessage {
+  readonly kind: 'stage';
+  readonly group: string;
+  readonly fence: number;
+  /** Slot of this rank, from 0, for which a later map will use them. */
+  readonly slot: number;
+  readonly expert: number;
+}
+
+/** Rank to controller: the weights are there, or could not be had. */
+export interface StagedMessage {
+  readonly kind: 'staged';
+  readonly group: string;
+  readonly rank: number;
+  readonly slot: number;
+  readonly expert: number;
+  readonly ok: boolean;
+}
+
 /** Controller to rank: what was decided; it is durable when this is sent. */
 export interface DecisionMessage extends SwitchId {
   readonly kind: 'decision';
@@ -128,12 +148,20 @@
 }
 
 /** Controller to rank. */
-export type ToRankMessage = PrepareMessage | DecisionMessage | JoinAnswer;
+export type ToRankMessage =
+  PrepareMessage | DecisionMessage | JoinAnswer | StageMessage;
 
 /** Rank to controller. */
 export type FromRankMessage =
   | PromiseMessage
   | RefusalMessage
+  | StagedMessage
   | JoinRequest
   | DecisionQuery
   | ExpertCountsReport;
+
+/** What the state machine of a switch takes of a rank's messages. */
+export type SwitchMessage = Exclude<
+  FromRankMessage,
+  StagedMessage | ExpertCountsReport
+>;
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -25,6 +25,8 @@
   readonly loadSlowdown: number;
   /** Step time lost by one switch of maps, milliseconds. */
   readonly switchPauseMs: number;
+  /** Time from a decision to the switch: two rounds, the log, some steps. */
+  readonly switchLeadMs: number;
   /** Time over which the gain of a change of slots is expected. */
   readonly slotsHorizonMs: number;
   /** Time over which the gain of a change of the split is expected. */
@@ -44,6 +46,7 @@
   maxCompoundLoads: 3,
   loadSlowdown: 0.005,
   switchPauseMs: 5,
+  switchLeadMs: 250,
   slotsHorizonMs: 60_000,
   splitHorizonMs: 5_000,
   minSlotsGain: 0.0015,
