--- a/src/agent/maps/rankSwitch.ts
+++ b/src/agent/maps/rankSwitch.ts
@@ -45,6 +45,8 @@
       readonly version: number;
       readonly result: PrepareResult;
     }
+  /** The outcome of the order to prepare is not known. */
+  | {readonly kind: 'prepareLost'; readonly version: number}
   | {readonly kind: 'started'; readonly bootId: string}
   | {
       readonly kind: 'staged';
@@ -117,6 +119,8 @@
         return this.onMessage(event.message);
       case 'prepared':
         return this.onPrepared(event, nowMs);
+      case 'prepareLost':
+        return this.onPrepareLost(event.version);
       case 'started':
         return this.onStarted(event.bootId);
       case 'staged':
@@ -274,6 +278,14 @@
     return [{kind: 'decideEngine', id, decision}];
   }
 
+  private onPrepareLost(version: number): readonly RankAction[] {
+    const {pending} = this;
+    if (pending?.id.version !== version || pending.state !== 'loading')
+      return [];
+    this.pending = undefined;
+    return [this.refusal(pending.id, 'load-failed')];
+  }
+
   private onStage(order: StageMessage): readonly RankAction[] {
     if (this.stage !== 'ready' || order.fence < this.knownFence)
       return this.onStaged(order, false);
--- /dev/null
+++ b/src/control/maps/mapController.ts
@@ -0,0 +1,212 @@
+/** The leader's loop for one group: popularity to plan, plan to switch. */
+
+import type {Observable, Subscription} from 'rxjs';
+import {distinctUntilChanged, map, merge, timer} from 'rxjs';
+import {unreachable} from '../../core/errors';
+import type {Logger} from '../../core/logger';
+import type {
+  ExpertCountsReport,
+  ExpertMap,
+  FromRankMessage,
+  StagedMessage,
+  SwitchId,
+  ToRankMessage,
+} from '../../core/mapMessages';
+import type {Metrics} from '../../core/metrics';
+import type {SlotChange} from '../../policy/placement';
+import type {RebalanceConfig} from '../../policy/rebalanceDecision';
+import {RebalancePlanner} from '../../policy/rebalancePlanner';
+import type {ReplicatedLog} from '../log/replicatedLog';
+import type {FenceCommand, MapDecisionCommand} from '../state/command';
+import type {MapState} from './mapState';
+import {MapSwitch} from './mapSwitch';
+import type {
+  MapSwitchConfig,
+  SwitchAction,
+  SwitchEvent,
+  SwitchResult,
+} from './mapSwitchEvents';
+
+/** The way to the agents of a group. */
+export interface RankLink {
+  /** Loss is expected; what matters is sent again. */
+  send(rank: number, message: ToRankMessage): void;
+}
+
+/** Settings of one group. */
+export interface MapControllerConfig extends MapSwitchConfig {
+  readonly experts: number;
+  readonly rebalance: RebalanceConfig;
+  /** Time between two decisions, milliseconds. */
+  readonly tickMs: number;
+}
+
+/** Whether rules let the group rebalance, and from which gain. */
+export interface RebalancePermit {
+  readonly on: boolean;
+}
+
+/** One group's loop on a control instance; idle while that does not lead. */
+export class MapController {
+  private readonly machine: MapSwitch;
+  private readonly planner: RebalancePlanner;
+  private readonly seqs = new Map<number, number>();
+  private step = 0;
+  private pending?: ExpertMap;
+
+  constructor(
+    private readonly cfg: MapControllerConfig,
+    private readonly log: Pick<
+      ReplicatedLog,
+      'propose' | 'readBarrier' | 'status$'
+    >,
+    private readonly state: MapState,
+    private readonly link: RankLink,
+    private readonly permit: () => RebalancePermit,
+    private readonly metrics: Metrics,
+    private readonly logger: Logger
+  ) {
+    this.machine = new MapSwitch(cfg);
+    this.planner = new RebalancePlanner(cfg.rebalance, cfg.experts);
+  }
+
+  start(): Subscription {
+    const leads: Observable<SwitchEvent> = this.log.status$.pipe(
+      map(status => status.role === 'leader'),
+      distinctUntilChanged(),
+      map(leader => ({kind: leader ? 'lead' : 'resign'}))
+    );
+    const ticks: Observable<SwitchEvent> = timer(
+      this.cfg.tickMs,
+      this.cfg.tickMs
+    ).pipe(map(() => ({kind: 'tick'})));
+    return merge(leads, ticks).subscribe(event => {
+      if (event.kind === 'resign') this.forget();
+      this.handle(event);
+      if (event.kind === 'tick') this.plan();
+    });
+  }
+
+  /** Takes a message of a rank that was validated at the edge. */
+  receive(message: FromRankMessage): void {
+    switch (message.kind) {
+      case 'expertCounts':
+        return this.onCounts(message);
+      case 'staged':
+        return this.onStaged(message);
+      case 'refusal':
+        this.step = Math.max(this.step, message.step);
+        return this.handle({kind: 'message', message});
+      case 'promise':
+      case 'join':
+      case 'decisionQuery':
+        return this.handle({kind: 'message', message});
+      default:
+        return unreachable(message);
+    }
+  }
+
+  private forget(): void {
+    this.planner.reset();
+    this.pending = undefined;
+  }
+
+  private onCounts(report: ExpertCountsReport): void {
+    const last = this.seqs.get(report.rank) ?? -1;
+    if (report.group !== this.cfg.group || report.seq <= last) return;
+    this.seqs.set(report.rank, report.seq);
+    this.step = Math.max(this.step, report.step);
+    const atMs = performance.now() - report.ageMs;
+    this.planner.observe({atMs, counts: report.counts});
+  }
+
+  private onStaged(message: StagedMessage): void {
+    const {rank, slot, expert, ok} = message;
+    const change = {rank, slot, expert};
+    if (ok) this.planner.loaded(change);
+    else this.planner.failed(change);
+  }
+
+  private plan(): void {
+    const {current} = this.state.group(this.cfg.group);
+    const {fence} = this.machine;
+    const busy = this.pending === undefined && !this.machine.idle;
+    if (!this.permit().on || busy || !current || !fence) return;
+    const nowMs = performance.now();
+    const next = this.planner.next(current.map, this.pending, nowMs);
+    next.stage?.forEach(change => this.stage(change, fence));
+    if (next.switchTo === undefined) return;
+    this.pending = next.switchTo;
+    this.handle({kind: 'start', map: next.switchTo, step: this.step});
+  }
+
+  private stage({rank, slot, expert}: SlotChange, fence: number): void {
+    const {group} = this.cfg;
+    this.link.send(rank, {kind: 'stage', group, fence, slot, expert});
+  }
+
+  private handle(event: SwitchEvent): void {
+    const actions = this.machine.handle(event, performance.now());
+    actions.forEach(action => this.carryOut(action));
+  }
+
+  private carryOut(action: SwitchAction): void {
+    switch (action.kind) {
+      case 'send':
+        return this.link.send(action.rank, action.message);
+      case 'propose':
+        return this.propose(action.command);
+      case 'read':
+        return this.read(action.seq);
+      case 'answerQuery':
+        return this.answer(action.id, action.rank);
+      case 'ended':
+        return this.onEnded(action.result);
+      default:
+        return unreachable(action);
+    }
+  }
+
+  private onEnded(result: SwitchResult): void {
+    this.pending = undefined;
+    if (result.kind === 'switched') return this.metrics.count('map.switched');
+    const {reason} = result;
+    this.metrics.count('map.aborted', {side: 'control', reason});
+  }
+
+  /** Without an answer the machine proposes the same again after a while. */
+  private propose(command: FenceCommand | MapDecisionCommand): void {
+    this.log.propose(command).then(
+      answer => {
+        if (answer.command === 'fence')
+          this.handle({kind: 'fence', fence: answer.result.fence});
+        if (answer.command !== 'mapDecision' || command.kind === 'fence')
+          return;
+        const {version} = command;
+        this.handle({kind: 'decided', version, result: answer.result.kind});
+      },
+      err => this.logger.info({err, kind: command.kind}, 'proposal lost')
+    );
+  }
+
+  private read(seq: number): void {
+    this.log.readBarrier().then(
+      () => {
+        const maps = this.state.group(this.cfg.group);
+        this.handle({kind: 'read', seq, maps});
+      },
+      err => this.logger.info({err}, 'read barrier not passed')
+    );
+  }
+
+  private answer(id: SwitchId, rank: number): void {
+    this.log.readBarrier().then(
+      () => {
+        const decision = this.state.outcome(id);
+        if (decision === 'undecided') return;
+        this.link.send(rank, {kind: 'decision', ...id, decision});
+      },
+      err => this.logger.info({err}, 'read barrier not passed')
+    );
+  }
+}
--- a/src/control/maps/mapSwitch.ts
+++ b/src/control/maps/mapSwitch.ts
@@ -70,6 +70,11 @@
     return free && this.hasMap;
   }
 
+  /** Fence held, once it is known to be the newest. */
+  get fence(): number | undefined {
+    return 'fence' in this.phase ? this.phase.fence : undefined;
+  }
+
   handle(event: SwitchEvent, nowMs: number): readonly SwitchAction[] {
     switch (event.kind) {
       case 'lead':
--- /dev/null
+++ b/tests/mapFixtures.ts
@@ -0,0 +1,49 @@
+/** Messages and short names for the specs of map switches. */
+
+import type {RankAction} from '../src/agent/maps/rankSwitch';
+import type {SwitchAction} from '../src/control/maps/mapSwitchEvents';
+import type {ExpertMap, PrepareMessage} from '../src/core/mapMessages';
+import {versionOf} from '../src/core/mapMessages';
+
+/** A map of one expert on one rank. */
+export const MAP: ExpertMap = {slots: [[0]], shares: [[1]]};
+/** The group of all messages here. */
+export const GROUP = 'g';
+/** The nth version under a fence. */
+export const V = (fence: number, nth: number) => versionOf(fence, nth);
+
+/** An order to prepare for step 20. */
+export function prepare(fence: number, nth: number): PrepareMessage {
+  const version = V(fence, nth);
+  return {
+    kind: 'prepare',
+    group: GROUP,
+    fence,
+    version,
+    switchStep: 20,
+    map: MAP,
+  };
+}
+
+/** What was decided. */
+export function decision(fence: number, nth: number, what: 'commit' | 'abort') {
+  const version = V(fence, nth);
+  return {
+    kind: 'decision',
+    group: GROUP,
+    fence,
+    version,
+    decision: what,
+  } as const;
+}
+
+/** A short name of each action, for tables. */
+export function names(
+  actions: readonly (RankAction | SwitchAction)[]
+): string[] {
+  return actions.map(action => {
+    if (action.kind !== 'send') return action.kind;
+    const {message} = action;
+    return message.kind === 'refusal' ? message.reason : message.kind;
+  });
+}
--- /dev/null
+++ b/tests/rankSwitch.spec.ts
@@ -0,0 +1,170 @@
+import type {EngineView} from '../src/agent/maps/rankSwitch';
+import {RankSwitch} from '../src/agent/maps/rankSwitch';
+import type {PrepareMessage} from '../src/core/mapMessages';
+import {decision, GROUP, MAP, names, prepare, V} from './mapFixtures';
+
+const QUIET_MS = 100;
+
+const VIEW: EngineView = {
+  bootId: 'e1',
+  running: true,
+  step: 10,
+  mapVersion: V(2, 1),
+};
+
+class RankFixture {
+  readonly machine = new RankSwitch({
+    group: GROUP,
+    rank: 3,
+    agentBootId: 'a1',
+    bootAtMs: 0,
+    quietMs: QUIET_MS,
+    retryMs: 10,
+  });
+
+  view(view: EngineView) {
+    return names(this.machine.handle({kind: 'engine', view}, 0));
+  }
+
+  tick(nowMs: number) {
+    return names(this.machine.handle({kind: 'tick'}, nowMs));
+  }
+
+  message(message: Parameters<typeof this.machine.handle>[0] & object) {
+    return names(this.machine.handle(message, 0));
+  }
+
+  take(message: PrepareMessage | ReturnType<typeof decision>) {
+    return this.message({kind: 'message', message});
+  }
+
+  join(attempt: string, fence = 2, current = V(2, 1)) {
+    const map = {version: current, switchStep: 5, map: MAP};
+    return this.message({
+      kind: 'message',
+      message: {
+        kind: 'joinAnswer',
+        group: GROUP,
+        attempt,
+        fence,
+        current: map,
+      },
+    });
+  }
+
+  prepared(nth: number, result: 'held' | 'passed' | 'failed', bootId = 'e1') {
+    const version = V(2, nth);
+    return this.message({kind: 'prepared', bootId, version, result});
+  }
+
+  /** A rank whose agent has learned fence 2 and whose engine runs. */
+  static ready(): RankFixture {
+    const fixture = new RankFixture();
+    fixture.view(VIEW);
+    fixture.join('a1/0');
+    return fixture;
+  }
+}
+
+describe('rank side of a map switch', () => {
+  it('should promise only once the engine holds', () => {
+    const rank = RankFixture.ready();
+    expect(rank.take(prepare(2, 2))).toEqual(['prepareEngine']);
+    expect(rank.take(prepare(2, 2))).toEqual([]);
+    expect(rank.prepared(2, 'held')).toEqual(['promise']);
+    expect(rank.take(prepare(2, 2))).toEqual(['promise']);
+  });
+
+  it.each([
+    ['passed', 'passed'],
+    ['failed', 'load-failed'],
+  ] as const)('should refuse when the engine answered %s', (result, reason) => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    expect(rank.prepared(2, result)).toEqual([reason]);
+  });
+
+  // A replaced controller's order arrives late at an engine that ignores
+  // fences. If it got through, it would undo the hold of the newer switch and
+  // this rank would run past the step at which all others change maps.
+  it('should refuse an order under an older fence', () => {
+    const rank = RankFixture.ready();
+    expect(rank.take(prepare(1, 9))).toEqual(['fenced']);
+  });
+
+  // The agent restarts beside an engine that holds for a switch. An old order
+  // arrives before control has told the agent any fence: forwarding it would
+  // undo a promise on which the decision may already rest.
+  it('should take no order after a restart until control has answered', () => {
+    const rank = new RankFixture();
+    rank.view({...VIEW, preparedVersion: V(2, 2)});
+    expect(rank.take(prepare(2, 3))).toEqual(['unready']);
+    expect(rank.tick(QUIET_MS - 1)).toEqual([]);
+    expect(rank.tick(QUIET_MS)).toEqual(['join']);
+    rank.join('a1/0');
+    expect(rank.take(prepare(2, 3))).toEqual(['busy', 'decisionQuery']);
+    expect(rank.take(decision(2, 2, 'abort'))).toEqual(['decideEngine']);
+  });
+
+  // The engine restarts after its promise. The answer to the question asked
+  // before that restart comes late and names the map from before the switch.
+  it('should ignore the answer to an earlier attempt to join', () => {
+    const rank = RankFixture.ready();
+    rank.view({...VIEW, bootId: 'e2', running: false, mapVersion: 0});
+    expect(rank.machine.ready).toBe(false);
+    expect(rank.join('a1/0')).toEqual([]);
+    expect(rank.join('a1/1', 2, V(2, 2))).toEqual(['startEngine']);
+    const started = {kind: 'started', bootId: 'e2'} as const;
+    rank.message(started);
+    expect(rank.machine.ready).toBe(true);
+  });
+
+  it('should ignore what the engine answered before its restart', () => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    rank.view({...VIEW, bootId: 'e2', running: false, mapVersion: 0});
+    expect(rank.prepared(2, 'held')).toEqual([]);
+  });
+
+  // The promise of an earlier switch may be the one that let it be committed.
+  it('should keep an undecided promise whoever asks for another', () => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    rank.prepared(2, 'held');
+    expect(rank.take(prepare(3, 1))).toEqual(['busy', 'decisionQuery']);
+    expect(rank.tick(1000)).toEqual(['decisionQuery']);
+  });
+
+  // Told of the decision, the engine has not yet reached the step. A further
+  // hold would replace the one that it needs for this very switch.
+  it('should take the next order only once the engine runs with the last map', () => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    rank.prepared(2, 'held');
+    expect(rank.take(decision(2, 2, 'commit'))).toEqual(['decideEngine']);
+    rank.view({...VIEW, step: 20});
+    expect(rank.take(prepare(2, 3))).toEqual(['busy', 'decisionQuery']);
+    rank.view({...VIEW, step: 21, mapVersion: V(2, 2)});
+    expect(rank.take(prepare(2, 3))).toEqual(['prepareEngine']);
+  });
+
+  it('should tell the engine again while it still holds', () => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    rank.prepared(2, 'held');
+    rank.take(decision(2, 2, 'abort'));
+    const held = {...VIEW, preparedVersion: V(2, 2)};
+    expect(rank.view(held)).toEqual(['decideEngine']);
+    expect(rank.view(VIEW)).toEqual([]);
+    expect(rank.take(prepare(2, 2))).toEqual(['fenced']);
+  });
+
+  it('should stage weights only under a fence that is not old', () => {
+    const rank = RankFixture.ready();
+    const order = {kind: 'stage', group: GROUP, slot: 0, expert: 7} as const;
+    const stage = (fence: number) =>
+      rank.message({kind: 'message', message: {...order, fence}});
+    expect(stage(1)).toEqual(['staged']);
+    expect(stage(2)).toEqual(['stageEngine']);
+  });
+});
