--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -2,9 +2,6 @@
 
 import type {Refusal} from './refusal';
 
-/** Version of the internal protocol; peers that differ refuse each other. */
-export const PROTOCOL_VERSION = '1';
-
 /** Header with the Dispatch, entry to agent. */
 export const DISPATCH_HEADER = 'marlpulley-dispatch';
 /** Header with the DispatchReport, agent to entry. */
@@ -77,6 +74,8 @@
   /** Whether this instance votes; only voters count towards a proof. */
   readonly voter: boolean;
   readonly voterCount: number;
+  readonly term: number;
+  /** The leader of that term, where known. */
   readonly leaderId?: string;
   /**
    * Highest revision anywhere in its log, committed or not. A process that
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -8,7 +8,7 @@
 import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
-import {PROTOCOL_VERSION} from '../core/wire';
+import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {peerIdentity, serverTls} from './peerTls';
 
 /** Path of all JSON-RPC calls. */
@@ -55,7 +55,11 @@
 
 /** The internal port of a process. */
 export class PeerServer {
-  private readonly rpc = new JSONRPCServer<{readonly peer: string}>();
+  private readonly rpc = new JSONRPCServer<{readonly peer: string}>({
+    // The library would write failures to stderr, between the JSON log lines.
+    errorListener: (message, data) =>
+      this.options.logger.debug({err: String(data)}, message),
+  });
   readonly server: https.Server;
 
   constructor(private readonly options: PeerServerOptions) {
