--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -3,6 +3,7 @@
 import type {FuzzModel} from './fuzzModel';
 import {FRESHNESS_MODEL} from './freshnessModel';
 import {LOG_MODEL} from './logModel';
+import {MAP_MODEL} from './mapModel';
 import {ONCE_MODEL} from './onceModel';
 import {QUEUE_MODEL} from './queueModel';
 import {RAMP_MODEL} from './rampModel';
@@ -12,6 +13,7 @@
 export const FUZZ_MODELS: readonly FuzzModel[] = [
   FRESHNESS_MODEL,
   LOG_MODEL,
+  MAP_MODEL,
   ONCE_MODEL,
   QUEUE_MODEL,
   RAMP_MODEL,
