Test control instances killed, frozen, wiped and far behind as processes

Cause: the promises on accepted rules were shown on state machines only. A harness for whole deployments, with a relay that falls silent, and a spec that kills, freezes and wipes real control instances and lets operators race. Ruled out: in-process stand-ins, which have no signal and no disk of their own.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Child} from './childProcess';
+import {CutDirection, CutRelay} from './cutRelay';
 import {freePorts} from './freePorts';
 import type {DeploymentShape, PoolShape} from './shape';
 
@@ -31,7 +32,8 @@
   readonly targets: TargetPair[] = [];
   private readonly children = new Map<string, Child>();
   private readonly starts = new Map<string, () => Promise<Child>>();
-  private controlList = '';
+  private controlPorts: readonly number[] = [];
+  private relays: readonly CutRelay[] = [];
 
   private constructor(
     private readonly programs: Programs,
@@ -76,6 +78,16 @@
     this.children.set(name, await start());
   }
 
+  /** Cuts the processes of `shape.island` off from control on the other side. */
+  cut(direction?: CutDirection): void {
+    for (const relay of this.relays) relay.cut(direction);
+  }
+
+  /** Ends a cut; what was sent meanwhile arrives now. */
+  heal(): void {
+    for (const relay of this.relays) relay.heal();
+  }
+
   dataFolder(controlName: string): string {
     return path.join(this.folder, 'data', controlName);
   }
@@ -125,13 +137,14 @@
     await Promise.all(
       [...this.children.values()].map(child => child.end('SIGKILL'))
     );
+    for (const relay of this.relays) relay.close();
     rmSync(this.folder, {recursive: true, force: true});
     return codes.every(code => code === 0);
   }
 
   private async startAll(): Promise<void> {
     await this.startControls();
-    this.write('client', this.internalLines());
+    this.write('client', this.internalLines('client'));
     for (const pool of this.shape.pools) await this.startPool(pool);
     const entries = Array.from({length: this.shape.entries}, (_, i) =>
       this.startEntry(i)
@@ -142,14 +155,14 @@
   private async startControls(): Promise<void> {
     const ports = await freePorts(this.shape.controls);
     const ids = ports.map((_, i) => `control-${i}`);
-    this.controlList = ids
-      .map((id, i) => `${id}@${HOST}:${ports[i]}`)
-      .join(', ');
+    this.controlPorts = ports;
+    if (this.shape.island !== undefined)
+      this.relays = await Promise.all(ports.map(port => CutRelay.start(port)));
     await Promise.all(
       ids.map((id, i) => {
         const file = this.write(id, [
           ...this.processLines(id, i),
-          ...this.internalLines(`port = ${ports[i]}`),
+          ...this.internalLines(id, `port = ${ports[i]}`),
           '[data]',
           `folder = ${this.dataFolder(id)}`,
         ]);
@@ -190,7 +203,7 @@
     const id = `agent-${targetId}`;
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines('port = 0'),
+      ...this.internalLines(id, 'port = 0'),
       '[target]',
       `id = ${targetId}`,
       `pool = ${pool}`,
@@ -213,7 +226,7 @@
     const [port] = await freePorts(1);
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines(),
+      ...this.internalLines(id),
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
@@ -260,13 +273,30 @@
     ];
   }
 
-  private internalLines(...extra: readonly string[]): readonly string[] {
+  /** Control as one process reaches it: through relays to the other side. */
+  private controlList(processId: string): string {
+    const {island = []} = this.shape;
+    const isOnIsland = island.includes(processId);
+    return this.controlPorts
+      .map((port, i) => {
+        const id = `control-${i}`;
+        const relay = this.relays[i];
+        const crosses = island.includes(id) !== isOnIsland;
+        return `${id}@${HOST}:${crosses && relay ? relay.port : port}`;
+      })
+      .join(', ');
+  }
+
+  private internalLines(
+    processId: string,
+    ...extra: readonly string[]
+  ): readonly string[] {
     return [
       '[internal]',
       `key = ${SECRET}`,
       ...extra,
       '[control]',
-      `instances = ${this.controlList}`,
+      `instances = ${this.controlList(processId)}`,
     ];
   }
 
--- a/bench/deployment/shape.ts
+++ b/bench/deployment/shape.ts
@@ -20,8 +20,21 @@
   /** Lame duck time of entries, milliseconds. */
   readonly drainMs?: number;
   readonly logLevel?: string;
+  /** Names of processes that `Deployment.cut` parts from the rest of control. */
+  readonly island?: readonly string[];
 }
 
+/** As much as a test of failures needs. */
+export const SMALL: DeploymentShape = {
+  zones: ['zone-a', 'zone-b'],
+  controls: 3,
+  entries: 2,
+  pools: [
+    {pool: 'planner', kind: 'engine', count: 4, fakeArgs: ['--step-ms', '5']},
+    {pool: 'allocation', kind: 'service', count: 2, fakeArgs: []},
+  ],
+};
+
 /** Pool of twelve model workers and three allocation workers. */
 export const SHANNONSIDE: DeploymentShape = {
   zones: ['quay-a', 'quay-b', 'quay-c'],
--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -15,5 +15,6 @@
   transformIgnorePatterns: [
     '/node_modules/(?!(meow|pure-rand|ini|shell-quote)/)',
   ],
+  globalSetup: '<rootDir>/tests/fixtures/buildPrograms.ts',
   testTimeout: 20000,
 };
--- /dev/null
+++ b/tests/processes/control.spec.ts
@@ -0,0 +1,179 @@
+import {rmSync} from 'node:fs';
+import {assign, chat, newKey} from '../../bench/deployment/callers';
+import {rulesText} from '../../bench/deployment/rulesText';
+import {TestSystem, eventually} from '../fixtures/system';
+
+const REVISIONS_MISSED = 200;
+
+let system: TestSystem;
+
+beforeAll(async () => {
+  system = await TestSystem.start();
+}, 60_000);
+afterAll(() => system.stop());
+
+function zoneOf(targetId: string): string | undefined {
+  return system.deployment.targets.find(one => one.targetId === targetId)
+    ?.availabilityZone;
+}
+
+describe('control instances that fail', () => {
+  // Operators and callers see a short pause at most: the leader is killed,
+  // the other two elect one of them and hold all that was accepted. A client
+  // that took the silent leader for the whole of control would fail here.
+  it('should lose nothing when the leader is killed', async () => {
+    const key = newKey();
+    const before = await assign(system.port(0), key, 1);
+    expect(before.status).toBe(201);
+    const old = await system.leader();
+    await system.deployment.child(old).end('SIGKILL');
+    expect(await system.submit()).toMatchObject({kind: 'accepted'});
+    const again = await assign(system.port(1), key, 1);
+    expect([again.status, again.body]).toEqual([201, before.body]);
+    expect((await assign(system.port(1), newKey(), 2)).status).toBe(201);
+    expect(await system.ledgerRuns(key)).toBe(1);
+    await system.deployment.restart(old);
+    await system.inForce();
+  }, 30_000);
+
+  // A zone goes out while the leader is frozen. Woken, it believes for a
+  // moment that it still leads and still has the old rules; an entry that
+  // took them would send work into the zone again.
+  it('should serve no old rules by a leader that was frozen', async () => {
+    const old = await system.leader();
+    const frozen = system.deployment.child(old).process;
+    frozen.kill('SIGSTOP');
+    const answer = await system.submit({zonesOut: ['zone-b']});
+    expect(answer).toMatchObject({kind: 'accepted'});
+    await system.inForce();
+    frozen.kill('SIGCONT');
+    const zones: (string | undefined)[] = [];
+    await eventually('the woken instance is up to date', async () => {
+      for (const entry of [0, 1]) {
+        const {status, target} = await chat(system.port(entry), 'x', 1, false);
+        if (status === 200) zones.push(zoneOf(target));
+      }
+      const {instances, processes} = await system.status();
+      expect(processes.every(one => one.heldRevision >= system.revision)).toBe(
+        true
+      );
+      const woken = instances.find(one => one.instanceId === old);
+      return woken?.role === 'follower';
+    });
+    expect(new Set(zones)).toEqual(new Set(['zone-a']));
+  }, 30_000);
+
+  // An instance loses its disk and comes back empty; soon after, one of the
+  // two that held everything dies. What was accepted must still be there, and
+  // no operator had to repair anything.
+  it('should rejoin after a lost disk, and bear a second loss', async () => {
+    const key = newKey();
+    const first = await assign(system.port(0), key, 3);
+    const leader = await system.leader();
+    const names = ['control-0', 'control-1', 'control-2'];
+    const wiped = names.find(name => name !== leader)!;
+    await system.deployment.child(wiped).end('SIGKILL');
+    rmSync(system.deployment.dataFolder(wiped), {recursive: true});
+    await system.deployment.restart(wiped);
+    await eventually('the wiped instance votes again', async () => {
+      const {instances} = await system.status();
+      return instances.find(one => one.instanceId === wiped)?.voter;
+    });
+    await system.deployment.child(leader).end('SIGKILL');
+    expect(await system.submit()).toMatchObject({kind: 'accepted'});
+    const again = await assign(system.port(1), key, 3);
+    expect([again.status, again.body]).toEqual([201, first.body]);
+    expect(await system.ledgerRuns(key)).toBe(1);
+    await system.deployment.restart(leader);
+    await system.inForce();
+  }, 45_000);
+
+  // Hundreds of files are accepted while one instance and one entry are
+  // down. Both come back with nothing but what they had, and must end at the
+  // newest revision without showing anyone an older one in between.
+  it('should catch up after hundreds of revisions', async () => {
+    const leader = await system.leader();
+    const behind = leader === 'control-0' ? 'control-1' : 'control-0';
+    await system.deployment.child(behind).end('SIGKILL');
+    await system.deployment.child('entry-1').end('SIGKILL');
+    for (let i = 0; i < REVISIONS_MISSED; i++) await system.submit();
+    await system.submit({zonesOut: ['zone-b']});
+    await system.deployment.restart(behind);
+    await system.deployment.restart('entry-1');
+    await system.inForce();
+    await system.serving(1);
+    const {target} = await chat(system.port(1), 'behind', 1, false);
+    expect(zoneOf(target)).toBe('zone-a');
+    await eventually('the instance has caught up', async () => {
+      const {instances} = await system.status();
+      const most = Math.max(...instances.map(one => one.commitIndex));
+      const it = instances.find(one => one.instanceId === behind);
+      return it?.commitIndex === most;
+    });
+  }, 60_000);
+});
+
+describe('operators who race', () => {
+  // Two operators submit different files under one number at once. One gets
+  // the number, the other learns who has it; both can be told their answer
+  // again.
+  it('should let exactly one win under equal numbers', async () => {
+    const revision = ++system.revision;
+    const texts = ['Aoife', 'Brendan'].map(askedBy =>
+      rulesText({revision, askedBy})
+    );
+    const answers = await Promise.all(
+      texts.map(text => system.control.submit(text))
+    );
+    const kinds = answers.map(answer => answer.kind).sort();
+    expect(kinds).toEqual(['accepted', 'conflict']);
+    const won = answers.findIndex(answer => answer.kind === 'accepted');
+    const winner = ['Aoife', 'Brendan'][won];
+    expect(answers[1 - won]).toMatchObject({winner});
+    expect(await system.control.submit(texts[won]!)).toMatchObject({
+      kind: 'accepted',
+      resent: true,
+    });
+    expect(await system.control.submit(texts[1 - won]!)).toMatchObject({
+      kind: 'conflict',
+      winner,
+    });
+  });
+
+  // A is accepted, then B; then A's sender, whose answer was lost, sends A
+  // again. If that counted as a change, B would silently be undone.
+  it('should not bring A back when it is resent after B', async () => {
+    const textA = rulesText({revision: ++system.revision, askedBy: 'Aoife'});
+    await system.control.submit(textA);
+    const textB = rulesText({
+      revision: ++system.revision,
+      zonesOut: ['zone-b'],
+    });
+    await system.control.submit(textB);
+    expect(await system.control.submit(textA)).toEqual({
+      kind: 'superseded',
+      revision: system.revision - 1,
+      current: system.revision,
+    });
+    expect((await system.status()).rulesText).toBe(textB);
+  });
+
+  // A zone goes out, in and out faster than the processes poll; each may see
+  // any of the three first. All must end with the last, and none goes back.
+  it('should end with the last of out, in and out', async () => {
+    await system.submit({zonesOut: ['zone-b']});
+    await system.submit();
+    await system.submit({zonesOut: ['zone-b']});
+    await system.inForce();
+    const answers = await Promise.all(
+      Array.from({length: 12}, (_, i) =>
+        chat(system.port(i % 2), `last ${i}`, 2, false)
+      )
+    );
+    expect(answers.map(answer => answer.status)).toEqual(
+      answers.map(() => 200)
+    );
+    const zones = new Set(answers.map(answer => zoneOf(answer.target)));
+    expect(zones).toEqual(new Set(['zone-a']));
+  });
+});
