--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -4,6 +4,7 @@
   concurrencyLimit,
   freshConcurrency,
   latencyRise,
+  learnLatency,
   observeLatency,
   type ConcurrencyState,
 } from '../../src/policy/concurrencyLimit';
@@ -31,7 +32,8 @@
   | 'customer-limit'
   | 'deadline-too-short'
   | 'deadline-passed'
-  | 'zone-out';
+  | 'zone-out'
+  | 'target-unreachable';
 
 /** One attempt at a gate. */
 export interface Job {
@@ -125,7 +127,10 @@
     const ramp = freshRamp(events.now);
     this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
     engine.onStep = step => this.observe(step);
-    engine.onFall = () => this.takeForCold();
+    engine.onFall = () => {
+      this.takeForCold();
+      this.giveBack('target-unreachable');
+    };
   }
 
   get queued(): number {
@@ -169,6 +174,10 @@
       job.onRefused('zone-out');
       return;
     }
+    if (this.engine.refuses) {
+      job.onRefused('target-unreachable');
+      return;
+    }
     const {load, deadlineAt} = job.req;
     const {customer, share, priority} = load;
     const {id, cost} = job;
@@ -183,7 +192,10 @@
   /** Takes the zone out: what waits is given back, what runs goes on. */
   setZoneOut(out: boolean): void {
     this.zoneOut = out;
-    if (!out) return;
+    if (out) this.giveBack('zone-out');
+  }
+
+  private giveBack(reason: GateRefusal): void {
     const waiting: Job[] = [];
     for (;;) {
       const item = this.queue.take(this.events.now, Infinity);
@@ -191,7 +203,7 @@
       this.queue.finished(item.customer);
       waiting.push(item.payload);
     }
-    for (const job of waiting) job.onRefused('zone-out');
+    for (const job of waiting) job.onRefused(reason);
   }
 
   private freshQueue(): JobQueue {
@@ -248,16 +260,23 @@
     });
   }
 
+  private observeLatency(step: StepEvent, ramping: boolean): void {
+    const {durationMs, running} = step;
+    this.concurrency = ramping
+      ? learnLatency(this.concurrency, durationMs)
+      : observeLatency(this.concurrency, this.options.warmup, {
+          latencyMs: durationMs,
+          outstanding: running,
+        });
+  }
+
   private observe(step: StepEvent): void {
     const {now} = this.events;
     const {warmup} = this.options;
-    if (!step.prefilled)
-      this.concurrency = observeLatency(this.concurrency, warmup, {
-        latencyMs: step.durationMs,
-        outstanding: step.running,
-      });
+    const ramping = !rampComplete(this.ramp, warmup);
+    if (!step.prefilled) this.observeLatency(step, ramping);
     if (++this.steps % RAMP_SAMPLE_STEPS !== 0) return;
-    if (!rampComplete(this.ramp, warmup)) {
+    if (ramping) {
       this.ramp = rampServed(this.ramp, warmup, {
         nowMs: now,
         startedAtMs: now - step.durationMs * RAMP_SAMPLE_STEPS,
