--- /dev/null
+++ b/bench/capacity/loadGenerator.ts
@@ -0,0 +1,139 @@
+/** Closed-loop HTTP load from one process, bounded in time and in calls. */
+
+import http from 'node:http';
+import {build} from 'hdr-histogram-js';
+
+/** What to send. */
+export interface LoadPlan {
+  readonly port: number;
+  readonly method: string;
+  readonly path: string;
+  /** Sent with each call; empty for none. */
+  readonly body: string;
+  readonly customer: string;
+  readonly connections: number;
+  /** Calls before the clock starts, to warm up both sides. */
+  readonly warmupCalls: number;
+  readonly seconds: number;
+  readonly maxCalls: number;
+}
+
+/** What came of it; latencies in milliseconds. */
+export interface LoadResult {
+  readonly calls: number;
+  /** Answers other than 2xx, and calls that failed. */
+  readonly failed: number;
+  readonly callsPerS: number;
+  readonly bytes: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly firstByteP50Ms: number;
+  readonly firstByteP99Ms: number;
+}
+
+/** Histograms hold microseconds. */
+const US_PER_MS = 1_000;
+const HIGHEST_US = 60_000_000;
+
+class Load {
+  private readonly agent: http.Agent;
+  private readonly whole = build({highestTrackableValue: HIGHEST_US});
+  private readonly first = build({highestTrackableValue: HIGHEST_US});
+  private calls = 0;
+  private failed = 0;
+  private bytes = 0;
+
+  constructor(private readonly plan: LoadPlan) {
+    this.agent = new http.Agent({
+      keepAlive: true,
+      maxSockets: plan.connections,
+    });
+  }
+
+  async run(): Promise<LoadResult> {
+    const {warmupCalls, seconds, maxCalls} = this.plan;
+    await this.drive(Infinity, warmupCalls);
+    this.forget();
+    const startedAtMs = performance.now();
+    await this.drive(startedAtMs + seconds * 1_000, maxCalls);
+    const elapsedS = (performance.now() - startedAtMs) / 1_000;
+    this.agent.destroy();
+    return this.result(elapsedS);
+  }
+
+  /** Every connection sends one call after the other. */
+  private async drive(endAtMs: number, maxCalls: number): Promise<void> {
+    let begun = 0;
+    const loop = async () => {
+      while (performance.now() < endAtMs && begun++ < maxCalls)
+        await this.call();
+    };
+    await Promise.all(Array.from({length: this.plan.connections}, loop));
+  }
+
+  private forget(): void {
+    this.whole.reset();
+    this.first.reset();
+    this.calls = 0;
+    this.failed = 0;
+    this.bytes = 0;
+  }
+
+  private call(): Promise<void> {
+    const {port, method, path, body, customer} = this.plan;
+    const startedAtMs = performance.now();
+    const headers = {
+      'x-customer': customer,
+      ...(body === ''
+        ? {}
+        : {
+            'content-type': 'application/json',
+            'content-length': Buffer.byteLength(body),
+          }),
+    };
+    return new Promise(resolve => {
+      const {agent} = this;
+      const options = {host: '127.0.0.1', port, agent, method, path, headers};
+      const done = (ok: boolean) => {
+        this.calls++;
+        if (!ok) this.failed++;
+        this.whole.recordValue(microsecondsSince(startedAtMs));
+        resolve();
+      };
+      const req = http.request(options, res => {
+        const ok = Math.floor((res.statusCode ?? 0) / 100) === 2;
+        res.once('data', () =>
+          this.first.recordValue(microsecondsSince(startedAtMs))
+        );
+        res.on('data', (chunk: Buffer) => (this.bytes += chunk.length));
+        res.on('end', () => done(ok && res.complete));
+        res.on('error', () => done(false));
+      });
+      req.on('error', () => done(false));
+      req.end(body === '' ? undefined : body);
+    });
+  }
+
+  private result(elapsedS: number): LoadResult {
+    const {whole, first, calls, failed, bytes} = this;
+    return {
+      calls,
+      failed,
+      callsPerS: (calls - failed) / elapsedS,
+      bytes,
+      p50Ms: whole.getValueAtPercentile(50) / US_PER_MS,
+      p99Ms: whole.getValueAtPercentile(99) / US_PER_MS,
+      firstByteP50Ms: first.getValueAtPercentile(50) / US_PER_MS,
+      firstByteP99Ms: first.getValueAtPercentile(99) / US_PER_MS,
+    };
+  }
+}
+
+function microsecondsSince(startedAtMs: number): number {
+  return Math.round((performance.now() - startedAtMs) * US_PER_MS);
+}
+
+/** Resolves when the time is over or all calls are made. */
+export function generateLoad(plan: LoadPlan): Promise<LoadResult> {
+  return new Load(plan).run();
+}
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -3,6 +3,7 @@
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
 import {coldStart} from './measures/coldStart';
+import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
 import {zoneOutage} from './measures/zoneOutage';
 
@@ -12,4 +13,5 @@
   fairness,
   coldStart,
   balance,
+  entryOverhead,
 ];
--- /dev/null
+++ b/bench/measures/entryOverhead.ts
@@ -0,0 +1,216 @@
+/**
+ * What entry and agent cost a call, against a bare pass-through proxy in front
+ * of the same target in the same run: whole answers and streams of tokens.
+ */
+
+import path from 'node:path';
+import {LoadPlan, LoadResult} from '../capacity/loadGenerator';
+import {processorMs} from '../capacity/processCost';
+import {CAPACITY_PROGRAM, runLoad} from '../capacity/runLoad';
+import {Child} from '../deployment/childProcess';
+import {Deployment} from '../deployment/deployment';
+import {BUILT_PROGRAMS} from '../deployment/programs';
+import type {DeploymentShape} from '../deployment/shape';
+import type {Figures, Measure, MeasureOptions, MeasureResult} from '../measure';
+
+const CONNECTIONS = 32;
+const LEAST_SHARE = 0.7;
+const STREAM_TOKENS = 64;
+const ANSWER_BYTES = 1_024;
+const READY_TRIES = 100;
+const READY_PAUSE_MS = 50;
+
+const SHAPE: DeploymentShape = {
+  zones: ['zone-a'],
+  controls: 3,
+  entries: 1,
+  pools: [
+    {pool: 'allocation', kind: 'service', count: 1, fakeArgs: []},
+    {
+      pool: 'planner',
+      kind: 'engine',
+      count: 1,
+      fakeArgs: ['--step-ms', '1', '--batch-size', '64'],
+    },
+  ],
+  drainMs: 0,
+  logLevel: 'warn',
+};
+
+const RULES = [
+  'revision 1',
+  'pool planner engine',
+  'pool allocation service',
+  'customer harbour share=1',
+  'route customer=any path=/v1/ pool=planner',
+  'route customer=any path=/ pool=allocation',
+  'warmup planner start=64 full=64 over=1s',
+  'warmup allocation start=64 full=64 over=1s',
+]
+  .map(line => `${line} # asked by the bench\n`)
+  .join('');
+
+type Call = Pick<LoadPlan, 'method' | 'path' | 'body'>;
+
+const WHOLE: Call = {method: 'GET', path: `/?bytes=${ANSWER_BYTES}`, body: ''};
+const STREAM: Call = {
+  method: 'POST',
+  path: '/v1/chat/completions',
+  body: JSON.stringify({
+    model: 'planner',
+    stream: true,
+    max_tokens: STREAM_TOKENS,
+    messages: [{role: 'user', content: 'a plan for tonight'}],
+  }),
+};
+
+/** One kind of call through both, and what it cost the processes. */
+interface Compared {
+  readonly ours: LoadResult;
+  readonly bare: LoadResult;
+  readonly entryUs: number;
+  readonly agentUs: number;
+  readonly bareUs: number;
+}
+
+class Comparison {
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly seconds: number
+  ) {}
+
+  /** Rounds alternate, so that a busy machine weighs on both alike. */
+  async run(pool: string, call: Call): Promise<Compared> {
+    const target = this.deployment.targets.find(one => one.pool === pool);
+    if (target === undefined) throw new Error(`no target in ${pool}`);
+    const proxy = await Child.start(
+      `proxy-${pool}`,
+      [CAPACITY_PROGRAM, 'proxy', String(target.fakePort)],
+      path.join(this.deployment.folder, 'logs', `proxy-${pool}.log`)
+    );
+    const entry = this.deployment.child('entry-0').pid;
+    const agent = this.deployment.child(`agent-${target.targetId}`).pid;
+    try {
+      const entryPort = this.deployment.entryPort(0);
+      await this.untilServed(entryPort, call);
+      const before = [entry, agent].map(processorMs);
+      const ours = await this.load(entryPort, call);
+      const after = [entry, agent].map(processorMs);
+      const bareBefore = processorMs(proxy.pid);
+      const bare = await this.load(proxy.hello.port, call);
+      const bareMs = processorMs(proxy.pid) - bareBefore;
+      const perCall = (i: number) => usPerCall(after[i]! - before[i]!, ours);
+      return {
+        ours,
+        bare,
+        entryUs: perCall(0),
+        agentUs: perCall(1),
+        bareUs: usPerCall(bareMs, bare),
+      };
+    } finally {
+      await proxy.end('SIGKILL');
+    }
+  }
+
+  private load(port: number, call: Call): Promise<LoadResult> {
+    return runLoad({
+      ...call,
+      port,
+      customer: 'harbour',
+      connections: CONNECTIONS,
+      warmupCalls: CONNECTIONS * 8,
+      seconds: this.seconds,
+      maxCalls: 200_000,
+    });
+  }
+
+  /** Rules have to arrive and the target has to be seen first. */
+  private async untilServed(port: number, call: Call): Promise<void> {
+    for (let tries = 0; tries < READY_TRIES; tries++) {
+      const {failed} = await singleCall(port, call);
+      if (!failed) return;
+      await new Promise(resolve => setTimeout(resolve, READY_PAUSE_MS));
+    }
+    throw new Error(`${call.path} is not served`);
+  }
+}
+
+async function singleCall(port: number, {method, path: url, body}: Call) {
+  const res = await fetch(`http://127.0.0.1:${port}${url}`, {
+    method,
+    headers: {'x-customer': 'harbour', 'content-type': 'application/json'},
+    body: body === '' ? undefined : body,
+  });
+  await res.arrayBuffer();
+  return {failed: !res.ok};
+}
+
+/** Warm-up calls are in the processor time, so they are in the divisor. */
+function usPerCall(ms: number, {calls}: LoadResult): number {
+  return (ms * 1_000) / (calls + CONNECTIONS * 8);
+}
+
+function figures(whole: LoadResult, stream: LoadResult): Figures {
+  return {
+    wholeCallsPerS: whole.callsPerS,
+    wholeP50Ms: whole.p50Ms,
+    wholeP99Ms: whole.p99Ms,
+    streamCallsPerS: stream.callsPerS,
+    streamTokensPerS: stream.callsPerS * STREAM_TOKENS,
+    streamFirstByteP50Ms: stream.firstByteP50Ms,
+    streamFirstByteP99Ms: stream.firstByteP99Ms,
+    failedCalls: whole.failed + stream.failed,
+  };
+}
+
+function judged(whole: Compared, stream: Compared): MeasureResult {
+  const wholeShare = whole.ours.callsPerS / whole.bare.callsPerS;
+  const streamShare = stream.ours.callsPerS / stream.bare.callsPerS;
+  const met = wholeShare >= LEAST_SHARE && streamShare >= LEAST_SHARE;
+  const ours: Figures = {
+    ...figures(whole.ours, stream.ours),
+    wholeThroughputShare: wholeShare,
+    streamThroughputShare: streamShare,
+    wholeAddedP50Ms: whole.ours.p50Ms - whole.bare.p50Ms,
+    wholeAddedP99Ms: whole.ours.p99Ms - whole.bare.p99Ms,
+    streamAddedFirstByteP50Ms:
+      stream.ours.firstByteP50Ms - stream.bare.firstByteP50Ms,
+    streamAddedFirstByteP99Ms:
+      stream.ours.firstByteP99Ms - stream.bare.firstByteP99Ms,
+    entryUsPerCall: whole.entryUs,
+    agentUsPerCall: whole.agentUs,
+    entryUsPerToken: stream.entryUs / STREAM_TOKENS,
+    agentUsPerToken: stream.agentUs / STREAM_TOKENS,
+  };
+  const bareProxy: Figures = {
+    ...figures(whole.bare, stream.bare),
+    wholeUsPerCall: whole.bareUs,
+    streamUsPerToken: stream.bareUs / STREAM_TOKENS,
+  };
+  return {
+    ours,
+    baselines: {bareProxy},
+    mark: `at least ${LEAST_SHARE} of the bare proxy's throughput, whole and streaming`,
+    met,
+    cause: met
+      ? undefined
+      : `whole ${wholeShare.toFixed(2)}, streaming ${streamShare.toFixed(2)}; the entry's one thread takes ${Math.round(whole.entryUs)} us a call, the proxy's ${Math.round(whole.bareUs)}`,
+  };
+}
+
+async function run({quick}: MeasureOptions): Promise<MeasureResult> {
+  const deployment = await Deployment.start(BUILT_PROGRAMS, SHAPE);
+  try {
+    const {code, output} = await deployment.submit(RULES);
+    if (code !== 0) throw new Error(`rules refused: ${output}`);
+    const comparison = new Comparison(deployment, quick ? 0.8 : 5);
+    const whole = await comparison.run('allocation', WHOLE);
+    const stream = await comparison.run('planner', STREAM);
+    return judged(whole, stream);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+/** See the module. */
+export const entryOverhead: Measure = {key: 'entryOverhead', run};
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -17,6 +17,7 @@
   'marlpulley-app': 'src/cli/main.ts',
   fakes: 'fakes/main.ts',
   bench: 'bench/main.ts',
+  capacity: 'bench/capacity/main.ts',
   fuzz: 'bench/fuzz.ts',
   mutants: 'bench/mutants.ts',
   quickstart: 'bench/quickstart.ts',
