--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -3,6 +3,7 @@
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
 import {coldStart} from './measures/coldStart';
+import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
@@ -16,4 +17,5 @@
   fairness,
   coldStart,
   balance,
+  entryOverhead,
 ];
