--- a/src/control/state/controlState.ts
+++ b/src/control/state/controlState.ts
@@ -2,6 +2,7 @@
 
 import {unreachable} from '../../core/errors';
 import type {StateMachine} from '../log/replicatedLog';
+import {MapSnapshot, MapState} from '../maps/mapState';
 import {ClaimState, ClaimsSnapshot} from './claimState';
 import type {Command, CommandResult} from './command';
 import {RulesSnapshot, RulesState} from './rulesState';
@@ -11,6 +12,7 @@
   readonly rules: RulesSnapshot;
   readonly claims: ClaimsSnapshot;
   readonly usage: UsageSnapshot;
+  readonly maps: MapSnapshot;
 }
 
 /** Applies committed commands in order; every instance ends up the same. */
@@ -18,6 +20,7 @@
   readonly rules = new RulesState();
   readonly claims = new ClaimState();
   readonly usage = new UsageState();
+  readonly maps = new MapState();
 
   apply(command: Command, _index: number): CommandResult {
     switch (command.kind) {
@@ -31,8 +34,12 @@
         this.usage.apply(command);
         return {command: 'usage'};
       case 'fence':
+        return {command: 'fence', result: this.maps.applyFence(command)};
       case 'mapDecision':
-        throw new Error(`no state for ${command.kind} yet`);
+        return {
+          command: 'mapDecision',
+          result: this.maps.applyDecision(command),
+        };
       case 'noop':
         return {command: 'noop'};
       default:
@@ -45,6 +52,7 @@
       rules: this.rules.snapshot(),
       claims: this.claims.snapshot(),
       usage: this.usage.snapshot(),
+      maps: this.maps.snapshot(),
     };
     return JSON.stringify(snapshot);
   }
@@ -54,5 +62,6 @@
     this.rules.restore(snapshot.rules);
     this.claims.restore(snapshot.claims);
     this.usage.restore(snapshot.usage);
+    this.maps.restore(snapshot.maps);
   }
 }
