--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -12,6 +12,7 @@
 
 const MAX_QUEUED = 256;
 const MAX_QUEUED_PER_CUSTOMER = 128;
+const QUEUE_RETRY_MS = 500;
 
 /** What the gate asks its surroundings, fresh at each decision. */
 export interface GateView {
@@ -106,6 +107,14 @@
   private offer(waiting: Waiting, nowMs: number): void {
     const {dispatch} = waiting;
     const rule = this.view.rules()?.customerRule(dispatch.customer);
+    if (this.isOverOwnQueue(dispatch.customer, rule)) {
+      const detail = `the customer has ${rule?.queue} queued here already`;
+      const {targetId} = this.view;
+      waiting.fail(
+        refuse('customer-limit', 'gate', targetId, detail, QUEUE_RETRY_MS)
+      );
+      return;
+    }
     this.offerItem(queueItem(waiting, rule, nowMs), nowMs);
     this.pump();
   }
@@ -125,6 +134,15 @@
     );
   }
 
+  private isOverOwnQueue(customer: string, rule: CustomerRule | undefined) {
+    if (rule?.queue === undefined) return false;
+    // A request that can start at once does not count as queued.
+    const free = this.view.limit() - this.running - this.queue.size;
+    if (free > 0) return false;
+    const own = this.queue.waiting().filter(item => item.customer === customer);
+    return own.length >= rule.queue;
+  }
+
   /** Rules may have changed while the request waited: judged again. */
   private start(item: QueueItem<Waiting>): void {
     const refusal = this.view.refusal(item.payload.dispatch);
