--- a/tests/mapSwitch.spec.ts
+++ b/tests/mapSwitch.spec.ts
@@ -227,6 +227,18 @@
     }
   );
 
+  // Ranks that asked after the newer fence were told that the older one's
+  // switch is off; recording its late decision would split the group.
+  it('should not count a decision after a newer fence was given out', () => {
+    const state = new MapState();
+    state.applyFence(fence);
+    state.applyFence(fence);
+    const late = command(1, 1, 'commit');
+    expect(state.outcome(late)).toBe('abort');
+    expect(state.applyDecision(late)).toEqual({kind: 'fenced'});
+    expect(state.outcome(late)).toBe('abort');
+  });
+
   it('should split evenly when a decision has no shares', () => {
     const state = new MapState();
     state.applyFence(fence);
--- a/tests/rankSwitch.spec.ts
+++ b/tests/rankSwitch.spec.ts
@@ -88,8 +88,11 @@
   // fences. If it got through, it would undo the hold of the newer switch and
   // this rank would run past the step at which all others change maps.
   it('should refuse an order under an older fence', () => {
-    const rank = RankFixture.ready();
-    expect(rank.take(prepare(1, 9))).toEqual(['fenced']);
+    const rank = new RankFixture();
+    rank.view(VIEW);
+    rank.join('a1/0', 3);
+    expect(rank.take(prepare(2, 9))).toEqual(['fenced']);
+    expect(rank.take(prepare(3, 1))).toEqual(['prepareEngine']);
   });
 
   // The agent restarts beside an engine that holds for a switch. An old order
