Bound the wait for a claim to 5 seconds

Cause: a claimed call waited out its whole deadline, 30 s by default, when no quorum of control answered; a claim granted at the end left no time to run. Ruled out: a shorter LeaderCalls attempt, which other callers share. Before: the cut-off entry refused a claim after 30.3 s; after: about 5 s (the whole test took 30296 ms before). Shown by tests/processes/partition.spec.ts.

--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -30,6 +30,12 @@
 const IN_PROGRESS_RETRY_MS = 1_000;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const SETTLE_TIMEOUT_MS = 10_000;
+/**
+ * Longest wait for a claim. Long enough for an election; without it a caller
+ * waits out its whole deadline when no quorum answers, and a claim granted
+ * just before the deadline leaves no time to run.
+ */
+const CLAIM_TIMEOUT_MS = 5_000;
 
 /** Resolves once the answer has been sent; rejects with RefusalError. */
 export async function serveOnce(
@@ -134,7 +140,7 @@
       return await core.sync.leader.call<ClaimResult>(
         METHODS.claim,
         request,
-        call.progress.remainingMs()
+        Math.min(CLAIM_TIMEOUT_MS, call.progress.remainingMs())
       );
     } catch (err) {
       if (!(err instanceof PeerError)) throw err;
