--- a/bench/deployment/cutRelay.ts
+++ b/bench/deployment/cutRelay.ts
@@ -90,7 +90,7 @@
   else source.pause();
 }
 
-/** A refused or reset connection passes through as such. */
+/** A reset passes through; a refused connection looks like one cut at once. */
 function forward(source: Socket, sink: Socket): void {
   source.on('data', (chunk: Buffer) => sink.write(chunk));
   source.on('end', () => sink.end());
--- a/tests/processes/control.spec.ts
+++ b/tests/processes/control.spec.ts
@@ -111,6 +111,33 @@
       return it?.commitIndex === most;
     });
   }, 60_000);
+
+  // All control processes die, and their hosts say so by refusing
+  // connections. Nothing can be accepted any more, so the rules that are held
+  // stay true, and callers are served on.
+  it('should serve on by the held rules when all of control is killed', async () => {
+    const names = ['control-0', 'control-1', 'control-2'];
+    await Promise.all(
+      names.map(name => system.deployment.child(name).end('SIGKILL'))
+    );
+    await eventually('both entries say that control is down', async () => {
+      const kinds = await Promise.all([0, 1].map(readinessOf));
+      return kinds.every(kind => kind === 'control down');
+    });
+    for (const entry of [0, 1]) {
+      expect((await chat(system.port(entry), 'down', 1, false)).status).toBe(
+        200
+      );
+    }
+    const claimed = await assign(system.port(1), newKey(), 6);
+    expect([claimed.reason, claimed.outcome]).toEqual([
+      'control-unavailable',
+      'not run',
+    ]);
+    await Promise.all(names.map(name => system.deployment.restart(name)));
+    expect(await system.submit()).toMatchObject({kind: 'accepted'});
+    await system.inForce();
+  }, 60_000);
 });
 
 describe('operators who race', () => {
@@ -177,3 +204,9 @@
     expect(zones).toEqual(new Set(['zone-a']));
   });
 });
+
+async function readinessOf(entry: number): Promise<string> {
+  const url = `http://127.0.0.1:${system.port(entry)}/marlpulley/ready`;
+  const res = await fetch(url);
+  return ((await res.json()) as {readonly freshness: string}).freshness;
+}
