--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -22,6 +22,12 @@
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const SETTLE_TIMEOUT_MS = 10_000;
+/**
+ * Longest wait for a claim. Long enough for an election; without it a caller
+ * waits out its whole deadline when no quorum answers, and a claim granted
+ * just before the deadline leaves no time to run.
+ */
+const CLAIM_TIMEOUT_MS = 5_000;
 
 /** Resolves once the answer has been sent; rejects with RefusalError. */
 export async function serveOnce(
@@ -112,7 +118,7 @@
       agentBootId,
     };
     try {
-      const timeoutMs = call.progress.remainingMs();
+      const timeoutMs = Math.min(CLAIM_TIMEOUT_MS, call.progress.remainingMs());
       const result = await core.sync.leader.call<ClaimResult>(
         METHODS.claim,
         request,
