Hedge slow whole answers of idempotent calls within the retry budget

Cause: hedge-after= was parsed and had no effect. Only calls that may run twice and whose body is at hand are hedged; the slower leg is cancelled, and a leg that was lost keeps the final refusal from saying "not run".

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -7,6 +7,7 @@
 import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
 import type {CallerResume} from './chat/chatRequest';
+import {HedgeLeg, hedged} from './hedge';
 import {route} from './route';
 
 /** A target's answer whose body is still to be read. */
@@ -33,6 +34,10 @@
   'draining',
 ]);
 
+type AttemptEnd =
+  | {readonly kind: 'answered'; readonly answered: Answered}
+  | Extract<AttemptOutcome, {kind: 'refused'}>;
+
 /** The attempts of one call. */
 export class Attempts {
   private readonly tried = new Set<string>();
@@ -80,7 +85,6 @@
       const outcome = await this.attempt(next.target, next.cost, resume);
       if (outcome.kind === 'answered') return outcome.answered;
       last = outcome.refusal;
-      this.mayHaveRun ||= REFUSALS[last.reason].outcome === 'outcome unknown';
       this.assertMayRepeat(last);
     }
   }
@@ -106,31 +110,84 @@
     );
   }
 
+  /** One attempt, with a second one beside it where the rules hedge. */
   private async attempt(
     target: Announcement,
     cost: number,
     resume: CallerResume | undefined
-  ): Promise<
-    | {readonly kind: 'answered'; readonly answered: Answered}
-    | Extract<AttemptOutcome, {kind: 'refused'}>
-  > {
+  ): Promise<AttemptEnd> {
+    const {limit} = this.call;
+    const first = this.leg(target, cost, resume);
+    if (limit.hedgeAfterMs === undefined || !this.mayHedge())
+      return first.outcome;
+    return hedged(first, limit.hedgeAfterMs, () => this.hedge(resume));
+  }
+
+  /** Only what may run twice, and what can be sent twice. */
+  private mayHedge(): boolean {
+    const {once, body, chat} = this.call;
+    return (
+      once === undefined && body.kind !== 'streaming' && chat?.stream !== true
+    );
+  }
+
+  private hedge(
+    resume: CallerResume | undefined
+  ): HedgeLeg<AttemptEnd> | undefined {
+    const {core, call, tried} = this;
+    const other = route(core, call, tried, resume?.modelVersion);
+    if (other.kind === 'none' || !this.budget().tryRetry(performance.now()))
+      return undefined;
+    core.metrics.count('request.hedged');
+    return this.leg(other.target, other.cost, resume);
+  }
+
+  private leg(
+    target: Announcement,
+    cost: number,
+    resume: CallerResume | undefined
+  ): HedgeLeg<AttemptEnd> {
     const {core, call} = this;
     this.tried.add(target.targetId);
     core.load.began(target.targetId, cost);
-    const done = once(() => core.load.ended(target.targetId, cost));
-    const outcome = await dispatchOnce(core, call, {
+    const done = runOnce(() => core.load.ended(target.targetId, cost));
+    const cancelled = new AbortController();
+    const outcome = dispatchOnce(core, call, {
       number: ++this.count,
       target,
       cost,
       resumeFrom: resume?.fromToken,
-      signal: call.progress.signal,
+      signal: this.legSignal(cancelled.signal),
+    }).then((end): AttemptEnd => {
+      if (end.kind === 'answered') {
+        return {kind: 'answered', answered: {...end, target, done}};
+      }
+      done();
+      // Noted here, for both legs of a hedge: the other one's "not run" would
+      // otherwise be the last word.
+      const {outcome} = REFUSALS[end.refusal.reason];
+      this.mayHaveRun ||= outcome === 'outcome unknown';
+      return end;
     });
-    if (outcome.kind === 'answered') {
-      const {answer, report} = outcome;
-      return {kind: 'answered', answered: {answer, report, target, done}};
-    }
-    done();
-    return outcome;
+    const cancel = () => {
+      cancelled.abort();
+      outcome.then(
+        end => {
+          if (end.kind !== 'answered') return;
+          end.answered.done();
+          end.answered.answer.destroy();
+        },
+        () => undefined
+      );
+    };
+    return {outcome, cancel};
+  }
+
+  /** Only a hedged leg can be cancelled alone; joining signals costs time. */
+  private legSignal(cancelled: AbortSignal): AbortSignal {
+    const {progress, limit} = this.call;
+    if (limit.hedgeAfterMs === undefined) return progress.signal;
+    return AbortSignal.any([progress.signal, cancelled]);
   }
 
   private assertMayRepeat(refusal: Refusal): void {
@@ -172,7 +229,7 @@
   }
 }
 
-function once(action: () => void): () => void {
+function runOnce(action: () => void): () => void {
   let pending = true;
   return () => {
     if (!pending) return;
