--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -27,6 +27,8 @@
       readonly command: Command;
     }
   | {readonly kind: 'readBarrier'; readonly ticket: number}
+  /** This instance is about to stop. */
+  | {readonly kind: 'resign'}
   /** The state machine's snapshot right after applying `index`. */
   | {
       readonly kind: 'snapshotTaken';
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -62,8 +62,6 @@
   kind: VoteRequest['kind'],
   term: number
 ): void {
-  const {group} = state.hard;
-  if (group === undefined) return;
   for (const voter of state.voters) {
     if (state.isSelf(voter)) continue;
     state.emit({
@@ -71,10 +69,7 @@
       to: voter.id,
       message: {
         kind,
-        from: state.options.id,
-        fromIncarnation: state.incarnation,
-        toIncarnation: voter.incarnation,
-        group,
+        ...address(state, voter.incarnation),
         term,
         lastIndex: state.log.lastIndex,
         lastTerm: state.log.lastTerm,
@@ -97,6 +92,46 @@
   startLeading(state);
 }
 
+/**
+ * Ends an orderly leadership and tells the others, so that callers need not
+ * wait out an election timeout at each restart of a leader.
+ */
+export function resign(state: CoreState): void {
+  const {leadership} = state;
+  if (leadership === undefined) return;
+  follow(state, state.term, undefined);
+  for (const [id, {incarnation}] of leadership.progress) {
+    if (incarnation === undefined) continue;
+    const message = {kind: 'resign' as const, ...address(state, incarnation)};
+    state.emit({kind: 'send', to: id, message});
+  }
+}
+
+/** Stands soon when the leader of the present term goes. */
+export function onResign(
+  state: CoreState,
+  ticket: number,
+  message: RequestOf<'resign'>
+): void {
+  if (message.term === state.term && state.leaderId === message.from) {
+    state.leaderId = undefined;
+    const waitMs = state.options.random() * state.options.timing.heartbeatMs;
+    state.electionDeadline = state.now + waitMs;
+  }
+  state.reply(ticket, {kind: 'resign', incarnation: state.incarnation});
+}
+
+/** Sender, addressee, group and term, as every request but hello has them. */
+export function address(state: CoreState, toIncarnation: string) {
+  return {
+    from: state.options.id,
+    fromIncarnation: state.incarnation,
+    toIncarnation,
+    group: state.hard.group ?? state.incarnation,
+    term: state.term,
+  };
+}
+
 /** Answers a candidate. */
 export function onVoteRequest(
   state: CoreState,
--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -1,7 +1,7 @@
 /** Connects the pure core to timers, peers, disk and state machine. */
 
 import type {Observable, Subscription} from 'rxjs';
-import {BehaviorSubject, interval} from 'rxjs';
+import {BehaviorSubject, firstValueFrom, interval, timer} from 'rxjs';
 import {PeerError, unreachable} from '../../core/errors';
 import type {Command, CommandResult} from '../state/command';
 import type {
@@ -22,6 +22,7 @@
 import type {LogStatus, ReplicatedLog} from './replicatedLog';
 
 const TICK_MS = 25;
+const FAREWELL_MS = 200;
 const READ_TIMEOUT_MS = 3000;
 const BAD_MESSAGE_CODE = 400;
 const CLOSED_CODE = 503;
@@ -44,6 +45,7 @@
   private readonly ticks: Subscription;
   private readonly statusSubject: BehaviorSubject<LogStatus>;
   private readonly events: CoreEvent[] = [];
+  private readonly farewells: Promise<unknown>[] = [];
   private handling = false;
   /** While false, events and calls are turned away. */
   private running = true;
@@ -115,6 +117,11 @@
   }
 
   async close(): Promise<void> {
+    this.handle({kind: 'resign'});
+    await Promise.race([
+      Promise.allSettled(this.farewells),
+      firstValueFrom(timer(FAREWELL_MS)),
+    ]);
     this.stop(
       new PeerError(
         {kind: 'lost'},
@@ -253,8 +260,11 @@
   private send(to: string, message: CoreRequest): void {
     const peer = this.peers.get(to);
     if (peer === undefined) return;
-    peer.send(message).then(
-      answer => this.takeAnswer(to, message, answer),
+    const answer = peer.send(message);
+    // A process that ends right away would take the message with it.
+    if (message.kind === 'resign') this.farewells.push(answer);
+    answer.then(
+      reply => this.takeAnswer(to, message, reply),
       () => this.handle({kind: 'sendFailed', to, message})
     );
   }
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -65,6 +65,8 @@
   }),
   z.strictObject({kind: z.literal('preVote'), ...VOTE_FIELDS}),
   z.strictObject({kind: z.literal('vote'), ...VOTE_FIELDS}),
+  /** The leader goes; whoever is ready may stand at once. */
+  z.strictObject({kind: z.literal('resign'), ...ADDRESS}),
   z.strictObject({
     kind: z.literal('append'),
     ...LEADER_FIELDS,
@@ -137,6 +139,7 @@
     addressed: ID,
     group: ID.optional(),
   }),
+  z.strictObject({kind: z.literal('resign'), incarnation: ID}),
   z.strictObject({kind: z.literal('readIndex'), index: INDEX}),
   z.strictObject({
     kind: z.literal('notLeader'),
--- a/src/control/log/raftCore.ts
+++ b/src/control/log/raftCore.ts
@@ -8,7 +8,13 @@
 import {onSnapshotTaken} from './commit';
 import type {CoreEffect, CoreEvent, CoreOptions} from './coreEvents';
 import {CoreState} from './coreState';
-import {onVoteReply, onVoteRequest, startPreVote} from './election';
+import {
+  onResign,
+  onVoteReply,
+  onVoteRequest,
+  resign,
+  startPreVote,
+} from './election';
 import type {DurableState} from './entry';
 import {onAppend} from './followerLog';
 import {onSnapshot} from './followerSnapshot';
@@ -96,6 +102,8 @@
         return this.onPropose(event.ticket, event.command);
       case 'readBarrier':
         return onReadBarrier(state, event.ticket);
+      case 'resign':
+        return resign(state);
       case 'snapshotTaken':
         return onSnapshotTaken(state, event.index, event.data);
       default:
@@ -111,6 +119,8 @@
       case 'preVote':
       case 'vote':
         return onVoteRequest(state, ticket, message);
+      case 'resign':
+        return onResign(state, ticket, message);
       case 'append':
         return onAppend(state, ticket, message);
       case 'snapshot':
@@ -163,6 +173,8 @@
         return onProgress(state, from, message);
       case 'stranger':
         return onStranger(state, from, message);
+      case 'resign':
+        return;
       default:
         return unreachable(message);
     }
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -7,7 +7,7 @@
 import {maybeReconfigure} from './membership';
 import {advanceCommit} from './commit';
 import {confirmReads} from './reads';
-import {follow} from './election';
+import {address, follow} from './election';
 import {entryChars} from './entrySize';
 
 type WireConfiguration = RequestOf<'snapshot'>['snapshot']['configuration'];
@@ -150,11 +150,7 @@
 
 function leaderFields(state: CoreState, toIncarnation: string) {
   return {
-    from: state.options.id,
-    fromIncarnation: state.incarnation,
-    toIncarnation,
-    group: state.hard.group ?? state.incarnation,
-    term: state.term,
+    ...address(state, toIncarnation),
     seq: ++state.requestSeq,
     round: state.leadership?.round ?? 0,
     sentAt: state.now,
--- a/tests/logCore.spec.ts
+++ b/tests/logCore.spec.ts
@@ -5,6 +5,7 @@
   CoreReply,
   CoreRequest,
   ReplyOf,
+  RequestOf,
 } from '../src/control/log/messages';
 import {RaftCore} from '../src/control/log/raftCore';
 
@@ -190,6 +191,24 @@
     expect(driven.status.role).toBe('leader');
   });
 
+  // Instance c lost its disk while the leader counted on it. What the empty one
+  // stores must not count in the place of what c had stored: only b's copy
+  // makes the entry outlive the loss of the leader.
+  it('should not count the copy of a wiped instance', () => {
+    const driven = new Driven(MEMBER);
+    driven.lead();
+    driven.answer('c', {
+      kind: 'stranger',
+      incarnation: 'c/2',
+      addressed: 'c/1',
+      group: undefined,
+    });
+    driven.matched('c/2', 2);
+    expect(driven.status.commitIndex).toBe(0);
+    driven.matched('b/1', 2);
+    expect(driven.status.commitIndex).toBe(2);
+  });
+
   // A new leader changes the members before it knows what earlier terms left:
   // the change may rest on a configuration that another leader has replaced,
   // and the quorums of both then need not overlap.
@@ -273,6 +292,27 @@
     expect(driven.status.term).toBe(1);
   });
 
+  it('should stand soon after the leader of its term resigns, and only then', () => {
+    const driven = new Driven(MEMBER);
+    driven.request(fromLeader({prevIndex: 1, prevTerm: 1}));
+    const {from, fromIncarnation, toIncarnation, group} = fromLeader(
+      {}
+    ) as RequestOf<'append'>;
+    const resign = (term: number) =>
+      driven.request({
+        kind: 'resign',
+        from,
+        fromIncarnation,
+        toIncarnation,
+        group,
+        term,
+      });
+    resign(1);
+    expect(sent(driven.after(heartbeatMs), 'preVote')).toEqual([]);
+    resign(2);
+    expect(sent(driven.after(heartbeatMs), 'preVote')).toHaveLength(2);
+  });
+
   it('should refuse a pre-vote and a vote while it hears a leader', () => {
     const driven = new Driven(MEMBER);
     driven.request(fromLeader({prevIndex: 1, prevTerm: 1}));
