--- /dev/null
+++ b/tests/mapControllers.spec.ts
@@ -0,0 +1,274 @@
+import {BehaviorSubject} from 'rxjs';
+import type {Subscription} from 'rxjs';
+import {LockStepEngine} from '../bench/fuzz/lockStepEngine';
+import {RankController} from '../src/agent/maps/rankController';
+import type {RankEngine} from '../src/agent/maps/rankEngine';
+import type {LogStatus} from '../src/control/log/replicatedLog';
+import {MapController} from '../src/control/maps/mapController';
+import {MapState} from '../src/control/maps/mapState';
+import type {Command, CommandResult} from '../src/control/state/command';
+import {createLogger} from '../src/core/logger';
+import type {PrepareMessage} from '../src/core/mapMessages';
+import {Metrics} from '../src/core/metrics';
+import {evenShape} from '../src/policy/placement';
+import {placeFromScratch} from '../src/policy/placementGreedy';
+import {REBALANCE_DEFAULTS} from '../src/policy/rebalanceDecision';
+
+const RANKS = 4;
+const EXPERTS = 16;
+const GROUP = 'g';
+const STEP_MS = 30;
+const LEADER: LogStatus = {
+  role: 'leader',
+  term: 1,
+  commitIndex: 0,
+  lastIndex: 0,
+  voter: true,
+  voterIds: ['c1'],
+  incarnation: 'd1',
+  voters: [],
+};
+const FLAT = Array.from({length: EXPERTS}, () => 100);
+const ZIPF = Array.from({length: EXPERTS}, (_, i) => 1000 / (i + 1));
+
+/** A group in lock-step with its agents, one control instance and its log. */
+class GroupFixture {
+  readonly engines = Array.from(
+    {length: RANKS},
+    () => new LockStepEngine(false)
+  );
+  readonly state = new MapState();
+  readonly status$ = new BehaviorSubject(LEADER);
+  readonly metrics = new Metrics('test');
+  readonly staged: string[] = [];
+  readonly versions = new Map<number, Set<number>>();
+  logUp = true;
+  storeUp = true;
+  permitted = true;
+  counts: readonly number[] = FLAT;
+  private seq = 0;
+  private readonly running: Subscription[] = [];
+  private readonly agents: RankController[];
+  private readonly control: MapController;
+
+  constructor() {
+    const logger = createLogger('test', 'test', 'fatal');
+    const shape = evenShape(RANKS, EXPERTS, 4);
+    this.control = new MapController(
+      {
+        group: GROUP,
+        ranks: RANKS,
+        holder: 'c1',
+        initialMap: placeFromScratch(shape, FLAT),
+        marginSteps: 10,
+        maxMarginSteps: 80,
+        promiseTimeoutMs: 1000,
+        resendMs: 100,
+        proposeRetryMs: 500,
+        experts: EXPERTS,
+        rebalance: REBALANCE_DEFAULTS,
+        tickMs: 250,
+      },
+      {
+        propose: command => this.propose(command),
+        readBarrier: () => this.answer(undefined),
+        status$: this.status$,
+      },
+      this.state,
+      {send: (rank, message) => this.agents[rank]?.receive(message)},
+      () => ({on: this.permitted}),
+      this.metrics,
+      logger
+    );
+    this.agents = this.engines.map(
+      (engine, rank) =>
+        new RankController(
+          {
+            group: GROUP,
+            rank,
+            agentBootId: `a${rank}`,
+            bootAtMs: performance.now(),
+            quietMs: 100,
+            retryMs: 100,
+            observeMs: 20,
+          },
+          this.engineOf(engine),
+          {send: message => this.control.receive(message)},
+          this.metrics,
+          logger
+        )
+    );
+    this.running.push(this.control.start());
+    this.agents.forEach(agent => this.running.push(agent.start()));
+  }
+
+  private engineOf(engine: LockStepEngine): RankEngine {
+    return {
+      observe: async () => engine.view(),
+      startMap: async order =>
+        void engine.take({kind: 'startEngine', ...order}, false),
+      stageExpert: async ({slot, expert}) => {
+        if (!this.storeUp) throw new Error('rate limited');
+        this.staged.push(`${slot}:${expert}`);
+      },
+      prepareMap: async (order: PrepareMessage) => {
+        const answer = engine.take({kind: 'prepareEngine', order}, false);
+        return answer?.kind === 'prepared' ? answer.result : 'failed';
+      },
+      decideMap: async (id, decision) =>
+        void engine.take({kind: 'decideEngine', id, decision}, false),
+    };
+  }
+
+  private async propose(command: Command): Promise<CommandResult> {
+    await this.answer(undefined);
+    if (command.kind === 'fence')
+      return {command: 'fence', result: this.state.applyFence(command)};
+    if (command.kind !== 'mapDecision') return {command: 'noop'};
+    const result = this.state.applyDecision(command);
+    return {command: 'mapDecision', result};
+  }
+
+  private async answer<T>(value: T): Promise<T> {
+    if (!this.logUp) throw new Error('no quorum');
+    return value;
+  }
+
+  /** Runs the group for a time; every rank reports once a second. */
+  async run(ms: number): Promise<void> {
+    for (let at = 0; at < ms; at += STEP_MS) {
+      await jest.advanceTimersByTimeAsync(STEP_MS);
+      this.step();
+      if (++this.seq % 33 === 0) this.report();
+    }
+  }
+
+  private step(): void {
+    const least = Math.min(...this.engines.map(engine => engine.step));
+    if (!this.engines.every(engine => engine.up && engine.running)) return;
+    for (const engine of this.engines.filter(e => e.step === least)) {
+      const version = engine.runStep();
+      if (version === undefined) continue;
+      const seen = this.versions.get(least) ?? new Set<number>();
+      this.versions.set(least, seen.add(version));
+    }
+  }
+
+  private report(): void {
+    this.engines.forEach((engine, rank) =>
+      this.control.receive({
+        kind: 'expertCounts',
+        group: GROUP,
+        rank,
+        seq: this.seq,
+        step: engine.step,
+        ageMs: 500,
+        counts: this.counts,
+      })
+    );
+  }
+
+  get current() {
+    return this.state.group(GROUP).current;
+  }
+
+  /** Steps that ran with more than one map. */
+  get mixedSteps(): number {
+    return [...this.versions.values()].filter(seen => seen.size > 1).length;
+  }
+
+  count(prefix: string): number {
+    return Object.entries(this.metrics.snapshot())
+      .filter(([name]) => name.startsWith(prefix))
+      .reduce((sum, [, value]) => sum + value, 0);
+  }
+
+  close(): void {
+    this.running.forEach(subscription => subscription.unsubscribe());
+    this.metrics.close();
+  }
+}
+
+describe('controllers of expert maps', () => {
+  let group: GroupFixture;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+    group = new GroupFixture();
+  });
+
+  afterEach(() => {
+    group.close();
+    jest.useRealTimers();
+  });
+
+  it('should start the ranks, and change maps when popularity moves', async () => {
+    await group.run(3000);
+    const first = group.current?.version ?? 0;
+    expect(group.engines.every(engine => engine.running)).toBe(true);
+    group.counts = ZIPF;
+    await group.run(10_000);
+    expect(group.staged.length).toBeGreaterThan(0);
+    expect(group.current?.version).toBeGreaterThan(first);
+    const views = group.engines.map(engine => engine.view().mapVersion);
+    expect(Math.max(...views)).toBeGreaterThan(first);
+    expect(group.mixedSteps).toBe(0);
+  });
+
+  it('should leave the map alone while rules do not permit a rebalance', async () => {
+    group.permitted = false;
+    await group.run(3000);
+    const first = group.current?.version;
+    group.counts = ZIPF;
+    await group.run(5000);
+    expect(group.staged).toEqual([]);
+    expect(group.current?.version).toBe(first);
+  });
+
+  // The engine of one rank restarts amid switches and stands without a map.
+  // Its agent asks control again, and the group goes on where it stood.
+  it('should bring back a rank whose engine restarts', async () => {
+    await group.run(3000);
+    group.counts = ZIPF;
+    await group.run(3000);
+    group.engines[2]?.start();
+    const before = group.engines[0]?.step ?? 0;
+    await group.run(3000);
+    expect(group.engines[0]?.step).toBeGreaterThan(before + 10);
+    expect(group.mixedSteps).toBe(0);
+  });
+
+  // The log loses its quorum: nothing can be decided, so nothing is told, and
+  // a rank at its barrier waits. With the quorum back the group goes on.
+  it('should wait without a quorum and go on with it', async () => {
+    await group.run(3000);
+    group.counts = ZIPF;
+    group.logUp = false;
+    await group.run(4000);
+    const version = group.current?.version;
+    group.logUp = true;
+    await group.run(6000);
+    expect(group.current?.version).toBeGreaterThan(version ?? 0);
+    expect(group.mixedSteps).toBe(0);
+  });
+
+  it('should keep the slots while the weight store refuses', async () => {
+    await group.run(3000);
+    const slots = group.current?.map.slots;
+    group.storeUp = false;
+    group.counts = ZIPF;
+    await group.run(5000);
+    expect(group.current?.map.slots).toEqual(slots);
+    expect(group.mixedSteps).toBe(0);
+  });
+
+  it('should do nothing more once another instance leads', async () => {
+    await group.run(3000);
+    group.status$.next({...LEADER, role: 'follower'});
+    group.counts = ZIPF;
+    const version = group.current?.version;
+    await group.run(3000);
+    expect(group.current?.version).toBe(version);
+    expect(group.count('map.aborted')).toBe(0);
+  });
+});
