--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -1,8 +1,21 @@
 /** The models that the fuzz command and CI run. */
 
 import type {FuzzModel} from './fuzzModel';
+import {FRESHNESS_MODEL} from './freshnessModel';
 import {LOG_MODEL} from './logModel';
+import {MAP_MODEL} from './mapModel';
+import {ONCE_MODEL} from './onceModel';
+import {QUEUE_MODEL} from './queueModel';
+import {RAMP_MODEL} from './rampModel';
 import {STREAM_MODEL} from './streamModel';
 
 /** One entry a state machine. */
-export const FUZZ_MODELS: readonly FuzzModel[] = [LOG_MODEL, STREAM_MODEL];
+export const FUZZ_MODELS: readonly FuzzModel[] = [
+  FRESHNESS_MODEL,
+  LOG_MODEL,
+  MAP_MODEL,
+  ONCE_MODEL,
+  QUEUE_MODEL,
+  RAMP_MODEL,
+  STREAM_MODEL,
+];
--- a/src/core/mapMessages.ts
+++ b/src/core/mapMessages.ts
@@ -29,6 +29,22 @@
   readonly version: number;
 }
 
+const VERSIONS_PER_FENCE = 1_000_000;
+
+/**
+ * Version of the nth switch under a fence. Two controllers can never use the
+ * same one, so that no late order of one is taken for an order of the other,
+ * also by engines that look at the version alone.
+ */
+export function versionOf(fence: number, nth: number): number {
+  return fence * VERSIONS_PER_FENCE + nth;
+}
+
+/** The fence under which a version was prepared. */
+export function fenceOfVersion(version: number): number {
+  return Math.floor(version / VERSIONS_PER_FENCE);
+}
+
 /** Controller to rank: load the map and do not pass the step undecided. */
 export interface PrepareMessage extends SwitchId {
   readonly kind: 'prepare';
@@ -36,6 +52,26 @@
   readonly map: ExpertMap;
 }
 
+/** Controller to rank: load weights beside those in use; promises nothing. */
+export interface StageMessage {
+  readonly kind: 'stage';
+  readonly group: string;
+  readonly fence: number;
+  /** Slot of this rank, from 0, for which a later map will use them. */
+  readonly slot: number;
+  readonly expert: number;
+}
+
+/** Rank to controller: the weights are there, or could not be had. */
+export interface StagedMessage {
+  readonly kind: 'staged';
+  readonly group: string;
+  readonly rank: number;
+  readonly slot: number;
+  readonly expert: number;
+  readonly ok: boolean;
+}
+
 /** Controller to rank: what was decided; it is durable when this is sent. */
 export interface DecisionMessage extends SwitchId {
   readonly kind: 'decision';
@@ -112,12 +148,20 @@
 }
 
 /** Controller to rank. */
-export type ToRankMessage = PrepareMessage | DecisionMessage | JoinAnswer;
+export type ToRankMessage =
+  PrepareMessage | DecisionMessage | JoinAnswer | StageMessage;
 
 /** Rank to controller. */
 export type FromRankMessage =
   | PromiseMessage
   | RefusalMessage
+  | StagedMessage
   | JoinRequest
   | DecisionQuery
   | ExpertCountsReport;
+
+/** What the state machine of a switch takes of a rank's messages. */
+export type SwitchMessage = Exclude<
+  FromRankMessage,
+  StagedMessage | ExpertCountsReport
+>;
