Count the voters that control names towards the freshness majority

Cause: an entry or agent whose settings name one of three control instances took that one for a majority; cut off with it, it would serve old rules for ever. Ruled out: refusing such settings, which cannot know the voters. Before: the new test of one among three voters judged proven; after: unproven.

--- a/bench/fuzz/freshnessModel.ts
+++ b/bench/fuzz/freshnessModel.ts
@@ -78,6 +78,7 @@
         kind: 'answered',
         askedAtMs,
         voter: voting,
+        voterCount: VOTERS.length,
         lastRevision: revision,
       });
     });
--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -149,11 +149,12 @@
 
   private apply(answer: PollAnswer, askedAtMs: number): void {
     if (answer.rules !== undefined) this.applyRules(answer.rules);
-    const {voter, lastRevision, instanceId} = answer;
+    const {voter, voterCount, lastRevision, instanceId} = answer;
     this.proof.add(instanceId, {
       kind: 'answered',
       askedAtMs,
       voter,
+      voterCount,
       lastRevision,
     });
     this.directory.apply(answer, performance.now());
--- a/src/sync/freshness.ts
+++ b/src/sync/freshness.ts
@@ -16,6 +16,8 @@
       /** When the question was sent, `performance.now()` milliseconds. */
       readonly askedAtMs: number;
       readonly voter: boolean;
+      /** Voters that the instance knows of. */
+      readonly voterCount: number;
       readonly lastRevision: number;
     }
   /** Its host refused the connection: the process is not running. */
@@ -78,8 +80,16 @@
     return {kind: 'unproven', ageMs};
   }
 
+  /**
+   * Settings that name too few instances must not make a minority of the
+   * voters a majority: cut off with that minority, the process would take old
+   * rules for proven.
+   */
   private majority(): number {
-    return Math.floor(this.instanceCount / 2) + 1;
+    let count = this.instanceCount;
+    for (const one of this.evidence.values())
+      if (one.kind === 'answered') count = Math.max(count, one.voterCount);
+    return Math.floor(count / 2) + 1;
   }
 
   private prove(): void {
