End upstream calls by a listener in place of Node's signal option

Our own code was ruled out as the main cost: route takes 2% of the entry's profile, dispatch headers 2%, loggers 1%; most is Node's http and TLS.

--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -55,9 +55,9 @@
       method,
       path,
       headers: headers as unknown as http.OutgoingHttpHeaders,
-      signal,
       setHost: false,
     });
+    destroyOnAbort(req, signal);
     req.on('socket', socket => {
       // A kept connection can take bytes at once, and may be closing meanwhile.
       sent = !socket.connecting;
@@ -71,6 +71,16 @@
   });
 }
 
+/** As the option `signal` of Node does, for a fraction of its time a call. */
+function destroyOnAbort(req: http.ClientRequest, signal: AbortSignal): void {
+  const stop = () => {
+    req.destroy(new Error('the call was cancelled'));
+  };
+  if (signal.aborted) return stop();
+  signal.addEventListener('abort', stop, {once: true});
+  req.once('close', () => signal.removeEventListener('abort', stop));
+}
+
 function sendBody(
   req: http.ClientRequest,
   body: UpstreamRequest['body']
