Relay whole answers by events in place of an iterator

Our own code was ruled out as the main cost: route takes 2% of the entry's profile, dispatch headers 2%, loggers 1%; most is Node's http and TLS.

--- a/src/entry/chat/wholeAnswer.ts
+++ b/src/entry/chat/wholeAnswer.ts
@@ -70,9 +70,7 @@
   signal.addEventListener('abort', stop, {once: true});
   if (caller.destroyed || signal.aborted) stop();
   try {
-    for await (const chunk of source.body as AsyncIterable<Buffer>) {
-      if (!head.pass(chunk)) await drained(caller, signal);
-    }
+    await passAll(source.body, caller, chunk => head.pass(chunk));
     if (!source.complete()) throw new Error('the answer was cut short');
     head.release();
     relay.writeEnd(source);
@@ -119,17 +117,28 @@
   }
 }
 
-/** Resolves at `drain`, when the caller goes, or at the deadline. */
-function drained(caller: Writable, signal: AbortSignal): Promise<void> {
-  return new Promise(resolve => {
-    const done = () => {
-      caller.off('drain', done);
-      caller.off('close', done);
-      signal.removeEventListener('abort', done);
-      resolve();
-    };
-    caller.on('drain', done);
-    caller.on('close', done);
-    signal.addEventListener('abort', done);
-  });
+/**
+ * Resolves at the end of the body; rejects when it is cut off. Reads by events:
+ * an iterator costs several promises a chunk.
+ */
+function passAll(
+  body: Readable,
+  caller: Writable,
+  pass: (chunk: Buffer) => boolean
+): Promise<void> {
+  const resume = () => body.resume();
+  return new Promise<void>((resolve, reject) => {
+    body.on('data', (chunk: Buffer) => {
+      try {
+        if (!pass(chunk)) body.pause();
+      } catch (err) {
+        reject(err);
+      }
+    });
+    body.once('end', resolve);
+    body.once('error', reject);
+    body.once('close', () => reject(new Error('the answer broke off')));
+    if (body.destroyed) reject(new Error('the answer broke off'));
+    caller.on('drain', resume);
+  }).finally(() => caller.off('drain', resume));
 }
