--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -6,13 +6,15 @@
 const INDEX = z.number().int().nonnegative();
 const ID = z.string().min(1);
 
+const COMMAND_SHAPE = z.looseObject({kind: ID});
+
 /**
  * A command was validated where it was proposed, and every copy must stay
  * equal to the leader's, so no more than its shape is looked at here: a list
  * of kinds would stop replication as soon as it lacked a new one.
  */
 const COMMAND = z.custom<Command>(
-  value => z.looseObject({kind: ID}).safeParse(value).success
+  value => COMMAND_SHAPE.safeParse(value).success
 );
 
 const CONFIGURATION = z.strictObject({
@@ -88,6 +90,13 @@
   z.strictObject({kind: z.literal('readIndex'), from: ID}),
 ]);
 
+/**
+ * Whose request is answered. The answerer's own term may have risen since: an
+ * answer to an earlier leadership of the asker, or to what was wiped there,
+ * would else pass for one to the present.
+ */
+const ASKED = {asker: ID, askedTerm: INDEX};
+
 /** Answers between instances. */
 export const PEER_REPLY = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -100,15 +109,15 @@
   z.strictObject({
     kind: z.literal('vote'),
     incarnation: ID,
+    ...ASKED,
     preVote: z.boolean(),
-    /** Term that was asked for. */
-    askedTerm: INDEX,
     term: INDEX,
     granted: z.boolean(),
   }),
   z.strictObject({
     kind: z.literal('progress'),
     incarnation: ID,
+    ...ASKED,
     term: INDEX,
     ok: z.boolean(),
     /** When ok: synced here and equal to the leader's up to this index. */
