--- a/bench/capacity/loadGenerator.ts
+++ b/bench/capacity/loadGenerator.ts
@@ -1,6 +1,7 @@
 /** Closed-loop HTTP load from one process, bounded in time and in calls. */
 
 import http from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {build} from 'hdr-histogram-js';
 
 /** What to send. */
@@ -16,6 +17,8 @@
   readonly warmupCalls: number;
   readonly seconds: number;
   readonly maxCalls: number;
+  /** Rest of each connection after a call, milliseconds. */
+  readonly pauseMs?: number;
 }
 
 /** What came of it; latencies in milliseconds. */
@@ -65,8 +68,11 @@
   private async drive(endAtMs: number, maxCalls: number): Promise<void> {
     let begun = 0;
     const loop = async () => {
-      while (performance.now() < endAtMs && begun++ < maxCalls)
+      while (performance.now() < endAtMs && begun++ < maxCalls) {
         await this.call();
+        const {pauseMs = 0} = this.plan;
+        if (pauseMs > 0) await delay(pauseMs);
+      }
     };
     await Promise.all(Array.from({length: this.plan.connections}, loop));
   }
--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -10,6 +10,7 @@
 
 const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
+const STARTED_AT_ONCE = 4;
 
 /** Programs of a build. */
 export interface Programs {
@@ -171,35 +172,33 @@
     );
   }
 
-  private async startPool({
-    pool,
-    kind,
-    count,
-    fakeArgs,
-  }: PoolShape): Promise<void> {
-    const pairs = Array.from({length: count}, (_, i) =>
-      this.startTarget(pool, kind, i, fakeArgs)
+  private async startPool(shape: PoolShape): Promise<void> {
+    const pairs = Array.from({length: shape.count}, (_, i) =>
+      this.startTarget(shape, i)
     );
     await Promise.all(pairs);
   }
 
-  private async startTarget(
-    pool: string,
-    kind: PoolShape['kind'],
-    index: number,
-    fakeArgs: readonly string[]
-  ): Promise<void> {
+  /** Adds targets to a pool until it has `count`, a few at a time. */
+  async growPool(shape: PoolShape, count: number): Promise<void> {
+    const held = this.targets.filter(({pool}) => pool === shape.pool).length;
+    for (let from = held; from < count; from += STARTED_AT_ONCE) {
+      const size = Math.min(STARTED_AT_ONCE, count - from);
+      const pairs = Array.from({length: size}, (_, i) =>
+        this.startTarget(shape, from + i)
+      );
+      await Promise.all(pairs);
+    }
+  }
+
+  private async startTarget(shape: PoolShape, index: number): Promise<void> {
+    const {pool, kind} = shape;
     const targetId = `${pool}-${index}`;
-    const [fakePort = 0] = await freePorts(1);
-    const fake = kind === 'engine' ? 'engine' : 'ledger';
-    const args = [
-      this.programs.fakes,
-      fake,
-      '--port',
-      String(fakePort),
-      ...fakeArgs,
-    ];
-    await this.startChild(`fake-${targetId}`, args);
+    const known = shape.sharedFake
+      ? this.targets.find(target => target.pool === pool)
+      : undefined;
+    const fakePort =
+      known?.fakePort ?? (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
     const file = this.write(id, [
       ...this.processLines(id, index),
@@ -221,6 +220,18 @@
     });
   }
 
+  /** Resolves with the port. */
+  private async startFake(
+    {kind, fakeArgs}: PoolShape,
+    name: string
+  ): Promise<number> {
+    const [port = 0] = await freePorts(1);
+    const fake = kind === 'engine' ? 'engine' : 'ledger';
+    const args = [this.programs.fakes, fake, '--port', String(port)];
+    await this.startChild(name, [...args, ...fakeArgs]);
+    return port;
+  }
+
   private async startEntry(index: number): Promise<void> {
     const id = `entry-${index}`;
     const [port] = await freePorts(1);
@@ -270,9 +281,16 @@
       `availability-zone = ${this.zone(index)}`,
       `host = ${HOST}`,
       `log-level = ${this.shape.logLevel ?? 'info'}`,
+      ...this.metricsLines(),
     ];
   }
 
+  private metricsLines(): readonly string[] {
+    const {metricsPort} = this.shape;
+    if (metricsPort === undefined) return [];
+    return [`metrics-host = ${HOST}`, `metrics-port = ${metricsPort}`];
+  }
+
   /** Control as one process reaches it: through relays to the other side. */
   private controlList(processId: string): string {
     const {island = []} = this.shape;
--- a/bench/deployment/shape.ts
+++ b/bench/deployment/shape.ts
@@ -7,6 +7,8 @@
   readonly count: number;
   /** Arguments of the fake, such as `--step-ms 5`. */
   readonly fakeArgs: readonly string[];
+  /** All agents stand before one fake, to spare the machine. */
+  readonly sharedFake?: boolean;
 }
 
 /** A whole deployment on one machine. */
@@ -20,6 +22,8 @@
   /** Lame duck time of entries, milliseconds. */
   readonly drainMs?: number;
   readonly logLevel?: string;
+  /** UDP port on this machine that the counters of all roles go to. */
+  readonly metricsPort?: number;
   /** Names of processes that `Deployment.cut` parts from the rest of control. */
   readonly island?: readonly string[];
 }
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -3,6 +3,7 @@
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
 import {coldStart} from './measures/coldStart';
+import {controlCost} from './measures/controlCost';
 import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
 import {rebalanceCost} from './measures/rebalanceCost';
@@ -18,4 +19,5 @@
   coldStart,
   balance,
   entryOverhead,
+  controlCost,
 ];
--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -6,6 +6,7 @@
 import type {Metrics} from '../core/metrics';
 import {METHODS, fenceClaimRequest} from '../rpc/messages';
 import {PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
 import type {AgentSettings} from '../settings/settings';
 import {ControlSync} from '../sync/controlSync';
@@ -55,9 +56,11 @@
       handle: request => fenceClaim(core, request),
     });
     core.port = await server.listen();
-    const sync = createSync(settings, core, logger, metrics);
+    const traffic = new PeerTraffic();
+    const sync = createSync(settings, core, logger, metrics, traffic);
     core.attach(sync);
     const subscription = watchTarget(core);
+    subscription.add(traffic.report(metrics));
     subscription.add(recheckOnNewRules(core, sync));
     sync.start();
     return new AgentProcess(core, server, sync, subscription);
@@ -95,7 +98,8 @@
   {process, internal, control}: AgentSettings,
   core: AgentCore,
   logger: Logger,
-  metrics: Metrics
+  metrics: Metrics,
+  traffic: PeerTraffic
 ): ControlSync {
   const agent = createPeerAgent(internal.key, process.id);
   return new ControlSync({
@@ -103,7 +107,9 @@
     role: 'agent',
     bootId: randomUUID(),
     availabilityZone: process.availabilityZone,
-    instances: control.instances.map(address => new PeerClient(address, agent)),
+    instances: control.instances.map(
+      address => new PeerClient(address, agent, traffic)
+    ),
     pollMs: control.pollMs,
     proofMs: control.proofMs,
     report: () => ({announcement: core.announcement()}),
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -7,6 +7,7 @@
 import {z} from 'zod';
 import {METHODS} from '../rpc/messages';
 import {PeerAddress, PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
 import type {ControlContext} from './controlContext';
 import {createReplicatedLog} from './log/createReplicatedLog';
@@ -47,9 +48,10 @@
   ) {}
 
   static async start(options: ControlProcessOptions): Promise<ControlProcess> {
-    const server = new PeerServer(options);
+    const traffic = new PeerTraffic();
+    const server = new PeerServer({...options, traffic});
     const state = new ControlState();
-    const log = await openLog(options, state);
+    const log = await openLog(options, state, traffic);
     const context: ControlContext = {
       instanceId: options.id,
       bootId: randomUUID(),
@@ -64,7 +66,9 @@
     const usage = interval(USAGE_PERIOD_MS).pipe(
       exhaustMap(() => logUsage(context))
     );
-    return new ControlProcess(port, server, log, usage.subscribe());
+    const subscription = usage.subscribe();
+    subscription.add(traffic.report(options.metrics));
+    return new ControlProcess(port, server, log, subscription);
   }
 
   async stop(): Promise<void> {
@@ -76,13 +80,14 @@
 
 function openLog(
   options: ControlProcessOptions,
-  state: ControlState
+  state: ControlState,
+  traffic: PeerTraffic
 ): Promise<ReplicatedLog> {
   const agent = createPeerAgent(options.secret, options.id);
   const peers = options.instances
     .filter(peer => peer.id !== options.id)
     .map(address => {
-      const client = new PeerClient(address, agent);
+      const client = new PeerClient(address, agent, traffic);
       const send = (message: unknown) =>
         client.call<unknown>(METHODS.log, {message}, PEER_TIMEOUT_MS);
       return {id: address.id, send};
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -18,6 +18,7 @@
   'rules.applied': 'revisions put in force',
   'rules.unproven': 'times the freshness proof ran out',
   'rules.regressed': 'older revisions that were ignored',
+  'peer.bytes': 'bytes of the calls between processes, by direction',
   'peer.rejected': 'internal connections or messages refused, by reason',
   'log.elected': 'elections won by this instance',
   'log.synced': 'durable writes',
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -2,9 +2,11 @@
 
 import {randomUUID} from 'node:crypto';
 import https from 'node:https';
+import type {Subscription} from 'rxjs';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerTraffic} from '../rpc/peerTraffic';
 import {clientTls} from '../rpc/peerTls';
 import type {EntrySettings} from '../settings/settings';
 import {ControlSync} from '../sync/controlSync';
@@ -19,7 +21,8 @@
     readonly port: number,
     private readonly server: CallerServer,
     private readonly sync: ControlSync,
-    private readonly metrics: Metrics
+    private readonly metrics: Metrics,
+    private readonly subscription: Subscription
   ) {}
 
   static async start(
@@ -29,6 +32,7 @@
   ): Promise<EntryProcess> {
     const {process, internal, control} = settings;
     const usage = new UsageCounter();
+    const traffic = new PeerTraffic();
     const keptAgent = createPeerAgent(internal.key, process.id);
     const singleAgent = new https.Agent({
       ...clientTls(internal.key, process.id),
@@ -40,7 +44,7 @@
       bootId: randomUUID(),
       availabilityZone: process.availabilityZone,
       instances: control.instances.map(
-        address => new PeerClient(address, keptAgent)
+        address => new PeerClient(address, keptAgent, traffic)
       ),
       pollMs: control.pollMs,
       proofMs: control.proofMs,
@@ -66,7 +70,8 @@
     );
     const port = await server.listen();
     sync.start();
-    return new EntryProcess(port, server, sync, metrics);
+    const subscription = traffic.report(metrics);
+    return new EntryProcess(port, server, sync, metrics, subscription);
   }
 
   /** Every request in hand gets its whole answer; see CallerServer.drain. */
@@ -77,6 +82,7 @@
 
   async stop(): Promise<void> {
     await this.server.close();
+    this.subscription.unsubscribe();
     this.sync.stop();
     this.metrics.close();
   }
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -5,6 +5,7 @@
 import {PeerError, PeerFault} from '../core/errors';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {PROTOCOL_HEADER, RPC_PATH} from './peerServer';
+import type {PeerTraffic} from './peerTraffic';
 import {clientTls} from './peerTls';
 
 /** Where a peer is and how it is spoken to. */
@@ -43,7 +44,8 @@
 
   constructor(
     readonly address: PeerAddress,
-    private readonly agent: https.Agent
+    private readonly agent: https.Agent,
+    private readonly traffic?: PeerTraffic
   ) {}
 
   /** Resolves with the result; rejects with PeerError. */
@@ -98,6 +100,8 @@
         req.destroy();
       }, timeoutMs);
       req.on('socket', socket => {
+        this.traffic?.track(socket);
+        this.traffic?.message('written', body.length);
         connected = !socket.connecting;
         if (!connected) socket.once('secureConnect', () => (connected = true));
       });
@@ -114,8 +118,9 @@
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
         res.on('error', err => fail({kind: 'lost'}, err.message));
         res.on('end', () => {
-          if (res.statusCode === 200)
-            return resolve(Buffer.concat(chunks).toString('utf8'));
+          const text = Buffer.concat(chunks).toString('utf8');
+          this.traffic?.message('read', text.length);
+          if (res.statusCode === 200) return resolve(text);
           if (res.statusCode === 426) {
             const theirs = String(res.headers[PROTOCOL_HEADER]);
             return fail(
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -2,13 +2,14 @@
 
 import https from 'node:https';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
 import {z} from 'zod';
 import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
+import type {PeerTraffic} from './peerTraffic';
 import {peerIdentity, serverTls} from './peerTls';
 
 /** Path of all JSON-RPC calls. */
@@ -49,6 +50,8 @@
   readonly secret: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Counts what passes through the port, dispatches included. */
+  readonly traffic?: PeerTraffic;
   /** Takes whatever is no RPC call, such as dispatches to an agent. */
   readonly fallback?: (req: IncomingMessage, res: ServerResponse) => void;
 }
@@ -66,6 +69,10 @@
     this.server = https.createServer(serverTls(options.secret), (req, res) =>
       this.dispatch(req, res)
     );
+    // The TCP socket, below TLS.
+    this.server.on('connection', socket =>
+      options.traffic?.track(socket as Socket)
+    );
     this.server.on('tlsClientError', err =>
       this.rejected('handshake', err.message)
     );
