--- a/src/entry/entryCore.ts
+++ b/src/entry/entryCore.ts
@@ -3,11 +3,11 @@
 import type https from 'node:https';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
-import type {CustomerUsage} from '../core/wire';
 import type {ControlSync} from '../sync/controlSync';
 import type {RetryBudgets} from './retryBudgets';
 import type {TargetLoad} from './targetLoad';
 import type {UsageCounter} from './usageCounter';
+import type {ZoneReturns} from './zoneReturns';
 
 /** One entry's parts. */
 export interface EntryCore {
@@ -17,6 +17,7 @@
   readonly load: TargetLoad;
   readonly budgets: RetryBudgets;
   readonly usage: UsageCounter;
+  readonly zoneReturns: ZoneReturns;
   /** Connections to agents: kept open, and one for each call. */
   readonly keptAgent: https.Agent;
   readonly singleAgent: https.Agent;
@@ -24,6 +25,3 @@
   readonly metrics: Metrics;
   readonly random: () => number;
 }
-
-/** Use as reported to control. */
-export type UsageTotals = readonly CustomerUsage[];
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -14,6 +14,7 @@
 import {RetryBudgets} from './retryBudgets';
 import {TargetLoad} from './targetLoad';
 import {UsageCounter} from './usageCounter';
+import {ZoneReturns} from './zoneReturns';
 
 /** A running entry. */
 export class EntryProcess {
@@ -52,6 +53,7 @@
       logger,
       metrics,
     });
+    const zoneReturns = new ZoneReturns();
     const server = new CallerServer(
       {
         entryId: process.id,
@@ -60,6 +62,7 @@
         load: new TargetLoad(),
         budgets: new RetryBudgets(),
         usage,
+        zoneReturns,
         keptAgent,
         singleAgent,
         logger,
@@ -71,6 +74,12 @@
     const port = await server.listen();
     sync.start();
     const subscription = traffic.report(metrics);
+    subscription.add(
+      sync.rules$.subscribe(held => {
+        if (held !== undefined)
+          zoneReturns.follow(held.index, performance.now());
+      })
+    );
     return new EntryProcess(port, server, sync, metrics, subscription);
   }
 
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -1,6 +1,6 @@
 /** Chooses the next target for a call among those that may take new work. */
 
-import {chooseTarget, requestCost} from '../policy/balance';
+import {TargetView, chooseTarget, requestCost} from '../policy/balance';
 import {BLOCK_CHARS, estimateTokens} from '../core/promptPrefix';
 import type {Announcement} from '../core/wire';
 import type {ClassifiedCall} from './call';
@@ -40,14 +40,7 @@
     target => !call.rules.isZoneOut(target.availabilityZone)
   );
   const open = inZones.filter(target => !tried.has(target.targetId));
-  const views = open.map(target =>
-    core.load.view(
-      target,
-      core.sync.directory.ageMs(target, nowMs),
-      cachedTokens(call, target),
-      nowMs
-    )
-  );
+  const views = open.map(target => viewOf(core, call, target, nowMs));
   const chosen = chooseTarget(
     {
       promptTokens: call.chat?.promptTokens ?? 0,
@@ -67,6 +60,18 @@
   return {kind: 'target', target, cost: costOf(call, target)};
 }
 
+function viewOf(
+  core: EntryCore,
+  call: ClassifiedCall,
+  target: Announcement,
+  nowMs: number
+): TargetView {
+  const ageMs = core.sync.directory.ageMs(target, nowMs);
+  const cached = cachedTokens(call, target);
+  const returnWeight = core.zoneReturns.weight(target.availabilityZone, nowMs);
+  return {...core.load.view(target, ageMs, cached, nowMs), returnWeight};
+}
+
 function costOf(call: ClassifiedCall, target: Announcement): number {
   return call.chat === undefined
     ? 1
--- /dev/null
+++ b/src/entry/zoneReturns.ts
@@ -0,0 +1,34 @@
+/** Remembers when each availability zone came back into service. */
+
+import {zoneWeight} from '../policy/zoneReturn';
+import type {RuleIndex} from '../rules/ruleIndex';
+
+/** Follows the rules in force; times are `performance.now()` milliseconds. */
+export class ZoneReturns {
+  private out: ReadonlySet<string> = new Set();
+  private readonly returnedAtMs = new Map<string, number>();
+
+  /** Called with each set of rules that comes into force. */
+  follow(rules: RuleIndex, nowMs: number): void {
+    const out = zonesOut(rules);
+    for (const zone of this.out) {
+      if (!out.has(zone)) this.returnedAtMs.set(zone, nowMs);
+    }
+    this.out = out;
+  }
+
+  /** Part of its normal share that the zone gets now, above 0 and up to 1. */
+  weight(availabilityZone: string, nowMs: number): number {
+    const returnedAtMs = this.returnedAtMs.get(availabilityZone);
+    return zoneWeight({availabilityZone, returnedAtMs}, nowMs);
+  }
+}
+
+function zonesOut(rules: RuleIndex): ReadonlySet<string> {
+  const zones = new Set<string>();
+  for (const rule of rules.ruleSet.rules) {
+    if (rule.kind === 'zone' && rule.state === 'out')
+      zones.add(rule.availabilityZone);
+  }
+  return zones;
+}
