--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -2,9 +2,11 @@
 
 import {randomUUID} from 'node:crypto';
 import https from 'node:https';
+import type {Subscription} from 'rxjs';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {PeerTraffic} from '../rpc/peerTraffic';
 import {clientTls} from '../rpc/peerTls';
 import type {EntrySettings} from '../settings/settings';
 import {ControlSync} from '../sync/controlSync';
@@ -12,6 +14,7 @@
 import {RetryBudgets} from './retryBudgets';
 import {TargetLoad} from './targetLoad';
 import {UsageCounter} from './usageCounter';
+import {ZoneReturns} from './zoneReturns';
 
 /** A running entry. */
 export class EntryProcess {
@@ -19,7 +22,8 @@
     readonly port: number,
     private readonly server: CallerServer,
     private readonly sync: ControlSync,
-    private readonly metrics: Metrics
+    private readonly metrics: Metrics,
+    private readonly subscription: Subscription
   ) {}
 
   static async start(
@@ -29,6 +33,7 @@
   ): Promise<EntryProcess> {
     const {process, internal, control} = settings;
     const usage = new UsageCounter();
+    const traffic = new PeerTraffic();
     const keptAgent = createPeerAgent(internal.key, process.id);
     const singleAgent = new https.Agent({
       ...clientTls(internal.key, process.id),
@@ -40,7 +45,7 @@
       bootId: randomUUID(),
       availabilityZone: process.availabilityZone,
       instances: control.instances.map(
-        address => new PeerClient(address, keptAgent)
+        address => new PeerClient(address, keptAgent, traffic)
       ),
       pollMs: control.pollMs,
       proofMs: control.proofMs,
@@ -48,6 +53,7 @@
       logger,
       metrics,
     });
+    const zoneReturns = new ZoneReturns();
     const server = new CallerServer(
       {
         entryId: process.id,
@@ -56,6 +62,7 @@
         load: new TargetLoad(),
         budgets: new RetryBudgets(),
         usage,
+        zoneReturns,
         keptAgent,
         singleAgent,
         logger,
@@ -66,7 +73,14 @@
     );
     const port = await server.listen();
     sync.start();
-    return new EntryProcess(port, server, sync, metrics);
+    const subscription = traffic.report(metrics);
+    subscription.add(
+      sync.rules$.subscribe(held => {
+        if (held !== undefined)
+          zoneReturns.follow(held.index, performance.now());
+      })
+    );
+    return new EntryProcess(port, server, sync, metrics, subscription);
   }
 
   /** Every request in hand gets its whole answer; see CallerServer.drain. */
@@ -77,6 +91,7 @@
 
   async stop(): Promise<void> {
     await this.server.close();
+    this.subscription.unsubscribe();
     this.sync.stop();
     this.metrics.close();
   }
