--- a/src/policy/rebalance.ts
+++ b/src/policy/rebalance.ts
@@ -20,13 +20,16 @@
   readonly minGainPerLoad: number;
 }
 
-/** One step of a plan: a replacement (one load) or a swap (two loads). */
-type Move = readonly SlotChange[];
+/**
+ * Changes that only make sense together: a replacement (one load), a swap (two)
+ * or a replacement with what follows from it.
+ */
+export type Move = readonly SlotChange[];
 
 /** A plan and the skews expected under the popularity that it was made for. */
 export interface RebalancePlan {
-  /** Slots that get another expert; each is one load. */
-  readonly changes: readonly SlotChange[];
+  /** In the order in which they are to be made. */
+  readonly moves: readonly Move[];
   /** With the map as it is, split included. */
   readonly skewNow: number;
   /** With the same slots and the best split. */
@@ -61,17 +64,17 @@
   start.relax(FULL_SWEEPS);
   const skewSplit = start.softSkew();
   const none = current.slots.map(() => 0);
-  let found: Trial = {state: start, changes: [], loadsByRank: none};
+  let found: Trial = {state: start, moves: [], changes: [], loadsByRank: none};
   while (found.changes.length < limits.maxLoads) {
     const next = bestMove(found, limits.maxLoads, limits);
     if (next === undefined) break;
     found = next;
   }
   if (found.changes.length === 0 && start.skew() > COMPOUND_FROM)
-    found = bestCompound(found, limits) ?? found;
+    found = asOneMove(bestCompound(found, limits)) ?? found;
   found.state.relax(FULL_SWEEPS);
   const skewAfter = found.state.softSkew();
-  return {changes: found.changes, skewNow, skewSplit, skewAfter};
+  return {moves: found.moves, skewNow, skewSplit, skewAfter};
 }
 
 /** The map with slots changed, and the best split for a popularity. */
@@ -89,6 +92,8 @@
 /** A state in the search, and how it was reached. */
 interface Trial {
   readonly state: SplitState;
+  readonly moves: readonly Move[];
+  /** All changes of the moves. */
   readonly changes: readonly SlotChange[];
   readonly loadsByRank: readonly number[];
 }
@@ -99,7 +104,13 @@
   state.relax(TRIAL_SWEEPS);
   const loadsByRank = [...trial.loadsByRank];
   for (const {rank} of move) loadsByRank[rank] = (loadsByRank[rank] ?? 0) + 1;
-  return {state, changes: [...trial.changes, ...move], loadsByRank};
+  const moves = [...trial.moves, move];
+  const changes = [...trial.changes, ...move];
+  return {state, moves, changes, loadsByRank};
+}
+
+function asOneMove(trial: Trial | undefined): Trial | undefined {
+  return trial && {...trial, moves: [trial.changes]};
 }
 
 /** Fall of the expected skew from one trial to a later one, for each load. */
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -5,8 +5,9 @@
  */
 
 import type {ExpertMap} from '../core/mapMessages';
-import type {Popularity, SlotChange} from './placement';
+import type {Popularity} from './placement';
 import {mapSkew} from './placement';
+import type {Move} from './rebalance';
 import {planRebalance} from './rebalance';
 import {withBestShares} from './placementSplit';
 
@@ -80,14 +81,14 @@
 }
 
 /**
- * Slots to load next, when they pay: beside the map in force, to be switched
+ * Moves to make next, when they pay: beside the map in force, to be switched
  * to once they are there. `expected` is the map with all earlier loads done.
  */
 export function decideLoads(
   cfg: RebalanceConfig,
   expected: ExpertMap,
   popularity: Popularity
-): readonly SlotChange[] {
+): readonly Move[] {
   const plan = planRebalance(expected, popularity, {
     maxLoads: cfg.maxLoads,
     maxCompoundLoads: cfg.maxCompoundLoads,
@@ -99,7 +100,8 @@
   // would follow the noise to and fro and never earn back the bytes moved.
   if (gain < cfg.minSlotsGain) return [];
   const savedMs = gain * cfg.slotsHorizonMs;
-  return savedMs > planCostMs(cfg, plan.changes.length) ? plan.changes : [];
+  const loads = plan.moves.flat().length;
+  return savedMs > planCostMs(cfg, loads) ? plan.moves : [];
 }
 
 /** A load must earn its own cost within the horizon. */
--- a/src/policy/rebalancePlanner.ts
+++ b/src/policy/rebalancePlanner.ts
@@ -96,11 +96,14 @@
     const popularity = this.estimate.predict(inForceMs);
     const earlier = this.staging.flatMap(item => item.changes);
     const expected = withChanges(base, earlier, popularity);
-    const changes = decideLoads(cfg, expected, popularity);
-    if (changes.length === 0) return undefined;
-    const giveUpMs = nowMs + GIVE_UP_FACTOR * loadTimeMs(cfg, changes.length);
-    this.staging = [...this.staging, {changes, missing: changes, giveUpMs}];
-    return changes;
+    const moves = decideLoads(cfg, expected, popularity);
+    if (moves.length === 0) return undefined;
+    const loads = moves.flat();
+    const giveUpMs = nowMs + GIVE_UP_FACTOR * loadTimeMs(cfg, loads.length);
+    // Each move is put in force as soon as its own weights are there.
+    const next = moves.map(changes => ({changes, missing: changes, giveUpMs}));
+    this.staging = [...this.staging, ...next];
+    return loads;
   }
 }
 
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -66,7 +66,7 @@
       fc.property(POPULARITY, POPULARITY, (before, now) => {
         const first = placeFromScratch(SHAPE, before);
         const packed = placeFromScratch(SHAPE, now);
-        const {changes} = planRebalance(first, now, LIMITS);
+        const changes = planRebalance(first, now, LIMITS).moves.flat();
         const maps = [
           first,
           relabelToFewestLoads(first, packed),
@@ -91,9 +91,10 @@
         expect(split).toBeLessThanOrEqual(mapSkew(even, now) + 1e-6);
         const plan = planRebalance(even, now, LIMITS);
         expect(plan.skewAfter).toBeLessThanOrEqual(plan.skewSplit + 1e-6);
-        const loads = loadsNeeded(even, withChanges(even, plan.changes, now));
+        const changes = plan.moves.flat();
+        const loads = loadsNeeded(even, withChanges(even, changes, now));
         expect(Math.max(...loads)).toBeLessThanOrEqual(LIMITS.maxLoadsPerRank);
-        expect(plan.changes.length).toBeLessThanOrEqual(LIMITS.maxLoads);
+        expect(changes.length).toBeLessThanOrEqual(LIMITS.maxLoads);
       }),
       {numRuns: 60, seed: 11}
     );
