Tell entries of targets only what changed materially

Every poll of an agent grew the sequence number and so sent every announcement to every entry again, four times a second from each control instance. Now a change of state, place or readiness is told at once, a large change of load within 1 s and any other within 5 s. An entry takes an unchanged announcement for confirmed at each answer.

--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -5,6 +5,7 @@
 
 import {isNewer, keepLeaving} from '../core/announcements';
 import type {Announcement, PollRequest} from '../core/wire';
+import {mustTell} from './announcedChange';
 
 /** Silence after which a target or process is no longer listed. */
 export const MEMBER_TTL_MS = 3_000;
@@ -14,6 +15,9 @@
 interface Heard {
   readonly announcement: Announcement;
   readonly heardAtMs: number;
+  /** As entries are told; every entry at this version holds exactly this. */
+  readonly told: Announcement;
+  readonly toldAtMs: number;
   readonly version: number;
 }
 
@@ -98,7 +102,7 @@
     const from = since ?? -1;
     const changed = [...this.targets.values()]
       .filter(heard => heard.version > from)
-      .map(heard => heard.announcement);
+      .map(heard => heard.told);
     const removed = [...this.tombstones]
       .filter(
         ([id, tombstone]) => tombstone.version > from && !this.targets.has(id)
@@ -117,17 +121,23 @@
 
   private announce(announcement: Announcement, nowMs: number): void {
     const {targetId} = announcement;
-    const known = this.targets.get(targetId)?.announcement;
+    const heard = this.targets.get(targetId);
+    const known = heard?.announcement;
     if (known !== undefined && !isNewer(announcement, known)) return;
     const tombstone = this.tombstones.get(targetId);
     if (tombstone !== undefined && isBuried(announcement, tombstone)) return;
     this.tombstones.delete(targetId);
     const merged =
       known === undefined ? announcement : keepLeaving(known, announcement);
+    const isOld =
+      heard !== undefined &&
+      !mustTell(heard.told, merged, nowMs - heard.toldAtMs);
     this.targets.set(targetId, {
       announcement: merged,
       heardAtMs: nowMs,
-      version: ++this.version,
+      told: isOld ? heard.told : merged,
+      toldAtMs: isOld ? heard.toldAtMs : nowMs,
+      version: isOld ? heard.version : ++this.version,
     });
   }
 }
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -43,7 +43,7 @@
   const views = open.map(target =>
     core.load.view(
       target,
-      core.sync.directory.ageMs(target, nowMs),
+      core.sync.directory.agesOf(target, nowMs),
       cachedTokens(call, target),
       nowMs
     )
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -1,9 +1,12 @@
 /** What this entry itself has sent to each target, for the choice of one. */
 
 import type {Announcement, DispatchReport} from '../core/wire';
+import type {AnnouncementAges} from '../sync/targetDirectory';
 import type {TargetView} from '../policy/balance';
 
 const FAILURE_MEMORY_MS = 5_000;
+/** Within this, control tells of any change that came after the report. */
+const MAX_REPORT_AGE_MS = 6_000;
 
 interface Load {
   outstanding: number;
@@ -45,7 +48,7 @@
 
   view(
     announcement: Announcement,
-    announcedAgeMs: number,
+    ages: AnnouncementAges,
     prefixTokens: number,
     nowMs: number
   ): TargetView {
@@ -54,7 +57,7 @@
       at => nowMs - at < FAILURE_MEMORY_MS
     );
     const {targetId, availabilityZone, tokensInWork} = announcement;
-    const newest = newestReport(announcement, announcedAgeMs, load, nowMs);
+    const newest = newestReport(announcement, ages, load, nowMs);
     return {
       targetId,
       availabilityZone,
@@ -98,14 +101,16 @@
 
 function newestReport(
   announcement: Announcement,
-  announcedAgeMs: number,
+  ages: AnnouncementAges,
   {report, reportedAtMs}: Load,
   nowMs: number
 ): Reported {
   const reportAgeMs = nowMs - reportedAtMs;
   const sameBoot = report?.agentBootId === announcement.agentBootId;
-  if (report === undefined || !sameBoot || reportAgeMs > announcedAgeMs) {
-    return {...announcement, ageMs: announcedAgeMs};
+  const isOlder =
+    reportAgeMs > ages.arrivedMs || reportAgeMs > MAX_REPORT_AGE_MS;
+  if (report === undefined || !sameBoot || isOlder) {
+    return {...announcement, ageMs: ages.confirmedMs};
   }
   return {...report, ageMs: reportAgeMs};
 }
--- a/src/sync/targetDirectory.ts
+++ b/src/sync/targetDirectory.ts
@@ -17,6 +17,17 @@
   heardAtMs: number;
 }
 
+/** Ages of what an announcement says, milliseconds. */
+export interface AnnouncementAges {
+  /** Since it first came in. */
+  readonly arrivedMs: number;
+  /**
+   * Since a control instance last answered without telling of a change: until
+   * then nothing had changed that could turn a choice.
+   */
+  readonly confirmedMs: number;
+}
+
 /** One merged view; times are `performance.now()` milliseconds. */
 export class TargetDirectory {
   private readonly views = new Map<string, View>();
@@ -83,10 +94,18 @@
     return this.merged;
   }
 
-  /** Milliseconds since this announcement of the target first came in. */
-  ageMs(announcement: Announcement, nowMs: number): number {
-    const seen = this.seen.get(announcement.targetId);
-    return seen === undefined ? 0 : nowMs - seen.atMs;
+  /** How old what an announcement says is. */
+  agesOf({targetId, seq}: Announcement, nowMs: number): AnnouncementAges {
+    const arrivedAtMs = this.seen.get(targetId)?.atMs ?? nowMs;
+    let confirmedAtMs = arrivedAtMs;
+    for (const {targets, heardAtMs} of this.views.values()) {
+      if (targets.get(targetId)?.seq === seq)
+        confirmedAtMs = Math.max(confirmedAtMs, heardAtMs);
+    }
+    return {
+      arrivedMs: nowMs - arrivedAtMs,
+      confirmedMs: nowMs - confirmedAtMs,
+    };
   }
 
   private merge(): readonly Announcement[] {
