--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -66,10 +66,10 @@
   target: Announcement,
   nowMs: number
 ): TargetView {
-  const ageMs = core.sync.directory.ageMs(target, nowMs);
+  const ages = core.sync.directory.agesOf(target, nowMs);
   const cached = cachedTokens(call, target);
   const returnWeight = core.zoneReturns.weight(target.availabilityZone, nowMs);
-  return {...core.load.view(target, ageMs, cached, nowMs), returnWeight};
+  return {...core.load.view(target, ages, cached, nowMs), returnWeight};
 }
 
 function costOf(call: ClassifiedCall, target: Announcement): number {
