Keep internal headers in ASCII, and name the request in an agent's refusals

Cause: a name or message with an accent in the dispatch or report header would be refused by Node and fail the request; an agent's log line of a refusal did not name the request.

--- a/src/agent/dispatchHandler.ts
+++ b/src/agent/dispatchHandler.ts
@@ -2,6 +2,7 @@
 
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
+import {headerJson} from '../core/headerJson';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import {DISPATCH_HEADER, Dispatch, REPORT_HEADER} from '../core/wire';
 import {sendJson} from '../core/sendJson';
@@ -32,10 +33,8 @@
 ): (req: IncomingMessage, res: ServerResponse) => void {
   return (req, res) => {
     handle(core, req, res).catch((err: unknown) => {
-      if (err instanceof RefusalError)
-        return answerRefusal(core, res, err.refusal);
       core.logger.error({err: String(err)}, 'dispatch failed');
-      return res.destroy();
+      res.destroy();
     });
   };
 }
@@ -45,7 +44,16 @@
   req: IncomingMessage,
   res: ServerResponse
 ): Promise<void> {
-  await serveDispatch(core, parseDispatch(core, req), req, res);
+  let requestId: string | undefined;
+  try {
+    const dispatch = parseDispatch(core, req);
+    requestId = dispatch.requestId;
+    await serveDispatch(core, dispatch, req, res);
+  } catch (err) {
+    if (!(err instanceof RefusalError)) throw err;
+    core.logger.info({requestId, refusal: err.refusal}, 'refused');
+    answerRefusal(core, res, err.refusal);
+  }
 }
 
 function parseDispatch(core: AgentCore, req: IncomingMessage): Dispatch {
@@ -74,6 +82,6 @@
     res.destroy();
     return;
   }
-  const report = JSON.stringify({...core.report(0), refusal});
+  const report = headerJson({...core.report(0), refusal});
   sendJson(res, HTTP_UNAVAILABLE, {refusal}, {[REPORT_HEADER]: report});
 }
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -12,6 +12,8 @@
 
 const MAX_QUEUED = 256;
 const MAX_QUEUED_PER_CUSTOMER = 128;
+/** A shorter stay in the queue is no wait. */
+const QUEUED_MS = 1;
 const QUEUE_RETRY_MS = 500;
 
 /** What the gate asks its surroundings, fresh at each decision. */
@@ -68,8 +70,11 @@
     return new Promise((resolve, reject) => {
       const waiting: Waiting = {
         dispatch,
-        admit: () =>
-          resolve(this.slot(dispatch, performance.now() - enteredAtMs)),
+        admit: () => {
+          const queuedMs = performance.now() - enteredAtMs;
+          if (queuedMs >= QUEUED_MS) this.metrics.count('gate.queued');
+          resolve(this.slot(dispatch, queuedMs));
+        },
         fail: reject,
       };
       this.offer(waiting, enteredAtMs);
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -2,6 +2,7 @@
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
 import type {RecordedAnswer} from '../core/claims';
+import {headerJson} from '../core/headerJson';
 import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
 import {refuse} from '../core/refusal';
 import {
@@ -167,7 +168,7 @@
   }
 
   private answerHeaders(answer: IncomingMessage): string[] {
-    const report = JSON.stringify(this.core.report(this.slot.queuedMs));
+    const report = headerJson(this.core.report(this.slot.queuedMs));
     return withHeaders(endToEndHeaders(answer.rawHeaders), {
       [REPORT_HEADER]: report,
     });
--- /dev/null
+++ b/src/core/headerJson.ts
@@ -0,0 +1,14 @@
+/** JSON inside an HTTP header. */
+
+const OUTSIDE_ASCII = /[\u007f-\uffff]/g;
+
+/**
+ * JSON in printable ASCII. A header with any other character is refused by
+ * Node, so one name or message with an accent would fail the request.
+ */
+export function headerJson(value: unknown): string {
+  return JSON.stringify(value).replace(OUTSIDE_ASCII, char => {
+    const code = char.charCodeAt(0).toString(16).padStart(4, '0');
+    return `\\u${code}`;
+  });
+}
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -1,6 +1,7 @@
 /** One attempt at one target: the dispatch, and what its outcome proves. */
 
 import type {IncomingMessage} from 'node:http';
+import {headerJson} from '../core/headerJson';
 import {endToEndHeaders, withHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {REFUSALS, Refusal} from '../core/refusal';
@@ -103,7 +104,7 @@
     priority: call.priority,
   };
   const own: Record<string, string> = {
-    [DISPATCH_HEADER]: JSON.stringify(dispatch),
+    [DISPATCH_HEADER]: headerJson(dispatch),
     'marlpulley-protocol': PROTOCOL_VERSION,
   };
   if (call.body.kind === 'buffered')
