--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -4,11 +4,13 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Child} from './childProcess';
+import {CutDirection, CutRelay} from './cutRelay';
 import {freePorts} from './freePorts';
 import type {DeploymentShape, PoolShape} from './shape';
 
 const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
+const STARTED_AT_ONCE = 4;
 
 /** Programs of a build. */
 export interface Programs {
@@ -31,7 +33,8 @@
   readonly targets: TargetPair[] = [];
   private readonly children = new Map<string, Child>();
   private readonly starts = new Map<string, () => Promise<Child>>();
-  private controlList = '';
+  private controlPorts: readonly number[] = [];
+  private relays: readonly CutRelay[] = [];
 
   private constructor(
     private readonly programs: Programs,
@@ -76,6 +79,16 @@
     this.children.set(name, await start());
   }
 
+  /** Cuts the processes of `shape.island` off from control on the other side. */
+  cut(direction?: CutDirection): void {
+    for (const relay of this.relays) relay.cut(direction);
+  }
+
+  /** Ends a cut; what was sent meanwhile arrives now. */
+  heal(): void {
+    for (const relay of this.relays) relay.heal();
+  }
+
   dataFolder(controlName: string): string {
     return path.join(this.folder, 'data', controlName);
   }
@@ -125,13 +138,14 @@
     await Promise.all(
       [...this.children.values()].map(child => child.end('SIGKILL'))
     );
+    for (const relay of this.relays) relay.close();
     rmSync(this.folder, {recursive: true, force: true});
     return codes.every(code => code === 0);
   }
 
   private async startAll(): Promise<void> {
     await this.startControls();
-    this.write('client', this.internalLines());
+    this.write('client', this.internalLines('client'));
     for (const pool of this.shape.pools) await this.startPool(pool);
     const entries = Array.from({length: this.shape.entries}, (_, i) =>
       this.startEntry(i)
@@ -142,14 +156,14 @@
   private async startControls(): Promise<void> {
     const ports = await freePorts(this.shape.controls);
     const ids = ports.map((_, i) => `control-${i}`);
-    this.controlList = ids
-      .map((id, i) => `${id}@${HOST}:${ports[i]}`)
-      .join(', ');
+    this.controlPorts = ports;
+    if (this.shape.island !== undefined)
+      this.relays = await Promise.all(ports.map(port => CutRelay.start(port)));
     await Promise.all(
       ids.map((id, i) => {
         const file = this.write(id, [
           ...this.processLines(id, i),
-          ...this.internalLines(`port = ${ports[i]}`),
+          ...this.internalLines(id, `port = ${ports[i]}`),
           '[data]',
           `folder = ${this.dataFolder(id)}`,
         ]);
@@ -158,39 +172,37 @@
     );
   }
 
-  private async startPool({
-    pool,
-    kind,
-    count,
-    fakeArgs,
-  }: PoolShape): Promise<void> {
-    const pairs = Array.from({length: count}, (_, i) =>
-      this.startTarget(pool, kind, i, fakeArgs)
+  private async startPool(shape: PoolShape): Promise<void> {
+    const pairs = Array.from({length: shape.count}, (_, i) =>
+      this.startTarget(shape, i)
     );
     await Promise.all(pairs);
   }
 
-  private async startTarget(
-    pool: string,
-    kind: PoolShape['kind'],
-    index: number,
-    fakeArgs: readonly string[]
-  ): Promise<void> {
+  /** Adds targets to a pool until it has `count`, a few at a time. */
+  async growPool(shape: PoolShape, count: number): Promise<void> {
+    const held = this.targets.filter(({pool}) => pool === shape.pool).length;
+    for (let from = held; from < count; from += STARTED_AT_ONCE) {
+      const size = Math.min(STARTED_AT_ONCE, count - from);
+      const pairs = Array.from({length: size}, (_, i) =>
+        this.startTarget(shape, from + i)
+      );
+      await Promise.all(pairs);
+    }
+  }
+
+  private async startTarget(shape: PoolShape, index: number): Promise<void> {
+    const {pool, kind} = shape;
     const targetId = `${pool}-${index}`;
-    const [fakePort = 0] = await freePorts(1);
-    const fake = kind === 'engine' ? 'engine' : 'ledger';
-    const args = [
-      this.programs.fakes,
-      fake,
-      '--port',
-      String(fakePort),
-      ...fakeArgs,
-    ];
-    await this.startChild(`fake-${targetId}`, args);
+    const known = shape.sharedFake
+      ? this.targets.find(target => target.pool === pool)
+      : undefined;
+    const fakePort =
+      known?.fakePort ?? (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines('port = 0'),
+      ...this.internalLines(id, 'port = 0'),
       '[target]',
       `id = ${targetId}`,
       `pool = ${pool}`,
@@ -208,12 +220,24 @@
     });
   }
 
+  /** Resolves with the port. */
+  private async startFake(
+    {kind, fakeArgs}: PoolShape,
+    name: string
+  ): Promise<number> {
+    const [port = 0] = await freePorts(1);
+    const fake = kind === 'engine' ? 'engine' : 'ledger';
+    const args = [this.programs.fakes, fake, '--port', String(port)];
+    await this.startChild(name, [...args, ...fakeArgs]);
+    return port;
+  }
+
   private async startEntry(index: number): Promise<void> {
     const id = `entry-${index}`;
     const [port] = await freePorts(1);
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines(),
+      ...this.internalLines(id),
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
@@ -257,16 +281,40 @@
       `availability-zone = ${this.zone(index)}`,
       `host = ${HOST}`,
       `log-level = ${this.shape.logLevel ?? 'info'}`,
+      ...this.metricsLines(),
     ];
   }
 
-  private internalLines(...extra: readonly string[]): readonly string[] {
+  private metricsLines(): readonly string[] {
+    const {metricsPort} = this.shape;
+    if (metricsPort === undefined) return [];
+    return [`metrics-host = ${HOST}`, `metrics-port = ${metricsPort}`];
+  }
+
+  /** Control as one process reaches it: through relays to the other side. */
+  private controlList(processId: string): string {
+    const {island = []} = this.shape;
+    const isOnIsland = island.includes(processId);
+    return this.controlPorts
+      .map((port, i) => {
+        const id = `control-${i}`;
+        const relay = this.relays[i];
+        const crosses = island.includes(id) !== isOnIsland;
+        return `${id}@${HOST}:${crosses && relay ? relay.port : port}`;
+      })
+      .join(', ');
+  }
+
+  private internalLines(
+    processId: string,
+    ...extra: readonly string[]
+  ): readonly string[] {
     return [
       '[internal]',
       `key = ${SECRET}`,
       ...extra,
       '[control]',
-      `instances = ${this.controlList}`,
+      `instances = ${this.controlList(processId)}`,
     ];
   }
 
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -3,13 +3,21 @@
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
 import {coldStart} from './measures/coldStart';
+import {controlCost} from './measures/controlCost';
+import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
+import {rebalanceCost} from './measures/rebalanceCost';
+import {stepTimeSkew} from './measures/stepTimeSkew';
 import {zoneOutage} from './measures/zoneOutage';
 
 /** One entry a measure; each stands in a file of its own in bench/measures. */
 export const MEASURES: readonly Measure[] = [
+  stepTimeSkew,
+  rebalanceCost,
   zoneOutage,
   fairness,
   coldStart,
   balance,
+  entryOverhead,
+  controlCost,
 ];
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -36,7 +36,7 @@
 export function startPreVote(state: CoreState): void {
   state.candidacy = {phase: 'preVote', granted: new Set()};
   state.leaderId = undefined;
-  state.resetElectionTimer();
+  state.startRetryTimer();
   state.candidacy.granted.add(state.incarnation);
   requestVotes(state, 'preVote', state.term + 1);
   countVotes(state);
@@ -45,7 +45,7 @@
 function startElection(state: CoreState): void {
   const candidacy = {phase: 'vote' as const, granted: new Set<string>()};
   state.candidacy = candidacy;
-  state.resetElectionTimer();
+  state.startRetryTimer();
   state.setHard({term: state.term + 1, votedFor: state.incarnation});
   // Our own vote counts, and others are asked, only once it is durable: after
   // a crash this instance could else vote for another in the same term.
@@ -62,8 +62,6 @@
   kind: VoteRequest['kind'],
   term: number
 ): void {
-  const {group} = state.hard;
-  if (group === undefined) return;
   for (const voter of state.voters) {
     if (state.isSelf(voter)) continue;
     state.emit({
@@ -71,10 +69,7 @@
       to: voter.id,
       message: {
         kind,
-        from: state.options.id,
-        fromIncarnation: state.incarnation,
-        toIncarnation: voter.incarnation,
-        group,
+        ...address(state, voter.incarnation),
         term,
         lastIndex: state.log.lastIndex,
         lastTerm: state.log.lastTerm,
@@ -97,6 +92,46 @@
   startLeading(state);
 }
 
+/**
+ * Ends an orderly leadership and tells the others, so that callers need not
+ * wait out an election timeout at each restart of a leader.
+ */
+export function resign(state: CoreState): void {
+  const {leadership} = state;
+  if (leadership === undefined) return;
+  follow(state, state.term, undefined);
+  for (const [id, {incarnation}] of leadership.progress) {
+    if (incarnation === undefined) continue;
+    const message = {kind: 'resign' as const, ...address(state, incarnation)};
+    state.emit({kind: 'send', to: id, message});
+  }
+}
+
+/** Stands soon when the leader of the present term goes. */
+export function onResign(
+  state: CoreState,
+  ticket: number,
+  message: RequestOf<'resign'>
+): void {
+  if (message.term === state.term && state.leaderId === message.from) {
+    state.leaderId = undefined;
+    const waitMs = state.options.random() * state.options.timing.heartbeatMs;
+    state.electionDeadline = state.now + waitMs;
+  }
+  state.reply(ticket, {kind: 'resign', incarnation: state.incarnation});
+}
+
+/** Sender, addressee, group and term, as every request but hello has them. */
+export function address(state: CoreState, toIncarnation: string) {
+  return {
+    from: state.options.id,
+    fromIncarnation: state.incarnation,
+    toIncarnation,
+    group: state.hard.group ?? state.incarnation,
+    term: state.term,
+  };
+}
+
 /** Answers a candidate. */
 export function onVoteRequest(
   state: CoreState,
@@ -110,6 +145,7 @@
   state.reply(ticket, {
     kind: 'vote',
     incarnation: state.incarnation,
+    asker: message.fromIncarnation,
     preVote: message.kind === 'preVote',
     askedTerm: message.term,
     term: state.term,
@@ -118,11 +154,17 @@
 }
 
 function grantPreVote(state: CoreState, message: VoteRequest): boolean {
-  return (
-    !hearsLeader(state) &&
-    message.term > state.term &&
-    isUpToDate(state, message)
+  if (hearsLeader(state) || message.term <= state.term) return false;
+  if (!isUpToDate(state, message)) return false;
+  // Two that stand at once split the votes. This one holds back for a moment,
+  // shorter than any candidate's retry, so one that hears nobody cannot keep
+  // it back for ever.
+  const {heartbeatMs} = state.options.timing;
+  state.electionDeadline = Math.max(
+    state.electionDeadline,
+    state.now + heartbeatMs
   );
+  return true;
 }
 
 function grantVote(state: CoreState, message: VoteRequest): boolean {
@@ -163,6 +205,7 @@
   if (candidacy === undefined || !message.granted) return;
   const asked = candidacy.phase === 'preVote' ? state.term + 1 : state.term;
   if (message.askedTerm !== asked) return;
+  if (message.asker !== state.incarnation) return;
   if (message.preVote !== (candidacy.phase === 'preVote')) return;
   candidacy.granted.add(message.incarnation);
   countVotes(state);
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -55,9 +55,9 @@
       method,
       path,
       headers: headers as unknown as http.OutgoingHttpHeaders,
-      signal,
       setHost: false,
     });
+    destroyOnAbort(req, signal);
     req.on('socket', socket => {
       // A kept connection can take bytes at once, and may be closing meanwhile.
       sent = !socket.connecting;
@@ -71,6 +71,16 @@
   });
 }
 
+/** As the option `signal` of Node does, for a fraction of its time a call. */
+function destroyOnAbort(req: http.ClientRequest, signal: AbortSignal): void {
+  const stop = () => {
+    req.destroy(new Error('the call was cancelled'));
+  };
+  if (signal.aborted) return stop();
+  signal.addEventListener('abort', stop, {once: true});
+  req.once('close', () => signal.removeEventListener('abort', stop));
+}
+
 function sendBody(
   req: http.ClientRequest,
   body: UpstreamRequest['body']
@@ -80,8 +90,8 @@
     return;
   }
   body.on('end', () => {
-    if (body.rawTrailers.length > 0)
-      req.addTrailers(toTrailers(body.rawTrailers));
+    const trailers = trailersOf(body);
+    if (trailers.length > 0) req.addTrailers(trailers);
     req.end();
   });
   // A caller that breaks off its body must not look like one that ended it.
@@ -109,8 +119,8 @@
     if (onChunk !== undefined) source.on('data', onChunk);
     source.on('end', () => {
       if (!source.complete) return resolve('source cut');
-      if (source.rawTrailers.length > 0)
-        sink.addTrailers(toTrailers(source.rawTrailers));
+      const trailers = trailersOf(source);
+      if (trailers.length > 0) sink.addTrailers(trailers);
       sink.end(() => resolve('complete'));
     });
     source.on('error', () => resolve('source cut'));
@@ -149,8 +159,11 @@
   sink.destroy();
 }
 
-function toTrailers(raw: readonly string[]): [string, string][] {
-  return headerPairs(endToEndHeaders(raw)).map(([name, value]) => [
+/** Trailers of a message that was read to its end. */
+export function trailersOf({
+  rawTrailers,
+}: http.IncomingMessage): [string, string][] {
+  return headerPairs(endToEndHeaders(rawTrailers)).map(([name, value]) => [
     name,
     value,
   ]);
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -1,11 +1,13 @@
 /** Tries targets in turn until one answers or nothing more may be tried. */
 
 import type {IncomingMessage} from 'node:http';
-import {Refusal, RefusalError, refuse} from '../core/refusal';
+import {REFUSALS, Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {ClassifiedCall} from './call';
 import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
+import type {CallerResume} from './chat/chatRequest';
+import {HedgeLeg, hedged} from './hedge';
 import {route} from './route';
 
 /** A target's answer whose body is still to be read. */
@@ -17,12 +19,7 @@
   done(): void;
 }
 
-/** Where to go on, for a stream that lost its first target. */
-export interface ResumePoint {
-  readonly fromToken: number;
-  readonly modelVersion: string;
-}
-
+const NONE_TRIED: ReadonlySet<string> = new Set();
 const NO_TARGET_RETRY_MS = 500;
 
 /**
@@ -37,10 +34,15 @@
   'draining',
 ]);
 
+type AttemptEnd =
+  | {readonly kind: 'answered'; readonly answered: Answered}
+  | Extract<AttemptOutcome, {kind: 'refused'}>;
+
 /** The attempts of one call. */
 export class Attempts {
   private readonly tried = new Set<string>();
   private count = 0;
+  private mayHaveRun = false;
 
   constructor(
     private readonly core: EntryCore,
@@ -50,7 +52,32 @@
   }
 
   /** Resolves with the first answer; rejects with the last RefusalError. */
-  async run(resume?: ResumePoint): Promise<Answered> {
+  async run(resume?: CallerResume): Promise<Answered> {
+    try {
+      return await this.tryAll(resume);
+    } catch (err) {
+      throw err instanceof RefusalError ? this.honest(err) : err;
+    }
+  }
+
+  /** The answer of an attempt was lost after it had begun. */
+  answerLost(): void {
+    this.mayHaveRun = true;
+  }
+
+  /**
+   * The last target's "not run" holds for that attempt alone: when an earlier
+   * one was lost on the way, the request may have run there.
+   */
+  private honest(err: RefusalError): RefusalError {
+    const {refusal} = err;
+    const saysNotRun = REFUSALS[refusal.reason].outcome === 'not run';
+    if (!this.mayHaveRun || !saysNotRun) return err;
+    const detail = `an earlier attempt was lost; then ${refusal.reason}: ${refusal.detail}`;
+    return new RefusalError({...refusal, reason: 'outcome-unknown', detail});
+  }
+
+  private async tryAll(resume: CallerResume | undefined): Promise<Answered> {
     let last: Refusal | undefined;
     for (;;) {
       this.call.progress.assertInTime('route');
@@ -62,14 +89,16 @@
     }
   }
 
-  private next(last: Refusal | undefined, resume: ResumePoint | undefined) {
-    const chosen = route(
-      this.core,
-      this.call,
-      this.tried,
-      resume?.modelVersion
-    );
+  private next(last: Refusal | undefined, resume: CallerResume | undefined) {
+    const {core, call, tried} = this;
+    const chosen = route(core, call, tried, resume?.modelVersion);
     if (chosen.kind === 'target') return chosen;
+    // A stream may go on where it broke off, if there is nowhere else: only
+    // its connection may have been lost.
+    if (resume !== undefined && last === undefined) {
+      const again = route(core, call, NONE_TRIED, resume.modelVersion);
+      if (again.kind === 'target') return again;
+    }
     // A target that refused said more than "there is no other".
     if (last !== undefined) throw new RefusalError(last);
     throw refuse(
@@ -81,31 +110,84 @@
     );
   }
 
+  /** One attempt, with a second one beside it where the rules hedge. */
   private async attempt(
     target: Announcement,
     cost: number,
-    resume: ResumePoint | undefined
-  ): Promise<
-    | {readonly kind: 'answered'; readonly answered: Answered}
-    | Extract<AttemptOutcome, {kind: 'refused'}>
-  > {
+    resume: CallerResume | undefined
+  ): Promise<AttemptEnd> {
+    const {limit} = this.call;
+    const first = this.leg(target, cost, resume);
+    if (limit.hedgeAfterMs === undefined || !this.mayHedge())
+      return first.outcome;
+    return hedged(first, limit.hedgeAfterMs, () => this.hedge(resume));
+  }
+
+  /** Only what may run twice, and what can be sent twice. */
+  private mayHedge(): boolean {
+    const {once, body, chat} = this.call;
+    return (
+      once === undefined && body.kind !== 'streaming' && chat?.stream !== true
+    );
+  }
+
+  private hedge(
+    resume: CallerResume | undefined
+  ): HedgeLeg<AttemptEnd> | undefined {
+    const {core, call, tried} = this;
+    const other = route(core, call, tried, resume?.modelVersion);
+    if (other.kind === 'none' || !this.budget().tryRetry(performance.now()))
+      return undefined;
+    core.metrics.count('request.hedged');
+    return this.leg(other.target, other.cost, resume);
+  }
+
+  private leg(
+    target: Announcement,
+    cost: number,
+    resume: CallerResume | undefined
+  ): HedgeLeg<AttemptEnd> {
     const {core, call} = this;
     this.tried.add(target.targetId);
     core.load.began(target.targetId, cost);
-    const done = once(() => core.load.ended(target.targetId, cost));
-    const outcome = await dispatchOnce(core, call, {
+    const done = runOnce(() => core.load.ended(target.targetId, cost));
+    const cancelled = new AbortController();
+    const outcome = dispatchOnce(core, call, {
       number: ++this.count,
       target,
       cost,
       resumeFrom: resume?.fromToken,
-      signal: call.progress.signal,
+      signal: this.legSignal(cancelled.signal),
+    }).then((end): AttemptEnd => {
+      if (end.kind === 'answered') {
+        return {kind: 'answered', answered: {...end, target, done}};
+      }
+      done();
+      // Noted here, for both legs of a hedge: the other one's "not run" would
+      // otherwise be the last word.
+      const {outcome} = REFUSALS[end.refusal.reason];
+      this.mayHaveRun ||= outcome === 'outcome unknown';
+      return end;
     });
-    if (outcome.kind === 'answered') {
-      const {answer, report} = outcome;
-      return {kind: 'answered', answered: {answer, report, target, done}};
-    }
-    done();
-    return outcome;
+    const cancel = () => {
+      cancelled.abort();
+      outcome.then(
+        end => {
+          if (end.kind !== 'answered') return;
+          end.answered.done();
+          end.answered.answer.destroy();
+        },
+        () => undefined
+      );
+    };
+    return {outcome, cancel};
+  }
+
+  /** Only a hedged leg can be cancelled alone; joining signals costs time. */
+  private legSignal(cancelled: AbortSignal): AbortSignal {
+    const {progress, limit} = this.call;
+    if (limit.hedgeAfterMs === undefined) return progress.signal;
+    return AbortSignal.any([progress.signal, cancelled]);
   }
 
   private assertMayRepeat(refusal: Refusal): void {
@@ -147,7 +229,7 @@
   }
 }
 
-function once(action: () => void): () => void {
+function runOnce(action: () => void): () => void {
   let pending = true;
   return () => {
     if (!pending) return;
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -1,7 +1,8 @@
 /** One attempt at one target: the dispatch, and what its outcome proves. */
 
 import type {IncomingMessage} from 'node:http';
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {headerJson} from '../core/headerJson';
+import {endToEndHeaders, withHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {REFUSALS, Refusal} from '../core/refusal';
 import {UpstreamError, sendUpstream} from '../core/upstream';
@@ -15,6 +16,8 @@
 import type {ClassifiedCall} from './call';
 import type {EntryCore} from './entryCore';
 
+const LAST_EVENT_HEADER = 'last-event-id';
+
 /** One attempt. */
 export interface Attempt {
   readonly number: number;
@@ -101,12 +104,16 @@
     priority: call.priority,
   };
   const own: Record<string, string> = {
-    [DISPATCH_HEADER]: JSON.stringify(dispatch),
+    [DISPATCH_HEADER]: headerJson(dispatch),
     'marlpulley-protocol': PROTOCOL_VERSION,
   };
   if (call.body.kind === 'buffered')
     own['content-length'] = String(call.body.bytes.length);
-  return withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  const headers = withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  // A target that saw the caller's own header would resume unasked.
+  return call.chat === undefined
+    ? headers
+    : withoutHeader(headers, LAST_EVENT_HEADER);
 }
 
 /** An answer without a report did not come from an agent, so proves nothing. */
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -5,8 +5,9 @@
  */
 
 import type {ExpertMap} from '../core/mapMessages';
-import type {Popularity, SlotChange} from './placement';
+import type {Popularity} from './placement';
 import {mapSkew} from './placement';
+import type {Move} from './rebalance';
 import {planRebalance} from './rebalance';
 import {withBestShares} from './placementSplit';
 
@@ -25,6 +26,8 @@
   readonly loadSlowdown: number;
   /** Step time lost by one switch of maps, milliseconds. */
   readonly switchPauseMs: number;
+  /** Time from a decision to the switch: two rounds, the log, some steps. */
+  readonly switchLeadMs: number;
   /** Time over which the gain of a change of slots is expected. */
   readonly slotsHorizonMs: number;
   /** Time over which the gain of a change of the split is expected. */
@@ -44,6 +47,7 @@
   maxCompoundLoads: 3,
   loadSlowdown: 0.005,
   switchPauseMs: 5,
+  switchLeadMs: 250,
   slotsHorizonMs: 60_000,
   splitHorizonMs: 5_000,
   minSlotsGain: 0.0015,
@@ -77,14 +81,14 @@
 }
 
 /**
- * Slots to load next, when they pay: beside the map in force, to be switched
+ * Moves to make next, when they pay: beside the map in force, to be switched
  * to once they are there. `expected` is the map with all earlier loads done.
  */
 export function decideLoads(
   cfg: RebalanceConfig,
   expected: ExpertMap,
   popularity: Popularity
-): readonly SlotChange[] {
+): readonly Move[] {
   const plan = planRebalance(expected, popularity, {
     maxLoads: cfg.maxLoads,
     maxCompoundLoads: cfg.maxCompoundLoads,
@@ -96,7 +100,8 @@
   // would follow the noise to and fro and never earn back the bytes moved.
   if (gain < cfg.minSlotsGain) return [];
   const savedMs = gain * cfg.slotsHorizonMs;
-  return savedMs > planCostMs(cfg, plan.changes.length) ? plan.changes : [];
+  const loads = plan.moves.flat().length;
+  return savedMs > planCostMs(cfg, loads) ? plan.moves : [];
 }
 
 /** A load must earn its own cost within the horizon. */
