Switch expert maps in the running system

Agents of a rank now take part through their target's adapter; control starts a controller for each group that announces itself.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -173,12 +173,27 @@
   }
 
   private async startPool(shape: PoolShape): Promise<void> {
+    const ports = await this.startRanks(shape);
     const pairs = Array.from({length: shape.count}, (_, i) =>
-      this.startTarget(shape, i)
+      this.startTarget(shape, i, ports?.[i])
     );
     await Promise.all(pairs);
   }
 
+  /** All ranks of a group step together, so one fake holds them all. */
+  private async startRanks({
+    pool,
+    group,
+    count,
+    fakeArgs,
+  }: PoolShape): Promise<readonly number[] | undefined> {
+    if (group === undefined) return undefined;
+    const ranks = ['--group', group, '--ranks', String(count), '--needs-map'];
+    const args = [this.programs.fakes, 'engine', ...ranks, ...fakeArgs];
+    const child = await this.startChild(`fake-${pool}`, args);
+    return child.hello.ports;
+  }
+
   /** Adds targets to a pool until it has `count`, a few at a time. */
   async growPool(shape: PoolShape, count: number): Promise<void> {
     const held = this.targets.filter(({pool}) => pool === shape.pool).length;
@@ -191,14 +206,20 @@
     }
   }
 
-  private async startTarget(shape: PoolShape, index: number): Promise<void> {
+  private async startTarget(
+    shape: PoolShape,
+    index: number,
+    rankPort?: number
+  ): Promise<void> {
     const {pool, kind} = shape;
     const targetId = `${pool}-${index}`;
     const known = shape.sharedFake
       ? this.targets.find(target => target.pool === pool)
       : undefined;
     const fakePort =
-      known?.fakePort ?? (await this.startFake(shape, `fake-${targetId}`));
+      rankPort ??
+      known?.fakePort ??
+      (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
     const file = this.write(id, [
       ...this.processLines(id, index),
--- a/bench/deployment/shape.ts
+++ b/bench/deployment/shape.ts
@@ -7,6 +7,8 @@
   readonly count: number;
   /** Arguments of the fake, such as `--step-ms 5`. */
   readonly fakeArgs: readonly string[];
+  /** Ranks of one group in lock-step; `count` of them, in one fake. */
+  readonly group?: string;
   /** All agents stand before one fake, to spare the machine. */
   readonly sharedFake?: boolean;
 }
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -51,6 +51,7 @@
     this.clock = clock ?? new StepClock(this.cfg.stepMs);
     this.clock.join(this);
     this.state = this.boot(this.cfg.startCold);
+    this.state.rank.joining = this.cfg.needsMap;
     const routes = this.routes();
     this.server = new FakeServer((req, res, body) => {
       const handler = routes[`${req.method} ${pathOf(req)}`];
--- a/fakes/engine/engineConfig.ts
+++ b/fakes/engine/engineConfig.ts
@@ -38,6 +38,12 @@
   readonly experts: number;
   readonly group?: string;
   readonly rank: number;
+  /** Ranks of the group. */
+  readonly ranks: number;
+  /** Slots beyond one an expert, over the group. */
+  readonly spareSlots: number;
+  /** A rank that starts runs no step before it was given a map. */
+  readonly needsMap: boolean;
   /** `http://host:port` of the weight store; loads need none when absent. */
   readonly weightStore?: string;
 }
@@ -66,4 +72,7 @@
   refuseOldFences: true,
   experts: 0,
   rank: 0,
+  ranks: 1,
+  spareSlots: 0,
+  needsMap: false,
 };
--- a/fakes/engine/engineState.ts
+++ b/fakes/engine/engineState.ts
@@ -97,6 +97,9 @@
     return {
       id: this.cfg.group,
       rank: this.cfg.rank,
+      ranks: this.cfg.ranks,
+      experts: Math.max(1, this.cfg.experts),
+      slots: Math.max(1, this.cfg.experts) + this.cfg.spareSlots,
       step: this.rank.step,
       mapVersion: this.rank.mapVersion,
       preparedVersion: this.rank.prepared?.version,
--- a/fakes/engine/rankState.ts
+++ b/fakes/engine/rankState.ts
@@ -92,6 +92,8 @@
     // The others stand at the switch step; this rank joins them there.
     this.joining = false;
     this.step = Math.max(this.step, prepared.switchStep - 1);
+    // In use from its next step on, so that a later one can be prepared.
+    this.settle(prepared, this.step + 1);
   }
 
   private settle(prepared: PreparedMap, fromStep: number): void {
--- a/src/agent/agentCore.ts
+++ b/src/agent/agentCore.ts
@@ -4,12 +4,21 @@
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import type {Refusal} from '../core/refusal';
-import type {Announcement, Dispatch, DispatchReport} from '../core/wire';
+import type {
+  Announcement,
+  Dispatch,
+  DispatchReport,
+  GroupMember,
+} from '../core/wire';
 import type {WarmupLimits} from '../policy/ramp';
 import {DEFAULT_WARMUP} from '../rules/ruleDefaults';
 import type {RuleIndex} from '../rules/ruleIndex';
 import type {ControlSync} from '../sync/controlSync';
-import type {TargetAdapter, TargetObservation} from '../target/targetAdapter';
+import type {
+  RankReport,
+  TargetAdapter,
+  TargetObservation,
+} from '../target/targetAdapter';
 import {admissionRefusal} from './admission';
 import {Gate} from './gate';
 import {OnceGuard} from './onceGuard';
@@ -37,6 +46,11 @@
   readonly metrics: Metrics;
 }
 
+function memberOf(report: RankReport): GroupMember {
+  const {id, rank, ranks, experts, slots} = report;
+  return {id, rank, ranks, experts, slots};
+}
+
 /** One agent. */
 export class AgentCore {
   readonly gate: Gate;
@@ -114,6 +128,11 @@
     this.seen = seen;
   }
 
+  /** The last look at the target that was answered. */
+  get lastSeen(): TargetObservation | undefined {
+    return this.seen;
+  }
+
   /** See `OnceGuard.full`. */
   renewBootIfFull(): void {
     if (!this.guard.full) return;
@@ -179,7 +198,7 @@
       queued,
       model: this.seen?.model,
       modelVersion: this.seen?.modelVersion,
-      group: group === undefined ? undefined : {id: group.id, rank: group.rank},
+      group: group === undefined ? undefined : memberOf(group),
       tokensInWork: load?.tokensInWork,
       loadAgeMs: load?.loadAgeMs,
       prefixes: target.kind === 'engine' ? this.prefixes.newest() : undefined,
--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -14,7 +14,9 @@
 import {AgentCore} from './agentCore';
 import {dispatchHandler} from './dispatchHandler';
 import {fenceClaim} from './fenceClaim';
-import {watchTarget} from './targetWatcher';
+import {RankRole} from './maps/rankRole';
+import {TO_RANK} from './maps/toRankSchema';
+import {lookAtTarget, watchTarget} from './targetWatcher';
 
 const DRAIN_CHECK_MS = 50;
 
@@ -57,9 +59,22 @@
     });
     core.port = await server.listen();
     const traffic = new PeerTraffic();
-    const sync = createSync(settings, core, logger, metrics, traffic);
+    const peerAgent = createPeerAgent(internal.key, process.id);
+    const instances = settings.control.instances.map(
+      address => new PeerClient(address, peerAgent, traffic)
+    );
+    const sync = createSync(settings, instances, core, logger, metrics);
     core.attach(sync);
-    const subscription = watchTarget(core);
+    const rankRole = new RankRole(core, instances, () => lookAtTarget(core));
+    server.addMethod(METHODS.map, {
+      params: TO_RANK,
+      handle: message => {
+        rankRole.receive(message);
+        return {};
+      },
+    });
+    const subscription = watchTarget(core, seen => rankRole.observed(seen));
+    subscription.add(() => rankRole.stop());
     subscription.add(traffic.report(metrics));
     subscription.add(recheckOnNewRules(core, sync));
     sync.start();
@@ -95,21 +110,18 @@
 }
 
 function createSync(
-  {process, internal, control}: AgentSettings,
+  {process, control}: AgentSettings,
+  instances: readonly PeerClient[],
   core: AgentCore,
   logger: Logger,
-  metrics: Metrics,
-  traffic: PeerTraffic
+  metrics: Metrics
 ): ControlSync {
-  const agent = createPeerAgent(internal.key, process.id);
   return new ControlSync({
     processId: process.id,
     role: 'agent',
     bootId: randomUUID(),
     availabilityZone: process.availabilityZone,
-    instances: control.instances.map(
-      address => new PeerClient(address, agent, traffic)
-    ),
+    instances,
     pollMs: control.pollMs,
     proofMs: control.proofMs,
     report: () => ({announcement: core.announcement()}),
--- a/src/agent/targetWatcher.ts
+++ b/src/agent/targetWatcher.ts
@@ -1,29 +1,43 @@
 /** Looks at the target again and again, and takes any silence for cold. */
 
 import {Subscription, defer, exhaustMap, timer} from 'rxjs';
+import type {TargetObservation} from '../target/targetAdapter';
 import type {AgentCore} from './agentCore';
 
 /** A target that answers no probe in this time counts as lost. */
 const PROBE_TIMEOUT_MS = 1_000;
 
 /** Watches until the subscription is ended. */
-export function watchTarget(core: AgentCore): Subscription {
+export function watchTarget(
+  core: AgentCore,
+  onSeen: (seen: TargetObservation) => void
+): Subscription {
   return timer(0, core.target.probeIntervalMs)
-    .pipe(exhaustMap(() => defer(() => observeOnce(core))))
+    .pipe(exhaustMap(() => defer(() => observeOnce(core, onSeen))))
     .subscribe();
 }
 
-/** One look; never rejects. */
-export async function observeOnce(core: AgentCore): Promise<void> {
+/** One look that the agent's state takes in; rejects when it is not answered. */
+export async function lookAtTarget(
+  core: AgentCore
+): Promise<TargetObservation> {
+  const seen = await core.adapter.observe(
+    AbortSignal.timeout(PROBE_TIMEOUT_MS)
+  );
+  const nowMs = performance.now();
+  const cold = core.state.observed(seen, core.gate.outstanding, nowMs);
+  core.observed(seen);
+  core.prefixes.apply(seen.cacheEvents);
+  if (cold !== undefined) countCold(core, cold);
+  return seen;
+}
+
+async function observeOnce(
+  core: AgentCore,
+  onSeen: (seen: TargetObservation) => void
+): Promise<void> {
   try {
-    const seen = await core.adapter.observe(
-      AbortSignal.timeout(PROBE_TIMEOUT_MS)
-    );
-    const nowMs = performance.now();
-    const cold = core.state.observed(seen, core.gate.outstanding, nowMs);
-    core.observed(seen);
-    core.prefixes.apply(seen.cacheEvents);
-    if (cold !== undefined) countCold(core, cold);
+    onSeen(await lookAtTarget(core));
   } catch (err) {
     if (core.state.ready) countCold(core, 'unreachable');
     core.state.lost(performance.now());
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -6,12 +6,19 @@
 import type {Metrics} from '../core/metrics';
 import {z} from 'zod';
 import {METHODS} from '../rpc/messages';
-import {PeerAddress, PeerClient, createPeerAgent} from '../rpc/peerClient';
+import {
+  PeerAddress,
+  PeerClient,
+  PeerClientFactory,
+  createPeerAgent,
+} from '../rpc/peerClient';
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
 import type {ControlContext} from './controlContext';
 import {createReplicatedLog} from './log/createReplicatedLog';
 import type {ReplicatedLog} from './log/replicatedLog';
+import {FROM_RANK} from './maps/fromRankSchema';
+import {MapDirector} from './maps/mapDirector';
 import {MemberTable} from './memberTable';
 import {claimMethod, settleMethod} from './methods/claimMethods';
 import {pollMethod} from './methods/pollMethod';
@@ -51,7 +58,10 @@
     const traffic = new PeerTraffic();
     const server = new PeerServer({...options, traffic});
     const state = new ControlState();
-    const log = await openLog(options, state, traffic);
+    const agent = createPeerAgent(options.secret, options.id);
+    const connect: PeerClientFactory = address =>
+      new PeerClient(address, agent, traffic);
+    const log = await openLog(options, state, connect);
     const context: ControlContext = {
       instanceId: options.id,
       bootId: randomUUID(),
@@ -61,13 +71,16 @@
       usage: new UsageTable(),
       logger: options.logger,
     };
-    addMethods(server, context);
+    const {logger, metrics} = options;
+    const director = new MapDirector({...context, connect, logger, metrics});
+    addMethods(server, context, director);
     const port = await server.listen();
     const usage = interval(USAGE_PERIOD_MS).pipe(
       exhaustMap(() => logUsage(context))
     );
     const subscription = usage.subscribe();
-    subscription.add(traffic.report(options.metrics));
+    subscription.add(traffic.report(metrics));
+    subscription.add(director.start());
     return new ControlProcess(port, server, log, subscription);
   }
 
@@ -81,13 +94,12 @@
 function openLog(
   options: ControlProcessOptions,
   state: ControlState,
-  traffic: PeerTraffic
+  connect: PeerClientFactory
 ): Promise<ReplicatedLog> {
-  const agent = createPeerAgent(options.secret, options.id);
   const peers = options.instances
     .filter(peer => peer.id !== options.id)
     .map(address => {
-      const client = new PeerClient(address, agent, traffic);
+      const client = connect(address);
       const send = (message: unknown) =>
         client.call<unknown>(METHODS.log, {message}, PEER_TIMEOUT_MS);
       return {id: address.id, send};
@@ -105,13 +117,24 @@
   });
 }
 
-function addMethods(server: PeerServer, context: ControlContext): void {
+function addMethods(
+  server: PeerServer,
+  context: ControlContext,
+  director: MapDirector
+): void {
   server.addMethod(METHODS.poll, pollMethod(context));
   server.addMethod(METHODS.submit, submitMethod(context));
   server.addMethod(METHODS.claim, claimMethod(context));
   server.addMethod(METHODS.settle, settleMethod(context));
   server.addMethod(METHODS.status, statusMethod(context));
   server.addMethod(METHODS.usage, usageMethod(context));
+  server.addMethod(METHODS.map, {
+    params: FROM_RANK,
+    handle: message => {
+      director.receive(message);
+      return {};
+    },
+  });
   server.addMethod(METHODS.log, {
     params: z.object({message: z.unknown()}),
     handle: ({message}) => context.log.receive(message),
--- a/src/control/maps/mapController.ts
+++ b/src/control/maps/mapController.ts
@@ -20,6 +20,7 @@
 import type {FenceCommand, MapDecisionCommand} from '../state/command';
 import type {MapState} from './mapState';
 import {MapSwitch} from './mapSwitch';
+import {StepEstimate} from './stepEstimate';
 import type {
   MapSwitchConfig,
   SwitchAction,
@@ -51,7 +52,7 @@
   private readonly machine: MapSwitch;
   private readonly planner: RebalancePlanner;
   private readonly seqs = new Map<number, number>();
-  private step = 0;
+  private readonly step = new StepEstimate();
   private pending?: ExpertMap;
 
   constructor(
@@ -95,7 +96,7 @@
       case 'staged':
         return this.onStaged(message);
       case 'refusal':
-        this.step = Math.max(this.step, message.step);
+        this.step.seen(message.step, performance.now());
         return this.handle({kind: 'message', message});
       case 'promise':
       case 'join':
@@ -115,8 +116,9 @@
     const last = this.seqs.get(report.rank) ?? -1;
     if (report.group !== this.cfg.group || report.seq <= last) return;
     this.seqs.set(report.rank, report.seq);
-    this.step = Math.max(this.step, report.step);
-    const atMs = performance.now() - report.ageMs;
+    const nowMs = performance.now();
+    this.step.seen(report.step, nowMs);
+    const atMs = nowMs - report.ageMs;
     this.planner.observe({atMs, counts: report.counts});
   }
 
@@ -137,7 +139,7 @@
     next.stage?.forEach(change => this.stage(change, fence));
     if (next.switchTo === undefined) return;
     this.pending = next.switchTo;
-    this.handle({kind: 'start', map: next.switchTo, step: this.step});
+    this.handle({kind: 'start', map: next.switchTo, step: this.step.at(nowMs)});
   }
 
   private stage({rank, slot, expert}: SlotChange, fence: number): void {
--- /dev/null
+++ b/src/control/maps/mapDirector.ts
@@ -0,0 +1,135 @@
+/** One map controller for each group of ranks that this instance hears of. */
+
+import {Subscription, interval} from 'rxjs';
+import type {Logger} from '../../core/logger';
+import type {FromRankMessage, ToRankMessage} from '../../core/mapMessages';
+import type {Metrics} from '../../core/metrics';
+import type {Announcement, GroupMember} from '../../core/wire';
+import {evenShape} from '../../policy/placement';
+import {placeFromScratch} from '../../policy/placementGreedy';
+import {REBALANCE_DEFAULTS} from '../../policy/rebalanceDecision';
+import {METHODS} from '../../rpc/messages';
+import {PeerClient, PeerClientFactory} from '../../rpc/peerClient';
+import {parseRules} from '../../rules/parseRules';
+import {RuleIndex} from '../../rules/ruleIndex';
+import type {ReplicatedLog} from '../log/replicatedLog';
+import type {MemberTable} from '../memberTable';
+import type {ControlState} from '../state/controlState';
+import {MapController, RebalancePermit} from './mapController';
+
+const SCAN_MS = 500;
+const SEND_TIMEOUT_MS = 1_000;
+const TICK_MS = 250;
+/** Steps from the order to the switch: two rounds and a quorum write. */
+const MARGIN_STEPS = 50;
+const MAX_MARGIN_STEPS = 800;
+const PROMISE_TIMEOUT_MS = 3_000;
+const RESEND_MS = 200;
+const PROPOSE_RETRY_MS = 3_000;
+
+/** What the director works with. */
+export interface MapDirectorParts {
+  readonly instanceId: string;
+  readonly log: ReplicatedLog;
+  readonly state: ControlState;
+  readonly members: MemberTable;
+  readonly connect: PeerClientFactory;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Starts controllers as groups appear; each idles while this does not lead. */
+export class MapDirector {
+  private readonly controllers = new Map<string, MapController>();
+  private readonly clients = new Map<string, PeerClient>();
+  private rules: RuleIndex | undefined;
+
+  constructor(private readonly parts: MapDirectorParts) {}
+
+  start(): Subscription {
+    const all = new Subscription();
+    all.add(interval(SCAN_MS).subscribe(() => this.scan(all)));
+    return all;
+  }
+
+  /** Takes a message of a rank that was validated at the edge. */
+  receive(message: FromRankMessage): void {
+    this.controllers.get(message.group)?.receive(message);
+  }
+
+  private scan(all: Subscription): void {
+    for (const {group, pool} of this.parts.members.listTargets()) {
+      if (group === undefined || this.controllers.has(group.id)) continue;
+      const controller = this.create(group, pool);
+      this.controllers.set(group.id, controller);
+      all.add(controller.start());
+    }
+  }
+
+  private create(
+    {id, ranks, experts, slots}: GroupMember,
+    pool: string
+  ): MapController {
+    const {parts} = this;
+    const flat = new Array<number>(experts).fill(1);
+    return new MapController(
+      {
+        group: id,
+        ranks,
+        holder: parts.instanceId,
+        initialMap: placeFromScratch(
+          evenShape(ranks, experts, slots - experts),
+          flat
+        ),
+        marginSteps: MARGIN_STEPS,
+        maxMarginSteps: MAX_MARGIN_STEPS,
+        promiseTimeoutMs: PROMISE_TIMEOUT_MS,
+        resendMs: RESEND_MS,
+        proposeRetryMs: PROPOSE_RETRY_MS,
+        experts,
+        rebalance: REBALANCE_DEFAULTS,
+        tickMs: TICK_MS,
+      },
+      parts.log,
+      parts.state.maps,
+      {send: (rank, message) => this.send(id, rank, message)},
+      () => this.permit(pool),
+      parts.metrics,
+      parts.logger
+    );
+  }
+
+  private send(group: string, rank: number, message: ToRankMessage): void {
+    const target = this.parts.members
+      .listTargets()
+      .find(one => one.group?.id === group && one.group.rank === rank);
+    if (target === undefined) return;
+    this.clientOf(target)
+      .call(METHODS.map, message, SEND_TIMEOUT_MS)
+      .catch((err: unknown) => {
+        this.parts.logger.debug(
+          {err: String(err), group, rank},
+          'map message not delivered'
+        );
+      });
+  }
+
+  private clientOf({targetId, host, port}: Announcement): PeerClient {
+    const known = this.clients.get(targetId);
+    if (known?.address.host === host && known.address.port === port)
+      return known;
+    const client = this.parts.connect({id: targetId, host, port});
+    this.clients.set(targetId, client);
+    return client;
+  }
+
+  /** Off unless a rule says on: moving experts is the operators' choice. */
+  private permit(pool: string): RebalancePermit {
+    const {revision, text} = this.parts.state.rules;
+    if (this.rules?.revision !== revision) {
+      const parsed = parseRules(text);
+      this.rules = parsed.ok ? new RuleIndex(parsed.ruleSet) : undefined;
+    }
+    return {on: this.rules?.rebalance(pool) !== undefined};
+  }
+}
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -10,6 +10,17 @@
 /** How far a target is in its cold start. */
 export type Temperature = 'cold' | 'warming' | 'warm';
 
+/** A rank's place in its group, and the group's shape. */
+export interface GroupMember {
+  readonly id: string;
+  readonly rank: number;
+  readonly ranks: number;
+  /** Experts of a layer. */
+  readonly experts: number;
+  /** Slots of all ranks together. */
+  readonly slots: number;
+}
+
 /** What a target's agent tells of itself with every poll. */
 export interface Announcement {
   readonly targetId: string;
@@ -34,7 +45,7 @@
   readonly model?: string;
   readonly modelVersion?: string;
   /** Group of ranks and place in it. */
-  readonly group?: {readonly id: string; readonly rank: number};
+  readonly group?: GroupMember;
   /** Tokens in work and waiting, as the target last reported. */
   readonly tokensInWork?: number;
   /** Milliseconds since the target made its last load report. */
--- a/src/policy/placementSplit.ts
+++ b/src/policy/placementSplit.ts
@@ -151,7 +151,10 @@
       const total = this.popularity[expert] ?? 0;
       for (const {rank, slot, amount} of list) {
         const row = shares[rank];
-        if (row) row[slot] = total > 0 ? amount / total : 1 / list.length;
+        // Rounding can lift a sole replica a hair above 1, and ranks refuse a
+        // map with such a share, so that no map is ever switched.
+        const share = total > 0 ? amount / total : 1 / list.length;
+        if (row) row[slot] = Math.min(1, share);
       }
     });
     return {slots: this.slots.map(list => [...list]), shares};
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -36,7 +36,15 @@
   queued: count,
   model: z.string().optional(),
   modelVersion: z.string().optional(),
-  group: z.object({id, rank: z.int().nonnegative()}).optional(),
+  group: z
+    .object({
+      id,
+      rank: z.int().nonnegative(),
+      ranks: z.int().positive(),
+      experts: z.int().positive(),
+      slots: z.int().positive(),
+    })
+    .optional(),
   tokensInWork: count.optional(),
   loadAgeMs: count.optional(),
   prefixes: z.array(z.string()).max(4096).optional(),
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -38,6 +38,9 @@
   });
 }
 
+/** Makes clients that share their connections. */
+export type PeerClientFactory = (address: PeerAddress) => PeerClient;
+
 /** A JSON-RPC client of one peer. */
 export class PeerClient {
   private nextId = 1;
--- a/src/target/engineAdapter.ts
+++ b/src/target/engineAdapter.ts
@@ -44,6 +44,9 @@
     .object({
       id: z.string(),
       rank: z.number().int().nonnegative(),
+      ranks: z.number().int().positive(),
+      experts: z.number().int().positive(),
+      slots: z.number().int().positive(),
       step: z.number().int().nonnegative(),
       mapVersion: z.number().int().nonnegative(),
       preparedVersion: z.number().int().optional(),
--- a/src/target/targetAdapter.ts
+++ b/src/target/targetAdapter.ts
@@ -23,6 +23,10 @@
 export interface RankReport {
   readonly id: string;
   readonly rank: number;
+  /** Ranks in the group, experts of a layer and slots of the whole group. */
+  readonly ranks: number;
+  readonly experts: number;
+  readonly slots: number;
   /** Steps that the rank has completed. */
   readonly step: number;
   /** Expert map in use. */
@@ -91,6 +95,8 @@
       readonly switchStep: number;
       /** Expert of each physical slot, by rank. */
       readonly slots: readonly (readonly number[])[];
+      /** Part of its expert's tokens that each slot takes, 0 to 1. */
+      readonly shares: readonly (readonly number[])[];
     }
   | {
       readonly kind: 'decideMap';
--- a/tests/targetAdapter.spec.ts
+++ b/tests/targetAdapter.spec.ts
@@ -163,7 +163,14 @@
     {kind: 'loadAdapter', fence: 5, adapter: 'a1'},
     {kind: 'setVersion', fence: 5, modelVersion: 'v8'},
     {kind: 'setRole', fence: 5, role: 'decode'},
-    {kind: 'prepareMap', fence: 5, version: 1, switchStep: 9, slots: [[0]]},
+    {
+      kind: 'prepareMap',
+      fence: 5,
+      version: 1,
+      switchStep: 9,
+      slots: [[0]],
+      shares: [[1]],
+    },
     {kind: 'decideMap', fence: 5, version: 1, decision: 'abort'},
     {kind: 'loadExpert', fence: 5, expert: 3, slot: 0},
   ];
@@ -311,7 +318,12 @@
     const stepOf = async () =>
       (await adapters[0]!.observe(never)).group?.step ?? 0;
     const switchStep = (await stepOf()) + 500;
-    const prepare = {kind: 'prepareMap', fence: 1, version: 1} as const;
+    const prepare = {
+      kind: 'prepareMap',
+      fence: 1,
+      version: 1,
+      shares: [[1]],
+    } as const;
     const decide = {kind: 'decideMap', fence: 1, version: 1} as const;
     for (const adapter of adapters)
       await adapter.order({...prepare, switchStep, slots: [[1]]}, never);
