--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -8,6 +8,7 @@
   observeLatency,
   type ConcurrencyState,
 } from '../../src/policy/concurrencyLimit';
+import {enginePriority} from '../../src/policy/enginePriority';
 import {
   FairQueue,
   type OfferResult,
@@ -64,6 +65,8 @@
   readonly queue: 'fair' | 'fifo';
   readonly ramp: boolean;
   readonly warmup: WarmupLimits;
+  /** Longest wait for the first token, as a `limit` rule gives it. */
+  readonly firstTokenMs?: number;
 }
 
 /** First in, first out, with the same bound. */
@@ -178,7 +181,8 @@
       job.onRefused('target-unreachable');
       return;
     }
-    const {load, deadlineAt} = job.req;
+    const {load} = job.req;
+    const deadlineAt = this.startBy(job);
     const {customer, share, priority} = load;
     const {id, cost} = job;
     const result = this.queue.offer(
@@ -189,6 +193,13 @@
     else this.pump();
   }
 
+  /** A stream that goes on has met its first-token deadline before. */
+  private startBy({req, delivered}: Job): number {
+    const {firstTokenMs} = this.options;
+    if (firstTokenMs === undefined || delivered > 0) return req.deadlineAt;
+    return Math.min(req.deadlineAt, req.arrivedAt + firstTokenMs);
+  }
+
   /** Takes the zone out: what waits is given back, what runs goes on. */
   setZoneOut(out: boolean): void {
     this.zoneOut = out;
@@ -240,7 +251,10 @@
       this.queue.finished(customer);
     };
     this.engine.start({
-      urgent: this.queue.isInCredit(customer),
+      priority: enginePriority({
+        inCredit: this.queue.isInCredit(customer),
+        resumed: delivered > 0,
+      }),
       prefixKey: req.prefixKey,
       prefixTokens: req.prefixTokens,
       promptLeft: req.promptTokens + delivered,
