--- a/bench/measures/expertPolicies.ts
+++ b/bench/measures/expertPolicies.ts
@@ -160,8 +160,10 @@
     const {switchTo, stage} = planner.next(this.map, this.pending?.map, nowMs);
     if (switchTo) this.start(switchTo, this.setup.cfg.switchLeadMs, nowMs);
     const loadMs = loadTimeMs(this.setup.cfg, 1);
-    stage?.forEach((change, index) => {
-      const readyMs = nowMs + (index + 1) * loadMs;
+    stage?.forEach(change => {
+      // The store delivers one after the other.
+      const freeMs = Math.max(nowMs, this.loading.at(-1)?.readyMs ?? 0);
+      const readyMs = freeMs + loadMs;
       this.loading = [...this.loading, {change, readyMs}];
     });
   }
