Keep the answer of a call whose entry went away before it came

Cause: when an entry or caller went away while the target worked on a call that may run once, the agent relayed the answer to a closed connection and waited for ever: the slot was lost, and every resend of the key got in-progress. Ruled out: aborting the call, which may run; the entry's own handling, whose question to the agent was answered 'running' for good. Before: a resend got 409 in-progress until the test gave up after 15 s; after: the recorded answer, and the slot is free (tests/agentPort.spec.ts).

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -95,6 +95,7 @@
 
   async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const answer = await this.send(req);
+    if (this.gone.aborted) return this.answeredNobody(answer);
     res.writeHead(
       answer.statusCode ?? 502,
       answer.statusMessage,
@@ -207,6 +208,16 @@
     this.slot.release();
   }
 
+  /**
+   * The caller went away while the target worked. Its connection tells so only
+   * once, before this: relaying to it would wait for ever, keep the slot and
+   * leave the claim running, so that no resend could get the answer.
+   */
+  private answeredNobody(answer: IncomingMessage): Promise<void> {
+    answer.on('data', (chunk: Buffer) => this.record(chunk));
+    return this.abandoned(answer);
+  }
+
   /** The caller went away while the answer was coming. */
   private async abandoned(answer: IncomingMessage): Promise<void> {
     if (answer.complete && answer.readableEnded) return this.completed(answer);
