Keep a leaving agent's port open for a second

Cause: an idle agent closed its port a few milliseconds after it said that it leaves; an entry one poll behind could lose a dispatch on a closing connection, whose outcome is then unknown. Ruled out: closing idle connections only, since a new one can be opened meanwhile. Bound: 1 s, four polls of an entry. Test: tests/agentPort.spec.ts, late dispatches all refused with target-leaving.

--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -16,6 +16,8 @@
 import {watchTarget} from './targetWatcher';
 
 const DRAIN_CHECK_MS = 50;
+/** Time in which every entry hears of the leaving: some polls of control. */
+const LEAVE_NOTICE_MS = 1_000;
 
 /** A running agent. */
 export class AgentProcess {
@@ -69,14 +71,19 @@
 
   /**
    * Lets the work in hand finish, up to the drain time, and takes none that is
-   * new. The leaving state is told at once, but the gate alone is enough: an
-   * entry that has not heard of it is refused and goes elsewhere.
+   * new. An entry that has not heard of the leaving yet is refused and goes
+   * elsewhere. For that the port stays open a little even without work: a
+   * dispatch on a connection that closes has an unknown outcome.
    */
   async drain(): Promise<void> {
     this.core.leave();
+    const leftAtMs = performance.now();
     await this.sync.announceNow();
-    const deadlineAt = performance.now() + this.core.target.drainMs;
-    while (this.core.gate.outstanding > 0 && performance.now() < deadlineAt) {
+    const heardAtMs = leftAtMs + LEAVE_NOTICE_MS;
+    const deadlineAt = Math.max(heardAtMs, leftAtMs + this.core.target.drainMs);
+    const isBusy = () =>
+      this.core.gate.outstanding > 0 || performance.now() < heardAtMs;
+    while (isBusy() && performance.now() < deadlineAt) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
     await this.stop();
