Time out bodies, check dispatch versions, answer no garbage as not run

Causes: a body that never came held its request for ever; a slow head was noticed up to 30 s after its limit; a caller that asked with 100-continue was told to go on before it was refused; garbage behind a call in work was answered with 'not run', which the caller reads as the answer to that call; the agent ignored the protocol version of dispatches. Before: no 408 at all; after: 408 body-timeout at the pool's timeout, slow heads 0.5 s after theirs at most, peer-version for dispatches. Ruled out: Node's requestTimeout, which says nothing of the call in hand.

--- a/src/agent/dispatchHandler.ts
+++ b/src/agent/dispatchHandler.ts
@@ -2,9 +2,11 @@
 
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
+import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import {DISPATCH_HEADER, Dispatch, REPORT_HEADER} from '../core/wire';
 import {sendJson} from '../core/sendJson';
+import {PROTOCOL_HEADER} from '../rpc/peerServer';
 import type {AgentCore} from './agentCore';
 import {serveDispatch} from './serveDispatch';
 
@@ -48,7 +50,22 @@
   await serveDispatch(core, parseDispatch(core, req), req, res);
 }
 
+/** Fields may mean something else in another version: nothing is guessed. */
+function assertVersion(core: AgentCore, req: IncomingMessage): void {
+  const theirs = String(req.headers[PROTOCOL_HEADER]);
+  if (theirs === PROTOCOL_VERSION) return;
+  core.metrics.count('peer.rejected', {reason: 'version'});
+  core.logger.warn({theirs}, 'dispatch in another protocol version');
+  throw refuse(
+    'peer-version',
+    'gate',
+    core.targetId,
+    `version ${theirs}, here ${PROTOCOL_VERSION}`
+  );
+}
+
 function parseDispatch(core: AgentCore, req: IncomingMessage): Dispatch {
+  assertVersion(core, req);
   const header = req.headers[DISPATCH_HEADER];
   try {
     return dispatchSchema.parse(JSON.parse(String(header)));
--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -38,6 +38,13 @@
     false,
     'the body exceeds the configured size'
   ),
+  'body-timeout': kind(
+    408,
+    'not run',
+    true,
+    false,
+    'the body did not come before the deadline'
+  ),
   'unknown-customer': kind(
     401,
     'not run',
@@ -167,6 +174,13 @@
     true,
     'the agent or target restarted since it was chosen'
   ),
+  'peer-version': kind(
+    503,
+    'not run',
+    true,
+    true,
+    'the process beside the target speaks another protocol version'
+  ),
   'target-unreachable': kind(
     502,
     'not run',
--- a/src/entry/answerRefusal.ts
+++ b/src/entry/answerRefusal.ts
@@ -25,6 +25,9 @@
     'marlpulley-step': step,
     'marlpulley-peer': peer,
   };
+  // The rest of the body may never come, and the connection would wait for it.
+  if (reason === 'body-timeout' || reason === 'timed-out')
+    headers['connection'] = 'close';
   if (retryable && retryAfterMs !== undefined) {
     headers['retry-after'] = String(
       Math.max(1, Math.ceil(retryAfterMs / 1000))
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -3,9 +3,11 @@
 import {randomUUID} from 'node:crypto';
 import http, {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import {sendJson} from '../core/sendJson';
 import type {EntrySettings} from '../settings/settings';
+import {answerBadClient} from './answerBadClient';
 import {answerRefusal} from './answerRefusal';
 import {ClassifiedCall, Filter, ReceivedCall, chain} from './call';
 import type {EntryCore} from './entryCore';
@@ -23,12 +25,16 @@
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const RULES_RETRY_MS = 1_000;
+/** Node looks for slow heads this seldom, 30 s by default. */
+const SLOW_CHECK_MS = 500;
 
 /** Serves callers until it is drained. */
 export class CallerServer {
   private readonly server: http.Server;
   private readonly filters: Filter<ReceivedCall, ClassifiedCall>;
   private draining = false;
+  /** The newest answer on each connection. */
+  private readonly answers = new WeakMap<Duplex, ServerResponse>();
 
   constructor(
     private readonly core: EntryCore,
@@ -44,6 +50,7 @@
     const options = {
       maxHeaderSize: callers.maxHeaderBytes,
       headersTimeout: callers.headerTimeoutMs,
+      connectionsCheckingInterval: SLOW_CHECK_MS,
     };
     this.server = http.createServer(options, (req, res) =>
       this.received(req, res)
@@ -51,10 +58,7 @@
     // The 100-continue goes out when the body is read, after the refusals.
     this.server.on(
       'checkContinue',
-      (req: IncomingMessage, res: ServerResponse) => {
-        res.writeContinue();
-        this.received(req, res);
-      }
+      (req: IncomingMessage, res: ServerResponse) => this.received(req, res)
     );
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.badClient(err, socket)
@@ -95,6 +99,7 @@
     if (req.url === READY_PATH) return this.answerReady(res);
     // A connection that goes on being used would keep the drain from ending.
     if (this.draining) res.setHeader('connection', 'close');
+    this.answers.set(req.socket, res);
     const requestId = randomUUID();
     this.serve(req, res, requestId).catch((err: unknown) =>
       this.failed(res, requestId, err)
@@ -170,33 +175,19 @@
     answerRefusal(res, requestId, refusal);
   }
 
-  private badClient(
-    err: NodeJS.ErrnoException,
-    socket: import('node:stream').Duplex
-  ): void {
-    const tooLarge = err.code === 'HPE_HEADER_OVERFLOW';
-    this.core.metrics.count('request.refused', {
+  private badClient(err: NodeJS.ErrnoException, socket: Duplex): void {
+    const {core} = this;
+    core.metrics.count('request.refused', {
       reason: 'malformed-request',
       step: 'receive',
     });
-    if (!socket.writable) {
+    // An answer of ours would be read as that of the request in hand, and say
+    // "not run" of one that may be running.
+    const inHand = this.answers.get(socket);
+    if (!socket.writable || inHand?.writableFinished === false) {
       socket.destroy();
       return;
     }
-    const status = tooLarge
-      ? '431 Request Header Fields Too Large'
-      : '400 Bad Request';
-    const error = {
-      reason: 'malformed-request',
-      outcome: 'not run',
-      retryable: false,
-      step: 'receive',
-      peer: this.core.entryId,
-    };
-    const body = JSON.stringify({error});
-    socket.end(
-      `HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n` +
-        `marlpulley-reason: malformed-request\r\nmarlpulley-outcome: not run\r\nconnection: close\r\n\r\n${body}`
-    );
+    answerBadClient(core.entryId, err.code, socket);
   }
 }
--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -2,7 +2,7 @@
 
 import {Progress} from '../../core/progress';
 import {refuse} from '../../core/refusal';
-import {hasBody, readBody} from '../../core/upstream';
+import {hasBody} from '../../core/upstream';
 import type {RouteCandidate} from '../../rules/ruleIndex';
 import type {CallBody, ClassifiedCall, Filter, IdentifiedCall} from '../call';
 import {
@@ -11,6 +11,7 @@
   parseCallerResume,
   parseChatRequest,
 } from '../chat/chatRequest';
+import {readBodyInTime} from '../readBodyInTime';
 
 /** Bodies up to this size are held, so that the call can be retried. */
 const MAX_REPLAY_BYTES = 64 * 1024;
@@ -52,7 +53,12 @@
       performance.now() + limit.timeoutMs,
       options.entryId
     );
-    const body = await takeBody(call, isChat || once !== undefined, options);
+    const body = await takeBody(
+      call,
+      progress,
+      isChat || once !== undefined,
+      options
+    );
     const chat = isChat ? readChat(body, options.entryId) : undefined;
     const resume =
       chat?.stream === true ? readResume(call, options.entryId) : undefined;
@@ -103,18 +109,23 @@
 }
 
 async function takeBody(
-  {req}: IdentifiedCall,
+  {req, res}: IdentifiedCall,
+  progress: Progress,
   mustHold: boolean,
   {entryId, maxBodyBytes}: ClassifyOptions
 ): Promise<CallBody> {
   if (!hasBody(req)) return {kind: 'none'};
   const length = Number(req.headers['content-length'] ?? Infinity);
-  if (!mustHold && length > MAX_REPLAY_BYTES) return {kind: 'streaming'};
+  const streams = !mustHold && length > MAX_REPLAY_BYTES;
   const tooLarge = `more than ${maxBodyBytes} bytes`;
-  if (length !== Infinity && length > maxBodyBytes) {
+  if (!streams && length !== Infinity && length > maxBodyBytes) {
     throw refuse('body-too-large', 'classify', entryId, tooLarge);
   }
-  const bytes = await readBody(req, maxBodyBytes);
+  // Only now is the body wanted: a caller that asked first and is refused need
+  // not send it.
+  if (req.headers.expect !== undefined) res.writeContinue();
+  if (streams) return {kind: 'streaming'};
+  const bytes = await readBodyInTime(req, maxBodyBytes, progress, entryId);
   if (bytes === undefined)
     throw refuse('body-too-large', 'classify', entryId, tooLarge);
   return {kind: 'buffered', bytes};
