--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -8,7 +8,8 @@
 import {freePorts} from './freePorts';
 import type {DeploymentShape, PoolShape} from './shape';
 
-const SECRET = 'a shared secret for one machine';
+/** The shared key of all processes. */
+export const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
 
 /** Programs of a build. */
@@ -230,6 +231,7 @@
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
+      ...(this.shape.callersLines ?? []),
     ]);
     await this.startRole('entry', id, file);
   }
@@ -270,6 +272,7 @@
       `availability-zone = ${this.zone(index)}`,
       `host = ${HOST}`,
       `log-level = ${this.shape.logLevel ?? 'info'}`,
+      ...(this.shape.processLines ?? []),
     ];
   }
 
--- a/bench/deployment/shape.ts
+++ b/bench/deployment/shape.ts
@@ -17,6 +17,10 @@
   readonly pools: readonly PoolShape[];
   /** Extra settings of every agent's `[target]`, lines of INI. */
   readonly agentTargetLines?: readonly string[];
+  /** Extra settings of every entry's `[callers]`. */
+  readonly callersLines?: readonly string[];
+  /** Extra settings of every process's `[process]`. */
+  readonly processLines?: readonly string[];
   /** Lame duck time of entries, milliseconds. */
   readonly drainMs?: number;
   readonly logLevel?: string;
