Ask about a pending key within the deadline of the resend

Cause: a resend waits 3 s before it asks the agent what became of a pending claim; in a pool whose timeout is shorter no resend ever asked, and the key stayed in-progress for ever. Ruled out: a shorter wait for all, which would bar claims of entries that are still working on them. Before: 409 in-progress until the test gave up after 15 s with timeout=2s; after: the recorded answer (tests/callerContract.spec.ts, the garbage case).

--- a/src/entry/onceMachine.ts
+++ b/src/entry/onceMachine.ts
@@ -96,7 +96,9 @@
 
   constructor(
     private readonly entryId: string,
-    private readonly maxAttempts: number
+    private readonly maxAttempts: number,
+    /** Time from which a pending claim is asked about, milliseconds. */
+    private readonly settleAfterMs = SETTLE_AFTER_MS
   ) {}
 
   start(): OnceAction {
@@ -204,7 +206,7 @@
       'settle',
       `attempt ${held.attempt} at ${held.targetId} is not settled`
     );
-    if (nowMs - this.pendingSinceMs < SETTLE_AFTER_MS)
+    if (nowMs - this.pendingSinceMs < this.settleAfterMs)
       return {kind: 'wait', ms: ASK_AGAIN_MS};
     const {targetId, agentBootId, attempt} = held;
     return this.ask({target: {targetId, agentBootId}, attempt});
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -16,7 +16,13 @@
 import type {ClassifiedCall} from './call';
 import {dispatchOnce} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
-import {OnceAction, OnceEvent, OnceMachine, OnceTarget} from './onceMachine';
+import {
+  OnceAction,
+  OnceEvent,
+  OnceMachine,
+  OnceTarget,
+  SETTLE_AFTER_MS,
+} from './onceMachine';
 import {route} from './route';
 import {withDeadline} from './serveCall';
 
@@ -53,7 +59,11 @@
     private readonly call: ClassifiedCall,
     private readonly key: string
   ) {
-    this.machine = new OnceMachine(core.entryId, call.limit.attempts);
+    const {attempts, timeoutMs} = call.limit;
+    // Past its deadline a resend could ask nobody, and would hear "in progress"
+    // for ever in a pool with a short one.
+    const settleAfterMs = Math.min(SETTLE_AFTER_MS, timeoutMs / 2);
+    this.machine = new OnceMachine(core.entryId, attempts, settleAfterMs);
     this.digest = digestOf(call);
   }
 
