--- a/tests/agentPort.spec.ts
+++ b/tests/agentPort.spec.ts
@@ -94,36 +94,46 @@
   });
 
   // The entry goes away while the target works on a call that may run once.
-  // The answer still comes. Relayed to a connection that is gone, it would
-  // keep the slot for ever, and a resend would never get it.
-  it('should keep the answer of a call whose entry went away', async () => {
-    ledger.breakNext({kind: 'answerLate', ms: 200});
-    const gone = new AbortController();
-    const claim = {key: 'key', attempt: 1};
-    const call = dispatch({
-      dispatch: {idempotent: false, claim},
-      signal: gone.signal,
-    });
-    await eventually('it runs', async () => ledger.runs.length === 1);
-    gone.abort();
-    await expect(call).rejects.toThrow();
-    const agent = createPeerAgent(SECRET, 'entry-1');
-    later(() => agent.destroy());
-    const address = {id: 'agent-0', host: '127.0.0.1', port: under.port};
-    const {agentBootId} = announced();
-    const question = {customer: 'harbour', ...claim, agentBootId};
-    const known = await eventually('it ran', async () => {
-      const client = new PeerClient(address, agent);
-      const said = await client.call<{kind: string; answer?: unknown}>(
-        METHODS.fenceClaim,
-        question,
-        1_000
-      );
-      return said.kind === 'ran' && said;
-    });
-    expect(known.answer).toMatchObject({status: 201});
-    await eventually('the slot is free', async () => {
-      return announced().outstanding === 0;
-    });
-  });
+  // The answer still comes, with nobody to relay it to. Waiting for that
+  // connection would keep the slot for ever, and leave the claim running.
+  it.each(['/assign', '/big?bytes=1000000'])(
+    'should end a call to %s whose entry went away',
+    async path => {
+      ledger.breakNext({kind: 'answerLate', ms: 200});
+      const gone = new AbortController();
+      const claim = {key: 'key', attempt: 1};
+      const call = dispatch({
+        dispatch: {idempotent: false, claim},
+        signal: gone.signal,
+        path,
+      });
+      await eventually('it runs', async () => ledger.runs.length === 1);
+      gone.abort();
+      await expect(call).rejects.toThrow();
+      const known = await eventually('it ran', async () => {
+        const said = await ask({customer: 'harbour', ...claim});
+        return said.kind === 'ran' && said;
+      });
+      // An answer too large to be kept is lost, and said to be.
+      if (path === '/assign') expect(known.answer).toMatchObject({status: 201});
+      else expect(known.answer).toBeUndefined();
+      await eventually('the slot is free', async () => {
+        return announced().outstanding === 0;
+      });
+    }
+  );
 });
+
+/** Asks the agent what became of a claim. */
+function ask(claim: object): Promise<{kind: string; answer?: unknown}> {
+  const agent = createPeerAgent(SECRET, 'entry-1');
+  later(() => agent.destroy());
+  const address = {id: 'agent-0', host: '127.0.0.1', port: under.port};
+  const {agentBootId} = announced();
+  const question = {...claim, agentBootId};
+  return new PeerClient(address, agent).call(
+    METHODS.fenceClaim,
+    question,
+    1_000
+  );
+}
--- /dev/null
+++ b/tests/attempts.spec.ts
@@ -0,0 +1,139 @@
+import type {IncomingMessage} from 'node:http';
+import {Attempts} from '../src/entry/attempts';
+import type {ClassifiedCall} from '../src/entry/call';
+import {dispatchOnce} from '../src/entry/dispatchOnce';
+import type {EntryCore} from '../src/entry/entryCore';
+import {RetryBudgets} from '../src/entry/retryBudgets';
+import {TargetLoad} from '../src/entry/targetLoad';
+import {createLogger} from '../src/core/logger';
+import {Metrics} from '../src/core/metrics';
+import {Progress} from '../src/core/progress';
+import type {RefusalError, RefusalReason} from '../src/core/refusal';
+import type {Announcement} from '../src/core/wire';
+
+jest.mock('../src/entry/dispatchOnce', () => ({
+  ...jest.requireActual('../src/entry/dispatchOnce'),
+  dispatchOnce: jest.fn(),
+}));
+
+const logger = createLogger('test', 'test', 'fatal');
+
+function targets(count: number): readonly Announcement[] {
+  return Array.from({length: count}, (_, i) => ({
+    targetId: `ledger-${i}`,
+    pool: 'allocation',
+    availabilityZone: 'zone-a',
+    host: '127.0.0.1',
+    port: 1,
+    agentBootId: 'boot',
+    agentBootAtMs: 1,
+    seq: 1,
+    state: 'serving',
+    temperature: 'warm',
+    limit: 4,
+    outstanding: 0,
+    queued: 0,
+  }));
+}
+
+function coreOf(count: number): EntryCore {
+  const list = targets(count);
+  const directory = {list: () => list, ageMs: () => 0};
+  return {
+    entryId: 'entry-0',
+    availabilityZone: 'zone-a',
+    sync: {directory},
+    load: new TargetLoad(),
+    budgets: new RetryBudgets(),
+    metrics: new Metrics('entry-0'),
+    logger,
+    random: () => 0.5,
+  } as unknown as EntryCore;
+}
+
+function callOf(change: Partial<ClassifiedCall> = {}): ClassifiedCall {
+  return {
+    pool: 'allocation',
+    rules: {isZoneOut: () => false},
+    limit: {timeoutMs: 5_000, attempts: 3, retryBudgetPercent: 100},
+    body: {kind: 'none'},
+    progress: new Progress('request', performance.now() + 5_000, 'entry-0'),
+    logger,
+    ...change,
+  } as ClassifiedCall;
+}
+
+/** Plays one outcome after another; a reason stands for a refusal. */
+function play(...outcomes: readonly (RefusalReason | 'answered')[]) {
+  let next = 0;
+  return jest.mocked(dispatchOnce).mockImplementation(async () => {
+    const reason = outcomes[next++] ?? 'answered';
+    if (reason !== 'answered') {
+      const refusal = {reason, step: 'gate', peer: 'p', detail: ''} as const;
+      return {kind: 'refused', refusal};
+    }
+    const answer = {} as IncomingMessage;
+    return {kind: 'answered', answer, report: {} as never};
+  });
+}
+
+async function refusalOf(attempts: Attempts): Promise<string> {
+  const err = await attempts.run().then(
+    () => undefined,
+    (thrown: RefusalError) => thrown
+  );
+  return err?.refusal.reason ?? 'answered';
+}
+
+afterEach(() => jest.mocked(dispatchOnce).mockReset());
+
+describe('attempts of one call', () => {
+  // The first attempt is lost on the way and may have run; all others refuse
+  // before they run. "Not run" holds for the last attempt only, and said to
+  // the caller it would be a lie about the first.
+  it('should not say "not run" after an attempt was lost', async () => {
+    play('outcome-unknown', 'zone-out', 'zone-out');
+    const attempts = new Attempts(coreOf(3), callOf());
+    expect(await refusalOf(attempts)).toBe('outcome-unknown');
+  });
+
+  it('should say "not run" when every attempt was refused', async () => {
+    play('zone-out', 'zone-out');
+    const attempts = new Attempts(coreOf(2), callOf());
+    expect(await refusalOf(attempts)).toBe('zone-out');
+  });
+
+  it('should not say "not run" after an answer was lost', async () => {
+    play('answered', 'zone-out');
+    const attempts = new Attempts(coreOf(2), callOf());
+    expect(await refusalOf(attempts)).toBe('answered');
+    attempts.answerLost();
+    expect(await refusalOf(attempts)).toBe('outcome-unknown');
+  });
+
+  // A call without a key that may run once only is lost on the way. A second
+  // attempt could be its second run.
+  it('should not repeat a call that is not idempotent', async () => {
+    const sent = play('outcome-unknown');
+    const once = {kind: 'once'} as unknown as ClassifiedCall['once'];
+    const attempts = new Attempts(coreOf(2), callOf({once}));
+    expect(await refusalOf(attempts)).toBe('outcome-unknown');
+    expect(sent).toHaveBeenCalledTimes(1);
+  });
+
+  it('should not repeat a body that was passed on as it came', async () => {
+    const sent = play('zone-out');
+    const body = {kind: 'streaming'} as const;
+    const attempts = new Attempts(coreOf(2), callOf({body}));
+    expect(await refusalOf(attempts)).toBe('zone-out');
+    expect(sent).toHaveBeenCalledTimes(1);
+  });
+
+  it('should stop at the limit of attempts', async () => {
+    const sent = play(...Array<RefusalReason>(5).fill('overloaded'));
+    expect(await refusalOf(new Attempts(coreOf(5), callOf()))).toBe(
+      'overloaded'
+    );
+    expect(sent).toHaveBeenCalledTimes(3);
+  });
+});
