--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -8,7 +8,8 @@
 import {freePorts} from './freePorts';
 import type {DeploymentShape, PoolShape} from './shape';
 
-const SECRET = 'a shared secret for one machine';
+/** The shared key of all processes. */
+export const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
 const STARTED_AT_ONCE = 4;
 
@@ -262,6 +263,7 @@
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
+      ...(this.shape.callersLines ?? []),
     ]);
     await this.startRole('entry', id, file);
   }
