Send announcements by number and rules by difference in polls

An agent repeats its announcement whole only when it says something new or the instance does not hold it; a change of rules goes out as the lines that changed. A difference is checked by the digest of its result, else the next poll asks for the whole file; a revision still never goes back.

--- a/src/control/controlContext.ts
+++ b/src/control/controlContext.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../core/logger';
 import type {ReplicatedLog} from './log/replicatedLog';
 import type {MemberTable} from './memberTable';
+import type {RecentRules} from './recentRules';
 import type {ControlState} from './state/controlState';
 import type {UsageTable} from './usageTable';
 
@@ -13,6 +14,7 @@
   readonly log: ReplicatedLog;
   readonly state: ControlState;
   readonly members: MemberTable;
+  readonly recentRules: RecentRules;
   readonly usage: UsageTable;
   readonly logger: Logger;
 }
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -17,6 +17,7 @@
 import {pollMethod} from './methods/pollMethod';
 import {statusMethod, usageMethod} from './methods/statusMethods';
 import {submitMethod} from './methods/submitMethod';
+import {RecentRules} from './recentRules';
 import {ControlState} from './state/controlState';
 import {UsageTable} from './usageTable';
 
@@ -58,6 +59,7 @@
       log,
       state,
       members: new MemberTable(),
+      recentRules: new RecentRules(),
       usage: new UsageTable(),
       logger: options.logger,
     };
--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -4,7 +4,11 @@
  */
 
 import {isNewer, keepLeaving} from '../core/announcements';
-import type {Announcement, PollRequest} from '../core/wire';
+import type {
+  Announcement,
+  PollRequest,
+  UnchangedAnnouncement,
+} from '../core/wire';
 import {mustTell} from './announcedChange';
 
 /** Silence after which a target or process is no longer listed. */
@@ -54,7 +58,8 @@
   private readonly processes = new Map<string, HeardProcess>();
   private version = 0;
 
-  heard(request: PollRequest, nowMs: number): void {
+  /** Returns whether it holds what the request called unchanged. */
+  heard(request: PollRequest, nowMs: number): boolean {
     const {
       processId,
       role,
@@ -74,6 +79,22 @@
     });
     if (request.announcement !== undefined)
       this.announce(request.announcement, nowMs);
+    const {unchanged} = request;
+    return unchanged === undefined || this.repeat(unchanged, nowMs);
+  }
+
+  /**
+   * The same as announcing it again. One that was dropped for silence has to
+   * come whole: what is held of it may be older than the drop.
+   */
+  private repeat(
+    {targetId, agentBootId, seq}: UnchangedAnnouncement,
+    nowMs: number
+  ): boolean {
+    const known = this.targets.get(targetId)?.announcement;
+    if (known?.agentBootId !== agentBootId) return false;
+    this.announce({...known, seq}, nowMs);
+    return true;
   }
 
   /** Drops what fell silent. */
--- a/src/control/methods/pollMethod.ts
+++ b/src/control/methods/pollMethod.ts
@@ -16,11 +16,10 @@
   const {log, state, members, instanceId, bootId} = context;
   const nowMs = performance.now();
   members.expire(nowMs);
-  members.heard(request, nowMs);
+  const known = members.heard(request, nowMs);
   if (request.usage !== undefined)
     context.usage.report(request.bootId, request.usage);
   const status = log.status();
-  const {revision, text} = state.rules;
   return {
     instanceId,
     bootId,
@@ -29,13 +28,26 @@
     term: status.term,
     leaderId: status.leaderId,
     lastRevision: lastRevision(context),
-    committedRevision: revision,
-    rules: revision > request.heldRevision ? {revision, text} : undefined,
+    committedRevision: state.rules.revision,
+    ...newerRules(context, request),
+    announceAgain: !known,
     members:
       request.role === 'entry' ? memberChanges(context, request) : undefined,
   };
 }
 
+/** The committed rules, when newer than held, as briefly as it can be said. */
+function newerRules(
+  {state, recentRules}: ControlContext,
+  {heldRevision, takesDiff}: PollRequest
+): Pick<PollAnswer, 'rules' | 'rulesDiff'> {
+  const {revision, text} = state.rules;
+  recentRules.note({revision, text});
+  if (revision <= heldRevision) return {};
+  const rulesDiff = takesDiff ? recentRules.diffFrom(heldRevision) : undefined;
+  return rulesDiff === undefined ? {rules: {revision, text}} : {rulesDiff};
+}
+
 /**
  * Counts submissions that are in the log but not known to be committed: they
  * may be accepted already, with this copy as one of the majority.
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -43,13 +43,43 @@
   readonly prefixes?: readonly string[];
 }
 
+/** In place of an announcement that says what the last one said. */
+export interface UnchangedAnnouncement {
+  readonly targetId: string;
+  readonly agentBootId: string;
+  readonly seq: number;
+}
+
+/** Replaces `removed` lines, from line `at` (from 0), by `added`. */
+export interface LineChange {
+  readonly at: number;
+  readonly removed: number;
+  readonly added: readonly string[];
+}
+
+/** The way from one rule file to another. */
+export interface RuleDiff {
+  readonly fromRevision: number;
+  readonly toRevision: number;
+  /** SHA-256 of the text to apply it to, hex. */
+  readonly fromDigest: string;
+  /** SHA-256 of the text that must come out, hex. */
+  readonly toDigest: string;
+  /** From the last line to the first, so that each leaves the rest in place. */
+  readonly changes: readonly LineChange[];
+}
+
 /** What an entry or agent asks every control instance, over and over. */
 export interface PollRequest {
   readonly processId: string;
   readonly role: 'entry' | 'agent';
   readonly bootId: string;
   readonly heldRevision: number;
+  /** It may be told newer rules by their difference to those it holds. */
+  readonly takesDiff?: boolean;
+  /** From agents: whole, or by number when only that grew. */
   readonly announcement?: Announcement;
+  readonly unchanged?: UnchangedAnnouncement;
   /** Membership version held from this very instance and boot. */
   readonly membership?: {readonly bootId: string; readonly version: number};
   /** Use counted since the start of this boot, from entries. */
@@ -86,6 +116,13 @@
   readonly committedRevision: number;
   /** The committed rules, when newer than held. */
   readonly rules?: {readonly revision: number; readonly text: string};
+  /** The same as a difference, in place of `rules`. */
+  readonly rulesDiff?: RuleDiff;
+  /**
+   * Whether it lacks what was called unchanged. An instance that does not say
+   * is told everything whole.
+   */
+  readonly announceAgain?: boolean;
   /** Announcements changed since the held version; all, when `full`. */
   readonly members?: {
     readonly version: number;
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -56,8 +56,12 @@
   bootId: id,
   availabilityZone: id,
   heldRevision: z.int().nonnegative(),
+  takesDiff: z.boolean().optional(),
   provenAgeMs: count.optional(),
   announcement: announcement.optional(),
+  unchanged: z
+    .object({targetId: id, agentBootId: id, seq: z.int().nonnegative()})
+    .optional(),
   membership: z.object({bootId: id, version: z.int()}).optional(),
   usage: z.array(usage).optional(),
 });
--- a/src/rules/ruleDiff.ts
+++ b/src/rules/ruleDiff.ts
@@ -4,25 +4,7 @@
  */
 
 import {createHash} from 'node:crypto';
-
-/** Replaces `removed` lines, from line `at` (from 0), by `added`. */
-export interface LineChange {
-  readonly at: number;
-  readonly removed: number;
-  readonly added: readonly string[];
-}
-
-/** The way from one text to another. */
-export interface RuleDiff {
-  readonly fromRevision: number;
-  readonly toRevision: number;
-  /** SHA-256 of the text to apply it to, hex. */
-  readonly fromDigest: string;
-  /** SHA-256 of the text that must come out, hex. */
-  readonly toDigest: string;
-  /** From the last line to the first, so that each leaves the rest in place. */
-  readonly changes: readonly LineChange[];
-}
+import type {LineChange, RuleDiff} from '../core/wire';
 
 /** A text with its revision. */
 export interface RevisedText {
--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -20,11 +20,14 @@
   CustomerUsage,
   PollAnswer,
   PollRequest,
+  RuleDiff,
 } from '../core/wire';
 import {METHODS} from '../rpc/messages';
 import {PeerClient} from '../rpc/peerClient';
 import {parseRules} from '../rules/parseRules';
+import {applyDiff} from '../rules/ruleDiff';
 import {RuleIndex} from '../rules/ruleIndex';
+import {AnnouncedTo} from './announced';
 import {Freshness, FreshnessProof} from './freshness';
 import {LeaderCalls} from './leaderCalls';
 import {TargetDirectory} from './targetDirectory';
@@ -62,12 +65,17 @@
   /** Undefined until the first rules are known. */
   readonly rules$ = new BehaviorSubject<HeldRules | undefined>(undefined);
   private readonly proof: FreshnessProof;
+  private readonly announced: ReadonlyMap<string, AnnouncedTo>;
   private subscription: Subscription | undefined;
   private wasProven = false;
+  private takesDiff = true;
 
   constructor(private readonly options: ControlSyncOptions) {
     this.proof = new FreshnessProof(options.instances.length, options.proofMs);
     this.leader = new LeaderCalls(options.instances);
+    this.announced = new Map(
+      options.instances.map(({address}) => [address.id, new AnnouncedTo()])
+    );
   }
 
   start(): void {
@@ -117,15 +125,20 @@
   private async poll(instance: PeerClient): Promise<void> {
     const askedAtMs = performance.now();
     const instanceId = instance.address.id;
+    const {announcement, ...report} = this.options.report();
+    const announced = this.announced.get(instanceId);
+    const told = announcement && announced?.next(announcement);
     try {
       const answer = await instance.call<PollAnswer>(
         METHODS.poll,
-        this.question(instanceId),
+        {...this.question(instanceId), ...report, ...told?.part},
         this.options.proofMs
       );
+      if (told !== undefined) announced?.answered(told, answer);
       this.apply(answer, askedAtMs);
     } catch (err) {
       if (!(err instanceof PeerError)) throw err;
+      announced?.lost();
       this.failed(instanceId, askedAtMs, err);
     }
     this.directory.expire(performance.now());
@@ -140,14 +153,15 @@
       bootId,
       availabilityZone,
       heldRevision: this.proof.heldRevision,
+      takesDiff: this.takesDiff,
       provenAgeMs: freshness.kind === 'proven' ? freshness.ageMs : undefined,
       membership:
         role === 'entry' ? this.directory.heldFrom(instanceId) : undefined,
-      ...this.options.report(),
     };
   }
 
   private apply(answer: PollAnswer, askedAtMs: number): void {
+    if (answer.rulesDiff !== undefined) this.applyRulesDiff(answer.rulesDiff);
     if (answer.rules !== undefined) this.applyRules(answer.rules);
     const {voter, lastRevision, instanceId} = answer;
     this.proof.add(instanceId, {
@@ -161,6 +175,23 @@
       this.leader.hint(answer.leaderId, answer.term);
   }
 
+  /**
+   * A difference that leads nowhere, since another text is held here under
+   * that revision, is answered by asking for the whole file.
+   */
+  private applyRulesDiff(diff: RuleDiff): void {
+    const held = this.rules?.index.ruleSet;
+    // Another instance's answer may have brought the same change already.
+    if (held === undefined || diff.toRevision <= held.revision) return;
+    const text = applyDiff(held, diff);
+    if (text !== undefined) return this.applyRules(text);
+    this.takesDiff = false;
+    this.options.logger.warn(
+      {from: diff.fromRevision, to: diff.toRevision},
+      'the difference of the rules does not fit those held'
+    );
+  }
+
   /**
    * Only a higher revision is taken: a late answer of a slow instance would
    * otherwise bring rules back that operators have replaced.
@@ -188,6 +219,7 @@
       index: new RuleIndex(parsed.ruleSet),
     });
     this.proof.hold(rules.revision);
+    this.takesDiff = true;
     metrics.count('rules.applied');
     logger.info({revision: rules.revision}, 'rules in force');
   }
