--- a/bench/capacity/page.ts
+++ b/bench/capacity/page.ts
@@ -1,6 +1,79 @@
-/** Writes the figures of docs/CAPACITY.md from docs/measured. */
+/** Writes the tables of docs/CAPACITY.md from docs/measured. */
+
+import {readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {Measured, lineOf, readMeasured, sizesOf} from './measured';
+import {RoleTable, Row, roleTables, round} from './rows';
+
+const START = '<!-- worked out by: node scripts/run.mjs capacity page -->';
+const END = '<!-- end of the tables -->';
+/** The page, below the root. */
+export const PAGE_FILE = path.join('docs', 'CAPACITY.md');
 
 /** Replaces the tables of the page under `root`. */
 export function writePage(root: string): void {
-  throw new Error(`not written yet: ${root}`);
+  const file = path.join(root, PAGE_FILE);
+  const text = readFileSync(file, 'utf8');
+  writeFileSync(file, withTables(text, readMeasured(root)));
+}
+
+/** The page with its tables worked out anew. */
+export function withTables(text: string, measured: Measured): string {
+  const [before, rest] = text.split(START);
+  const [, after] = (rest ?? '').split(END);
+  if (before === undefined || after === undefined)
+    throw new Error(`${PAGE_FILE} lacks the marks of its tables`);
+  return `${before}${START}\n\n${tables(measured)}\n${END}${after}`;
+}
+
+function tables(measured: Measured): string {
+  const roles = roleTables(measured).map(roleTable);
+  return [...roles, slopeTable(measured)].join('\n');
+}
+
+function roleTable({role, rows}: RoleTable): string {
+  return table(
+    `### ${role}`,
+    ['What', "Today's sizes", 'Size to design for', 'Carried', 'Mechanism'],
+    rows.map(({what, today, planned, carried, mechanism}: Row) => [
+      what,
+      today,
+      planned,
+      carried ? 'yes' : 'not carried today',
+      mechanism,
+    ])
+  );
+}
+
+function slopeTable(measured: Measured): string {
+  const sizes = sizesOf(measured);
+  const rows = (['entry', 'agent', 'leader', 'follower'] as const).flatMap(
+    role =>
+      (['processorPercent', 'rssMb', 'bytesPerS'] as const).map(quantity => {
+        const {slope, intercept, r2} = lineOf(measured, role, quantity);
+        const points = sizes.map(size => {
+          const name = `${role}.idle.${quantity}.at${size}`;
+          return round(measured.controlCost.ours[name] ?? NaN);
+        });
+        return [role, quantity, ...points, slope, intercept, r2].map(cell =>
+          typeof cell === 'number' ? round(cell) : cell
+        );
+      })
+  );
+  const heads = sizes.map(size => `${size} agents`);
+  return table(
+    '### Slopes over the number of agents, idle',
+    ['Role', 'Quantity', ...heads, 'Slope an agent', 'Intercept', 'R²'],
+    rows
+  );
+}
+
+function table(
+  title: string,
+  head: readonly string[],
+  rows: readonly (readonly string[])[]
+): string {
+  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
+  const rule = line(head.map(() => '---'));
+  return [title, '', line(head), rule, ...rows.map(line), ''].join('\n');
 }
--- /dev/null
+++ b/bench/capacity/rows.ts
@@ -0,0 +1,261 @@
+/** The rows of docs/CAPACITY.md, worked out from what was measured. */
+
+import {diffRules} from '../../src/rules/ruleDiff';
+import {Measured, Quantity, Role, figure, lineOf} from './measured';
+import {
+  CONTROLS_PER_REGION,
+  LIMITS,
+  PLANNED,
+  REGIONS,
+  SUBSET,
+  Size,
+  TODAY,
+  plannedRules,
+} from './plan';
+
+/** One line of a role's table. */
+export interface Row {
+  readonly what: string;
+  readonly today: string;
+  readonly planned: string;
+  /** What carries it, or would. */
+  readonly mechanism: string;
+  readonly carried: boolean;
+}
+
+/** One role. */
+export interface RoleTable {
+  readonly role: string;
+  readonly rows: readonly Row[];
+}
+
+const SECONDS_PER_DAY = 86_400;
+const US_PER_S = 1e6;
+
+const at = (measured: Measured, role: Role, quantity: Quantity, n: number) => {
+  const {slope, intercept} = lineOf(measured, role, quantity);
+  return intercept + slope * n;
+};
+
+/** Share of a core, in percent, that the calls of one process take. */
+function dataPercent(
+  {requestsPerS, tokensPerS}: Size,
+  processes: number,
+  usPerCall: number,
+  usPerToken: number
+): number {
+  const us = requestsPerS * usPerCall + tokensPerS * usPerToken;
+  return (100 * us) / processes / US_PER_S;
+}
+
+function entryRows(measured: Measured): readonly Row[] {
+  const list = (n: number) => at(measured, 'entry', 'bytesPerS', n);
+  const listed = list(SUBSET);
+  const {entryOverhead} = measured;
+  const perCall = figure(entryOverhead, 'entryUsPerCall');
+  const perToken = figure(entryOverhead, 'entryUsPerToken');
+  const data = (size: Size) =>
+    dataPercent(size, size.entries, perCall, perToken);
+  const rss = (n: number) => at(measured, 'entry', 'rssMb', n);
+  return [
+    {
+      what: 'targets known',
+      today: String(TODAY.agents),
+      planned: `${PLANNED.agents} with full lists, ${SUBSET} with subsets`,
+      mechanism:
+        'today every entry holds every target; would: a subset by hash of entry and pool',
+      carried: false,
+    },
+    {
+      what: 'bytes of control',
+      today: bytes(list(TODAY.agents)),
+      planned: `${bytes(list(PLANNED.agents))} with full lists, ${bytes(listed)} with subsets`,
+      mechanism:
+        'announcements only when changed, polls by number; would: subsets, relays in each zone',
+      carried: list(PLANNED.agents) <= LIMITS.bytesPerS,
+    },
+    {
+      what: 'processor for control',
+      today: percent(at(measured, 'entry', 'processorPercent', TODAY.agents)),
+      planned: `${percent(at(measured, 'entry', 'processorPercent', SUBSET))} with subsets`,
+      mechanism: 'one poll of each control instance every 500 ms',
+      carried:
+        at(measured, 'entry', 'processorPercent', SUBSET) <=
+        LIMITS.processorPercent,
+    },
+    {
+      what: 'memory, whole process, idle',
+      today: megabytes(rss(TODAY.agents)),
+      planned: `${megabytes(rss(SUBSET))} with subsets`,
+      mechanism: 'a bare Node process holds 41 MB of it',
+      carried: rss(SUBSET) <= LIMITS.rssMb,
+    },
+    {
+      what: 'processor for calls and tokens',
+      today: percent(data(TODAY)),
+      planned: `${percent(data(PLANNED))} (${round(PLANNED.requestsPerS / PLANNED.entries)} calls/s, ${round(PLANNED.tokensPerS / PLANNED.entries)} tokens/s)`,
+      mechanism:
+        'one loop on one thread; work spread over entries by the platform',
+      carried: data(PLANNED) <= 70,
+    },
+  ];
+}
+
+function agentRows(measured: Measured): readonly Row[] {
+  const {entryOverhead} = measured;
+  const perCall = figure(entryOverhead, 'agentUsPerCall');
+  const perToken = figure(entryOverhead, 'agentUsPerToken');
+  const data = (size: Size) =>
+    dataPercent(size, size.agents, perCall, perToken);
+  const own = (quantity: Quantity) => lineOf(measured, 'agent', quantity);
+  const rows: readonly [string, Quantity, (n: number) => string, string][] = [
+    [
+      'bytes of control',
+      'bytesPerS',
+      bytes,
+      'announcement by number, rules by difference; nothing grows with the deployment',
+    ],
+    [
+      'processor for control and probes',
+      'processorPercent',
+      percent,
+      'one poll of each control instance every 500 ms, one look at the target every 250 ms',
+    ],
+    [
+      'memory, whole process',
+      'rssMb',
+      megabytes,
+      'a bare Node process holds 41 MB of it',
+    ],
+  ];
+  return [
+    ...rows.map(([what, quantity, show, mechanism]) => {
+      // The line over agents is flat but for noise: the mean stands for all.
+      const {slope, intercept} = own(quantity);
+      const value = intercept + slope * meanSize(measured);
+      const carried = value <= LIMITS[quantity];
+      return {
+        what,
+        today: show(value),
+        planned: show(value),
+        mechanism,
+        carried,
+      };
+    }),
+    {
+      what: 'processor for calls and tokens',
+      today: percent(data(TODAY)),
+      planned: percent(data(PLANNED)),
+      mechanism: 'one agent beside each target',
+      carried: data(PLANNED) <= 70,
+    },
+  ];
+}
+
+function meanSize({controlCost}: Measured): number {
+  const sizes = Object.keys(controlCost.ours)
+    .map(name => /^agent\.idle\.rssMb\.at(\d+)$/.exec(name)?.[1])
+    .filter(size => size !== undefined)
+    .map(Number);
+  return sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+}
+
+function controlRows(measured: Measured): readonly Row[] {
+  const regional = Math.ceil(PLANNED.agents / REGIONS);
+  const rows: readonly [string, Quantity, (n: number) => string, number][] = [
+    ['processor', 'processorPercent', percent, 70],
+    ['memory, whole process', 'rssMb', megabytes, 1_000],
+    ['bytes', 'bytesPerS', bytes, Infinity],
+  ];
+  const scaled = (['leader', 'follower'] as const).flatMap(role =>
+    rows.map(([what, quantity, show, most]) => {
+      const value = (n: number) => at(measured, role, quantity, n);
+      return {
+        what: `${role}: ${what}`,
+        today: show(value(TODAY.agents)),
+        planned: `${show(value(PLANNED.agents))} in one log, ${show(value(regional))} in a region's`,
+        mechanism: `would: log and membership sharded by region, ${REGIONS} x ${CONTROLS_PER_REGION} instances; entries counted as agents`,
+        carried: value(PLANNED.agents) <= most && quantity !== 'bytesPerS',
+      };
+    })
+  );
+  return [...scaled, ...changeRows()];
+}
+
+/** Sizes of texts, computed by the code that runs, for a planned rule file. */
+function changeRows(): readonly Row[] {
+  const from = {revision: 1, text: plannedRules(1)};
+  const lines = from.text.replace('revision 1 ', 'revision 2 ');
+  const to = {revision: 2, text: lines.replace('zone-5 in', 'zone-5 out')};
+  const diff = JSON.stringify(diffRules(from, to)).length;
+  const daily = (size: number) =>
+    (size * PLANNED.changesPerDay) / SECONDS_PER_DAY;
+  const logPerDay = (size: Size) =>
+    (size.changesPerDay * from.text.length) / 1e6;
+  return [
+    {
+      what: 'a change of one line, to each process from each instance',
+      today: `${diff} bytes`,
+      planned: `${diff} bytes against ${from.text.length} whole; ${round(CONTROLS_PER_REGION * daily(diff))} bytes/s at ${PLANNED.changesPerDay} changes a day`,
+      mechanism: 'difference checked by digest, else the whole file',
+      carried: CONTROLS_PER_REGION * daily(diff) <= LIMITS.bytesPerS,
+    },
+    {
+      what: 'log written for changes',
+      today: `${round(logPerDay(TODAY))} MB a day`,
+      planned: `${round(logPerDay(PLANNED))} MB a day`,
+      mechanism:
+        'whole files in the log, cut by snapshots; would: differences in log and snapshots',
+      carried: false,
+    },
+    {
+      what: 'instances set aside',
+      today: String(TODAY.controls),
+      planned: `${REGIONS * CONTROLS_PER_REGION} of at most ${PLANNED.controls}`,
+      mechanism: 'would: a log for each region, rules agreed among the regions',
+      carried: false,
+    },
+    {
+      what: 'keys of non-idempotent calls',
+      today: 'not measured',
+      planned: 'not measured',
+      mechanism:
+        'one log for all claims; would: claims sharded by customer and key',
+      carried: false,
+    },
+    {
+      what: 'use for charging',
+      today: `${TODAY.customers} rows with each poll`,
+      planned: `${PLANNED.customers} rows with each poll, not measured`,
+      mechanism:
+        'totals by entry boot; would: changed rows only, to the leader only',
+      carried: false,
+    },
+  ];
+}
+
+/** All roles of the page. */
+export function roleTables(measured: Measured): readonly RoleTable[] {
+  return [
+    {role: 'Entry', rows: entryRows(measured)},
+    {role: 'Agent', rows: agentRows(measured)},
+    {role: 'Control instance', rows: controlRows(measured)},
+  ];
+}
+
+/** Three significant digits. */
+export function round(value: number): string {
+  return String(Number(value.toPrecision(3)));
+}
+
+function bytes(value: number): string {
+  return `${round(value / 1_000)} KB/s`;
+}
+
+function percent(value: number): string {
+  return `${round(value)}% of a core`;
+}
+
+function megabytes(value: number): string {
+  return `${round(value)} MB`;
+}
