--- a/bench/capacity/measured.ts
+++ b/bench/capacity/measured.ts
@@ -41,13 +41,17 @@
   return value;
 }
 
-/** The measured line over the number of agents, idle. */
+/** Without calls, or under the small load of the measure. */
+export type State = 'idle' | 'load';
+
+/** The measured line over the number of agents. */
 export function lineOf(
   {controlCost}: Measured,
   role: Role,
-  quantity: Quantity
+  quantity: Quantity,
+  state: State
 ): Line {
-  const name = `${role}.idle.${quantity}`;
+  const name = `${role}.${state}.${quantity}`;
   return {
     slope: figure(controlCost, `${name}.slope`),
     intercept: figure(controlCost, `${name}.intercept`),
--- a/bench/capacity/page.ts
+++ b/bench/capacity/page.ts
@@ -2,11 +2,14 @@
 
 import {readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
-import {Measured, lineOf, readMeasured, sizesOf} from './measured';
+import {Measured, figure, lineOf, readMeasured, sizesOf} from './measured';
 import {RoleTable, Row, roleTables, round} from './rows';
 
 const START = '<!-- worked out by: node scripts/run.mjs capacity page -->';
 const END = '<!-- end of the tables -->';
+const STATES = ['idle', 'load'] as const;
+const ROLES = ['entry', 'agent', 'leader', 'follower'] as const;
+const QUANTITIES = ['processorPercent', 'rssMb', 'bytesPerS'] as const;
 /** The page, below the root. */
 export const PAGE_FILE = path.join('docs', 'CAPACITY.md');
 
@@ -47,23 +50,31 @@
 
 function slopeTable(measured: Measured): string {
   const sizes = sizesOf(measured);
-  const rows = (['entry', 'agent', 'leader', 'follower'] as const).flatMap(
-    role =>
-      (['processorPercent', 'rssMb', 'bytesPerS'] as const).map(quantity => {
-        const {slope, intercept, r2} = lineOf(measured, role, quantity);
-        const points = sizes.map(size => {
-          const name = `${role}.idle.${quantity}.at${size}`;
-          return round(measured.controlCost.ours[name] ?? NaN);
-        });
-        return [role, quantity, ...points, slope, intercept, r2].map(cell =>
-          typeof cell === 'number' ? round(cell) : cell
+  const rows = STATES.flatMap(state =>
+    ROLES.flatMap(role =>
+      QUANTITIES.map(quantity => {
+        const line = lineOf(measured, role, quantity, state);
+        const points = sizes.map(size =>
+          figure(measured.controlCost, `${role}.${state}.${quantity}.at${size}`)
         );
+        const {slope, intercept, r2} = line;
+        const numbers = [...points, slope, intercept, r2].map(round);
+        return [role, state, quantity, ...numbers];
       })
+    )
   );
   const heads = sizes.map(size => `${size} agents`);
   return table(
-    '### Slopes over the number of agents, idle',
-    ['Role', 'Quantity', ...heads, 'Slope an agent', 'Intercept', 'R²'],
+    '### Slopes over the number of agents',
+    [
+      'Role',
+      'State',
+      'Quantity',
+      ...heads,
+      'Slope an agent',
+      'Intercept',
+      'R²',
+    ],
     rows
   );
 }
--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -1,7 +1,8 @@
 /** The rows of docs/CAPACITY.md, worked out from what was measured. */
 
 import {diffRules} from '../../src/rules/ruleDiff';
-import {Measured, Quantity, Role, figure, lineOf} from './measured';
+import {mean} from './leastSquares';
+import {Measured, Quantity, Role, figure, lineOf, sizesOf} from './measured';
 import {
   CONTROLS_PER_REGION,
   LIMITS,
@@ -32,10 +33,27 @@
 const SECONDS_PER_DAY = 86_400;
 const US_PER_S = 1e6;
 
-const at = (measured: Measured, role: Role, quantity: Quantity, n: number) => {
-  const {slope, intercept} = lineOf(measured, role, quantity);
-  return intercept + slope * n;
-};
+/** Below this fit a slope is noise, and the mean stands for all sizes. */
+const LEAST_R2 = 0.8;
+
+/** Control's cost is taken idle for the processor, else calls are in it. */
+const STATES = {
+  processorPercent: 'idle',
+  rssMb: 'load',
+  bytesPerS: 'load',
+} as const;
+
+/** The measured line at `n` agents. */
+function at(
+  measured: Measured,
+  role: Role,
+  quantity: Quantity,
+  n: number
+): number {
+  const line = lineOf(measured, role, quantity, STATES[quantity]);
+  const x = line.r2 < LEAST_R2 ? meanSize(measured) : n;
+  return line.intercept + line.slope * x;
+}
 
 /** Share of a core, in percent, that the calls of one process take. */
 function dataPercent(
@@ -84,7 +102,7 @@
         LIMITS.processorPercent,
     },
     {
-      what: 'memory, whole process, idle',
+      what: 'memory, whole process',
       today: megabytes(rss(TODAY.agents)),
       planned: `${megabytes(rss(SUBSET))} with subsets`,
       mechanism: 'a bare Node process holds 41 MB of it',
@@ -107,7 +125,6 @@
   const perToken = figure(entryOverhead, 'agentUsPerToken');
   const data = (size: Size) =>
     dataPercent(size, size.agents, perCall, perToken);
-  const own = (quantity: Quantity) => lineOf(measured, 'agent', quantity);
   const rows: readonly [string, Quantity, (n: number) => string, string][] = [
     [
       'bytes of control',
@@ -130,9 +147,8 @@
   ];
   return [
     ...rows.map(([what, quantity, show, mechanism]) => {
-      // The line over agents is flat but for noise: the mean stands for all.
-      const {slope, intercept} = own(quantity);
-      const value = intercept + slope * meanSize(measured);
+      // Nothing that an agent does depends on how many others there are.
+      const value = at(measured, 'agent', quantity, meanSize(measured));
       const carried = value <= LIMITS[quantity];
       return {
         what,
@@ -152,12 +168,8 @@
   ];
 }
 
-function meanSize({controlCost}: Measured): number {
-  const sizes = Object.keys(controlCost.ours)
-    .map(name => /^agent\.idle\.rssMb\.at(\d+)$/.exec(name)?.[1])
-    .filter(size => size !== undefined)
-    .map(Number);
-  return sizes.reduce((sum, size) => sum + size, 0) / sizes.length;
+function meanSize(measured: Measured): number {
+  return mean(sizesOf(measured));
 }
 
 function controlRows(measured: Measured): readonly Row[] {
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -2,6 +2,7 @@
 
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
+import {bounds} from './measures/bounds';
 import {coldStart} from './measures/coldStart';
 import {controlCost} from './measures/controlCost';
 import {entryOverhead} from './measures/entryOverhead';
@@ -20,4 +21,5 @@
   balance,
   entryOverhead,
   controlCost,
+  bounds,
 ];
