--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -13,6 +13,8 @@
 
 /** Silence after which a target or process is no longer listed. */
 export const MEMBER_TTL_MS = 3_000;
+/** Least time between two looks for what fell silent. */
+const EXPIRY_PERIOD_MS = 100;
 /** How long a removed boot is remembered, against late announcements. */
 const TOMBSTONE_TTL_MS = 60_000;
 
@@ -57,6 +59,7 @@
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly processes = new Map<string, HeardProcess>();
   private version = 0;
+  private expiredAtMs = -Infinity;
 
   /** Returns whether it holds what the request called unchanged. */
   heard(request: PollRequest, nowMs: number): boolean {
@@ -97,8 +100,13 @@
     return true;
   }
 
-  /** Drops what fell silent. */
+  /**
+   * Drops what fell silent. Called at each poll, but looked at all members each
+   * time it would cost the square of their number.
+   */
   expire(nowMs: number): void {
+    if (nowMs - this.expiredAtMs < EXPIRY_PERIOD_MS) return;
+    this.expiredAtMs = nowMs;
     for (const [id, {heardAtMs, announcement}] of this.targets) {
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
       this.targets.delete(id);
@@ -120,6 +128,9 @@
 
   /** Changes after `since`; everything when `since` is undefined. */
   changesSince(since: number | undefined): MemberChanges {
+    const {version} = this;
+    if (since === version)
+      return {version, full: false, changed: [], removed: []};
     const from = since ?? -1;
     const changed = [...this.targets.values()]
       .filter(heard => heard.version > from)
@@ -129,7 +140,7 @@
         ([id, tombstone]) => tombstone.version > from && !this.targets.has(id)
       )
       .map(([id]) => id);
-    return {version: this.version, full: since === undefined, changed, removed};
+    return {version, full: since === undefined, changed, removed};
   }
 
   listTargets(): readonly Announcement[] {
