--- a/bench/capacity/page.ts
+++ b/bench/capacity/page.ts
@@ -1,6 +1,90 @@
-/** Writes the figures of docs/CAPACITY.md from docs/measured. */
+/** Writes the tables of docs/CAPACITY.md from docs/measured. */
+
+import {readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {Measured, figure, lineOf, readMeasured, sizesOf} from './measured';
+import {RoleTable, Row, roleTables, round} from './rows';
+
+const START = '<!-- worked out by: node scripts/run.mjs capacity page -->';
+const END = '<!-- end of the tables -->';
+const STATES = ['idle', 'load'] as const;
+const ROLES = ['entry', 'agent', 'leader', 'follower'] as const;
+const QUANTITIES = ['processorPercent', 'rssMb', 'bytesPerS'] as const;
+/** The page, below the root. */
+export const PAGE_FILE = path.join('docs', 'CAPACITY.md');
 
 /** Replaces the tables of the page under `root`. */
 export function writePage(root: string): void {
-  throw new Error(`not written yet: ${root}`);
+  const file = path.join(root, PAGE_FILE);
+  const text = readFileSync(file, 'utf8');
+  writeFileSync(file, withTables(text, readMeasured(root)));
+}
+
+/** The page with its tables worked out anew. */
+export function withTables(text: string, measured: Measured): string {
+  const [before, rest] = text.split(START);
+  const [, after] = (rest ?? '').split(END);
+  if (before === undefined || after === undefined)
+    throw new Error(`${PAGE_FILE} lacks the marks of its tables`);
+  return `${before}${START}\n\n${tables(measured)}\n${END}${after}`;
+}
+
+function tables(measured: Measured): string {
+  const roles = roleTables(measured).map(roleTable);
+  return [...roles, slopeTable(measured)].join('\n');
+}
+
+function roleTable({role, rows}: RoleTable): string {
+  return table(
+    `### ${role}`,
+    ['What', "Today's sizes", 'Size to design for', 'Carried', 'Mechanism'],
+    rows.map(({what, today, planned, carried, mechanism}: Row) => [
+      what,
+      today,
+      planned,
+      carried ? 'yes' : 'not carried today',
+      mechanism,
+    ])
+  );
+}
+
+function slopeTable(measured: Measured): string {
+  const sizes = sizesOf(measured);
+  const rows = STATES.flatMap(state =>
+    ROLES.flatMap(role =>
+      QUANTITIES.map(quantity => {
+        const line = lineOf(measured, role, quantity, state);
+        const points = sizes.map(size =>
+          figure(measured.controlCost, `${role}.${state}.${quantity}.at${size}`)
+        );
+        const {slope, intercept, r2} = line;
+        const numbers = [...points, slope, intercept, r2].map(round);
+        return [role, state, quantity, ...numbers];
+      })
+    )
+  );
+  const heads = sizes.map(size => `${size} agents`);
+  return table(
+    '### Slopes over the number of agents',
+    [
+      'Role',
+      'State',
+      'Quantity',
+      ...heads,
+      'Slope an agent',
+      'Intercept',
+      'R²',
+    ],
+    rows
+  );
+}
+
+function table(
+  title: string,
+  head: readonly string[],
+  rows: readonly (readonly string[])[]
+): string {
+  const line = (cells: readonly string[]) => `| ${cells.join(' | ')} |`;
+  const rule = line(head.map(() => '---'));
+  return [title, '', line(head), rule, ...rows.map(line), ''].join('\n');
 }
--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -4,11 +4,17 @@
  */
 
 import {isNewer, keepLeaving} from '../core/announcements';
-import type {Announcement, PollRequest} from '../core/wire';
+import type {
+  Announcement,
+  PollRequest,
+  UnchangedAnnouncement,
+} from '../core/wire';
 import {mustTell} from './announcedChange';
 
 /** Silence after which a target or process is no longer listed. */
 export const MEMBER_TTL_MS = 3_000;
+/** Least time between two looks for what fell silent. */
+const EXPIRY_PERIOD_MS = 100;
 /** How long a removed boot is remembered, against late announcements. */
 const TOMBSTONE_TTL_MS = 60_000;
 
@@ -53,8 +59,10 @@
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly processes = new Map<string, HeardProcess>();
   private version = 0;
+  private expiredAtMs = -Infinity;
 
-  heard(request: PollRequest, nowMs: number): void {
+  /** Returns whether it holds what the request called unchanged. */
+  heard(request: PollRequest, nowMs: number): boolean {
     const {
       processId,
       role,
@@ -74,10 +82,31 @@
     });
     if (request.announcement !== undefined)
       this.announce(request.announcement, nowMs);
+    const {unchanged} = request;
+    return unchanged === undefined || this.repeat(unchanged, nowMs);
   }
 
-  /** Drops what fell silent. */
+  /**
+   * The same as announcing it again. One that was dropped for silence has to
+   * come whole: what is held of it may be older than the drop.
+   */
+  private repeat(
+    {targetId, agentBootId, seq}: UnchangedAnnouncement,
+    nowMs: number
+  ): boolean {
+    const known = this.targets.get(targetId)?.announcement;
+    if (known?.agentBootId !== agentBootId) return false;
+    this.announce({...known, seq}, nowMs);
+    return true;
+  }
+
+  /**
+   * Drops what fell silent. Called at each poll, but looked at all members each
+   * time it would cost the square of their number.
+   */
   expire(nowMs: number): void {
+    if (nowMs - this.expiredAtMs < EXPIRY_PERIOD_MS) return;
+    this.expiredAtMs = nowMs;
     for (const [id, {heardAtMs, announcement}] of this.targets) {
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
       this.targets.delete(id);
@@ -99,6 +128,9 @@
 
   /** Changes after `since`; everything when `since` is undefined. */
   changesSince(since: number | undefined): MemberChanges {
+    const {version} = this;
+    if (since === version)
+      return {version, full: false, changed: [], removed: []};
     const from = since ?? -1;
     const changed = [...this.targets.values()]
       .filter(heard => heard.version > from)
@@ -108,7 +140,7 @@
         ([id, tombstone]) => tombstone.version > from && !this.targets.has(id)
       )
       .map(([id]) => id);
-    return {version: this.version, full: since === undefined, changed, removed};
+    return {version, full: since === undefined, changed, removed};
   }
 
   listTargets(): readonly Announcement[] {
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -38,6 +38,9 @@
   });
 }
 
+/** Makes clients that share their connections. */
+export type PeerClientFactory = (address: PeerAddress) => PeerClient;
+
 /** A JSON-RPC client of one peer. */
 export class PeerClient {
   private nextId = 1;
@@ -91,7 +94,6 @@
         method: 'POST',
         headers: {
           [PROTOCOL_HEADER]: PROTOCOL_VERSION,
-          'content-type': 'application/json',
           'content-length': Buffer.byteLength(body),
         },
       });
