Pin the ramp's level when a rule changes, and brake a little earlier

A target that had not answered yet held no level of its own, so a raised start lifted its limit at once; and the time until the change was credited under the new rule.

The agent has to call rampRuleChanged when a rule changes.

--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -19,6 +19,7 @@
   rampCold,
   rampComplete,
   rampLimit,
+  rampRuleChanged,
   rampServed,
   type RampState,
   type WarmupLimits,
@@ -162,6 +163,11 @@
 
   /** A changed warm-up rule. */
   configure(warmup: WarmupLimits): void {
+    this.ramp = rampRuleChanged(
+      this.ramp,
+      this.options.warmup,
+      this.events.now
+    );
     this.options = {...this.options, warmup};
   }
 
--- a/src/policy/ramp.ts
+++ b/src/policy/ramp.ts
@@ -45,9 +45,9 @@
  */
 const PACE = 0.85;
 /** Latency over the unloaded one at which growth stops. */
-const HOLD_SLOWDOWN = 2.1;
+const HOLD_SLOWDOWN = 2;
 /** Latency over the unloaded one at which the limit shrinks. */
-const SHRINK_SLOWDOWN = 2.6;
+const SHRINK_SLOWDOWN = 2.4;
 const SHRINK_FACTOR = 0.7;
 
 /** A target that has just started, or whose past isn't known. */
@@ -94,6 +94,22 @@
   return {...state, level: grow(level, rule, part), creditedAtMs};
 }
 
+/**
+ * Call before a changed rule comes into force, with the rule until then. A
+ * target that has not answered yet holds no level of its own: under a raised
+ * start its limit would jump at once, while it works on what it got cold. Time
+ * under the former rule earns nothing under the new and perhaps steeper one.
+ */
+export function rampRuleChanged(
+  state: RampState,
+  before: WarmupLimits,
+  nowMs: number
+): RampState {
+  const level = currentLevel(state, before);
+  const creditedAtMs = Math.max(state.creditedAtMs, nowMs);
+  return {...state, level, creditedAtMs};
+}
+
 /** Back to the start: lost connection, new boot, silence, or a cold report. */
 export function rampCold(state: RampState, nowMs: number): RampState {
   return {
--- a/tests/ramp.spec.ts
+++ b/tests/ramp.spec.ts
@@ -3,6 +3,7 @@
   rampCold,
   rampComplete,
   rampLimit,
+  rampRuleChanged,
   rampServed,
   type RampState,
 } from '../src/policy/ramp';
@@ -97,6 +98,13 @@
     expect(rampLimit(late, RULE, 12_000)).toBe(2);
   });
 
+  it('should not jump when start is raised before the first answer', () => {
+    const fresh = rampRuleChanged(freshRamp(0), RULE, 100);
+    const raised = {start: 24, full: 64, overMs: 10_000};
+    expect(rampLimit(fresh, raised, 100)).toBe(2);
+    expect(rampLimit(rampCold(fresh, 200), raised, 200)).toBe(24);
+  });
+
   it('should not jump when a rule raises start and full mid-ramp', () => {
     const half = loaded(freshRamp(0), 0, 5000);
     const before = rampLimit(half, RULE, 5000);
