Ramp slower after a target turned cold on its way up

Cause: fed with answers, an engine half as quick as its rule fell over, ramped at the same pace and fell over again, five times in 150 s.

--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -134,7 +134,9 @@
     this.queue = this.freshQueue();
     this.concurrency = freshConcurrency(options.warmup);
     const ramp = freshRamp(events.now);
-    this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
+    this.ramp = warm
+      ? {...ramp, level: options.warmup.full, complete: true}
+      : ramp;
     engine.onStep = step => this.observe(step);
     engine.onFall = () => {
       this.takeForCold();
--- a/src/policy/ramp.ts
+++ b/src/policy/ramp.ts
@@ -24,6 +24,10 @@
   readonly creditedAtMs: number;
   /** Since when it has been taken for cold or strained. */
   readonly sinceMs: number;
+  /** Whether it has come to full since then. */
+  readonly complete: boolean;
+  /** How many times slower than the rule the ramp goes. */
+  readonly caution: number;
 }
 
 /** One request that the target answered well. */
@@ -48,11 +52,18 @@
 const HOLD_SLOWDOWN = 2;
 /** Latency over the unloaded one at which the limit shrinks. */
 const SHRINK_SLOWDOWN = 2.4;
+const MAX_CAUTION = 4;
 const SHRINK_FACTOR = 0.7;
 
 /** A target that has just started, or whose past isn't known. */
 export function freshRamp(nowMs: number): RampState {
-  return {level: undefined, creditedAtMs: nowMs, sinceMs: nowMs};
+  return {
+    level: undefined,
+    creditedAtMs: nowMs,
+    sinceMs: nowMs,
+    complete: false,
+    caution: 1,
+  };
 }
 
 /** Requests that the target may run at once, at least 1. */
@@ -90,8 +101,11 @@
     return {...state, level, creditedAtMs};
   const from = Math.max(state.creditedAtMs, sample.startedAtMs);
   const creditMs = Math.max(0, sample.nowMs - from);
-  const part = (use * creditMs * PACE) / Math.max(1, rule.overMs);
-  return {...state, level: grow(level, rule, part), creditedAtMs};
+  const pace = PACE / state.caution;
+  const part = (use * creditMs * pace) / Math.max(1, rule.overMs);
+  const grown = grow(level, rule, part);
+  const complete = state.complete || grown >= rule.full;
+  return {...state, level: grown, creditedAtMs, complete};
 }
 
 /**
@@ -110,15 +124,26 @@
   return {...state, level, creditedAtMs};
 }
 
-/** Back to the start: lost connection, new boot, silence, or a cold report. */
+/**
+ * Back to the start: lost connection, new boot, silence, or a cold report.
+ * One that turned cold on its way up may have been given too much: at the same
+ * pace it would fall over again and again, so the next ramp is slower.
+ */
 export function rampCold(state: RampState, nowMs: number): RampState {
   return {
     level: undefined,
     creditedAtMs: Math.max(nowMs, state.creditedAtMs),
     sinceMs: nowMs,
+    complete: false,
+    caution: nextCaution(state),
   };
 }
 
+function nextCaution({level, complete, caution}: RampState): number {
+  if (complete) return 1;
+  return level === undefined ? caution : Math.min(MAX_CAUTION, caution * 2);
+}
+
 /**
  * The next level after a part of the rule's time under load. The curve is a
  * square: as soon at full as a straight line, but below it all the way, since
--- a/tests/ramp.spec.ts
+++ b/tests/ramp.spec.ts
@@ -98,6 +98,16 @@
     expect(rampLimit(late, RULE, 12_000)).toBe(2);
   });
 
+  it('should go slower after it turned cold on the way up', () => {
+    // An engine that warms slower than its rule says falls over mid-ramp. At
+    // the same pace it falls over each time, and never serves its full load.
+    const again = rampCold(loaded(freshRamp(0), 0, 6000), 6000);
+    expect(rampComplete(loaded(again, 6000, 18_000), RULE)).toBe(false);
+    expect(rampComplete(loaded(again, 6000, 30_000), RULE)).toBe(true);
+    const warm = rampCold(loaded(freshRamp(0), 0, 12_000), 12_000);
+    expect(rampComplete(loaded(warm, 12_000, 24_000), RULE)).toBe(true);
+  });
+
   it('should not jump when start is raised before the first answer', () => {
     const fresh = rampRuleChanged(freshRamp(0), RULE, 100);
     const raised = {start: 24, full: 64, overMs: 10_000};
