Let the record of a key speak when no target takes new work

A caller that believes it assigns the box again under a new key. Change: with no target the entry asks the leader what is on record, behind a read barrier, before it refuses. After: 4,000 schedules of the fuzz model with missing targets held; a mutant without the lookup is caught.

--- a/bench/fuzz/onceModel.ts
+++ b/bench/fuzz/onceModel.ts
@@ -149,7 +149,7 @@
 
   pickTarget(tried: ReadonlySet<string>): OnceTarget | undefined {
     const open = this.agents.filter(agent => !tried.has(agent.id));
-    if (open.length === 0) return undefined;
+    if (open.length === 0 || this.random.chance(0.05)) return undefined;
     const agent = this.random.pick(open);
     // An announcement can be older than the agent's last restart.
     const boot = this.random.chance(0.1)
@@ -203,6 +203,19 @@
     );
   }
 
+  lookup(key: string, give: (event: OnceEvent) => void): void {
+    this.ask(
+      RPC_TIMEOUT_MS,
+      () =>
+        this.controlUp ? this.claims.lookup(CUSTOMER, key, key) : undefined,
+      result => {
+        if (result === undefined)
+          return give({kind: 'claim failed', peer: 'control', detail: ''});
+        return give({kind: 'looked up', result, nowMs: this.time.now});
+      }
+    );
+  }
+
   settle(
     key: string,
     attempt: number,
--- a/bench/fuzz/onceModelCall.ts
+++ b/bench/fuzz/onceModelCall.ts
@@ -24,6 +24,7 @@
     leftMs: number,
     give: Give
   ): void;
+  lookup(key: string, give: Give): void;
   dispatch(
     call: ModelCall,
     target: OnceTarget,
@@ -85,6 +86,8 @@
           this.deadlineAt - world.now,
           this.give
         );
+      case 'lookup':
+        return world.lookup(key, this.give);
       case 'dispatch':
         return world.dispatch(this, action.target, action.attempt, this.give);
       case 'ask':
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -20,7 +20,7 @@
 import {FROM_RANK} from './maps/fromRankSchema';
 import {MapDirector} from './maps/mapDirector';
 import {MemberTable} from './memberTable';
-import {claimMethod, settleMethod} from './methods/claimMethods';
+import {claimMethod, lookupMethod, settleMethod} from './methods/claimMethods';
 import {pollMethod} from './methods/pollMethod';
 import {statusMethod, usageMethod} from './methods/statusMethods';
 import {submitMethod} from './methods/submitMethod';
@@ -128,6 +128,7 @@
   server.addMethod(METHODS.submit, submitMethod(context));
   server.addMethod(METHODS.claim, claimMethod(context));
   server.addMethod(METHODS.settle, settleMethod(context));
+  server.addMethod(METHODS.lookupClaim, lookupMethod(context));
   server.addMethod(METHODS.status, statusMethod(context));
   server.addMethod(METHODS.usage, usageMethod(context));
   server.addMethod(METHODS.map, {
--- a/src/control/methods/claimMethods.ts
+++ b/src/control/methods/claimMethods.ts
@@ -1,16 +1,18 @@
 /** Claims and settles idempotency keys for entries. */
 
-import type {ClaimResult} from '../../core/claims';
+import type {ClaimResult, LookupResult} from '../../core/claims';
 import {
   ClaimRequest,
+  LookupRequest,
   SettleRequest,
   claimRequest,
+  lookupRequest,
   settleRequest,
 } from '../../rpc/messages';
 import type {RpcMethod} from '../../rpc/peerServer';
 import type {ControlContext} from '../controlContext';
 import type {SettleResult} from '../state/command';
-import {proposeHere} from './leaderOnly';
+import {proposeHere, readHere} from './leaderOnly';
 
 /** The `claim` method; a resend under the same request id is the same claim. */
 export function claimMethod({
@@ -25,6 +27,20 @@
   };
 }
 
+/** The `lookupClaim` method: what the leader has on record, up to date. */
+export function lookupMethod({
+  log,
+  state,
+}: ControlContext): RpcMethod<LookupRequest, LookupResult> {
+  return {
+    params: lookupRequest,
+    handle: async ({customer, key, digest}) => {
+      await readHere(log);
+      return state.claims.lookup(customer, key, digest);
+    },
+  };
+}
+
 /** The `settle` method; repeating it is safe. */
 export function settleMethod({
   log,
--- a/src/control/state/claimState.ts
+++ b/src/control/state/claimState.ts
@@ -6,7 +6,11 @@
 
 import {parse, version as uuidVersion, validate} from 'uuid';
 import {unreachable} from '../../core/errors';
-import type {ClaimResult, RecordedAnswer} from '../../core/claims';
+import type {
+  ClaimResult,
+  LookupResult,
+  RecordedAnswer,
+} from '../../core/claims';
 import type {ClaimCommand, SettleCommand, SettleResult} from './command';
 
 /** How long answers are kept, and how old a time-stamped key may be. */
@@ -65,6 +69,31 @@
     return this.grant(keys, command, 1);
   }
 
+  /** What a claim would find, without making one. */
+  lookup(customer: string, key: string, digest: string): LookupResult {
+    const record = this.customers.get(customer)?.get(key);
+    if (record === undefined)
+      return this.isPast(key) ? {kind: 'expired'} : {kind: 'none'};
+    if (record.digest !== digest) return {kind: 'mismatch'};
+    const {status, attempt} = record;
+    switch (status.kind) {
+      case 'pending': {
+        const {entryId, targetId, agentBootId} = status;
+        return {kind: 'pending', attempt, entryId, targetId, agentBootId};
+      }
+      case 'answered':
+        return {kind: 'recorded', answer: status.answer};
+      case 'not run':
+        return {kind: 'none'};
+      case 'unknown':
+        return {kind: 'unknown'};
+      case 'spent':
+        return {kind: 'expired'};
+      default:
+        return unreachable(status);
+    }
+  }
+
   settle(command: SettleCommand): SettleResult {
     const keys = this.keysOf(command.customer);
     const record = keys.get(command.key);
@@ -92,30 +121,16 @@
 
   private claimAgain(
     keys: Map<string, ClaimRecord>,
-    record: ClaimRecord,
+    {status, attempt}: ClaimRecord,
     command: ClaimCommand
   ): ClaimResult {
-    if (record.digest !== command.digest) return {kind: 'mismatch'};
-    const {status, attempt} = record;
-    switch (status.kind) {
-      case 'pending': {
-        // The proposer's answer was lost and it asks again: still its claim.
-        if (status.requestId === command.requestId)
-          return {kind: 'granted', attempt};
-        const {entryId, targetId, agentBootId} = status;
-        return {kind: 'pending', attempt, entryId, targetId, agentBootId};
-      }
-      case 'answered':
-        return {kind: 'recorded', answer: status.answer};
-      case 'not run':
-        return this.grant(keys, command, attempt + 1);
-      case 'unknown':
-        return {kind: 'unknown'};
-      case 'spent':
-        return {kind: 'expired'};
-      default:
-        return unreachable(status);
-    }
+    const {customer, key, digest, requestId} = command;
+    const found = this.lookup(customer, key, digest);
+    if (found.kind === 'none') return this.grant(keys, command, attempt + 1);
+    // The proposer's answer was lost and it asks again: still its claim.
+    const own = status.kind === 'pending' && status.requestId === requestId;
+    if (found.kind === 'pending' && own) return {kind: 'granted', attempt};
+    return found;
   }
 
   private grant(
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -13,6 +13,12 @@
   | {readonly kind: 'not run'}
   | {readonly kind: 'unknown'};
 
+/** What is on record of a key, asked without claiming it. */
+export type LookupResult =
+  | Exclude<ClaimResult, {readonly kind: 'granted' | 'full'}>
+  /** Nothing that bars a claim. */
+  | {readonly kind: 'none'};
+
 /** Result of a claim. */
 export type ClaimResult =
   | {readonly kind: 'granted'; readonly attempt: number}
--- a/src/entry/onceMachine.ts
+++ b/src/entry/onceMachine.ts
@@ -4,7 +4,12 @@
  * model drives the same decisions under faults.
  */
 
-import type {ClaimResult, RecordedAnswer, Settlement} from '../core/claims';
+import type {
+  ClaimResult,
+  LookupResult,
+  RecordedAnswer,
+  Settlement,
+} from '../core/claims';
 import {unreachable} from '../core/errors';
 import {REFUSALS, Refusal} from '../core/refusal';
 import type {FenceClaimAnswer} from '../rpc/messages';
@@ -24,6 +29,8 @@
 export type OnceAction =
   | {readonly kind: 'route'; readonly tried: ReadonlySet<string>}
   | {readonly kind: 'claim'; readonly target: OnceTarget}
+  /** Asks for the record of the key without claiming it. */
+  | {readonly kind: 'lookup'}
   | {
       readonly kind: 'dispatch';
       readonly target: OnceTarget;
@@ -71,6 +78,11 @@
       readonly peer: string;
       readonly detail: string;
     }
+  | {
+      readonly kind: 'looked up';
+      readonly result: LookupResult;
+      readonly nowMs: number;
+    }
   | {readonly kind: 'answered'; readonly answer: RecordedAnswer}
   | {readonly kind: 'refused'; readonly refusal: Refusal}
   | {readonly kind: 'asked'; readonly result: AskResult}
@@ -92,6 +104,7 @@
   private current: Dispatched | undefined;
   private target: OnceTarget | undefined;
   private last: Refusal | undefined;
+  private noTarget = '';
   private afterSettle: OnceAction | undefined;
 
   constructor(
@@ -110,10 +123,13 @@
       case 'routed':
         this.target = event.target;
         return {kind: 'claim', target: event.target};
+      // With no target to run at, an earlier request under the key may still
+      // have run: "not run" would send its caller to another socket.
       case 'no target':
-        return this.refuse(
-          this.last ?? this.own('no-target', 'route', event.detail)
-        );
+        this.noTarget = event.detail;
+        return {kind: 'lookup'};
+      case 'looked up':
+        return this.lookedUp(event.result, event.nowMs);
       case 'claimed':
         return this.claimed(event.result, event.nowMs);
       case 'claim failed':
@@ -146,6 +162,12 @@
     }
   }
 
+  private lookedUp(result: LookupResult, nowMs: number): OnceAction {
+    if (result.kind !== 'none') return this.claimed(result, nowMs);
+    const none = this.own('no-target', 'route', this.noTarget);
+    return this.refuse(this.last ?? none);
+  }
+
   private claimed(result: ClaimResult, nowMs: number): OnceAction {
     switch (result.kind) {
       case 'granted':
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -6,12 +6,22 @@
 
 import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
-import type {ClaimResult, RecordedAnswer, Settlement} from '../core/claims';
+import type {
+  ClaimResult,
+  LookupResult,
+  RecordedAnswer,
+  Settlement,
+} from '../core/claims';
 import {PeerError, unreachable} from '../core/errors';
 import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
 import {readBody} from '../core/upstream';
-import {ClaimRequest, METHODS, SettleRequest} from '../rpc/messages';
+import {
+  ClaimRequest,
+  LookupRequest,
+  METHODS,
+  SettleRequest,
+} from '../rpc/messages';
 import {askAgent} from './askAgent';
 import type {ClassifiedCall} from './call';
 import {dispatchOnce} from './dispatchOnce';
@@ -84,6 +94,8 @@
         return this.route(action.tried);
       case 'claim':
         return this.claim(action.target);
+      case 'lookup':
+        return this.lookup();
       case 'dispatch':
         return this.dispatch(action.target, action.attempt);
       case 'ask':
@@ -127,14 +139,38 @@
       targetId,
       agentBootId,
     };
+    return this.askLeader<ClaimResult>(METHODS.claim, request, result => ({
+      kind: 'claimed',
+      result,
+      nowMs: performance.now(),
+    }));
+  }
+
+  private lookup(): Promise<OnceEvent> {
+    const {call, key, digest} = this;
+    const request: LookupRequest = {customer: call.customer, key, digest};
+    return this.askLeader<LookupResult>(
+      METHODS.lookupClaim,
+      request,
+      result => ({
+        kind: 'looked up',
+        result,
+        nowMs: performance.now(),
+      })
+    );
+  }
+
+  private async askLeader<R>(
+    method: string,
+    request: unknown,
+    toEvent: (result: R) => OnceEvent
+  ): Promise<OnceEvent> {
+    const {core, call} = this;
+    const timeoutMs = Math.min(CLAIM_TIMEOUT_MS, call.progress.remainingMs());
     try {
-      const timeoutMs = Math.min(CLAIM_TIMEOUT_MS, call.progress.remainingMs());
-      const result = await core.sync.leader.call<ClaimResult>(
-        METHODS.claim,
-        request,
-        timeoutMs
+      return toEvent(
+        await core.sync.leader.call<R>(method, request, timeoutMs)
       );
-      return {kind: 'claimed', result, nowMs: performance.now()};
     } catch (err) {
       if (!(err instanceof PeerError)) throw err;
       return {kind: 'claim failed', peer: err.peer, detail: err.message};
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -10,6 +10,7 @@
   submit: 'submit',
   claim: 'claim',
   settle: 'settle',
+  lookupClaim: 'lookupClaim',
   status: 'status',
   usage: 'usage',
   log: 'log',
@@ -118,6 +119,16 @@
   z.object({kind: z.literal('unknown')}),
 ]);
 
+/** Asks what is on record of a key. */
+export type LookupRequest = Pick<ClaimRequest, 'customer' | 'key' | 'digest'>;
+
+/** See LookupRequest. */
+export const lookupRequest: z.ZodType<LookupRequest> = z.object({
+  customer: id,
+  key: id,
+  digest: id,
+});
+
 /** How an attempt under a key ended. */
 export interface SettleRequest {
   readonly customer: string;
