--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -4,9 +4,11 @@
   concurrencyLimit,
   freshConcurrency,
   latencyRise,
+  learnLatency,
   observeLatency,
   type ConcurrencyState,
 } from '../../src/policy/concurrencyLimit';
+import {enginePriority} from '../../src/policy/enginePriority';
 import {
   FairQueue,
   type OfferResult,
@@ -31,7 +33,8 @@
   | 'customer-limit'
   | 'deadline-too-short'
   | 'deadline-passed'
-  | 'zone-out';
+  | 'zone-out'
+  | 'target-unreachable';
 
 /** One attempt at a gate. */
 export interface Job {
@@ -62,6 +65,8 @@
   readonly queue: 'fair' | 'fifo';
   readonly ramp: boolean;
   readonly warmup: WarmupLimits;
+  /** Longest wait for the first token, as a `limit` rule gives it. */
+  readonly firstTokenMs?: number;
 }
 
 /** First in, first out, with the same bound. */
@@ -125,7 +130,10 @@
     const ramp = freshRamp(events.now);
     this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
     engine.onStep = step => this.observe(step);
-    engine.onFall = () => this.takeForCold();
+    engine.onFall = () => {
+      this.takeForCold();
+      this.giveBack('target-unreachable');
+    };
   }
 
   get queued(): number {
@@ -169,7 +177,12 @@
       job.onRefused('zone-out');
       return;
     }
-    const {load, deadlineAt} = job.req;
+    if (this.engine.refuses) {
+      job.onRefused('target-unreachable');
+      return;
+    }
+    const {load} = job.req;
+    const deadlineAt = this.startBy(job);
     const {customer, share, priority} = load;
     const {id, cost} = job;
     const result = this.queue.offer(
@@ -180,10 +193,20 @@
     else this.pump();
   }
 
+  /** A stream that goes on has met its first-token deadline before. */
+  private startBy({req, delivered}: Job): number {
+    const {firstTokenMs} = this.options;
+    if (firstTokenMs === undefined || delivered > 0) return req.deadlineAt;
+    return Math.min(req.deadlineAt, req.arrivedAt + firstTokenMs);
+  }
+
   /** Takes the zone out: what waits is given back, what runs goes on. */
   setZoneOut(out: boolean): void {
     this.zoneOut = out;
-    if (!out) return;
+    if (out) this.giveBack('zone-out');
+  }
+
+  private giveBack(reason: GateRefusal): void {
     const waiting: Job[] = [];
     for (;;) {
       const item = this.queue.take(this.events.now, Infinity);
@@ -191,7 +214,7 @@
       this.queue.finished(item.customer);
       waiting.push(item.payload);
     }
-    for (const job of waiting) job.onRefused('zone-out');
+    for (const job of waiting) job.onRefused(reason);
   }
 
   private freshQueue(): JobQueue {
@@ -228,7 +251,10 @@
       this.queue.finished(customer);
     };
     this.engine.start({
-      urgent: this.queue.isInCredit(customer),
+      priority: enginePriority({
+        inCredit: this.queue.isInCredit(customer),
+        resumed: delivered > 0,
+      }),
       prefixKey: req.prefixKey,
       prefixTokens: req.prefixTokens,
       promptLeft: req.promptTokens + delivered,
@@ -248,16 +274,23 @@
     });
   }
 
+  private observeLatency(step: StepEvent, ramping: boolean): void {
+    const {durationMs, running} = step;
+    this.concurrency = ramping
+      ? learnLatency(this.concurrency, durationMs)
+      : observeLatency(this.concurrency, this.options.warmup, {
+          latencyMs: durationMs,
+          outstanding: running,
+        });
+  }
+
   private observe(step: StepEvent): void {
     const {now} = this.events;
     const {warmup} = this.options;
-    if (!step.prefilled)
-      this.concurrency = observeLatency(this.concurrency, warmup, {
-        latencyMs: step.durationMs,
-        outstanding: step.running,
-      });
+    const ramping = !rampComplete(this.ramp, warmup);
+    if (!step.prefilled) this.observeLatency(step, ramping);
     if (++this.steps % RAMP_SAMPLE_STEPS !== 0) return;
-    if (!rampComplete(this.ramp, warmup)) {
+    if (ramping) {
       this.ramp = rampServed(this.ramp, warmup, {
         nowMs: now,
         startedAtMs: now - step.durationMs * RAMP_SAMPLE_STEPS,
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -2,7 +2,10 @@
 
 import type {Measure} from './measure';
 import {balance} from './measures/balance';
+import {bounds} from './measures/bounds';
 import {coldStart} from './measures/coldStart';
+import {controlCost} from './measures/controlCost';
+import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
@@ -16,4 +19,7 @@
   fairness,
   coldStart,
   balance,
+  entryOverhead,
+  controlCost,
+  bounds,
 ];
--- a/src/agent/dispatchHandler.ts
+++ b/src/agent/dispatchHandler.ts
@@ -2,9 +2,12 @@
 
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {z} from 'zod';
+import {headerJson} from '../core/headerJson';
+import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import {DISPATCH_HEADER, Dispatch, REPORT_HEADER} from '../core/wire';
 import {sendJson} from '../core/sendJson';
+import {PROTOCOL_HEADER} from '../rpc/peerServer';
 import type {AgentCore} from './agentCore';
 import {serveDispatch} from './serveDispatch';
 
@@ -32,10 +35,8 @@
 ): (req: IncomingMessage, res: ServerResponse) => void {
   return (req, res) => {
     handle(core, req, res).catch((err: unknown) => {
-      if (err instanceof RefusalError)
-        return answerRefusal(core, res, err.refusal);
       core.logger.error({err: String(err)}, 'dispatch failed');
-      return res.destroy();
+      res.destroy();
     });
   };
 }
@@ -45,10 +46,34 @@
   req: IncomingMessage,
   res: ServerResponse
 ): Promise<void> {
-  await serveDispatch(core, parseDispatch(core, req), req, res);
+  let requestId: string | undefined;
+  try {
+    const dispatch = parseDispatch(core, req);
+    requestId = dispatch.requestId;
+    await serveDispatch(core, dispatch, req, res);
+  } catch (err) {
+    if (!(err instanceof RefusalError)) throw err;
+    core.logger.info({requestId, refusal: err.refusal}, 'refused');
+    answerRefusal(core, res, err.refusal);
+  }
+}
+
+/** Fields may mean something else in another version: nothing is guessed. */
+function assertVersion(core: AgentCore, req: IncomingMessage): void {
+  const theirs = String(req.headers[PROTOCOL_HEADER]);
+  if (theirs === PROTOCOL_VERSION) return;
+  core.metrics.count('peer.rejected', {reason: 'version'});
+  core.logger.warn({theirs}, 'dispatch in another protocol version');
+  throw refuse(
+    'peer-version',
+    'gate',
+    core.targetId,
+    `version ${theirs}, here ${PROTOCOL_VERSION}`
+  );
 }
 
 function parseDispatch(core: AgentCore, req: IncomingMessage): Dispatch {
+  assertVersion(core, req);
   const header = req.headers[DISPATCH_HEADER];
   try {
     return dispatchSchema.parse(JSON.parse(String(header)));
@@ -74,6 +99,6 @@
     res.destroy();
     return;
   }
-  const report = JSON.stringify({...core.report(0), refusal});
+  const report = headerJson({...core.report(0), refusal});
   sendJson(res, HTTP_UNAVAILABLE, {refusal}, {[REPORT_HEADER]: report});
 }
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -2,6 +2,7 @@
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
 import type {RecordedAnswer} from '../core/claims';
+import {headerJson} from '../core/headerJson';
 import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
 import {refuse} from '../core/refusal';
 import {
@@ -32,7 +33,10 @@
 ): Promise<void> {
   core.sawRevision(dispatch.revision);
   const gone = new AbortController();
-  res.on('close', () => gone.abort());
+  // An abort is costly, and after a whole answer it has nothing to end.
+  res.on('close', () => {
+    if (!res.writableFinished) gone.abort();
+  });
   const slot = await core.gate.enter(dispatch, gone.signal);
   const claimId =
     dispatch.claim &&
@@ -95,6 +99,7 @@
 
   async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const answer = await this.send(req);
+    if (this.gone.aborted) return this.answeredNobody(answer);
     res.writeHead(
       answer.statusCode ?? 502,
       answer.statusMessage,
@@ -164,7 +169,7 @@
   }
 
   private answerHeaders(answer: IncomingMessage): string[] {
-    const report = JSON.stringify(this.core.report(this.slot.queuedMs));
+    const report = headerJson(this.core.report(this.slot.queuedMs));
     return withHeaders(endToEndHeaders(answer.rawHeaders), {
       [REPORT_HEADER]: report,
     });
@@ -207,6 +212,16 @@
     this.slot.release();
   }
 
+  /**
+   * The caller went away while the target worked. Its connection tells so only
+   * once, before this: relaying to it would wait for ever, keep the slot and
+   * leave the claim running, so that no resend could get the answer.
+   */
+  private answeredNobody(answer: IncomingMessage): Promise<void> {
+    answer.on('data', (chunk: Buffer) => this.record(chunk));
+    return this.abandoned(answer);
+  }
+
   /** The caller went away while the answer was coming. */
   private async abandoned(answer: IncomingMessage): Promise<void> {
     if (answer.complete && answer.readableEnded) return this.completed(answer);
--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -27,6 +27,8 @@
       readonly command: Command;
     }
   | {readonly kind: 'readBarrier'; readonly ticket: number}
+  /** This instance is about to stop. */
+  | {readonly kind: 'resign'}
   /** The state machine's snapshot right after applying `index`. */
   | {
       readonly kind: 'snapshotTaken';
@@ -87,12 +89,15 @@
   readonly resendMs: number;
 }
 
-/** Defaults: a new leader stands within about a second. */
+/**
+ * Defaults: a new leader stands within about a second. Three heartbeats fit
+ * into the shortest election timeout, so one late one unseats nobody.
+ */
 export const DEFAULT_TIMING: LogTiming = {
-  heartbeatMs: 100,
-  electionMinMs: 500,
-  electionMaxMs: 1000,
-  checkQuorumMs: 1000,
+  heartbeatMs: 200,
+  electionMinMs: 600,
+  electionMaxMs: 1200,
+  checkQuorumMs: 1200,
   resendMs: 500,
 };
 
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -6,13 +6,15 @@
 const INDEX = z.number().int().nonnegative();
 const ID = z.string().min(1);
 
+const COMMAND_SHAPE = z.looseObject({kind: ID});
+
 /**
  * A command was validated where it was proposed, and every copy must stay
  * equal to the leader's, so no more than its shape is looked at here: a list
  * of kinds would stop replication as soon as it lacked a new one.
  */
 const COMMAND = z.custom<Command>(
-  value => z.looseObject({kind: ID}).safeParse(value).success
+  value => COMMAND_SHAPE.safeParse(value).success
 );
 
 const CONFIGURATION = z.strictObject({
@@ -63,6 +65,8 @@
   }),
   z.strictObject({kind: z.literal('preVote'), ...VOTE_FIELDS}),
   z.strictObject({kind: z.literal('vote'), ...VOTE_FIELDS}),
+  /** The leader goes; whoever is ready may stand at once. */
+  z.strictObject({kind: z.literal('resign'), ...ADDRESS}),
   z.strictObject({
     kind: z.literal('append'),
     ...LEADER_FIELDS,
@@ -88,6 +92,13 @@
   z.strictObject({kind: z.literal('readIndex'), from: ID}),
 ]);
 
+/**
+ * Whose request is answered. The answerer's own term may have risen since: an
+ * answer to an earlier leadership of the asker, or to what was wiped there,
+ * would else pass for one to the present.
+ */
+const ASKED = {asker: ID, askedTerm: INDEX};
+
 /** Answers between instances. */
 export const PEER_REPLY = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -100,15 +111,15 @@
   z.strictObject({
     kind: z.literal('vote'),
     incarnation: ID,
+    ...ASKED,
     preVote: z.boolean(),
-    /** Term that was asked for. */
-    askedTerm: INDEX,
     term: INDEX,
     granted: z.boolean(),
   }),
   z.strictObject({
     kind: z.literal('progress'),
     incarnation: ID,
+    ...ASKED,
     term: INDEX,
     ok: z.boolean(),
     /** When ok: synced here and equal to the leader's up to this index. */
@@ -128,6 +139,7 @@
     addressed: ID,
     group: ID.optional(),
   }),
+  z.strictObject({kind: z.literal('resign'), incarnation: ID}),
   z.strictObject({kind: z.literal('readIndex'), index: INDEX}),
   z.strictObject({
     kind: z.literal('notLeader'),
--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -4,16 +4,26 @@
  */
 
 import {isNewer, keepLeaving} from '../core/announcements';
-import type {Announcement, PollRequest} from '../core/wire';
+import type {
+  Announcement,
+  PollRequest,
+  UnchangedAnnouncement,
+} from '../core/wire';
+import {mustTell} from './announcedChange';
 
 /** Silence after which a target or process is no longer listed. */
 export const MEMBER_TTL_MS = 3_000;
+/** Least time between two looks for what fell silent. */
+const EXPIRY_PERIOD_MS = 100;
 /** How long a removed boot is remembered, against late announcements. */
 const TOMBSTONE_TTL_MS = 60_000;
 
 interface Heard {
   readonly announcement: Announcement;
   readonly heardAtMs: number;
+  /** As entries are told; every entry at this version holds exactly this. */
+  readonly told: Announcement;
+  readonly toldAtMs: number;
   readonly version: number;
 }
 
@@ -49,8 +59,10 @@
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly processes = new Map<string, HeardProcess>();
   private version = 0;
+  private expiredAtMs = -Infinity;
 
-  heard(request: PollRequest, nowMs: number): void {
+  /** Returns whether it holds what the request called unchanged. */
+  heard(request: PollRequest, nowMs: number): boolean {
     const {
       processId,
       role,
@@ -70,10 +82,31 @@
     });
     if (request.announcement !== undefined)
       this.announce(request.announcement, nowMs);
+    const {unchanged} = request;
+    return unchanged === undefined || this.repeat(unchanged, nowMs);
   }
 
-  /** Drops what fell silent. */
+  /**
+   * The same as announcing it again. One that was dropped for silence has to
+   * come whole: what is held of it may be older than the drop.
+   */
+  private repeat(
+    {targetId, agentBootId, seq}: UnchangedAnnouncement,
+    nowMs: number
+  ): boolean {
+    const known = this.targets.get(targetId)?.announcement;
+    if (known?.agentBootId !== agentBootId) return false;
+    this.announce({...known, seq}, nowMs);
+    return true;
+  }
+
+  /**
+   * Drops what fell silent. Called at each poll, but looked at all members each
+   * time it would cost the square of their number.
+   */
   expire(nowMs: number): void {
+    if (nowMs - this.expiredAtMs < EXPIRY_PERIOD_MS) return;
+    this.expiredAtMs = nowMs;
     for (const [id, {heardAtMs, announcement}] of this.targets) {
       if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
       this.targets.delete(id);
@@ -95,16 +128,19 @@
 
   /** Changes after `since`; everything when `since` is undefined. */
   changesSince(since: number | undefined): MemberChanges {
+    const {version} = this;
+    if (since === version)
+      return {version, full: false, changed: [], removed: []};
     const from = since ?? -1;
     const changed = [...this.targets.values()]
       .filter(heard => heard.version > from)
-      .map(heard => heard.announcement);
+      .map(heard => heard.told);
     const removed = [...this.tombstones]
       .filter(
         ([id, tombstone]) => tombstone.version > from && !this.targets.has(id)
       )
       .map(([id]) => id);
-    return {version: this.version, full: since === undefined, changed, removed};
+    return {version, full: since === undefined, changed, removed};
   }
 
   listTargets(): readonly Announcement[] {
@@ -117,17 +153,23 @@
 
   private announce(announcement: Announcement, nowMs: number): void {
     const {targetId} = announcement;
-    const known = this.targets.get(targetId)?.announcement;
+    const heard = this.targets.get(targetId);
+    const known = heard?.announcement;
     if (known !== undefined && !isNewer(announcement, known)) return;
     const tombstone = this.tombstones.get(targetId);
     if (tombstone !== undefined && isBuried(announcement, tombstone)) return;
     this.tombstones.delete(targetId);
     const merged =
       known === undefined ? announcement : keepLeaving(known, announcement);
+    const isOld =
+      heard !== undefined &&
+      !mustTell(heard.told, merged, nowMs - heard.toldAtMs);
     this.targets.set(targetId, {
       announcement: merged,
       heardAtMs: nowMs,
-      version: ++this.version,
+      told: isOld ? heard.told : merged,
+      toldAtMs: isOld ? heard.toldAtMs : nowMs,
+      version: isOld ? heard.version : ++this.version,
     });
   }
 }
