--- a/bench/measures/expertRun.ts
+++ b/bench/measures/expertRun.ts
@@ -102,6 +102,10 @@
 function policiesOf(setup: PolicySetup): readonly PlacementPolicy[] {
   return [
     new IncrementalPolicy('ours', setup),
+    new IncrementalPolicy('evenSplit', {
+      ...setup,
+      cfg: {...setup.cfg, splitting: 'even'},
+    }),
     new StaticPolicy('static', setup),
     new ScratchPolicy('scratchEvery10s', setup, 10_000, 'even'),
     new ScratchPolicy('scratchEvery60s', setup, 60_000, 'even'),
--- a/src/policy/placementSplit.ts
+++ b/src/policy/placementSplit.ts
@@ -27,17 +27,25 @@
   readonly sizes: readonly number[];
 }
 
+/** Whether engines take shares; those that do not split evenly. */
+export type Splitting = 'weighted' | 'even';
+
 /** Slots, loads and split of one group while a plan is searched. */
 export class SplitState {
   private constructor(
     readonly popularity: readonly number[],
     private readonly slots: number[][],
     private readonly replicas: Replica[][],
-    readonly loads: number[]
+    readonly loads: number[],
+    private readonly splitting: Splitting
   ) {}
 
   /** Starts from a map; loads are scaled so that their mean is 1. */
-  static of(map: ExpertMap, popularity: Popularity): SplitState {
+  static of(
+    map: ExpertMap,
+    popularity: Popularity,
+    splitting: Splitting
+  ): SplitState {
     const scaled = scaledToMeanRank(popularity, map.slots.length);
     const replicas: Replica[][] = scaled.map(() => []);
     const loads = map.slots.map(() => 0);
@@ -50,7 +58,7 @@
       })
     );
     const slots = map.slots.map(list => [...list]);
-    return new SplitState(scaled, slots, replicas, loads);
+    return new SplitState(scaled, slots, replicas, loads, splitting);
   }
 
   clone(): SplitState {
@@ -58,7 +66,8 @@
       this.popularity,
       this.slots.map(list => [...list]),
       this.replicas.map(list => list.map(replica => ({...replica}))),
-      [...this.loads]
+      [...this.loads],
+      this.splitting
     );
   }
 
@@ -127,6 +136,7 @@
    * by rank, the number of such ranks and itself.
    */
   levelGroups(): LevelGroups {
+    if (this.splitting === 'even') return ungrouped(this.loads.length);
     const parent = this.loads.map((_, rank) => rank);
     const rootOf = (rank: number): number => {
       let root = rank;
@@ -172,7 +182,10 @@
     const level = waterLevel(base, total);
     let moved = 0;
     list.forEach((replica, index) => {
-      const amount = Math.max(0, level - (base[index] ?? 0));
+      const amount =
+        this.splitting === 'even'
+          ? total / list.length
+          : Math.max(0, level - (base[index] ?? 0));
       moved += Math.abs(amount - replica.amount);
       this.addLoad(replica.rank, amount - replica.amount);
       replica.amount = amount;
@@ -181,6 +194,12 @@
   }
 }
 
+/** With an even split no load passes between ranks. */
+function ungrouped(ranks: number): LevelGroups {
+  const groupOf = Array.from({length: ranks}, (_, rank) => rank);
+  return {groupOf, sizes: groupOf.map(() => 1)};
+}
+
 /** The level to which `total` fills vessels that start at `base`. */
 export function waterLevel(base: readonly number[], total: number): number {
   const sorted = [...base].sort((a, b) => a - b);
@@ -200,9 +219,10 @@
 /** The same slots with the best split for a popularity. */
 export function withBestShares(
   map: ExpertMap,
-  popularity: Popularity
+  popularity: Popularity,
+  splitting: Splitting = 'weighted'
 ): ExpertMap {
-  const state = SplitState.of(map, popularity);
+  const state = SplitState.of(map, popularity, splitting);
   state.relax(FULL_SWEEPS);
   return state.toMap();
 }
--- a/src/policy/rebalance.ts
+++ b/src/policy/rebalance.ts
@@ -5,7 +5,7 @@
 
 import type {ExpertMap} from '../core/mapMessages';
 import type {Popularity, SlotChange} from './placement';
-import type {LevelGroups} from './placementSplit';
+import type {LevelGroups, Splitting} from './placementSplit';
 import {FULL_SWEEPS, SplitState, waterLevel} from './placementSplit';
 
 /** Limits of one plan. */
@@ -57,9 +57,10 @@
 export function planRebalance(
   current: ExpertMap,
   popularity: Popularity,
-  limits: RebalanceLimits
+  limits: RebalanceLimits,
+  splitting: Splitting = 'weighted'
 ): RebalancePlan {
-  const start = SplitState.of(current, popularity);
+  const start = SplitState.of(current, popularity, splitting);
   const skewNow = start.softSkew();
   start.relax(FULL_SWEEPS);
   const skewSplit = start.softSkew();
@@ -81,9 +82,10 @@
 export function withChanges(
   map: ExpertMap,
   changes: readonly SlotChange[],
-  popularity: Popularity
+  popularity: Popularity,
+  splitting: Splitting = 'weighted'
 ): ExpertMap {
-  const state = SplitState.of(map, popularity);
+  const state = SplitState.of(map, popularity, splitting);
   changes.forEach(change => state.change(change));
   state.relax(FULL_SWEEPS);
   return state.toMap();
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -9,10 +9,12 @@
 import {mapSkew} from './placement';
 import type {Move} from './rebalance';
 import {planRebalance} from './rebalance';
+import type {Splitting} from './placementSplit';
 import {withBestShares} from './placementSplit';
 
 /** Costs and thresholds of one group. */
 export interface RebalanceConfig {
+  readonly splitting: Splitting;
   /** Bytes of one expert of one layer. */
   readonly expertBytes: number;
   /** Bytes a second that the weight store grants the group. */
@@ -40,6 +42,7 @@
 
 /** Defaults for one layer of a group; docs/DESIGN.md has the measurements. */
 export const REBALANCE_DEFAULTS: RebalanceConfig = {
+  splitting: 'weighted',
   expertBytes: 44_000_000,
   storeBytesPerSecond: 40_000_000,
   maxLoadsPerRank: 1,
@@ -73,7 +76,7 @@
   current: ExpertMap,
   popularity: Popularity
 ): ExpertMap | undefined {
-  const best = withBestShares(current, popularity);
+  const best = withBestShares(current, popularity, cfg.splitting);
   const gain = mapSkew(current, popularity) - mapSkew(best, popularity);
   if (gain < cfg.minSplitGain) return undefined;
   if (gain * cfg.splitHorizonMs <= cfg.switchPauseMs) return undefined;
@@ -89,12 +92,13 @@
   expected: ExpertMap,
   popularity: Popularity
 ): readonly Move[] {
-  const plan = planRebalance(expected, popularity, {
+  const limits = {
     maxLoads: cfg.maxLoads,
     maxCompoundLoads: cfg.maxCompoundLoads,
     maxLoadsPerRank: cfg.maxLoadsPerRank,
     minGainPerLoad: minGainPerLoad(cfg),
-  });
+  };
+  const plan = planRebalance(expected, popularity, limits, cfg.splitting);
   const gain = plan.skewSplit - plan.skewAfter;
   // The threshold stands above the noise of the estimate: without it, slots
   // would follow the noise to and fro and never earn back the bytes moved.
--- a/src/policy/rebalancePlanner.ts
+++ b/src/policy/rebalancePlanner.ts
@@ -81,7 +81,7 @@
     if (ready.length === 0) return decideSplit(this.cfg, current, popularity);
     this.staging = this.staging.filter(item => item.missing.length > 0);
     const changes = ready.flatMap(item => item.changes);
-    return withChanges(current, changes, popularity);
+    return withChanges(current, changes, popularity, this.cfg.splitting);
   }
 
   /** One batch at a time: the weight store delivers one after the other. */
@@ -95,7 +95,7 @@
     const inForceMs = nowMs + loadMs + cfg.switchLeadMs;
     const popularity = this.estimate.predict(inForceMs);
     const earlier = this.staging.flatMap(item => item.changes);
-    const expected = withChanges(base, earlier, popularity);
+    const expected = withChanges(base, earlier, popularity, cfg.splitting);
     const moves = decideLoads(cfg, expected, popularity);
     if (moves.length === 0) return undefined;
     const loads = moves.flat();
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -5,6 +5,7 @@
   loadsNeeded,
   mapSkew,
   rankLoads,
+  withEvenShares,
 } from '../src/policy/placement';
 import {skewLowerBound} from '../src/policy/placementBound';
 import {
@@ -100,6 +101,17 @@
     );
   });
 
+  it('should plan for engines that split evenly', () => {
+    const even = placeFromScratch(SHAPE, OTHER_ZIPF);
+    const plan = planRebalance(even, ZIPF, LIMITS, 'even');
+    const map = withChanges(even, plan.moves.flat(), ZIPF, 'even');
+    expect(mapSkew(map, ZIPF)).toBeLessThan(mapSkew(even, ZIPF));
+    const {shares} = withEvenShares(map.slots);
+    map.shares.flat().forEach((share, index) => {
+      expect(share).toBeCloseTo(shares.flat()[index] ?? 0);
+    });
+  });
+
   it('should level two ranks through the expert that they share', () => {
     const even = {
       slots: [
