Count use of a boot once after it has gone into the sum

With more than 64 live entries it would have happened all the time. Folded boots are now known by name, and 4,096 are kept apart.

--- a/src/control/state/usageState.ts
+++ b/src/control/state/usageState.ts
@@ -3,29 +3,44 @@
 import type {CustomerUsage} from '../../core/wire';
 import type {UsageCommand} from './command';
 
-/** Boots whose counters are kept apart; older ones are folded into one sum. */
-const MAX_BOOTS = 64;
+/** Boots whose counters are kept apart; silent ones are folded into one sum. */
+const MAX_BOOTS = 4_096;
+/** Folded boots that are still known by name; about a month of restarts. */
+const MAX_FOLDED_BOOTS = 100_000;
 
 /** Use as stored in snapshots. */
 export interface UsageSnapshot {
   readonly folded: readonly CustomerUsage[];
   readonly boots: readonly (readonly [string, readonly CustomerUsage[]])[];
+  readonly foldedBoots?: readonly string[];
 }
 
 /** Adds up counters that each entry boot reports as totals. */
 export class UsageState {
   private folded: readonly CustomerUsage[] = [];
   private boots = new Map<string, readonly CustomerUsage[]>();
+  private foldedBoots = new Set<string>();
 
-  /** Totals replace earlier ones of the same boot, so a resend adds nothing. */
+  /**
+   * Totals replace earlier ones of the same boot, so a resend adds nothing. A
+   * new leader reports again what it has heard from boots long gone: those in
+   * the sum already are passed over, or their customers would be charged twice.
+   */
   apply(command: UsageCommand): void {
+    if (this.foldedBoots.has(command.entryBootId)) return;
     this.boots.delete(command.entryBootId);
     this.boots.set(command.entryBootId, command.totals);
     if (this.boots.size <= MAX_BOOTS) return;
-    for (const [bootId, totals] of this.boots) {
-      this.folded = sumUsage([...this.folded, ...totals]);
-      this.boots.delete(bootId);
-      return;
+    for (const [bootId, totals] of this.boots) return this.fold(bootId, totals);
+  }
+
+  private fold(bootId: string, totals: readonly CustomerUsage[]): void {
+    this.folded = sumUsage([...this.folded, ...totals]);
+    this.boots.delete(bootId);
+    this.foldedBoots.add(bootId);
+    for (const oldest of this.foldedBoots) {
+      if (this.foldedBoots.size <= MAX_FOLDED_BOOTS) return;
+      this.foldedBoots.delete(oldest);
     }
   }
 
@@ -34,12 +49,17 @@
   }
 
   snapshot(): UsageSnapshot {
-    return {folded: this.folded, boots: [...this.boots]};
+    return {
+      folded: this.folded,
+      boots: [...this.boots],
+      foldedBoots: [...this.foldedBoots],
+    };
   }
 
   restore(snapshot: UsageSnapshot): void {
     this.folded = snapshot.folded;
     this.boots = new Map(snapshot.boots);
+    this.foldedBoots = new Set(snapshot.foldedBoots);
   }
 }
 
