--- a/bench/capacity/measured.ts
+++ b/bench/capacity/measured.ts
@@ -15,6 +15,7 @@
 const MEASURED = z.object({
   entryOverhead: RESULT,
   controlCost: RESULT,
+  bounds: RESULT,
 });
 
 /** What `npm run bench -- --json` printed. */
--- a/bench/capacity/page.ts
+++ b/bench/capacity/page.ts
@@ -31,7 +31,8 @@
 
 function tables(measured: Measured): string {
   const roles = roleTables(measured).map(roleTable);
-  return [...roles, slopeTable(measured)].join('\n');
+  const costs = [overheadTable(measured), boundsTable(measured)];
+  return [...roles, ...costs, slopeTable(measured)].join('\n');
 }
 
 function roleTable({role, rows}: RoleTable): string {
@@ -48,6 +49,30 @@
   );
 }
 
+/** What a call costs, ours beside the bare proxy. */
+function overheadTable({entryOverhead}: Measured): string {
+  const bare = entryOverhead.baselines['bareProxy'] ?? {};
+  const rows = Object.entries(entryOverhead.ours).map(([name, value]) => {
+    const other = bare[name];
+    return [name, round(value), other === undefined ? '-' : round(other)];
+  });
+  return table('### Calls', ['Figure', 'Ours', 'Bare proxy'], rows);
+}
+
+/** Times against their marks. */
+function boundsTable({bounds}: Measured): string {
+  const marks = bounds.baselines['mark'] ?? {};
+  const rows = Object.entries(bounds.ours).map(([name, value]) => {
+    const mark = marks[name];
+    return [name, round(value), mark === undefined ? '-' : round(mark)];
+  });
+  return table(
+    "### Times at today's sizes",
+    ['Figure', 'Measured', 'Mark'],
+    rows
+  );
+}
+
 function slopeTable(measured: Measured): string {
   const sizes = sizesOf(measured);
   const rows = STATES.flatMap(state =>
--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -193,7 +193,7 @@
         what: `${role}: ${what}`,
         today: show(value(TODAY.agents)),
         planned: `${show(value(PLANNED.agents))} in one log, ${show(value(regional))} in a region's (R² ${fit(role, quantity)})`,
-        mechanism: `would: log and membership sharded by region, ${REGIONS} x ${CONTROLS_PER_REGION} instances; entries counted as agents`,
+        mechanism: `would: log and membership sharded by region, ${REGIONS} x ${CONTROLS_PER_REGION} instances, and relays in each zone that poll for its processes; entries counted as agents`,
         carried: value(PLANNED.agents) <= most && quantity !== 'bytesPerS',
       };
     })
