--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -8,7 +8,8 @@
 import {freePorts} from './freePorts';
 import type {DeploymentShape, PoolShape} from './shape';
 
-const SECRET = 'a shared secret for one machine';
+/** The shared key of all processes. */
+export const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
 const STARTED_AT_ONCE = 4;
 
@@ -173,12 +174,27 @@
   }
 
   private async startPool(shape: PoolShape): Promise<void> {
+    const ports = await this.startRanks(shape);
     const pairs = Array.from({length: shape.count}, (_, i) =>
-      this.startTarget(shape, i)
+      this.startTarget(shape, i, ports?.[i])
     );
     await Promise.all(pairs);
   }
 
+  /** All ranks of a group step together, so one fake holds them all. */
+  private async startRanks({
+    pool,
+    group,
+    count,
+    fakeArgs,
+  }: PoolShape): Promise<readonly number[] | undefined> {
+    if (group === undefined) return undefined;
+    const ranks = ['--group', group, '--ranks', String(count), '--needs-map'];
+    const args = [this.programs.fakes, 'engine', ...ranks, ...fakeArgs];
+    const child = await this.startChild(`fake-${pool}`, args);
+    return child.hello.ports;
+  }
+
   /** Adds targets to a pool until it has `count`, a few at a time. */
   async growPool(shape: PoolShape, count: number): Promise<void> {
     const held = this.targets.filter(({pool}) => pool === shape.pool).length;
@@ -191,14 +207,20 @@
     }
   }
 
-  private async startTarget(shape: PoolShape, index: number): Promise<void> {
+  private async startTarget(
+    shape: PoolShape,
+    index: number,
+    rankPort?: number
+  ): Promise<void> {
     const {pool, kind} = shape;
     const targetId = `${pool}-${index}`;
     const known = shape.sharedFake
       ? this.targets.find(target => target.pool === pool)
       : undefined;
     const fakePort =
-      known?.fakePort ?? (await this.startFake(shape, `fake-${targetId}`));
+      rankPort ??
+      known?.fakePort ??
+      (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
     const file = this.write(id, [
       ...this.processLines(id, index),
@@ -241,6 +263,7 @@
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
+      ...(this.shape.callersLines ?? []),
     ]);
     await this.startRole('entry', id, file);
   }
--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -14,9 +14,13 @@
 import {AgentCore} from './agentCore';
 import {dispatchHandler} from './dispatchHandler';
 import {fenceClaim} from './fenceClaim';
-import {watchTarget} from './targetWatcher';
+import {RankRole} from './maps/rankRole';
+import {TO_RANK} from './maps/toRankSchema';
+import {lookAtTarget, watchTarget} from './targetWatcher';
 
 const DRAIN_CHECK_MS = 50;
+/** Time in which every entry hears of the leaving: some polls of control. */
+const LEAVE_NOTICE_MS = 1_000;
 
 /** A running agent. */
 export class AgentProcess {
@@ -57,9 +61,22 @@
     });
     core.port = await server.listen();
     const traffic = new PeerTraffic();
-    const sync = createSync(settings, core, logger, metrics, traffic);
+    const peerAgent = createPeerAgent(internal.key, process.id);
+    const instances = settings.control.instances.map(
+      address => new PeerClient(address, peerAgent, traffic)
+    );
+    const sync = createSync(settings, instances, core, logger, metrics);
     core.attach(sync);
-    const subscription = watchTarget(core);
+    const rankRole = new RankRole(core, instances, () => lookAtTarget(core));
+    server.addMethod(METHODS.map, {
+      params: TO_RANK,
+      handle: message => {
+        rankRole.receive(message);
+        return {};
+      },
+    });
+    const subscription = watchTarget(core, seen => rankRole.observed(seen));
+    subscription.add(() => rankRole.stop());
     subscription.add(traffic.report(metrics));
     subscription.add(recheckOnNewRules(core, sync));
     sync.start();
@@ -72,14 +89,19 @@
 
   /**
    * Lets the work in hand finish, up to the drain time, and takes none that is
-   * new. The leaving state is told at once, but the gate alone is enough: an
-   * entry that has not heard of it is refused and goes elsewhere.
+   * new. An entry that has not heard of the leaving yet is refused and goes
+   * elsewhere. For that the port stays open a little even without work: a
+   * dispatch on a connection that closes has an unknown outcome.
    */
   async drain(): Promise<void> {
     this.core.leave();
+    const leftAtMs = performance.now();
     await this.sync.announceNow();
-    const deadlineAt = performance.now() + this.core.target.drainMs;
-    while (this.core.gate.outstanding > 0 && performance.now() < deadlineAt) {
+    const heardAtMs = leftAtMs + LEAVE_NOTICE_MS;
+    const deadlineAt = Math.max(heardAtMs, leftAtMs + this.core.target.drainMs);
+    const isBusy = () =>
+      this.core.gate.outstanding > 0 || performance.now() < heardAtMs;
+    while (isBusy() && performance.now() < deadlineAt) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
     }
     await this.stop();
@@ -95,21 +117,18 @@
 }
 
 function createSync(
-  {process, internal, control}: AgentSettings,
+  {process, control}: AgentSettings,
+  instances: readonly PeerClient[],
   core: AgentCore,
   logger: Logger,
-  metrics: Metrics,
-  traffic: PeerTraffic
+  metrics: Metrics
 ): ControlSync {
-  const agent = createPeerAgent(internal.key, process.id);
   return new ControlSync({
     processId: process.id,
     role: 'agent',
     bootId: randomUUID(),
     availabilityZone: process.availabilityZone,
-    instances: control.instances.map(
-      address => new PeerClient(address, agent, traffic)
-    ),
+    instances,
     pollMs: control.pollMs,
     proofMs: control.proofMs,
     report: () => ({announcement: core.announcement()}),
