--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -1,8 +1,9 @@
 /** Commands in the replicated log, and their results. */
 
-import type {ClaimResult, Settlement} from '../../core/claims';
+import type {ClaimResult} from '../../core/claims';
 import type {SubmitResult} from '../../core/operatorAnswers';
 import type {CustomerUsage} from '../../core/wire';
+import type {ClaimRequest, SettleRequest} from '../../rpc/messages';
 
 /** Submits a rule file under its own revision number. */
 export interface SubmitCommand {
@@ -15,28 +16,15 @@
 }
 
 /** Claims a key for one dispatch to one boot of one agent. */
-export interface ClaimCommand {
+export interface ClaimCommand extends ClaimRequest {
   readonly kind: 'claim';
-  readonly customer: string;
-  readonly key: string;
-  /** SHA-256 over method, path and body, hex. */
-  readonly digest: string;
-  readonly entryId: string;
-  /** A claim resent under the same request id is the same claim. */
-  readonly requestId: string;
-  readonly targetId: string;
-  readonly agentBootId: string;
   /** Wall-clock time at the leader, for retention only. */
   readonly atMs: number;
 }
 
 /** Records the end of one attempt under a key. */
-export interface SettleCommand {
+export interface SettleCommand extends SettleRequest {
   readonly kind: 'settle';
-  readonly customer: string;
-  readonly key: string;
-  readonly attempt: number;
-  readonly settlement: Settlement;
 }
 
 /** Starts a new epoch of orders to one group of ranks; the result fences. */
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -89,8 +89,10 @@
 export interface ClaimRequest {
   readonly customer: string;
   readonly key: string;
+  /** SHA-256 over method, path and body, hex. */
   readonly digest: string;
   readonly entryId: string;
+  /** A claim resent under the same request id is the same claim. */
   readonly requestId: string;
   readonly targetId: string;
   readonly agentBootId: string;
