--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -19,6 +19,7 @@
   rampCold,
   rampComplete,
   rampLimit,
+  rampRuleChanged,
   rampServed,
   type RampState,
   type WarmupLimits,
@@ -133,7 +134,9 @@
     this.queue = this.freshQueue();
     this.concurrency = freshConcurrency(options.warmup);
     const ramp = freshRamp(events.now);
-    this.ramp = warm ? {...ramp, level: options.warmup.full} : ramp;
+    this.ramp = warm
+      ? {...ramp, level: options.warmup.full, complete: true}
+      : ramp;
     engine.onStep = step => this.observe(step);
     engine.onFall = () => {
       this.takeForCold();
@@ -162,6 +165,11 @@
 
   /** A changed warm-up rule. */
   configure(warmup: WarmupLimits): void {
+    this.ramp = rampRuleChanged(
+      this.ramp,
+      this.options.warmup,
+      this.events.now
+    );
     this.options = {...this.options, warmup};
   }
 
