Test an entry and agents frozen while their zone goes out

Cause: only a frozen control instance was shown; an entry or agent that wakes reads calls from before the freeze first. Ruled out: a fault here, the proof's age is taken from a clock that goes on during the freeze.

--- a/tests/processes/control.spec.ts
+++ b/tests/processes/control.spec.ts
@@ -138,6 +138,40 @@
     expect(await system.submit()).toMatchObject({kind: 'accepted'});
     await system.inForce();
   }, 60_000);
+
+  // An entry and the agents of a zone are frozen with calls on their sockets,
+  // and the zone goes out meanwhile. Woken, the first thing they read is a
+  // call from before, and what they hold says that the zone is in service.
+  it('should start nothing in a zone that went out while they were frozen', async () => {
+    await system.submit();
+    await system.inForce();
+    await eventually('zone-b serves', async () => {
+      const {status, target} = await chat(system.port(0), 'b', 1, false);
+      return status === 200 && zoneOf(target) === 'zone-b';
+    });
+    const inZone = system.deployment.targets.filter(
+      one => one.pool === 'planner' && one.availabilityZone === 'zone-b'
+    );
+    const names = ['entry-0', ...inZone.map(one => `agent-${one.targetId}`)];
+    const frozen = names.map(name => system.deployment.child(name).process);
+    for (const process of frozen) process.kill('SIGSTOP');
+    const calls = Array.from({length: 8}, (_, i) =>
+      chat(system.port(i % 2), `frozen ${i}`, 2, false)
+    );
+    await system.submit({zonesOut: ['zone-b']});
+    await eventually('control no longer hears of them', async () => {
+      const {processes} = await system.status();
+      return !processes.some(one => names.includes(one.processId));
+    });
+    const before = await runsAt(inZone.map(one => one.fakePort));
+    for (const process of frozen) process.kill('SIGCONT');
+    for (const {status, target, outcome} of await Promise.all(calls)) {
+      if (status === 200) expect(zoneOf(target)).toBe('zone-a');
+      else expect(outcome).toBe('not run');
+    }
+    expect(await runsAt(inZone.map(one => one.fakePort))).toBe(before);
+    await system.inForce();
+  }, 45_000);
 });
 
 describe('operators who race', () => {
@@ -210,3 +244,13 @@
   const res = await fetch(url);
   return ((await res.json()) as {readonly freshness: string}).freshness;
 }
+
+/** Requests that these engines have run, all together. */
+async function runsAt(ports: readonly number[]): Promise<number> {
+  const states = await Promise.all(
+    ports.map(port => system.fake(port, 'state'))
+  );
+  return states
+    .flatMap(state => Object.values(state['runsByRequest'] as object))
+    .reduce((sum: number, runs: number) => sum + runs, 0);
+}
