--- a/tests/processes/partition.spec.ts
+++ b/tests/processes/partition.spec.ts
@@ -89,6 +89,7 @@
     const served = await assign(system.port(1), key, 5);
     expect(served.status).toBe(201);
     await healed();
+    // Even while the entry knows no service yet: the record of the key speaks.
     const again = await assign(system.port(0), key, 5);
     expect([again.status, again.body]).toEqual([201, served.body]);
     expect(await system.ledgerRuns(key)).toBe(1);
