Report use every five seconds in place of with every poll

A row a customer went to each instance twice a second: worked out from the text of a row, 10 customers made more than the 6 KB/s that a node may spend. An entry that leaves tells its use at once, after its last call. The leader logs use every 5 s, so a lost entry loses at most the calls of about 5 s more from the bills than before.

--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -32,6 +32,8 @@
 
 const SECONDS_PER_DAY = 86_400;
 const US_PER_S = 1e6;
+/** See `ControlSync`. */
+const USAGE_PERIOD_S = 5;
 
 /**
  * Below this fit the slope of an entry or agent is noise, and the mean stands
@@ -243,16 +245,23 @@
       carried: false,
     },
     {
-      what: 'use for charging',
-      today: `${TODAY.customers} rows with each poll`,
-      planned: `${PLANNED.customers} rows with each poll, not measured`,
+      what: 'use for charging, from each entry',
+      today: `${round(useBytes(TODAY))} bytes/s`,
+      planned: `${round(useBytes(PLANNED))} bytes/s with all customers at each entry`,
       mechanism:
-        'totals by entry boot; would: changed rows only, to the leader only',
-      carried: false,
+        'totals every 5 s to each instance; would: changed rows only, to the leader only',
+      carried: useBytes(PLANNED) <= LIMITS.bytesPerS,
     },
   ];
 }
 
+/** One row a customer, by the text that is sent. */
+function useBytes({customers}: Size): number {
+  const row = {customer: 'customer-100', requests: 1e6, tokens: 1e9};
+  const rowBytes = JSON.stringify({...row, queueMs: 1e6}).length;
+  return (customers * rowBytes * CONTROLS_PER_REGION) / USAGE_PERIOD_S;
+}
+
 /** All roles of the page. */
 export function roleTables(measured: Measured): readonly RoleTable[] {
   return [
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -86,6 +86,8 @@
   /** Every request in hand gets its whole answer; see CallerServer.drain. */
   async drain(): Promise<void> {
     await this.server.drain();
+    // The last calls are charged for as well.
+    await this.sync.announceNow();
     await this.stop();
   }
 
--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -32,6 +32,9 @@
 import {LeaderCalls} from './leaderCalls';
 import {TargetDirectory} from './targetDirectory';
 
+/** As often as a leader logs use; totals, so that a lost report does no harm. */
+const USAGE_PERIOD_MS = 5_000;
+
 /** What the process tells of itself; evaluated at each poll. */
 export interface SelfReport {
   readonly announcement?: Announcement;
@@ -67,6 +70,7 @@
   private readonly proof: FreshnessProof;
   private readonly announced: ReadonlyMap<string, AnnouncedTo>;
   private subscription: Subscription | undefined;
+  private readonly usageSentAtMs = new Map<string, number>();
   private wasProven = false;
   private takesDiff = true;
 
@@ -115,23 +119,30 @@
     this.proof.sawRevision(revision);
   }
 
-  /** Tells every control instance at once, as when a target leaves. */
+  /** Tells every control instance all at once, as when a process leaves. */
   async announceNow(): Promise<void> {
     await Promise.all(
-      this.options.instances.map(instance => this.poll(instance))
+      this.options.instances.map(instance => {
+        this.usageSentAtMs.delete(instance.address.id);
+        return this.poll(instance);
+      })
     );
   }
 
   private async poll(instance: PeerClient): Promise<void> {
     const askedAtMs = performance.now();
     const instanceId = instance.address.id;
-    const {announcement, ...report} = this.options.report();
+    const {announcement, usage} = this.options.report();
     const announced = this.announced.get(instanceId);
     const told = announcement && announced?.next(announcement);
     try {
       const answer = await instance.call<PollAnswer>(
         METHODS.poll,
-        {...this.question(instanceId), ...report, ...told?.part},
+        {
+          ...this.question(instanceId),
+          usage: this.dueUsage(instanceId, usage),
+          ...told?.part,
+        },
         this.options.proofMs
       );
       if (told !== undefined) announced?.answered(told, answer);
@@ -144,6 +155,19 @@
     this.directory.expire(performance.now());
   }
 
+  /** A row a customer with every poll would be most of what an entry sends. */
+  private dueUsage(
+    instanceId: string,
+    usage: SelfReport['usage']
+  ): SelfReport['usage'] {
+    const nowMs = performance.now();
+    const sentAtMs = this.usageSentAtMs.get(instanceId) ?? -Infinity;
+    if (usage === undefined || nowMs - sentAtMs < USAGE_PERIOD_MS)
+      return undefined;
+    this.usageSentAtMs.set(instanceId, nowMs);
+    return usage;
+  }
+
   private question(instanceId: string): PollRequest {
     const {processId, role, bootId, availabilityZone} = this.options;
     const freshness = this.proof.judge(performance.now());
--- a/tests/capacityRules.spec.ts
+++ b/tests/capacityRules.spec.ts
@@ -26,7 +26,9 @@
     instances: [this.instance()],
     pollMs: 500,
     proofMs: 2_500,
-    report: () => ({}),
+    report: () => ({
+      usage: [{customer: 'harbour', requests: 1, tokens: 2, queueMs: 0}],
+    }),
     logger: createLogger('entry', 'entry-0', 'fatal'),
     metrics: new Metrics('entry-0'),
   });
@@ -38,6 +40,14 @@
     return this.sync.rules?.index.ruleSet.text;
   }
 
+  start(): void {
+    this.sync.start();
+  }
+
+  stop(): void {
+    this.sync.stop();
+  }
+
   private instance(): PeerClient {
     const call = async (_method: string, request: PollRequest) => {
       this.asked.push(request);
@@ -104,6 +114,25 @@
   });
 });
 
+describe('use in polls', () => {
+  beforeEach(() => jest.useFakeTimers());
+  afterEach(() => jest.useRealTimers());
+
+  it('should be told every five seconds, and at once when the entry leaves', async () => {
+    const polled = new Polled();
+    polled.start();
+    await jest.advanceTimersByTimeAsync(4_900);
+    const told = () => polled.asked.filter(({usage}) => usage !== undefined);
+    expect(polled.asked).toHaveLength(10);
+    expect(told()).toHaveLength(1);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(told()).toHaveLength(2);
+    await polled.poll({});
+    expect(told()).toHaveLength(3);
+    polled.stop();
+  });
+});
+
 describe('recent rules of a control instance', () => {
   it('should lead from any kept file to the newest', () => {
     const recent = new RecentRules();
