--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -28,7 +28,7 @@
 
 interface Waiting {
   readonly dispatch: Dispatch;
-  admit(): void;
+  admit(inCredit: boolean): void;
   fail(err: RefusalError): void;
 }
 
@@ -36,6 +36,8 @@
 export interface Slot {
   /** Milliseconds spent in the queue. */
   readonly queuedMs: number;
+  /** Whether the customer has used less than its share here. */
+  readonly inCredit: boolean;
   /** `servedMs` only after a good answer. */
   release(servedMs?: number): void;
 }
@@ -70,10 +72,10 @@
     return new Promise((resolve, reject) => {
       const waiting: Waiting = {
         dispatch,
-        admit: () => {
+        admit: inCredit => {
           const queuedMs = performance.now() - enteredAtMs;
           if (queuedMs >= QUEUED_MS) this.metrics.count('gate.queued');
-          resolve(this.slot(dispatch, queuedMs));
+          resolve(this.slot(dispatch, queuedMs, inCredit));
         },
         fail: reject,
       };
@@ -158,13 +160,14 @@
     }
     this.running++;
     this.metrics.count('gate.admitted', {customer: item.customer});
-    item.payload.admit();
+    item.payload.admit(this.queue.isInCredit(item.customer));
   }
 
-  private slot(dispatch: Dispatch, queuedMs: number): Slot {
+  private slot(dispatch: Dispatch, queuedMs: number, inCredit: boolean): Slot {
     let held = true;
     return {
       queuedMs,
+      inCredit,
       release: servedMs => {
         if (!held) return;
         held = false;
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -13,6 +13,7 @@
   sendUpstream,
 } from '../core/upstream';
 import {Dispatch, REPORT_HEADER} from '../core/wire';
+import {enginePriority} from '../policy/enginePriority';
 import type {AgentCore} from './agentCore';
 import type {Slot} from './gate';
 import {claimIdOf} from './onceGuard';
@@ -120,9 +121,11 @@
 
   private async send(req: IncomingMessage): Promise<IncomingMessage> {
     const {adapter, target} = this.core;
+    const resumed = this.dispatch.resumeFrom !== undefined;
+    const priority = enginePriority({inCredit: this.slot.inCredit, resumed});
     const headers = withHeaders(
       endToEndHeaders(req.rawHeaders),
-      adapter.requestHeaders(this.dispatch)
+      adapter.requestHeaders({...this.dispatch, priority})
     );
     try {
       return await sendUpstream({
--- a/src/agent/targetState.ts
+++ b/src/agent/targetState.ts
@@ -6,8 +6,10 @@
 import type {Temperature} from '../core/wire';
 import {
   ConcurrencyState,
+  concurrencyLimit,
   freshConcurrency,
   latencyRise,
+  learnLatency,
   observeLatency,
 } from '../policy/concurrencyLimit';
 import {
@@ -17,6 +19,7 @@
   rampCold,
   rampComplete,
   rampLimit,
+  rampRuleChanged,
   rampServed,
 } from '../policy/ramp';
 import type {TargetObservation} from '../target/targetAdapter';
@@ -34,10 +37,15 @@
   readonly cost: number;
 }
 
+function isSameRule(a: WarmupLimits, b: WarmupLimits): boolean {
+  return a.start === b.start && a.full === b.full && a.overMs === b.overMs;
+}
+
 /** Tracks one target; times are `performance.now()` milliseconds. */
 export class TargetState {
   private ramp: RampState;
-  private latency: ConcurrencyState = freshConcurrency({start: 1, full: 1});
+  private latency: ConcurrencyState | undefined;
+  private rule: WarmupLimits | undefined;
   private targetBootId: string | undefined;
   private answering = false;
   private claimedCold = false;
@@ -84,8 +92,12 @@
 
   served(sample: ServedSample, rule: WarmupLimits): void {
     const {nowMs, startedAtMs, outstanding, cost} = sample;
+    const latency = this.adopt(rule, nowMs);
     const latencyMs = (nowMs - startedAtMs) / Math.max(1, cost);
-    this.latency = observeLatency(this.latency, rule, {latencyMs, outstanding});
+    // While it warms, the ramp alone answers to strain.
+    this.latency = rampComplete(this.ramp, rule)
+      ? observeLatency(latency, rule, {latencyMs, outstanding})
+      : learnLatency(latency, latencyMs);
     const slowdown = latencyRise(this.latency);
     this.ramp = rampServed(this.ramp, rule, {
       nowMs,
@@ -98,7 +110,20 @@
   /** Requests that this agent may have running at once. */
   limit(rule: WarmupLimits, nowMs: number): number {
     if (!this.answering || this.leftover === undefined) return 0;
-    return Math.max(0, rampLimit(this.ramp, rule, nowMs) - this.leftover);
+    const latency = this.adopt(rule, nowMs);
+    const ramp = rampLimit(this.ramp, rule, nowMs);
+    const bearable = Math.min(ramp, concurrencyLimit(latency, rule));
+    return Math.max(0, bearable - this.leftover);
+  }
+
+  /** A rule that changed mid-ramp must not lift the limit at once. */
+  private adopt(rule: WarmupLimits, nowMs: number): ConcurrencyState {
+    const {rule: before} = this;
+    this.rule = rule;
+    if (before !== undefined && !isSameRule(before, rule))
+      this.ramp = rampRuleChanged(this.ramp, before, nowMs);
+    this.latency ??= freshConcurrency(rule);
+    return this.latency;
   }
 
   temperature(rule: WarmupLimits): Temperature {
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -208,7 +208,7 @@
   private mayAfford(refusal: Refusal): boolean {
     return (
       FREE_TO_RETRY.has(refusal.reason) ||
-      this.budget().tryRetry(performance.now())
+      this.budget().tryReplace(performance.now())
     );
   }
 
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -94,7 +94,7 @@
     customer: call.customer,
     pool: call.pool,
     revision: call.rules.revision,
-    remainingMs: call.progress.remainingMs(),
+    remainingMs: startWithinMs(call, attempt),
     attempt: attempt.number,
     cost: attempt.cost,
     idempotent: call.once === undefined,
@@ -116,6 +116,25 @@
     : withoutHeader(headers, LAST_EVENT_HEADER);
 }
 
+/**
+ * Time in which the request must start. One that waits longer than a caller
+ * waits for the first token gets its refusal while it can still be of use.
+ */
+function startWithinMs(
+  {progress, limit, chat}: ClassifiedCall,
+  {resumeFrom}: Attempt
+): number {
+  const leftMs = progress.remainingMs();
+  if (
+    chat === undefined ||
+    limit.firstTokenMs === undefined ||
+    resumeFrom !== undefined
+  )
+    return leftMs;
+  const elapsedMs = limit.timeoutMs - leftMs;
+  return Math.max(0, Math.min(leftMs, limit.firstTokenMs - elapsedMs));
+}
+
 /** An answer without a report did not come from an agent, so proves nothing. */
 function readHead(
   core: EntryCore,
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -15,6 +15,8 @@
   failedAtMs: number[];
   report: DispatchReport | undefined;
   reportedAtMs: number;
+  /** Boot and number of the last announcement that was used. */
+  announced: string;
 }
 
 /** Own work by target. */
@@ -57,6 +59,7 @@
       at => nowMs - at < FAILURE_MEMORY_MS
     );
     const {targetId, availabilityZone, tokensInWork} = announcement;
+    noteAnnounced(load, announcement);
     const newest = newestReport(announcement, ages, load, nowMs);
     return {
       targetId,
@@ -86,12 +89,21 @@
       failedAtMs: [],
       report: undefined,
       reportedAtMs: -Infinity,
+      announced: '',
     };
     this.loads.set(targetId, load);
     return load;
   }
 }
 
+/** A newer announcement counts what was sent before it. */
+function noteAnnounced(load: Load, {agentBootId, seq}: Announcement): void {
+  const announced = `${agentBootId}/${seq}`;
+  if (load.announced === announced) return;
+  load.announced = announced;
+  load.sinceReport = 0;
+}
+
 type Reported = Pick<
   Announcement,
   'temperature' | 'limit' | 'outstanding' | 'queued'
