--- a/src/policy/popularity.ts
+++ b/src/policy/popularity.ts
@@ -23,7 +23,7 @@
 
 /** Defaults; docs/DESIGN.md has the measurements behind them. */
 export const POPULARITY_DEFAULTS: PopularityConfig = {
-  halfLifeMs: 700,
+  halfLifeMs: 500,
   significantSlope: 1,
   maxAheadMs: 5000,
 };
--- a/src/policy/rebalanceDecision.ts
+++ b/src/policy/rebalanceDecision.ts
@@ -54,7 +54,7 @@
   slotsHorizonMs: 60_000,
   splitHorizonMs: 5_000,
   minSlotsGain: 0.0015,
-  minSplitGain: 0.003,
+  minSplitGain: 0.005,
 };
 
 /** Time to load so many experts one after the other from the store. */
