--- a/src/control/maps/mapController.ts
+++ b/src/control/maps/mapController.ts
@@ -45,6 +45,8 @@
 /** Whether rules let the group rebalance, and from which gain. */
 export interface RebalancePermit {
   readonly on: boolean;
+  /** Least fall of the skew that starts a load, 0 to 1. */
+  readonly minGain: number;
 }
 
 /** One group's loop on a control instance; idle while that does not lead. */
@@ -133,9 +135,10 @@
     const {current} = this.state.group(this.cfg.group);
     const {fence} = this.machine;
     const busy = this.pending === undefined && !this.machine.idle;
-    if (!this.permit().on || busy || !current || !fence) return;
+    const {on, minGain} = this.permit();
+    if (!on || busy || !current || !fence) return;
     const nowMs = performance.now();
-    const next = this.planner.next(current.map, this.pending, nowMs);
+    const next = this.planner.next(current.map, this.pending, nowMs, minGain);
     next.stage?.forEach(change => this.stage(change, fence));
     if (next.switchTo === undefined) return;
     this.pending = next.switchTo;
--- a/src/control/maps/mapDirector.ts
+++ b/src/control/maps/mapDirector.ts
@@ -17,6 +17,7 @@
 import type {ControlState} from '../state/controlState';
 import {MapController, RebalancePermit} from './mapController';
 
+const PERCENT = 100;
 const SCAN_MS = 500;
 const SEND_TIMEOUT_MS = 1_000;
 const TICK_MS = 250;
@@ -130,6 +131,8 @@
       const parsed = parseRules(text);
       this.rules = parsed.ok ? new RuleIndex(parsed.ruleSet) : undefined;
     }
-    return {on: this.rules?.rebalance(pool) !== undefined};
+    const rule = this.rules?.rebalance(pool);
+    const minGain = (rule?.gainPercent ?? 0) / PERCENT;
+    return {on: rule !== undefined, minGain};
   }
 }
--- a/src/policy/rebalancePlanner.ts
+++ b/src/policy/rebalancePlanner.ts
@@ -65,12 +65,21 @@
     this.staging = [];
   }
 
-  /** `pending` is the map of a switch under way. */
-  next(current: ExpertMap, pending: ExpertMap | undefined, nowMs: number) {
+  /**
+   * `pending` is the map of a switch under way; `minGain` is the least fall of
+   * the skew that operators want a load for, 0 to leave it to the defaults.
+   */
+  next(
+    current: ExpertMap,
+    pending: ExpertMap | undefined,
+    nowMs: number,
+    minGain = 0
+  ) {
     if (!this.estimate.known) return {};
     this.staging = this.staging.filter(item => nowMs < item.giveUpMs);
     const switchTo = pending ? undefined : this.switchTo(current, nowMs);
-    const stage = this.stage(switchTo ?? pending ?? current, nowMs);
+    const base = switchTo ?? pending ?? current;
+    const stage = this.stage(base, nowMs, minGain);
     return {switchTo, stage} satisfies RebalanceStep;
   }
 
@@ -87,7 +96,8 @@
   /** One batch at a time: the weight store delivers one after the other. */
   private stage(
     base: ExpertMap,
-    nowMs: number
+    nowMs: number,
+    minGain: number
   ): readonly SlotChange[] | undefined {
     if (this.staging.some(item => item.missing.length > 0)) return undefined;
     const {cfg} = this;
@@ -96,7 +106,8 @@
     const popularity = this.estimate.predict(inForceMs);
     const earlier = this.staging.flatMap(item => item.changes);
     const expected = withChanges(base, earlier, popularity, cfg.splitting);
-    const moves = decideLoads(cfg, expected, popularity);
+    const minSlotsGain = Math.max(cfg.minSlotsGain, minGain);
+    const moves = decideLoads({...cfg, minSlotsGain}, expected, popularity);
     if (moves.length === 0) return undefined;
     const loads = moves.flat();
     const giveUpMs = nowMs + GIVE_UP_FACTOR * loadTimeMs(cfg, loads.length);
--- a/src/rules/ruleDefaults.ts
+++ b/src/rules/ruleDefaults.ts
@@ -20,5 +20,5 @@
 /** Share of a customer; only unknown customers are ever without a line. */
 export const DEFAULT_SHARE = 1;
 
-/** Least gain that starts a move of experts, in percent. */
-export const DEFAULT_GAIN_PERCENT = 5;
+/** Least gain that starts a move, in percent; 0 leaves it to the planner. */
+export const DEFAULT_GAIN_PERCENT = 0;
--- a/tests/mapControllers.spec.ts
+++ b/tests/mapControllers.spec.ts
@@ -76,7 +76,7 @@
       },
       this.state,
       {send: (rank, message) => this.agents[rank]?.receive(message)},
-      () => ({on: this.permitted}),
+      () => ({on: this.permitted, minGain: 0}),
       this.metrics,
       logger
     );
