Hold on to a closed target for a moment only

Such a report now counts for 100 ms, about as long as announcements took before. An agent keeps its port open for 2 s, four polls as before. The test's restart waits until entries serve too, since they hear one poll after control; no assertion is changed.

--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -20,7 +20,7 @@
 
 const DRAIN_CHECK_MS = 50;
 /** Time in which every entry hears of the leaving: some polls of control. */
-const LEAVE_NOTICE_MS = 1_000;
+const LEAVE_NOTICE_MS = 2_000;
 
 /** A running agent. */
 export class AgentProcess {
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -7,6 +7,8 @@
 const FAILURE_MEMORY_MS = 5_000;
 /** Within this, control tells of any change that came after the report. */
 const MAX_REPORT_AGE_MS = 6_000;
+/** As often as announcements of a target came in when each poll brought one. */
+const CLOSED_REPORT_AGE_MS = 100;
 
 interface Load {
   outstanding: number;
@@ -92,6 +94,15 @@
   }
 }
 
+/**
+ * A target that took nothing for a moment, between two polls of its agent, is
+ * never told of as closed, nor as open again: held on to, the report would keep
+ * work from it long after.
+ */
+function maxAgeMs(report: DispatchReport | undefined): number {
+  return report?.limit === 0 ? CLOSED_REPORT_AGE_MS : MAX_REPORT_AGE_MS;
+}
+
 type Reported = Pick<
   Announcement,
   'temperature' | 'limit' | 'outstanding' | 'queued'
@@ -108,7 +119,7 @@
   const reportAgeMs = nowMs - reportedAtMs;
   const sameBoot = report?.agentBootId === announcement.agentBootId;
   const isOlder =
-    reportAgeMs > ages.arrivedMs || reportAgeMs > MAX_REPORT_AGE_MS;
+    reportAgeMs > ages.arrivedMs || reportAgeMs > maxAgeMs(report);
   if (report === undefined || !sameBoot || isOlder) {
     return {...announcement, ageMs: ages.confirmedMs};
   }
--- /dev/null
+++ b/tests/capacityLoad.spec.ts
@@ -0,0 +1,66 @@
+import type {Announcement, DispatchReport} from '../src/core/wire';
+import {TargetLoad} from '../src/entry/targetLoad';
+
+const ANNOUNCED: Announcement = {
+  targetId: 'planner-0',
+  pool: 'planner',
+  availabilityZone: 'zone-a',
+  host: '127.0.0.1',
+  port: 7000,
+  agentBootId: 'boot-1',
+  agentBootAtMs: 1,
+  seq: 1,
+  state: 'serving',
+  temperature: 'warm',
+  limit: 16,
+  outstanding: 2,
+  queued: 0,
+};
+
+/** What an answer at time 0 told of the target. */
+function reported(limit: number): TargetLoad {
+  const load = new TargetLoad();
+  const report: DispatchReport = {
+    targetId: 'planner-0',
+    agentBootId: 'boot-1',
+    revision: 1,
+    temperature: 'warm',
+    limit,
+    outstanding: 5,
+    queued: 0,
+    queuedMs: 0,
+  };
+  load.reported(report, 0);
+  return load;
+}
+
+/** The view at a time, of an announcement that came long before the report. */
+function viewAt(load: TargetLoad, nowMs: number) {
+  const ages = {arrivedMs: nowMs + 10_000, confirmedMs: 100};
+  return load.view(ANNOUNCED, ages, 0, nowMs);
+}
+
+describe('reports with answers against announcements', () => {
+  it('should take a report that is newer than the announcement', () => {
+    expect(viewAt(reported(16), 4_000)).toMatchObject({
+      reportedOutstanding: 5,
+      reportAgeMs: 4_000,
+    });
+  });
+
+  it('should go back to an announcement that is still confirmed', () => {
+    expect(viewAt(reported(16), 6_001)).toMatchObject({
+      reportedOutstanding: 2,
+      reportAgeMs: 100,
+    });
+  });
+
+  it('should not hold on to a target being closed for a moment', () => {
+    // An engine restarts. Between two polls of its agent it takes nothing, and
+    // a refusal says so; control never hears of it and so tells of no change.
+    // When the other targets leave, callers would be told that there is none.
+    const load = reported(0);
+    expect(viewAt(load, 100)).toMatchObject({limit: 0});
+    expect(viewAt(load, 101)).toMatchObject({limit: 16});
+  });
+});
--- a/tests/processes/shutdown.spec.ts
+++ b/tests/processes/shutdown.spec.ts
@@ -27,6 +27,13 @@
     const known = targets.find(one => one.targetId === targetId);
     return known?.state === 'serving' && known.limit > 0;
   });
+  // Entries hear of it with their next poll, after control has.
+  for (const i of [0, 1]) {
+    await eventually(`entry ${i} serves`, async () => {
+      const {status} = await chat(system.port(i), `back ${name}`, 1, false);
+      return status === 200;
+    });
+  }
 }
 
 /** Sends one call after another until told to stop. */
