--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -17,6 +17,8 @@
   failedAtMs: number[];
   report: DispatchReport | undefined;
   reportedAtMs: number;
+  /** Boot and number of the last announcement that was used. */
+  announced: string;
 }
 
 /** Own work by target. */
@@ -59,6 +61,7 @@
       at => nowMs - at < FAILURE_MEMORY_MS
     );
     const {targetId, availabilityZone, tokensInWork} = announcement;
+    noteAnnounced(load, announcement);
     const newest = newestReport(announcement, ages, load, nowMs);
     return {
       targetId,
@@ -88,12 +91,21 @@
       failedAtMs: [],
       report: undefined,
       reportedAtMs: -Infinity,
+      announced: '',
     };
     this.loads.set(targetId, load);
     return load;
   }
 }
 
+/** A newer announcement counts what was sent before it. */
+function noteAnnounced(load: Load, {agentBootId, seq}: Announcement): void {
+  const announced = `${agentBootId}/${seq}`;
+  if (load.announced === announced) return;
+  load.announced = announced;
+  load.sinceReport = 0;
+}
+
 /**
  * A target that took nothing for a moment, between two polls of its agent, is
  * never told of as closed, nor as open again: held on to, the report would keep
