Count a straggler against its whole group at the entry

Now agents tell how much slower than usual their engine steps, in tenths, and the entry takes the slowest of a group for all its ranks. Not measured under load.

--- a/src/agent/agentCore.ts
+++ b/src/agent/agentCore.ts
@@ -51,6 +51,12 @@
   return {id, rank, ranks, experts, slots};
 }
 
+/** In steps of a tenth, so that noise alone is no news for entries. */
+function toldSlowdown(slowdown: number): number | undefined {
+  const tenths = Math.round(slowdown * 10) / 10;
+  return tenths > 1 ? tenths : undefined;
+}
+
 /** One agent. */
 export class AgentCore {
   readonly gate: Gate;
@@ -200,6 +206,7 @@
       modelVersion: this.seen?.modelVersion,
       group: group === undefined ? undefined : memberOf(group),
       tokensInWork: load?.tokensInWork,
+      slowdown: toldSlowdown(this.state.slowdown()),
       loadAgeMs: load?.loadAgeMs,
       prefixes: target.kind === 'engine' ? this.prefixes.newest() : undefined,
     };
--- a/src/agent/targetState.ts
+++ b/src/agent/targetState.ts
@@ -154,6 +154,11 @@
     return this.latency;
   }
 
+  /** Step time now over the usual one, at least 1. */
+  slowdown(): number {
+    return this.pace.slowdown();
+  }
+
   temperature(rule: WarmupLimits): Temperature {
     if (rampComplete(this.ramp, rule)) return 'warm';
     return this.ramp.level === undefined ? 'cold' : 'warming';
--- a/src/agent/tokenPace.ts
+++ b/src/agent/tokenPace.ts
@@ -64,6 +64,11 @@
     return concurrencyLimit(this.state, rule);
   }
 
+  /** Step time now over the usual one, at least 1; 1 while nothing is known. */
+  slowdown(): number {
+    return this.state === undefined ? 1 : Math.max(1, latencyRise(this.state));
+  }
+
   private learn(
     latencyMs: number,
     outstanding: number,
--- a/src/control/announcedChange.ts
+++ b/src/control/announcedChange.ts
@@ -36,8 +36,10 @@
 }
 
 function loadOf(announcement: Announcement): string {
-  const {limit, outstanding, queued, tokensInWork, prefixes} = announcement;
-  return JSON.stringify([limit, outstanding, queued, tokensInWork, prefixes]);
+  const {limit, outstanding, queued, tokensInWork} = announcement;
+  const {prefixes, slowdown} = announcement;
+  const work = [limit, outstanding, queued, tokensInWork];
+  return JSON.stringify([work, prefixes, slowdown]);
 }
 
 function isLargeChange(told: Announcement, next: Announcement): boolean {
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -50,6 +50,8 @@
   readonly tokensInWork?: number;
   /** Milliseconds since the target made its last load report. */
   readonly loadAgeMs?: number;
+  /** Step time now over the usual one, at least 1; absent for 1. */
+  readonly slowdown?: number;
   /** Recently cached prompt prefixes, as short digests. */
   readonly prefixes?: readonly string[];
 }
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -40,7 +40,12 @@
     target => !call.rules.isZoneOut(target.availabilityZone)
   );
   const open = inZones.filter(target => !tried.has(target.targetId));
-  const views = open.map(target => viewOf(core, call, target, nowMs));
+  const straggle = straggleByGroup(pooled);
+  const views = open.map(target => {
+    const view = viewOf(core, call, target, nowMs);
+    const ofGroup = straggle.get(target.group?.id ?? '') ?? 1;
+    return {...view, groupStraggle: Math.max(view.groupStraggle, ofGroup)};
+  });
   const chosen = chooseTarget(
     {
       promptTokens: call.chat?.promptTokens ?? 0,
@@ -60,6 +65,18 @@
   return {kind: 'target', target, cost: costOf(call, target)};
 }
 
+/** The ranks of a group step together: the slowest sets the pace of all. */
+function straggleByGroup(
+  targets: readonly Announcement[]
+): ReadonlyMap<string, number> {
+  const straggle = new Map<string, number>();
+  for (const {group, slowdown = 1} of targets) {
+    if (group === undefined) continue;
+    straggle.set(group.id, Math.max(slowdown, straggle.get(group.id) ?? 1));
+  }
+  return straggle;
+}
+
 function viewOf(
   core: EntryCore,
   call: ClassifiedCall,
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -77,7 +77,7 @@
       ownSinceReport: load.sinceReport,
       prefixTokens,
       recentFailures: load.failedAtMs.length,
-      groupStraggle: 1,
+      groupStraggle: announcement.slowdown ?? 1,
     };
   }
 
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -47,6 +47,7 @@
     })
     .optional(),
   tokensInWork: count.optional(),
+  slowdown: count.optional(),
   loadAgeMs: count.optional(),
   prefixes: z.array(z.string()).max(4096).optional(),
 });
--- /dev/null
+++ b/tests/route.spec.ts
@@ -0,0 +1,112 @@
+import {Progress} from '../src/core/progress';
+import type {Announcement} from '../src/core/wire';
+import type {ClassifiedCall} from '../src/entry/call';
+import type {EntryCore} from '../src/entry/entryCore';
+import {route} from '../src/entry/route';
+import {TargetLoad} from '../src/entry/targetLoad';
+import {ZoneReturns} from '../src/entry/zoneReturns';
+import {parseRules} from '../src/rules/parseRules';
+import {RuleIndex} from '../src/rules/ruleIndex';
+import {TargetDirectory} from '../src/sync/targetDirectory';
+
+const RULES = `revision 1 # asked by Aoife
+pool planner engine # asked by Aoife
+zone quay-b out # asked by Aoife
+`;
+
+const rank = (
+  index: number,
+  change: Partial<Announcement> = {}
+): Announcement => ({
+  targetId: `planner-${index}`,
+  pool: 'planner',
+  availabilityZone: 'quay-a',
+  host: '127.0.0.1',
+  port: 1000 + index,
+  agentBootId: `boot-${index}`,
+  agentBootAtMs: 1,
+  seq: 1,
+  state: 'serving',
+  temperature: 'warm',
+  limit: 8,
+  outstanding: 1,
+  queued: 0,
+  modelVersion: 'v1',
+  ...change,
+});
+
+const groupOf = (id: string, index: number) => ({
+  group: {id, rank: index, ranks: 2, experts: 8, slots: 10},
+});
+
+/** Targets that were chosen in many calls. */
+function chosen(
+  targets: readonly Announcement[],
+  modelVersion?: string
+): ReadonlySet<string> {
+  const directory = new TargetDirectory();
+  const parsed = parseRules(RULES);
+  if (!parsed.ok) throw new Error('rules');
+  const members = {version: 1, full: true, changed: targets, removed: []};
+  const answer = {
+    instanceId: 'c',
+    bootId: 'b',
+    voter: true,
+    voterCount: 1,
+    term: 1,
+  };
+  const revisions = {lastRevision: 1, committedRevision: 1};
+  directory.apply({...answer, ...revisions, members}, performance.now());
+  let draw = 0;
+  const core = {
+    entryId: 'entry-1',
+    availabilityZone: 'quay-a',
+    sync: {directory},
+    load: new TargetLoad(),
+    zoneReturns: new ZoneReturns(),
+    random: () => (draw = (draw + 0.381966) % 1),
+  } as unknown as EntryCore;
+  const call = {
+    pool: 'planner',
+    rules: new RuleIndex(parsed.ruleSet),
+    progress: new Progress('r', performance.now() + 1_000, 'entry-1'),
+  } as unknown as ClassifiedCall;
+  const picks = Array.from({length: 60}, () =>
+    route(core, call, new Set(), modelVersion)
+  );
+  return new Set(
+    picks.map(pick => (pick.kind === 'target' ? pick.target.targetId : 'none'))
+  );
+}
+
+describe('choice of a target by an entry', () => {
+  // One rank of a group is slow, and with it every step of the group. Sent to
+  // its quick-looking neighbours, callers wait just as long.
+  it('should keep away from all ranks of a group with a straggler', () => {
+    const slow = [
+      rank(0, {...groupOf('g1', 0), slowdown: 4}),
+      rank(1, groupOf('g1', 1)),
+    ];
+    const quick = [rank(2, groupOf('g2', 0)), rank(3, groupOf('g2', 1))];
+    expect([...chosen([...slow, ...quick])].sort()).toEqual([
+      'planner-2',
+      'planner-3',
+    ]);
+  });
+
+  it.each<[string, Partial<Announcement>]>([
+    ['in a zone that is out', {availabilityZone: 'quay-b'}],
+    ['that is leaving', {state: 'leaving'}],
+    ['of another pool', {pool: 'allocation'}],
+    ['that may run nothing', {limit: 0}],
+  ])('should choose no target %s', (_, change) => {
+    expect(chosen([rank(0, change)])).toEqual(new Set(['none']));
+    expect(chosen([rank(0, change), rank(1)])).toEqual(new Set(['planner-1']));
+  });
+
+  it('should go on with a stream at its own model version only', () => {
+    const targets = [rank(0, {modelVersion: 'v2'}), rank(1)];
+    expect(chosen(targets, 'v1')).toEqual(new Set(['planner-1']));
+    expect(chosen(targets, 'v3')).toEqual(new Set(['none']));
+  });
+});
