--- a/tests/capacityLoad.spec.ts
+++ b/tests/capacityLoad.spec.ts
@@ -1,21 +1,8 @@
 import type {Announcement, DispatchReport} from '../src/core/wire';
 import {TargetLoad} from '../src/entry/targetLoad';
+import {ANNOUNCED} from './fixtures/announced';
 
-const ANNOUNCED: Announcement = {
-  targetId: 'planner-0',
-  pool: 'planner',
-  availabilityZone: 'zone-a',
-  host: '127.0.0.1',
-  port: 7000,
-  agentBootId: 'boot-1',
-  agentBootAtMs: 1,
-  seq: 1,
-  state: 'serving',
-  temperature: 'warm',
-  limit: 16,
-  outstanding: 2,
-  queued: 0,
-};
+const BUSY: Announcement = {...ANNOUNCED, outstanding: 2};
 
 /** What an answer at time 0 told of the target. */
 function reported(limit: number): TargetLoad {
@@ -37,7 +24,7 @@
 /** The view at a time, of an announcement that came long before the report. */
 function viewAt(load: TargetLoad, nowMs: number) {
   const ages = {arrivedMs: nowMs + 10_000, confirmedMs: 100};
-  return load.view(ANNOUNCED, ages, 0, nowMs);
+  return load.view(BUSY, ages, 0, nowMs);
 }
 
 describe('reports with answers against announcements', () => {
--- a/tests/capacityMembers.spec.ts
+++ b/tests/capacityMembers.spec.ts
@@ -1,21 +1,6 @@
 import {MemberTable} from '../src/control/memberTable';
 import type {Announcement, PollRequest} from '../src/core/wire';
-
-const ANNOUNCED: Announcement = {
-  targetId: 'planner-0',
-  pool: 'planner',
-  availabilityZone: 'zone-a',
-  host: '127.0.0.1',
-  port: 7000,
-  agentBootId: 'boot-1',
-  agentBootAtMs: 1,
-  seq: 1,
-  state: 'serving',
-  temperature: 'warm',
-  limit: 16,
-  outstanding: 0,
-  queued: 0,
-};
+import {ANNOUNCED} from './fixtures/announced';
 
 function poll(change: Partial<Announcement>): PollRequest {
   return {
--- a/tests/route.spec.ts
+++ b/tests/route.spec.ts
@@ -8,29 +8,21 @@
 import {parseRules} from '../src/rules/parseRules';
 import {RuleIndex} from '../src/rules/ruleIndex';
 import {TargetDirectory} from '../src/sync/targetDirectory';
+import {ANNOUNCED} from './fixtures/announced';
 
 const RULES = `revision 1 # asked by Aoife
 pool planner engine # asked by Aoife
-zone quay-b out # asked by Aoife
+zone zone-b out # asked by Aoife
 `;
 
 const rank = (
   index: number,
   change: Partial<Announcement> = {}
 ): Announcement => ({
+  ...ANNOUNCED,
   targetId: `planner-${index}`,
-  pool: 'planner',
-  availabilityZone: 'quay-a',
-  host: '127.0.0.1',
-  port: 1000 + index,
   agentBootId: `boot-${index}`,
-  agentBootAtMs: 1,
-  seq: 1,
-  state: 'serving',
-  temperature: 'warm',
-  limit: 8,
   outstanding: 1,
-  queued: 0,
   modelVersion: 'v1',
   ...change,
 });
@@ -60,7 +52,7 @@
   let draw = 0;
   const core = {
     entryId: 'entry-1',
-    availabilityZone: 'quay-a',
+    availabilityZone: 'zone-a',
     sync: {directory},
     load: new TargetLoad(),
     zoneReturns: new ZoneReturns(),
@@ -95,7 +87,7 @@
   });
 
   it.each<[string, Partial<Announcement>]>([
-    ['in a zone that is out', {availabilityZone: 'quay-b'}],
+    ['in a zone that is out', {availabilityZone: 'zone-b'}],
     ['that is leaving', {state: 'leaving'}],
     ['of another pool', {pool: 'allocation'}],
     ['that may run nothing', {limit: 0}],
