Let whole answers hide nothing of the streams beside them

Cause: found on reading: every call to an engine counted as a prompt until its first bytes, and a whole answer has those at its end, so that in a mixed pool no token time was ever learned. Now only calls that stream count as prompts; the dispatch says which do.

--- a/src/agent/dispatchHandler.ts
+++ b/src/agent/dispatchHandler.ts
@@ -24,6 +24,7 @@
   agentBootId: z.string(),
   claim: z.object({key: z.string(), attempt: z.number()}).optional(),
   resumeFrom: z.number().optional(),
+  stream: z.boolean().optional(),
   priority: z.number(),
 });
 
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -103,7 +103,9 @@
   ) {}
 
   async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (this.core.target.kind === 'engine') {
+    // A whole answer does not show where its prompt ends; taken for one long
+    // prompt it would hide the pace of all streams beside it.
+    if (this.dispatch.stream === true) {
       this.prefilling = true;
       this.core.state.prefillBegan();
     }
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -164,6 +164,8 @@
   readonly claim?: {readonly key: string; readonly attempt: number};
   /** For a stream that goes on: tokens already delivered. */
   readonly resumeFrom?: number;
+  /** Whether the answer comes as a token stream. */
+  readonly stream?: boolean;
   readonly priority: number;
 }
 
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -101,6 +101,7 @@
     agentBootId: attempt.target.agentBootId,
     claim: attempt.claim,
     resumeFrom: attempt.resumeFrom,
+    stream: call.chat?.stream,
     priority: call.priority,
   };
   const own: Record<string, string> = {
