--- a/src/agent/agentCore.ts
+++ b/src/agent/agentCore.ts
@@ -83,7 +83,7 @@
       {
         targetId: parts.target.id,
         rules: () => this.rules,
-        limit: () => this.state.limit(this.warmup(), performance.now()),
+        limit: () => this.limit(),
         refusal: dispatch => this.refusal(dispatch),
       },
       parts.metrics
@@ -124,6 +124,16 @@
     return this.rules?.warmup(this.parts.target.pool) ?? DEFAULT_WARMUP;
   }
 
+  /**
+   * Requests at once now. Without rules nothing may start; asked under the
+   * default ramp meanwhile, the target would be held to its start, since the
+   * rule that then comes looks like one that was changed mid-ramp.
+   */
+  private limit(): number {
+    if (this.rules === undefined) return 0;
+    return this.state.limit(this.warmup(), performance.now());
+  }
+
   /** From now on nothing new starts here; there is no way back for this boot. */
   leave(): void {
     this.leaving = true;
@@ -176,7 +186,7 @@
       agentBootId: this.bootId,
       revision: this.rules?.revision ?? 0,
       temperature: this.state.temperature(warmup),
-      limit: this.state.limit(warmup, performance.now()),
+      limit: this.limit(),
       outstanding: this.gate.outstanding,
       queued: this.gate.queued,
       queuedMs: Math.round(queuedMs),
