Give a stream that goes on elsewhere a deadline of its own

Cause: found on reading the whole change. A stream outlives the pool's timeout, but a resumption was held to it, so after that time a lost target cut the caller off. A test of the deadline; none of the processes yet. Also: the silence timeout was set on the first answer only, not on that of a retry; one function now watches both.

--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -3,7 +3,7 @@
 import type {CoreState, Leadership, PeerProgress} from './coreState';
 import type {EntryBody, LogEntry, Voter} from './entry';
 import {quorumOf} from './entry';
-import type {CoreReply, ReplyOf, RequestOf} from './messages';
+import type {ReplyOf, RequestOf} from './messages';
 import {maybeReconfigure} from './membership';
 import {advanceCommit} from './commit';
 import {confirmReads} from './reads';
@@ -346,6 +346,3 @@
 ): boolean {
   return state.commitIndex >= leadership.noopIndex;
 }
-
-/** Answers that only a leader can use. */
-export type LeaderReply = Exclude<CoreReply, ReplyOf<'vote'>>;
--- a/src/core/progress.ts
+++ b/src/core/progress.ts
@@ -8,7 +8,7 @@
 
   constructor(
     readonly requestId: string,
-    readonly deadlineAt: number,
+    private deadlineAt: number,
     private readonly processId: string
   ) {}
 
@@ -21,6 +21,14 @@
     return Math.max(0, this.deadlineAt - performance.now());
   }
 
+  /**
+   * A new deadline for work that has met its first: a stream under way outlives
+   * the time to its head, and could otherwise never go on at another target.
+   */
+  renew(timeoutMs: number): void {
+    this.deadlineAt = performance.now() + timeoutMs;
+  }
+
   /** Stops all work of the call, for instance when the caller has gone. */
   cancel(reason: string): void {
     this.controller.abort(new Error(reason));
--- a/src/entry/relayChat.ts
+++ b/src/entry/relayChat.ts
@@ -46,6 +46,7 @@
     callerTimeoutMs: CALLER_TIMEOUT_MS,
     signal: progress.signal,
     reopen: async point => {
+      progress.renew(limit.timeoutMs);
       current = await withDeadline(call, () => attempts.run(point));
       if (isEventStream(current)) return sourceOf(current);
       sourceOf(current).cancel();
--- a/src/entry/relayPlain.ts
+++ b/src/entry/relayPlain.ts
@@ -25,7 +25,7 @@
   attempts: Attempts,
   answered: Answered
 ): Promise<void> {
-  const {res, limit, progress} = call;
+  const {res, progress} = call;
   const usage = new ChatUsage();
   let current = answered;
   const repeatable = call.once === undefined && call.body.kind !== 'streaming';
@@ -35,16 +35,10 @@
     attempts.answerLost();
     current = await withDeadline(call, () => attempts.run());
     usage.reset();
-    if (call.chat !== undefined)
-      current.answer.on('data', chunk => usage.take(chunk));
+    watch(call, current, usage);
     return sourceOf(current);
   };
-  // The head has come in time; from here on only silence is an error.
-  answered.answer.setTimeout(limit.timeoutMs, () =>
-    answered.answer.destroy(new Error('the target fell silent'))
-  );
-  if (call.chat !== undefined)
-    answered.answer.on('data', chunk => usage.take(chunk));
+  watch(call, answered, usage);
   const end = await relayWhole<PlainSource>({
     source: sourceOf(answered),
     caller: res,
@@ -62,6 +56,21 @@
   ended(core, call, usage, current, end);
 }
 
+/**
+ * The head has come in time; from here on only silence is an error, for the
+ * answer of a second target as well.
+ */
+function watch(
+  {limit, chat}: ClassifiedCall,
+  {answer}: Answered,
+  usage: ChatUsage
+): void {
+  answer.setTimeout(limit.timeoutMs, () =>
+    answer.destroy(new Error('the target fell silent'))
+  );
+  if (chat !== undefined) answer.on('data', chunk => usage.take(chunk));
+}
+
 /** Accounts for how the relay ended; throws when nothing was written. */
 function ended(
   core: EntryCore,
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -1,6 +1,5 @@
 /** What each role reads from its settings file. Times are milliseconds. */
 
-import type {InstanceAddress} from './settingSchemas';
 import type {SettingsRole, SettingsValues} from './sections';
 
 /** `max-body-bytes` in the file is `maxBodyBytes` in the code. */
@@ -36,6 +35,3 @@
 export type ControlSettings = SettingsOf<'control'>;
 /** Settings of the operators' client. */
 export type ClientSettings = SettingsOf<'client'>;
-
-/** Control instances and how often they are asked. */
-export type ControlAddresses = readonly InstanceAddress[];
--- /dev/null
+++ b/tests/progress.spec.ts
@@ -0,0 +1,31 @@
+import {Progress} from '../src/core/progress';
+import {RefusalError} from '../src/core/refusal';
+
+const TIMEOUT_MS = 30_000;
+
+describe('progress of a call', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  // A long stream loses its target after more than the pool's timeout. Held to
+  // the deadline of its first token, no other target would be tried, and the
+  // caller would be cut off although one could go on at the next token.
+  it('should give a stream that goes on elsewhere a deadline of its own', () => {
+    const progress = new Progress(
+      'r',
+      performance.now() + TIMEOUT_MS,
+      'entry-1'
+    );
+    jest.advanceTimersByTime(TIMEOUT_MS + 1);
+    expect(() => progress.assertInTime('route')).toThrow(RefusalError);
+    progress.renew(TIMEOUT_MS);
+    expect(progress.remainingMs()).toBe(TIMEOUT_MS);
+    expect(() => progress.assertInTime('route')).not.toThrow();
+    expect(progress.signal.aborted).toBe(false);
+  });
+});
