Pass a decision on under the newest fence, so that no rank stands at its barrier for good

Cause: the leader dies with a switch prepared. Its successor takes a higher fence and has weights staged on some ranks, which raises the fence that their engines have seen. It then answers that the old switch was aborted, but the order to the engine carried the fence of that switch. Engines that check fences refused it, each time, and the whole group held at the switch step for ever: callers of the pool got no answer until their timeout.

The model did not see it because it dropped orders to stage weights. A refused prepare is answered in the model as the adapter answers it.

--- a/bench/fuzz/lockStepEngine.ts
+++ b/bench/fuzz/lockStepEngine.ts
@@ -7,10 +7,7 @@
 } from '../../src/agent/maps/rankSwitch';
 
 /** Orders from the agent. */
-export type EngineOrder = Exclude<
-  RankAction,
-  {kind: 'send'} | {kind: 'stageEngine'}
->;
+export type EngineOrder = Exclude<RankAction, {kind: 'send'}>;
 
 /** Answers to the agent. */
 export type EngineAnswer = Extract<RankEvent, {kind: 'prepared' | 'started'}>;
@@ -60,7 +57,8 @@
   }
 
   take(order: EngineOrder, loadFails: boolean): EngineAnswer | undefined {
-    if (!this.up || !this.accepts(order)) return undefined;
+    if (!this.up) return undefined;
+    if (!this.accepts(order)) return this.refuse(order);
     switch (order.kind) {
       case 'startEngine':
         return this.begin(order);
@@ -68,6 +66,9 @@
         return this.prepare(order, loadFails);
       case 'decideEngine':
         return this.decide(order);
+      // Weights beside those in use change nothing here but the fence.
+      case 'stageEngine':
+        return undefined;
     }
   }
 
@@ -85,12 +86,19 @@
 
   private accepts(order: EngineOrder): boolean {
     if (!this.fencing) return true;
-    const fence = order.kind === 'startEngine' ? order.fence : fenceOf(order);
+    const fence = fenceOf(order);
     if (fence < this.highestFence) return false;
     this.highestFence = fence;
     return true;
   }
 
+  private refuse(order: EngineOrder): EngineAnswer | undefined {
+    if (order.kind !== 'prepareEngine') return undefined;
+    const {version} = order.order;
+    const result = 'failed';
+    return {kind: 'prepared', bootId: `${this.boot}`, version, result};
+  }
+
   private begin(
     order: Extract<EngineOrder, {kind: 'startEngine'}>
   ): EngineAnswer {
@@ -126,6 +134,13 @@
   }
 }
 
-function fenceOf(order: Exclude<EngineOrder, {kind: 'startEngine'}>): number {
-  return order.kind === 'prepareEngine' ? order.order.fence : order.id.fence;
+function fenceOf(order: EngineOrder): number {
+  switch (order.kind) {
+    case 'startEngine':
+    case 'decideEngine':
+      return order.fence;
+    case 'prepareEngine':
+    case 'stageEngine':
+      return order.order.fence;
+  }
 }
--- a/bench/fuzz/mapModel.ts
+++ b/bench/fuzz/mapModel.ts
@@ -17,6 +17,7 @@
 import type {
   ExpertMap,
   FromRankMessage,
+  StageMessage,
   ToRankMessage,
 } from '../../src/core/mapMessages';
 import type {FuzzModel} from './fuzzModel';
@@ -33,6 +34,7 @@
 const CALM = {drop: 0, duplicate: 0, maxDelayMs: 10};
 /** Chance that a rank does not run its step in a turn though it may. */
 const STALL = 0.2;
+const LOAD_SEEDS = 1_000_000;
 const MAP: ExpertMap = {slots: [[0]], shares: [[1]]};
 
 type Wire =
@@ -73,6 +75,9 @@
   private oldNet?: Network<Wire>;
   private oldLogNet?: Network<LogWire>;
   private readonly link: Network<EngineWire>;
+  /** Loads of weights, with chances of their own, so that seeds keep theirs. */
+  private readonly loadRandom: SeededRandom;
+  private readonly loads: Network<StageMessage>;
   private readonly state = new MapState();
   private readonly ranks: RankNode[];
   private readonly controllers: ControllerNode[];
@@ -97,6 +102,8 @@
       duplicate: 0,
       maxDelayMs: this.random.pick([2, QUIET_MS / 4]),
     });
+    this.loadRandom = new SeededRandom(seed + LOAD_SEEDS);
+    this.loads = new Network(this.loadRandom, {...CALM, maxDelayMs: 300});
     const fencing = this.random.chance(0.5);
     this.ranks = Array.from({length: this.random.int(4, 8)}, () => ({
       engine: new LockStepEngine(fencing),
@@ -142,6 +149,8 @@
     }
     for (const {to, message} of this.link.advance(TICK_MS))
       this.atLink(Number(to), message);
+    for (const {to, message} of this.loads.advance(TICK_MS))
+      this.rankEvent(Number(to), {kind: 'message', message});
   }
 
   private arrived<M>(net: Network<M>, old?: Network<M>) {
@@ -185,12 +194,20 @@
   }
 
   private rankAction(rank: number, action: RankAction): void {
-    if (action.kind === 'stageEngine') return;
-    if (action.kind !== 'send') {
-      this.orderEngine(rank, action);
-      return;
+    switch (action.kind) {
+      case 'send':
+        return this.tellControllers(rank, action.message);
+      // At once: what comes late has been late on its way to the agent.
+      case 'stageEngine':
+        return void this.node(rank).engine.take(action, false);
+      default:
+        return this.orderEngine(rank, action);
     }
-    const message: Wire = {kind: 'fromRank', message: action.message};
+  }
+
+  private tellControllers(rank: number, told: FromRankMessage): void {
+    if (told.kind === 'staged') return;
+    const message: Wire = {kind: 'fromRank', message: told};
     // A rank does not know who leads; it tells every control instance.
     this.controllers.forEach((_, index) =>
       this.net.send(`r${rank}`, `${index}`, message)
@@ -274,6 +291,7 @@
   private tickController(index: number): void {
     this.toController(index, {kind: 'tick'});
     const {machine} = this.controller(index);
+    this.stageSometimes(index, machine?.fence);
     if (!machine?.idle || !this.random.chance(0.1)) return;
     const step = Math.max(...this.ranks.map(({engine}) => engine.step));
     // What the controller knows of the steps lags behind.
@@ -281,6 +299,14 @@
     this.toController(index, {kind: 'start', map: MAP, step: known});
   }
 
+  /** Loads of weights go on beside any switch. */
+  private stageSometimes(index: number, fence: number | undefined): void {
+    if (fence === undefined || !this.loadRandom.chance(0.05)) return;
+    const rank = this.loadRandom.int(0, this.ranks.length - 1);
+    const order = {kind: 'stage', group: GROUP, slot: 0, expert: 0} as const;
+    this.loads.send(`${index}`, `${rank}`, {...order, fence});
+  }
+
   private toController(index: number, event: SwitchEvent): void {
     const {machine, boot} = this.controller(index);
     const actions = machine?.handle(event, this.now) ?? [];
--- a/src/agent/maps/rankController.ts
+++ b/src/agent/maps/rankController.ts
@@ -127,7 +127,7 @@
         return {kind: 'prepared', bootId, version, result};
       }
       case 'decideEngine':
-        await this.engine.decideMap(action.id, action.decision);
+        await this.engine.decideMap(action);
         if (action.decision === 'commit') this.metrics.count('map.switched');
         return undefined;
     }
--- a/src/agent/maps/rankEngine.ts
+++ b/src/agent/maps/rankEngine.ts
@@ -16,6 +16,13 @@
   readonly previous?: CommittedMap;
 }
 
+/** What became of a switch; its own fence may be older than `fence`. */
+export interface DecideOrder {
+  readonly id: SwitchId;
+  readonly fence: number;
+  readonly decision: 'commit' | 'abort';
+}
+
 /**
  * One engine. Calls reject when the outcome is not known. An engine that has
  * just started runs no step before `startMap`, and once it has answered `held`
@@ -28,5 +35,5 @@
   /** Loads weights beside those in use. */
   stageExpert(order: StageMessage): Promise<void>;
   prepareMap(order: PrepareMessage): Promise<PrepareResult>;
-  decideMap(id: SwitchId, decision: 'commit' | 'abort'): Promise<void>;
+  decideMap(order: DecideOrder): Promise<void>;
 }
--- a/src/agent/maps/rankSwitch.ts
+++ b/src/agent/maps/rankSwitch.ts
@@ -70,6 +70,8 @@
   | {
       readonly kind: 'decideEngine';
       readonly id: SwitchId;
+      /** Newest fence known; that of the switch may be older. */
+      readonly fence: number;
       readonly decision: 'commit' | 'abort';
     };
 
@@ -179,7 +181,7 @@
     }
     const {id, decision} = pending;
     if (decision === undefined) return [];
-    if (held === id.version) return [{kind: 'decideEngine', id, decision}];
+    if (held === id.version) return [this.decide(id, decision)];
     // A restarted rank is told two maps only. With one more switch before the
     // engine runs with this one there would be a third that it could need.
     if (decision === 'commit' && view.mapVersion < id.version) return [];
@@ -275,7 +277,7 @@
     this.askedAtMs = nowMs;
     // Only now, with the engine holding, is the promise true.
     if (decision === undefined) return [this.promise(id)];
-    return [{kind: 'decideEngine', id, decision}];
+    return [this.decide(id, decision)];
   }
 
   private onPrepareLost(version: number): readonly RankAction[] {
@@ -306,7 +308,16 @@
     const {decision} = message;
     this.pending = {...pending, decision};
     if (pending.state === 'loading') return [];
-    return [{kind: 'decideEngine', id: pending.id, decision}];
+    return [this.decide(pending.id, decision)];
+  }
+
+  /**
+   * A decision is durable, whoever led when its switch was prepared. Under that
+   * older fence an engine that has since obeyed a new leader would refuse it,
+   * and its rank would stand at the barrier, with the whole group, for good.
+   */
+  private decide(id: SwitchId, decision: 'commit' | 'abort'): RankAction {
+    return {kind: 'decideEngine', id, fence: this.knownFence, decision};
   }
 
   private onTick(nowMs: number): readonly RankAction[] {
--- a/src/agent/maps/targetRankEngine.ts
+++ b/src/agent/maps/targetRankEngine.ts
@@ -1,17 +1,13 @@
 /** The engine beside this agent, as the rank's controller needs it. */
 
 import {PeerError} from '../../core/errors';
-import type {
-  PrepareMessage,
-  StageMessage,
-  SwitchId,
-} from '../../core/mapMessages';
+import type {PrepareMessage, StageMessage} from '../../core/mapMessages';
 import type {
   TargetAdapter,
   TargetObservation,
   TargetOrder,
 } from '../../target/targetAdapter';
-import type {RankEngine, StartOrder} from './rankEngine';
+import type {DecideOrder, RankEngine, StartOrder} from './rankEngine';
 import type {EngineView, PrepareResult} from './rankSwitch';
 
 const ORDER_TIMEOUT_MS = 2_000;
@@ -76,10 +72,8 @@
     return step > switchStep ? 'passed' : 'failed';
   }
 
-  async decideMap(
-    {fence, version}: SwitchId,
-    decision: 'commit' | 'abort'
-  ): Promise<void> {
+  async decideMap({id, fence, decision}: DecideOrder): Promise<void> {
+    const {version} = id;
     await this.obey({kind: 'decideMap', fence, version, decision});
   }
 
--- a/tests/mapControllers.spec.ts
+++ b/tests/mapControllers.spec.ts
@@ -115,8 +115,8 @@
         const answer = engine.take({kind: 'prepareEngine', order}, false);
         return answer?.kind === 'prepared' ? answer.result : 'failed';
       },
-      decideMap: async (id, decision) =>
-        void engine.take({kind: 'decideEngine', id, decision}, false),
+      decideMap: async order =>
+        void engine.take({kind: 'decideEngine', ...order}, false),
     };
   }
 
--- a/tests/rankSwitch.spec.ts
+++ b/tests/rankSwitch.spec.ts
@@ -162,6 +162,22 @@
     expect(rank.take(prepare(2, 2))).toEqual(['fenced']);
   });
 
+  // Answers of the whole group stand still for good. The leader dies with a
+  // switch prepared; its successor has weights staged under a higher fence, and
+  // then answers that the switch was aborted. An engine that checks fences would
+  // refuse that under the switch's own fence, and hold at its step for ever.
+  it('should pass a decision on under the newest fence', () => {
+    const rank = RankFixture.ready();
+    rank.take(prepare(2, 2));
+    rank.prepared(2, 'held');
+    const order = {kind: 'stage', group: GROUP, slot: 0, expert: 7} as const;
+    rank.message({kind: 'message', message: {...order, fence: 3}});
+    const message = decision(2, 2, 'abort');
+    expect(rank.machine.handle({kind: 'message', message}, 0)).toMatchObject([
+      {kind: 'decideEngine', fence: 3, id: {fence: 2}, decision: 'abort'},
+    ]);
+  });
+
   it('should stage weights only under a fence that is not old', () => {
     const rank = RankFixture.ready();
     const order = {kind: 'stage', group: GROUP, slot: 0, expert: 7} as const;
