--- a/bench/fuzz/mapModel.ts
+++ b/bench/fuzz/mapModel.ts
@@ -22,7 +22,9 @@
 } from '../../src/core/mapMessages';
 import type {FuzzModel} from './fuzzModel';
 import {LockStepEngine} from './lockStepEngine';
-import type {EngineAnswer, EngineOrder} from './lockStepEngine';
+import type {EngineOrder} from './lockStepEngine';
+import {MapHistory} from './mapHistory';
+import type {EngineWire, LogWire, Wire} from './mapWires';
 import {Network, SeededRandom} from './schedule';
 
 const GROUP = 'g';
@@ -37,25 +39,6 @@
 const LOAD_SEEDS = 1_000_000;
 const MAP: ExpertMap = {slots: [[0]], shares: [[1]]};
 
-type Wire =
-  | {readonly kind: 'toRank'; readonly message: ToRankMessage}
-  | {readonly kind: 'fromRank'; readonly message: FromRankMessage};
-
-/** Between a controller and the log: nothing is repeated, answers get lost. */
-interface LogWire {
-  readonly boot: number;
-  readonly action?: SwitchAction;
-  readonly event?: SwitchEvent;
-}
-
-/** Between an agent and its engine: in order, never lost while both live. */
-interface EngineWire {
-  readonly agentBoot: number;
-  readonly engineBoot: number;
-  readonly order?: EngineOrder;
-  readonly answer?: EngineAnswer;
-}
-
 interface RankNode {
   readonly engine: LockStepEngine;
   agent?: RankSwitch;
@@ -81,8 +64,7 @@
   private readonly state = new MapState();
   private readonly ranks: RankNode[];
   private readonly controllers: ControllerNode[];
-  private readonly versionOfStep = new Map<number, number>();
-  private decidedVersion = 0;
+  private readonly history = new MapHistory();
   private now = 0;
   switched = 0;
 
@@ -248,7 +230,7 @@
       if (engine.step !== least || !this.allFormed(least)) continue;
       if (this.random.chance(STALL)) continue;
       const version = engine.runStep();
-      if (version !== undefined) this.checkStep(least, version);
+      if (version !== undefined) this.history.ran(least, version);
     }
   }
 
@@ -365,10 +347,7 @@
     if (command.kind === 'fence')
       return {kind: 'fence', ...this.state.applyFence(command)};
     const result = this.state.applyDecision(command).kind;
-    const {decidedVersion} = this.state.group(GROUP);
-    if (decidedVersion < this.decidedVersion)
-      throw new Error(`decided version fell to ${decidedVersion}`);
-    this.decidedVersion = decidedVersion;
+    this.history.decided(this.state.group(GROUP).decidedVersion);
     return {kind: 'decided', version: command.version, result};
   }
 
@@ -408,16 +387,6 @@
     this.toController(0, {kind: 'lead'});
   }
 
-  private checkStep(step: number, version: number): void {
-    const seen = this.versionOfStep.get(step);
-    if (seen === undefined) this.versionOfStep.set(step, version);
-    else if (seen !== version)
-      throw new Error(`step ${step} ran with maps ${seen} and ${version}`);
-    const earlier = this.versionOfStep.get(step - 1) ?? 0;
-    if (version < earlier)
-      throw new Error(`step ${step} went back from ${earlier} to ${version}`);
-  }
-
   private checkProgress(steps: readonly number[], switched: number): void {
     this.ranks.forEach(({engine}, rank) => {
       if (engine.step <= (steps[rank] ?? 0) + 1)
