Heed the reports of popularity of an agent that restarted

Cause: reports of a rank are numbered, and an older number is dropped. Found while reading why a process test missed its switch after an agent's restart. Reports name the agent's boot now, and numbers are compared within one boot. Ruled out: numbering from the clock, which a clock set back would break. A report of the old boot that comes late counts once more; its weight by age is small.

--- a/src/agent/maps/rankRole.ts
+++ b/src/agent/maps/rankRole.ts
@@ -107,6 +107,7 @@
       kind: 'expertCounts',
       group,
       rank,
+      agentBootId: this.core.agentBootId,
       seq: ++this.seq,
       step,
       ageMs: spanMs / 2,
--- a/src/control/maps/fromRankSchema.ts
+++ b/src/control/maps/fromRankSchema.ts
@@ -32,6 +32,7 @@
     z.object({
       kind: z.literal('expertCounts'),
       ...FROM,
+      agentBootId: z.string(),
       seq: COUNT,
       step: COUNT,
       ageMs: z.number().nonnegative(),
--- a/src/control/maps/mapController.ts
+++ b/src/control/maps/mapController.ts
@@ -53,7 +53,8 @@
 export class MapController {
   private readonly machine: MapSwitch;
   private readonly planner: RebalancePlanner;
-  private readonly seqs = new Map<number, number>();
+  /** Newest report of each rank. */
+  private readonly newest = new Map<number, ExpertCountsReport>();
   private readonly step = new StepEstimate();
   private pending?: ExpertMap;
 
@@ -115,9 +116,13 @@
   }
 
   private onCounts(report: ExpertCountsReport): void {
-    const last = this.seqs.get(report.rank) ?? -1;
-    if (report.group !== this.cfg.group || report.seq <= last) return;
-    this.seqs.set(report.rank, report.seq);
+    const last = this.newest.get(report.rank);
+    // A restarted agent counts from 1 again. Judged by the number alone, its
+    // reports would be dropped for as long as its last boot had run.
+    const isLate =
+      last?.agentBootId === report.agentBootId && report.seq <= last.seq;
+    if (report.group !== this.cfg.group || isLate) return;
+    this.newest.set(report.rank, report);
     const nowMs = performance.now();
     this.step.seen(report.step, nowMs);
     const atMs = nowMs - report.ageMs;
--- a/src/core/mapMessages.ts
+++ b/src/core/mapMessages.ts
@@ -139,7 +139,8 @@
   readonly kind: 'expertCounts';
   readonly group: string;
   readonly rank: number;
-  /** Grows with each report of a rank; an older one is ignored. */
+  readonly agentBootId: string;
+  /** Grows with each report of a boot; an older one is ignored. */
   readonly seq: number;
   readonly step: number;
   /** Middle of the counted span, milliseconds before sending. */
--- a/tests/mapControllers.spec.ts
+++ b/tests/mapControllers.spec.ts
@@ -46,6 +46,7 @@
   storeUp = true;
   permitted = true;
   counts: readonly number[] = FLAT;
+  private agentBootId = 'boot-1';
   private seq = 0;
   private readonly running: Subscription[] = [];
   private readonly agents: RankController[];
@@ -160,6 +161,7 @@
         kind: 'expertCounts',
         group: GROUP,
         rank,
+        agentBootId: this.agentBootId,
         seq: this.seq,
         step: engine.step,
         ageMs: 500,
@@ -168,6 +170,12 @@
     );
   }
 
+  /** Agents that restart count their reports from 1 again. */
+  restartReports(): void {
+    this.agentBootId = 'boot-2';
+    this.seq = 0;
+  }
+
   get current() {
     return this.state.group(GROUP).current;
   }
@@ -238,6 +246,17 @@
     expect(group.mixedSteps).toBe(0);
   });
 
+  // Steps grow slower and slower after all agents were restarted, as popularity
+  // moves on: their reports are numbered from 1 again, below those of the last
+  // boot, and the controller must not take them for old ones.
+  it('should follow the reports of agents that restarted', async () => {
+    await group.run(6000);
+    group.restartReports();
+    group.counts = ZIPF;
+    await group.run(3000);
+    expect(group.staged.length).toBeGreaterThan(0);
+  });
+
   // The log loses its quorum: nothing can be decided, so nothing is told, and
   // a rank at its barrier waits. With the quorum back the group goes on.
   it('should wait without a quorum and go on with it', async () => {
