Take a load whose order did not arrive for failed

Cause: orders to ranks may get lost, and all are sent again but those to load weights. A lost one held up all further loads of the group for ten times their expected time. An order that was not delivered now counts as a failed load, so that the planner decides anew. Not shown by a test of its own: the director talks to processes; what it does is one call of what tests/placement.spec.ts shows (should plan anew after a load that failed or never came).

--- a/src/control/maps/mapDirector.ts
+++ b/src/control/maps/mapDirector.ts
@@ -101,18 +101,29 @@
   }
 
   private send(group: string, rank: number, message: ToRankMessage): void {
+    this.deliver(group, rank, message).catch((err: unknown) => {
+      this.parts.logger.debug(
+        {err: String(err), group, rank},
+        'map message not delivered'
+      );
+      // All else is sent again; a load would be waited for, and with it all
+      // further loads of the group.
+      if (message.kind !== 'stage') return;
+      const {slot, expert} = message;
+      this.receive({kind: 'staged', group, rank, slot, expert, ok: false});
+    });
+  }
+
+  private async deliver(
+    group: string,
+    rank: number,
+    message: ToRankMessage
+  ): Promise<void> {
     const target = this.parts.members
       .listTargets()
       .find(one => one.group?.id === group && one.group.rank === rank);
-    if (target === undefined) return;
-    this.clientOf(target)
-      .call(METHODS.map, message, SEND_TIMEOUT_MS)
-      .catch((err: unknown) => {
-        this.parts.logger.debug(
-          {err: String(err), group, rank},
-          'map message not delivered'
-        );
-      });
+    if (target === undefined) throw new Error('no agent announces that rank');
+    await this.clientOf(target).call(METHODS.map, message, SEND_TIMEOUT_MS);
   }
 
   private clientOf({targetId, host, port}: Announcement): PeerClient {
