Let no decision on a map wait behind a load of weights

Cause: the agent sent its engine one order at a time, loads among them. A load takes 1.1 s and up to 60 s; an order to hold or to switch behind it came that much later, and all ranks stood at their barrier until then: each switch during a load could cost the group the rest of that load. Mend: loads stand in a line of their own. The fence rules stay, since a decision carries the newest fence known, that of the load included.

--- a/src/agent/maps/rankController.ts
+++ b/src/agent/maps/rankController.ts
@@ -33,11 +33,14 @@
 }
 
 type EngineAction = Exclude<RankAction, {kind: 'send'}>;
+type StageAction = Extract<EngineAction, {kind: 'stageEngine'}>;
+type SwitchOrder = Exclude<EngineAction, StageAction>;
 
 /** One rank's loop: engine views, messages and time go in, orders come out. */
 export class RankController {
   private readonly machine: RankSwitch;
-  private readonly orders = new Subject<EngineAction>();
+  private readonly orders = new Subject<SwitchOrder>();
+  private readonly loads = new Subject<StageAction>();
 
   constructor(
     private readonly cfg: RankControllerConfig,
@@ -62,11 +65,16 @@
       map((): RankEvent => ({kind: 'tick'}))
     );
     // One order at a time: an engine that got two at once could take an
-    // older one for the newer.
+    // older one for the newer. Loads stand in a line of their own, since they
+    // promise nothing: behind one, a decision would come seconds late, and all
+    // ranks of the group would stand at their barrier until then.
     const results = this.orders.pipe(
       concatMap(action => this.carryOut(action))
     );
-    return merge(views, ticks, results).subscribe(event => this.handle(event));
+    const loaded = this.loads.pipe(concatMap(action => this.carryOut(action)));
+    return merge(views, ticks, results, loaded).subscribe(event =>
+      this.handle(event)
+    );
   }
 
   /** Takes a message of control that was validated at the edge. */
@@ -76,8 +84,16 @@
 
   private handle(event: RankEvent): void {
     for (const action of this.machine.handle(event, performance.now())) {
-      if (action.kind === 'send') this.send(action.message);
-      else this.orders.next(action);
+      switch (action.kind) {
+        case 'send':
+          this.send(action.message);
+          break;
+        case 'stageEngine':
+          this.loads.next(action);
+          break;
+        default:
+          this.orders.next(action);
+      }
     }
   }
 
--- a/tests/mapControllers.spec.ts
+++ b/tests/mapControllers.spec.ts
@@ -44,6 +44,7 @@
   readonly versions = new Map<number, Set<number>>();
   logUp = true;
   storeUp = true;
+  storeHangs = false;
   loadsArrive = true;
   permitted = true;
   counts: readonly number[] = FLAT;
@@ -116,6 +117,7 @@
         void engine.take({kind: 'startEngine', ...order}, false),
       stageExpert: async ({slot, expert}) => {
         if (!this.storeUp) throw new Error('rate limited');
+        if (this.storeHangs) await new Promise(() => undefined);
         this.staged.push(`${slot}:${expert}`);
       },
       prepareMap: async (order: PrepareMessage) => {
@@ -285,6 +287,19 @@
     expect(group.staged.length).toBeGreaterThan(0);
   });
 
+  // Every caller of the group waits while one rank loads weights, if the order
+  // to hold or to switch stands behind that load: the others are at the switch
+  // step by then. A change of the split alone must go through meanwhile.
+  it('should switch maps while weights are loading', async () => {
+    await group.run(3000);
+    const first = group.current?.version ?? 0;
+    group.storeHangs = true;
+    group.counts = ZIPF;
+    await group.run(3000);
+    expect(group.current?.version).toBeGreaterThan(first);
+    expect(group.mixedSteps).toBe(0);
+  });
+
   // The log loses its quorum: nothing can be decided, so nothing is told, and
   // a rank at its barrier waits. With the quorum back the group goes on.
   it('should wait without a quorum and go on with it', async () => {
