Let a prompt not queue up behind one that was sent a moment ago

Cause: the tail of the first token comes from prompts that meet in one engine. It takes them in one after the other, and reports, also those with answers, come after that is over.

Change: an entry remembers the prompt tokens that it sent to a target, fading with a half-life of 150 ms; 250 of them weigh as much as a running request.

--- a/bench/emulator/entry.ts
+++ b/bench/emulator/entry.ts
@@ -1,6 +1,11 @@
 /** An emulated entry: its partial view of the targets, routing and retries. */
 
 import {requestCost, type TargetView} from '../../src/policy/balance';
+import {
+  NO_PROMPTS,
+  promptsLeft,
+  withPrompt,
+} from '../../src/policy/recentPrompts';
 import {RetryBudget} from '../../src/policy/retryBudget';
 import {zoneWeight} from '../../src/policy/zoneReturn';
 import type {Chooser} from './choosers';
@@ -70,6 +75,7 @@
   readonly attempts = new Set<Attempt>();
   ownTokens = 0;
   sentAt: number[] = [];
+  prompts = NO_PROMPTS;
   failedAt: number[] = [];
   readonly prefixes = new Map<string, true>();
 
@@ -117,6 +123,7 @@
       ownOutstanding: this.attempts.size,
       ownTokens: this.ownTokens,
       ownSinceReport: this.sentAt.length,
+      ownPromptTokens: promptsLeft(this.prompts, nowMs),
       prefixTokens: this.prefixes.has(req.prefixKey) ? req.prefixTokens : 0,
       recentFailures: this.failedAt.length,
       groupStraggle: target.gate.engine.slow,
@@ -253,6 +260,8 @@
     memory.attempts.add(attempt);
     memory.ownTokens += cost;
     memory.sentAt.push(this.events.now);
+    const {promptTokens} = call.req;
+    memory.prompts = withPrompt(memory.prompts, promptTokens, this.events.now);
     return attempt;
   }
 
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -149,7 +149,9 @@
   ): HedgeLeg<AttemptEnd> {
     const {core, call} = this;
     this.tried.add(target.targetId);
-    core.load.began(target.targetId, cost);
+    const tokens = call.chat?.promptTokens ?? 0;
+    const prompt = {tokens, atMs: performance.now()};
+    core.load.began(target.targetId, cost, prompt);
     const done = runOnce(() => core.load.ended(target.targetId, cost));
     const cancelled = new AbortController();
     const outcome = dispatchOnce(core, call, {
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -3,6 +3,8 @@
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {AnnouncementAges} from '../sync/targetDirectory';
 import type {TargetView} from '../policy/balance';
+import {NO_PROMPTS, promptsLeft, withPrompt} from '../policy/recentPrompts';
+import type {RecentPrompts} from '../policy/recentPrompts';
 
 const FAILURE_MEMORY_MS = 5_000;
 /** Within this, control tells of any change that came after the report. */
@@ -14,6 +16,7 @@
   outstanding: number;
   tokens: number;
   sinceReport: number;
+  prompts: RecentPrompts;
   failedAtMs: number[];
   report: DispatchReport | undefined;
   reportedAtMs: number;
@@ -25,11 +28,13 @@
 export class TargetLoad {
   private readonly loads = new Map<string, Load>();
 
-  began(targetId: string, cost: number): void {
+  /** `prompt` is what the target has to take in first. */
+  began(targetId: string, cost: number, prompt = NO_PROMPTS): void {
     const load = this.loadOf(targetId);
     load.outstanding++;
     load.tokens += cost;
     load.sinceReport++;
+    load.prompts = withPrompt(load.prompts, prompt.tokens, prompt.atMs);
   }
 
   ended(targetId: string, cost: number): void {
@@ -75,6 +80,7 @@
       ownOutstanding: load.outstanding,
       ownTokens: load.tokens,
       ownSinceReport: load.sinceReport,
+      ownPromptTokens: promptsLeft(load.prompts, nowMs),
       prefixTokens,
       recentFailures: load.failedAtMs.length,
       groupStraggle: announcement.slowdown ?? 1,
@@ -88,6 +94,7 @@
       outstanding: 0,
       tokens: 0,
       sinceReport: 0,
+      prompts: NO_PROMPTS,
       failedAtMs: [],
       report: undefined,
       reportedAtMs: -Infinity,
--- a/src/policy/balance.ts
+++ b/src/policy/balance.ts
@@ -28,6 +28,8 @@
   readonly ownTokens: number;
   /** Requests that this entry has sent there since the report was made. */
   readonly ownSinceReport: number;
+  /** Prompt tokens sent a moment ago, see `promptsLeft`; 0 if absent. */
+  readonly ownPromptTokens?: number;
   /** Prompt tokens of this request believed to be cached there. */
   readonly prefixTokens: number;
   /** Failed attempts of this entry there in the last seconds. */
@@ -59,6 +61,12 @@
  * straggler is slow with one request already, so it must count without load.
  */
 const UNLOADED_SCORE = 1;
+/**
+ * Prompt tokens still to be taken in that weigh as much as a running request.
+ * A running request slows the step a little; a prompt ahead makes the new one
+ * wait for its first token.
+ */
+const PROMPT_TOKENS_A_REQUEST = 250;
 /** Targets compared for each request. */
 const SAMPLE_SIZE = 3;
 /** Added to the score for leaving the zone, in parts of a full target. */
@@ -182,7 +190,9 @@
 ): number {
   const full = requestCost(req);
   const part = requestCost(req, target.prefixTokens) / full;
-  const load = (expectedOutstanding(target, pool) + part) / target.limit;
+  const prompts = (target.ownPromptTokens ?? 0) / PROMPT_TOKENS_A_REQUEST;
+  const expected = expectedOutstanding(target, pool) + prompts;
+  const load = (expected + part) / target.limit;
   const remote = target.availabilityZone === req.availabilityZone ? 0 : 1;
   return (
     (UNLOADED_SCORE + load) * Math.max(1, target.groupStraggle) +
--- a/tests/balance.spec.ts
+++ b/tests/balance.spec.ts
@@ -68,6 +68,7 @@
     ['a place in another zone', {availabilityZone: 'zone-b'}],
     ['requests sent since its report', {ownSinceReport: 6}],
     ['a queue', {reportedQueued: 8}],
+    ['prompts sent a moment ago', {ownPromptTokens: 2000}],
   ])('should avoid a target with %s', (_why, fields) => {
     const chosen = counts([view('a', fields), view('b')]);
     expect(chosen.get('a') ?? 0).toBeLessThan(chosen.get('b') ?? 0);
--- a/tests/capacityLoad.spec.ts
+++ b/tests/capacityLoad.spec.ts
@@ -50,4 +50,16 @@
     expect(viewAt(load, 100)).toMatchObject({limit: 0});
     expect(viewAt(load, 101)).toMatchObject({limit: 16});
   });
+
+  // Reports come once a second at best. What this entry sent since waits to be
+  // taken in, and the next prompt would wait behind it, but not for ever.
+  it('should count prompts sent a moment ago, and less as they are taken in', () => {
+    const load = reported(16);
+    load.began(BUSY.targetId, 400, {tokens: 1000, atMs: 100});
+    load.began(BUSY.targetId, 400, {tokens: 1000, atMs: 250});
+    const left = (nowMs: number) => viewAt(load, nowMs).ownPromptTokens ?? 0;
+    expect(left(250)).toBe(1500);
+    expect(left(400)).toBe(750);
+    expect(left(4_000)).toBeLessThan(1);
+  });
 });
