Send the head of an answer together with its body

Cause: the agent flushed the head of every answer at once, and the body that had come from the target in the same segment followed as a second write: two TLS records, two wake-ups of the entry, two runs of its parser. A trace of system calls showed 3.0 writes a call at the agent (request, head, body).

Ruled out: a cork around head and body on our side; Node corks already once the head is not flushed by hand.

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -52,6 +52,14 @@
   await new Exchange(core, dispatch, slot, claimId, gone.signal).run(req, res);
 }
 
+/**
+ * Whether something of the body came along with the head. The head then goes
+ * out with it: alone it costs a write, a TLS record and a wake-up of the entry.
+ */
+function hasBegun(answer: IncomingMessage): boolean {
+  return answer.readableLength > 0 || answer.complete;
+}
+
 /** At most one dispatch of a claim passes, however many arrive. */
 function beginClaim(
   core: AgentCore,
@@ -127,9 +135,9 @@
       answer.statusMessage,
       this.answerHeaders(answer)
     );
-    res.flushHeaders();
-    const end = await this.relay(answer, res);
-    switch (end) {
+    const relayed = this.relay(answer, res);
+    if (!hasBegun(answer)) res.flushHeaders();
+    switch (await relayed) {
       case 'complete':
         return this.completed(answer);
       case 'source cut':
