Make no error when an answer closes after its end

Cause: the wait for the end of a body rejected on every 'close' with a new error, although the promise had been resolved long before.

--- a/src/entry/chat/wholeAnswer.ts
+++ b/src/entry/chat/wholeAnswer.ts
@@ -137,7 +137,10 @@
     });
     body.once('end', resolve);
     body.once('error', reject);
-    body.once('close', () => reject(new Error('the answer broke off')));
+    body.once('close', () => {
+      // Every answer closes; the stack of an error for nobody costs time.
+      if (!body.readableEnded) reject(new Error('the answer broke off'));
+    });
     if (body.destroyed) reject(new Error('the answer broke off'));
     caller.on('drain', resume);
   }).finally(() => caller.off('drain', resume));
