Make the logger of a call when it has a line to log

Cause: two child loggers were made for every call, and most calls log nothing.

The log lines are the same: customer and request id stand in each. The fixture of tests/attempts.spec.ts loses a field that calls no longer have.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -4,6 +4,7 @@
 import {REFUSALS, Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
 import type {CallerResume} from './chat/chatRequest';
@@ -202,7 +203,7 @@
     if (!repeatable || last || !this.mayAfford(refusal))
       throw new RefusalError(refusal);
     core.metrics.count('request.retried', {reason: refusal.reason});
-    call.logger.info({refusal}, 'trying another target');
+    callLogger(core, call).info({refusal}, 'trying another target');
   }
 
   private mayAfford(refusal: Refusal): boolean {
--- a/src/entry/call.ts
+++ b/src/entry/call.ts
@@ -1,7 +1,6 @@
 /** A caller's request on its way through the filters. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Logger} from '../core/logger';
 import type {Progress} from '../core/progress';
 import type {OnceRule} from '../rules/rule';
 import type {CallerResume, ChatRequest} from './chat/chatRequest';
@@ -12,7 +11,6 @@
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly requestId: string;
-  readonly logger: Logger;
   /** Rules in force when it came; the same for the whole call. */
   readonly rules: RuleIndex;
 }
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -123,10 +123,7 @@
         RULES_RETRY_MS
       );
     }
-    const logger = core.logger.child({requestId}, true);
-    await this.filters({req, res, requestId, logger, rules}, call =>
-      this.answer(call)
-    );
+    await this.filters({req, res, requestId, rules}, call => this.answer(call));
   }
 
   private async answer(call: ClassifiedCall): Promise<void> {
--- a/src/entry/filters/identify.ts
+++ b/src/entry/filters/identify.ts
@@ -36,11 +36,7 @@
         `no rule names ${customer}`
       );
     }
-    return next({
-      ...call,
-      customer,
-      logger: call.logger.child({customer}, true),
-    });
+    return next({...call, customer});
   };
 }
 
--- a/src/entry/relayChat.ts
+++ b/src/entry/relayChat.ts
@@ -4,6 +4,7 @@
 import {REFUSALS, Refusal} from '../core/refusal';
 import type {Answered, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {StreamSource, relayStream} from './chat/streamResumer';
 import type {EntryCore} from './entryCore';
 import {countTokens} from './countTokens';
@@ -59,7 +60,7 @@
   current.done();
   if (end.kind === 'cut') {
     core.metrics.count('stream.cut');
-    call.logger.warn({refusal: end.refusal}, 'stream cut');
+    callLogger(core, call).warn({refusal: end.refusal}, 'stream cut');
   }
   if (end.kind === 'caller gone') core.metrics.count('request.cancelled');
 }
--- a/src/entry/relayPlain.ts
+++ b/src/entry/relayPlain.ts
@@ -5,6 +5,7 @@
 import {trailersOf} from '../core/upstream';
 import type {Answered, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {ChatUsage} from './chat/chatUsage';
 import {WholeEnd, WholeSource, relayWhole} from './chat/wholeAnswer';
 import type {EntryCore} from './entryCore';
@@ -31,7 +32,7 @@
   const repeatable = call.once === undefined && call.body.kind !== 'streaming';
   const retry = async (detail: string) => {
     core.metrics.count('request.retried', {reason: 'answer lost'});
-    call.logger.info({detail}, 'answer lost; trying another target');
+    callLogger(core, call).info({detail}, 'answer lost; trying another target');
     attempts.answerLost();
     current = await withDeadline(call, () => attempts.run());
     usage.reset();
@@ -89,7 +90,7 @@
       return;
     case 'cut':
       core.metrics.count('stream.cut');
-      call.logger.warn({detail: end.detail}, 'the answer broke off');
+      callLogger(core, call).warn({detail: end.detail}, 'the answer broke off');
       return;
     case 'lost':
       if (end.err instanceof RefusalError) throw end.err;
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -24,6 +24,7 @@
 } from '../rpc/messages';
 import {askAgent} from './askAgent';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {dispatchOnce} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
 import {
@@ -259,7 +260,7 @@
     try {
       await core.sync.leader.call(METHODS.settle, request, SETTLE_TIMEOUT_MS);
     } catch (err) {
-      call.logger.warn(
+      callLogger(core, call).warn(
         {err: String(err), attempt},
         'the claim is still to be settled'
       );
--- a/tests/attempts.spec.ts
+++ b/tests/attempts.spec.ts
@@ -46,7 +46,6 @@
     limit: {timeoutMs: 5_000, attempts: 3, retryBudgetPercent: 100},
     body: {kind: 'none'},
     progress: new Progress('request', performance.now() + 5_000, 'entry-0'),
-    logger,
     ...change,
   } as ClassifiedCall;
 }
