Choose and set the headers of a hop in one pass

Cause: each hop lower-cased every name twice and copied the list twice. The same pass also used `in` on an object: a header named like one of its methods (constructor) was dropped; it is passed on now.

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -3,7 +3,11 @@
 import http, {IncomingMessage, ServerResponse} from 'node:http';
 import type {RecordedAnswer} from '../core/claims';
 import {headerJson} from '../core/headerJson';
-import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
+import {
+  endToEndHeaders,
+  headerPairs,
+  relayedHeaders,
+} from '../core/httpHeaders';
 import {refuse} from '../core/refusal';
 import {
   UpstreamError,
@@ -180,8 +184,8 @@
     const {adapter, target} = this.core;
     const resumed = this.dispatch.resumeFrom !== undefined;
     const priority = enginePriority({inCredit: this.slot.inCredit, resumed});
-    const headers = withHeaders(
-      endToEndHeaders(req.rawHeaders),
+    const headers = relayedHeaders(
+      req.rawHeaders,
       adapter.requestHeaders({...this.dispatch, priority})
     );
     try {
@@ -230,7 +234,7 @@
 
   private answerHeaders(answer: IncomingMessage): string[] {
     const report = headerJson(this.core.report(this.slot.queuedMs));
-    return withHeaders(endToEndHeaders(answer.rawHeaders), {
+    return relayedHeaders(answer.rawHeaders, {
       [REPORT_HEADER]: report,
     });
   }
--- a/src/core/httpHeaders.ts
+++ b/src/core/httpHeaders.ts
@@ -18,14 +18,23 @@
  * or caller that sent one could otherwise pass for an agent.
  */
 export function endToEndHeaders(raw: readonly string[]): string[] {
+  return relayedHeaders(raw, {});
+}
+
+/** As `endToEndHeaders`, with those of `set` in place; its names are lower case. */
+export function relayedHeaders(
+  raw: readonly string[],
+  set: Readonly<Record<string, string>>
+): string[] {
   const kept: string[] = [];
   for (let i = 0; i + 1 < raw.length; i += 2) {
     const name = raw[i] ?? '';
     const lower = name.toLowerCase();
     if (HOP_BY_HOP.has(lower) || lower.startsWith(OWN_PREFIX)) continue;
-    kept.push(name, raw[i + 1] ?? '');
+    // Not `in`: a header named like a method of objects would be dropped.
+    if (!Object.hasOwn(set, lower)) kept.push(name, raw[i + 1] ?? '');
   }
-  return kept;
+  return withAdded(kept, set);
 }
 
 /** Replaces or adds headers in a raw list; names are lower case. */
@@ -35,11 +44,18 @@
 ): string[] {
   const kept: string[] = [];
   for (let i = 0; i + 1 < raw.length; i += 2) {
-    if (raw[i]!.toLowerCase() in set) continue;
+    if (Object.hasOwn(set, raw[i]!.toLowerCase())) continue;
     kept.push(raw[i]!, raw[i + 1]!);
   }
-  for (const [name, value] of Object.entries(set)) kept.push(name, value);
-  return kept;
+  return withAdded(kept, set);
+}
+
+function withAdded(
+  list: string[],
+  set: Readonly<Record<string, string>>
+): string[] {
+  for (const name of Object.keys(set)) list.push(name, set[name]!);
+  return list;
 }
 
 /** Drops one header from a raw list; the name is lower case. */
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -2,7 +2,7 @@
 
 import type {IncomingMessage} from 'node:http';
 import {headerJson} from '../core/headerJson';
-import {endToEndHeaders, withHeaders, withoutHeader} from '../core/httpHeaders';
+import {relayedHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {REFUSALS, Refusal} from '../core/refusal';
 import {UpstreamError, sendUpstream} from '../core/upstream';
@@ -110,7 +110,7 @@
   };
   if (call.body.kind === 'buffered')
     own['content-length'] = String(call.body.bytes.length);
-  const headers = withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  const headers = relayedHeaders(call.req.rawHeaders, own);
   // A target that saw the caller's own header would resume unasked.
   return call.chat === undefined
     ? headers
--- a/src/entry/relayChat.ts
+++ b/src/entry/relayChat.ts
@@ -1,6 +1,6 @@
 /** Passes a token stream on, from one target after the other where needed. */
 
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {relayedHeaders} from '../core/httpHeaders';
 import {REFUSALS, Refusal} from '../core/refusal';
 import type {Answered, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
@@ -76,7 +76,7 @@
   if (target.modelVersion !== undefined)
     own['marlpulley-model-version'] = target.modelVersion;
   // A stream that goes on elsewhere keeps no length that its first head named.
-  const headers = withHeaders(endToEndHeaders(answer.rawHeaders), own);
+  const headers = relayedHeaders(answer.rawHeaders, own);
   res.writeHead(HTTP_OK, headers);
   res.flushHeaders();
 }
--- a/src/entry/relayPlain.ts
+++ b/src/entry/relayPlain.ts
@@ -1,6 +1,6 @@
 /** Passes any other answer on, whole or not at all. */
 
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {relayedHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
 import {trailersOf} from '../core/upstream';
 import type {Answered, Attempts} from './attempts';
@@ -116,7 +116,7 @@
     'marlpulley-request-id': requestId,
     'marlpulley-target': report.targetId,
   };
-  const headers = withHeaders(endToEndHeaders(answer.rawHeaders), own);
+  const headers = relayedHeaders(answer.rawHeaders, own);
   res.writeHead(answer.statusCode ?? 502, answer.statusMessage, headers);
 }
 
