Build the view of a target once a call

Cause: for every call and every target of the pool the entry built a view, copied it twice by spreading, copied the newest report, and filtered a list of failures that is nearly always empty.

The choice is the same.

--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -41,11 +41,7 @@
   );
   const open = inZones.filter(target => !tried.has(target.targetId));
   const straggle = straggleByGroup(pooled);
-  const views = open.map(target => {
-    const view = viewOf(core, call, target, nowMs);
-    const ofGroup = straggle.get(target.group?.id ?? '') ?? 1;
-    return {...view, groupStraggle: Math.max(view.groupStraggle, ofGroup)};
-  });
+  const views = open.map(target => viewOf(core, call, target, straggle, nowMs));
   const chosen = chooseTarget(
     {
       promptTokens: call.chat?.promptTokens ?? 0,
@@ -81,12 +77,21 @@
   core: EntryCore,
   call: ClassifiedCall,
   target: Announcement,
+  straggle: ReadonlyMap<string, number>,
   nowMs: number
 ): TargetView {
-  const ages = core.sync.directory.agesOf(target, nowMs);
-  const cached = cachedTokens(call, target);
-  const returnWeight = core.zoneReturns.weight(target.availabilityZone, nowMs);
-  return {...core.load.view(target, ages, cached, nowMs), returnWeight};
+  const {group, slowdown = 1, availabilityZone} = target;
+  const ofGroup = group === undefined ? 1 : (straggle.get(group.id) ?? 1);
+  return core.load.view(
+    target,
+    core.sync.directory.agesOf(target, nowMs),
+    {
+      prefixTokens: cachedTokens(call, target),
+      groupStraggle: Math.max(slowdown, ofGroup),
+      returnWeight: core.zoneReturns.weight(availabilityZone, nowMs),
+    },
+    nowMs
+  );
 }
 
 function costOf(call: ClassifiedCall, target: Announcement): number {
--- a/src/entry/targetLoad.ts
+++ b/src/entry/targetLoad.ts
@@ -10,6 +10,12 @@
 /** As often as announcements of a target came in when each poll brought one. */
 const CLOSED_REPORT_AGE_MS = 100;
 
+/** What a view of a target takes from other parts of the entry. */
+export type KnownElsewhere = Pick<
+  TargetView,
+  'prefixTokens' | 'groupStraggle' | 'returnWeight'
+>;
+
 interface Load {
   outstanding: number;
   tokens: number;
@@ -18,7 +24,8 @@
   report: DispatchReport | undefined;
   reportedAtMs: number;
   /** Boot and number of the last announcement that was used. */
-  announced: string;
+  announcedBoot: string;
+  announcedSeq: number;
 }
 
 /** Own work by target. */
@@ -53,16 +60,14 @@
   view(
     announcement: Announcement,
     ages: AnnouncementAges,
-    prefixTokens: number,
+    {prefixTokens, groupStraggle, returnWeight}: KnownElsewhere,
     nowMs: number
   ): TargetView {
     const load = this.loadOf(announcement.targetId);
-    load.failedAtMs = load.failedAtMs.filter(
-      at => nowMs - at < FAILURE_MEMORY_MS
-    );
+    forgetFailures(load, nowMs);
     const {targetId, availabilityZone, tokensInWork} = announcement;
     noteAnnounced(load, announcement);
-    const newest = newestReport(announcement, ages, load, nowMs);
+    const {newest, ageMs} = newestReport(announcement, ages, load, nowMs);
     return {
       targetId,
       availabilityZone,
@@ -71,13 +76,14 @@
       reportedOutstanding: newest.outstanding,
       reportedQueued: newest.queued,
       reportedTokens: tokensInWork ?? 0,
-      reportAgeMs: newest.ageMs,
+      reportAgeMs: ageMs,
       ownOutstanding: load.outstanding,
       ownTokens: load.tokens,
       ownSinceReport: load.sinceReport,
       prefixTokens,
       recentFailures: load.failedAtMs.length,
-      groupStraggle: announcement.slowdown ?? 1,
+      groupStraggle,
+      returnWeight,
     };
   }
 
@@ -91,18 +97,27 @@
       failedAtMs: [],
       report: undefined,
       reportedAtMs: -Infinity,
-      announced: '',
+      announcedBoot: '',
+      announcedSeq: -1,
     };
     this.loads.set(targetId, load);
     return load;
   }
 }
 
+/** Every call asks for a view of every target: without failures, no new list. */
+function forgetFailures(load: Load, nowMs: number): void {
+  if (load.failedAtMs.length === 0) return;
+  load.failedAtMs = load.failedAtMs.filter(
+    at => nowMs - at < FAILURE_MEMORY_MS
+  );
+}
+
 /** A newer announcement counts what was sent before it. */
 function noteAnnounced(load: Load, {agentBootId, seq}: Announcement): void {
-  const announced = `${agentBootId}/${seq}`;
-  if (load.announced === announced) return;
-  load.announced = announced;
+  if (load.announcedSeq === seq && load.announcedBoot === agentBootId) return;
+  load.announcedBoot = agentBootId;
+  load.announcedSeq = seq;
   load.sinceReport = 0;
 }
 
@@ -115,12 +130,13 @@
   return report?.limit === 0 ? CLOSED_REPORT_AGE_MS : MAX_REPORT_AGE_MS;
 }
 
-type Reported = Pick<
-  Announcement,
-  'temperature' | 'limit' | 'outstanding' | 'queued'
-> & {
+interface Reported {
+  readonly newest: Pick<
+    Announcement,
+    'temperature' | 'limit' | 'outstanding' | 'queued'
+  >;
   readonly ageMs: number;
-};
+}
 
 function newestReport(
   announcement: Announcement,
@@ -133,7 +149,7 @@
   const isOlder =
     reportAgeMs > ages.arrivedMs || reportAgeMs > maxAgeMs(report);
   if (report === undefined || !sameBoot || isOlder) {
-    return {...announcement, ageMs: ages.confirmedMs};
+    return {newest: announcement, ageMs: ages.confirmedMs};
   }
-  return {...report, ageMs: reportAgeMs};
+  return {newest: report, ageMs: reportAgeMs};
 }
--- a/tests/capacityLoad.spec.ts
+++ b/tests/capacityLoad.spec.ts
@@ -24,7 +24,8 @@
 /** The view at a time, of an announcement that came long before the report. */
 function viewAt(load: TargetLoad, nowMs: number) {
   const ages = {arrivedMs: nowMs + 10_000, confirmedMs: 100};
-  return load.view(BUSY, ages, 0, nowMs);
+  const elsewhere = {prefixTokens: 0, groupStraggle: 1};
+  return load.view(BUSY, ages, elsewhere, nowMs);
 }
 
 describe('reports with answers against announcements', () => {
