Make signals only for what can be cancelled

The entry made a second one for each attempt, used by hedges alone; the agent listened for an abort for calls that had been let through at once, and never took the listener off.

--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -70,9 +70,11 @@
     if (refusal !== undefined) return Promise.reject(new RefusalError(refusal));
     const enteredAtMs = performance.now();
     return new Promise((resolve, reject) => {
+      let waits = true;
       const waiting: Waiting = {
         dispatch,
         admit: inCredit => {
+          waits = false;
           const queuedMs = performance.now() - enteredAtMs;
           if (queuedMs >= QUEUED_MS) this.metrics.count('gate.queued');
           resolve(this.slot(dispatch, queuedMs, inCredit));
@@ -80,6 +82,8 @@
         fail: reject,
       };
       this.offer(waiting, enteredAtMs);
+      // Most start at once, and have nothing to abandon.
+      if (!waits) return;
       signal.addEventListener(
         'abort',
         () => this.abandon(dispatch.requestId, reject),
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -158,7 +158,7 @@
       target,
       cost,
       resumeFrom: resume?.fromToken,
-      signal: this.legSignal(cancelled.signal),
+      signal: this.legSignal(cancelled),
     }).then((end): AttemptEnd => {
       if (end.kind === 'answered') {
         return {kind: 'answered', answered: {...end, target, done}};
@@ -185,10 +185,10 @@
   }
 
   /** Only a hedged leg can be cancelled alone; joining signals costs time. */
-  private legSignal(cancelled: AbortSignal): AbortSignal {
+  private legSignal(cancelled: AbortController): AbortSignal {
     const {progress, limit} = this.call;
     if (limit.hedgeAfterMs === undefined) return progress.signal;
-    return AbortSignal.any([progress.signal, cancelled]);
+    return AbortSignal.any([progress.signal, cancelled.signal]);
   }
 
   private assertMayRepeat(refusal: Refusal): void {
