Carry a call's cancel by a plain object in place of abort signals

A hedged leg still ends with its call or alone; a cancelled call still destroys the request under way.

--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -3,6 +3,7 @@
  * together send, and never more at once than the target bears now.
  */
 
+import type {CancelSignal} from '../core/cancellation';
 import type {Metrics} from '../core/metrics';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Dispatch} from '../core/wire';
@@ -65,7 +66,7 @@
   }
 
   /** Resolves when the request may start; rejects with RefusalError. */
-  enter(dispatch: Dispatch, signal: AbortSignal): Promise<Slot> {
+  enter(dispatch: Dispatch, signal: CancelSignal): Promise<Slot> {
     const refusal = this.view.refusal(dispatch);
     if (refusal !== undefined) return Promise.reject(new RefusalError(refusal));
     const enteredAtMs = performance.now();
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -1,6 +1,7 @@
 /** One dispatch from the gate to the end of its answer. */
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
+import {CancelSignal, Cancellation} from '../core/cancellation';
 import type {RecordedAnswer} from '../core/claims';
 import {headerJson} from '../core/headerJson';
 import {
@@ -29,6 +30,8 @@
 
 /** Connections to the target are kept; calls that may not repeat use their own. */
 const keepAlive = new http.Agent({keepAlive: true});
+/** Nobody cancels it. */
+const NEVER: CancelSignal = new Cancellation();
 
 /** Resolves once the answer has ended; rejects with RefusalError before it. */
 export async function serveDispatch(
@@ -38,12 +41,12 @@
   res: ServerResponse
 ): Promise<void> {
   core.sawRevision(dispatch.revision);
-  const gone = new AbortController();
-  // An abort is costly, and after a whole answer it has nothing to end.
+  const gone = new Cancellation();
+  // After a whole answer there is nothing to end.
   res.on('close', () => {
-    if (!res.writableFinished) gone.abort();
+    if (!res.writableFinished) gone.cancel();
   });
-  const slot = await core.gate.enter(dispatch, gone.signal);
+  const slot = await core.gate.enter(dispatch, gone);
   const claimId =
     dispatch.claim &&
     claimIdOf(dispatch.customer, dispatch.claim.key, dispatch.claim.attempt);
@@ -53,7 +56,7 @@
     slot.release();
     throw err;
   }
-  await new Exchange(core, dispatch, slot, claimId, gone.signal).run(req, res);
+  await new Exchange(core, dispatch, slot, claimId, gone).run(req, res);
 }
 
 /**
@@ -111,7 +114,7 @@
     private readonly dispatch: Dispatch,
     private readonly slot: Slot,
     private readonly claimId: string | undefined,
-    private readonly gone: AbortSignal
+    private readonly gone: CancelSignal
   ) {}
 
   async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -208,8 +211,8 @@
   }
 
   /** A call that may have run is never broken off: its answer is wanted. */
-  private sendSignal(): AbortSignal {
-    return this.dispatch.idempotent ? this.gone : new AbortController().signal;
+  private sendSignal(): CancelSignal {
+    return this.dispatch.idempotent ? this.gone : NEVER;
   }
 
   private sendFailed(err: unknown): Error {
--- a/src/core/progress.ts
+++ b/src/core/progress.ts
@@ -1,10 +1,11 @@
 /** Carries the deadline and the cancellation of one call through every step. */
 
+import {CancelSignal, Cancellation} from './cancellation';
 import {refuse, Step} from './refusal';
 
 /** Deadline and cancel of a call. Times are `performance.now()` milliseconds. */
 export class Progress {
-  private readonly controller = new AbortController();
+  private readonly cancellation = new Cancellation();
 
   constructor(
     readonly requestId: string,
@@ -12,8 +13,8 @@
     private readonly processId: string
   ) {}
 
-  get signal(): AbortSignal {
-    return this.controller.signal;
+  get signal(): CancelSignal {
+    return this.cancellation;
   }
 
   /** Milliseconds left, never negative. */
@@ -30,8 +31,8 @@
   }
 
   /** Stops all work of the call, for instance when the caller has gone. */
-  cancel(reason: string): void {
-    this.controller.abort(new Error(reason));
+  cancel(): void {
+    this.cancellation.cancel();
   }
 
   /** Throws `deadline-passed` once nothing can be answered in time. */
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -7,6 +7,7 @@
 import https from 'node:https';
 import type {Readable, Writable} from 'node:stream';
 import {TLSSocket} from 'node:tls';
+import type {CancelSignal} from './cancellation';
 import {endToEndHeaders, headerPairs} from './httpHeaders';
 
 /** Fails before the answer's head has come. */
@@ -37,7 +38,7 @@
   readonly headers: readonly string[];
   /** A body at hand, a stream to pass on, or nothing. */
   readonly body: Buffer | http.IncomingMessage | undefined;
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
 }
 
 /** Resolves with the answer's head; rejects with UpstreamError. */
@@ -72,7 +73,7 @@
 }
 
 /** As the option `signal` of Node does, for a fraction of its time a call. */
-function destroyOnAbort(req: http.ClientRequest, signal: AbortSignal): void {
+function destroyOnAbort(req: http.ClientRequest, signal: CancelSignal): void {
   const stop = () => {
     req.destroy(new Error('the call was cancelled'));
   };
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -1,6 +1,7 @@
 /** Tries targets in turn until one answers or nothing more may be tried. */
 
 import type {IncomingMessage} from 'node:http';
+import {CancelSignal, Cancellation, joined} from '../core/cancellation';
 import {REFUSALS, Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {ClassifiedCall} from './call';
@@ -152,7 +153,7 @@
     this.tried.add(target.targetId);
     core.load.began(target.targetId, cost);
     const done = runOnce(() => core.load.ended(target.targetId, cost));
-    const cancelled = new AbortController();
+    const cancelled = new Cancellation();
     const outcome = dispatchOnce(core, call, {
       number: ++this.count,
       target,
@@ -171,7 +172,7 @@
       return end;
     });
     const cancel = () => {
-      cancelled.abort();
+      cancelled.cancel();
       outcome.then(
         end => {
           if (end.kind !== 'answered') return;
@@ -184,11 +185,11 @@
     return {outcome, cancel};
   }
 
-  /** Only a hedged leg can be cancelled alone; joining signals costs time. */
-  private legSignal(cancelled: AbortController): AbortSignal {
+  /** Only a hedged leg can be cancelled alone. */
+  private legSignal(cancelled: Cancellation): CancelSignal {
     const {progress, limit} = this.call;
     if (limit.hedgeAfterMs === undefined) return progress.signal;
-    return AbortSignal.any([progress.signal, cancelled.signal]);
+    return joined(progress.signal, cancelled);
   }
 
   private assertMayRepeat(refusal: Refusal): void {
--- a/src/entry/chat/streamResumer.ts
+++ b/src/entry/chat/streamResumer.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Readable, Writable} from 'node:stream';
+import type {CancelSignal} from '../../core/cancellation';
 import {Refusal, RefusalError} from '../../core/refusal';
 import {
   CutCause,
@@ -38,7 +39,7 @@
   /** Longest wait for a caller that reads nothing, in milliseconds. */
   readonly callerTimeoutMs: number;
   /** Aborts at the deadline of the request. */
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /** Another target of the same model and version; rejects when none can. */
   reopen(point: ResumePoint): Promise<StreamSource>;
   /** The JSON of the last event of a stream that is cut. */
--- a/src/entry/chat/wholeAnswer.ts
+++ b/src/entry/chat/wholeAnswer.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Readable, Writable} from 'node:stream';
+import type {CancelSignal} from '../../core/cancellation';
 
 /** One target's answer. */
 export interface WholeSource {
@@ -20,7 +21,7 @@
   readonly caller: Writable;
   /** Bytes held back at most. */
   readonly holdBytes: number;
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /** Writes status and headers; called once, before any byte of the body. */
   writeHead(source: S): void;
   /** Adds trailers and ends the caller's answer; its body is all written. */
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -1,6 +1,7 @@
 /** One attempt at one target: the dispatch, and what its outcome proves. */
 
 import type {IncomingMessage} from 'node:http';
+import type {CancelSignal} from '../core/cancellation';
 import {headerJson} from '../core/headerJson';
 import {relayedHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
@@ -25,7 +26,7 @@
   readonly cost: number;
   readonly claim?: Dispatch['claim'];
   readonly resumeFrom?: number;
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
 }
 
 /** What came of it; the body of an answer is still to be read. */
--- a/src/entry/serveCall.ts
+++ b/src/entry/serveCall.ts
@@ -30,11 +30,8 @@
   work: () => Promise<T>
 ): Promise<T> {
   const {progress, res} = call;
-  const timer = setTimeout(
-    () => progress.cancel('deadline'),
-    progress.remainingMs()
-  );
-  const onClose = () => progress.cancel('the caller went away');
+  const timer = setTimeout(() => progress.cancel(), progress.remainingMs());
+  const onClose = () => progress.cancel();
   res.once('close', onClose);
   try {
     return await work();
