--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -162,7 +162,8 @@
       signal: this.legSignal(cancelled),
     }).then((end): AttemptEnd => {
       if (end.kind === 'answered') {
-        return {kind: 'answered', answered: {...end, target, done}};
+        const {answer, report} = end;
+        return {kind: 'answered', answered: {answer, report, target, done}};
       }
       done();
       // Noted here, for both legs of a hedge: the other one's "not run" would
