Make the call of each filter whole, not a copy with additions

Cause: 1.3 % of the entry's samples were in the copy of a call with its customer. The id of a counter is made without lists of parts as well.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -100,10 +100,8 @@
 }
 
 function counterId(name: MetricName, tags: MetricTags): string {
-  const keys = Object.keys(tags);
-  const [only] = keys;
-  if (only === undefined) return name;
-  if (keys.length === 1) return `${name}{${only}=${tags[only]}}`;
-  const parts = keys.sort().map(key => `${key}=${tags[key]}`);
-  return `${name}{${parts.join(',')}}`;
+  let id = '';
+  for (const key of Object.keys(tags).sort())
+    id += `${id === '' ? '' : ','}${key}=${tags[key]}`;
+  return id === '' ? name : `${name}{${id}}`;
 }
--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -32,7 +32,7 @@
   options: ClassifyOptions
 ): Filter<IdentifiedCall, ClassifiedCall> {
   return async (call, next) => {
-    const {req, rules, customer, requestId} = call;
+    const {req, res, rules, customer, requestId} = call;
     const path = req.url ?? '/';
     const pool = pickPool(rules.routes(customer, path), options.random);
     if (pool === undefined) {
@@ -64,7 +64,11 @@
       chat?.stream === true ? readResume(call, options.entryId) : undefined;
     const priority = priorityOf(call);
     await next({
-      ...call,
+      req,
+      res,
+      requestId,
+      rules,
+      customer,
       progress,
       pool,
       limit,
--- a/src/entry/filters/identify.ts
+++ b/src/entry/filters/identify.ts
@@ -36,7 +36,8 @@
         `no rule names ${customer}`
       );
     }
-    return next({...call, customer});
+    const {req, res, requestId, rules} = call;
+    return next({req, res, requestId, rules, customer});
   };
 }
 
