Share the dispatch of two tests

Cause: the test of an answer's head wrote the fields of a dispatch again that the fixture of the agent's port has. No change in what either test asks.

--- a/tests/answerHead.spec.ts
+++ b/tests/answerHead.spec.ts
@@ -1,25 +1,11 @@
 import https from 'node:https';
-import type {Dispatch} from '../src/core/wire';
 import {PROTOCOL_VERSION} from '../src/core/protocolVersion';
 import {createPeerAgent} from '../src/rpc/peerClient';
 import {PROTOCOL_HEADER} from '../src/rpc/peerServer';
-import {SECRET, startAgent} from './fixtures/agentPort';
+import {DISPATCH, SECRET, startAgent} from './fixtures/agentPort';
 import {eventually} from './fixtures/system';
 import {closeTargets, later, scripted} from './fixtures/targets';
 
-const DISPATCH: Omit<Dispatch, 'agentBootId'> = {
-  requestId: 'request',
-  entryId: 'entry-0',
-  customer: 'harbour',
-  pool: 'allocation',
-  revision: 1,
-  remainingMs: 5_000,
-  attempt: 1,
-  cost: 1,
-  idempotent: true,
-  priority: 0,
-};
-
 afterEach(closeTargets);
 
 describe('head of an answer', () => {
