Measure the latency that is added below saturation too

Cause: 32 callers that send one call after the other keep the entry busy to the last moment, so the added latency was the time spent in its queue: 9.4 ms where entry and agent together take less than 1 ms of processor a call. After the rounds each kind of call now goes through both proxies at half the rate that ours bore, spread evenly over the connections. New fields halfLoad...; all keys stay.

--- a/bench/capacity/loadGenerator.ts
+++ b/bench/capacity/loadGenerator.ts
@@ -19,6 +19,8 @@
   readonly maxCalls: number;
   /** Rest of each connection after a call, milliseconds. */
   readonly pauseMs?: number;
+  /** Calls begin at this rate, all connections together; as fast as they can. */
+  readonly callsPerS?: number;
 }
 
 /** What came of it; latencies in milliseconds. */
@@ -55,26 +57,46 @@
 
   async run(): Promise<LoadResult> {
     const {warmupCalls, seconds, maxCalls} = this.plan;
-    await this.drive(Infinity, warmupCalls);
+    await this.drive(Infinity, warmupCalls, 0);
     this.forget();
     const startedAtMs = performance.now();
-    await this.drive(startedAtMs + seconds * 1_000, maxCalls);
+    await this.drive(
+      startedAtMs + seconds * 1_000,
+      maxCalls,
+      this.intervalMs()
+    );
     const elapsedS = (performance.now() - startedAtMs) / 1_000;
     this.agent.destroy();
     return this.result(elapsedS);
   }
 
+  /** Time between two calls of one connection; 0 for one after the other. */
+  private intervalMs(): number {
+    const {callsPerS, connections} = this.plan;
+    return callsPerS === undefined ? 0 : (connections * 1_000) / callsPerS;
+  }
+
   /** Every connection sends one call after the other. */
-  private async drive(endAtMs: number, maxCalls: number): Promise<void> {
+  private async drive(
+    endAtMs: number,
+    maxCalls: number,
+    intervalMs: number
+  ): Promise<void> {
+    const {connections, pauseMs = 0} = this.plan;
+    const startedAtMs = performance.now();
     let begun = 0;
-    const loop = async () => {
+    const loop = async (index: number) => {
+      // Connections that all began at once would queue behind each other.
+      let dueAtMs = startedAtMs + (intervalMs * index) / connections;
       while (performance.now() < endAtMs && begun++ < maxCalls) {
+        const earlyMs = dueAtMs - performance.now();
+        if (earlyMs > 0) await delay(earlyMs);
+        dueAtMs += intervalMs;
         await this.call();
-        const {pauseMs = 0} = this.plan;
         if (pauseMs > 0) await delay(pauseMs);
       }
     };
-    await Promise.all(Array.from({length: this.plan.connections}, loop));
+    await Promise.all(Array.from({length: connections}, (_, i) => loop(i)));
   }
 
   private forget(): void {
--- a/bench/measures/entryOverhead.ts
+++ b/bench/measures/entryOverhead.ts
@@ -19,6 +19,8 @@
 const LEAST_SHARE = 0.7;
 const STREAM_TOKENS = 64;
 const ANSWER_BYTES = 1_024;
+/** Of the calls a second that we bear: there, waiting adds little. */
+const HALF = 0.5;
 const READY_TRIES = 100;
 const READY_PAUSE_MS = 50;
 
@@ -82,6 +84,12 @@
   readonly bareUs: number;
 }
 
+/** The same rate of calls through both, well below what either bears. */
+interface AtHalfLoad {
+  readonly ours: LoadResult;
+  readonly bare: LoadResult;
+}
+
 /** The round with the median share, whole, so that its figures belong together. */
 function medianRound(rounds: readonly Compared[]): Compared {
   const share = ({ours, bare}: Compared) => ours.callsPerS / bare.callsPerS;
@@ -98,7 +106,10 @@
     private readonly rounds: number
   ) {}
 
-  async run(pool: string, call: Call): Promise<Compared> {
+  async run(
+    pool: string,
+    call: Call
+  ): Promise<{readonly full: Compared; readonly half: AtHalfLoad}> {
     const target = this.deployment.targets.find(one => one.pool === pool);
     if (target === undefined) throw new Error(`no target in ${pool}`);
     const proxy = await Child.start(
@@ -123,7 +134,13 @@
           bareUs: bare.usPerCall[0] ?? 0,
         });
       }
-      return medianRound(rounds);
+      const full = medianRound(rounds);
+      const plan = {callsPerS: full.ours.callsPerS * HALF};
+      const half = {
+        ours: await this.load(entryPort, call, plan),
+        bare: await this.load(proxy.hello.port, call, plan),
+      };
+      return {full, half};
     } finally {
       await proxy.end('SIGKILL');
     }
@@ -140,7 +157,11 @@
     return {load, usPerCall};
   }
 
-  private load(port: number, call: Call): Promise<LoadResult> {
+  private load(
+    port: number,
+    call: Call,
+    plan: Pick<LoadPlan, 'callsPerS'> = {}
+  ): Promise<LoadResult> {
     return runLoad({
       ...call,
       port,
@@ -148,6 +169,7 @@
       connections: CONNECTIONS,
       seconds: this.seconds,
       maxCalls: 200_000,
+      ...plan,
     });
   }
 
@@ -185,7 +207,27 @@
   };
 }
 
-function judged(whole: Compared, stream: Compared): MeasureResult {
+/** What a caller waits for us while nothing queues for the processor. */
+function halfLoadFigures(whole: AtHalfLoad, stream: AtHalfLoad): Figures {
+  return {
+    halfLoadWholeCallsPerS: whole.ours.callsPerS,
+    halfLoadWholeP50Ms: whole.ours.p50Ms,
+    halfLoadWholeAddedP50Ms: whole.ours.p50Ms - whole.bare.p50Ms,
+    halfLoadWholeAddedP99Ms: whole.ours.p99Ms - whole.bare.p99Ms,
+    halfLoadStreamCallsPerS: stream.ours.callsPerS,
+    halfLoadStreamFirstByteP50Ms: stream.ours.firstByteP50Ms,
+    halfLoadStreamAddedFirstByteP50Ms:
+      stream.ours.firstByteP50Ms - stream.bare.firstByteP50Ms,
+    halfLoadStreamAddedFirstByteP99Ms:
+      stream.ours.firstByteP99Ms - stream.bare.firstByteP99Ms,
+  };
+}
+
+function judged(
+  whole: Compared,
+  stream: Compared,
+  halfLoad: Figures
+): MeasureResult {
   const wholeShare = whole.ours.callsPerS / whole.bare.callsPerS;
   const streamShare = stream.ours.callsPerS / stream.bare.callsPerS;
   const met = wholeShare >= LEAST_SHARE && streamShare >= LEAST_SHARE;
@@ -203,6 +245,7 @@
     agentUsPerCall: whole.agentUs,
     entryUsPerToken: stream.entryUs / STREAM_TOKENS,
     agentUsPerToken: stream.agentUs / STREAM_TOKENS,
+    ...halfLoad,
   };
   const bareProxy: Figures = {
     ...figures(whole.bare, stream.bare),
@@ -239,7 +282,8 @@
       ...STREAM,
       warmupCalls: quick ? CONNECTIONS : 500,
     });
-    return judged(whole, stream);
+    const halfLoad = halfLoadFigures(whole.half, stream.half);
+    return judged(whole.full, stream.full, halfLoad);
   } finally {
     await deployment.stop();
   }
