Do less for each token at the entry

Left: the count of tokens (2.7 % of the samples, mostly the id of the counter), and four pieces a token that Node writes for a chunk, which a bare proxy has too.

--- a/src/entry/chat/sseParser.ts
+++ b/src/entry/chat/sseParser.ts
@@ -46,7 +46,9 @@
   let id: string | undefined;
   let event: string | undefined;
   const data: string[] = [];
-  for (const line of raw.split(LINE_END)) {
+  // Most have LF alone, and a split by a pattern takes several times as long.
+  const lineEnd = raw.includes('\r') ? LINE_END : '\n';
+  for (const line of raw.split(lineEnd)) {
     const colon = line.indexOf(':');
     if (colon <= 0) continue;
     const field = line.slice(0, colon);
--- a/src/entry/chat/streamResumer.ts
+++ b/src/entry/chat/streamResumer.ts
@@ -170,6 +170,8 @@
 class SourcePump {
   private readonly listeners: (() => void)[] = [];
   private timer: NodeJS.Timeout | undefined;
+  /** What the timer waits for the source; undefined while it is not awaited. */
+  private awaitedMs: number | undefined;
   private resolve: (end: SourceEnd) => void = () => undefined;
 
   constructor(
@@ -216,6 +218,7 @@
     const {caller, callerTimeoutMs, tokenTimeoutMs} = this.relay;
     this.source.body.pause();
     clearTimeout(this.timer);
+    this.awaitedMs = undefined;
     // A caller that reads nothing would hold a place at the target for ever.
     this.timer = setTimeout(() => caller.destroy(), callerTimeoutMs);
     this.listenOnce(caller, 'drain', () => {
@@ -225,7 +228,13 @@
   }
 
   private await(timeoutMs: number): void {
+    if (timeoutMs === this.awaitedMs) {
+      // After every token but the first: anew costs three times as much.
+      this.timer?.refresh();
+      return;
+    }
     clearTimeout(this.timer);
+    this.awaitedMs = timeoutMs;
     this.timer = setTimeout(() => this.end(lost('stalled')), timeoutMs);
   }
 
