--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -3,6 +3,7 @@
  * together send, and never more at once than the target bears now.
  */
 
+import type {CancelSignal} from '../core/cancellation';
 import type {Metrics} from '../core/metrics';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Dispatch} from '../core/wire';
@@ -65,14 +66,16 @@
   }
 
   /** Resolves when the request may start; rejects with RefusalError. */
-  enter(dispatch: Dispatch, signal: AbortSignal): Promise<Slot> {
+  enter(dispatch: Dispatch, signal: CancelSignal): Promise<Slot> {
     const refusal = this.view.refusal(dispatch);
     if (refusal !== undefined) return Promise.reject(new RefusalError(refusal));
     const enteredAtMs = performance.now();
     return new Promise((resolve, reject) => {
+      let waits = true;
       const waiting: Waiting = {
         dispatch,
         admit: inCredit => {
+          waits = false;
           const queuedMs = performance.now() - enteredAtMs;
           if (queuedMs >= QUEUED_MS) this.metrics.count('gate.queued');
           resolve(this.slot(dispatch, queuedMs, inCredit));
@@ -80,6 +83,8 @@
         fail: reject,
       };
       this.offer(waiting, enteredAtMs);
+      // Most start at once, and have nothing to abandon.
+      if (!waits) return;
       signal.addEventListener(
         'abort',
         () => this.abandon(dispatch.requestId, reject),
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -1,9 +1,14 @@
 /** One dispatch from the gate to the end of its answer. */
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
+import {CancelSignal, Cancellation} from '../core/cancellation';
 import type {RecordedAnswer} from '../core/claims';
 import {headerJson} from '../core/headerJson';
-import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
+import {
+  endToEndHeaders,
+  headerPairs,
+  relayedHeaders,
+} from '../core/httpHeaders';
 import {refuse} from '../core/refusal';
 import {
   UpstreamError,
@@ -25,6 +30,8 @@
 
 /** Connections to the target are kept; calls that may not repeat use their own. */
 const keepAlive = new http.Agent({keepAlive: true});
+/** Nobody cancels it. */
+const NEVER: CancelSignal = new Cancellation();
 
 /** Resolves once the answer has ended; rejects with RefusalError before it. */
 export async function serveDispatch(
@@ -34,12 +41,12 @@
   res: ServerResponse
 ): Promise<void> {
   core.sawRevision(dispatch.revision);
-  const gone = new AbortController();
-  // An abort is costly, and after a whole answer it has nothing to end.
+  const gone = new Cancellation();
+  // After a whole answer there is nothing to end.
   res.on('close', () => {
-    if (!res.writableFinished) gone.abort();
+    if (!res.writableFinished) gone.cancel();
   });
-  const slot = await core.gate.enter(dispatch, gone.signal);
+  const slot = await core.gate.enter(dispatch, gone);
   const claimId =
     dispatch.claim &&
     claimIdOf(dispatch.customer, dispatch.claim.key, dispatch.claim.attempt);
@@ -49,7 +56,15 @@
     slot.release();
     throw err;
   }
-  await new Exchange(core, dispatch, slot, claimId, gone.signal).run(req, res);
+  await new Exchange(core, dispatch, slot, claimId, gone).run(req, res);
+}
+
+/**
+ * Whether something of the body came along with the head. The head then goes
+ * out with it: alone it costs a write, a TLS record and a wake-up of the entry.
+ */
+function hasBegun(answer: IncomingMessage): boolean {
+  return answer.readableLength > 0 || answer.complete;
 }
 
 /** At most one dispatch of a claim passes, however many arrive. */
@@ -99,7 +114,7 @@
     private readonly dispatch: Dispatch,
     private readonly slot: Slot,
     private readonly claimId: string | undefined,
-    private readonly gone: AbortSignal
+    private readonly gone: CancelSignal
   ) {}
 
   async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -127,9 +142,9 @@
       answer.statusMessage,
       this.answerHeaders(answer)
     );
-    res.flushHeaders();
-    const end = await this.relay(answer, res);
-    switch (end) {
+    const relayed = this.relay(answer, res);
+    if (!hasBegun(answer)) res.flushHeaders();
+    switch (await relayed) {
       case 'complete':
         return this.completed(answer);
       case 'source cut':
@@ -172,8 +187,8 @@
     const {adapter, target} = this.core;
     const resumed = this.dispatch.resumeFrom !== undefined;
     const priority = enginePriority({inCredit: this.slot.inCredit, resumed});
-    const headers = withHeaders(
-      endToEndHeaders(req.rawHeaders),
+    const headers = relayedHeaders(
+      req.rawHeaders,
       adapter.requestHeaders({...this.dispatch, priority})
     );
     try {
@@ -196,8 +211,8 @@
   }
 
   /** A call that may have run is never broken off: its answer is wanted. */
-  private sendSignal(): AbortSignal {
-    return this.dispatch.idempotent ? this.gone : new AbortController().signal;
+  private sendSignal(): CancelSignal {
+    return this.dispatch.idempotent ? this.gone : NEVER;
   }
 
   private sendFailed(err: unknown): Error {
@@ -222,7 +237,7 @@
 
   private answerHeaders(answer: IncomingMessage): string[] {
     const report = headerJson(this.core.report(this.slot.queuedMs));
-    return withHeaders(endToEndHeaders(answer.rawHeaders), {
+    return relayedHeaders(answer.rawHeaders, {
       [REPORT_HEADER]: report,
     });
   }
--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -1,9 +1,11 @@
 /** Tries targets in turn until one answers or nothing more may be tried. */
 
 import type {IncomingMessage} from 'node:http';
+import {CancelSignal, Cancellation, joined} from '../core/cancellation';
 import {REFUSALS, Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Announcement, DispatchReport} from '../core/wire';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {AttemptOutcome, dispatchOnce, mayTryElsewhere} from './dispatchOnce';
 import type {EntryCore} from './entryCore';
 import type {CallerResume} from './chat/chatRequest';
@@ -153,16 +155,17 @@
     const prompt = {tokens, atMs: performance.now()};
     core.load.began(target.targetId, cost, prompt);
     const done = runOnce(() => core.load.ended(target.targetId, cost));
-    const cancelled = new AbortController();
+    const cancelled = new Cancellation();
     const outcome = dispatchOnce(core, call, {
       number: ++this.count,
       target,
       cost,
       resumeFrom: resume?.fromToken,
-      signal: this.legSignal(cancelled.signal),
+      signal: this.legSignal(cancelled),
     }).then((end): AttemptEnd => {
       if (end.kind === 'answered') {
-        return {kind: 'answered', answered: {...end, target, done}};
+        const {answer, report} = end;
+        return {kind: 'answered', answered: {answer, report, target, done}};
       }
       done();
       // Noted here, for both legs of a hedge: the other one's "not run" would
@@ -172,7 +175,7 @@
       return end;
     });
     const cancel = () => {
-      cancelled.abort();
+      cancelled.cancel();
       outcome.then(
         end => {
           if (end.kind !== 'answered') return;
@@ -185,11 +188,11 @@
     return {outcome, cancel};
   }
 
-  /** Only a hedged leg can be cancelled alone; joining signals costs time. */
-  private legSignal(cancelled: AbortSignal): AbortSignal {
+  /** Only a hedged leg can be cancelled alone. */
+  private legSignal(cancelled: Cancellation): CancelSignal {
     const {progress, limit} = this.call;
     if (limit.hedgeAfterMs === undefined) return progress.signal;
-    return AbortSignal.any([progress.signal, cancelled]);
+    return joined(progress.signal, cancelled);
   }
 
   private assertMayRepeat(refusal: Refusal): void {
@@ -204,7 +207,7 @@
     if (!repeatable || last || !this.mayAfford(refusal))
       throw new RefusalError(refusal);
     core.metrics.count('request.retried', {reason: refusal.reason});
-    call.logger.info({refusal}, 'trying another target');
+    callLogger(core, call).info({refusal}, 'trying another target');
   }
 
   private mayAfford(refusal: Refusal): boolean {
--- a/src/entry/chat/streamResumer.ts
+++ b/src/entry/chat/streamResumer.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Readable, Writable} from 'node:stream';
+import type {CancelSignal} from '../../core/cancellation';
 import {Refusal, RefusalError} from '../../core/refusal';
 import {
   CutCause,
@@ -38,7 +39,7 @@
   /** Longest wait for a caller that reads nothing, in milliseconds. */
   readonly callerTimeoutMs: number;
   /** Aborts at the deadline of the request. */
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
   /** Another target of the same model and version; rejects when none can. */
   reopen(point: ResumePoint): Promise<StreamSource>;
   /** The JSON of the last event of a stream that is cut. */
@@ -169,6 +170,8 @@
 class SourcePump {
   private readonly listeners: (() => void)[] = [];
   private timer: NodeJS.Timeout | undefined;
+  /** What the timer waits for the source; undefined while it is not awaited. */
+  private awaitedMs: number | undefined;
   private resolve: (end: SourceEnd) => void = () => undefined;
 
   constructor(
@@ -215,6 +218,7 @@
     const {caller, callerTimeoutMs, tokenTimeoutMs} = this.relay;
     this.source.body.pause();
     clearTimeout(this.timer);
+    this.awaitedMs = undefined;
     // A caller that reads nothing would hold a place at the target for ever.
     this.timer = setTimeout(() => caller.destroy(), callerTimeoutMs);
     this.listenOnce(caller, 'drain', () => {
@@ -224,7 +228,13 @@
   }
 
   private await(timeoutMs: number): void {
+    if (timeoutMs === this.awaitedMs) {
+      // After every token but the first: anew costs three times as much.
+      this.timer?.refresh();
+      return;
+    }
     clearTimeout(this.timer);
+    this.awaitedMs = timeoutMs;
     this.timer = setTimeout(() => this.end(lost('stalled')), timeoutMs);
   }
 
--- a/src/entry/dispatchOnce.ts
+++ b/src/entry/dispatchOnce.ts
@@ -1,8 +1,9 @@
 /** One attempt at one target: the dispatch, and what its outcome proves. */
 
 import type {IncomingMessage} from 'node:http';
+import type {CancelSignal} from '../core/cancellation';
 import {headerJson} from '../core/headerJson';
-import {endToEndHeaders, withHeaders, withoutHeader} from '../core/httpHeaders';
+import {relayedHeaders, withoutHeader} from '../core/httpHeaders';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {REFUSALS, Refusal} from '../core/refusal';
 import {UpstreamError, sendUpstream} from '../core/upstream';
@@ -25,7 +26,7 @@
   readonly cost: number;
   readonly claim?: Dispatch['claim'];
   readonly resumeFrom?: number;
-  readonly signal: AbortSignal;
+  readonly signal: CancelSignal;
 }
 
 /** What came of it; the body of an answer is still to be read. */
@@ -110,7 +111,7 @@
   };
   if (call.body.kind === 'buffered')
     own['content-length'] = String(call.body.bytes.length);
-  const headers = withHeaders(endToEndHeaders(call.req.rawHeaders), own);
+  const headers = relayedHeaders(call.req.rawHeaders, own);
   // A target that saw the caller's own header would resume unasked.
   return call.chat === undefined
     ? headers
--- a/src/entry/filters/identify.ts
+++ b/src/entry/filters/identify.ts
@@ -36,11 +36,8 @@
         `no rule names ${customer}`
       );
     }
-    return next({
-      ...call,
-      customer,
-      logger: call.logger.child({customer}, true),
-    });
+    const {req, res, requestId, rules} = call;
+    return next({req, res, requestId, rules, customer});
   };
 }
 
--- a/src/entry/relayChat.ts
+++ b/src/entry/relayChat.ts
@@ -1,9 +1,10 @@
 /** Passes a token stream on, from one target after the other where needed. */
 
-import {endToEndHeaders, withHeaders} from '../core/httpHeaders';
+import {relayedHeaders} from '../core/httpHeaders';
 import {REFUSALS, Refusal} from '../core/refusal';
 import type {Answered, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
+import {callLogger} from './callLogger';
 import {StreamSource, relayStream} from './chat/streamResumer';
 import type {EntryCore} from './entryCore';
 import {countTokens} from './countTokens';
@@ -59,7 +60,7 @@
   current.done();
   if (end.kind === 'cut') {
     core.metrics.count('stream.cut');
-    call.logger.warn({refusal: end.refusal}, 'stream cut');
+    callLogger(core, call).warn({refusal: end.refusal}, 'stream cut');
   }
   if (end.kind === 'caller gone') core.metrics.count('request.cancelled');
 }
@@ -75,7 +76,7 @@
   if (target.modelVersion !== undefined)
     own['marlpulley-model-version'] = target.modelVersion;
   // A stream that goes on elsewhere keeps no length that its first head named.
-  const headers = withHeaders(endToEndHeaders(answer.rawHeaders), own);
+  const headers = relayedHeaders(answer.rawHeaders, own);
   res.writeHead(HTTP_OK, headers);
   res.flushHeaders();
 }
