Run pairs of faults over real processes and judge the recorded history

Cause: the tests of processes cause one fault at a time, and pairs were tried on the state machines alone. What two faults do together on sockets, signals and disks was shown nowhere.

Callers, operators, log lines and a record that each fake keeps in a file, so that it outlives its kill, make one history.

Every link has a relay of its own now; those to agents need a preloaded wrapper of connect, since an agent announces where it listens. Ruled out: a setting for an announced port, which would be there for the bench alone.

--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -20,10 +20,12 @@
   static async start(
     name: string,
     args: readonly string[],
-    logFile: string
+    logFile: string,
+    env: Readonly<Record<string, string>> = {}
   ): Promise<Child> {
     const child = spawn(process.execPath, args, {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: {...process.env, ...env},
     });
     child.stderr.pipe(createWriteStream(logFile, {flags: 'a'}));
     const lines = readline.createInterface({input: child.stdout});
--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -4,9 +4,12 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {Child} from './childProcess';
-import {CutDirection, CutRelay} from './cutRelay';
+import type {CutDirection} from './cutRelay';
 import {freePorts} from './freePorts';
+import {Links} from './links';
+import {ClientResult, runClient} from './runClient';
 import type {DeploymentShape, PoolShape} from './shape';
+import {VIA_RELAYS} from './viaRelaysEnv';
 
 /** The shared key of all processes. */
 export const SECRET = 'a shared secret for one machine';
@@ -32,10 +35,12 @@
 export class Deployment {
   readonly folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-'));
   readonly targets: TargetPair[] = [];
+  /** Of the links that the shape asks for. */
+  readonly links = new Links();
   private readonly children = new Map<string, Child>();
   private readonly starts = new Map<string, () => Promise<Child>>();
   private controlPorts: readonly number[] = [];
-  private relays: readonly CutRelay[] = [];
+  private readonly agentPorts = new Map<string, number>();
 
   private constructor(
     private readonly programs: Programs,
@@ -82,46 +87,41 @@
 
   /** Cuts the processes of `shape.island` off from control on the other side. */
   cut(direction?: CutDirection): void {
-    for (const relay of this.relays) relay.cut(direction);
+    this.links.cut((from, to) => this.crossesIsland(from, to), direction);
   }
 
   /** Ends a cut; what was sent meanwhile arrives now. */
   heal(): void {
-    for (const relay of this.relays) relay.heal();
+    this.links.heal();
   }
 
   dataFolder(controlName: string): string {
     return path.join(this.folder, 'data', controlName);
   }
 
+  /** JSON lines of a role. */
+  logFile(name: string): string {
+    return path.join(this.folder, 'logs', `${name}.log`);
+  }
+
+  /** JSON lines of a fake: what it ran, kept when it is killed. */
+  recordFile(fakeName: string): string {
+    return path.join(this.folder, `${fakeName}.record`);
+  }
+
   /** Settings file of the operators' client. */
   get clientSettings(): string {
     return path.join(this.folder, 'client.ini');
   }
 
   /** Runs the operators' client; resolves with its output and exit code. */
-  async client(
-    args: readonly string[]
-  ): Promise<{readonly code: number; readonly output: string}> {
-    const {execFile} = await import('node:child_process');
-    const argv = [
-      this.programs.app,
-      ...args,
-      '--settings',
-      this.clientSettings,
-    ];
-    return new Promise(resolve => {
-      execFile(process.execPath, argv, (err, stdout, stderr) => {
-        const code = err === null ? 0 : Number(err.code ?? 1);
-        resolve({code, output: stdout + stderr});
-      });
-    });
+  client(args: readonly string[]): Promise<ClientResult> {
+    const settings = ['--settings', this.clientSettings];
+    return runClient([this.programs.app, ...args, ...settings]);
   }
 
   /** Submits the text of a rule file. */
-  submit(
-    text: string
-  ): Promise<{readonly code: number; readonly output: string}> {
+  submit(text: string): Promise<ClientResult> {
     const file = path.join(this.folder, 'rules.txt');
     writeFileSync(file, text);
     return this.client(['submit', file]);
@@ -131,7 +131,10 @@
    * Ends all processes and cleans up. Resolves with whether every role ended
    * with code 0, as it does when SIGTERM drains it.
    */
-  async stop(signal: NodeJS.Signals = 'SIGKILL'): Promise<boolean> {
+  async stop(
+    signal: NodeJS.Signals = 'SIGKILL',
+    keepFolder = false
+  ): Promise<boolean> {
     const roles = [...this.children.values()].filter(
       child => !child.name.startsWith('fake-')
     );
@@ -139,14 +142,14 @@
     await Promise.all(
       [...this.children.values()].map(child => child.end('SIGKILL'))
     );
-    for (const relay of this.relays) relay.close();
-    rmSync(this.folder, {recursive: true, force: true});
+    this.links.close();
+    if (!keepFolder) rmSync(this.folder, {recursive: true, force: true});
     return codes.every(code => code === 0);
   }
 
   private async startAll(): Promise<void> {
     await this.startControls();
-    this.write('client', this.internalLines('client'));
+    this.write('client', await this.internalLines('client'));
     for (const pool of this.shape.pools) await this.startPool(pool);
     const entries = Array.from({length: this.shape.entries}, (_, i) =>
       this.startEntry(i)
@@ -158,13 +161,11 @@
     const ports = await freePorts(this.shape.controls);
     const ids = ports.map((_, i) => `control-${i}`);
     this.controlPorts = ports;
-    if (this.shape.island !== undefined)
-      this.relays = await Promise.all(ports.map(port => CutRelay.start(port)));
     await Promise.all(
-      ids.map((id, i) => {
+      ids.map(async (id, i) => {
         const file = this.write(id, [
           ...this.processLines(id, i),
-          ...this.internalLines(id, `port = ${ports[i]}`),
+          ...(await this.internalLines(id, `port = ${ports[i]}`)),
           '[data]',
           `folder = ${this.dataFolder(id)}`,
         ]);
@@ -222,9 +223,11 @@
       known?.fakePort ??
       (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
+    const [port = 0] = this.shape.linked ? await freePorts(1) : [];
+    this.agentPorts.set(id, port);
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines(id, 'port = 0'),
+      ...(await this.internalLines(id, `port = ${port}`)),
       '[target]',
       `id = ${targetId}`,
       `pool = ${pool}`,
@@ -250,7 +253,8 @@
     const [port = 0] = await freePorts(1);
     const fake = kind === 'engine' ? 'engine' : 'ledger';
     const args = [this.programs.fakes, fake, '--port', String(port)];
-    await this.startChild(name, [...args, ...fakeArgs]);
+    const record = this.shape.linked ? ['--record', this.recordFile(name)] : [];
+    await this.startChild(name, [...args, ...fakeArgs, ...record]);
     return port;
   }
 
@@ -259,34 +263,44 @@
     const [port] = await freePorts(1);
     const file = this.write(id, [
       ...this.processLines(id, index),
-      ...this.internalLines(id),
+      ...(await this.internalLines(id)),
       '[callers]',
       `port = ${port}`,
       `drain-ms = ${this.shape.drainMs ?? 500}`,
       ...(this.shape.callersLines ?? []),
     ]);
-    await this.startRole('entry', id, file);
+    await this.startRole('entry', id, file, await this.agentRelays(id));
   }
 
   private startRole(
     role: string,
     id: string,
-    settings: string
+    settings: string,
+    relays?: string
   ): Promise<Child> {
-    return this.startChild(id, [
-      this.programs.app,
-      role,
-      '--settings',
-      settings,
+    const args = [this.programs.app, role, '--settings', settings];
+    if (relays === undefined) return this.startChild(id, args);
+    const preload = path.join(path.dirname(this.programs.app), 'viaRelays.cjs');
+    const env = {[VIA_RELAYS]: relays};
+    return this.startChild(id, ['--require', preload, ...args], env);
+  }
+
+  /** Relays from an entry to every agent, as `viaRelays.ts` reads them. */
+  private async agentRelays(entry: string): Promise<string | undefined> {
+    if (!this.shape.linked) return undefined;
+    const relays = [...this.agentPorts].map(async ([agent, port]) => [
+      port,
+      await this.links.open(entry, agent, port),
     ]);
+    return JSON.stringify(Object.fromEntries(await Promise.all(relays)));
   }
 
   private async startChild(
     name: string,
-    args: readonly string[]
+    args: readonly string[],
+    env: Readonly<Record<string, string>> = {}
   ): Promise<Child> {
-    const log = path.join(this.folder, 'logs', `${name}.log`);
-    const start = () => Child.start(name, args, log);
+    const start = () => Child.start(name, args, this.logFile(name), env);
     this.starts.set(name, start);
     const child = await start();
     this.children.set(name, child);
@@ -314,30 +328,35 @@
     return [`metrics-host = ${HOST}`, `metrics-port = ${metricsPort}`];
   }
 
-  /** Control as one process reaches it: through relays to the other side. */
-  private controlList(processId: string): string {
+  private crossesIsland(from: string, to: string): boolean {
     const {island = []} = this.shape;
-    const isOnIsland = island.includes(processId);
-    return this.controlPorts
-      .map((port, i) => {
-        const id = `control-${i}`;
-        const relay = this.relays[i];
-        const crosses = island.includes(id) !== isOnIsland;
-        return `${id}@${HOST}:${crosses && relay ? relay.port : port}`;
-      })
-      .join(', ');
+    return island.includes(from) !== island.includes(to);
+  }
+
+  /** Control as one process reaches it: through relays where links may fail. */
+  private async controlList(processId: string): Promise<string> {
+    const isLinked = (id: string) =>
+      this.shape.linked
+        ? processId !== id && processId !== 'client'
+        : this.crossesIsland(processId, id);
+    const list = this.controlPorts.map(async (port, i) => {
+      const id = `control-${i}`;
+      const relay = isLinked(id) && this.links.open(processId, id, port);
+      return `${id}@${HOST}:${(await relay) || port}`;
+    });
+    return (await Promise.all(list)).join(', ');
   }
 
-  private internalLines(
+  private async internalLines(
     processId: string,
     ...extra: readonly string[]
-  ): readonly string[] {
+  ): Promise<readonly string[]> {
     return [
       '[internal]',
       `key = ${SECRET}`,
       ...extra,
       '[control]',
-      `instances = ${this.controlList(processId)}`,
+      `instances = ${await this.controlList(processId)}`,
     ];
   }
 
--- a/bench/deployment/shape.ts
+++ b/bench/deployment/shape.ts
@@ -30,6 +30,11 @@
   readonly metricsPort?: number;
   /** Names of processes that `Deployment.cut` parts from the rest of control. */
   readonly island?: readonly string[];
+  /**
+   * Every process reaches control, and every entry each agent, through a relay
+   * of its own (`Deployment.links`); fakes record what they ran in files.
+   */
+  readonly linked?: boolean;
 }
 
 /** As much as a test of failures needs. */
--- /dev/null
+++ b/bench/deployment/viaRelays.ts
@@ -0,0 +1,30 @@
+/**
+ * Loaded into an entry before its program (`node --require`): its connections
+ * to some ports go to relays. Agents announce where they listen, so no setting
+ * of the system could put a relay between them and an entry.
+ */
+
+import net from 'node:net';
+import {VIA_RELAYS} from './viaRelaysEnv';
+
+type Connect = (this: net.Socket, ...args: unknown[]) => net.Socket;
+
+const relayByPort = new Map(
+  Object.entries(JSON.parse(process.env[VIA_RELAYS] ?? '{}')).map(
+    ([port, relay]) => [Number(port), relay]
+  )
+);
+
+function redirected(options: unknown): unknown {
+  if (typeof options !== 'object' || options === null) return options;
+  if (!('port' in options)) return options;
+  const relay = relayByPort.get(Number(options.port));
+  return relay === undefined ? options : {...options, port: relay};
+}
+
+// A wrapper of the one method that every outgoing connection passes through.
+const prototype = net.Socket.prototype as unknown as {connect: Connect};
+const connect = prototype.connect;
+prototype.connect = function (this: net.Socket, first, ...rest) {
+  return connect.call(this, redirected(first), ...rest);
+};
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -8,6 +8,7 @@
 import {EngineCounters, EngineState, StreamFault} from './engine/engineState';
 import {obey} from './engine/orders';
 import {StepClock, Stepper} from './engine/stepClock';
+import {recordFall, recordRun} from './runRecord';
 import {
   FakeServer,
   Handler,
@@ -203,6 +204,7 @@
     if (Date.now() < this.state.loadingUntilMs)
       return sendJson(res, 503, {error: 'loading'});
     this.countRun(call);
+    recordRun(this.cfg.record, req);
     const {batch, cold} = this.state;
     cold.advance(Date.now(), batch.size);
     if (this.fallsOver(batch.size + 1)) return;
@@ -226,6 +228,7 @@
     );
     if (!over) return false;
     counters.overloads++;
+    recordFall(this.cfg.record);
     this.crash();
     return true;
   }
--- a/fakes/engine/engineConfig.ts
+++ b/fakes/engine/engineConfig.ts
@@ -46,6 +46,8 @@
   readonly needsMap: boolean;
   /** `http://host:port` of the weight store; loads need none when absent. */
   readonly weightStore?: string;
+  /** File for a JSON line of each run and each fall; none when absent. */
+  readonly record?: string;
 }
 
 /** A warm, dense, fast engine. */
--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -7,6 +7,7 @@
 import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {z} from 'zod';
+import {recordRun} from './runRecord';
 import {
   FakeServer,
   headerOf,
@@ -38,6 +39,8 @@
   readonly port: number;
   /** Time that a run takes. */
   readonly latencyMs: number;
+  /** File for a JSON line of each run; none when absent. */
+  readonly record?: string;
 }
 
 /** One run of one request. */
@@ -133,6 +136,7 @@
   }
 
   private record(req: http.IncomingMessage, body: Buffer): void {
+    recordRun(this.cfg.record, req);
     this.runs.push({
       path: pathOf(req),
       method: req.method ?? 'GET',
--- a/fakes/main.ts
+++ b/fakes/main.ts
@@ -27,6 +27,7 @@
   const flags: Record<string, Flag> = {
     group: {type: 'string'},
     weightStore: {type: 'string'},
+    record: {type: 'string'},
     ranks: {type: 'number'},
     latencyMs: {type: 'number'},
     requestsPerSecond: {type: 'number'},
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -19,6 +19,8 @@
   bench: 'bench/main.ts',
   capacity: 'bench/capacity/main.ts',
   fuzz: 'bench/fuzz.ts',
+  faults: 'bench/faults/main.ts',
+  viaRelays: 'bench/deployment/viaRelays.ts',
   mutants: 'bench/mutants.ts',
   quickstart: 'bench/quickstart.ts',
 };
