Let each entry follow a bounded subset of every pool

Cause: every entry held every target, so its bytes and memory grew with all 10,000 of the size to design for.

Change: rendezvous hashing of entry and target in src/policy/subset.ts, setting subset-size (64 a pool), applied by the control instance, so that what is outside never travels. A target that leaves, takes nothing or stands in a zone that is out is passed over, the pace of a group is told with each rank, and a claim bound to a target outside is asked for through the new method locate.

Ruled out: drawing anew, a stretch of the list and dealing out in rounds; they move 94,000 to 175,000 of 185,600 places when one target goes. Telling whole groups of ranks to an entry: a subset of 64 would be one group of 64.

Conclusion: targets known to an entry are bounded; the bytes of what it is told under load are the next matter.

--- a/bench/capacity/plan.ts
+++ b/bench/capacity/plan.ts
@@ -37,8 +37,11 @@
 export const REGIONS = 7;
 /** Control instances of one region's own log, within the 23 allowed. */
 export const CONTROLS_PER_REGION = 3;
-/** Targets that one entry would hold in place of all. */
-export const SUBSET = 64;
+/** Setting `subset-size` for nine pools: targets of each that entries follow. */
+const SUBSET_SIZE = 8;
+const POOLS = 9;
+/** Targets that one entry holds in place of all. */
+export const SUBSET = SUBSET_SIZE * POOLS;
 
 /** The users' limits for control, a node. */
 export const LIMITS = {processorPercent: 3.1, rssMb: 64, bytesPerS: 6_000};
--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -86,18 +86,17 @@
     {
       what: 'targets known',
       today: String(TODAY.agents),
-      planned: `${PLANNED.agents} with full lists, ${SUBSET} with subsets`,
+      planned: `${SUBSET} of ${PLANNED.agents}, 8 of each of 9 pools`,
       mechanism:
-        'today every entry holds every target; would: a subset by hash of entry and pool',
-      carried: false,
+        'subset by rendezvous hash of entry and target, filtered by control',
+      carried: true,
     },
     {
       what: 'bytes of control',
       today: bytes(list(TODAY.agents)),
-      planned: `${bytes(list(PLANNED.agents))} with full lists, ${bytes(listed)} with subsets`,
-      mechanism:
-        'announcements only when changed, polls by number; would: subsets, relays in each zone',
-      carried: list(PLANNED.agents) <= LIMITS.bytesPerS,
+      planned: `${bytes(listed)} with subsets`,
+      mechanism: 'subsets, announcements only when changed',
+      carried: listed <= LIMITS.bytesPerS,
     },
     {
       what: 'processor for control',
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -9,6 +9,7 @@
 import {fairness} from './measures/fairness';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
+import {subsets} from './measures/subsets';
 import {zoneOutage} from './measures/zoneOutage';
 
 /** One entry a measure; each stands in a file of its own in bench/measures. */
@@ -19,6 +20,7 @@
   fairness,
   coldStart,
   balance,
+  subsets,
   entryOverhead,
   controlCost,
   bounds,
--- a/src/control/controlContext.ts
+++ b/src/control/controlContext.ts
@@ -1,11 +1,13 @@
 /** What the methods of a control instance work with. */
 
 import type {Logger} from '../core/logger';
+import type {EntryViews} from './entryViews';
 import type {ReplicatedLog} from './log/replicatedLog';
 import type {MemberTable} from './memberTable';
 import type {RecentRules} from './recentRules';
 import type {ControlState} from './state/controlState';
 import type {UsageTable} from './usageTable';
+import type {ZonesOut} from './zonesOut';
 
 /** One instance's parts. */
 export interface ControlContext {
@@ -14,6 +16,8 @@
   readonly log: ReplicatedLog;
   readonly state: ControlState;
   readonly members: MemberTable;
+  readonly entryViews: EntryViews;
+  readonly zones: ZonesOut;
   readonly recentRules: RecentRules;
   readonly usage: UsageTable;
   readonly logger: Logger;
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -15,18 +15,21 @@
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
 import type {ControlContext} from './controlContext';
+import {EntryViews} from './entryViews';
 import {createReplicatedLog} from './log/createReplicatedLog';
 import type {ReplicatedLog} from './log/replicatedLog';
 import {FROM_RANK} from './maps/fromRankSchema';
 import {MapDirector} from './maps/mapDirector';
 import {MemberTable} from './memberTable';
 import {claimMethod, lookupMethod, settleMethod} from './methods/claimMethods';
+import {locateMethod} from './methods/locateMethod';
 import {pollMethod} from './methods/pollMethod';
 import {statusMethod, usageMethod} from './methods/statusMethods';
 import {submitMethod} from './methods/submitMethod';
 import {RecentRules} from './recentRules';
 import {ControlState} from './state/controlState';
 import {UsageTable} from './usageTable';
+import {ZonesOut} from './zonesOut';
 
 const PEER_TIMEOUT_MS = 1_000;
 const USAGE_PERIOD_MS = 5_000;
@@ -63,12 +66,15 @@
     const connect: PeerClientFactory = address =>
       new PeerClient(address, agent, traffic);
     const log = await openLog(options, state, connect);
+    const members = new MemberTable();
     const context: ControlContext = {
       instanceId: options.id,
       bootId: randomUUID(),
       log,
       state,
-      members: new MemberTable(),
+      members,
+      entryViews: new EntryViews(members),
+      zones: new ZonesOut(state.rules),
       recentRules: new RecentRules(),
       usage: new UsageTable(),
       logger: options.logger,
@@ -129,6 +135,7 @@
   server.addMethod(METHODS.claim, claimMethod(context));
   server.addMethod(METHODS.settle, settleMethod(context));
   server.addMethod(METHODS.lookupClaim, lookupMethod(context));
+  server.addMethod(METHODS.locate, locateMethod(context));
   server.addMethod(METHODS.status, statusMethod(context));
   server.addMethod(METHODS.usage, usageMethod(context));
   server.addMethod(METHODS.map, {
--- a/src/control/memberTable.ts
+++ b/src/control/memberTable.ts
@@ -10,6 +10,7 @@
   UnchangedAnnouncement,
 } from '../core/wire';
 import {mustTell} from './announcedChange';
+import {GroupPace} from './groupPace';
 
 /** Silence after which a target or process is no longer listed. */
 export const MEMBER_TTL_MS = 3_000;
@@ -53,11 +54,20 @@
   readonly removed: readonly string[];
 }
 
+/** Targets of one pool. */
+interface Pool {
+  readonly ids: Set<string>;
+  /** When a target last came, left, or changed whether it may take work. */
+  version: number;
+}
+
 /** The targets and processes heard of; times are `performance.now()` ms. */
 export class MemberTable {
   private readonly targets = new Map<string, Heard>();
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly processes = new Map<string, HeardProcess>();
+  private readonly pools = new Map<string, Pool>();
+  private readonly pace = new GroupPace();
   private version = 0;
   private expiredAtMs = -Infinity;
 
@@ -107,16 +117,17 @@
   expire(nowMs: number): void {
     if (nowMs - this.expiredAtMs < EXPIRY_PERIOD_MS) return;
     this.expiredAtMs = nowMs;
-    for (const [id, {heardAtMs, announcement}] of this.targets) {
-      if (nowMs - heardAtMs <= MEMBER_TTL_MS) continue;
+    for (const [id, heard] of this.targets) {
+      if (nowMs - heard.heardAtMs <= MEMBER_TTL_MS) continue;
       this.targets.delete(id);
-      const {agentBootAtMs: bootAtMs, seq} = announcement;
+      const {agentBootAtMs: bootAtMs, seq} = heard.announcement;
       this.tombstones.set(id, {
         bootAtMs,
         seq,
         atMs: nowMs,
         version: ++this.version,
       });
+      this.noteTold(id, heard.told, undefined);
     }
     for (const [id, {heardAtMs}] of this.processes) {
       if (nowMs - heardAtMs > MEMBER_TTL_MS) this.processes.delete(id);
@@ -143,6 +154,41 @@
     return {version, full: since === undefined, changed, removed};
   }
 
+  get currentVersion(): number {
+    return this.version;
+  }
+
+  /** Pools, with the version at which the subsets of their targets changed. */
+  listPools(): ReadonlyMap<string, {readonly version: number}> {
+    return this.pools;
+  }
+
+  /** What entries are told of the targets of a pool. */
+  toldOfPool(pool: string): readonly Announcement[] {
+    return [...(this.pools.get(pool)?.ids ?? [])].flatMap(id => {
+      const told = this.targets.get(id)?.told;
+      return told === undefined ? [] : [told];
+    });
+  }
+
+  /** What entries are told of a target, if that changed after a version. */
+  toldAfter(targetId: string, version: number): Announcement | undefined {
+    const heard = this.targets.get(targetId);
+    if (heard === undefined || heard.version <= version) return undefined;
+    return this.pace.withPace(heard.told);
+  }
+
+  /** The rules changed which targets may take work. */
+  usabilityChanged(): void {
+    this.version++;
+    for (const pool of this.pools.values()) pool.version = this.version;
+  }
+
+  /** The newest announcement of a target, whoever follows it. */
+  find(targetId: string): Announcement | undefined {
+    return this.targets.get(targetId)?.announcement;
+  }
+
   listTargets(): readonly Announcement[] {
     return [...this.targets.values()].map(heard => heard.announcement);
   }
@@ -171,9 +217,46 @@
       toldAtMs: isOld ? heard.toldAtMs : nowMs,
       version: isOld ? heard.version : ++this.version,
     });
+    if (!isOld) this.noteTold(targetId, heard?.told, merged);
+  }
+
+  /** What entries are told of a target has changed. */
+  private noteTold(
+    targetId: string,
+    before: Announcement | undefined,
+    after: Announcement | undefined
+  ): void {
+    if (usabilityOf(before) !== usabilityOf(after)) {
+      this.poolOf(before?.pool)?.ids.delete(targetId);
+      this.poolOf(after?.pool)?.ids.add(targetId);
+    }
+    const groupIds = new Set([before?.group?.id, after?.group?.id]);
+    for (const groupId of groupIds) {
+      for (const id of this.pace.note(targetId, groupId, after)) {
+        const rank = this.targets.get(id);
+        if (rank !== undefined)
+          this.targets.set(id, {...rank, version: this.version});
+      }
+    }
+  }
+
+  /** The pool, marked as changed. */
+  private poolOf(pool: string | undefined): Pool | undefined {
+    if (pool === undefined) return undefined;
+    const known = this.pools.get(pool) ?? {ids: new Set<string>(), version: 0};
+    known.version = this.version;
+    this.pools.set(pool, known);
+    return known;
   }
 }
 
+/** What decides which entries follow a target. */
+function usabilityOf(told: Announcement | undefined): string | undefined {
+  if (told === undefined) return undefined;
+  const {pool, availabilityZone, state, limit} = told;
+  return JSON.stringify([pool, availabilityZone, state, limit > 0]);
+}
+
 function isBuried(candidate: Announcement, tombstone: Tombstone): boolean {
   if (candidate.agentBootAtMs !== tombstone.bootAtMs) {
     return candidate.agentBootAtMs < tombstone.bootAtMs;
--- a/src/control/methods/pollMethod.ts
+++ b/src/control/methods/pollMethod.ts
@@ -32,7 +32,9 @@
     ...newerRules(context, request),
     announceAgain: !known,
     members:
-      request.role === 'entry' ? memberChanges(context, request) : undefined,
+      request.role === 'entry'
+        ? memberChanges(context, request, nowMs)
+        : undefined,
   };
 }
 
@@ -62,11 +64,11 @@
 }
 
 function memberChanges(
-  {members, bootId}: ControlContext,
-  request: PollRequest
+  {entryViews, zones, bootId}: ControlContext,
+  request: PollRequest,
+  nowMs: number
 ): PollAnswer['members'] {
   const held = request.membership;
-  return members.changesSince(
-    held?.bootId === bootId ? held.version : undefined
-  );
+  const since = held?.bootId === bootId ? held.version : undefined;
+  return entryViews.changesFor(request, since, zones.current(), nowMs);
 }
--- /dev/null
+++ b/src/control/zonesOut.ts
@@ -0,0 +1,26 @@
+/** The zones that the committed rules take out of service. */
+
+import {parseRules} from '../rules/parseRules';
+import type {RulesState} from './state/rulesState';
+import type {ZonesInForce} from './entryViews';
+
+/** Follows the rules that are committed here. */
+export class ZonesOut {
+  private zones: ZonesInForce = {revision: 0, isZoneOut: () => false};
+
+  constructor(private readonly rules: Pick<RulesState, 'revision' | 'text'>) {}
+
+  /** Parses the file anew only when it has changed. */
+  current(): ZonesInForce {
+    const {revision, text} = this.rules;
+    if (revision === this.zones.revision) return this.zones;
+    const parsed = parseRules(text);
+    const out = new Set<string>();
+    if (parsed.ok)
+      for (const rule of parsed.ruleSet.rules)
+        if (rule.kind === 'zone' && rule.state === 'out')
+          out.add(rule.availabilityZone);
+    this.zones = {revision, isZoneOut: zone => out.has(zone)};
+    return this.zones;
+  }
+}
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -95,6 +95,8 @@
   readonly unchanged?: UnchangedAnnouncement;
   /** Membership version held from this very instance and boot. */
   readonly membership?: {readonly bootId: string; readonly version: number};
+  /** Targets of each pool that the entry follows; all of them when absent. */
+  readonly subset?: number;
   /** Use counted since the start of this boot, from entries. */
   readonly usage?: readonly CustomerUsage[];
   readonly availabilityZone: string;
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -49,6 +49,7 @@
       ),
       pollMs: control.pollMs,
       proofMs: control.proofMs,
+      subset: control.subsetSize,
       report: () => ({usage: usage.report()}),
       logger,
       metrics,
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -236,12 +236,13 @@
   private async ask(target: OnceTarget, attempt: number): Promise<OnceEvent> {
     const {core, call, key} = this;
     const {targetId, agentBootId} = target;
-    const known = core.sync.directory
-      .list()
-      .find(one => one.targetId === targetId);
-    if (known === undefined) return {kind: 'asked', result: {kind: 'gone'}};
+    // Another entry may have claimed it, for a target that is not followed here.
+    const located = await core.sync.locate(targetId);
+    if (located.kind === 'gone') return {kind: 'asked', result: {kind: 'gone'}};
+    if (located.kind === 'unknown')
+      return {kind: 'asked', result: {kind: 'no answer'}};
     const request = {customer: call.customer, key, attempt, agentBootId};
-    const result = await askAgent(core, known, request);
+    const result = await askAgent(core, located.announcement, request);
     return {kind: 'asked', result: result ?? {kind: 'no answer'}};
   }
 
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -15,6 +15,7 @@
   usage: 'usage',
   log: 'log',
   fenceClaim: 'fenceClaim',
+  locate: 'locate',
   map: 'map',
 } as const;
 
@@ -73,6 +74,7 @@
     .object({targetId: id, agentBootId: id, seq: z.int().nonnegative()})
     .optional(),
   membership: z.object({bootId: id, version: z.int()}).optional(),
+  subset: z.int().positive().optional(),
   usage: z.array(usage).optional(),
 });
 
@@ -175,5 +177,18 @@
   /** Another boot answers; what the claim's own boot did is not known. */
   | {readonly kind: 'other boot'};
 
+/** Asks a control instance for a target that the entry does not follow. */
+export interface LocateRequest {
+  readonly targetId: string;
+}
+
+/** See LocateRequest. */
+export const locateRequest: z.ZodType<LocateRequest> = z.object({targetId: id});
+
+/** What the instance has heard of it, if anything. */
+export interface LocateAnswer {
+  readonly announcement?: Announcement;
+}
+
 /** For calls without parameters. */
 export const noParams = z.object({}).optional();
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -65,6 +65,13 @@
   ),
 });
 
+const ENTRY_CONTROL = CONTROL.extend({
+  'subset-size': setting(
+    integer(4, 100_000).default(64),
+    'targets of each pool that the entry follows, and one more in each zone without'
+  ),
+});
+
 const CALLERS = z.strictObject({
   port: setting(anyPort(), 'port for callers'),
   'customer-header': setting(
@@ -127,7 +134,7 @@
   entry: z.strictObject({
     process: PROCESS,
     internal: INTERNAL,
-    control: CONTROL,
+    control: ENTRY_CONTROL,
     callers: CALLERS,
     'customer-keys': CUSTOMER_KEYS,
   }),
--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -22,7 +22,7 @@
   PollRequest,
   RuleDiff,
 } from '../core/wire';
-import {METHODS} from '../rpc/messages';
+import {LocateAnswer, METHODS} from '../rpc/messages';
 import {PeerClient} from '../rpc/peerClient';
 import {parseRules} from '../rules/parseRules';
 import {applyDiff} from '../rules/ruleDiff';
@@ -30,6 +30,7 @@
 import {AnnouncedTo} from './announced';
 import {Freshness, FreshnessProof} from './freshness';
 import {LeaderCalls} from './leaderCalls';
+import {Located, locateTarget} from './locateTarget';
 import {TargetDirectory} from './targetDirectory';
 
 /** As often as a leader logs use; totals, so that a lost report does no harm. */
@@ -47,6 +48,8 @@
   readonly role: 'entry' | 'agent';
   readonly bootId: string;
   readonly availabilityZone: string;
+  /** Targets of each pool to follow; for entries. */
+  readonly subset?: number;
   readonly instances: readonly PeerClient[];
   readonly pollMs: number;
   readonly proofMs: number;
@@ -119,6 +122,18 @@
     this.proof.sawRevision(revision);
   }
 
+  /** Where a target is, also one that is not followed here. */
+  async locate(targetId: string): Promise<Located> {
+    const known = this.directory.list().find(one => one.targetId === targetId);
+    if (known !== undefined) return {kind: 'found', announcement: known};
+    const {instances, proofMs} = this.options;
+    return locateTarget(
+      instances.map(
+        one => () => one.call<LocateAnswer>(METHODS.locate, {targetId}, proofMs)
+      )
+    );
+  }
+
   /** Tells every control instance all at once, as when a process leaves. */
   async announceNow(): Promise<void> {
     await Promise.all(
@@ -169,7 +184,7 @@
   }
 
   private question(instanceId: string): PollRequest {
-    const {processId, role, bootId, availabilityZone} = this.options;
+    const {processId, role, bootId, availabilityZone, subset} = this.options;
     const freshness = this.proof.judge(performance.now());
     return {
       processId,
@@ -182,6 +197,7 @@
         freshness.kind === 'proven' ? Math.round(freshness.ageMs) : undefined,
       membership:
         role === 'entry' ? this.directory.heldFrom(instanceId) : undefined,
+      subset,
     };
   }
 
