Say less with each poll

Change: boot ids of 12 characters (72 random bits); no committedRevision, which nobody read; announceAgain to agents only; no Connection header from our client; of the temperature only whether it is warm counts as a change.

Ruled out: leaving out the server's keep-alive header. Its time keeps clients from reusing a connection at the moment at which the server closes it.

Tests changed: fixtures no longer name the field that is gone; what they check stays.

--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -1,7 +1,7 @@
 /** Starts and drains the agent beside one target. */
 
-import {randomUUID} from 'node:crypto';
 import {Subscription, distinctUntilChanged, filter, map} from 'rxjs';
+import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {METHODS, fenceClaimRequest} from '../rpc/messages';
@@ -126,7 +126,7 @@
   return new ControlSync({
     processId: process.id,
     role: 'agent',
-    bootId: randomUUID(),
+    bootId: newBootId(),
     availabilityZone: process.availabilityZone,
     instances,
     pollMs: control.pollMs,
--- a/src/control/announcedChange.ts
+++ b/src/control/announcedChange.ts
@@ -39,7 +39,8 @@
   const {agentBootId, host, port, pool, availabilityZone} = announcement;
   const {state, temperature, model, modelVersion, group} = announcement;
   const place = [agentBootId, host, port, pool, availabilityZone];
-  const kind = [state, temperature, model, modelVersion];
+  // Entries tell a warm target from any other, and no more.
+  const kind = [state, temperature === 'warm', model, modelVersion];
   return JSON.stringify([place, kind, group?.id, group?.rank]);
 }
 
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -1,7 +1,7 @@
 /** Starts and stops a control instance. */
 
-import {randomUUID} from 'node:crypto';
 import {Subscription, exhaustMap, interval} from 'rxjs';
+import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {z} from 'zod';
@@ -69,7 +69,7 @@
     const members = new MemberTable();
     const context: ControlContext = {
       instanceId: options.id,
-      bootId: randomUUID(),
+      bootId: newBootId(),
       log,
       state,
       members,
--- a/src/control/methods/pollMethod.ts
+++ b/src/control/methods/pollMethod.ts
@@ -13,7 +13,7 @@
 }
 
 function answerPoll(context: ControlContext, request: PollRequest): PollAnswer {
-  const {log, state, members, instanceId, bootId} = context;
+  const {log, members, instanceId, bootId} = context;
   const nowMs = performance.now();
   members.expire(nowMs);
   const known = members.heard(request, nowMs);
@@ -28,9 +28,8 @@
     term: status.term,
     leaderId: status.leaderId,
     lastRevision: lastRevision(context),
-    committedRevision: state.rules.revision,
     ...newerRules(context, request),
-    announceAgain: !known,
+    announceAgain: request.role === 'agent' ? !known : undefined,
     members:
       request.role === 'entry'
         ? memberChanges(context, request, nowMs)
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -136,14 +136,13 @@
    * knows that nothing newer had been accepted when it asked.
    */
   readonly lastRevision: number;
-  readonly committedRevision: number;
   /** The committed rules, when newer than held. */
   readonly rules?: {readonly revision: number; readonly text: string};
   /** The same as a difference, in place of `rules`. */
   readonly rulesDiff?: RuleDiff;
   /**
-   * Whether it lacks what was called unchanged. An instance that does not say
-   * is told everything whole.
+   * To agents: whether it lacks what was called unchanged. An instance that does
+   * not say is told everything whole.
    */
   readonly announceAgain?: boolean;
   readonly members?: MembersAnswer;
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -1,8 +1,8 @@
 /** Starts and drains an entry. */
 
-import {randomUUID} from 'node:crypto';
 import https from 'node:https';
 import type {Subscription} from 'rxjs';
+import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import {PeerClient, createPeerAgent} from '../rpc/peerClient';
@@ -42,7 +42,7 @@
     const sync = new ControlSync({
       processId: process.id,
       role: 'entry',
-      bootId: randomUUID(),
+      bootId: newBootId(),
       availabilityZone: process.availabilityZone,
       instances: control.instances.map(
         address => new PeerClient(address, keptAgent, traffic)
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -97,6 +97,8 @@
           'content-length': Buffer.byteLength(body),
         },
       });
+      // HTTP/1.1 keeps a connection open unless told otherwise.
+      req.removeHeader('connection');
       const timer = setTimeout(() => {
         fail({kind: 'timeout'}, `no answer in ${timeoutMs} ms`);
         req.destroy();
--- a/tests/capacityAnnounced.spec.ts
+++ b/tests/capacityAnnounced.spec.ts
@@ -11,7 +11,6 @@
     voterCount: 3,
     term: 1,
     lastRevision: 1,
-    committedRevision: 1,
     announceAgain: false,
     ...change,
   };
--- a/tests/capacityMembers.spec.ts
+++ b/tests/capacityMembers.spec.ts
@@ -67,6 +67,16 @@
     expect(table.changesSince(version).changed).toMatchObject(told);
   });
 
+  it('should tell of a target being warm, not of how far it is from it', () => {
+    const {table} = heardOnce();
+    table.heard(poll({seq: 2, temperature: 'cold'}), 1);
+    const {version} = table.changesSince(undefined);
+    table.heard(poll({seq: 3, temperature: 'warming'}), 60_000);
+    expect(table.changesSince(version).changed).toEqual([]);
+    table.heard(poll({seq: 4, temperature: 'warm'}), 60_001);
+    expect(table.changesSince(version).changed).toHaveLength(1);
+  });
+
   it('should tell an entry that asks for everything what the others hold', () => {
     // Two entries at one version; a return to the old load is no change, so
     // one that had been given a load in between would keep it for good.
--- a/tests/capacityRules.spec.ts
+++ b/tests/capacityRules.spec.ts
@@ -60,7 +60,6 @@
         voterCount: 1,
         term: 1,
         lastRevision: 1,
-        committedRevision: 1,
         ...next,
       };
     };
--- a/tests/route.spec.ts
+++ b/tests/route.spec.ts
@@ -47,7 +47,7 @@
     voterCount: 1,
     term: 1,
   };
-  const revisions = {lastRevision: 1, committedRevision: 1};
+  const revisions = {lastRevision: 1};
   directory.apply({...answer, ...revisions, members}, performance.now());
   let draw = 0;
   const core = {
