Send the rows of use that changed, to the leader alone, and forget boots that are gone

Instances kept the totals of every entry boot until they restarted. A row whose proposal failed was not logged again until it changed, although the log line said so.

Change: per instance the entry keeps which rows an answer has shown to be held; an instance that lacks the others says so and takes no part in. Totals merge by the larger. The leader logs what the log lacks, so a failed proposal is tried again. A boot silent for a minute whose totals are in the log is forgotten.

Ruled out: sending differences to add up; a lost answer loses or doubles them.

Cost: an entry killed and a leader lost within 5 s of each other lose what only that leader had heard of; the last words of an entry that ends go to all.

--- a/bench/capacity/rows.ts
+++ b/bench/capacity/rows.ts
@@ -32,7 +32,7 @@
 
 const SECONDS_PER_DAY = 86_400;
 const US_PER_S = 1e6;
-/** See `ControlSync`. */
+/** See `UsageTo`. */
 const USAGE_PERIOD_S = 5;
 
 /**
@@ -246,19 +246,35 @@
     {
       what: 'use for charging, from each entry',
       today: `${round(useBytes(TODAY))} bytes/s`,
-      planned: `${round(useBytes(PLANNED))} bytes/s with all customers at each entry`,
-      mechanism:
-        'totals every 5 s to each instance; would: changed rows only, to the leader only',
+      planned: `${round(useBytes(PLANNED))} bytes/s with another customer at each call`,
+      mechanism: 'rows that changed within 5 s, to the leader only',
       carried: useBytes(PLANNED) <= LIMITS.bytesPerS,
     },
+    {
+      what: 'log written for use',
+      today: bytes(loggedUse(TODAY)),
+      planned: `${bytes(loggedUse(PLANNED))} in one log, ${bytes(loggedUse(PLANNED) / REGIONS)} in a region's`,
+      mechanism:
+        'all rows of each entry whose use changed, every 5 s; would: changed rows only, as entries send them',
+      carried: false,
+    },
   ];
 }
 
-/** One row a customer, by the text that is sent. */
-function useBytes({customers}: Size): number {
+/** A row, by the text that is sent. */
+function rowBytes(): number {
   const row = {customer: 'customer-100', requests: 1e6, tokens: 1e9};
-  const rowBytes = JSON.stringify({...row, queueMs: 1e6}).length;
-  return (customers * rowBytes * CONTROLS_PER_REGION) / USAGE_PERIOD_S;
+  return JSON.stringify({...row, queueMs: 1e6}).length;
+}
+
+/** At most one row changes with a call. */
+function useBytes({customers, requestsPerS, entries}: Size): number {
+  const calls = (requestsPerS / entries) * USAGE_PERIOD_S;
+  return (Math.min(customers, calls) * rowBytes()) / USAGE_PERIOD_S;
+}
+
+function loggedUse({customers, entries}: Size): number {
+  return (entries * customers * rowBytes()) / USAGE_PERIOD_S;
 }
 
 /** All roles of the page. */
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -76,7 +76,7 @@
       entryViews: new EntryViews(members),
       zones: new ZonesOut(state.rules),
       recentRules: new RecentRules(),
-      usage: new UsageTable(),
+      usage: new UsageTable(state.usage),
       logger: options.logger,
     };
     const {logger, metrics} = options;
@@ -153,15 +153,13 @@
 
 /** The leader makes the counters that it has heard of durable. */
 async function logUsage({log, usage, logger}: ControlContext): Promise<void> {
+  const lacking = usage.toLog(performance.now());
   if (log.status().role !== 'leader') return;
-  for (const report of usage.takeChanged()) {
+  for (const report of lacking) {
     try {
       await log.propose({kind: 'usage', ...report});
     } catch (err) {
-      logger.warn(
-        {err: String(err)},
-        'usage not logged; the next report covers it'
-      );
+      logger.warn({err: String(err)}, 'use not logged; it will be tried again');
     }
   }
 }
--- a/src/control/methods/pollMethod.ts
+++ b/src/control/methods/pollMethod.ts
@@ -17,8 +17,6 @@
   const nowMs = performance.now();
   members.expire(nowMs);
   const known = members.heard(request, nowMs);
-  if (request.usage !== undefined)
-    context.usage.report(request.bootId, request.usage);
   const status = log.status();
   return {
     instanceId,
@@ -30,6 +28,7 @@
     lastRevision: lastRevision(context),
     ...newerRules(context, request),
     announceAgain: request.role === 'agent' ? !known : undefined,
+    usageAgain: takeUsage(context, request, nowMs),
     members:
       request.role === 'entry'
         ? memberChanges(context, request, nowMs)
@@ -37,6 +36,15 @@
   };
 }
 
+function takeUsage(
+  {usage}: ControlContext,
+  {bootId, usage: rows, usagePart = false}: PollRequest,
+  nowMs: number
+): boolean | undefined {
+  if (rows === undefined) return undefined;
+  return !usage.report(bootId, rows, usagePart, nowMs);
+}
+
 /** The committed rules, when newer than held, as briefly as it can be said. */
 function newerRules(
   {state, recentRules}: ControlContext,
--- a/src/control/state/usageState.ts
+++ b/src/control/state/usageState.ts
@@ -34,6 +34,22 @@
     for (const [bootId, totals] of this.boots) return this.fold(bootId, totals);
   }
 
+  /** Whether these totals are counted already. */
+  covers(entryBootId: string, totals: readonly CustomerUsage[]): boolean {
+    if (this.foldedBoots.has(entryBootId)) return true;
+    const rows = this.boots.get(entryBootId) ?? [];
+    const held = new Map(rows.map(row => [row.customer, row]));
+    return totals.every(({customer, requests, tokens, queueMs}) => {
+      const row = held.get(customer);
+      return (
+        row !== undefined &&
+        row.requests >= requests &&
+        row.tokens >= tokens &&
+        row.queueMs >= queueMs
+      );
+    });
+  }
+
   private fold(bootId: string, totals: readonly CustomerUsage[]): void {
     this.folded = sumUsage([...this.folded, ...totals]);
     this.boots.delete(bootId);
--- a/src/control/usageTable.ts
+++ b/src/control/usageTable.ts
@@ -2,28 +2,78 @@
 
 import type {CustomerUsage} from '../core/wire';
 
-/** Totals by entry boot, with what has changed since they were last logged. */
+/** Silence after which a boot whose use is logged is forgotten. */
+const KEPT_MS = 60_000;
+
+type Rows = ReadonlyMap<string, CustomerUsage>;
+
+/** One entry boot. */
+interface BootUse {
+  readonly rows: Rows;
+  readonly heardAtMs: number;
+}
+
+/** Totals that are in the log. */
+export interface LoggedUse {
+  /** Whether the log holds at least these totals of a boot. */
+  covers(entryBootId: string, totals: readonly CustomerUsage[]): boolean;
+}
+
+/** A boot's totals, to be logged. */
+export interface UsageToLog {
+  readonly entryBootId: string;
+  readonly totals: readonly CustomerUsage[];
+}
+
+/** Totals by entry boot. */
 export class UsageTable {
-  private readonly totals = new Map<string, readonly CustomerUsage[]>();
-  private readonly changed = new Set<string>();
-
-  report(entryBootId: string, totals: readonly CustomerUsage[]): void {
-    const known = this.totals.get(entryBootId);
-    if (JSON.stringify(known) === JSON.stringify(totals)) return;
-    this.totals.set(entryBootId, totals);
-    this.changed.add(entryBootId);
+  private readonly boots = new Map<string, BootUse>();
+
+  constructor(private readonly logged: LoggedUse) {}
+
+  /**
+   * Returns whether all rows of the boot are held. A part of the rows of a boot
+   * that is not known is not taken in: logged as its totals, it would take the
+   * place of the others.
+   */
+  report(
+    entryBootId: string,
+    rows: readonly CustomerUsage[],
+    isPart: boolean,
+    nowMs: number
+  ): boolean {
+    const known = this.boots.get(entryBootId);
+    if (isPart && known === undefined) return false;
+    const merged = new Map(known?.rows);
+    for (const row of rows)
+      merged.set(row.customer, larger(merged.get(row.customer), row));
+    this.boots.set(entryBootId, {rows: merged, heardAtMs: nowMs});
+    return true;
   }
 
-  /** What has changed since the last call; a leader puts it into the log. */
-  takeChanged(): readonly {
-    readonly entryBootId: string;
-    readonly totals: readonly CustomerUsage[];
-  }[] {
-    const taken = [...this.changed].map(entryBootId => ({
-      entryBootId,
-      totals: this.totals.get(entryBootId) ?? [],
-    }));
-    this.changed.clear();
-    return taken;
+  /** What the log lacks; a leader puts it in. Forgets what nobody needs. */
+  toLog(nowMs: number): readonly UsageToLog[] {
+    const lacking: UsageToLog[] = [];
+    for (const [entryBootId, {rows, heardAtMs}] of this.boots) {
+      const totals = [...rows.values()];
+      if (!this.logged.covers(entryBootId, totals))
+        lacking.push({entryBootId, totals});
+      else if (nowMs - heardAtMs > KEPT_MS) this.boots.delete(entryBootId);
+    }
+    return lacking;
   }
 }
+
+/** Totals only grow: of two reports that came in reverse the larger holds. */
+function larger(
+  known: CustomerUsage | undefined,
+  row: CustomerUsage
+): CustomerUsage {
+  if (known === undefined) return row;
+  return {
+    customer: row.customer,
+    requests: Math.max(known.requests, row.requests),
+    tokens: Math.max(known.tokens, row.tokens),
+    queueMs: Math.max(known.queueMs, row.queueMs),
+  };
+}
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -107,6 +107,8 @@
   readonly subset?: number;
   /** Use counted since the start of this boot, from entries. */
   readonly usage?: readonly CustomerUsage[];
+  /** Only rows that changed; the instance holds the others. */
+  readonly usagePart?: boolean;
   readonly availabilityZone: string;
   /** Milliseconds since its rules were last proven current, if ever. */
   readonly provenAgeMs?: number;
@@ -145,6 +147,8 @@
    * not say is told everything whole.
    */
   readonly announceAgain?: boolean;
+  /** To a report of use: whether it lacks the rows that were not sent. */
+  readonly usageAgain?: boolean;
   readonly members?: MembersAnswer;
 }
 
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -76,6 +76,7 @@
   membership: z.object({bootId: id, version: z.int()}).optional(),
   subset: z.int().positive().optional(),
   usage: z.array(usage).optional(),
+  usagePart: z.boolean().optional(),
 });
 
 /** A rule file to put in force. */
--- a/src/sync/controlSync.ts
+++ b/src/sync/controlSync.ts
@@ -32,9 +32,7 @@
 import {LeaderCalls} from './leaderCalls';
 import {Located, locateTarget} from './locateTarget';
 import {TargetDirectory} from './targetDirectory';
-
-/** As often as a leader logs use; totals, so that a lost report does no harm. */
-const USAGE_PERIOD_MS = 5_000;
+import {UsageReport, UsageTo} from './usageReports';
 
 /** What the process tells of itself; evaluated at each poll. */
 export interface SelfReport {
@@ -73,7 +71,8 @@
   private readonly proof: FreshnessProof;
   private readonly announced: ReadonlyMap<string, AnnouncedTo>;
   private subscription: Subscription | undefined;
-  private readonly usageSentAtMs = new Map<string, number>();
+  private readonly used: ReadonlyMap<string, UsageTo>;
+  private leaving = false;
   private wasProven = false;
   private takesDiff = true;
 
@@ -83,6 +82,9 @@
     this.announced = new Map(
       options.instances.map(({address}) => [address.id, new AnnouncedTo()])
     );
+    this.used = new Map(
+      options.instances.map(({address}) => [address.id, new UsageTo()])
+    );
   }
 
   start(): void {
@@ -136,11 +138,10 @@
 
   /** Tells every control instance all at once, as when a process leaves. */
   async announceNow(): Promise<void> {
+    this.leaving = true;
+    for (const used of this.used.values()) used.soon();
     await Promise.all(
-      this.options.instances.map(instance => {
-        this.usageSentAtMs.delete(instance.address.id);
-        return this.poll(instance);
-      })
+      this.options.instances.map(instance => this.poll(instance))
     );
   }
 
@@ -150,17 +151,20 @@
     const {announcement, usage} = this.options.report();
     const announced = this.announced.get(instanceId);
     const told = announcement && announced?.next(announcement);
+    const report = usage && this.dueUsage(instanceId, usage, askedAtMs);
     try {
       const answer = await instance.call<PollAnswer>(
         METHODS.poll,
         {
           ...this.question(instanceId),
-          usage: this.dueUsage(instanceId, usage),
+          ...report?.part,
           ...told?.part,
         },
         this.options.proofMs
       );
       if (told !== undefined) announced?.answered(told, answer);
+      if (report !== undefined)
+        this.used.get(instanceId)?.answered(report, answer);
       this.apply(answer, askedAtMs);
     } catch (err) {
       if (!(err instanceof PeerError)) throw err;
@@ -170,17 +174,20 @@
     this.directory.expire(performance.now());
   }
 
-  /** A row a customer with every poll would be most of what an entry sends. */
+  /**
+   * To the leader, which logs it; another that is elected is told everything
+   * that it does not hold. The last words go to all: with this process and then
+   * the leader gone, nobody could tell them again.
+   */
   private dueUsage(
     instanceId: string,
-    usage: SelfReport['usage']
-  ): SelfReport['usage'] {
-    const nowMs = performance.now();
-    const sentAtMs = this.usageSentAtMs.get(instanceId) ?? -Infinity;
-    if (usage === undefined || nowMs - sentAtMs < USAGE_PERIOD_MS)
-      return undefined;
-    this.usageSentAtMs.set(instanceId, nowMs);
-    return usage;
+    usage: readonly CustomerUsage[],
+    nowMs: number
+  ): UsageReport | undefined {
+    const {known} = this.leader;
+    const isAsked = known === undefined || known === instanceId;
+    if (!isAsked && !this.leaving) return undefined;
+    return this.used.get(instanceId)?.due(usage, nowMs);
   }
 
   private question(instanceId: string): PollRequest {
--- a/src/sync/leaderCalls.ts
+++ b/src/sync/leaderCalls.ts
@@ -29,6 +29,11 @@
     this.leaderId = leaderId;
   }
 
+  /** The instance that was last named as leader, if any. */
+  get known(): string | undefined {
+    return this.leaderId;
+  }
+
   /** Resolves with the leader's answer; rejects with the last PeerError. */
   async call<R>(
     method: string,
--- a/tests/capacityRules.spec.ts
+++ b/tests/capacityRules.spec.ts
@@ -18,6 +18,9 @@
 class Polled {
   readonly asked: PollRequest[] = [];
   private answers: readonly Partial<PollAnswer>[] = [];
+
+  constructor(private readonly base: Partial<PollAnswer> = {}) {}
+
   private readonly sync = new ControlSync({
     processId: 'entry-0',
     role: 'entry',
@@ -60,6 +63,7 @@
         voterCount: 1,
         term: 1,
         lastRevision: 1,
+        ...this.base,
         ...next,
       };
     };
@@ -132,6 +136,24 @@
   });
 });
 
+describe('use in polls of an instance that does not lead', () => {
+  beforeEach(() => jest.useFakeTimers());
+  afterEach(() => jest.useRealTimers());
+
+  it('should be told when the entry leaves, and not before', async () => {
+    // The entry ends, and then the leader is lost before it has logged the last
+    // words. With nobody else told of them, the use would never be charged.
+    const polled = new Polled({leaderId: 'control-1'});
+    const told = () => polled.asked.filter(({usage}) => usage !== undefined);
+    polled.start();
+    await jest.advanceTimersByTimeAsync(11_000);
+    expect(told()).toHaveLength(1);
+    await polled.poll({});
+    expect(told()).toHaveLength(2);
+    polled.stop();
+  });
+});
+
 describe('recent rules of a control instance', () => {
   it('should lead from any kept file to the newest', () => {
     const recent = new RecentRules();
