--- a/bench/measures/subsets.ts
+++ b/bench/measures/subsets.ts
@@ -3,9 +3,8 @@
  * each pool, and how many places move when a target or an entry goes.
  */
 
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {chooseSubset, hashId} from '../../src/policy/subset';
+import {SeededRandom} from '../fuzz/schedule';
 import type {Figures, Measure, MeasureOptions, MeasureResult} from '../measure';
 
 const ZONES = 17;
@@ -73,8 +72,8 @@
 };
 
 function seeded(seed: number): Random {
-  const generator = xoroshiro128plus(seed);
-  return () => uniformFloat64(generator);
+  const random = new SeededRandom(seed);
+  return () => random.next();
 }
 
 function shuffled<T>(items: readonly T[], random: Random): readonly T[] {
