Load the parser of arguments only where they are not the usual ones

A running role has one flag, and the parser stays in memory for it.

Ruled out: an empty list of certificate authorities for TLS, no change; the optimizing compiler off saves 4 MB and would cost the path of calls.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,5 @@
 /** The one binary: roles and the operators' client as subcommands. */
 
-import meow from 'meow';
 import {SUBCOMMANDS} from './subcommands';
 
 const HELP = `
@@ -19,6 +18,7 @@
   const [name, ...argv] = process.argv.slice(2);
   const command = name === undefined ? undefined : SUBCOMMANDS[name];
   if (command !== undefined) return command.run(argv);
+  const {default: meow} = await import('meow');
   const cli = meow(HELP, {
     importMeta: import.meta,
     argv: name === undefined ? [] : [name],
--- a/src/cli/roleCommand.ts
+++ b/src/cli/roleCommand.ts
@@ -8,7 +8,7 @@
 import type {SettingsOf} from '../settings/settings';
 import {checkSettings} from './checkSettings';
 import {EXIT_CODES} from './exitCodes';
-import {UsageError, runCommand} from './runCommand';
+import {UsageError, runBody, runCommand} from './runCommand';
 
 /** Roles that run until they are told to end. */
 export type ServerRole = Exclude<SettingsRole, 'client'>;
@@ -59,30 +59,52 @@
     settings: {type: 'string'},
     checkSettings: {type: 'boolean', default: false},
   } as const;
+  const usual = usualFile(argv);
+  if (usual !== undefined) return runBody(() => runWith(role, usual, start));
   return runCommand({help: help(role), flags, inputs: []}, argv, async args => {
     const file = args.flags.settings;
     if (file === undefined) throw new UsageError('--settings FILE is needed');
     if (args.flags.checkSettings) return checkSettings(role, file);
-    const settings = loadSettings(role, file);
-    const {id, logLevel, metricsHost, metricsPort} = settings.process;
-    const logger = createLogger(role, id, logLevel);
-    const statsd =
-      metricsHost === undefined || metricsPort === undefined
-        ? undefined
-        : {host: metricsHost, port: metricsPort};
-    const metrics = new Metrics(id, statsd);
-    const running = await start({settings, logger, metrics});
-    process.stdout.write(
-      `${JSON.stringify({ready: true, port: running.port})}\n`
-    );
-    logger.info({port: running.port}, 'started');
-    await firstSignal(logger);
-    await running.drain();
-    logger.info('drained');
-    return EXIT_CODES.ok;
+    return runWith(role, file, start);
   });
 }
 
+/**
+ * The file, where the arguments are as a running role has them. The parser of
+ * all others would stay in memory with each agent for nothing.
+ */
+function usualFile([flag, file, ...rest]: readonly string[]):
+  string | undefined {
+  const isUsual = flag === '--settings' && rest.length === 0;
+  return isUsual && file !== undefined && !file.startsWith('-')
+    ? file
+    : undefined;
+}
+
+async function runWith<R extends ServerRole>(
+  role: R,
+  file: string,
+  start: (context: RoleContext<R>) => Promise<RunningRole>
+): Promise<number> {
+  const settings = loadSettings(role, file);
+  const {id, logLevel, metricsHost, metricsPort} = settings.process;
+  const logger = createLogger(role, id, logLevel);
+  const statsd =
+    metricsHost === undefined || metricsPort === undefined
+      ? undefined
+      : {host: metricsHost, port: metricsPort};
+  const metrics = new Metrics(id, statsd);
+  const running = await start({settings, logger, metrics});
+  process.stdout.write(
+    `${JSON.stringify({ready: true, port: running.port})}\n`
+  );
+  logger.info({port: running.port}, 'started');
+  await firstSignal(logger);
+  await running.drain();
+  logger.info('drained');
+  return EXIT_CODES.ok;
+}
+
 /** Resolves on the first signal; the second one ends the process. */
 function firstSignal(logger: Logger): Promise<void> {
   return new Promise(resolve => {
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -2,7 +2,6 @@
 
 import {readFileSync} from 'node:fs';
 import {pathToFileURL} from 'node:url';
-import meow from 'meow';
 import type {AnyFlags, Result} from 'meow';
 import {ConfigError} from '../core/errors';
 import {EXIT_CODES} from './exitCodes';
@@ -40,10 +39,11 @@
   process.stderr.write(`${line}\n`);
 }
 
-function parseArguments<F extends AnyFlags>(
+async function parseArguments<F extends AnyFlags>(
   spec: CommandSpec<F>,
   argv: readonly string[]
-): CommandArguments<F> {
+): Promise<CommandArguments<F>> {
+  const {default: meow} = await import('meow');
   const cli = meow(spec.help, {
     // Only asked where the package is; import.meta would keep tests, which
     // run as CommonJS, from loading this file.
@@ -78,8 +78,13 @@
   argv: readonly string[],
   body: (args: CommandArguments<F>, print: Print) => Promise<number> | number
 ): Promise<number> {
+  return runBody(async () => body(await parseArguments(spec, argv), printLine));
+}
+
+/** Turns what the body throws into a message and an exit code. */
+export async function runBody(body: () => Promise<number>): Promise<number> {
   try {
-    return await body(parseArguments(spec, argv), printLine);
+    return await body();
   } catch (err) {
     printError(err instanceof Error ? err.message : String(err));
     return exitCodeOf(err);
