Import zod by its names, so that the bundle holds only what is used

The import of its object z keeps all of it in the bundle, the messages of 40 languages among it; by its names the bundler leaves out what nobody calls.

Checked: faults of settings and of messages read as before.

--- a/bench/capacity/measured.ts
+++ b/bench/capacity/measured.ts
@@ -2,7 +2,7 @@
 
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Line} from './leastSquares';
 
 const RESULT = z.object({
--- a/bench/mutants.ts
+++ b/bench/mutants.ts
@@ -16,7 +16,7 @@
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MUTANT = z.strictObject({
   /** Promise of the brief that the safeguard serves. */
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -1,7 +1,7 @@
 /** A small fake model engine over plain http, for tests and the quick start. */
 
 import type http from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Batch, Work} from './engine/batch';
 import {ChatCall, ChatWriter, parseChat, prefillTokens} from './engine/chat';
 import {ENGINE_DEFAULTS, EngineConfig} from './engine/engineConfig';
--- a/fakes/engine/chat.ts
+++ b/fakes/engine/chat.ts
@@ -2,7 +2,7 @@
 
 import {createHash} from 'node:crypto';
 import type http from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {estimateTokens, prefixDigests} from '../../src/core/promptPrefix';
 import type {PromptMessage} from '../../src/core/promptPrefix';
 import {BLOCK_CHARS} from '../../src/core/promptPrefix';
--- a/fakes/engine/orders.ts
+++ b/fakes/engine/orders.ts
@@ -1,6 +1,6 @@
 /** Orders to a fake engine. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {unreachable} from '../../src/core/errors';
 import type {EngineConfig} from './engineConfig';
 import type {EngineState} from './engineState';
--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -6,7 +6,7 @@
 import {createHash, randomUUID} from 'node:crypto';
 import type http from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   FakeServer,
   headerOf,
--- a/src/agent/dispatchHandler.ts
+++ b/src/agent/dispatchHandler.ts
@@ -1,7 +1,7 @@
 /** Takes dispatches of entries at the wire and brings them to the target. */
 
 import {IncomingMessage, ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {headerJson} from '../core/headerJson';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
--- a/src/agent/maps/toRankSchema.ts
+++ b/src/agent/maps/toRankSchema.ts
@@ -1,6 +1,6 @@
 /** Validates what control sends to a rank, once, where it arrives. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ToRankMessage} from '../../core/mapMessages';
 
 const COUNT = z.number().int().nonnegative();
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -4,7 +4,7 @@
 import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
-import {z} from 'zod';
+import * as z from 'zod';
 import {METHODS} from '../rpc/messages';
 import {
   PeerAddress,
--- a/src/control/log/messages.ts
+++ b/src/control/log/messages.ts
@@ -1,6 +1,6 @@
 /** Messages between control instances; parsed once where they come in. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Command} from '../state/command';
 
 const INDEX = z.number().int().nonnegative();
--- a/src/control/maps/fromRankSchema.ts
+++ b/src/control/maps/fromRankSchema.ts
@@ -1,6 +1,6 @@
 /** Validates what a rank sends to control, once, where it arrives. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {FromRankMessage} from '../../core/mapMessages';
 
 const COUNT = z.number().int().nonnegative();
--- a/src/core/textSchemas.ts
+++ b/src/core/textSchemas.ts
@@ -4,7 +4,7 @@
  * pages for operators show the same words.
  */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 
--- a/src/entry/chat/chatRequest.ts
+++ b/src/entry/chat/chatRequest.ts
@@ -1,6 +1,6 @@
 /** What the entry needs to know of a chat completion request. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   estimateTokens,
   prefixDigests,
--- a/src/entry/chat/chatUsage.ts
+++ b/src/entry/chat/chatUsage.ts
@@ -1,6 +1,6 @@
 /** Reads from a whole chat completion how many tokens it cost. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A larger answer is passed on without being read. */
 const MAX_READ_BYTES = 1024 * 1024;
--- a/src/entry/chat/streamMachine.ts
+++ b/src/entry/chat/streamMachine.ts
@@ -3,7 +3,7 @@
  * the other: every token once and in order, or an error. No I/O.
  */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {tokenIndex} from './chatRequest';
 import {SseEvent, SseParser} from './sseParser';
 
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -1,6 +1,6 @@
 /** Methods between our processes, and the schemas that validate them. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Announcement, CustomerUsage, PollRequest} from '../core/wire';
 import type {RecordedAnswer, Settlement} from '../core/claims';
 
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
-import {z} from 'zod';
+import * as z from 'zod';
 import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
--- a/src/rules/ruleSchema.ts
+++ b/src/rules/ruleSchema.ts
@@ -1,6 +1,6 @@
 /** The words of the rule file, each with its values, as one union. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {integer, name, oneOf, rangeOf} from '../core/textSchemas';
 import {duration, pathPrefix, percent} from './fieldSchemas';
 
--- a/src/settings/describeSettings.ts
+++ b/src/settings/describeSettings.ts
@@ -1,6 +1,6 @@
 /** The settings of a role as a table, for the page for operators. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {rangeOf} from '../core/textSchemas';
 import {keySchemas, sectionNames} from './readSections';
 import type {SettingsRole} from './sections';
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -1,6 +1,6 @@
 /** The settings of each role: one schema a section, keys as in the file. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import {integer, name, oneOf} from '../core/textSchemas';
 import {
   anyPort,
--- a/src/target/engineAdapter.ts
+++ b/src/target/engineAdapter.ts
@@ -1,6 +1,6 @@
 /** A model engine: its status page, orders, cancel and request headers. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Dispatch} from '../core/wire';
 import {
   AttemptId,
--- a/src/target/serviceAdapter.ts
+++ b/src/target/serviceAdapter.ts
@@ -1,7 +1,7 @@
 /** A plain service: a health check, no orders, no cancel. */
 
 import net from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {PeerError} from '../core/errors';
 import type {Dispatch} from '../core/wire';
 import {
