Leave the blanks out of the bundle, in short lines

Cause: each process holds the text of its program, 1.63 MB, of which a third are blanks and comments.

Change: blanks and comments left out; names stay for stack traces, and lines are wrapped, since Node prints the line of an uncaught error.

Ruled out on an agent: new space of 1 MB, 2 MB less; the optimizing compiler off, 4 MB less; neither was measured under load.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -43,6 +43,11 @@
       js: "const bundleMeta = {url: require('node:url').pathToFileURL(__filename).href};",
     },
     sourcemap: false,
+    // Each process holds the text of its program. Names stay, for stack traces.
+    minifyWhitespace: true,
+    minifySyntax: true,
+    // Node prints the line of an uncaught error.
+    lineLimit: 120,
     logLevel: 'warning',
   });
 }
