--- a/src/control/methods/pollMethod.ts
+++ b/src/control/methods/pollMethod.ts
@@ -13,12 +13,10 @@
 }
 
 function answerPoll(context: ControlContext, request: PollRequest): PollAnswer {
-  const {log, state, members, instanceId, bootId} = context;
+  const {log, members, instanceId, bootId} = context;
   const nowMs = performance.now();
   members.expire(nowMs);
   const known = members.heard(request, nowMs);
-  if (request.usage !== undefined)
-    context.usage.report(request.bootId, request.usage);
   const status = log.status();
   return {
     instanceId,
@@ -28,14 +26,25 @@
     term: status.term,
     leaderId: status.leaderId,
     lastRevision: lastRevision(context),
-    committedRevision: state.rules.revision,
     ...newerRules(context, request),
-    announceAgain: !known,
+    announceAgain: request.role === 'agent' ? !known : undefined,
+    usageAgain: takeUsage(context, request, nowMs),
     members:
-      request.role === 'entry' ? memberChanges(context, request) : undefined,
+      request.role === 'entry'
+        ? memberChanges(context, request, nowMs)
+        : undefined,
   };
 }
 
+function takeUsage(
+  {usage}: ControlContext,
+  {bootId, usage: rows, usagePart = false}: PollRequest,
+  nowMs: number
+): boolean | undefined {
+  if (rows === undefined) return undefined;
+  return !usage.report(bootId, rows, usagePart, nowMs);
+}
+
 /** The committed rules, when newer than held, as briefly as it can be said. */
 function newerRules(
   {state, recentRules}: ControlContext,
@@ -62,11 +71,11 @@
 }
 
 function memberChanges(
-  {members, bootId}: ControlContext,
-  request: PollRequest
+  {entryViews, zones, bootId}: ControlContext,
+  request: PollRequest,
+  nowMs: number
 ): PollAnswer['members'] {
   const held = request.membership;
-  return members.changesSince(
-    held?.bootId === bootId ? held.version : undefined
-  );
+  const since = held?.bootId === bootId ? held.version : undefined;
+  return entryViews.changesFor(request, since, zones.current(), nowMs);
 }
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -63,6 +63,14 @@
   readonly seq: number;
 }
 
+/** What became of an announcement that the receiver holds. */
+export interface AnnouncementUpdate {
+  readonly targetId: string;
+  readonly set: Partial<Announcement>;
+  /** Fields that are absent now. */
+  readonly unset?: readonly (keyof Announcement)[];
+}
+
 /** Replaces `removed` lines, from line `at` (from 0), by `added`. */
 export interface LineChange {
   readonly at: number;
@@ -95,8 +103,12 @@
   readonly unchanged?: UnchangedAnnouncement;
   /** Membership version held from this very instance and boot. */
   readonly membership?: {readonly bootId: string; readonly version: number};
+  /** Targets of each pool that the entry follows; all of them when absent. */
+  readonly subset?: number;
   /** Use counted since the start of this boot, from entries. */
   readonly usage?: readonly CustomerUsage[];
+  /** Only rows that changed; the instance holds the others. */
+  readonly usagePart?: boolean;
   readonly availabilityZone: string;
   /** Milliseconds since its rules were last proven current, if ever. */
   readonly provenAgeMs?: number;
@@ -126,23 +138,28 @@
    * knows that nothing newer had been accepted when it asked.
    */
   readonly lastRevision: number;
-  readonly committedRevision: number;
   /** The committed rules, when newer than held. */
   readonly rules?: {readonly revision: number; readonly text: string};
   /** The same as a difference, in place of `rules`. */
   readonly rulesDiff?: RuleDiff;
   /**
-   * Whether it lacks what was called unchanged. An instance that does not say
-   * is told everything whole.
+   * To agents: whether it lacks what was called unchanged. An instance that does
+   * not say is told everything whole.
    */
   readonly announceAgain?: boolean;
-  /** Announcements changed since the held version; all, when `full`. */
-  readonly members?: {
-    readonly version: number;
-    readonly full: boolean;
-    readonly changed: readonly Announcement[];
-    readonly removed: readonly string[];
-  };
+  /** To a report of use: whether it lacks the rows that were not sent. */
+  readonly usageAgain?: boolean;
+  readonly members?: MembersAnswer;
+}
+
+/** Announcements changed since the held version; all, when `full`. */
+export interface MembersAnswer {
+  readonly version: number;
+  readonly full?: boolean;
+  readonly changed?: readonly Announcement[];
+  /** The same as `changed`, for those that the entry holds. */
+  readonly updated?: readonly AnnouncementUpdate[];
+  readonly removed?: readonly string[];
 }
 
 /** What an entry tells an agent about a request. */
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -1,6 +1,6 @@
 /** Methods between our processes, and the schemas that validate them. */
 
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Announcement, CustomerUsage, PollRequest} from '../core/wire';
 import type {RecordedAnswer, Settlement} from '../core/claims';
 
@@ -15,6 +15,7 @@
   usage: 'usage',
   log: 'log',
   fenceClaim: 'fenceClaim',
+  locate: 'locate',
   map: 'map',
 } as const;
 
@@ -73,7 +74,9 @@
     .object({targetId: id, agentBootId: id, seq: z.int().nonnegative()})
     .optional(),
   membership: z.object({bootId: id, version: z.int()}).optional(),
+  subset: z.int().positive().optional(),
   usage: z.array(usage).optional(),
+  usagePart: z.boolean().optional(),
 });
 
 /** A rule file to put in force. */
@@ -175,5 +178,18 @@
   /** Another boot answers; what the claim's own boot did is not known. */
   | {readonly kind: 'other boot'};
 
+/** Asks a control instance for a target that the entry does not follow. */
+export interface LocateRequest {
+  readonly targetId: string;
+}
+
+/** See LocateRequest. */
+export const locateRequest: z.ZodType<LocateRequest> = z.object({targetId: id});
+
+/** What the instance has heard of it, if anything. */
+export interface LocateAnswer {
+  readonly announcement?: Announcement;
+}
+
 /** For calls without parameters. */
 export const noParams = z.object({}).optional();
