Send a request to a target that holds its model

Cause: targets of one pool were alike for the entry, whatever model they held. Before orders give them different models, a request has to reach one that holds what it names, or the caller is answered by another model.

`serve POOL MODEL version= min= max=` says which models a pool serves. Only where a pool has such lines does the entry look at the model; a model that no line names is refused with no-route at once. A request without a model goes anywhere, as before.

Ruled out: the model in the dispatch, checked by the agent.

tests/rules.spec.ts: its good file has one line more, so 13 rules, not 12.

--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -3,7 +3,7 @@
 import {Progress} from '../../core/progress';
 import {refuse} from '../../core/refusal';
 import {hasBody} from '../../core/upstream';
-import type {RouteCandidate} from '../../rules/ruleIndex';
+import type {RouteCandidate, RuleIndex} from '../../rules/ruleIndex';
 import type {CallBody, ClassifiedCall, Filter, IdentifiedCall} from '../call';
 import {
   ChatRequest,
@@ -60,6 +60,7 @@
       options
     );
     const chat = isChat ? readChat(body, options.entryId) : undefined;
+    assertServed(rules, pool, chat, options.entryId);
     const resume =
       chat?.stream === true ? readResume(call, options.entryId) : undefined;
     const priority = priorityOf(call);
@@ -77,6 +78,20 @@
   };
 }
 
+/** Where rules name the models of a pool, waiting for another is in vain. */
+function assertServed(
+  rules: RuleIndex,
+  pool: string,
+  chat: ChatRequest | undefined,
+  entryId: string
+): void {
+  const model = chat?.model;
+  if (model === undefined || rules.serves(pool).length === 0) return;
+  if (rules.servesModel(pool, model)) return;
+  const detail = `no "serve ${pool}" line names the model of the request`;
+  throw refuse('no-route', 'classify', entryId, detail);
+}
+
 /** Picks in proportion to the weights. */
 function pickPool(
   routes: readonly RouteCandidate[],
--- a/src/entry/route.ts
+++ b/src/entry/route.ts
@@ -34,6 +34,7 @@
   const serving = pooled.filter(
     target =>
       target.state === 'serving' &&
+      holdsModel(call, target) &&
       (modelVersion === undefined || target.modelVersion === modelVersion)
   );
   const inZones = serving.filter(
@@ -65,6 +66,19 @@
   return {kind: 'target', target, cost: costOf(call, target)};
 }
 
+/**
+ * Where rules say which models a pool serves, its targets hold different ones:
+ * at another target the caller would get another model's answer.
+ */
+function holdsModel(
+  {rules, pool, chat}: ClassifiedCall,
+  {model}: Announcement
+): boolean {
+  const wanted = chat?.model;
+  if (wanted === undefined || rules.serves(pool).length === 0) return true;
+  return model === wanted;
+}
+
 /** The ranks of a group step together: the slowest sets the pace of all. */
 function straggleByGroup(
   targets: readonly Announcement[]
--- a/src/rules/crossCheck.ts
+++ b/src/rules/crossCheck.ts
@@ -4,7 +4,7 @@
 import {unreachable} from '../core/errors';
 import {columnOf} from './parseLine';
 import type {PlacedRule} from './parseLine';
-import type {LimitRule, PoolRule, Rule, RouteRule} from './rule';
+import type {LimitRule, PoolRule, Rule, RouteRule, ServeRule} from './rule';
 import type {RuleProblem} from './ruleProblem';
 
 /** A customer name in routes that stands for every customer. */
@@ -29,6 +29,8 @@
     case 'limit':
     case 'rebalance':
       return `${rule.kind} ${rule.pool}`;
+    case 'serve':
+      return `serve ${rule.pool} ${rule.model}`;
     case 'customer':
       return `customer ${rule.customer}`;
     case 'zone':
@@ -137,6 +139,21 @@
   return problems;
 }
 
+function checkServe(
+  item: PlacedRule,
+  rule: ServeRule,
+  pool: PoolRule | undefined
+): readonly RuleProblem[] {
+  const problems: RuleProblem[] = [];
+  if (rule.min > rule.max)
+    problems.push(problemAt(item, 'min', 'min must not exceed max'));
+  if (pool?.targets === 'service')
+    problems.push(
+      problemAt(item, 'pool', 'serve is for pools of engines only')
+    );
+  return problems;
+}
+
 function checkValues(placed: readonly PlacedRule[]): readonly RuleProblem[] {
   const pools = new Map(ofKind(placed, 'pool').map(rule => [rule.pool, rule]));
   return placed.flatMap(item => {
@@ -153,6 +170,8 @@
           '"any" stands for every customer in routes'
         ),
       ];
+    if (rule.kind === 'serve')
+      return checkServe(item, rule, pools.get(rule.pool));
     if (
       rule.kind === 'rebalance' &&
       pools.get(rule.pool)?.targets === 'service'
--- a/src/rules/printRules.ts
+++ b/src/rules/printRules.ts
@@ -44,6 +44,8 @@
       return `zone ${rule.availabilityZone} ${rule.state}`;
     case 'rebalance':
       return `rebalance ${rule.pool} ${rule.state} gain=${rule.gainPercent}%`;
+    case 'serve':
+      return `serve ${rule.pool} ${rule.model} version=${rule.version} min=${rule.min} max=${rule.max}`;
     default:
       return unreachable(rule);
   }
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -95,6 +95,19 @@
   readonly gainPercent: number;
 }
 
+/** `serve planner llama version=v2 min=2 max=8`: targets that hold a model. */
+export interface ServeRule extends RuleLine {
+  readonly kind: 'serve';
+  readonly pool: string;
+  readonly model: string;
+  /** Version to which targets that hold another one are changed. */
+  readonly version: string;
+  /** Targets that serve the model, in any version, at all times. */
+  readonly min: number;
+  /** Most targets that are given the model. */
+  readonly max: number;
+}
+
 /** Any rule. */
 export type Rule =
   | RevisionRule
@@ -105,7 +118,8 @@
   | WarmupRule
   | LimitRule
   | ZoneRule
-  | RebalanceRule;
+  | RebalanceRule
+  | ServeRule;
 
 /** One accepted file. */
 export interface RuleSet {
--- a/src/rules/ruleIndex.ts
+++ b/src/rules/ruleIndex.ts
@@ -9,6 +9,7 @@
   RebalanceRule,
   RouteRule,
   RuleSet,
+  ServeRule,
   WarmupRule,
 } from './rule';
 import {ANY_CUSTOMER} from './crossCheck';
@@ -100,6 +101,7 @@
   private readonly limits = new Map<string, LimitRule>();
   private readonly warmups = new Map<string, WarmupRule>();
   private readonly rebalances = new Map<string, RebalanceRule>();
+  private readonly serveRules: ReadonlyMap<string, readonly ServeRule[]>;
   private readonly zonesOut = new Set<string>();
   private readonly routeTables: ReadonlyMap<string, RouteTable>;
   private readonly onceTables: ReadonlyMap<string, PrefixTable<OnceRule>>;
@@ -108,6 +110,7 @@
     this.revision = ruleSet.revision;
     const routes: RouteRule[] = [];
     const once: OnceRule[] = [];
+    const serve: ServeRule[] = [];
     for (const rule of ruleSet.rules) {
       if (rule.kind === 'pool') this.poolRules.set(rule.pool, rule);
       if (rule.kind === 'customer') this.customers.set(rule.customer, rule);
@@ -118,7 +121,9 @@
         this.zonesOut.add(rule.availabilityZone);
       if (rule.kind === 'route') routes.push(rule);
       if (rule.kind === 'once') once.push(rule);
+      if (rule.kind === 'serve') serve.push(rule);
     }
+    this.serveRules = groupBy(serve, rule => rule.pool);
     const byCustomer = groupBy(routes, rule => rule.customer);
     this.routeTables = mapValues(byCustomer, routeTable);
     const byMethod = groupBy(once, rule => rule.method);
@@ -173,6 +178,16 @@
     return rule?.state === 'on' ? rule : undefined;
   }
 
+  /** Models that targets of the pool are given; none leaves all as they are. */
+  serves(pool: string): readonly ServeRule[] {
+    return this.serveRules.get(pool) ?? [];
+  }
+
+  /** Whether rules say which models the pool serves, this one among them. */
+  servesModel(pool: string, model: string): boolean {
+    return this.serves(pool).some(rule => rule.model === model);
+  }
+
   poolKind(pool: string): PoolRule['targets'] | undefined {
     return this.poolRules.get(pool)?.targets;
   }
--- a/src/rules/ruleSchema.ts
+++ b/src/rules/ruleSchema.ts
@@ -62,6 +62,14 @@
     state: oneOf('on', 'off'),
     gain: percent(0, 100).optional(),
   }),
+  z.strictObject({
+    kind: z.literal('serve'),
+    pool: name(),
+    model: name(),
+    version: name(),
+    min: integer(1, 10_000),
+    max: integer(1, 10_000),
+  }),
 ]);
 
 /** One typed line, still with the keys of the file. */
@@ -81,6 +89,7 @@
   limit: ['pool'],
   zone: ['zone', 'state'],
   rebalance: ['pool', 'state'],
+  serve: ['pool', 'model'],
 };
 
 /** One value of a line, for messages and the page for operators. */
--- a/src/rules/toRule.ts
+++ b/src/rules/toRule.ts
@@ -54,6 +54,7 @@
     case 'pool':
     case 'customer':
     case 'once':
+    case 'serve':
       return {...origin, ...values};
     default:
       return unreachable(values);
--- a/tests/route.spec.ts
+++ b/tests/route.spec.ts
@@ -15,6 +15,10 @@
 zone zone-b out # asked by Aoife
 `;
 
+const SERVES = `${RULES}serve planner llama version=v2 min=1 max=8 # asked by Una
+serve planner phi version=v1 min=1 max=8 # asked by Una
+`;
+
 const rank = (
   index: number,
   change: Partial<Announcement> = {}
@@ -34,10 +38,11 @@
 /** Targets that were chosen in many calls. */
 function chosen(
   targets: readonly Announcement[],
-  modelVersion?: string
+  modelVersion?: string,
+  {rules = RULES, model}: {rules?: string; model?: string} = {}
 ): ReadonlySet<string> {
   const directory = new TargetDirectory();
-  const parsed = parseRules(RULES);
+  const parsed = parseRules(rules);
   if (!parsed.ok) throw new Error('rules');
   const members = {version: 1, full: true, changed: targets, removed: []};
   const answer = {
@@ -61,6 +66,7 @@
   const call = {
     pool: 'planner',
     rules: new RuleIndex(parsed.ruleSet),
+    chat: model && {model, promptTokens: 1, outputTokens: 1, prefixes: []},
     progress: new Progress('r', performance.now() + 1_000, 'entry-1'),
   } as unknown as ClassifiedCall;
   const picks = Array.from({length: 60}, () =>
@@ -101,4 +107,16 @@
     expect(chosen(targets, 'v1')).toEqual(new Set(['planner-1']));
     expect(chosen(targets, 'v3')).toEqual(new Set(['none']));
   });
+
+  // Orders have given the targets of one pool different models. A caller sent
+  // to any of them would be answered by a model that it did not ask for.
+  it('should keep to targets that hold the model where rules name models', () => {
+    const targets = [rank(0, {model: 'llama'}), rank(1, {model: 'phi'})];
+    const rules = SERVES;
+    const of = (model: string) => chosen(targets, undefined, {rules, model});
+    expect(of('phi')).toEqual(new Set(['planner-1']));
+    expect(of('gone')).toEqual(new Set(['none']));
+    const free = chosen(targets, undefined, {model: 'any'});
+    expect(free.has('none')).toBe(false);
+  });
 });
--- a/tests/rules.spec.ts
+++ b/tests/rules.spec.ts
@@ -16,6 +16,7 @@
 limit planner timeout=30s first-token=2s attempts=3 retry-budget=10% # asked by Niall
 zone zone-b out # asked by Niall
 rebalance planner on gain=5% # asked by Niall
+serve planner llama version=v2 min=2 max=8 # asked by Niall
 `;
 
 function accepted(text: string): RuleSet {
@@ -38,7 +39,7 @@
   it('should read every kind of rule', () => {
     const {revision, rules} = accepted(GOOD);
     expect(revision).toBe(13);
-    expect(rules.map(rule => rule.kind)).toHaveLength(12);
+    expect(rules.map(rule => rule.kind)).toHaveLength(13);
     expect(rules.map(rule => rule.askedBy).slice(0, 4)).toEqual([
       'Aoife Byrne',
       'Aoife Byrne',
@@ -127,6 +128,14 @@
       'rebalance allocation on # asked by A',
       '11: rebalance is for pools of engines only',
     ],
+    [
+      'serve allocation llama version=v2 min=2 max=8 # asked by A',
+      '7: serve is for pools of engines only',
+    ],
+    [
+      'serve planner other version=v2 min=3 max=2 # asked by A',
+      '36: min must not exceed max',
+    ],
     ['zone a out; zone b out # asked by A', '11: ";" has no meaning here'],
     ['zone "a" out # asked by A', '6: quotes, backslashes'],
     ['zone a out " # asked by A', '12: quotes, backslashes'],
