Plan which targets change their model as demand moves

Cause: adapters know orders and fakes obey them, but nothing decided any.

The decision is pure: a model is short above 0.8 of what its targets bear, a target is spared only if the rest stay below 0.65 and above min, counting what has truly answered; a new version goes to one target until that serves; a changed target that stays cold uses up the budget of changes, so that a roll-out stops by itself. An order has to pay for the time of its load.

Nothing sends the orders yet.

--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -7,6 +7,7 @@
 import {controlCost} from './measures/controlCost';
 import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
+import {fleet} from './measures/fleet';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
 import {zoneOutage} from './measures/zoneOutage';
@@ -22,4 +23,5 @@
   entryOverhead,
   controlCost,
   bounds,
+  fleet,
 ];
--- /dev/null
+++ b/bench/measures/fleet.ts
@@ -0,0 +1,121 @@
+/**
+ * `fleet`: what callers get and what it costs while demand moves between
+ * models over a day, by who gives the orders.
+ */
+
+import {greedyPolicy, ourPolicy, staticPolicy} from '../fleet/fleetPolicies';
+import type {FleetPolicy} from '../fleet/fleetPolicies';
+import {FULL, FleetWorld} from '../fleet/fleetWorld';
+import type {WorldShape} from '../fleet/fleetWorld';
+import type {Figures, Measure, MeasureOptions, MeasureResult} from '../measure';
+
+const HOURS = 24;
+const MS_PER_SECOND = 1000;
+
+function shapes({
+  quick,
+  seed,
+}: MeasureOptions): Readonly<Record<string, WorldShape>> {
+  return {
+    twelve: {
+      targets: 12,
+      models: 3,
+      storeGbPerMs: 2 / 1000,
+      min: 2,
+      tickMs: quick ? 10_000 : 5_000,
+      seed,
+    },
+    thousand: {
+      targets: 1000,
+      models: 9,
+      storeGbPerMs: 20 / 1000,
+      min: 3,
+      tickMs: quick ? 60_000 : 10_000,
+      seed,
+    },
+  };
+}
+
+function runOne(shape: WorldShape, policy: FleetPolicy): FleetWorld {
+  const world = new FleetWorld(shape);
+  while (!world.over) {
+    world.order(policy(world));
+    world.tick();
+  }
+  return world;
+}
+
+function figuresOf(name: string, {totals}: FleetWorld, tickMs: number) {
+  const {demand, served, waiting, loadedGb} = totals;
+  return {
+    [`${name}ServedRatio`]: served / demand,
+    [`${name}WaitingRequestSeconds`]: Math.round(
+      (waiting * tickMs) / MS_PER_SECOND
+    ),
+    [`${name}LoadedGb`]: Math.round(loadedGb),
+    [`${name}BelowMinSeconds`]: totals.belowMinMs / MS_PER_SECOND,
+    [`${name}ChangesPerHour`]: totals.changes / HOURS,
+  };
+}
+
+function allShapes(
+  options: MeasureOptions,
+  create: () => FleetPolicy
+): Figures {
+  const parts = Object.entries(shapes(options)).map(([name, shape]) =>
+    figuresOf(name, runOne(shape, create()), shape.tickMs)
+  );
+  return Object.assign({}, ...parts) as Figures;
+}
+
+/** Were every model on every target, only the pool as a whole would bound. */
+function boundOf(options: MeasureOptions): Figures {
+  const parts = Object.entries(shapes(options)).map(([name, shape]) => {
+    const world = new FleetWorld(shape);
+    let demand = 0;
+    let served = 0;
+    while (!world.over) {
+      world.tick();
+      const now = world.demand.reduce((a, b) => a + b, 0);
+      demand += now;
+      served += Math.min(now, shape.targets * FULL);
+    }
+    return {[`${name}ServedRatio`]: served / demand};
+  });
+  return Object.assign({}, ...parts) as Figures;
+}
+
+function judge(
+  ours: Figures,
+  baselines: readonly Figures[],
+  greedy: Figures
+): string | undefined {
+  for (const name of ['twelve', 'thousand']) {
+    const of = (figures: Figures, key: string) => figures[`${name}${key}`]!;
+    if (of(ours, 'BelowMinSeconds') > 0) return `${name}: fell below min`;
+    const best = Math.max(...baselines.map(one => of(one, 'ServedRatio')));
+    if (of(ours, 'ServedRatio') < best)
+      return `${name}: serves less than a baseline`;
+    if (of(ours, 'LoadedGb') > of(greedy, 'LoadedGb'))
+      return `${name}: loads more than dividing anew`;
+  }
+  return undefined;
+}
+
+async function run(options: MeasureOptions): Promise<MeasureResult> {
+  const ours = allShapes(options, ourPolicy);
+  const greedy = allShapes(options, greedyPolicy);
+  const still = allShapes(options, staticPolicy);
+  const cause = judge(ours, [still, greedy], greedy);
+  return {
+    ours,
+    baselines: {static: still, greedy},
+    bound: boundOf(options),
+    mark: 'never below min, serves no less than either baseline, loads less than dividing anew',
+    met: cause === undefined,
+    cause,
+  };
+}
+
+/** The measure. */
+export const fleet: Measure = {key: 'fleet', run};
--- /dev/null
+++ b/tests/fleetPlan.spec.ts
@@ -0,0 +1,213 @@
+import {SeededRandom} from '../bench/fuzz/schedule';
+import {FleetDemand, workByModel} from '../src/policy/fleetDemand';
+import {FLEET_DEFAULTS, planFleet} from '../src/policy/fleetPlan';
+import type {FleetView} from '../src/policy/fleetPlan';
+import type {FleetTarget} from '../src/policy/fleetTally';
+
+const ZONES = ['a', 'b', 'c'];
+const A = {model: 'a', version: 'v1', min: 2, max: 12};
+const B = {model: 'b', version: 'v1', min: 2, max: 12};
+
+function target(
+  index: number,
+  model: string,
+  change: Partial<FleetTarget> = {}
+): FleetTarget {
+  return {
+    targetId: `t${index}`,
+    availabilityZone: ZONES[index % 3]!,
+    model,
+    modelVersion: 'v1',
+    serving: true,
+    temperature: 'warm',
+    changed: false,
+    work: 4,
+    ...change,
+  };
+}
+
+/** Six targets hold `a`, six `b`, by turns over the zones. */
+const HALVES = Array.from({length: 12}, (_, i) => target(i, i < 6 ? 'a' : 'b'));
+
+function plan(change: Partial<FleetView> = {}) {
+  const view: FleetView = {
+    models: [A, B],
+    targets: HALVES,
+    open: [],
+    demand: new Map([
+      ['a', 28],
+      ['b', 28],
+    ]),
+    halted: new Set(),
+    full: 8,
+    loadMs: 60_000,
+    warmupMs: 30_000,
+    nowMs: 10_000_000,
+    ...change,
+  };
+  return planFleet(view, FLEET_DEFAULTS);
+}
+
+const demand = (a: number, b: number) =>
+  new Map([
+    ['a', a],
+    ['b', b],
+  ]);
+
+describe('orders for models', () => {
+  it.each<[string, Partial<FleetView>, number]>([
+    ['none while both models bear their demand', {}, 0],
+    [
+      'one when one is short and the other has to spare',
+      {demand: demand(46, 12)},
+      1,
+    ],
+    ['none when the rest would be short in turn', {demand: demand(46, 30)}, 0],
+    [
+      'none that takes longer than it is worth',
+      {demand: demand(40, 12), loadMs: 1_500_000},
+      0,
+    ],
+    [
+      'none while another target is under an order',
+      {
+        demand: demand(46, 12),
+        open: [{targetId: 't7', model: 'a', version: 'v1'}],
+      },
+      0,
+    ],
+    [
+      'none for a target that came over a moment ago',
+      {
+        demand: demand(46, 12),
+        targets: HALVES.map(one => ({...one, changedAtMs: 9_900_000})),
+      },
+      0,
+    ],
+    [
+      'none for a version that failed to load too often',
+      {demand: demand(46, 12), halted: new Set(['a'])},
+      0,
+    ],
+    [
+      'none beyond max',
+      {demand: demand(46, 12), models: [{...A, max: 6}, B]},
+      0,
+    ],
+    [
+      'none that leaves the other below min',
+      {demand: demand(46, 0), models: [A, {...B, min: 6}]},
+      0,
+    ],
+    [
+      'one for a model below min, whatever it costs',
+      {demand: demand(0, 0), models: [{...A, min: 7}, B], loadMs: 9_000_000},
+      1,
+    ],
+    [
+      'none while a changed target stays cold',
+      {
+        demand: demand(46, 12),
+        targets: HALVES.map((one, i) =>
+          i === 0 ? {...one, changed: true, temperature: 'cold' as const} : one
+        ),
+      },
+      0,
+    ],
+  ])('should be %s', (_, change, count) => {
+    expect(plan(change).changes).toHaveLength(count);
+  });
+
+  it('should spread a model over the zones', () => {
+    const targets = HALVES.map(one =>
+      one.model === 'a' && one.availabilityZone === 'c'
+        ? {...one, model: 'b'}
+        : one
+    );
+    const [change] = plan({targets, demand: demand(36, 12)}).changes;
+    const zone = targets.find(one => one.targetId === change?.targetId);
+    expect(zone?.availabilityZone).toBe('c');
+  });
+
+  // A version that does not load, or loads and stays cold, must not reach the
+  // second target: callers would lose the model target by target.
+  it('should try a new version on one target, then go on when it serves', () => {
+    const models = [{...A, version: 'v2'}, B];
+    const big = Array.from({length: 40}, (_, i) =>
+      target(i, i < 30 ? 'a' : 'b')
+    );
+    const roll = (targets: readonly FleetTarget[], open = plan().changes) =>
+      plan({models, targets, open, demand: demand(20, 20)}).changes;
+    const [first, ...more] = roll(big);
+    expect(first).toMatchObject({model: 'a', version: 'v2'});
+    expect(more).toEqual([]);
+    expect(roll(big, [first!])).toEqual([]);
+    const changed = (temperature: 'cold' | 'warm') =>
+      big.map(one =>
+        one.targetId === first!.targetId
+          ? {...one, modelVersion: 'v2', changed: true, temperature}
+          : one
+      );
+    expect(roll(changed('cold'))).toEqual([]);
+    expect(roll(changed('warm')).length).toBeGreaterThan(1);
+  });
+
+  // Whatever the targets are doing, no model that has its least number of
+  // serving targets may lose one below it by an order.
+  it('should never take a model below its min, over many seeds', () => {
+    for (let seed = 1; seed <= 300; seed++) {
+      const random = new SeededRandom(seed);
+      const temperature = () =>
+        random.pick(['cold', 'warming', 'warm'] as const);
+      const targets = Array.from({length: random.int(2, 40)}, (_, i) =>
+        target(i, random.pick(['a', 'b', 'other']), {
+          modelVersion: random.pick(['v1', 'v2']),
+          serving: random.chance(0.8),
+          temperature: temperature(),
+          changed: random.chance(0.2),
+        })
+      );
+      const open = targets
+        .filter(() => random.chance(0.1))
+        .map(({targetId}) => ({targetId, model: 'a', version: 'v1'}));
+      const levels = demand(random.int(0, 200), random.int(0, 200));
+      const {changes} = plan({targets, open, demand: levels});
+      const out = new Set([...open, ...changes].map(one => one.targetId));
+      for (const {model, min} of [A, B]) {
+        const lost = changes.some(change =>
+          targets.some(
+            t =>
+              t.targetId === change.targetId &&
+              t.model === model &&
+              t.serving &&
+              t.temperature !== 'cold'
+          )
+        );
+        const left = targets.filter(
+          one => one.model === model && one.serving && !out.has(one.targetId)
+        ).length;
+        if (lost)
+          expect({seed, enough: left >= min}).toEqual({seed, enough: true});
+      }
+    }
+  });
+});
+
+describe('demand for models', () => {
+  // Callers of one model pause and come back. Orders after each would load the
+  // same weights to and fro while both wait.
+  it('should rise with callers and outlast a pause', () => {
+    const levels = new FleetDemand();
+    const busy = workByModel([{model: 'a', outstanding: 8, queued: 500}], 8);
+    levels.observe(busy, 0);
+    expect(levels.levelsNow().get('a')).toBe(16);
+    expect(levels.settled(29_000)).toBe(false);
+    levels.observe(new Map(), 30_000);
+    expect(levels.settled(30_000)).toBe(true);
+    expect(levels.levelsNow().get('a')).toBeGreaterThan(14);
+    levels.observe(new Map(), 1_500_000);
+    expect(levels.levelsNow().get('a')).toBeLessThan(1);
+    levels.observe(busy, 1_590_000);
+    expect(levels.levelsNow().get('a')).toBeGreaterThan(15);
+  });
+});
