Order targets to change their model, from the leader through their agents

Cause: the plan had no way to the targets.

Control: the leader takes a fence from the log before its first order, records each order before an agent hears of it, and its end as the agent told it. A new leader takes a newer fence, reads what is open behind a barrier and sends the same orders under the same ids. Where a proposal had no answer the same is proposed again, never another.

Agent: the gate admits nothing while the target changes; when all work has ended, also what an earlier boot left there, the agent asks the leader whether the order still stands, and only then tells the target. So an order of a replaced leader stops here, whether the target checks fences or not and whether the agent knows any. After a restart the gate stays shut until the leader has said that no order is out. A target that shows another model gives its agent a new boot id: what entries chose before is refused unrun.

Ruled out: a fence for each pool. A target knows one highest number, so all pools share one sequence; targets in a group of ranks get none of these orders, since their map orders have numbers of their own.

--- a/src/agent/admission.ts
+++ b/src/agent/admission.ts
@@ -15,6 +15,8 @@
   readonly agentBootId: string;
   readonly availabilityZone: string;
   readonly leaving: boolean;
+  /** Whether the target is being given another model. */
+  readonly changing: boolean;
   readonly rules: RuleIndex | undefined;
   readonly freshness: Freshness;
   /** Whether the target answered its last observation and is ready. */
@@ -36,6 +38,7 @@
     retryAfterMs: RETRY_SOON_MS,
   });
   if (view.leaving) return no('target-leaving', 'the target is leaving');
+  if (view.changing) return no('target-changed', 'the target changes model');
   // A dispatch meant for an earlier boot may be arbitrarily late.
   if (dispatch.agentBootId !== view.agentBootId) {
     return no('target-changed', 'the agent restarted since it was chosen');
--- a/src/agent/agentCore.ts
+++ b/src/agent/agentCore.ts
@@ -72,6 +72,7 @@
   private bootAtMs = Date.now();
   private seq = 0;
   private leaving = false;
+  private changing = false;
   private seen: TargetObservation | undefined;
   private sync: ControlSync | undefined;
 
@@ -130,7 +131,7 @@
    * rule that then comes looks like one that was changed mid-ramp.
    */
   private limit(): number {
-    if (this.rules === undefined) return 0;
+    if (this.rules === undefined || this.changing) return 0;
     return this.state.limit(this.warmup(), performance.now());
   }
 
@@ -140,8 +141,28 @@
     this.gate.recheck();
   }
 
+  /** Nothing new starts here until `endChange`; what waits goes elsewhere. */
+  beginChange(): void {
+    this.changing = true;
+    this.gate.recheck();
+  }
+
+  /** `changed`: weights were loaded, so the target is cold however it looks. */
+  endChange(changed: boolean): void {
+    if (changed) this.state.strained(performance.now());
+    this.changing = false;
+    this.gate.pump();
+  }
+
   observed(seen: TargetObservation): void {
+    const before = this.seen;
     this.seen = seen;
+    // Entries that chose this target for the model it held would get the other
+    // one's answer; under a new boot id their dispatches are refused unrun.
+    const same =
+      seen.model === before?.model &&
+      seen.modelVersion === before?.modelVersion;
+    if (before !== undefined && !same) this.renewBoot();
   }
 
   /** The last look at the target that was answered. */
@@ -156,6 +177,10 @@
       {bootId: this.bootId},
       'claim record full; taking a new boot id'
     );
+    this.renewBoot();
+  }
+
+  private renewBoot(): void {
     this.guard = new OnceGuard();
     this.bootId = randomUUID();
     this.bootAtMs = Date.now();
@@ -168,6 +193,7 @@
         agentBootId: this.bootId,
         availabilityZone: this.parts.availabilityZone,
         leaving: this.leaving,
+        changing: this.changing,
         rules: this.rules,
         freshness: this.sync?.freshness() ?? {
           kind: 'unproven',
--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -1,10 +1,10 @@
 /** Starts and drains the agent beside one target. */
 
 import {randomUUID} from 'node:crypto';
-import {Subscription, distinctUntilChanged, filter, map} from 'rxjs';
+import {Subscription, distinctUntilChanged, filter, map, take} from 'rxjs';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
-import {METHODS, fenceClaimRequest} from '../rpc/messages';
+import {METHODS, fenceClaimRequest, modelOrder} from '../rpc/messages';
 import {PeerClient, createPeerAgent} from '../rpc/peerClient';
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
@@ -14,6 +14,8 @@
 import {AgentCore} from './agentCore';
 import {dispatchHandler} from './dispatchHandler';
 import {fenceClaim} from './fenceClaim';
+import {createModelChange} from './fleet/createModelChange';
+import type {ModelChange} from './fleet/modelChange';
 import {RankRole} from './maps/rankRole';
 import {TO_RANK} from './maps/toRankSchema';
 import {lookAtTarget, watchTarget} from './targetWatcher';
@@ -59,6 +61,8 @@
       params: fenceClaimRequest,
       handle: request => fenceClaim(core, request),
     });
+    // Open only when it is known that no order is out, see ModelChange.learn.
+    if (target.kind === 'engine') core.beginChange();
     core.port = await server.listen();
     const traffic = new PeerTraffic();
     const peerAgent = createPeerAgent(internal.key, process.id);
@@ -75,10 +79,17 @@
         return {};
       },
     });
+    const modelChange = createModelChange(core, instances);
+    server.addMethod(METHODS.modelOrder, {
+      params: modelOrder,
+      handle: order => modelChange.receive(order),
+    });
     const subscription = watchTarget(core, seen => rankRole.observed(seen));
     subscription.add(() => rankRole.stop());
     subscription.add(traffic.report(metrics));
     subscription.add(recheckOnNewRules(core, sync));
+    if (target.kind === 'engine')
+      subscription.add(learnOnFirstRules(core, sync, modelChange));
     sync.start();
     return new AgentProcess(core, server, sync, subscription);
   }
@@ -137,6 +148,23 @@
   });
 }
 
+/** Without rules nothing starts anyway; with `serve` lines orders may be out. */
+function learnOnFirstRules(
+  core: AgentCore,
+  sync: ControlSync,
+  modelChange: ModelChange
+): Subscription {
+  return sync.rules$
+    .pipe(
+      filter(held => held !== undefined),
+      take(1)
+    )
+    .subscribe(({index}) => {
+      if (index.serves(core.target.pool).length === 0) core.endChange(false);
+      else void modelChange.learn();
+    });
+}
+
 /** Queued work must not start, nor wait on, under rules that bar it. */
 function recheckOnNewRules(core: AgentCore, sync: ControlSync): Subscription {
   return sync.rules$
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -14,17 +14,21 @@
 } from '../rpc/peerClient';
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
+import {AgentClients} from './agentClients';
 import type {ControlContext} from './controlContext';
+import {FleetController} from './fleet/fleetController';
 import {createReplicatedLog} from './log/createReplicatedLog';
 import type {ReplicatedLog} from './log/replicatedLog';
 import {FROM_RANK} from './maps/fromRankSchema';
 import {MapDirector} from './maps/mapDirector';
 import {MemberTable} from './memberTable';
+import {checkOrderMethod} from './methods/checkOrderMethod';
 import {claimMethod, lookupMethod, settleMethod} from './methods/claimMethods';
 import {pollMethod} from './methods/pollMethod';
 import {statusMethod, usageMethod} from './methods/statusMethods';
 import {submitMethod} from './methods/submitMethod';
 import {RecentRules} from './recentRules';
+import {RulesInForce} from './rulesInForce';
 import {ControlState} from './state/controlState';
 import {UsageTable} from './usageTable';
 
@@ -83,6 +87,7 @@
     const subscription = usage.subscribe();
     subscription.add(traffic.report(metrics));
     subscription.add(director.start());
+    subscription.add(startFleet(context, connect, metrics));
     return new ControlProcess(port, server, log, subscription);
   }
 
@@ -93,6 +98,30 @@
   }
 }
 
+function startFleet(
+  {instanceId, log, state, members, logger}: ControlContext,
+  connect: PeerClientFactory,
+  metrics: Metrics
+): Subscription {
+  const rules = new RulesInForce(state.rules);
+  const clients = new AgentClients(connect);
+  return new FleetController({
+    instanceId,
+    log,
+    state: state.fleet,
+    rules: () => rules.get(),
+    targets: () => members.listTargets(),
+    send: async (targetId, order) => {
+      const target = members.listTargets().find(t => t.targetId === targetId);
+      if (target === undefined) return undefined;
+      const client = clients.of(target);
+      return client.call(METHODS.modelOrder, order, PEER_TIMEOUT_MS);
+    },
+    metrics,
+    logger,
+  }).start();
+}
+
 function openLog(
   options: ControlProcessOptions,
   state: ControlState,
@@ -131,6 +160,7 @@
   server.addMethod(METHODS.lookupClaim, lookupMethod(context));
   server.addMethod(METHODS.status, statusMethod(context));
   server.addMethod(METHODS.usage, usageMethod(context));
+  server.addMethod(METHODS.checkOrder, checkOrderMethod(context));
   server.addMethod(METHODS.map, {
     params: FROM_RANK,
     handle: message => {
--- /dev/null
+++ b/src/control/fleet/fleetMachine.ts
@@ -0,0 +1,266 @@
+/**
+ * The leader's side of orders for models: pure, driven by events. It gives no
+ * order before its fence is agreed and it has read what is under way, and
+ * sends none that is not recorded.
+ */
+
+import {unreachable} from '../../core/errors';
+import type {ModelOrder, ModelOrderAnswer} from '../../core/fleetMessages';
+import {versionOf} from '../../core/mapMessages';
+import type {
+  FleetEndCommand,
+  FleetFenceCommand,
+  FleetOrderCommand,
+  PlannedOrder,
+} from '../state/command';
+import type {FleetResult, OpenOrder} from './fleetState';
+
+/** What the machine reacts to. */
+export type FleetEvent =
+  | {readonly kind: 'lead'}
+  | {readonly kind: 'resign'}
+  | {readonly kind: 'fence'; readonly fence: number}
+  /** What the log holds, behind a barrier begun after the `read` of that seq. */
+  | {
+      readonly kind: 'read';
+      readonly seq: number;
+      readonly fence: number;
+      readonly open: readonly OpenOrder[];
+    }
+  /** A proposed command was applied, and what is open since. */
+  | {
+      readonly kind: 'recorded';
+      readonly command: FleetOrderCommand | FleetEndCommand;
+      readonly result: FleetResult['kind'];
+      readonly open: readonly OpenOrder[];
+    }
+  /** An agent answered an order that was sent under this fence. */
+  | {
+      readonly kind: 'answer';
+      readonly targetId: string;
+      readonly order: ModelOrder;
+      readonly answer: ModelOrderAnswer;
+    }
+  | {readonly kind: 'plan'; readonly changes: readonly PlannedOrder[]}
+  /** `wanted`: rules ask for models, or orders may be open. */
+  | {readonly kind: 'tick'; readonly wanted: boolean};
+
+/** What is to be done. */
+export type FleetAction =
+  | {
+      readonly kind: 'propose';
+      readonly command: FleetFenceCommand | FleetOrderCommand | FleetEndCommand;
+    }
+  /** Pass a read barrier, then come back with `read`. */
+  | {readonly kind: 'read'; readonly seq: number}
+  | {
+      readonly kind: 'send';
+      readonly targetId: string;
+      readonly order: ModelOrder;
+    };
+
+/** Who this is, and its times in milliseconds. */
+export interface FleetMachineConfig {
+  readonly holder: string;
+  /** Time after which an order without an end is sent again. */
+  readonly resendMs: number;
+  /** Time after which a proposal without an answer is made again. */
+  readonly proposeRetryMs: number;
+}
+
+type Recorded = FleetOrderCommand | FleetEndCommand;
+
+type Phase =
+  | {readonly kind: 'following'}
+  /** Leads, and has no reason to give orders yet. */
+  | {readonly kind: 'resting'}
+  | {readonly kind: 'fencing'}
+  | {readonly kind: 'reading'; readonly fence: number; readonly seq: number}
+  | {readonly kind: 'idle'; readonly fence: number}
+  | {
+      readonly kind: 'recording';
+      readonly fence: number;
+      readonly command: Recorded;
+    };
+
+/** Decides for the one instance that leads; the caller carries out actions. */
+export class FleetMachine {
+  private phase: Phase = {kind: 'following'};
+  private openOrders: readonly OpenOrder[] = [];
+  private ends = new Map<string, FleetEndCommand>();
+  private newestFence = 0;
+  private seq = 0;
+  private planned = 0;
+  private sentAtMs = -Infinity;
+
+  constructor(private readonly cfg: FleetMachineConfig) {}
+
+  /** Whether new orders may be planned. */
+  get idle(): boolean {
+    return this.phase.kind === 'idle' && this.ends.size === 0;
+  }
+
+  handle(event: FleetEvent, nowMs: number): readonly FleetAction[] {
+    switch (event.kind) {
+      case 'lead':
+        this.phase = {kind: 'resting'};
+        return [];
+      case 'resign':
+        return this.resign();
+      case 'fence':
+        return this.onFence(event.fence);
+      case 'read':
+        return this.onRead(event, nowMs);
+      case 'recorded':
+        return this.onRecorded(event, nowMs);
+      case 'answer':
+        return this.onAnswer(event, nowMs);
+      case 'plan':
+        return this.onPlan(event.changes, nowMs);
+      case 'tick':
+        return this.onTick(event.wanted, nowMs);
+      default:
+        return unreachable(event);
+    }
+  }
+
+  private resign(): readonly FleetAction[] {
+    this.phase = {kind: 'following'};
+    this.openOrders = [];
+    this.ends.clear();
+    return [];
+  }
+
+  private takeFence(nowMs: number): readonly FleetAction[] {
+    this.phase = {kind: 'fencing'};
+    this.ends.clear();
+    this.sentAtMs = nowMs;
+    return [this.fenceAction()];
+  }
+
+  private fenceAction(): FleetAction {
+    const {holder} = this.cfg;
+    return {kind: 'propose', command: {kind: 'fleetFence', holder}};
+  }
+
+  private onFence(fence: number): readonly FleetAction[] {
+    if (this.phase.kind !== 'fencing' || fence <= this.newestFence) return [];
+    this.newestFence = fence;
+    this.planned = 0;
+    return this.read(fence);
+  }
+
+  private read(fence: number): readonly FleetAction[] {
+    this.phase = {kind: 'reading', fence, seq: ++this.seq};
+    return [{kind: 'read', seq: this.seq}];
+  }
+
+  private onRead(
+    {seq, fence, open}: Extract<FleetEvent, {kind: 'read'}>,
+    nowMs: number
+  ): readonly FleetAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'reading' || seq !== phase.seq) return [];
+    if (fence !== phase.fence) return this.takeFence(nowMs);
+    this.phase = {kind: 'idle', fence};
+    this.openOrders = open;
+    return this.sends(fence, open);
+  }
+
+  /** An order taken over keeps its id: the agent may be at it already. */
+  private sends(
+    fence: number,
+    orders: readonly OpenOrder[]
+  ): readonly FleetAction[] {
+    return orders
+      .filter(({targetId}) => !this.ends.has(targetId))
+      .map(({targetId, id, model, version}) => ({
+        kind: 'send',
+        targetId,
+        order: {fence, id, model, modelVersion: version},
+      }));
+  }
+
+  private onPlan(
+    changes: readonly PlannedOrder[],
+    nowMs: number
+  ): readonly FleetAction[] {
+    if (this.phase.kind !== 'idle' || !this.idle) return [];
+    if (changes.length === 0) return [];
+    const {fence} = this.phase;
+    const id = versionOf(fence, ++this.planned);
+    return this.record({kind: 'fleetOrder', fence, id, changes}, nowMs);
+  }
+
+  private record(command: Recorded, nowMs: number): readonly FleetAction[] {
+    this.phase = {kind: 'recording', fence: command.fence, command};
+    this.sentAtMs = nowMs;
+    return [{kind: 'propose', command}];
+  }
+
+  private onRecorded(
+    {command, result, open}: Extract<FleetEvent, {kind: 'recorded'}>,
+    nowMs: number
+  ): readonly FleetAction[] {
+    const {phase} = this;
+    if (phase.kind !== 'recording' || phase.command !== command) return [];
+    if (result === 'fenced') return this.takeFence(nowMs);
+    const {fence} = phase;
+    this.phase = {kind: 'idle', fence};
+    const known = new Set(this.openOrders.map(({targetId}) => targetId));
+    this.openOrders = open;
+    if (command.kind === 'fleetEnd') this.ends.delete(command.targetId);
+    const fresh = open.filter(({targetId}) => !known.has(targetId));
+    return [...this.sends(fence, fresh), ...this.nextEnd(nowMs)];
+  }
+
+  private onAnswer(
+    {targetId, order, answer}: Extract<FleetEvent, {kind: 'answer'}>,
+    nowMs: number
+  ): readonly FleetAction[] {
+    const {phase} = this;
+    // The answer to an order under an older fence may have passed a newer one.
+    if (!('fence' in phase) || order.fence !== phase.fence) return [];
+    if (answer.kind === 'changing') return [];
+    if (answer.kind === 'fenced')
+      return answer.highestFence > phase.fence ? this.takeFence(nowMs) : [];
+    const open = this.openOrders.some(
+      one => one.targetId === targetId && one.id === order.id
+    );
+    if (!open || this.ends.has(targetId)) return [];
+    const {fence, id} = order;
+    const outcome = answer.kind;
+    this.ends.set(targetId, {kind: 'fleetEnd', fence, id, targetId, outcome});
+    return this.nextEnd(nowMs);
+  }
+
+  private nextEnd(nowMs: number): readonly FleetAction[] {
+    const [end] = this.ends.values();
+    if (this.phase.kind !== 'idle' || end === undefined) return [];
+    return this.record(end, nowMs);
+  }
+
+  private onTick(wanted: boolean, nowMs: number): readonly FleetAction[] {
+    const {phase} = this;
+    if (phase.kind === 'resting') return wanted ? this.takeFence(nowMs) : [];
+    const {resendMs, proposeRetryMs} = this.cfg;
+    const waitMs = phase.kind === 'idle' ? resendMs : proposeRetryMs;
+    if (nowMs - this.sentAtMs < waitMs) return [];
+    this.sentAtMs = nowMs;
+    switch (phase.kind) {
+      case 'following':
+        return [];
+      case 'fencing':
+        return [this.fenceAction()];
+      case 'reading':
+        return this.read(phase.fence);
+      case 'idle':
+        return this.sends(phase.fence, this.openOrders);
+      // The same again, never another one: the first may have counted.
+      case 'recording':
+        return [{kind: 'propose', command: phase.command}];
+      default:
+        return unreachable(phase);
+    }
+  }
+}
--- a/src/control/maps/mapDirector.ts
+++ b/src/control/maps/mapDirector.ts
@@ -4,16 +4,16 @@
 import type {Logger} from '../../core/logger';
 import type {FromRankMessage, ToRankMessage} from '../../core/mapMessages';
 import type {Metrics} from '../../core/metrics';
-import type {Announcement, GroupMember} from '../../core/wire';
+import type {GroupMember} from '../../core/wire';
 import {evenShape} from '../../policy/placement';
 import {placeFromScratch} from '../../policy/placementGreedy';
 import {REBALANCE_DEFAULTS} from '../../policy/rebalanceDecision';
 import {METHODS} from '../../rpc/messages';
-import {PeerClient, PeerClientFactory} from '../../rpc/peerClient';
-import {parseRules} from '../../rules/parseRules';
-import {RuleIndex} from '../../rules/ruleIndex';
+import type {PeerClientFactory} from '../../rpc/peerClient';
+import {AgentClients} from '../agentClients';
 import type {ReplicatedLog} from '../log/replicatedLog';
 import type {MemberTable} from '../memberTable';
+import {RulesInForce} from '../rulesInForce';
 import type {ControlState} from '../state/controlState';
 import {MapController, RebalancePermit} from './mapController';
 
@@ -42,10 +42,13 @@
 /** Starts controllers as groups appear; each idles while this does not lead. */
 export class MapDirector {
   private readonly controllers = new Map<string, MapController>();
-  private readonly clients = new Map<string, PeerClient>();
-  private rules: RuleIndex | undefined;
+  private readonly clients: AgentClients;
+  private readonly rules: RulesInForce;
 
-  constructor(private readonly parts: MapDirectorParts) {}
+  constructor(private readonly parts: MapDirectorParts) {
+    this.clients = new AgentClients(parts.connect);
+    this.rules = new RulesInForce(parts.state.rules);
+  }
 
   start(): Subscription {
     const all = new Subscription();
@@ -105,7 +108,8 @@
       .listTargets()
       .find(one => one.group?.id === group && one.group.rank === rank);
     if (target === undefined) return;
-    this.clientOf(target)
+    this.clients
+      .of(target)
       .call(METHODS.map, message, SEND_TIMEOUT_MS)
       .catch((err: unknown) => {
         this.parts.logger.debug(
@@ -115,23 +119,9 @@
       });
   }
 
-  private clientOf({targetId, host, port}: Announcement): PeerClient {
-    const known = this.clients.get(targetId);
-    if (known?.address.host === host && known.address.port === port)
-      return known;
-    const client = this.parts.connect({id: targetId, host, port});
-    this.clients.set(targetId, client);
-    return client;
-  }
-
   /** Off unless a rule says on: moving experts is the operators' choice. */
   private permit(pool: string): RebalancePermit {
-    const {revision, text} = this.parts.state.rules;
-    if (this.rules?.revision !== revision) {
-      const parsed = parseRules(text);
-      this.rules = parsed.ok ? new RuleIndex(parsed.ruleSet) : undefined;
-    }
-    const rule = this.rules?.rebalance(pool);
+    const rule = this.rules.get()?.rebalance(pool);
     const minGain = (rule?.gainPercent ?? 0) / PERCENT;
     return {on: rule !== undefined, minGain};
   }
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -56,6 +56,38 @@
   readonly totals: readonly CustomerUsage[];
 }
 
+/** Starts a new epoch of orders for models; the result fences. */
+export interface FleetFenceCommand {
+  readonly kind: 'fleetFence';
+  readonly holder: string;
+}
+
+/** One target to be changed. */
+export interface PlannedOrder {
+  readonly targetId: string;
+  readonly model: string;
+  readonly version: string;
+  /** The rule that asked for it, in its one spelling. */
+  readonly rule: string;
+}
+
+/** Records orders for models, before any agent hears of them. */
+export interface FleetOrderCommand {
+  readonly kind: 'fleetOrder';
+  readonly fence: number;
+  readonly id: number;
+  readonly changes: readonly PlannedOrder[];
+}
+
+/** Records how the order to one target ended, as its agent told. */
+export interface FleetEndCommand {
+  readonly kind: 'fleetEnd';
+  readonly fence: number;
+  readonly id: number;
+  readonly targetId: string;
+  readonly outcome: 'done' | 'failed';
+}
+
 /** Written by a new leader to commit what earlier terms left. */
 export interface NoopCommand {
   readonly kind: 'noop';
@@ -69,6 +101,9 @@
   | FenceCommand
   | MapDecisionCommand
   | UsageCommand
+  | FleetFenceCommand
+  | FleetOrderCommand
+  | FleetEndCommand
   | NoopCommand;
 
 /** Result of a settlement; `ignored` when another one came first. */
@@ -85,5 +120,10 @@
       readonly command: 'mapDecision';
       readonly result: {readonly kind: 'recorded' | 'fenced'};
     }
+  | {readonly command: 'fleetFence'; readonly result: {readonly fence: number}}
+  | {
+      readonly command: 'fleetOrder' | 'fleetEnd';
+      readonly result: {readonly kind: 'recorded' | 'fenced'};
+    }
   | {readonly command: 'usage'}
   | {readonly command: 'noop'};
--- a/src/control/state/controlState.ts
+++ b/src/control/state/controlState.ts
@@ -2,6 +2,7 @@
 
 import {unreachable} from '../../core/errors';
 import type {StateMachine} from '../log/replicatedLog';
+import {FleetSnapshot, FleetState} from '../fleet/fleetState';
 import {MapSnapshot, MapState} from '../maps/mapState';
 import {ClaimState, ClaimsSnapshot} from './claimState';
 import type {Command, CommandResult} from './command';
@@ -13,6 +14,8 @@
   readonly claims: ClaimsSnapshot;
   readonly usage: UsageSnapshot;
   readonly maps: MapSnapshot;
+  /** Absent in snapshots of versions that gave no orders. */
+  readonly fleet?: FleetSnapshot;
 }
 
 /** Applies committed commands in order; every instance ends up the same. */
@@ -21,6 +24,7 @@
   readonly claims = new ClaimState();
   readonly usage = new UsageState();
   readonly maps = new MapState();
+  readonly fleet = new FleetState();
 
   apply(command: Command, _index: number): CommandResult {
     switch (command.kind) {
@@ -40,6 +44,15 @@
           command: 'mapDecision',
           result: this.maps.applyDecision(command),
         };
+      case 'fleetFence':
+        return {
+          command: 'fleetFence',
+          result: this.fleet.applyFence(command),
+        };
+      case 'fleetOrder':
+        return {command: command.kind, result: this.fleet.applyOrder(command)};
+      case 'fleetEnd':
+        return {command: command.kind, result: this.fleet.applyEnd(command)};
       case 'noop':
         return {command: 'noop'};
       default:
@@ -53,6 +66,7 @@
       claims: this.claims.snapshot(),
       usage: this.usage.snapshot(),
       maps: this.maps.snapshot(),
+      fleet: this.fleet.snapshot(),
     };
     return JSON.stringify(snapshot);
   }
@@ -63,5 +77,6 @@
     this.claims.restore(snapshot.claims);
     this.usage.restore(snapshot.usage);
     this.maps.restore(snapshot.maps);
+    if (snapshot.fleet !== undefined) this.fleet.restore(snapshot.fleet);
   }
 }
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -24,6 +24,9 @@
   'log.synced': 'durable writes',
   'map.switched': 'expert maps put in force',
   'map.aborted': 'expert map switches given up, by reason',
+  'fleet.ordered': 'orders to targets to hold another model',
+  'fleet.ended': 'orders for models that ended, by outcome',
+  'fleet.blocked': 'times that a model began to wait for targets, by reason',
   'usage.tokens': 'tokens generated, by customer',
 } as const;
 
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -1,6 +1,7 @@
 /** Methods between our processes, and the schemas that validate them. */
 
 import {z} from 'zod';
+import type {ModelOrder, OrderCheck} from '../core/fleetMessages';
 import type {Announcement, CustomerUsage, PollRequest} from '../core/wire';
 import type {RecordedAnswer, Settlement} from '../core/claims';
 
@@ -16,6 +17,8 @@
   log: 'log',
   fenceClaim: 'fenceClaim',
   map: 'map',
+  modelOrder: 'modelOrder',
+  checkOrder: 'checkOrder',
 } as const;
 
 const id = z.string().min(1).max(200);
@@ -175,5 +178,16 @@
   /** Another boot answers; what the claim's own boot did is not known. */
   | {readonly kind: 'other boot'};
 
+/** See ModelOrder. */
+export const modelOrder: z.ZodType<ModelOrder> = z.object({
+  fence: z.int().positive(),
+  id: z.int().positive(),
+  model: id,
+  modelVersion: id,
+});
+
+/** See OrderCheck. */
+export const orderCheck: z.ZodType<OrderCheck> = z.object({targetId: id});
+
 /** For calls without parameters. */
 export const noParams = z.object({}).optional();
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -14,6 +14,7 @@
   agentBootId: 'boot',
   availabilityZone: 'zone-a',
   leaving: false,
+  changing: false,
   rules: rules(5),
   freshness: {kind: 'proven', ageMs: 10},
   targetReady: true,
@@ -41,6 +42,7 @@
   // entry's, with no proof of its rules, or in a zone that is out.
   it.each([
     ['target-leaving', {leaving: true}, {}],
+    ['target-changed', {changing: true}, {}],
     ['target-changed', {}, {agentBootId: 'an earlier boot'}],
     ['rules-unproven', {rules: undefined}, {}],
     ['rules-unproven', {}, {revision: 6}],
