--- a/tests/fleetMachine.spec.ts
+++ b/tests/fleetMachine.spec.ts
@@ -134,10 +134,10 @@
     first.lead();
     first.held = [];
     first.handle(plan('t1'));
-    second.lead().handle(plan('t2'));
+    second.lead();
     first.release();
-    expect(first.sent.map(({targetId}) => targetId)).not.toContain('t1');
-    expect(state.open()).toMatchObject([{targetId: 't2'}]);
+    expect(first.sent).toEqual([]);
+    expect(state.open()).toEqual([]);
   });
 
   // The old leader hears the end of an order that the new one has sent again.
