Let small pools give a target away sooner

Cause: of twelve targets one is a large part. At 0.65 a model with targets to spare could seldom give one, and demand waited beside idle places.

shortUse 0.85 and spareUse 0.8 in place of 0.8 and 0.65; what stops flapping is the time that a target stays and the price of a load.

--- a/src/policy/fleetPlan.ts
+++ b/src/policy/fleetPlan.ts
@@ -32,8 +32,8 @@
 export const FLEET_DEFAULTS: FleetConfig = {
   changingPart: 0.1,
   loadsAtOnce: 16,
-  shortUse: 0.8,
-  spareUse: 0.65,
+  shortUse: 0.85,
+  spareUse: 0.8,
   rolloutUse: 0.9,
   dwellMs: 600_000,
   horizonMs: 1_800_000,
