--- a/bench/faults/expected.ts
+++ b/bench/faults/expected.ts
@@ -1,7 +1,7 @@
 /** What the fakes answer to a caller's own request. */
 
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {tokenAt} from '../../fakes/engine/expertRouter';
 import {REFUSALS, RefusalReason} from '../../src/core/refusal';
 import type {CallerAnswer} from '../deployment/callers';
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -7,6 +7,7 @@
 import {controlCost} from './measures/controlCost';
 import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
+import {fleet} from './measures/fleet';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
 import {subsets} from './measures/subsets';
@@ -24,4 +25,5 @@
   entryOverhead,
   controlCost,
   bounds,
+  fleet,
 ];
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -1,6 +1,7 @@
 /** Methods between our processes, and the schemas that validate them. */
 
 import * as z from 'zod';
+import type {ModelOrder, OrderCheck} from '../core/fleetMessages';
 import type {Announcement, CustomerUsage, PollRequest} from '../core/wire';
 import type {RecordedAnswer, Settlement} from '../core/claims';
 
@@ -17,6 +18,8 @@
   fenceClaim: 'fenceClaim',
   locate: 'locate',
   map: 'map',
+  modelOrder: 'modelOrder',
+  checkOrder: 'checkOrder',
 } as const;
 
 const id = z.string().min(1).max(200);
@@ -190,6 +193,16 @@
 export interface LocateAnswer {
   readonly announcement?: Announcement;
 }
+/** See ModelOrder. */
+export const modelOrder: z.ZodType<ModelOrder> = z.object({
+  fence: z.int().positive(),
+  id: z.int().positive(),
+  model: id,
+  modelVersion: id,
+});
+
+/** See OrderCheck. */
+export const orderCheck: z.ZodType<OrderCheck> = z.object({targetId: id});
 
 /** For calls without parameters. */
 export const noParams = z.object({}).optional();
--- a/tests/rpcControlClient.spec.ts
+++ b/tests/rpcControlClient.spec.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import type {ControlUnavailableError} from '../src/cli/controlClient';
 import {RpcControlClient} from '../src/cli/rpcControlClient';
 import {createLogger} from '../src/core/logger';
