Set a planner with a perfect forecast beside ours as a bound

A forecast that is never late or wrong, with the same planner and the same store, tells what the rest costs.

Runs in full runs only; the quick bench stays as short as it was.

--- a/bench/measures/expertPolicies.ts
+++ b/bench/measures/expertPolicies.ts
@@ -8,7 +8,10 @@
   relabelToFewestLoads,
 } from '../../src/policy/placementGreedy';
 import {withBestShares} from '../../src/policy/placementSplit';
-import type {PopularitySample} from '../../src/policy/popularity';
+import type {
+  PopularityForecast,
+  PopularitySample,
+} from '../../src/policy/popularity';
 import {PopularityEstimate} from '../../src/policy/popularity';
 import type {RebalanceConfig} from '../../src/policy/rebalanceDecision';
 import {loadTimeMs, planCostMs} from '../../src/policy/rebalanceDecision';
@@ -143,9 +146,10 @@
   private readonly planner: RebalancePlanner;
   private loading: readonly Loading[] = [];
 
-  constructor(name: string, setup: PolicySetup) {
+  constructor(name: string, setup: PolicySetup, forecast?: PopularityForecast) {
     super(name, setup);
-    this.planner = new RebalancePlanner(setup.cfg, setup.shape.experts);
+    const {cfg, shape} = setup;
+    this.planner = new RebalancePlanner(cfg, shape.experts, forecast);
   }
 
   override observe(samples: readonly PopularitySample[]): void {
--- a/bench/measures/expertRun.ts
+++ b/bench/measures/expertRun.ts
@@ -11,6 +11,7 @@
 import {IncrementalPolicy, ScratchPolicy, StaticPolicy} from './expertPolicies';
 import type {WorldConfig} from './expertWorld';
 import {ExpertWorld, gaussian, WORLD} from './expertWorld';
+import {ForeseenPopularity} from './foreseenPopularity';
 
 const SPARE_SLOTS = 32;
 const TICK_MS = 250;
@@ -97,6 +98,8 @@
   readonly world?: WorldConfig;
   readonly cfg?: RebalanceConfig;
   readonly only?: readonly string[];
+  /** Also the shipped planner with a perfect forecast: a bound of its own. */
+  readonly foresight?: boolean;
 }
 
 function policiesOf(setup: PolicySetup): readonly PlacementPolicy[] {
@@ -113,6 +116,17 @@
   ];
 }
 
+/** The same store and planner, with reports that are never late or wrong. */
+function foresight(
+  setup: PolicySetup,
+  world: WorldConfig,
+  seed: number
+): PlacementPolicy {
+  const ahead = new ExpertWorld(world, new SeededRandom(seed));
+  const forecast = new ForeseenPopularity(ahead, TICK_MS);
+  return new IncrementalPolicy('perfectForecast', setup, forecast);
+}
+
 const QUICK_MS = 4 * 60_000;
 const FULL_MS = 3_600_000;
 const shared = new Map<string, ExpertRunOutcome>();
@@ -122,7 +136,13 @@
   const id = `${options.seed} ${options.quick}`;
   const durationMs = options.quick ? QUICK_MS : FULL_MS;
   const known = shared.get(id);
-  const run = known ?? runExperts({seed: options.seed, durationMs});
+  const run =
+    known ??
+    runExperts({
+      seed: options.seed,
+      durationMs,
+      foresight: !options.quick,
+    });
   shared.set(id, run);
   return run;
 }
@@ -142,9 +162,11 @@
   const noise = new SeededRandom(options.seed + 1_000_003);
   const shape = evenShape(world.ranks, world.experts, SPARE_SLOTS);
   const initial = placeFromScratch(shape, source.popularity());
-  const policies = policiesOf({shape, initial, cfg}).filter(
-    policy => options.only?.includes(policy.name) ?? true
-  );
+  const setup = {shape, initial, cfg};
+  const policies = [
+    ...policiesOf(setup),
+    ...(options.foresight ? [foresight(setup, world, options.seed)] : []),
+  ].filter(policy => options.only?.includes(policy.name) ?? true);
   const skews = policies.map((): number[] => []);
   const bounds: number[] = [];
   const floor: number[] = [];
--- /dev/null
+++ b/bench/measures/foreseenPopularity.ts
@@ -0,0 +1,26 @@
+/** Popularity as it will be: what no estimate from reports can beat. */
+
+import type {PopularityForecast} from '../../src/policy/popularity';
+import type {ExpertWorld} from './expertWorld';
+
+/** Runs a second world of the same seed ahead of the first. */
+export class ForeseenPopularity implements PopularityForecast {
+  readonly known = true;
+  private readonly byTick: (readonly number[])[] = [];
+
+  constructor(
+    private readonly world: ExpertWorld,
+    private readonly tickMs: number
+  ) {}
+
+  add(): void {}
+
+  predict(atMs: number): readonly number[] {
+    const tick = Math.max(0, Math.round(atMs / this.tickMs) - 1);
+    while (this.byTick.length <= tick) {
+      this.world.advance(this.tickMs);
+      this.byTick.push(this.world.popularity());
+    }
+    return this.byTick[tick] ?? [];
+  }
+}
--- a/src/policy/popularity.ts
+++ b/src/policy/popularity.ts
@@ -37,6 +37,12 @@
 
 const MIN_RELATIVE_SPREAD = 0.05;
 
+/** What the planner asks of an estimate; the bench also has a perfect one. */
+export type PopularityForecast = Pick<
+  PopularityEstimate,
+  'known' | 'add' | 'predict'
+>;
+
 /** Estimates the share of each expert in the tokens of a group. */
 export class PopularityEstimate {
   private readonly sums: Sums = {weight: 0, time: 0, timeSquared: 0};
--- a/src/policy/rebalancePlanner.ts
+++ b/src/policy/rebalancePlanner.ts
@@ -7,7 +7,7 @@
 import type {ExpertMap} from '../core/mapMessages';
 import type {SlotChange} from './placement';
 import {mapSkew} from './placement';
-import type {PopularitySample} from './popularity';
+import type {PopularityForecast, PopularitySample} from './popularity';
 import {PopularityEstimate} from './popularity';
 import {withChanges} from './rebalance';
 import type {RebalanceConfig} from './rebalanceDecision';
@@ -32,15 +32,15 @@
 
 /** Keeps what is being loaded and what is known of popularity. */
 export class RebalancePlanner {
-  private readonly estimate: PopularityEstimate;
   private staging: readonly Staging[] = [];
 
   constructor(
     private readonly cfg: RebalanceConfig,
-    experts: number
-  ) {
-    this.estimate = new PopularityEstimate(experts);
-  }
+    experts: number,
+    private readonly estimate: PopularityForecast = new PopularityEstimate(
+      experts
+    )
+  ) {}
 
   observe(sample: PopularitySample): void {
     this.estimate.add(sample);
