Replace the shared key without stopping everything

Cause: every process offered and accepted one key, so a new one meant that all had to stop and start together; two halves with different keys cannot speak.

A process now offers `key` and accepts `accept-key` besides.

Ruled out: trying the other key after a failed handshake, which doubles refused connections; a key id in the settings. Not done: a rolling replacement over a whole running deployment; the test speaks between servers and clients in one process.

--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -51,6 +51,7 @@
       host,
       port: internal.port,
       secret: internal.key,
+      acceptSecret: internal.acceptKey,
       logger,
       metrics,
       fallback: dispatchHandler(core),
--- a/src/cli/controlCommand.ts
+++ b/src/cli/controlCommand.ts
@@ -14,6 +14,7 @@
       host: own.host,
       port: internal.port,
       secret: internal.key,
+      acceptSecret: internal.acceptKey,
       instances: control.instances,
       dataDir: data.folder,
       logger,
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -37,6 +37,8 @@
   readonly host: string;
   readonly port: number;
   readonly secret: string;
+  /** See `PeerServerOptions`. */
+  readonly acceptSecret?: string;
   /** All control instances, this one included. */
   readonly instances: readonly PeerAddress[];
   readonly dataDir: string;
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -48,6 +48,8 @@
   readonly host: string;
   readonly port: number;
   readonly secret: string;
+  /** Accepted besides, while one key replaces the other. */
+  readonly acceptSecret?: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Counts what passes through the port, dispatches included. */
@@ -66,7 +68,8 @@
   readonly server: https.Server;
 
   constructor(private readonly options: PeerServerOptions) {
-    this.server = https.createServer(serverTls(options.secret), (req, res) =>
+    const tls = serverTls(options.secret, options.acceptSecret);
+    this.server = https.createServer(tls, (req, res) =>
       this.dispatch(req, res)
     );
     // The TCP socket, below TLS.
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -3,6 +3,7 @@
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
 import {ConfigError} from '../core/errors';
+import {keyName} from '../core/keyName';
 import {rangeOf} from '../core/textSchemas';
 import {secret} from './settingSchemas';
 import {readSections} from './readSections';
@@ -13,6 +14,7 @@
   ControlSettings,
   EntrySettings,
   SettingsOf,
+  SharedSecrets,
 } from './settings';
 
 type AnyValues = SettingsValues<SettingsRole>;
@@ -32,30 +34,54 @@
   }
 }
 
-function readKeyFile(place: string, problems: string[]): string {
+type SecretName = 'key' | 'accept-key';
+
+function readKeyFile(
+  name: SecretName,
+  place: string,
+  problems: string[]
+): string {
   try {
     const text = readFileSync(place, 'utf8').trim();
     if (secret().safeParse(text).success) return text;
-    problems.push(`[internal] key-file must hold ${rangeOf(secret())}`);
+    problems.push(`[internal] ${name}-file must hold ${rangeOf(secret())}`);
   } catch (err) {
-    problems.push(`[internal] key-file: ${failureText(err)}`);
+    problems.push(`[internal] ${name}-file: ${failureText(err)}`);
   }
   return '';
 }
 
-/** The shared secret, given in the file or in a file of its own. */
+/** A shared secret, given in the file or in a file of its own. */
 function readSecret(
   file: string,
+  name: SecretName,
   internal: AnyValues['internal'],
   problems: string[]
-): string {
-  const keyFile = internal['key-file'];
-  if ((internal.key === undefined) === (keyFile === undefined)) {
-    problems.push('[internal] give either key or key-file');
-    return '';
+): string | undefined {
+  const given: Readonly<Partial<Record<string, unknown>>> = internal;
+  const text = given[name] as string | undefined;
+  const place = given[`${name}-file`] as string | undefined;
+  if (text !== undefined && place !== undefined) {
+    problems.push(`[internal] give either ${name} or ${name}-file`);
+    return undefined;
   }
-  if (keyFile === undefined) return internal.key ?? '';
-  return readKeyFile(path.resolve(path.dirname(file), keyFile), problems);
+  if (place === undefined) return text;
+  return readKeyFile(name, path.resolve(path.dirname(file), place), problems);
+}
+
+function readSecrets(
+  file: string,
+  internal: AnyValues['internal'],
+  problems: string[]
+): SharedSecrets {
+  const key = readSecret(file, 'key', internal, problems);
+  if (key === undefined && problems.length === 0)
+    problems.push('[internal] give either key or key-file');
+  const acceptKey = readSecret(file, 'accept-key', internal, problems);
+  // Both would be told apart by that name alone.
+  if (acceptKey !== undefined && keyName(acceptKey) === keyName(key ?? ''))
+    problems.push('[internal] accept-key must be another than key');
+  return {key: key ?? '', acceptKey};
 }
 
 function checkProcess(values: AnyValues, problems: string[]): void {
@@ -106,7 +132,7 @@
   file: string,
   name: string,
   section: Section,
-  key: string
+  secrets: SharedSecrets
 ): Section | ReadonlyMap<string, unknown> {
   switch (name) {
     case 'customer-keys':
@@ -114,7 +140,9 @@
     case 'data':
       return {folder: path.resolve(path.dirname(file), String(section.folder))};
     case 'internal':
-      return section.port === undefined ? {key} : {port: section.port, key};
+      return section.port === undefined
+        ? {...secrets}
+        : {port: section.port, ...secrets};
     default:
       return camelKeys(section);
   }
@@ -124,11 +152,11 @@
 function toSettings<R extends SettingsRole>(
   file: string,
   values: AnyValues,
-  key: string
+  secrets: SharedSecrets
 ): SettingsOf<R> {
   const sections = Object.entries(values).map(([name, section]) => [
     camelCase(name),
-    sectionValue(file, name, section as Section, key),
+    sectionValue(file, name, section as Section, secrets),
   ]);
   return Object.fromEntries(sections) as SettingsOf<R>;
 }
@@ -143,13 +171,13 @@
     throw new ConfigError(read.problems.map(text => `${file}: ${text}`));
   const values: AnyValues = read.values;
   const problems: string[] = [];
-  const key = readSecret(file, values.internal, problems);
+  const secrets = readSecrets(file, values.internal, problems);
   checkProcess(values, problems);
   checkProof(values, problems);
   checkOwnAddress(values, problems);
   if (problems.length > 0)
     throw new ConfigError(problems.map(text => `${file}: ${text}`));
-  return toSettings<R>(file, values, key);
+  return toSettings<R>(file, values, secrets);
 }
 
 /** Loads the settings of an entry. */
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -41,14 +41,27 @@
   'key-file': setting(filePath().optional(), 'file that holds the secret'),
 };
 
+const ACCEPTED_SECRET = {
+  'accept-key': setting(
+    secret().optional(),
+    'second secret to accept while one replaces the other; never offered'
+  ),
+  'accept-key-file': setting(
+    filePath().optional(),
+    'file that holds the second secret'
+  ),
+};
+
 const INTERNAL = z.strictObject({
   port: setting(anyPort().default(0), 'port for the other processes'),
   ...SECRET,
+  ...ACCEPTED_SECRET,
 });
 
 const INTERNAL_FIXED = z.strictObject({
   port: setting(fixedPort(), 'port for the other processes'),
   ...SECRET,
+  ...ACCEPTED_SECRET,
 });
 
 const INSTANCES = setting(instanceList(), 'all control instances');
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -17,10 +17,20 @@
   ]: K extends 'customer-keys'
     ? CustomerKeys
     : K extends 'internal'
-      ? Omit<CamelKeys<T[K]>, 'key' | 'keyFile'> & {readonly key: string}
+      ? Omit<CamelKeys<T[K]>, SecretKey> & SharedSecrets
       : CamelKeys<T[K]>;
 };
 
+type SecretKey = 'key' | 'keyFile' | 'acceptKey' | 'acceptKeyFile';
+
+/** The secrets themselves, wherever the file keeps them. */
+export interface SharedSecrets {
+  /** Offered, and accepted. */
+  readonly key: string;
+  /** Accepted besides, while one key replaces the other. */
+  readonly acceptKey?: string;
+}
+
 /** Customer by the secret that its callers send. */
 export type CustomerKeys = ReadonlyMap<string, string>;
 
--- a/tests/settings.spec.ts
+++ b/tests/settings.spec.ts
@@ -98,6 +98,11 @@
     ['key = 0123456789abcdef', '', '[internal] give either key or key-file'],
     ['key = 0123456789abcdef', 'key = short', 'text of 16 characters or more'],
     ['key = 0123456789abcdef', 'key-file = none', 'key-file: '],
+    [
+      '[control]',
+      'accept-key = 0123456789abcdef\n[control]',
+      '[internal] accept-key must be another than key',
+    ],
     ['c2@127.0.0.1:7102', 'c1@127.0.0.1:7102', '1 to 23 different ID@IP:PORT'],
     ['c2@127.0.0.1:7102', 'c2@control:7102', '1 to 23 different ID@IP:PORT'],
     [
