--- a/src/core/refusal.ts
+++ b/src/core/refusal.ts
@@ -57,7 +57,7 @@
     'not run',
     false,
     false,
-    'no rule sends this customer and path to a pool'
+    'no rule sends this customer, path and model to a pool'
   ),
   'key-required': kind(
     400,
