--- a/bench/fuzz/lockStepEngine.ts
+++ b/bench/fuzz/lockStepEngine.ts
@@ -4,7 +4,7 @@
   EngineView,
   RankAction,
   RankEvent,
-} from '../../src/agent/maps/rankSwitch';
+} from '../../src/agent/maps/rankSwitchEvents';
 
 /** Orders from the agent. */
 export type EngineOrder = Exclude<RankAction, {kind: 'send'}>;
--- a/bench/fuzz/mapModel.ts
+++ b/bench/fuzz/mapModel.ts
@@ -6,7 +6,10 @@
  * versions only grow, and after the faults the group goes on and can switch.
  */
 
-import type {RankAction, RankEvent} from '../../src/agent/maps/rankSwitch';
+import type {
+  RankAction,
+  RankEvent,
+} from '../../src/agent/maps/rankSwitchEvents';
 import {RankSwitch} from '../../src/agent/maps/rankSwitch';
 import {MapState} from '../../src/control/maps/mapState';
 import {MapSwitch} from '../../src/control/maps/mapSwitch';
--- a/src/agent/maps/rankController.ts
+++ b/src/agent/maps/rankController.ts
@@ -17,7 +17,7 @@
 import type {FromRankMessage, ToRankMessage} from '../../core/mapMessages';
 import type {Metrics} from '../../core/metrics';
 import type {RankEngine} from './rankEngine';
-import type {RankAction, RankEvent, RankSwitchConfig} from './rankSwitch';
+import type {RankAction, RankEvent, RankSwitchConfig} from './rankSwitchEvents';
 import {RankSwitch} from './rankSwitch';
 
 /** What the rank side needs of the way to control. */
--- a/src/agent/maps/rankEngine.ts
+++ b/src/agent/maps/rankEngine.ts
@@ -6,7 +6,7 @@
   StageMessage,
   SwitchId,
 } from '../../core/mapMessages';
-import type {EngineView, PrepareResult} from './rankSwitch';
+import type {EngineView, PrepareResult} from './rankSwitchEvents';
 
 /** The maps with which a rank that has just started is to run. */
 export interface StartOrder {
--- a/src/agent/maps/targetRankEngine.ts
+++ b/src/agent/maps/targetRankEngine.ts
@@ -8,7 +8,7 @@
   TargetOrder,
 } from '../../target/targetAdapter';
 import type {DecideOrder, RankEngine, StartOrder} from './rankEngine';
-import type {EngineView, PrepareResult} from './rankSwitch';
+import type {EngineView, PrepareResult} from './rankSwitchEvents';
 
 const ORDER_TIMEOUT_MS = 2_000;
 /** Weights come from a store that grants them slowly. */
--- a/tests/mapFixtures.ts
+++ b/tests/mapFixtures.ts
@@ -1,6 +1,6 @@
 /** Messages and short names for the specs of map switches. */
 
-import type {RankAction} from '../src/agent/maps/rankSwitch';
+import type {RankAction} from '../src/agent/maps/rankSwitchEvents';
 import type {SwitchAction} from '../src/control/maps/mapSwitchEvents';
 import type {ExpertMap, PrepareMessage} from '../src/core/mapMessages';
 import {versionOf} from '../src/core/mapMessages';
--- a/tests/rankSwitch.spec.ts
+++ b/tests/rankSwitch.spec.ts
@@ -1,4 +1,4 @@
-import type {EngineView} from '../src/agent/maps/rankSwitch';
+import type {EngineView} from '../src/agent/maps/rankSwitchEvents';
 import {RankSwitch} from '../src/agent/maps/rankSwitch';
 import type {PrepareMessage} from '../src/core/mapMessages';
 import {decision, GROUP, MAP, names, prepare, V} from './mapFixtures';
