Give joins and phases of a map switch files of their own

Ranks that wait for an answer stand in waitingJoins.ts now, the phases in mapSwitchPhase.ts, and what goes to all ranks is built in one place.

--- a/src/control/fleet/fleetController.ts
+++ b/src/control/fleet/fleetController.ts
@@ -41,7 +41,7 @@
   readonly logger: Logger;
 }
 
-/** What one reign has learned; gone with it. */
+/** What this instance has learned while it leads. */
 interface Learned {
   readonly demand: Map<string, FleetDemand>;
   readonly orderedAtMs: Map<string, number>;
--- a/src/control/maps/mapSwitch.ts
+++ b/src/control/maps/mapSwitch.ts
@@ -11,10 +11,13 @@
   PromiseMessage,
   RefusalMessage,
   SwitchMessage,
+  ToRankMessage,
 } from '../../core/mapMessages';
 import {versionOf} from '../../core/mapMessages';
 import type {MapDecisionCommand} from '../state/command';
 import type {GroupMaps} from './mapState';
+import type {Attempt, Phase} from './mapSwitchPhase';
+import {WaitingJoins} from './waitingJoins';
 import type {
   AbortReason,
   MapSwitchConfig,
@@ -22,37 +25,12 @@
   SwitchEvent,
 } from './mapSwitchEvents';
 
-/** One attempt; `reason` is set once it is to be aborted. */
-interface Attempt {
-  readonly command: MapDecisionCommand;
-  readonly map: ExpertMap;
-  readonly promised: ReadonlySet<number>;
-  readonly deadlineMs: number;
-  readonly reason?: AbortReason;
-}
-
-/** A join and the first read that may answer it. */
-interface WaitingJoin {
-  readonly req: JoinRequest;
-  readonly seq: number;
-}
-
-type Phase =
-  | {readonly kind: 'following'}
-  | {readonly kind: 'fencing'}
-  | {readonly kind: 'idle'; readonly fence: number}
-  | {
-      readonly kind: 'preparing' | 'deciding';
-      readonly fence: number;
-      readonly attempt: Attempt;
-    };
-
 /** Decides for one group; the caller carries out the actions in order. */
 export class MapSwitch {
   private phase: Phase = {kind: 'following'};
   private switches = 0;
   private marginSteps: number;
-  private joins = new Map<number, WaitingJoin>();
+  private readonly joins = new WaitingJoins();
   private readSeq = 0;
   private readFrom = 0;
   private newestFence = 0;
@@ -142,7 +120,7 @@
     if (maps.fence !== phase.fence) return this.takeFence(nowMs);
     if (maps.current === undefined) return this.decideFirstMap(phase.fence);
     this.hasMap = true;
-    return this.answerJoins(seq, maps);
+    return this.joins.answer(seq, this.cfg.group, maps);
   }
 
   /** No rank runs without a map, so that the first one needs no promise. */
@@ -158,28 +136,6 @@
     return this.decide({kind: 'preparing', fence, attempt}, undefined);
   }
 
-  private answerJoins(seq: number, maps: GroupMaps): readonly SwitchAction[] {
-    const {fence, current, previous} = maps;
-    if (current === undefined) return [];
-    const {group} = this.cfg;
-    // A read begun before the rank asked may be from before a switch in which
-    // that rank took part until it restarted.
-    const due = [...this.joins.values()].filter(join => join.seq <= seq);
-    due.forEach(({req}) => this.joins.delete(req.rank));
-    return due.map(({req: {rank, attempt}}): SwitchAction => ({
-      kind: 'send',
-      rank,
-      message: {
-        kind: 'joinAnswer',
-        group,
-        attempt,
-        fence,
-        current,
-        previous,
-      },
-    }));
-  }
-
   private start(
     map: ExpertMap,
     step: number,
@@ -227,13 +183,16 @@
       switchStep,
       map,
     } as const;
-    return this.allRanks()
-      .filter(rank => !attempt.promised.has(rank))
-      .map(rank => ({kind: 'send', rank, message}));
+    return this.toRanks(message, rank => !attempt.promised.has(rank));
   }
 
-  private allRanks(): readonly number[] {
-    return Array.from({length: this.cfg.ranks}, (_, rank) => rank);
+  private toRanks(
+    message: ToRankMessage,
+    isMeant: (rank: number) => boolean = () => true
+  ): readonly SwitchAction[] {
+    return Array.from({length: this.cfg.ranks}, (_, rank) => rank)
+      .filter(isMeant)
+      .map(rank => ({kind: 'send', rank, message}));
   }
 
   private onMessage(message: SwitchMessage): readonly SwitchAction[] {
@@ -297,7 +256,7 @@
   private onJoin(req: JoinRequest): readonly SwitchAction[] {
     const {phase} = this;
     if (phase.kind === 'following') return [];
-    this.joins.set(req.rank, {req, seq: this.readSeq + 1});
+    this.joins.add(req, this.readSeq + 1);
     // The rank has forgotten what it promised. What is pending must be decided
     // before it is told a map, or it would miss the switch.
     if (phase.kind === 'preparing') return this.decide(phase, 'joined');
@@ -336,11 +295,7 @@
       version,
       decision,
     } as const;
-    const told = this.allRanks().map((rank): SwitchAction => ({
-      kind: 'send',
-      rank,
-      message,
-    }));
+    const told = this.toRanks(message);
     const outcome = reason ? ended(reason) : switched(map);
     const unread = this.joins.size > 0 || !this.hasMap;
     const read = unread ? [this.read()] : [];
