Leave time for another target when a resumption gets no answer

Cause: a stream that stalled was given to another target, and that attempt had all the time left of the call. Over a link that is silent too, no answer and no error came, and the stream was cut ("no other target ... stalled; timed-out") though two more targets could have gone on. Seen in twoFaults.spec, "should give every token once with links silent both ways and one way", in 3 of 5 runs on a busy machine, whenever the second silent link was chosen. Mend: while more attempts may follow, one to resume gets its part of the time left: 5 s of 10 at the limits of that test. First attempts stay as they were; cut short under load they would lose their place in a queue and be sent again.

--- a/src/entry/attempts.ts
+++ b/src/entry/attempts.ts
@@ -156,13 +156,16 @@
     core.load.began(target.targetId, cost, prompt);
     const done = runOnce(() => core.load.ended(target.targetId, cost));
     const cancelled = new Cancellation();
+    const boundMs = resume === undefined ? undefined : this.resumeWithinMs();
+    const bound = timeout(boundMs, () => cancelled.cancel());
     const outcome = dispatchOnce(core, call, {
       number: ++this.count,
       target,
       cost,
       resumeFrom: resume?.fromToken,
-      signal: this.legSignal(cancelled),
+      signal: this.legSignal(cancelled, boundMs),
     }).then((end): AttemptEnd => {
+      clearTimeout(bound);
       if (end.kind === 'answered') {
         const {answer, report} = end;
         return {kind: 'answered', answered: {answer, report, target, done}};
@@ -188,11 +191,25 @@
     return {outcome, cancel};
   }
 
-  /** Only a hedged leg can be cancelled alone. */
-  private legSignal(cancelled: Cancellation): CancelSignal {
+  /** Only a leg that is hedged or bounded can be cancelled alone. */
+  private legSignal(
+    cancelled: Cancellation,
+    boundMs: number | undefined
+  ): CancelSignal {
     const {progress, limit} = this.call;
-    if (limit.hedgeAfterMs === undefined) return progress.signal;
-    return joined(progress.signal, cancelled);
+    const isAlone = limit.hedgeAfterMs === undefined && boundMs === undefined;
+    return isAlone ? progress.signal : joined(progress.signal, cancelled);
+  }
+
+  /**
+   * Longest wait for the head of a resumption, while another may follow. A link
+   * that went silent says nothing: without a bound the one attempt takes all the
+   * time that is left, and the caller's stream is cut though others could go on.
+   */
+  private resumeWithinMs(): number | undefined {
+    const {limit, progress} = this.call;
+    const left = limit.attempts - this.count;
+    return left > 1 ? progress.remainingMs() / left : undefined;
   }
 
   private assertMayRepeat(refusal: Refusal): void {
@@ -242,3 +259,11 @@
     action();
   };
 }
+
+/** A timer, or none without a time; clearTimeout takes either. */
+function timeout(
+  ms: number | undefined,
+  action: () => void
+): NodeJS.Timeout | undefined {
+  return ms === undefined ? undefined : setTimeout(action, ms);
+}
--- a/tests/attempts.spec.ts
+++ b/tests/attempts.spec.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {Attempts} from '../src/entry/attempts';
 import type {ClassifiedCall} from '../src/entry/call';
+import type {CallerResume} from '../src/entry/chat/chatRequest';
 import {dispatchOnce} from '../src/entry/dispatchOnce';
 import type {EntryCore} from '../src/entry/entryCore';
 import {RetryBudgets} from '../src/entry/retryBudgets';
@@ -118,6 +119,35 @@
     expect(sent).toHaveBeenCalledTimes(1);
   });
 
+  // A caller's stream stalls, and the link to the target that is to go on with
+  // it is silent too: no answer and no error comes. The third target could go
+  // on, and gets its turn before the time of the call has run out.
+  it('should go on elsewhere when a resumption gets no answer', async () => {
+    jest.useFakeTimers();
+    const sent = play('answered');
+    const attempts = new Attempts(coreOf(3), callOf());
+    await attempts.run();
+    sent.mockImplementationOnce(
+      (_core, _call, {signal}) =>
+        new Promise(resolve => {
+          const reason = 'outcome-unknown';
+          const refusal = {
+            reason,
+            step: 'gate',
+            peer: 'p',
+            detail: '',
+          } as const;
+          const lost = () => resolve({kind: 'refused', refusal});
+          signal.addEventListener('abort', lost);
+        })
+    );
+    const resumed = attempts.run({fromToken: 7} as CallerResume);
+    await jest.advanceTimersByTimeAsync(2_600);
+    expect(sent).toHaveBeenCalledTimes(3);
+    await resumed;
+    jest.useRealTimers();
+  });
+
   it('should stop at the limit of attempts', async () => {
     const sent = play(...Array<RefusalReason>(5).fill('overloaded'));
     expect(await refusalOf(new Attempts(coreOf(5), callOf()))).toBe(
