--- a/tests/logFailures.spec.ts
+++ b/tests/logFailures.spec.ts
@@ -27,10 +27,10 @@
 
   const flipABit = (id: string): void => {
     const dir = path.join(cluster.dataDir(id), 'log');
-    // Not always the first: an instance whose founding lost against another's
-    // sets its log aside and goes on with the next number.
-    const [name = ''] = readdirSync(dir).filter(n => /^log-\d+$/.test(n));
-    const file = path.join(dir, name);
+    // Not always the first: an instance that was filled by a snapshot goes on
+    // in a file with the next number.
+    const names = readdirSync(dir).filter(n => /^log-\d+$/.test(n));
+    const file = path.join(dir, names.sort().at(-1) ?? '');
     const bytes = readFileSync(file);
     bytes.writeUInt8(bytes.readUInt8(60) ^ 1, 60);
     writeFileSync(file, bytes);
@@ -70,6 +70,11 @@
     await cluster.whole();
     await cluster.commit('first');
     const before = cluster.at('control-2').log.status().incarnation;
+    const {commitIndex} = cluster.at(await cluster.leader()).log.status();
+    await cluster.until(
+      'control-2',
+      status => status.commitIndex >= commitIndex
+    );
     await cluster.stop('control-2');
     flipABit('control-2');
     await cluster.start('control-2');
