Let the backlog of a flood weigh a tenth in the choice of target

In a flood all gates have backlogs that differ by dozens of requests. The gate serves by share, so that they delay no small customer; but in the score their chance outweighed the prompts, which do.

Change: what waits at a gate counts a tenth of what runs. Below the limit nothing changes.

--- a/src/policy/balance.ts
+++ b/src/policy/balance.ts
@@ -67,6 +67,12 @@
  * wait for its first token.
  */
 const PROMPT_TOKENS_A_REQUEST = 250;
+/**
+ * A request that waits at a gate, in running ones. The gate serves by share, so
+ * that the backlog of a flood delays nobody else; in full, its chance would
+ * outweigh all that does delay a small customer there.
+ */
+const WAITING_WEIGHT = 0.1;
 /** Targets compared for each request. */
 const SAMPLE_SIZE = 3;
 /** Added to the score for leaving the zone, in parts of a full target. */
@@ -191,8 +197,10 @@
   const full = requestCost(req);
   const part = requestCost(req, target.prefixTokens) / full;
   const prompts = (target.ownPromptTokens ?? 0) / PROMPT_TOKENS_A_REQUEST;
-  const expected = expectedOutstanding(target, pool) + prompts;
-  const load = (expected + part) / target.limit;
+  const requests = (expectedOutstanding(target, pool) + part) / target.limit;
+  const waiting = Math.max(0, requests - 1);
+  const load =
+    requests - waiting + waiting * WAITING_WEIGHT + prompts / target.limit;
   const remote = target.availabilityZone === req.availabilityZone ? 0 : 1;
   return (
     (UNLOADED_SCORE + load) * Math.max(1, target.groupStraggle) +
--- a/tests/balance.spec.ts
+++ b/tests/balance.spec.ts
@@ -74,6 +74,16 @@
     expect(chosen.get('a') ?? 0).toBeLessThan(chosen.get('b') ?? 0);
   });
 
+  // A flood waits at all gates, at one a little longer. A small customer passes
+  // it there, but would wait behind the prompts that the engine still takes in.
+  it("should mind a flood's backlog less than prompts", () => {
+    const full = {reportedOutstanding: 32, reportedQueued: 32};
+    const longer = view('a', {...full, reportedQueued: 48});
+    const prompts = view('b', {...full, ownPromptTokens: 1500});
+    expect(chosenMost([longer, prompts])).toBe('a');
+    expect(chosenMost([longer, view('b', full)])).toBe('b');
+  });
+
   it('should leave the zone rather than pile up in it', () => {
     const local = view('local', {reportedOutstanding: 30});
     const remote = view('remote', {availabilityZone: 'zone-b'});
