--- a/bench/measures/stepTimeSkew.ts
+++ b/bench/measures/stepTimeSkew.ts
@@ -42,7 +42,7 @@
   if (meanRatio > MEAN_MARK) short.push(`mean ${meanRatio.toFixed(3)}`);
   if (p99Ratio > P99_MARK)
     short.push(
-      `p99 ${p99Ratio.toFixed(3)}: steps between the start of a burst and the first load that answers it`
+      `p99 ${p99Ratio.toFixed(3)}: steps until the loads that a burst needs are there, one at a time`
     );
   if (closer < CLOSER_MARK)
     short.push(`only ${closer.toFixed(1)} times closer to 1 than static`);
