--- a/bench/measures/subsets.ts
+++ b/bench/measures/subsets.ts
@@ -3,7 +3,7 @@
  * each pool, and how many places move when a target or an entry goes.
  */
 
-import {chooseSubset, hashId} from '../../src/policy/subset';
+import {chooseSubset, entrySeed, targetKey} from '../../src/policy/subset';
 import {SeededRandom} from '../fuzz/schedule';
 import type {Figures, Measure, MeasureOptions, MeasureResult} from '../measure';
 
@@ -25,7 +25,7 @@
   readonly targetId: string;
   readonly availabilityZone: string;
   readonly usable: boolean;
-  readonly hash: number;
+  readonly key: Uint8Array;
 }
 
 type Random = () => number;
@@ -39,7 +39,7 @@
 
 function rendezvous(size: number): Way {
   return (entryId, _, targets) =>
-    chooseSubset(hashId(`${entryId}/pool`), targets, size);
+    chooseSubset(entrySeed(`${entryId}/pool`), targets, size);
 }
 
 /** Drawn anew whenever the list changes. */
@@ -48,7 +48,7 @@
 
 /** A stretch of the list that begins where the hash of the entry says. */
 function hashMod(entryId: string, _: number, targets: readonly Target[]) {
-  const start = hashId(entryId) % targets.length;
+  const start = entrySeed(entryId) % targets.length;
   return Array.from(
     {length: SUBSET},
     (_unused, i) => targets[(start + i) % targets.length]!
@@ -102,7 +102,12 @@
     this.targets = Array.from({length: size.targets}, (_, i) => {
       const targetId = `planner-${i}`;
       const availabilityZone = `zone-${i % ZONES}`;
-      return {targetId, availabilityZone, usable: true, hash: hashId(targetId)};
+      return {
+        targetId,
+        availabilityZone,
+        usable: true,
+        key: targetKey(targetId),
+      };
     });
   }
 
--- a/src/control/entryViews.ts
+++ b/src/control/entryViews.ts
@@ -11,7 +11,12 @@
   MembersAnswer,
   PollRequest,
 } from '../core/wire';
-import {SubsetCandidate, chooseSubset, hashId} from '../policy/subset';
+import {
+  SubsetCandidate,
+  chooseSubset,
+  entrySeed,
+  targetKey,
+} from '../policy/subset';
 import {MEMBER_TTL_MS, MemberTable} from './memberTable';
 
 interface PoolView {
@@ -118,8 +123,8 @@
       }
       const candidates = this.candidatesOf(pool, version, zones);
       // By pool, or all entries that are alike in one would be in all.
-      const hash = hashId(`${entryId}/${pool}`);
-      const chosen = chooseSubset(hash, candidates, size);
+      const seed = entrySeed(`${entryId}/${pool}`);
+      const chosen = chooseSubset(seed, candidates, size);
       const ids = chosen.map(({targetId}) => targetId);
       views.set(pool, {version, size, ids});
     }
@@ -142,7 +147,7 @@
           state === 'serving' &&
           limit > 0 &&
           !zones.isZoneOut(availabilityZone),
-        hash: hashId(targetId),
+        key: targetKey(targetId),
       }));
     this.pools.set(pool, {version, candidates});
     return candidates;
--- a/src/policy/subset.ts
+++ b/src/policy/subset.ts
@@ -5,33 +5,26 @@
  * entry that comes or goes moves nobody else's.
  */
 
+import murmurhash from 'murmurhash';
+
 /** A target that may be followed. */
 export interface SubsetCandidate {
   readonly targetId: string;
   readonly availabilityZone: string;
   /** Whether it may take new work now; the others only fill up. */
   readonly usable: boolean;
-  /** `hashId` of `targetId`. */
-  readonly hash: number;
+  /** `targetKey` of `targetId`, kept since it is hashed for every entry. */
+  readonly key: Uint8Array;
 }
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** 32-bit hash of a name. */
-export function hashId(id: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < id.length; i++)
-    hash = Math.imul(hash ^ id.charCodeAt(i), FNV_PRIME);
-  return mix(hash);
+/** Seed of an entry's ranking, from its name. */
+export function entrySeed(entryName: string): number {
+  return murmurhash.v3(entryName, 0);
 }
 
-/** Finalizer of MurmurHash3: each bit of the input turns half of the output. */
-function mix(value: number): number {
-  let hash = value ^ (value >>> 16);
-  hash = Math.imul(hash, 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+/** What a target is ranked by. */
+export function targetKey(targetId: string): Uint8Array {
+  return new TextEncoder().encode(targetId);
 }
 
 interface Ranked<C> {
@@ -46,7 +39,7 @@
  * where the usable ones are too few.
  */
 export function chooseSubset<C extends SubsetCandidate>(
-  entryHash: number,
+  seed: number,
   candidates: readonly C[],
   size: number
 ): readonly C[] {
@@ -55,7 +48,7 @@
   const bestOfZone = new Map<string, Ranked<C>>();
   for (const candidate of candidates) {
     if (!candidate.usable) continue;
-    const ranked = rank(entryHash, candidate);
+    const ranked = rank(seed, candidate);
     keepBest(best, ranked, size);
     const known = bestOfZone.get(candidate.availabilityZone);
     if (known === undefined || isHigher(ranked, known))
@@ -66,27 +59,26 @@
   for (const [zone, {candidate}] of bestOfZone)
     if (!zones.has(zone)) chosen.push(candidate);
   return chosen.length < size
-    ? [...chosen, ...fill(entryHash, candidates, size - chosen.length)]
+    ? [...chosen, ...fill(seed, candidates, size - chosen.length)]
     : chosen;
 }
 
 function fill<C extends SubsetCandidate>(
-  entryHash: number,
+  seed: number,
   candidates: readonly C[],
   size: number
 ): readonly C[] {
   const best: Ranked<C>[] = [];
   for (const candidate of candidates)
-    if (!candidate.usable) keepBest(best, rank(entryHash, candidate), size);
+    if (!candidate.usable) keepBest(best, rank(seed, candidate), size);
   return best.map(ranked => ranked.candidate);
 }
 
 function rank<C extends SubsetCandidate>(
-  entryHash: number,
+  seed: number,
   candidate: C
 ): Ranked<C> {
-  // The sum alone would give two entries with near hashes the same order.
-  return {candidate, score: mix(Math.imul(entryHash, 5) + candidate.hash)};
+  return {candidate, score: murmurhash.v3(candidate.key, seed)};
 }
 
 /** `best` is in descending order and holds `size` at most. */
--- a/tests/subset.spec.ts
+++ b/tests/subset.spec.ts
@@ -1,7 +1,12 @@
-import {SubsetCandidate, chooseSubset, hashId} from '../src/policy/subset';
+import {
+  SubsetCandidate,
+  chooseSubset,
+  entrySeed,
+  targetKey,
+} from '../src/policy/subset';
 
 const SIZE = 8;
-const ENTRIES = Array.from({length: 40}, (_, i) => hashId(`entry-${i}`));
+const ENTRIES = Array.from({length: 40}, (_, i) => entrySeed(`entry-${i}`));
 
 function target(
   i: number,
@@ -10,8 +15,8 @@
 ): SubsetCandidate {
   const targetId = `planner-${i}`;
   const availabilityZone = `zone-${i % zones}`;
-  const hash = hashId(targetId);
-  return {targetId, availabilityZone, usable: true, hash, ...change};
+  const key = targetKey(targetId);
+  return {targetId, availabilityZone, usable: true, key, ...change};
 }
 
 function targets(count: number, zones: number): readonly SubsetCandidate[] {
