Give reads of the log a file of their own, and two twin tests one body

Two tests of shutdown.spec.ts were the same but for whom they kill; they keep their names and assertions, and share the body.

--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -11,6 +11,7 @@
 } from './createReplicatedLog';
 import type {CoreEffect, CoreEvent, LogTiming} from './coreEvents';
 import type {DurableState, LogEntry} from './entry';
+import {LinearReads} from './linearReads';
 import {LogApplier} from './logApplier';
 import type {LogStorage} from './logStorage';
 import {LogWriter} from './logWriter';
@@ -23,7 +24,6 @@
 
 const TICK_MS = 25;
 const FAREWELL_MS = 200;
-const READ_TIMEOUT_MS = 3000;
 const BAD_MESSAGE_CODE = 400;
 const CLOSED_CODE = 503;
 
@@ -52,6 +52,7 @@
   private closed = false;
   private nextRequest = 1;
   private readonly applier: LogApplier;
+  private readonly reads: LinearReads;
 
   constructor(
     private readonly options: LogDriverOptions,
@@ -63,6 +64,14 @@
     const {stateMachine, limits} = options;
     this.applier = new LogApplier(stateMachine, this.calls, limits);
     if (durable.snapshot !== undefined) this.applier.restore(durable.snapshot);
+    this.reads = new LinearReads({
+      instanceId: options.id,
+      peers: this.peers,
+      calls: this.calls,
+      applier: this.applier,
+      status: () => this.core.status(),
+      begin: ticket => this.handle({kind: 'readBarrier', ticket}),
+    });
     this.core = this.createCore(durable);
     this.statusSubject = new BehaviorSubject(this.core.status());
     this.ticks = interval(TICK_MS).subscribe(() => this.handle({kind: 'tick'}));
@@ -89,17 +98,7 @@
 
   async readBarrier(): Promise<void> {
     this.assertRunning('readBarrier');
-    const {role, leaderId} = this.core.status();
-    if (role === 'leader') {
-      await this.leaderBarrier();
-      return;
-    }
-    const leader =
-      leaderId === undefined ? undefined : this.peers.get(leaderId);
-    if (leader === undefined)
-      throw new NotLeaderError('readBarrier', this.options.id, leaderId);
-    const index = await this.askReadIndex(leader);
-    await this.waitApplied(index);
+    await this.reads.readBarrier();
   }
 
   async receive(message: unknown): Promise<unknown> {
@@ -153,7 +152,7 @@
   }
 
   private async answer(message: PeerRequest): Promise<PeerReply> {
-    if (message.kind === 'readIndex') return this.answerReadIndex();
+    if (message.kind === 'readIndex') return this.reads.answer();
     return new Promise(resolve => {
       const ticket = this.nextRequest++;
       this.answers.set(ticket, resolve);
@@ -161,40 +160,6 @@
     });
   }
 
-  private async answerReadIndex(): Promise<PeerReply> {
-    try {
-      return {kind: 'readIndex', index: await this.leaderBarrier()};
-    } catch (err) {
-      if (!(err instanceof NotLeaderError)) throw err;
-      return {kind: 'notLeader', leaderId: err.leaderId};
-    }
-  }
-
-  private leaderBarrier(): Promise<number> {
-    return this.calls.barrier(ticket =>
-      this.handle({kind: 'readBarrier', ticket})
-    );
-  }
-
-  private async askReadIndex(leader: LogPeer): Promise<number> {
-    const message: PeerRequest = {kind: 'readIndex', from: this.options.id};
-    const reply = PEER_REPLY.parse(await leader.send(message));
-    if (reply.kind === 'readIndex') return reply.index;
-    const leaderId = reply.kind === 'notLeader' ? reply.leaderId : undefined;
-    throw new NotLeaderError('readBarrier', this.options.id, leaderId);
-  }
-
-  private async waitApplied(index: number): Promise<void> {
-    if (index <= this.applier.appliedIndex) return;
-    const timeout = new PeerError(
-      {kind: 'timeout'},
-      'readBarrier',
-      this.options.id,
-      `entry ${index} did not come`
-    );
-    await this.calls.applied(index, READ_TIMEOUT_MS, timeout);
-  }
-
   /** Runs events one after another; effects may raise further events. */
   private handle(event: CoreEvent): void {
     if (!this.running) return;
--- a/tests/processes/shutdown.spec.ts
+++ b/tests/processes/shutdown.spec.ts
@@ -63,31 +63,32 @@
     .map(one => `${one.status} ${one.reason}: ${one.body}`);
 }
 
+/** Kills the process beside which, or at which, a stream is in work. */
+async function expectWholeWithoutIts(
+  role: 'fake' | 'agent',
+  entry: number
+): Promise<void> {
+  const stream = await openStream(system.port(entry), `lost ${role}`, LONG);
+  await stream.tokens(20);
+  const name = `${role}-${stream.targetId}`;
+  await system.deployment.child(name).end('SIGKILL');
+  const {text, broken} = await stream.end();
+  expect(broken).toBe(false);
+  expect(isExactStream(text, LONG)).toBe(true);
+  await restarted(name);
+}
+
 describe('targets that are lost', () => {
   // The engine dies in the middle of a stream. The caller sees a pause; the
   // other engine goes on at the very next token, none twice and none left out.
   it('should give every token once when the target is killed', async () => {
-    const stream = await openStream(system.port(0), 'long', LONG);
-    await stream.tokens(20);
-    const name = `fake-${stream.targetId}`;
-    await system.deployment.child(name).end('SIGKILL');
-    const {text, broken} = await stream.end();
-    expect(broken).toBe(false);
-    expect(isExactStream(text, LONG)).toBe(true);
-    await restarted(name);
+    await expectWholeWithoutIts('fake', 0);
   }, 30_000);
 
   // The same when its agent dies: the entry loses the connection and cannot
   // know whether the target lives.
   it('should give every token once when the agent is killed', async () => {
-    const stream = await openStream(system.port(1), 'long too', LONG);
-    await stream.tokens(20);
-    const name = `agent-${stream.targetId}`;
-    await system.deployment.child(name).end('SIGKILL');
-    const {text, broken} = await stream.end();
-    expect(broken).toBe(false);
-    expect(isExactStream(text, LONG)).toBe(true);
-    await restarted(name);
+    await expectWholeWithoutIts('agent', 1);
   }, 30_000);
 
   // No other engine is left to go on. A stream that just ended would look
