Compare rows of use by value, so that only changed ones are sent

Rows are told apart from those held by identity; meanwhile the counter had come to add in place, and to copy its rows for each report, so that every row looked changed. Each report carried all customers again. No test failed, but a mutant survived ("a part for a boot that is not known is asked for whole"), since no report was a part any more: that showed it. Mend: rows are compared by value.

--- a/src/sync/usageReports.ts
+++ b/src/sync/usageReports.ts
@@ -1,5 +1,6 @@
 /** What each control instance holds of the use counted here. */
 
+import {isDeepStrictEqual} from 'node:util';
 import type {CustomerUsage, PollAnswer, PollRequest} from '../core/wire';
 
 /** As often as a leader logs use; totals, so that a lost report does no harm. */
@@ -26,7 +27,9 @@
   ): UsageReport | undefined {
     if (nowMs - this.sentAtMs < PERIOD_MS) return undefined;
     this.sentAtMs = nowMs;
-    const rows = totals.filter(row => this.held.get(row.customer) !== row);
+    const rows = totals.filter(
+      row => !isDeepStrictEqual(this.held.get(row.customer), row)
+    );
     if (rows.length === 0) return undefined;
     const part =
       this.held.size === 0 ? {usage: rows} : {usage: rows, usagePart: true};
--- a/tests/capacityUsage.spec.ts
+++ b/tests/capacityUsage.spec.ts
@@ -102,6 +102,24 @@
 }
 
 describe('changed rows of use, to the leader alone', () => {
+  // With every row in each report an entry of 200 customers would send 10 KB/s
+  // for use alone, and nothing but the bytes would show it.
+  it('should tell of the customers that called since, and of no other', () => {
+    const counter = new UsageCounter();
+    const to = new UsageTo();
+    counter.add('harbour', {requests: 1});
+    counter.add('depot', {requests: 1});
+    const first = to.due(counter.report(), 0)!;
+    to.answered(first, {usageAgain: false} as PollAnswer);
+    counter.add('depot', {requests: 1});
+    const second = to.due(counter.report(), SILENCE_MS)!;
+    expect(second.part).toMatchObject({
+      usage: [{customer: 'depot', requests: 2}],
+      usagePart: true,
+    });
+    expect(second.rows).toHaveLength(1);
+  });
+
   it.each(SEEDS)('should be charged once each, seed %i', seed => {
     // Answers are lost, leaders change, instances restart and forget boots
     // that are silent. Customers would be charged for less when a part of the
