--- a/bench/faults/check.ts
+++ b/bench/faults/check.ts
@@ -6,12 +6,12 @@
 
 /** One broken promise. */
 export interface Violation {
-  readonly promise: Promise;
+  readonly promise: PromiseName;
   readonly detail: string;
 }
 
 /** Promises that a history can show broken; expert maps are in none. */
-export type Promise =
+export type PromiseName =
   | 'not run'
   | 'at most once'
   | 'cold start'
@@ -24,7 +24,7 @@
 
 type Check = (history: History) => readonly string[];
 
-const CHECKS: Readonly<Record<Promise, Check>> = {
+const CHECKS: Readonly<Record<PromiseName, Check>> = {
   'not run': refusedButRan,
   'at most once': ranTwice,
   'cold start': history =>
@@ -55,7 +55,7 @@
 
 /** All violations. */
 export function check(history: History): readonly Violation[] {
-  const promises = Object.keys(CHECKS) as readonly Promise[];
+  const promises = Object.keys(CHECKS) as readonly PromiseName[];
   return promises.flatMap(promise =>
     CHECKS[promise](history).map(detail => ({promise, detail}))
   );
