Hold the ports of control until the relays of a deployment have theirs

Ports of control were chosen and let go; the relays that settings name were opened next, and one of them was given such a port, so that two instances stood at one address. It may have been why partition.spec failed now and then before under load; that was not traced.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {Child} from './childProcess';
 import type {CutDirection} from './cutRelay';
-import {freePorts} from './freePorts';
+import {freePorts, holdPorts} from './freePorts';
 import {Links} from './links';
 import {ClientResult, runClient} from './runClient';
 import type {DeploymentShape, PoolShape} from './shape';
@@ -158,22 +158,32 @@
   }
 
   private async startControls(): Promise<void> {
-    const ports = await freePorts(this.shape.controls);
-    const ids = ports.map((_, i) => `control-${i}`);
+    // Held while the settings are written: that opens relays, and one of them
+    // could else be given the port of an instance that has yet to start.
+    const {ports, release} = await holdPorts(this.shape.controls);
     this.controlPorts = ports;
+    const files = await Promise.all(
+      ports.map((port, i) => this.writeControl(`control-${i}`, i, port))
+    );
+    await release();
     await Promise.all(
-      ids.map(async (id, i) => {
-        const file = this.write(id, [
-          ...this.processLines(id, i),
-          ...(await this.internalLines(id, `port = ${ports[i]}`)),
-          '[data]',
-          `folder = ${this.dataFolder(id)}`,
-        ]);
-        return this.startRole('control', id, file);
-      })
+      files.map((file, i) => this.startRole('control', `control-${i}`, file))
     );
   }
 
+  private async writeControl(
+    id: string,
+    index: number,
+    port: number
+  ): Promise<string> {
+    return this.write(id, [
+      ...this.processLines(id, index),
+      ...(await this.internalLines(id, `port = ${port}`)),
+      '[data]',
+      `folder = ${this.dataFolder(id)}`,
+    ]);
+  }
+
   private async startPool(shape: PoolShape): Promise<void> {
     const ports = await this.startRanks(shape);
     const pairs = Array.from({length: shape.count}, (_, i) =>
@@ -223,7 +233,8 @@
       known?.fakePort ??
       (await this.startFake(shape, `fake-${targetId}`));
     const id = `agent-${targetId}`;
-    const [port = 0] = this.shape.linked ? await freePorts(1) : [];
+    const held = await holdPorts(this.shape.linked ? 1 : 0);
+    const [port = 0] = held.ports;
     this.agentPorts.set(id, port);
     const file = this.write(id, [
       ...this.processLines(id, index),
@@ -236,6 +247,7 @@
       `port = ${fakePort}`,
       ...(this.shape.agentTargetLines ?? []),
     ]);
+    await held.release();
     await this.startRole('agent', id, file);
     this.targets.push({
       targetId,
