--- a/bench/fleet/fleetWorld.ts
+++ b/bench/fleet/fleetWorld.ts
@@ -120,6 +120,7 @@
       temperature: this.temperature(target),
       changed: target.changedAtMs !== undefined,
       changedAtMs: target.changedAtMs,
+      limit: this.bears(target),
       work: target.to === undefined ? (work[target.model] ?? 0) : 0,
     }));
   }
--- a/src/control/fleet/fleetController.ts
+++ b/src/control/fleet/fleetController.ts
@@ -19,6 +19,8 @@
 import {poolView, poolWork, ruleKey} from './fleetViews';
 
 const TICK_MS = 1_000;
+/** A look at 1,000 targets costs milliseconds, and loads take minutes. */
+const PLAN_MS = 5_000;
 /** Guess of the time of a load until one was seen. */
 const FIRST_LOAD_MS = 120_000;
 const LEARN_PART = 0.2;
@@ -56,6 +58,7 @@
   private learned = nothing();
   private loadMs = FIRST_LOAD_MS;
   private blocked = '';
+  private plannedAtMs = -Infinity;
 
   constructor(private readonly parts: FleetParts) {
     this.machine = new FleetMachine({
@@ -84,7 +87,9 @@
     const pools = rules.pools().filter(pool => rules.serves(pool).length > 0);
     const wanted = pools.length > 0 || this.parts.state.open().length > 0;
     this.handle({kind: 'tick', wanted});
-    if (!this.machine.idle) return;
+    const nowMs = performance.now();
+    if (!this.machine.idle || nowMs - this.plannedAtMs < PLAN_MS) return;
+    this.plannedAtMs = nowMs;
     const plans = pools.map(pool => this.planPool(rules, pool));
     this.noteBlocked(plans);
     const changes = plans.flatMap(plan => plan.orders);
--- a/src/control/fleet/fleetViews.ts
+++ b/src/control/fleet/fleetViews.ts
@@ -90,5 +90,6 @@
     changed: held?.model === model && held?.version === modelVersion,
     changedAtMs: changedAtMs.get(targetId),
     work: target.outstanding + target.queued,
+    limit: target.limit,
   };
 }
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -7,7 +7,7 @@
 const RISE_MS = 30_000;
 const FALL_MS = 300_000;
 /** Observed for less, a demand is no ground for an order. */
-const DEMAND_SETTLED_MS = 5_000;
+const DEMAND_SETTLED_MS = 4_500;
 
 /** What one target has in hand. */
 export interface TargetWork {
--- a/src/policy/fleetPlan.ts
+++ b/src/policy/fleetPlan.ts
@@ -31,7 +31,7 @@
 /** Values that measured best; see docs/DESIGN-fleet.md. */
 export const FLEET_DEFAULTS: FleetConfig = {
   changingPart: 0.1,
-  loadsAtOnce: 8,
+  loadsAtOnce: 16,
   shortUse: 0.8,
   spareUse: 0.65,
   rolloutUse: 0.9,
@@ -178,7 +178,7 @@
         unservedFirst ||
         own(b) - own(a) ||
         a.work - b.work ||
-        a.targetId.localeCompare(b.targetId)
+        (a.targetId < b.targetId ? -1 : 1)
       );
     });
   }
--- a/src/policy/fleetTally.ts
+++ b/src/policy/fleetTally.ts
@@ -21,7 +21,10 @@
   readonly changed: boolean;
   /** When its last order was done, if known. */
   readonly changedAtMs?: number;
+  /** Requests in hand. */
   readonly work: number;
+  /** Requests that it may run at once now. */
+  readonly limit: number;
 }
 
 /** An order for a target: to hold this model in this version. */
@@ -43,13 +46,15 @@
   readonly zones: Map<string, number>;
 }
 
-/** Less demand than this can't warm every target. */
-const IDLE_PER_TARGET = 0.5;
+/** Less demand than this need not reach every target. */
+const IDLE_PER_TARGET = 0.25;
+/** Less work than this part of its limit does not warm a target. */
+const PUSHED_PART = 0.5;
 
 /** A pool's targets by what they do. */
 export class FleetTally {
   readonly free: readonly FleetTarget[];
-  /** Targets under an order, or changed and not warm yet. */
+  /** Targets under an order, or changed and not settled yet. */
   readonly unsettled: number;
   private readonly tallies = new Map<string, ModelTally>();
   private readonly idle: ReadonlySet<string>;
@@ -131,9 +136,15 @@
     if (!this.isOutdated(target)) this.of(model).proven++;
   }
 
+  /**
+   * One that answers and has little to do stays on its way to warm for good;
+   * one that has enough to do and does not get there is in trouble.
+   */
   private isSettling(target: FleetTarget): boolean {
-    const {changed, temperature, model = ''} = target;
-    return changed && temperature !== 'warm' && !this.idle.has(model);
+    const {changed, temperature, model = '', work, limit} = target;
+    if (!changed || this.idle.has(model)) return false;
+    if (temperature === 'warming') return work >= limit * PUSHED_PART;
+    return temperature === 'cold';
   }
 
   private add(model: string, zone: string, kind: 'serving' | 'coming'): void {
--- a/tests/fleetPlan.spec.ts
+++ b/tests/fleetPlan.spec.ts
@@ -22,6 +22,7 @@
     temperature: 'warm',
     changed: false,
     work: 4,
+    limit: 8,
     ...change,
   };
 }
@@ -29,6 +30,12 @@
 /** Six targets hold `a`, six `b`, by turns over the zones. */
 const HALVES = Array.from({length: 12}, (_, i) => target(i, i < 6 ? 'a' : 'b'));
 
+const WARMING = {
+  ...HALVES[0]!,
+  changed: true,
+  temperature: 'warming',
+} as const;
+
 function plan(change: Partial<FleetView> = {}) {
   const view: FleetView = {
     models: [A, B],
@@ -104,6 +111,24 @@
       {demand: demand(0, 0), models: [{...A, min: 7}, B], loadMs: 9_000_000},
       1,
     ],
+    [
+      'none while a changed target is busy and stays short of warm',
+      {
+        demand: demand(46, 12),
+        targets: HALVES.map((one, i) => (i === 0 ? WARMING : one)),
+      },
+      0,
+    ],
+    [
+      'one when a changed target has too little to do to warm up',
+      {
+        demand: demand(46, 12),
+        targets: HALVES.map((one, i) =>
+          i === 0 ? {...WARMING, work: 1} : one
+        ),
+      },
+      1,
+    ],
     [
       'none while a changed target stays cold',
       {
--- a/tests/processes/fleet.spec.ts
+++ b/tests/processes/fleet.spec.ts
@@ -74,8 +74,10 @@
   // The leader is killed between its order and the answer; the next one must
   // find the order, and no caller may get an error or the other model's answer.
   it('should change a target while the leader dies, unseen by callers', async () => {
-    const stop = callers('planner');
     await system.submit({extra: [OWN, ONE]});
+    // A target refuses what comes under rules that it does not hold yet.
+    await system.inForce();
+    const stop = callers('planner');
     await eventually('a load', async () => (await holders('llama'))[0]);
     await system.deployment.child(await system.leader()).end('SIGKILL');
     await serving('llama', 1);
@@ -92,7 +94,6 @@
   it('should end an order whose agent restarted meanwhile', async () => {
     const before = await holders('llama');
     await system.submit({extra: [OWN, TWO]});
-    // Its one target refuses what comes under rules that it does not hold yet.
     await system.inForce();
     const stop = callers('llama');
     const target = await eventually('another load', async () =>
