--- a/bench/fuzz/logInstance.ts
+++ b/bench/fuzz/logInstance.ts
@@ -160,7 +160,7 @@
     const {ids, random, sizes} = this.world;
     return {
       id: this.id,
-      peerIds: ids.filter(id => id !== this.id),
+      peerIds: () => ids.filter(id => id !== this.id),
       random: () => random.next(),
       timing: this.world.timing,
       batchEntries: sizes.batchEntries,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -25,9 +25,14 @@
   quickstart: 'bench/quickstart.ts',
 };
 
-const dist = path.resolve(import.meta.dirname, '..', 'dist');
+// `--program FOLDER` builds the program alone, for a deployment.
+const only = process.argv.indexOf('--program');
+const folder = only < 0 ? 'dist' : process.argv[only + 1];
+const entryPoints =
+  only < 0 ? ENTRY_POINTS : {marlpulley: ENTRY_POINTS['marlpulley-app']};
+const dist = path.resolve(import.meta.dirname, '..', folder);
 mkdirSync(dist, {recursive: true});
-for (const [name, source] of Object.entries(ENTRY_POINTS)) {
+for (const [name, source] of Object.entries(entryPoints)) {
   if (!existsSync(source)) continue;
   await build({
     entryPoints: [source],
--- a/src/cli/subcommands.ts
+++ b/src/cli/subcommands.ts
@@ -21,6 +21,10 @@
     summary: 'run a control instance, which has a disk',
     run: async argv => (await import('./controlCommand')).runControl(argv),
   },
+  node: {
+    summary: 'run a gateway that finds its cluster and targets by itself',
+    run: async argv => (await import('./nodeCommand')).runNode(argv),
+  },
   check: {
     summary: 'read a rule file and print its faults',
     run: async argv => (await import('./checkCommand')).runCheck(argv),
--- /dev/null
+++ b/src/cluster/agreedState.ts
@@ -0,0 +1,128 @@
+/**
+ * This node's part in what is agreed: the log on its disk, if it has one, or
+ * calls to the node that leads.
+ */
+
+import type {Logger} from '../core/logger';
+import {createReplicatedLog} from '../control/log/createReplicatedLog';
+import type {ForgetRule} from '../control/log/logOptions';
+import type {ReplicatedLog} from '../control/log/replicatedLog';
+import {ControlState} from '../control/state/controlState';
+import type {NodeDirectory} from './nodeDirectory';
+
+/** A snapshot is small; the disk of a node may hold no more than 64 MB. */
+const SNAPSHOT_BYTES = 8 << 20;
+/** Documents are large: a few hundred entries may fill the disk otherwise. */
+const TRAILING_ENTRIES = 64;
+/**
+ * Twice the longest election timeout beyond the longest stay of a process that
+ * is killed and started again: a voter that comes back keeps its vote.
+ */
+const FORGET_AFTER_MS = 8_000;
+/** A disk that is full for seconds is found usable again within one more. */
+const REOPEN_MS = 700;
+
+/** What the log of a node is opened with. */
+export interface AgreedStateOptions {
+  readonly directory: NodeDirectory;
+  readonly dataDir: string;
+  /** Nodes that found the group; nobody founds when empty. */
+  readonly founders: readonly string[];
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean;
+  /** Instances whose loss at once is borne. */
+  readonly lossesBorne: number;
+  readonly logger: Logger;
+  /** Runs something later, unless the process stops before. */
+  readonly after: (ms: number, run: () => void) => void;
+}
+
+/**
+ * The log of a node with a disk, and the state it drives. A disk that refuses
+ * a write ends the log, not the process: requests can be served without it. It
+ * is opened again from what the disk holds until that works, so that a disk
+ * that was full for a while costs no vote for good.
+ */
+export class AgreedState {
+  private constructor(
+    private readonly options: AgreedStateOptions,
+    private opened: OpenLog | undefined
+  ) {}
+
+  static async open(options: AgreedStateOptions): Promise<AgreedState> {
+    const agreed = new AgreedState(options, undefined);
+    agreed.opened = await agreed.openLog();
+    return agreed;
+  }
+
+  /** Absent while the disk is out of order. */
+  get current(): OpenLog | undefined {
+    return this.opened;
+  }
+
+  /** Whether this node leads. */
+  get leads(): boolean {
+    return this.opened?.log.status().role === 'leader';
+  }
+
+  /** The leader as this node knows it. */
+  get leader(): string | undefined {
+    return this.opened?.log.status().leaderId;
+  }
+
+  /** Hands over the lead and stops. */
+  async close(): Promise<void> {
+    const {opened} = this;
+    this.opened = undefined;
+    await opened?.log.close();
+  }
+
+  private async openLog(): Promise<OpenLog> {
+    const {directory, founders, isFirstStart, logger} = this.options;
+    const state = new ControlState();
+    const forget: ForgetRule = {
+      afterMs: FORGET_AFTER_MS,
+      keepVoters: 2 * this.options.lossesBorne + 1,
+    };
+    const log = await createReplicatedLog({
+      id: directory.self.ip,
+      peers: directory,
+      founders,
+      mayFound: isFirstStart && founders.length > 0,
+      forget,
+      dataDir: this.options.dataDir,
+      stateMachine: state,
+      logger,
+      random: Math.random,
+      onFatal: err => this.reopenLater(err),
+      limits: {
+        snapshotBytes: SNAPSHOT_BYTES,
+        trailingEntries: TRAILING_ENTRIES,
+      },
+    });
+    return {log, state};
+  }
+
+  private reopenLater(err: unknown): void {
+    this.opened = undefined;
+    this.options.logger.error(
+      {event: 'disk.lost', err: String(err)},
+      'the disk refused a write; the log is opened again later'
+    );
+    this.options.after(REOPEN_MS, () => {
+      this.openLog().then(
+        opened => {
+          this.opened = opened;
+          this.options.logger.info({event: 'disk.regained'}, 'log open again');
+        },
+        (again: unknown) => this.reopenLater(again)
+      );
+    });
+  }
+}
+
+/** A log that runs, and the state that it drives. */
+export interface OpenLog {
+  readonly log: ReplicatedLog;
+  readonly state: ControlState;
+}
--- /dev/null
+++ b/src/cluster/clusterNode.ts
@@ -0,0 +1,452 @@
+/**
+ * A node's part in the cluster: who is there, what is agreed, what is known of
+ * targets, and what this node may use. Everything a gateway needs to serve
+ * stands in `view`, also while nobody else can be reached.
+ */
+
+import {Subscription, exhaustMap, interval} from 'rxjs';
+import {newBootId} from '../core/bootId';
+import type {Logger} from '../core/logger';
+import {NO_SITE_VERSION} from '../control/state/siteState';
+import type {DecodedSite, Site} from '../site/site';
+import type {TargetAnnouncement, TargetRecord} from '../site/announcement';
+import {SiteIndex} from '../site/siteIndex';
+import {unpackText} from '../site/packText';
+import {AgreedState} from './agreedState';
+import {Coordinator} from './coordinator';
+import {findFounders} from './findFounders';
+import {LeaderLink} from './leaderLink';
+import type {
+  NodeInfo,
+  OperatorCommand,
+  ServiceGrant,
+  ServiceLoad,
+  SyncParams,
+  SyncReply,
+  SyncState,
+} from './messages';
+import {
+  HELLO_PARAMS,
+  NODE_METHODS,
+  PROPOSE_PARAMS,
+  PROPOSE_REPLY,
+  READ_SITE_PARAMS,
+  READ_SITE_REPLY,
+  SYNC_PARAMS,
+  SYNC_REPLY,
+} from './messages';
+import {NodeDirectory} from './nodeDirectory';
+import {RpcClient} from './rpcClient';
+import {RpcServer} from './rpcServer';
+import {TargetTable} from './targetTable';
+import * as z from 'zod';
+
+/**
+ * Between two reports. A target that leaves must be known everywhere within
+ * two seconds of its word; two reports and one lost one fit into that.
+ */
+const SYNC_PERIOD_MS = 250;
+/** A report that takes longer than three periods is worth no more than the next. */
+const SYNC_TIMEOUT_MS = 700;
+const LOG_TIMEOUT_MS = 1_000;
+/** A commit waits for two syncs of a disk; slow ones take a quarter of a second. */
+const PROPOSE_TIMEOUT_MS = 2_500;
+const READ_TIMEOUT_MS = 1_500;
+/** Heartbeats missed before a target counts as silent, with one that is late. */
+const MISSED_HEARTBEATS = 3.5;
+
+/** What the node is started with. */
+export interface ClusterNodeOptions {
+  readonly self: NodeInfo;
+  readonly port: number;
+  readonly seeds: readonly string[];
+  /** Empty without a disk. */
+  readonly dataDir: string;
+  readonly isFirstStart: boolean;
+  readonly lossesBorne: number;
+  /** Period of the targets' announcements, milliseconds. */
+  readonly heartbeatMs: number;
+  readonly logger: Logger;
+  decodeSite(text: string): DecodedSite;
+  /** What this node sees of each service, since the last call. */
+  takeLoads(): readonly ServiceLoad[];
+}
+
+/** What a gateway serves by. */
+export interface ClusterView {
+  readonly index: SiteIndex | undefined;
+  readonly zonesOut: ReadonlySet<string>;
+  readonly grants: ReadonlyMap<string, ServiceGrant>;
+  readonly activeNodes: number;
+}
+
+/** A running node. */
+export class ClusterNode {
+  readonly table = new TargetTable();
+  readonly coordinator: Coordinator;
+  private readonly bootId = newBootId();
+  private readonly rpc: RpcClient;
+  private readonly server: RpcServer;
+  private readonly directory: NodeDirectory;
+  private readonly link: LeaderLink;
+  private readonly subscription = new Subscription();
+  private agreed: AgreedState | undefined;
+  private current: ClusterView = {
+    index: undefined,
+    zonesOut: new Set(),
+    grants: new Map(),
+    activeNodes: 1,
+  };
+  /** Position of the log that the view shows; it never goes back. */
+  private viewIndex = -1;
+  private packedSite = '';
+  private heardHere = new Map<string, TargetRecord>();
+  private leaderTerm = -1;
+  private leaderRevision = 0;
+  private leadingTerm = -1;
+  private confirmedTerm = -1;
+  private lastSyncMs = -Infinity;
+
+  private constructor(private readonly options: ClusterNodeOptions) {
+    const {self, port, seeds, logger, heartbeatMs} = options;
+    const nowMs = () => performance.now();
+    this.rpc = new RpcClient(port);
+    this.server = new RpcServer(logger);
+    this.directory = new NodeDirectory(
+      self,
+      seeds,
+      ip => ({
+        id: ip,
+        send: message =>
+          this.rpc.call(ip, NODE_METHODS.log, {message}, LOG_TIMEOUT_MS),
+      }),
+      nowMs
+    );
+    this.link = new LeaderLink(
+      this.rpc,
+      this.directory,
+      logger,
+      () => this.agreed?.leader
+    );
+    this.coordinator = new Coordinator(
+      this.table,
+      logger,
+      nowMs,
+      heartbeatMs * MISSED_HEARTBEATS
+    );
+  }
+
+  static async start(options: ClusterNodeOptions): Promise<ClusterNode> {
+    const node = new ClusterNode(options);
+    node.addMethods();
+    await node.server.listen(options.self.ip, options.port);
+    node.subscription.add(
+      interval(SYNC_PERIOD_MS)
+        .pipe(exhaustMap(() => node.sync()))
+        .subscribe()
+    );
+    if (options.self.hasDisk) void node.joinLog();
+    return node;
+  }
+
+  get view(): ClusterView {
+    return this.current;
+  }
+
+  /** Whether this node leads and knows all that was agreed before. */
+  get leads(): boolean {
+    return this.agreed?.leads === true && this.isConfirmed();
+  }
+
+  /** Term in which this node leads. */
+  get term(): number {
+    return this.agreed?.current?.log.status().term ?? 0;
+  }
+
+  /** Milliseconds since a leader last answered. */
+  get leaderSilenceMs(): number {
+    return performance.now() - this.lastSyncMs;
+  }
+
+  setSeeds(seeds: readonly string[]): void {
+    this.directory.setSeeds(seeds);
+  }
+
+  /** Takes in what a target told this node; false when it is outdated. */
+  hear(announcement: TargetAnnouncement): boolean {
+    const isNew = this.table.merge(announcement, performance.now());
+    if (isNew) this.heardHere.set(announcement.id, announcement);
+    return isNew;
+  }
+
+  /** Takes in the goodbye of a target. */
+  hearLeave(id: string): void {
+    const record = this.table.leave(id, performance.now());
+    if (record !== undefined) this.heardHere.set(id, record);
+  }
+
+  /** Resolves once the leader knows what was heard here; rejects when not. */
+  async report(): Promise<void> {
+    await this.syncOnce();
+  }
+
+  /** Resolves once the command is durable on a quorum. */
+  async propose(command: OperatorCommand): Promise<void> {
+    if (this.agreed?.leads === true) {
+      await this.proposeHere(command);
+      return;
+    }
+    await this.link.call({
+      method: NODE_METHODS.propose,
+      params: {command},
+      reply: PROPOSE_REPLY,
+      timeoutMs: PROPOSE_TIMEOUT_MS,
+    });
+  }
+
+  /** The newest document, proven by a quorum; rejects when none can be had. */
+  async readSite(): Promise<{version: number; text: string}> {
+    const heldVersion = this.current.index?.site.version ?? NO_SITE_VERSION;
+    const reply =
+      this.agreed?.leads === true
+        ? await this.readSiteHere(heldVersion)
+        : await this.link.call({
+            method: NODE_METHODS.readSite,
+            params: {heldVersion},
+            reply: READ_SITE_REPLY,
+            timeoutMs: READ_TIMEOUT_MS,
+          });
+    const packed = reply.packed ?? this.packedSite;
+    const text = packed === '' ? '' : unpackText(packed);
+    return {version: reply.version, text};
+  }
+
+  async stop(): Promise<void> {
+    this.subscription.unsubscribe();
+    await this.agreed?.close();
+    this.server.close();
+    this.rpc.close();
+  }
+
+  private async joinLog(): Promise<void> {
+    const {directory, rpc} = this;
+    const {dataDir, isFirstStart, lossesBorne, logger} = this.options;
+    const founders = isFirstStart
+      ? await findFounders(directory, rpc, logger)
+      : [];
+    try {
+      this.agreed = await AgreedState.open({
+        directory,
+        dataDir,
+        founders,
+        isFirstStart,
+        lossesBorne,
+        logger,
+        after: (ms, run) => setTimeout(run, ms).unref(),
+      });
+    } catch (err) {
+      logger.error({event: 'disk.lost', err: String(err)}, 'no log here');
+      setTimeout(() => void this.joinLog(), SYNC_PERIOD_MS * 4).unref();
+    }
+  }
+
+  private addMethods(): void {
+    const {server} = this;
+    server.addMethod(NODE_METHODS.hello, HELLO_PARAMS, async ({from}) => {
+      this.directory.note([from]);
+      const {leader} = this.link;
+      const nodes = this.directory.all();
+      return {self: this.directory.self, nodes, leader};
+    });
+    const logParams = z.object({message: z.unknown()});
+    server.addMethod(NODE_METHODS.log, logParams, async ({message}) => {
+      const log = this.agreed?.current?.log;
+      if (log === undefined) throw new Error('no log here');
+      return log.receive(message);
+    });
+    server.addMethod(NODE_METHODS.sync, SYNC_PARAMS, async params =>
+      this.syncHere(params)
+    );
+    server.addMethod(
+      NODE_METHODS.propose,
+      PROPOSE_PARAMS,
+      async ({command}) => {
+        if (this.agreed?.leads !== true) return this.notLeader();
+        await this.proposeHere(command);
+        return {kind: 'committed'};
+      }
+    );
+    server.addMethod(
+      NODE_METHODS.readSite,
+      READ_SITE_PARAMS,
+      async ({heldVersion}) =>
+        this.agreed?.leads === true
+          ? this.readSiteHere(heldVersion)
+          : this.notLeader()
+    );
+  }
+
+  private notLeader(): {kind: 'notLeader'; leader?: string} {
+    const {leader} = this.link;
+    const isOther = leader !== this.directory.self.ip;
+    return {kind: 'notLeader', leader: isOther ? leader : undefined};
+  }
+
+  private async proposeHere(command: OperatorCommand): Promise<void> {
+    const log = this.agreed?.current?.log;
+    if (log === undefined) throw new Error('no log here');
+    const {version} = this.agreed?.current?.state.site ?? {version: -1};
+    // What is overtaken already changes nothing: the log is spared a copy, but
+    // the answer still needs a proof that the newer version is agreed.
+    if (command.kind === 'site' && command.version <= version)
+      await log.readBarrier();
+    else await log.propose(command);
+    const {kind} = command;
+    this.options.logger.info({event: 'change.agreed', kind}, 'change agreed');
+  }
+
+  private async readSiteHere(heldVersion: number) {
+    const opened = this.agreed?.current;
+    if (opened === undefined) throw new Error('no log here');
+    await opened.log.readBarrier();
+    const {version, packed} = opened.state.site;
+    const held = version === heldVersion;
+    return {kind: 'site' as const, version, packed: held ? undefined : packed};
+  }
+
+  /** The leader's answer to a report, its own included. */
+  private async syncHere(params: SyncParams): Promise<SyncReply> {
+    this.directory.note([params.from]);
+    const opened = this.agreed?.current;
+    if (this.agreed?.leads !== true || opened === undefined)
+      return this.notLeader();
+    const {term} = opened.log.status();
+    if (this.leadingTerm !== term) {
+      this.leadingTerm = term;
+      this.coordinator.reset();
+    }
+    if (!this.isConfirmed()) {
+      // What earlier leaders agreed may not be applied here yet.
+      await opened.log.readBarrier();
+      this.confirmedTerm = term;
+    }
+    const {version, packed, zonesOut} = opened.state.site;
+    return this.coordinator.sync(
+      params,
+      {
+        term,
+        index: opened.log.status().commitIndex,
+        siteVersion: version,
+        packedSite: packed,
+        zonesOut,
+      },
+      this.current.index?.site,
+      this.directory.all()
+    );
+  }
+
+  private isConfirmed(): boolean {
+    return this.confirmedTerm === this.term;
+  }
+
+  private async sync(): Promise<void> {
+    try {
+      await this.syncOnce();
+    } catch (err) {
+      this.options.logger.debug({event: 'sync.failed', err: String(err)}, '');
+      await this.greet();
+    }
+  }
+
+  /** Asks a node who is there, when no leader answers. */
+  private async greet(): Promise<void> {
+    const from = this.directory.self;
+    for (const ip of this.directory.candidates().slice(0, 3)) {
+      const reply = this.rpc.call(ip, NODE_METHODS.hello, {from}, 500);
+      reply.catch(() => undefined);
+    }
+  }
+
+  private async syncOnce(): Promise<void> {
+    const heard = this.heardHere;
+    this.heardHere = new Map();
+    try {
+      const params = this.syncParams(heard);
+      const reply =
+        this.agreed?.leads === true
+          ? await this.syncHere(params)
+          : await this.link.call({
+              method: NODE_METHODS.sync,
+              params,
+              reply: SYNC_REPLY,
+              timeoutMs: SYNC_TIMEOUT_MS,
+            });
+      if (reply.kind !== 'state') throw new Error('no leader');
+      this.adopt(reply);
+    } catch (err) {
+      // What the leader may not have taken in is told again.
+      for (const [id, record] of heard)
+        if (!this.heardHere.has(id)) this.heardHere.set(id, record);
+      throw err;
+    }
+  }
+
+  private syncParams(heard: ReadonlyMap<string, TargetRecord>): SyncParams {
+    return {
+      from: this.directory.self,
+      bootId: this.bootId,
+      siteVersion: this.current.index?.site.version ?? NO_SITE_VERSION,
+      tableRevision: this.leaderRevision,
+      tableTerm: this.leaderTerm,
+      records: [...heard.values()],
+      loads: [...this.options.takeLoads()],
+    };
+  }
+
+  private adopt(reply: SyncState): void {
+    const isOlder =
+      reply.term < this.leaderTerm || reply.index < this.viewIndex;
+    if (isOlder) return;
+    this.lastSyncMs = performance.now();
+    this.directory.note(reply.nodes);
+    if (reply.term > this.leaderTerm) {
+      // A new leader knows only what it is told: all that is known here.
+      for (const record of this.table.records())
+        this.heardHere.set(record.id, record);
+      this.leaderTerm = reply.term;
+    }
+    this.leaderRevision = reply.tableRevision;
+    const now = performance.now();
+    if (!this.leads)
+      for (const record of reply.records) this.table.adopt(record, now);
+    this.viewIndex = reply.index;
+    this.current = {
+      index: this.siteFrom(reply),
+      zonesOut: new Set(reply.zonesOut),
+      grants: new Map(reply.grants.map(grant => [grant.service, grant])),
+      activeNodes: Math.max(1, reply.activeNodes),
+    };
+  }
+
+  private siteFrom(reply: SyncState): SiteIndex | undefined {
+    const {index} = this.current;
+    const held = index?.site.version ?? NO_SITE_VERSION;
+    if (reply.packedSite === undefined || reply.siteVersion <= held)
+      return index;
+    const decoded = this.options.decodeSite(unpackText(reply.packedSite));
+    if (!decoded.ok) {
+      const {problem} = decoded;
+      this.options.logger.error({event: 'site.unreadable', problem}, problem);
+      return index;
+    }
+    this.packedSite = reply.packedSite;
+    const {version} = decoded.site;
+    this.options.logger.info({event: 'site.applied', version}, 'site applied');
+    return new SiteIndex(decoded.site);
+  }
+
+  /** The site for the leader's own decisions. */
+  get site(): Site | undefined {
+    return this.current.index?.site;
+  }
+}
--- /dev/null
+++ b/src/cluster/coordinator.ts
@@ -0,0 +1,203 @@
+/**
+ * What the leader of the log does for all nodes besides: it merges what they
+ * heard of targets, and lends them the places of each service. All of this is
+ * soft state; a new leader has it again after one report of each node.
+ */
+
+import type {Logger} from '../core/logger';
+import type {ShareDemand} from '../policy/shareLending';
+import {lendShares} from '../policy/shareLending';
+import type {Site} from '../site/site';
+import type {
+  NodeInfo,
+  ServiceGrant,
+  ServiceLoad,
+  SyncParams,
+  SyncState,
+} from './messages';
+import {PlacesEstimate} from './placesEstimate';
+import type {TargetTable} from './targetTable';
+
+/**
+ * A node that did not report for so long gets no share. Eight reports: one
+ * that is merely slow keeps what it has.
+ */
+const ACTIVE_FOR_MS = 2_000;
+/** Shares are worked out once for all nodes that report within this time. */
+const SHARES_PERIOD_MS = 200;
+/** Part of an older count of arrivals that stays with each report. */
+const ARRIVALS_DECAY = 0.7;
+
+interface NodeReport {
+  readonly info: NodeInfo;
+  readonly bootId: string;
+  readonly atMs: number;
+  readonly loads: ReadonlyMap<string, ServiceLoad>;
+  /** Smoothed arrivals by service. */
+  readonly arrivals: ReadonlyMap<string, number>;
+}
+
+/** Replicated state that answers carry along. */
+export interface AgreedView {
+  readonly term: number;
+  readonly index: number;
+  readonly siteVersion: number;
+  readonly packedSite: string;
+  readonly zonesOut: readonly string[];
+}
+
+/** The leader's side of the reports. */
+export class Coordinator {
+  private readonly reports = new Map<string, NodeReport>();
+  private readonly places = new PlacesEstimate();
+  /** Places by service, then by node. */
+  private shares = new Map<string, ReadonlyMap<string, number>>();
+  private sharesAtMs = -Infinity;
+
+  constructor(
+    private readonly table: TargetTable,
+    private readonly logger: Logger,
+    private readonly nowMs: () => number,
+    /** Silence after which a target counts as lost, milliseconds. */
+    private readonly silentAfterMs: number
+  ) {}
+
+  /** Forgets all reports: another term began. */
+  reset(): void {
+    this.reports.clear();
+  }
+
+  /** Takes in a report and answers with the whole view. */
+  sync(
+    params: SyncParams,
+    agreed: AgreedView,
+    site: Site | undefined,
+    nodes: readonly NodeInfo[]
+  ): SyncState {
+    const now = this.nowMs();
+    for (const record of params.records)
+      if (this.table.merge(record, now)) this.logMerged(params.from, record.id);
+    this.table.expire(now, this.silentAfterMs);
+    this.noteReport(params, now);
+    const isKnownTable = params.tableTerm === agreed.term;
+    const from = isKnownTable ? params.tableRevision : 0;
+    const {term, index, siteVersion, packedSite, zonesOut} = agreed;
+    return {
+      kind: 'state',
+      term,
+      index,
+      nodes: [...nodes],
+      siteVersion,
+      ...(params.siteVersion < siteVersion ? {packedSite} : {}),
+      zonesOut: [...zonesOut],
+      tableRevision: this.table.revision,
+      records: [...this.table.since(from)],
+      grants: site === undefined ? [] : this.grantsFor(params.from.ip, site),
+      activeNodes: this.activeReports().length,
+    };
+  }
+
+  /** Requests of all nodes at a target, for the controller of expert maps. */
+  inFlightAt(service: string): number {
+    return this.activeReports().reduce(
+      (sum, {loads}) => sum + (loads.get(service)?.inFlight ?? 0),
+      0
+    );
+  }
+
+  private noteReport(params: SyncParams, now: number): void {
+    const {from, bootId} = params;
+    const before = this.reports.get(from.ip);
+    const loads = new Map(params.loads.map(load => [load.service, load]));
+    const arrivals = new Map<string, number>();
+    for (const {service, arrivals: fresh} of params.loads) {
+      const old = before?.arrivals.get(service) ?? 0;
+      arrivals.set(service, old * ARRIVALS_DECAY + fresh);
+    }
+    this.reports.set(from.ip, {info: from, bootId, atMs: now, loads, arrivals});
+  }
+
+  private activeReports(): readonly NodeReport[] {
+    const oldest = this.nowMs() - ACTIVE_FOR_MS;
+    return [...this.reports.values()].filter(({atMs}) => atMs >= oldest);
+  }
+
+  private grantsFor(node: string, site: Site): ServiceGrant[] {
+    const reports = this.activeReports();
+    this.renewShares(site, reports);
+    return [...site.services.keys()].map(service => ({
+      service,
+      concurrency: this.shares.get(service)?.get(node) ?? 1,
+      others: this.othersOf(node, service, reports),
+    }));
+  }
+
+  private renewShares(site: Site, reports: readonly NodeReport[]): void {
+    const now = this.nowMs();
+    if (now - this.sharesAtMs < SHARES_PERIOD_MS) return;
+    this.sharesAtMs = now;
+    const pauses = acceptedPauses(site);
+    const records = this.table.records();
+    this.shares = new Map(
+      [...site.services.values()].map(service => {
+        const {name} = service;
+        const loads = reports.flatMap(({loads}) => loads.get(name) ?? []);
+        const acceptedPauseMs = pauses.get(name) ?? 0;
+        const places = this.places.next({
+          service,
+          records,
+          loads,
+          acceptedPauseMs,
+        });
+        return [name, lendShares(places, demandsOf(name, reports))];
+      })
+    );
+  }
+
+  private othersOf(
+    node: string,
+    service: string,
+    reports: readonly NodeReport[]
+  ): Record<string, number> {
+    const others: Record<string, number> = {};
+    for (const {info, loads} of reports) {
+      if (info.ip === node) continue;
+      const byTarget = loads.get(service)?.byTarget ?? {};
+      for (const [id, count] of Object.entries(byTarget))
+        others[id] = (others[id] ?? 0) + count;
+    }
+    return others;
+  }
+
+  private logMerged(from: NodeInfo, id: string): void {
+    const record = this.table.find(id);
+    this.logger.debug({event: 'target.merged', from: from.ip, record}, id);
+  }
+}
+
+function demandsOf(
+  service: string,
+  reports: readonly NodeReport[]
+): readonly ShareDemand[] {
+  return reports.map(({info, loads, arrivals}) => {
+    const load = loads.get(service);
+    return {
+      node: info.ip,
+      wanted: (load?.inFlight ?? 0) + (load?.waiting ?? 0),
+      arrivals: arrivals.get(service) ?? 0,
+    };
+  });
+}
+
+/** The shortest pause accepted among the routes to each service. */
+function acceptedPauses(site: Site): ReadonlyMap<string, number> {
+  const pauses = new Map<string, number>();
+  for (const {gapTargetMs, split} of site.routes) {
+    if (gapTargetMs === 0) continue;
+    for (const {service} of split) {
+      const known = pauses.get(service) ?? Infinity;
+      pauses.set(service, Math.min(known, gapTargetMs));
+    }
+  }
+  return pauses;
+}
--- /dev/null
+++ b/src/cluster/findFounders.ts
@@ -0,0 +1,56 @@
+/**
+ * Who founds the log when the whole deployment starts for the first time: those
+ * of the seeds that have a disk. All nodes are given the same seeds then, so
+ * that all come to the same answer, and only one group can be founded.
+ */
+
+import {firstValueFrom, timer} from 'rxjs';
+import type {Logger} from '../core/logger';
+import type {HelloReply} from './messages';
+import {HELLO_REPLY, NODE_METHODS} from './messages';
+import type {NodeDirectory} from './nodeDirectory';
+import type {RpcClient} from './rpcClient';
+
+/** Nodes start within a third of a second of each other, in any order. */
+const RETRY_MS = 150;
+const ASK_TIMEOUT_MS = 600;
+
+/** Resolves with the founders' addresses once every seed has answered. */
+export async function findFounders(
+  directory: NodeDirectory,
+  rpc: RpcClient,
+  logger: Logger
+): Promise<readonly string[]> {
+  const from = directory.self;
+  for (;;) {
+    const seeds = directory.seedAddresses();
+    try {
+      const replies = await Promise.all(
+        seeds
+          .filter(ip => ip !== from.ip)
+          .map(async ip =>
+            HELLO_REPLY.parse(
+              await rpc.call(ip, NODE_METHODS.hello, {from}, ASK_TIMEOUT_MS)
+            )
+          )
+      );
+      return foundersAmong(directory, seeds, replies);
+    } catch (err) {
+      logger.debug({event: 'seeds.waiting', err: String(err)}, 'seed missing');
+      await firstValueFrom(timer(RETRY_MS));
+    }
+  }
+}
+
+function foundersAmong(
+  directory: NodeDirectory,
+  seeds: readonly string[],
+  replies: readonly HelloReply[]
+): readonly string[] {
+  directory.note(replies.flatMap(({self, nodes}) => [self, ...nodes]));
+  const withDisk = new Set(
+    replies.filter(({self}) => self.hasDisk).map(({self}) => self.ip)
+  );
+  if (directory.self.hasDisk) withDisk.add(directory.self.ip);
+  return seeds.filter(ip => withDisk.has(ip)).sort();
+}
--- /dev/null
+++ b/src/cluster/nodeDirectory.ts
@@ -0,0 +1,83 @@
+/**
+ * The nodes that are known, found through seeds and through each other. No one
+ * tells a node how many there are; machines come and go at new addresses.
+ */
+
+import type {LogPeer, LogPeers} from '../control/log/logOptions';
+import type {NodeInfo} from './messages';
+
+/** A node that was not heard of for so long is forgotten; seeds never are. */
+const FORGET_AFTER_MS = 20_000;
+
+interface KnownNode {
+  readonly info: NodeInfo;
+  readonly heardAtMs: number;
+}
+
+/** Known nodes by IP address. */
+export class NodeDirectory implements LogPeers {
+  private readonly nodes = new Map<string, KnownNode>();
+  private readonly links = new Map<string, LogPeer>();
+
+  constructor(
+    readonly self: NodeInfo,
+    /** Addresses to ask first; may change with the settings. */
+    private seeds: readonly string[],
+    private readonly connect: (ip: string) => LogPeer,
+    private readonly nowMs: () => number
+  ) {}
+
+  /** Takes over seeds of changed settings. */
+  setSeeds(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
+  /** The seeds in force, this node included if it is one. */
+  seedAddresses(): readonly string[] {
+    return this.seeds;
+  }
+
+  /** Notes nodes that were heard of just now. */
+  note(infos: readonly NodeInfo[]): void {
+    for (const info of infos)
+      if (info.ip !== this.self.ip)
+        this.nodes.set(info.ip, {info, heardAtMs: this.nowMs()});
+  }
+
+  /** All nodes known, this one included. */
+  all(): readonly NodeInfo[] {
+    this.forgetOld();
+    return [this.self, ...[...this.nodes.values()].map(({info}) => info)];
+  }
+
+  /** Addresses to ask when the leader is not known, this one excluded. */
+  candidates(): readonly string[] {
+    const known = this.all().map(({ip}) => ip);
+    const ips = new Set([...this.seeds, ...known]);
+    ips.delete(this.self.ip);
+    return [...ips];
+  }
+
+  /** Other nodes with a disk. */
+  ids(): readonly string[] {
+    return this.all()
+      .filter(({ip, hasDisk}) => hasDisk && ip !== this.self.ip)
+      .map(({ip}) => ip);
+  }
+
+  /** Any address can be asked: a voter may be known from the log alone. */
+  find(ip: string): LogPeer | undefined {
+    if (ip === this.self.ip) return undefined;
+    const known = this.links.get(ip);
+    if (known !== undefined) return known;
+    const link = this.connect(ip);
+    this.links.set(ip, link);
+    return link;
+  }
+
+  private forgetOld(): void {
+    const oldest = this.nowMs() - FORGET_AFTER_MS;
+    for (const [ip, {heardAtMs}] of this.nodes)
+      if (heardAtMs < oldest) this.nodes.delete(ip);
+  }
+}
--- /dev/null
+++ b/src/cluster/rpcServer.ts
@@ -0,0 +1,76 @@
+/** Takes JSON-RPC calls of other nodes over HTTP. */
+
+import http from 'node:http';
+import {JSONRPCServer} from 'json-rpc-2.0';
+import type {JSONRPCRequest} from 'json-rpc-2.0';
+import type * as z from 'zod';
+import type {Logger} from '../core/logger';
+
+/** A snapshot of the log comes in chunks of 1 MiB characters. */
+const MAX_BODY_BYTES = 8 << 20;
+/** Longer than the caller keeps an idle connection, which therefore closes first. */
+const IDLE_MS = 15_000;
+
+/** The internal port of a node. */
+export class RpcServer {
+  private readonly methods = new JSONRPCServer({
+    errorListener: (message, data) =>
+      this.logger.debug({step: 'rpc', data: String(data)}, message),
+  });
+  private readonly server = http.createServer((req, res) => {
+    void this.answer(req, res);
+  });
+
+  constructor(private readonly logger: Logger) {
+    this.server.keepAliveTimeout = IDLE_MS;
+  }
+
+  /** Parameters are validated here, once. */
+  addMethod<T>(
+    name: string,
+    schema: z.ZodType<T>,
+    handle: (params: T) => Promise<unknown>
+  ): void {
+    this.methods.addMethod(name, (params: unknown) =>
+      handle(schema.parse(params))
+    );
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<void> {
+    try {
+      const request = JSON.parse(await readText(req)) as JSONRPCRequest;
+      const response = await this.methods.receive(request);
+      res.setHeader('content-type', 'application/json');
+      res.end(JSON.stringify(response));
+    } catch (err) {
+      this.logger.warn({step: 'rpc', err: String(err)}, 'bad call');
+      res.destroy();
+    }
+  }
+}
+
+async function readText(req: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAX_BODY_BYTES) throw new Error('the call is too large');
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- /dev/null
+++ b/src/cluster/targetTable.ts
@@ -0,0 +1,148 @@
+/**
+ * What is known of the targets that announce themselves, merged from the
+ * announcements that reached any node. The leader keeps the shared table and
+ * numbers its changes; each node keeps a copy.
+ */
+
+import type {TargetRecord} from '../site/announcement';
+
+/** Records of targets that left stay, so that late announcements are known as such. */
+const KEEP_GONE_MS = 60_000;
+
+interface Entry {
+  readonly record: TargetRecord;
+  /** Number of the change that brought the record into its present form. */
+  readonly revision: number;
+  /** Local clock when it last told of itself. */
+  readonly heardAtMs: number;
+}
+
+/** Records by id, with the newest life at each address. */
+export class TargetTable {
+  private readonly entries = new Map<string, Entry>();
+  private lastRevision = 0;
+
+  /** Number of the latest change. */
+  get revision(): number {
+    return this.lastRevision;
+  }
+
+  /** All records, those of targets that left included. */
+  records(): readonly TargetRecord[] {
+    return [...this.entries.values()].map(({record}) => record);
+  }
+
+  find(id: string): TargetRecord | undefined {
+    return this.entries.get(id)?.record;
+  }
+
+  /** Records that changed after a revision. */
+  since(revision: number): readonly TargetRecord[] {
+    return [...this.entries.values()]
+      .filter(entry => entry.revision > revision)
+      .map(({record}) => record);
+  }
+
+  /** Takes in one record; false when something newer is known. */
+  merge(record: TargetRecord, nowMs: number): boolean {
+    const known = this.entries.get(record.id);
+    if (known !== undefined && !isNewer(record, known.record)) return false;
+    if (record.state !== 'gone' && this.isOvertaken(record)) return false;
+    const changed = known === undefined || !sameUse(known.record, record);
+    const revision = changed ? ++this.lastRevision : known.revision;
+    this.entries.set(record.id, {record, revision, heardAtMs: nowMs});
+    if (changed) this.endEarlierLives(record, nowMs);
+    return true;
+  }
+
+  /** Takes over the leader's view, unless more is known here already. */
+  adopt(record: TargetRecord, nowMs: number): void {
+    const known = this.entries.get(record.id)?.record;
+    if (known !== undefined) {
+      if (record.bornMs < known.bornMs) return;
+      const isOlder =
+        record.bornMs === known.bornMs && record.sequence < known.sequence;
+      if (isOlder && record.state !== 'gone') return;
+      if (known.state === 'gone' && record.bornMs === known.bornMs) return;
+    }
+    this.put(record, nowMs);
+  }
+
+  /** Notes that a target said goodbye; ignored when the id is not known. */
+  leave(id: string, nowMs: number): TargetRecord | undefined {
+    const known = this.entries.get(id)?.record;
+    if (known === undefined) return undefined;
+    const record: TargetRecord = {...known, state: 'gone'};
+    if (known.state !== 'gone') this.put(record, nowMs);
+    return record;
+  }
+
+  /** Marks those silent that told nothing for a while. */
+  expire(nowMs: number, silentAfterMs: number): void {
+    for (const [id, {record, heardAtMs}] of this.entries) {
+      const age = nowMs - heardAtMs;
+      const isHere = record.state === 'ready' || record.state === 'draining';
+      if (isHere && age >= silentAfterMs)
+        this.put({...record, state: 'silent'}, heardAtMs);
+      if (!isHere && age >= KEEP_GONE_MS) this.entries.delete(id);
+    }
+  }
+
+  private put(record: TargetRecord, heardAtMs: number): void {
+    const revision = ++this.lastRevision;
+    this.entries.set(record.id, {record, revision, heardAtMs});
+  }
+
+  /** Whether a later life is known at the same address. */
+  private isOvertaken(record: TargetRecord): boolean {
+    for (const {record: other} of this.entries.values())
+      if (
+        other.id !== record.id &&
+        other.address === record.address &&
+        other.bornMs > record.bornMs
+      )
+        return true;
+    return false;
+  }
+
+  /** An address belongs to the life that began last. */
+  private endEarlierLives(record: TargetRecord, nowMs: number): void {
+    for (const {record: other} of [...this.entries.values()])
+      if (
+        other.id !== record.id &&
+        other.address === record.address &&
+        other.bornMs < record.bornMs &&
+        other.state !== 'gone'
+      )
+        this.put({...other, state: 'gone'}, nowMs);
+  }
+}
+
+/**
+ * A life that said goodbye, or drains, never becomes ready again: a late
+ * announcement of it must not bring it back.
+ */
+function isNewer(record: TargetRecord, known: TargetRecord): boolean {
+  if (record.bornMs !== known.bornMs) return record.bornMs > known.bornMs;
+  if (known.state === 'gone') return false;
+  if (record.state === 'gone') return true;
+  return record.sequence > known.sequence;
+}
+
+/** Whether nobody would act otherwise on the one than on the other. */
+function sameUse(a: TargetRecord, b: TargetRecord): boolean {
+  return (
+    a.bornMs === b.bornMs &&
+    a.state === b.state &&
+    a.service === b.service &&
+    a.address === b.address &&
+    a.availabilityZone === b.availabilityZone &&
+    a.slots === b.slots &&
+    a.coldMs > 0 === b.coldMs > 0 &&
+    a.group?.name === b.group?.name &&
+    a.group?.epoch === b.group?.epoch &&
+    a.group?.rank === b.group?.rank &&
+    a.group?.size === b.group?.size &&
+    a.group?.open === b.group?.open
+  );
+}
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -19,6 +19,7 @@
 import {EntryViews} from './entryViews';
 import {FleetController} from './fleet/fleetController';
 import {createReplicatedLog} from './log/createReplicatedLog';
+import {fixedPeers} from './log/logOptions';
 import type {ReplicatedLog} from './log/replicatedLog';
 import {FROM_RANK} from './maps/fromRankSchema';
 import {MapDirector} from './maps/mapDirector';
@@ -146,7 +147,7 @@
   const {id, dataDir, logger, metrics, onFatal} = options;
   return createReplicatedLog({
     id,
-    peers,
+    peers: fixedPeers(peers),
     dataDir,
     stateMachine: state,
     logger,
--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -2,6 +2,7 @@
 
 import type {Command} from '../state/command';
 import type {LogEntry, LogSnapshot, LogWrite} from './entry';
+import type {ForgetRule} from './logOptions';
 import type {CoreReply, CoreRequest} from './messages';
 
 /** Something that happened; each is handed over with the present time. */
@@ -104,8 +105,12 @@
 /** Fixed facts of one instance. */
 export interface CoreOptions {
   readonly id: string;
-  /** Ids of the other instances in the settings. */
-  readonly peerIds: readonly string[];
+  /** Ids of the other instances known at the moment. */
+  readonly peerIds: () => readonly string[];
+  /** Ids that found the group; this one and all peers when absent. */
+  readonly founders?: readonly string[];
+  /** When a silent voter is dropped; never when absent. */
+  readonly forget?: ForgetRule;
   /** From 0 to below 1. */
   readonly random: () => number;
   readonly timing: LogTiming;
--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -26,6 +26,8 @@
   inFlightSince: number;
   /** Snapshot on its way there, kept until it is whole there. */
   transfer?: {readonly snapshot: LogSnapshot; readonly offset: number};
+  /** Leader's clock when the last answer came. */
+  heardAt: number;
   /** Leader's clock when it sent the last message that was answered. */
   ackedSentAt: number;
   ackedRound: number;
--- a/src/control/log/founding.ts
+++ b/src/control/log/founding.ts
@@ -53,19 +53,27 @@
 
   private mayFound(): boolean {
     const {hard, isEmpty, options} = this.state;
-    const isLowest = options.peerIds.every(peerId => options.id < peerId);
-    return isEmpty && hard.mayFound && isLowest;
+    if (!isEmpty || !hard.mayFound) return false;
+    if (options.founders?.includes(options.id) === false) return false;
+    return this.peerIds().every(peerId => options.id < peerId);
+  }
+
+  /** The others that found; those told by settings, not those found since. */
+  private peerIds(): readonly string[] {
+    const {founders, peerIds, id} = this.state.options;
+    if (founders === undefined) return peerIds();
+    return founders.filter(founder => founder !== id);
   }
 
   private startRound(): void {
     const {options} = this.state;
     this.round = Math.floor(options.random() * ROUND_IDS);
     this.answers = new Map();
-    for (const id of options.peerIds) sendHello(this.state, id, this.round);
+    for (const id of this.peerIds()) sendHello(this.state, id, this.round);
   }
 
   private finishRound(): void {
-    const {peerIds} = this.state.options;
+    const peerIds = this.peerIds();
     if (!peerIds.every(peerId => this.answers.has(peerId))) return;
     const {answers, previous} = this;
     const same = (id: string): boolean => previous?.get(id) === answers.get(id);
--- a/src/control/log/linearReads.ts
+++ b/src/control/log/linearReads.ts
@@ -4,7 +4,7 @@
  */
 
 import {PeerError} from '../../core/errors';
-import type {LogPeer} from './createReplicatedLog';
+import type {LogPeer, LogPeers} from './logOptions';
 import type {LogApplier} from './logApplier';
 import type {PeerReply, PeerRequest} from './messages';
 import {PEER_REPLY} from './messages';
@@ -17,7 +17,7 @@
 /** What reads need of the log. */
 export interface LinearReadsParts {
   readonly instanceId: string;
-  readonly peers: ReadonlyMap<string, LogPeer>;
+  readonly peers: LogPeers;
   readonly calls: PendingCalls;
   readonly applier: LogApplier;
   status(): LogStatus;
@@ -37,7 +37,7 @@
       await this.leaderBarrier();
       return;
     }
-    const leader = leaderId === undefined ? undefined : peers.get(leaderId);
+    const leader = leaderId === undefined ? undefined : peers.find(leaderId);
     if (leader === undefined)
       throw new NotLeaderError('readBarrier', instanceId, leaderId);
     const index = await this.askIndex(leader);
--- a/src/control/log/logApplier.ts
+++ b/src/control/log/logApplier.ts
@@ -1,6 +1,6 @@
 /** Drives the state machine: applies, restores, and says when to snapshot. */
 
-import type {LogLimits} from './createReplicatedLog';
+import type {LogLimits} from './logOptions';
 import type {LogEntry, LogSnapshot} from './entry';
 import type {PendingCalls} from './pendingCalls';
 import type {StateMachine} from './replicatedLog';
--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -4,11 +4,7 @@
 import {BehaviorSubject, firstValueFrom, interval, timer} from 'rxjs';
 import {PeerError, unreachable} from '../../core/errors';
 import type {Command, CommandResult} from '../state/command';
-import type {
-  LogLimits,
-  LogPeer,
-  ReplicatedLogOptions,
-} from './createReplicatedLog';
+import type {LogLimits, LogPeers, ReplicatedLogOptions} from './logOptions';
 import type {CoreEffect, CoreEvent, LogTiming} from './coreEvents';
 import type {DurableState, LogEntry} from './entry';
 import {LinearReads} from './linearReads';
@@ -39,7 +35,7 @@
 export class LogDriver implements ReplicatedLog {
   private core: RaftCore;
   private readonly writer: LogWriter;
-  private readonly peers: ReadonlyMap<string, LogPeer>;
+  private readonly peers: LogPeers;
   private readonly calls = new PendingCalls();
   private readonly answers = new Map<number, (reply: PeerReply) => void>();
   private readonly ticks: Subscription;
@@ -59,7 +55,7 @@
     private readonly storage: LogStorage,
     durable: DurableState
   ) {
-    this.peers = new Map(options.peers.map(peer => [peer.id, peer]));
+    this.peers = options.peers;
     this.writer = new LogWriter(storage, err => this.fail(err));
     const {stateMachine, limits} = options;
     this.applier = new LogApplier(stateMachine, this.calls, limits);
@@ -134,11 +130,13 @@
   }
 
   private createCore(durable: DurableState): RaftCore {
-    const {id, peers, random, timing, limits} = this.options;
+    const {id, peers, random, timing, limits, founders, forget} = this.options;
     return new RaftCore(
       {
         id,
-        peerIds: peers.map(peer => peer.id),
+        peerIds: () => peers.ids(),
+        founders,
+        forget,
         random,
         timing,
         batchEntries: limits.batchEntries,
@@ -223,7 +221,7 @@
   }
 
   private send(to: string, message: CoreRequest): void {
-    const peer = this.peers.get(to);
+    const peer = this.peers.find(to);
     if (peer === undefined) return;
     const answer = peer.send(message);
     // A process that ends right away would take the message with it.
--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -37,5 +37,27 @@
     if (voter === undefined) return [...state.voters, {id, incarnation}];
     return state.voters.filter(other => other.id !== id);
   }
-  return undefined;
+  return withoutSilent(state, leadership);
+}
+
+/**
+ * A machine that was replaced at another address never answers again. Left
+ * among the voters, each such machine would eat up one of the losses that the
+ * quorum bears. One that was only cut off comes back as a learner and gets its
+ * vote again once it has caught up.
+ */
+function withoutSilent(
+  state: CoreState,
+  leadership: Leadership
+): Voter[] | undefined {
+  const {forget} = state.options;
+  if (forget === undefined) return undefined;
+  if (state.voters.length <= forget.keepVoters) return undefined;
+  const silent = state.voters.find(voter => {
+    if (state.isSelf(voter)) return false;
+    const heardAt = leadership.progress.get(voter.id)?.heardAt ?? 0;
+    return state.now - heardAt >= forget.afterMs;
+  });
+  if (silent === undefined) return undefined;
+  return state.voters.filter(voter => voter !== silent);
 }
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -15,7 +15,7 @@
 /** Takes the lead: puts a noop in the log and tells everyone. */
 export function startLeading(state: CoreState): void {
   const progress = new Map<string, PeerProgress>();
-  for (const id of state.options.peerIds)
+  for (const id of state.options.peerIds())
     progress.set(id, freshProgress(state, voterOf(state, id)?.incarnation));
   for (const {id} of state.voters)
     if (!progress.has(id) && id !== state.options.id)
@@ -45,6 +45,7 @@
     nextIndex: state.log.lastIndex + 1,
     matchIndex: 0,
     inFlightSince: 0,
+    heardAt: state.now,
     ackedSentAt: state.now,
     ackedRound: -1,
   };
@@ -165,12 +166,20 @@
   const {leadership} = state;
   if (leadership === undefined) return;
   leadership.heartbeatAt = state.now + state.options.timing.heartbeatMs;
+  takeInNewPeers(state, leadership);
   for (const [id, progress] of leadership.progress) {
     if (progress.incarnation === undefined) sendHello(state, id);
     else sendHeartbeat(state, id, progress);
   }
 }
 
+/** Instances that became known since this one leads are to join too. */
+function takeInNewPeers(state: CoreState, leadership: Leadership): void {
+  for (const id of state.options.peerIds())
+    if (!leadership.progress.has(id) && id !== state.options.id)
+      leadership.progress.set(id, freshProgress(state, undefined));
+}
+
 function sendHeartbeat(
   state: CoreState,
   id: string,
@@ -249,6 +258,7 @@
   if (message.askedTerm !== state.term) return;
   if (message.asker !== state.incarnation) return;
   if (message.incarnation !== progress.incarnation) return;
+  progress.heardAt = state.now;
   const answersInFlight = message.seq === progress.inFlight;
   if (answersInFlight) progress.inFlight = undefined;
   progress.ackedSentAt = Math.max(progress.ackedSentAt, message.sentAt);
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -88,6 +88,21 @@
   readonly outcome: 'done' | 'failed';
 }
 
+/** Puts a whole site document in force; only a higher version does. */
+export interface SiteCommand {
+  readonly kind: 'site';
+  readonly version: number;
+  /** The document as it came, packed; see `packText`. */
+  readonly packed: string;
+}
+
+/** Takes an availability zone out of service, or back in. */
+export interface ZoneCommand {
+  readonly kind: 'zone';
+  readonly availabilityZone: string;
+  readonly out: boolean;
+}
+
 /** Written by a new leader to commit what earlier terms left. */
 export interface NoopCommand {
   readonly kind: 'noop';
@@ -104,12 +119,21 @@
   | FleetFenceCommand
   | FleetOrderCommand
   | FleetEndCommand
+  | SiteCommand
+  | ZoneCommand
   | NoopCommand;
 
 /** Result of a settlement; `ignored` when another one came first. */
 export type SettleResult =
   {readonly kind: 'settled'} | {readonly kind: 'ignored'};
 
+/** Whether a document came into force, or a newer or equal one stood already. */
+export interface SiteResult {
+  readonly kind: 'accepted' | 'superseded';
+  /** Version in force afterwards. */
+  readonly version: number;
+}
+
 /** Result of any command. */
 export type CommandResult =
   | {readonly command: 'submit'; readonly result: SubmitResult}
@@ -125,5 +149,7 @@
       readonly command: 'fleetOrder' | 'fleetEnd';
       readonly result: {readonly kind: 'recorded' | 'fenced'};
     }
+  | {readonly command: 'site'; readonly result: SiteResult}
+  | {readonly command: 'zone'}
   | {readonly command: 'usage'}
   | {readonly command: 'noop'};
--- a/src/control/state/controlState.ts
+++ b/src/control/state/controlState.ts
@@ -7,6 +7,7 @@
 import {ClaimState, ClaimsSnapshot} from './claimState';
 import type {Command, CommandResult} from './command';
 import {RulesSnapshot, RulesState} from './rulesState';
+import {SiteSnapshot, SiteState} from './siteState';
 import {UsageSnapshot, UsageState} from './usageState';
 
 interface Snapshot {
@@ -16,6 +17,8 @@
   readonly maps: MapSnapshot;
   /** Absent in snapshots of versions that gave no orders. */
   readonly fleet?: FleetSnapshot;
+  /** Absent in snapshots of deployments that are run by rule files. */
+  readonly site?: SiteSnapshot;
 }
 
 /** Applies committed commands in order; every instance ends up the same. */
@@ -25,6 +28,7 @@
   readonly usage = new UsageState();
   readonly maps = new MapState();
   readonly fleet = new FleetState();
+  readonly site = new SiteState();
 
   apply(command: Command, _index: number): CommandResult {
     switch (command.kind) {
@@ -53,6 +57,11 @@
         return {command: command.kind, result: this.fleet.applyOrder(command)};
       case 'fleetEnd':
         return {command: command.kind, result: this.fleet.applyEnd(command)};
+      case 'site':
+        return {command: 'site', result: this.site.applySite(command)};
+      case 'zone':
+        this.site.applyZone(command);
+        return {command: 'zone'};
       case 'noop':
         return {command: 'noop'};
       default:
@@ -67,6 +76,7 @@
       usage: this.usage.snapshot(),
       maps: this.maps.snapshot(),
       fleet: this.fleet.snapshot(),
+      site: this.site.snapshot(),
     };
     return JSON.stringify(snapshot);
   }
@@ -78,5 +88,6 @@
     this.usage.restore(snapshot.usage);
     this.maps.restore(snapshot.maps);
     if (snapshot.fleet !== undefined) this.fleet.restore(snapshot.fleet);
+    if (snapshot.site !== undefined) this.site.restore(snapshot.site);
   }
 }
--- a/src/core/logger.ts
+++ b/src/core/logger.ts
@@ -8,6 +8,26 @@
   'trace' | 'debug' | 'info' | 'warn' | 'error' | 'fatal' | 'child'
 >;
 
+/** Creates a logger whose lines go to the given output. */
+export function createLineLogger(
+  role: string,
+  processId: string,
+  level: string,
+  output: {write(line: string): void}
+): Logger {
+  return bunyan.createLogger({
+    name: 'marlpulley',
+    role,
+    processId,
+    streams: [
+      {
+        stream: output as unknown as NodeJS.WritableStream,
+        level: level as bunyan.LogLevel,
+      },
+    ],
+  });
+}
+
 /** Creates the logger of a process; lines go to stderr. */
 export function createLogger(
   role: string,
--- a/src/entry/chat/sseParser.ts
+++ b/src/core/sseParser.ts
@@ -19,9 +19,14 @@
 
 /** Incremental; holds at most one unfinished event. */
 export class SseParser {
-  private readonly decoder = new StringDecoder('utf8');
+  private readonly decoder: StringDecoder;
   private pending = '';
 
+  /** With `latin1` each byte stays itself, whatever the stream holds. */
+  constructor(encoding: 'utf8' | 'latin1' = 'utf8') {
+    this.decoder = new StringDecoder(encoding);
+  }
+
   /** Characters of the unfinished event. */
   get pendingChars(): number {
     return this.pending.length;
--- a/src/entry/chat/streamMachine.ts
+++ b/src/entry/chat/streamMachine.ts
@@ -5,7 +5,7 @@
 
 import * as z from 'zod';
 import {tokenIndex} from './chatRequest';
-import {SseEvent, SseParser} from './sseParser';
+import {SseEvent, SseParser} from '../../core/sseParser';
 
 const DONE = '[DONE]';
 
--- /dev/null
+++ b/src/gateway/routeRequest.ts
@@ -0,0 +1,46 @@
+/** Finds the route, the customer and the service of a request. */
+
+import type {CallerRequest, GatewayRefusal} from '../ports/callerPort';
+import type {SiteCustomer, SiteRoute, SiteService} from '../site/site';
+import type {SiteIndex} from '../site/siteIndex';
+
+/** Where it may go, or why not. */
+export type RouteResult =
+  | {
+      readonly kind: 'routed';
+      readonly route: SiteRoute;
+      readonly service: SiteService;
+      readonly customer?: SiteCustomer;
+    }
+  | {readonly kind: 'refused'; readonly refusal: GatewayRefusal};
+
+/** Decides by one version of the site; `random` is from 0 to below 1. */
+export function routeRequest(
+  index: SiteIndex,
+  caller: CallerRequest,
+  random: () => number
+): RouteResult {
+  const route = index.findRoute(caller.host, caller.path);
+  if (route === undefined) return refused({kind: 'unknownRoute'});
+  const customer =
+    caller.key === undefined ? undefined : index.findCustomer(caller.key);
+  const needsKey = index.asksForKeys && !route.isPublic;
+  if (needsKey && customer === undefined) return refused({kind: 'unknownKey'});
+  const service = index.site.services.get(pickService(route, random));
+  if (service === undefined) return refused({kind: 'unknownRoute'});
+  return {kind: 'routed', route, service, customer};
+}
+
+function refused(refusal: GatewayRefusal): RouteResult {
+  return {kind: 'refused', refusal};
+}
+
+function pickService(route: SiteRoute, random: () => number): string {
+  const total = route.split.reduce((sum, {weight}) => sum + weight, 0);
+  let at = random() * total;
+  for (const {service, weight} of route.split) {
+    at -= weight;
+    if (at < 0) return service;
+  }
+  return route.split[route.split.length - 1]?.service ?? '';
+}
--- /dev/null
+++ b/src/gateway/serveRequest.ts
@@ -0,0 +1,163 @@
+/**
+ * The chain of a request: route, body, a place, then targets one after the
+ * other until one gave an answer or nothing more may be tried.
+ */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {unreachable} from '../core/errors';
+import type {GatewayRefusal} from '../ports/callerPort';
+import type {Gateway} from './gateway';
+import {readBody} from './readBody';
+import type {Routed} from './requestState';
+import {RequestState} from './requestState';
+import {routeRequest} from './routeRequest';
+import {runAttempts} from './runAttempts';
+import {LEAST_RETRY_MS, stopRefusal} from './stopRefusal';
+
+/**
+ * Part of the latency target that a request may wait for a place. What is left
+ * must do for reading the prompt and the first pass: about a third of it in a
+ * group under load.
+ */
+const PATIENCE_PART = 0.5;
+/** Without a latency target: as long as a person waits without noticing. */
+const USUAL_TARGET_MS = 500;
+/** Longest; callers give up a place in the day of their work beyond it. */
+const MOST_RETRY_MS = 2_500;
+/** A node without a site gets it with its first report to a leader. */
+const NO_SITE_RETRY_MS = 500;
+
+/** Serves one request to its end; never rejects. */
+export async function serveRequest(
+  gateway: Gateway,
+  req: IncomingMessage,
+  res: ServerResponse
+): Promise<void> {
+  const {callers, logger} = gateway.parts;
+  const state = new RequestState(req, res, callers.read(req));
+  try {
+    const refusal = await serve(gateway, state);
+    if (refusal !== undefined) answerRefusal(gateway, state, refusal);
+  } catch (err) {
+    const {attemptId} = state.caller;
+    logger.error({event: 'request.failed', attemptId, err}, 'fault of our own');
+    if (!res.headersSent) refuseFault(gateway, state);
+    else res.destroy();
+  }
+}
+
+function refuseFault(gateway: Gateway, state: RequestState): void {
+  const kind = state.mayHaveRun ? 'outcomeUnknown' : 'noTarget';
+  const refusal: GatewayRefusal =
+    kind === 'noTarget' ? {kind, retryInMs: NO_SITE_RETRY_MS} : {kind};
+  answerRefusal(gateway, state, refusal);
+}
+
+async function serve(
+  gateway: Gateway,
+  state: RequestState
+): Promise<GatewayRefusal | undefined> {
+  const {view} = gateway;
+  if (view?.index === undefined)
+    return {kind: 'noSite', retryInMs: NO_SITE_RETRY_MS};
+  const found = routeRequest(view.index, state.caller, Math.random);
+  if (found.kind === 'refused') return found.refusal;
+  const {route, service, customer} = found;
+  const {waitMs = Infinity} = state.caller;
+  state.limitTo(Math.min(route.timeoutMs, waitMs));
+  const read = await readBody(state.req, view.index.site.limits.maxBodyBytes);
+  switch (read.kind) {
+    case 'tooLarge':
+      return {kind: 'bodyTooLarge'};
+    case 'gone':
+      return undefined;
+    case 'body':
+      return withPlace(gateway, state, {
+        route,
+        service,
+        customer,
+        body: read.body,
+      });
+    default:
+      return unreachable(read);
+  }
+}
+
+/** Waits for a place, runs the attempts, gives the place back. */
+async function withPlace(
+  gateway: Gateway,
+  state: RequestState,
+  routed: Routed
+): Promise<GatewayRefusal | undefined> {
+  const pool = gateway.pool(routed.service.name);
+  pool.noteArrival();
+  const refusal = await enter(gateway, state, routed);
+  if (refusal !== 'entered') return refusal;
+  const sinceMs = performance.now();
+  try {
+    if (state.stopped !== undefined) return stopRefusal(state);
+    return await runAttempts(gateway, state, routed);
+  } finally {
+    pool.queue.leave(performance.now() - sinceMs);
+  }
+}
+
+function enter(
+  gateway: Gateway,
+  state: RequestState,
+  {route, service, customer}: Routed
+): Promise<GatewayRefusal | undefined | 'entered'> {
+  const {queue} = gateway.pool(service.name);
+  const targetMs = route.latencyTargetMs || USUAL_TARGET_MS;
+  return new Promise(resolve => {
+    const onCancel = () => {
+      queue.withdraw(applicant);
+      resolve(stopRefusal(state));
+    };
+    const finish = (result: GatewayRefusal | 'entered') => {
+      state.cancel.removeEventListener('abort', onCancel);
+      resolve(result);
+    };
+    const applicant = {
+      priority: customer?.priority ?? route.priority,
+      patienceMs: targetMs * PATIENCE_PART,
+      start: () => finish('entered'),
+      refuse: (ms: number) =>
+        finish({kind: 'overloaded', retryInMs: retryIn(ms)}),
+    };
+    state.cancel.addEventListener('abort', onCancel);
+    queue.enter(applicant, performance.now());
+  });
+}
+
+/** Spread, so that those turned away together do not come back together. */
+function retryIn(ms: number): number {
+  const spread = ms * (1 + Math.random());
+  return Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, spread));
+}
+
+function answerRefusal(
+  gateway: Gateway,
+  state: RequestState,
+  refusal: GatewayRefusal
+): void {
+  const {res, caller} = state;
+  const {callers, logger} = gateway.parts;
+  const answer = callers.refuse(refusal);
+  logger.info(
+    {
+      event: 'request.refused',
+      attemptId: caller.attemptId,
+      refusal,
+      ageMs: Math.round(state.ageMs),
+      tried: [...state.tried],
+    },
+    refusal.kind
+  );
+  if (res.headersSent || res.destroyed) return;
+  res.writeHead(answer.status, {
+    ...answer.headers,
+    'content-length': Buffer.byteLength(answer.body),
+  });
+  res.end(answer.body);
+}
--- /dev/null
+++ b/src/gateway/servicePool.ts
@@ -0,0 +1,178 @@
+/** What one gateway knows and has in work of one service. */
+
+import type {ServiceGrant, ServiceLoad} from '../cluster/messages';
+import type {TargetRecord} from '../site/announcement';
+import type {SiteService} from '../site/site';
+import {AdmissionQueue} from '../policy/admissionQueue';
+import {RateWindow, nodePartOf} from '../policy/rateWindow';
+import type {TargetOption} from '../policy/targetChoice';
+import {chooseTarget} from '../policy/targetChoice';
+import type {AttemptSign} from '../policy/targetHealth';
+import {TargetHealth} from '../policy/targetHealth';
+import type {WindowBudgetLimits} from '../policy/windowBudget';
+import {WindowBudget} from '../policy/windowBudget';
+
+/** Before a leader has lent any places: enough to begin with. */
+const FIRST_PLACES = 2;
+/** Weight of one pause between events; about fifty follow a change. */
+const GAP_SMOOTHING = 0.04;
+
+/** Bounds of the deployment that a pool keeps to. */
+export interface PoolBounds {
+  readonly retries: WindowBudgetLimits;
+  /** Times the rate that a cold target is said to bear. */
+  readonly coldMultiplier: number;
+  /** Requests a second beyond that. */
+  readonly coldSlack: number;
+}
+
+/** What the choice of a target depends on beside the pool itself. */
+export interface ChoiceInput {
+  readonly service: SiteService;
+  readonly records: readonly TargetRecord[];
+  readonly zonesOut: ReadonlySet<string>;
+  readonly ownZone: string;
+  readonly activeNodes: number;
+  /** Targets that this request has been sent to. */
+  readonly tried: ReadonlySet<string>;
+  readonly nowMs: number;
+}
+
+/** One service at one gateway. */
+export class ServicePool {
+  readonly queue = new AdmissionQueue();
+  readonly budget: WindowBudget;
+  private readonly health = new Map<string, TargetHealth>();
+  private readonly windows = new Map<string, RateWindow>();
+  private readonly own = new Map<string, number>();
+  private others: Readonly<Record<string, number>> = {};
+  private arrivals = 0;
+  private gapMs = 0;
+
+  constructor(
+    private readonly service: string,
+    private readonly bounds: PoolBounds
+  ) {
+    this.budget = new WindowBudget(bounds.retries);
+    this.queue.setLimit(FIRST_PLACES);
+  }
+
+  /** Takes over what the leader lent. */
+  grant({concurrency, others}: ServiceGrant): void {
+    this.others = others;
+    this.queue.setLimit(concurrency);
+  }
+
+  noteArrival(): void {
+    this.arrivals++;
+  }
+
+  noteGap(ms: number): void {
+    this.gapMs += (ms - this.gapMs) * (this.gapMs === 0 ? 1 : GAP_SMOOTHING);
+  }
+
+  note(targetId: string, sign: AttemptSign, nowMs: number): void {
+    this.healthOf(targetId).note(sign, nowMs);
+  }
+
+  /** Counts a send; to be undone by `done`. */
+  begin(targetId: string, nowMs: number): void {
+    this.own.set(targetId, (this.own.get(targetId) ?? 0) + 1);
+    this.windowOf(targetId).add(nowMs);
+  }
+
+  done(targetId: string): void {
+    const left = (this.own.get(targetId) ?? 1) - 1;
+    if (left > 0) this.own.set(targetId, left);
+    else this.own.delete(targetId);
+  }
+
+  /** Report to the leader; arrivals are counted from here anew. */
+  takeLoad(): ServiceLoad {
+    const {arrivals} = this;
+    this.arrivals = 0;
+    return {
+      service: this.service,
+      inFlight: this.queue.inFlight,
+      waiting: this.queue.waitingCount,
+      arrivals,
+      byTarget: Object.fromEntries(this.own),
+      gapMs: this.queue.inFlight > 0 ? this.gapMs : 0,
+    };
+  }
+
+  /** Targets that may take work at all, whatever their load. */
+  usable(input: ChoiceInput): readonly TargetRecord[] {
+    return input.records.filter(
+      record =>
+        record.service === this.service &&
+        record.state === 'ready' &&
+        record.group?.open !== false &&
+        !input.zonesOut.has(record.availabilityZone)
+    );
+  }
+
+  /** The target for one send; undefined when none can take it now. */
+  choose(input: ChoiceInput): TargetRecord | undefined {
+    const {nowMs, tried, ownZone} = input;
+    const records = this.usable(input).filter(
+      ({id}) =>
+        !tried.has(id) &&
+        !this.healthOf(id).isPaused(nowMs) &&
+        this.withinRate(id, input)
+    );
+    const options = records.map((record): TargetOption => {
+      const health = this.healthOf(record.id);
+      return {
+        id: record.id,
+        slots: record.slots,
+        own: this.own.get(record.id) ?? 0,
+        others: this.others[record.id] ?? 0,
+        isNear: record.availabilityZone === ownZone,
+        failureRate: health.failureRate,
+        latencyMs: health.latencyMs,
+      };
+    });
+    const chosen = chooseTarget(options, Math.random);
+    return records.find(({id}) => id === chosen?.id);
+  }
+
+  /** Drops what is kept of targets that are no more. */
+  forget(known: ReadonlySet<string>): void {
+    for (const id of this.health.keys())
+      if (!known.has(id)) this.health.delete(id);
+    for (const id of this.windows.keys())
+      if (!known.has(id)) this.windows.delete(id);
+  }
+
+  private withinRate(id: string, input: ChoiceInput): boolean {
+    const {coldRequestsPerSecond} = input.service;
+    if (coldRequestsPerSecond === 0) return true;
+    const {coldMultiplier, coldSlack} = this.bounds;
+    const part = nodePartOf(
+      coldRequestsPerSecond,
+      coldMultiplier,
+      coldSlack,
+      input.activeNodes
+    );
+    return this.windowOf(id).allows(input.nowMs, part);
+  }
+
+  private healthOf(id: string): TargetHealth {
+    let health = this.health.get(id);
+    if (health === undefined) {
+      health = new TargetHealth();
+      this.health.set(id, health);
+    }
+    return health;
+  }
+
+  private windowOf(id: string): RateWindow {
+    let window = this.windows.get(id);
+    if (window === undefined) {
+      window = new RateWindow();
+      this.windows.set(id, window);
+    }
+    return window;
+  }
+}
--- /dev/null
+++ b/src/node/controlServer.ts
@@ -0,0 +1,162 @@
+/** The control address: announcements of targets and orders of operators. */
+
+import http from 'node:http';
+import {unreachable} from '../core/errors';
+import type {Logger} from '../core/logger';
+import type {ClusterNode} from '../cluster/clusterNode';
+import type {ControlCall, ControlCodec} from '../ports/controlPort';
+import {packText} from '../site/packText';
+
+/** The largest document: a few thousand routes. */
+const MAX_BODY_BYTES = 16 << 20;
+/** Targets announce themselves more often than that, and keep a connection. */
+const IDLE_MS = 15_000;
+
+interface Reply {
+  readonly status: number;
+  readonly body?: string;
+}
+
+const OK: Reply = {status: 200, body: '{}'};
+const UNAVAILABLE: Reply = {status: 503, body: '{"error":"no leader"}'};
+
+/** What the control address needs. */
+export interface ControlServerParts {
+  readonly node: ClusterNode;
+  readonly codec: ControlCodec;
+  readonly logger: Logger;
+}
+
+/** Serves calls at the control address. */
+export class ControlServer {
+  private readonly server = http.createServer((req, res) => {
+    void this.answer(req, res);
+  });
+
+  constructor(private readonly parts: ControlServerParts) {
+    this.server.keepAliveTimeout = IDLE_MS;
+  }
+
+  listen({host, port}: {host: string; port: number}): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async answer(
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<void> {
+    const {codec, logger} = this.parts;
+    const call = codec.readCall(req.method ?? '', req.url ?? '');
+    try {
+      const text = await readText(req);
+      const {status, body = ''} =
+        call === undefined ? NOT_FOUND : await this.handle(call, text);
+      if (status !== OK.status)
+        logger.warn({event: 'control.refused', call, status, body}, body);
+      res.writeHead(status, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body),
+      });
+      res.end(body);
+    } catch (err) {
+      logger.warn({event: 'control.failed', call, err: String(err)}, 'failed');
+      res.destroy();
+    }
+  }
+
+  private async handle(call: ControlCall, text: string): Promise<Reply> {
+    switch (call.kind) {
+      case 'announce':
+        return this.announce(call.id, text);
+      case 'leave':
+        this.parts.node.hearLeave(call.id);
+        return this.reported();
+      case 'putSite':
+        return this.putSite(text);
+      case 'getSite':
+        return this.getSite();
+      case 'zone':
+        return this.propose(call);
+      default:
+        return unreachable(call);
+    }
+  }
+
+  /**
+   * A goodbye counts once the leader knows it: from then on no node may send
+   * to the target, and only the leader can tell all of them.
+   */
+  private async announce(id: string, text: string): Promise<Reply> {
+    const {node, codec} = this.parts;
+    const announcement = codec.decodeAnnouncement(id, text);
+    if (announcement === undefined) return UNREADABLE;
+    node.hear(announcement);
+    return announcement.state === 'draining' ? this.reported() : OK;
+  }
+
+  private async reported(): Promise<Reply> {
+    try {
+      await this.parts.node.report();
+      return OK;
+    } catch (err) {
+      const detail = String(err);
+      this.parts.logger.warn({event: 'report.failed', err: detail}, detail);
+      return UNAVAILABLE;
+    }
+  }
+
+  private async putSite(text: string): Promise<Reply> {
+    const {codec} = this.parts;
+    const decoded = codec.decodeSite(text);
+    if (!decoded.ok)
+      return {status: 400, body: JSON.stringify({error: decoded.problem})};
+    const {version} = decoded.site;
+    return this.propose({kind: 'site', version, packed: packText(text)});
+  }
+
+  private async propose(
+    command: Parameters<ClusterNode['propose']>[0]
+  ): Promise<Reply> {
+    try {
+      await this.parts.node.propose(command);
+      return OK;
+    } catch (err) {
+      const detail = String(err);
+      this.parts.logger.warn({event: 'propose.failed', err: detail}, detail);
+      return UNAVAILABLE;
+    }
+  }
+
+  private async getSite(): Promise<Reply> {
+    try {
+      const {text} = await this.parts.node.readSite();
+      return text === '' ? UNAVAILABLE : {status: 200, body: text};
+    } catch (err) {
+      const detail = String(err);
+      this.parts.logger.warn({event: 'read.failed', err: detail}, detail);
+      return UNAVAILABLE;
+    }
+  }
+}
+
+const NOT_FOUND: Reply = {status: 404, body: '{"error":"no such call"}'};
+const UNREADABLE: Reply = {status: 400, body: '{"error":"not understood"}'};
+
+async function readText(req: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > MAX_BODY_BYTES) throw new Error('the body is too large');
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- /dev/null
+++ b/src/node/nodeProcess.ts
@@ -0,0 +1,147 @@
+/**
+ * A node: the gateway that callers reach, the address for targets and
+ * operators, and, with a disk, an instance of the log. One process, since both
+ * share what they know, and each process costs its memory on every machine.
+ */
+
+import http from 'node:http';
+import {Subscription} from 'rxjs';
+import type {Logger} from '../core/logger';
+import {ClusterNode} from '../cluster/clusterNode';
+import {Gateway} from '../gateway/gateway';
+import {GatewayServer} from '../gateway/gatewayServer';
+import type {CallerCodec} from '../ports/callerPort';
+import type {ControlCodec} from '../ports/controlPort';
+import type {RankCodec} from '../ports/rankPort';
+import type {TargetCodec} from '../ports/targetPort';
+import type {NodeSettings} from '../settings/settings';
+import {ControlServer} from './controlServer';
+
+/** The interface of one platform. */
+export interface PlatformCodecs {
+  readonly callers: CallerCodec;
+  readonly targets: TargetCodec;
+  readonly control: ControlCodec;
+  readonly ranks: RankCodec;
+}
+
+/** What a node is started with. */
+export interface NodeParts {
+  readonly settings: NodeSettings;
+  readonly codecs: PlatformCodecs;
+  readonly logger: Logger;
+}
+
+/**
+ * Callers are still led here until two looks at the readiness, a second apart,
+ * have failed.
+ */
+const CALLERS_LEAVE_MS = 3_000;
+/** Left of the grace for the end itself. */
+const FAREWELL_MS = 600;
+const MS_PER_S = 1_000;
+
+/** A running node. */
+export class NodeProcess {
+  private ready = false;
+  private readonly subscription = new Subscription();
+
+  private constructor(
+    private readonly parts: NodeParts,
+    private readonly node: ClusterNode,
+    private readonly callers: GatewayServer,
+    private readonly control: ControlServer,
+    private readonly readyServer: http.Server
+  ) {}
+
+  static async start(parts: NodeParts): Promise<NodeProcess> {
+    const {settings, codecs, logger} = parts;
+    const {listen, bounds} = settings;
+    let node: ClusterNode | undefined = undefined;
+    const gateway = new Gateway({
+      callers: codecs.callers,
+      targets: codecs.targets,
+      availabilityZone: settings.process.availabilityZone,
+      logger,
+      bounds: {
+        retries: {
+          ratio: bounds.retryRatio,
+          slack: bounds.retrySlack,
+          windowMs: bounds.retryWindowS * MS_PER_S,
+        },
+        coldMultiplier: bounds.coldMultiplier,
+        coldSlack: bounds.coldSlack,
+      },
+      node: () => node,
+    });
+    node = await ClusterNode.start(clusterOptions(parts, gateway));
+    const callers = new GatewayServer(gateway);
+    const control = new ControlServer({node, codec: codecs.control, logger});
+    const readyServer = http.createServer();
+    const running = new NodeProcess(parts, node, callers, control, readyServer);
+    readyServer.on('request', (req, res) => running.tellReady(req, res));
+    await callers.listen(listen.callers);
+    await control.listen(listen.control);
+    await new Promise<void>((resolve, reject) => {
+      readyServer.once('error', reject);
+      readyServer.listen(listen.ready.port, listen.ready.host, resolve);
+    });
+    running.ready = true;
+    return running;
+  }
+
+  /** Takes over what may change while it runs. */
+  reload(settings: NodeSettings): void {
+    this.node.setSeeds(settings.cluster.seeds);
+  }
+
+  /**
+   * First nothing new is led here, then what still comes is turned away, then
+   * what is in work ends; the lead goes to another node at once.
+   */
+  async drain(): Promise<void> {
+    const graceMs = this.parts.settings.bounds.graceS * MS_PER_S;
+    this.ready = false;
+    this.callers.beginDrain();
+    await wait(Math.min(CALLERS_LEAVE_MS, graceMs / 2));
+    this.callers.turnAway();
+    const leftMs = graceMs - CALLERS_LEAVE_MS - FAREWELL_MS;
+    await this.callers.idle(Math.max(0, leftMs));
+    this.callers.close();
+    this.control.close();
+    this.readyServer.close();
+    this.subscription.unsubscribe();
+    await this.node.stop();
+  }
+
+  /** Ready means: a request that comes now can be routed. */
+  private tellReady(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const isKnown = req.url === this.parts.codecs.control.readinessPath;
+    const isReady = this.ready && this.node.view.index !== undefined;
+    res.statusCode = !isKnown ? 404 : isReady ? 200 : 503;
+    res.end();
+  }
+}
+
+function clusterOptions(
+  {settings, codecs, logger}: NodeParts,
+  gateway: Gateway
+) {
+  const {cluster, bounds} = settings;
+  return {
+    self: {ip: settings.process.host, hasDisk: cluster.dataFolder !== ''},
+    port: cluster.port,
+    seeds: cluster.seeds,
+    dataDir: cluster.dataFolder,
+    isFirstStart: cluster.firstStart === 'true',
+    lossesBorne: cluster.lossesBorne,
+    heartbeatMs: bounds.heartbeatMs,
+    logger,
+    decodeSite: codecs.control.decodeSite,
+    takeLoads: () => gateway.takeLoads(),
+  };
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -13,11 +13,14 @@
   ClientSettings,
   ControlSettings,
   EntrySettings,
+  NodeSettings,
   SettingsOf,
   SharedSecrets,
 } from './settings';
 
 type AnyValues = SettingsValues<SettingsRole>;
+/** Roles whose processes prove themselves to each other by a secret. */
+type SecretValues = Extract<AnyValues, {internal: unknown}>;
 
 /** A proof must outlive a few polls, or one late answer would stop service. */
 const MIN_POLLS_PER_PROOF = 4;
@@ -55,7 +58,7 @@
 function readSecret(
   file: string,
   name: SecretName,
-  internal: AnyValues['internal'],
+  internal: SecretValues['internal'],
   problems: string[]
 ): string | undefined {
   const given: Readonly<Partial<Record<string, unknown>>> = internal;
@@ -71,7 +74,7 @@
 
 function readSecrets(
   file: string,
-  internal: AnyValues['internal'],
+  internal: SecretValues['internal'],
   problems: string[]
 ): SharedSecrets {
   const key = readSecret(file, 'key', internal, problems);
@@ -95,6 +98,7 @@
 }
 
 function checkProof(values: AnyValues, problems: string[]): void {
+  if (!('control' in values)) return;
   const {control} = values;
   if (!('proof-ms' in control)) return;
   if (control['proof-ms'] < MIN_POLLS_PER_PROOF * control['poll-ms'])
@@ -105,7 +109,7 @@
 
 /** A control instance is reached at the address that the others know. */
 function checkOwnAddress(values: AnyValues, problems: string[]): void {
-  if (!('data' in values)) return;
+  if (!('data' in values && 'control' in values)) return;
   const {process, internal, control} = values;
   const own = control.instances.find(item => item.id === process.id);
   if (own === undefined)
@@ -132,7 +136,7 @@
   file: string,
   name: string,
   section: Section,
-  secrets: SharedSecrets
+  secrets: SharedSecrets | undefined
 ): Section | ReadonlyMap<string, unknown> {
   switch (name) {
     case 'customer-keys':
@@ -152,7 +156,7 @@
 function toSettings<R extends SettingsRole>(
   file: string,
   values: AnyValues,
-  secrets: SharedSecrets
+  secrets: SharedSecrets | undefined
 ): SettingsOf<R> {
   const sections = Object.entries(values).map(([name, section]) => [
     camelCase(name),
@@ -171,7 +175,10 @@
     throw new ConfigError(read.problems.map(text => `${file}: ${text}`));
   const values: AnyValues = read.values;
   const problems: string[] = [];
-  const secrets = readSecrets(file, values.internal, problems);
+  const secrets =
+    'internal' in values
+      ? readSecrets(file, values.internal, problems)
+      : undefined;
   checkProcess(values, problems);
   checkProof(values, problems);
   checkOwnAddress(values, problems);
@@ -199,3 +206,8 @@
 export function loadClientSettings(file: string): ClientSettings {
   return loadSettings('client', file);
 }
+
+/** Loads the settings of a node. */
+export function loadNodeSettings(file: string): NodeSettings {
+  return loadSettings('node', file);
+}
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -3,10 +3,13 @@
 import * as z from 'zod';
 import {integer, name, oneOf} from '../core/textSchemas';
 import {
+  addressList,
   anyPort,
+  decimal,
   filePath,
   fixedPort,
   headerName,
+  hostPort,
   instanceList,
   ipAddress,
   secret,
@@ -142,6 +145,63 @@
   ),
 });
 
+const NODE_CLUSTER = z.strictObject({
+  port: setting(fixedPort(), 'port for the other nodes, the same on all'),
+  seeds: setting(
+    addressList(),
+    'nodes to ask first for the others; HOST or HOST:PORT, separated by commas'
+  ),
+  'first-start': setting(
+    oneOf('true', 'false').default('false'),
+    'whether the whole deployment starts for the first time, with empty disks'
+  ),
+  'losses-borne': setting(
+    integer(0, 100).default(1),
+    'nodes with a disk whose loss at once is borne'
+  ),
+  'data-folder': setting(
+    z.string().default(''),
+    'folder for what must survive; empty on a node without a disk'
+  ),
+});
+
+const LISTEN = z.strictObject({
+  callers: setting(hostPort(), 'HOST:PORT for callers'),
+  ready: setting(hostPort(), 'HOST:PORT that tells whether to send callers'),
+  control: setting(hostPort(), 'HOST:PORT for targets and operators'),
+});
+
+const BOUNDS = z.strictObject({
+  'heartbeat-ms': setting(
+    integer(100, MINUTE_MS),
+    'period at which targets announce themselves'
+  ),
+  'retry-ratio': setting(
+    decimal(0, 1),
+    'repeats for each request, over all nodes'
+  ),
+  'retry-slack': setting(
+    integer(0, 1_000_000),
+    'repeats in a window that are allowed besides'
+  ),
+  'retry-window-s': setting(
+    decimal(0.1, 600),
+    'span in which repeats are counted, seconds'
+  ),
+  'cold-multiplier': setting(
+    decimal(0, 100),
+    'times the rate that a cold target is said to bear'
+  ),
+  'cold-slack': setting(
+    integer(0, 1_000_000),
+    'requests a second to a cold target beyond that'
+  ),
+  'grace-s': setting(
+    decimal(0.5, 3600),
+    'time from SIGTERM until the process is killed, seconds'
+  ),
+});
+
 /** Sections of the settings by role. */
 export const SECTIONS = {
   entry: z.strictObject({
@@ -163,6 +223,18 @@
     control: z.strictObject({instances: INSTANCES}),
     data: DATA,
   }),
+  node: z.strictObject({
+    process: PROCESS,
+    cluster: NODE_CLUSTER,
+    listen: LISTEN,
+    bounds: BOUNDS,
+    metrics: z.strictObject({
+      port: setting(
+        anyPort().default(0),
+        'port that serves the metrics as text; 0 for any'
+      ),
+    }),
+  }),
   client: z.strictObject({
     internal: z.strictObject(SECRET),
     control: CLIENT_CONTROL,
--- a/src/settings/settingSchemas.ts
+++ b/src/settings/settingSchemas.ts
@@ -9,6 +9,7 @@
 const MAX_PORT = 65_535;
 const SHORTEST_SECRET = 16;
 const ADDRESS = /^([^@\s]+)@(?:\[([^\]]+)\]|([^:\s]+)):(\d{1,5})$/;
+const HOST_PORT = /^(?:\[([^\]]+)\]|([^:\s]+)):(\d{1,5})$/;
 const TOKEN = /^[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}$/;
 const NAME = name();
 
@@ -107,3 +108,45 @@
     }
   );
 }
+
+/** An address and a port to listen at. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+function readHostPort(text: string): HostPort | undefined {
+  const [, ipv6, ipv4, portText = ''] = HOST_PORT.exec(text) ?? [];
+  const host = ipv6 ?? ipv4 ?? '';
+  const port = readPort(portText, 0);
+  return isIP(host) === 0 || port === undefined ? undefined : {host, port};
+}
+
+/** An address and a port to listen at. */
+export function hostPort() {
+  return textSchema('IP:PORT, or [IPV6]:PORT', readHostPort);
+}
+
+/** IP addresses of other nodes; a port after one of them is passed over. */
+export function addressList() {
+  return textSchema(
+    'IP addresses separated by commas',
+    (text): readonly string[] | undefined => {
+      const hosts = text
+        .split(',')
+        .map(part => part.trim())
+        .filter(part => part !== '')
+        .map(part => readHostPort(part)?.host ?? part);
+      return hosts.every(host => isIP(host) > 0) ? hosts : undefined;
+    }
+  );
+}
+
+/** A number that need not be whole. */
+export function decimal(low: number, high: number) {
+  return textSchema(`a number from ${low} to ${high}`, text =>
+    /^\d{1,9}(\.\d{1,9})?$/.test(text)
+      ? within(Number(text), low, high)
+      : undefined
+  );
+}
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -43,5 +43,7 @@
 export type AgentSettings = SettingsOf<'agent'>;
 /** Settings of a control instance. */
 export type ControlSettings = SettingsOf<'control'>;
+/** Settings of a node. */
+export type NodeSettings = SettingsOf<'node'>;
 /** Settings of the operators' client. */
 export type ClientSettings = SettingsOf<'client'>;
--- /dev/null
+++ b/src/site/siteIndex.ts
@@ -0,0 +1,42 @@
+/** Looks up routes and keys of a site; built once for each version. */
+
+import type {Site, SiteCustomer, SiteRoute} from './site';
+
+/** Lookup tables of one version. */
+export class SiteIndex {
+  private readonly byHost = new Map<string, SiteRoute[]>();
+  private readonly byKey = new Map<string, SiteCustomer>();
+
+  constructor(readonly site: Site) {
+    for (const route of site.routes) this.addRoute(route);
+    // Longest first: the first that matches is the most specific.
+    for (const routes of this.byHost.values())
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    for (const customer of site.customers)
+      for (const key of customer.keys) this.byKey.set(key, customer);
+  }
+
+  /** Whether callers must name themselves by a key. */
+  get asksForKeys(): boolean {
+    return this.site.customers.length > 0;
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  findRoute(host: string, path: string): SiteRoute | undefined {
+    const name = host.replace(/:\d+$/, '').toLowerCase();
+    return this.byHost
+      .get(name)
+      ?.find(route => path.startsWith(route.pathPrefix));
+  }
+
+  findCustomer(key: string): SiteCustomer | undefined {
+    return this.byKey.get(key);
+  }
+
+  private addRoute(route: SiteRoute): void {
+    const host = route.host.toLowerCase();
+    const routes = this.byHost.get(host);
+    if (routes === undefined) this.byHost.set(host, [route]);
+    else routes.push(route);
+  }
+}
--- a/tests/chatRequest.spec.ts
+++ b/tests/chatRequest.spec.ts
@@ -5,7 +5,7 @@
   parseCallerResume,
   parseChatRequest,
 } from '../src/entry/chat/chatRequest';
-import {SseParser} from '../src/entry/chat/sseParser';
+import {SseParser} from '../src/core/sseParser';
 
 const parse = (body: unknown) =>
   parseChatRequest(Buffer.from(JSON.stringify(body)), 'entry-1');
--- a/tests/drivenLog.ts
+++ b/tests/drivenLog.ts
@@ -28,7 +28,7 @@
 });
 export const OPTIONS = {
   id: 'a',
-  peerIds: ['b', 'c'],
+  peerIds: () => ['b', 'c'],
   random: () => 0.5,
   timing: DEFAULT_TIMING,
   batchEntries: 64,
--- a/tests/logCluster.ts
+++ b/tests/logCluster.ts
@@ -5,7 +5,8 @@
 import path from 'node:path';
 import type {Logger} from '../src/core/logger';
 import type {Command, CommandResult} from '../src/control/state/command';
-import type {LogLimits, LogPeer} from '../src/control/log/createReplicatedLog';
+import type {LogLimits, LogPeer} from '../src/control/log/logOptions';
+import {fixedPeers} from '../src/control/log/logOptions';
 import {createReplicatedLog} from '../src/control/log/createReplicatedLog';
 import type {LogStorage} from '../src/control/log/logStorage';
 import type {
@@ -155,7 +156,7 @@
     const others = this.ids.filter(other => other !== id);
     const log = await createReplicatedLog({
       id,
-      peers: others.map(other => this.link(id, other)),
+      peers: fixedPeers(others.map(other => this.link(id, other))),
       dataDir: this.dataDir(id),
       stateMachine: state,
       logger: SILENT,
