Follow shifts of demand by the pace of streams, and bound requests by their worst cost

Cause: a map came in force 4 s after a shift; shifts come every 3.6 s. Counts of all ranks showed that demand changes at once and that one rank's tokens of a few passes tell it within a hundredth, so a memory of seconds only blurred it.

Change: one rank is read, when the pace of streams slows down or 0.9 s passed; a reading across a shift is read again; small switches; measured passes for the lead; places follow the worst cost of a request in 6 s.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -148,6 +148,7 @@
           records,
           loads,
           acceptedPauseMs,
+          nowMs: now,
         });
         return [name, lendShares(places, demandsOf(name, reports))];
       })
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -68,8 +68,8 @@
   arrivals: COUNT,
   /** Requests at each target now, by its id. */
   byTarget: z.record(TEXT, COUNT),
-  /** Mean pause between events of streams lately, milliseconds; 0 unknown. */
-  gapMs: COUNT,
+  /** Pace of passes, milliseconds; 0 unknown. */
+  paceMs: COUNT,
 });
 /** What one node sees of one service. */
 export type ServiceLoad = z.infer<typeof SERVICE_LOAD>;
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -7,19 +7,18 @@
  * accept, fewer requests give more answers in time.
  */
 
+import {PassCost} from '../policy/passCost';
 import type {SiteService} from '../site/site';
 import type {TargetRecord} from '../site/announcement';
 import type {ServiceLoad} from './messages';
 
 /**
- * Part of the accepted pause at which the bound begins to shrink: pauses vary
- * by about a fifth around their mean, and the longest one decides.
+ * Part of the accepted pause that the longest pace may take: prompts that are
+ * read beside the streams make single passes longer than their median.
  */
-const PAUSE_ROOM = 0.8;
+const PAUSE_ROOM = 0.9;
 /** Never below this part of all places: a wrong reading must not stop service. */
-const LEAST_PART = 0.4;
-/** Weight of one new reading; five readings of 250 ms follow a shift. */
-const SMOOTHING = 0.2;
+const LEAST_PART = 0.5;
 /** Requests at a plain target beside those in work: its next ones are there. */
 const PLAIN_QUEUE = 1;
 
@@ -31,25 +30,52 @@
   readonly loads: readonly ServiceLoad[];
   /** Longest pause that callers accept, milliseconds; 0 when none is set. */
   readonly acceptedPauseMs: number;
+  readonly nowMs: number;
 }
 
-/** Places by service, smoothed over time. */
+/** Places by service. */
 export class PlacesEstimate {
-  private readonly bounds = new Map<string, number>();
+  private readonly costs = new Map<string, PassCost>();
 
   /** Places of a service now; to be asked once each period of reports. */
   next(input: PlacesInput): number {
     const {service, records} = input;
     const slots = workingSlots(service.name, records);
     if (service.engine === undefined) return slots * (1 + PLAIN_QUEUE);
-    const wanted = boundedBy(input, slots);
-    const before = Math.min(slots, this.bounds.get(service.name) ?? slots);
-    const bound = before + (wanted - before) * SMOOTHING;
-    this.bounds.set(service.name, bound);
-    return bound;
+    return Math.min(slots, this.boundOf(input, slots));
+  }
+
+  /** Requests at which a pass takes no longer than it may, at its worst. */
+  private boundOf(input: PlacesInput, slots: number): number {
+    const {service, loads, acceptedPauseMs, nowMs} = input;
+    const {engine} = service;
+    if (engine === undefined || acceptedPauseMs === 0) return slots;
+    const fixedMs = engine.stepMs * engine.stepsPerPass;
+    const running = loads.reduce((sum, load) => sum + load.inFlight, 0);
+    const cost = this.costOf(service.name);
+    cost.note(medianPace(loads), fixedMs, running, nowMs);
+    const worstMs = cost.worstMs(nowMs);
+    if (worstMs === 0) return slots;
+    const roomMs = acceptedPauseMs * PAUSE_ROOM - fixedMs;
+    return Math.max(slots * LEAST_PART, roomMs / worstMs);
+  }
+
+  private costOf(service: string): PassCost {
+    const known = this.costs.get(service);
+    if (known !== undefined) return known;
+    const cost = new PassCost();
+    this.costs.set(service, cost);
+    return cost;
   }
 }
 
+/** One node that reads slowly must not stand for the group. */
+function medianPace(loads: readonly ServiceLoad[]): number {
+  const paces = loads.map(({paceMs}) => paceMs).filter(ms => ms > 0);
+  paces.sort((a, b) => a - b);
+  return paces[Math.floor(paces.length / 2)] ?? 0;
+}
+
 function workingSlots(
   service: string,
   records: readonly TargetRecord[]
@@ -62,21 +88,3 @@
   }
   return slots;
 }
-
-/** Requests at which a pass takes no longer than it may. */
-function boundedBy(input: PlacesInput, slots: number): number {
-  const {service, loads, acceptedPauseMs} = input;
-  const {engine} = service;
-  const measured = loads.filter(({gapMs}) => gapMs > 0);
-  const running = measured.reduce((sum, load) => sum + load.inFlight, 0);
-  if (engine === undefined || acceptedPauseMs === 0 || running === 0)
-    return slots;
-  const gapMs =
-    measured.reduce((sum, load) => sum + load.gapMs * load.inFlight, 0) /
-    running;
-  const aimMs = acceptedPauseMs * PAUSE_ROOM;
-  if (gapMs <= aimMs) return slots;
-  const fixedMs = engine.stepMs * engine.stepsPerPass;
-  const fitting = (running * (aimMs - fixedMs)) / Math.max(1, gapMs - fixedMs);
-  return Math.max(slots * LEAST_PART, Math.min(slots, fitting));
-}
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -307,7 +307,7 @@
         const latencyMs = nowMs - startedAtMs;
         pool.note(target.id, {kind: 'good', latencyMs}, nowMs);
       },
-      onGap: ms => pool.noteGap(ms),
+      onGap: ms => pool.pace.note(ms, performance.now()),
     });
     cancel.removeEventListener('abort', stop);
     if (state.stopped !== undefined) {
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -4,6 +4,7 @@
 import type {TargetRecord} from '../site/announcement';
 import type {SiteService} from '../site/site';
 import {AdmissionQueue} from '../policy/admissionQueue';
+import {PassPace} from '../policy/passPace';
 import {RateWindow, nodePartOf} from '../policy/rateWindow';
 import type {TargetOption} from '../policy/targetChoice';
 import {chooseTarget} from '../policy/targetChoice';
@@ -14,8 +15,6 @@
 
 /** Before a leader has lent any places: enough to begin with. */
 const FIRST_PLACES = 2;
-/** Weight of one pause between events; about fifty follow a change. */
-const GAP_SMOOTHING = 0.04;
 
 /** Bounds of the deployment that a pool keeps to. */
 export interface PoolBounds {
@@ -42,12 +41,12 @@
 export class ServicePool {
   readonly queue = new AdmissionQueue();
   readonly budget: WindowBudget;
+  readonly pace = new PassPace();
   private readonly health = new Map<string, TargetHealth>();
   private readonly windows = new Map<string, RateWindow>();
   private readonly own = new Map<string, number>();
   private others: Readonly<Record<string, number>> = {};
   private arrivals = 0;
-  private gapMs = 0;
 
   constructor(
     private readonly service: string,
@@ -67,10 +66,6 @@
     this.arrivals++;
   }
 
-  noteGap(ms: number): void {
-    this.gapMs += (ms - this.gapMs) * (this.gapMs === 0 ? 1 : GAP_SMOOTHING);
-  }
-
   note(targetId: string, sign: AttemptSign, nowMs: number): void {
     this.healthOf(targetId).note(sign, nowMs);
   }
@@ -97,7 +92,7 @@
       waiting: this.queue.waitingCount,
       arrivals,
       byTarget: Object.fromEntries(this.own),
-      gapMs: this.queue.inFlight > 0 ? this.gapMs : 0,
+      paceMs: this.pace.paceMs(performance.now()),
     };
   }
 
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -89,7 +89,9 @@
       readyServer.once('error', reject);
       readyServer.listen(listen.ready.port, listen.ready.host, resolve);
     });
-    const director = new RankDirector(node, codecs.ranks, logger);
+    const director = new RankDirector(node, codecs.ranks, logger, service =>
+      gateway.pool(service).pace.paceMs(performance.now())
+    );
     running.subscription.add(
       interval(DIRECTOR_TICK_MS).subscribe(() =>
         director.tick(performance.now())
--- a/src/ranks/expertDemand.ts
+++ b/src/ranks/expertDemand.ts
@@ -1,69 +1,63 @@
 /**
- * Which experts are in demand, from the counts of a few ranks. Requests are
- * spread over all ranks whatever they ask, so that some ranks tell nearly what
- * all would; reading each one pauses the group and is paid for.
+ * Which experts are in demand, from the counts of one rank. Requests are spread
+ * over all ranks whatever they ask, and each token chooses by itself, so that
+ * the tokens of one rank in a few passes tell what all choose: the part of the
+ * most popular expert within one in a hundred. What is in demand changes at
+ * once, not bit by bit, so that older choices only blur what is seen.
  */
 
 import type {ExpertCounts} from '../ports/rankPort';
 
-/** Counts of one rank at its last reading. */
-interface Reading {
-  readonly epoch: number;
-  readonly counts: readonly number[];
-}
+/** Choices of one set that tell the parts of all but the rarest experts. */
+const ENOUGH_PER_SET = 4_000;
 
-/** Demand by expert, over all sets in a row; older requests count less. */
+/** Demand between the two latest readings that are far enough apart. */
 export class ExpertDemand {
-  private readonly readings = new Map<string, Reading>();
-  private demand: number[] = [];
-  private atMs: number | undefined;
+  private base: ExpertCounts | undefined;
+  private latest: readonly number[] = [];
 
   constructor(
-    /** Time in which the weight of what was seen falls to a third. */
-    private readonly memoryMs: number
+    private readonly sets: number,
+    private readonly experts: number
   ) {}
 
-  /** Takes in a reading of one rank. */
-  note(rankId: string, {epoch, counts}: ExpertCounts, nowMs: number): void {
-    const before = this.readings.get(rankId);
-    this.readings.set(rankId, {epoch, counts});
-    if (before === undefined || before.epoch !== epoch) return;
-    this.age(nowMs);
-    counts.forEach((count, expert) => {
-      const fresh = Math.max(0, count - (before.counts[expert] ?? 0));
-      this.demand[expert] = (this.demand[expert] ?? 0) + fresh;
-    });
-  }
-
-  /** Choices seen and not yet faded; tells how far the demand can be trusted. */
-  get weight(): number {
-    return this.demand.reduce((sum, value) => sum + value, 0);
+  /** Takes in a reading; true when it shows something new. */
+  note(reading: ExpertCounts): boolean {
+    const {base} = this;
+    if (base === undefined || isOtherLife(base, reading)) {
+      this.base = reading;
+      return false;
+    }
+    const fresh = reading.counts.map((n, i) => n - (base.counts[i] ?? 0));
+    const seen = fresh.reduce((sum, count) => sum + count, 0);
+    if (seen < ENOUGH_PER_SET * this.sets) return false;
+    this.base = reading;
+    this.latest = fresh;
+    return true;
   }
 
-  /** Demand of one set. */
-  ofSet(set: number, experts: number): readonly number[] {
-    const from = set * experts;
-    const part = this.demand.slice(from, from + experts);
-    while (part.length < experts) part.push(0);
+  /** Demand of one set; all alike before anything was seen. */
+  ofSet(set: number): readonly number[] {
+    const from = set * this.experts;
+    const part = this.latest.slice(from, from + this.experts);
+    while (part.length < this.experts) part.push(0);
     return withPrior(part);
   }
+}
 
-  private age(nowMs: number): void {
-    const elapsedMs = nowMs - (this.atMs ?? nowMs);
-    this.atMs = nowMs;
-    if (elapsedMs <= 0) return;
-    const kept = Math.exp(-elapsedMs / this.memoryMs);
-    this.demand = this.demand.map(value => value * kept);
-  }
+/** The rank started anew, and its counts with it. */
+function isOtherLife(before: ExpertCounts, now: ExpertCounts): boolean {
+  if (before.epoch !== now.epoch) return true;
+  return now.counts.some((count, i) => count < (before.counts[i] ?? 0));
 }
 
 /**
  * An expert that was not chosen lately will be chosen some time: it counts as
- * a tenth of the mean, so that a rank is not filled up with ten of them.
+ * a twentieth of the mean, so that no rank is filled up with such ones.
  */
-const PRIOR_PART = 0.1;
+const PRIOR_PART = 0.05;
 
 function withPrior(demand: readonly number[]): readonly number[] {
   const mean = demand.reduce((sum, value) => sum + value, 0) / demand.length;
-  return demand.map(value => value + mean * PRIOR_PART);
+  return demand.map(value => value + Math.max(mean, 1) * PRIOR_PART);
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -17,28 +17,46 @@
 import type {SentOrder} from './rankSwitch';
 import {RankSwitch} from './rankSwitch';
 
+/** Between two readings of the counts, milliseconds. */
+const READ_PERIOD_MS = 900;
+/** A pace that is longer than the usual one by this part tells of a shift. */
+const SLOWER_PART = 0.18;
+/** Least time between two readings that the pace calls for, milliseconds. */
+const PACE_READ_MS = 500;
 /**
- * Ranks whose counts are read. Requests choose by their content, so that a
- * quarter of them shows what is in demand as a whole.
+ * Weights of one look at the pace in what counts as usual: a map that helps
+ * shows at once, a slow pace must not become usual before it is answered.
  */
-const SAMPLED_PART = 0.25;
-const LEAST_SAMPLED = 3;
-/** Between two readings. A shift shows in the second one after it. */
-const READ_PERIOD_MS = 800;
-/** Weight of older demand falls to a third in this time. */
-const MEMORY_MS = 2_500;
-/** Choices that must have been seen before a plan is made. */
-const LEAST_WEIGHT = 2_000;
+const USUAL_FALL = 0.3;
+const USUAL_RISE = 0.01;
+/**
+ * After a reading that shows another demand: what is read then is of the new
+ * demand alone. A few passes fit in.
+ */
+const REREAD_MS = 170;
+/** Skew of the map in use beyond that after its switch which means a shift. */
+const SHIFT_SKEW = 0.2;
 /** Reports are read this often while a switch goes on. */
-const REPORT_PERIOD_MS = 150;
+const REPORT_PERIOD_MS = 100;
 /** And this often otherwise, to find holds that came late. */
 const IDLE_REPORT_PERIOD_MS = 2_000;
-/** Fall of the mean skew of the sets that a switch must bring. */
-const LEAST_GAIN = 0.08;
+/**
+ * Fall of the mean skew of the sets that a switch must bring. Four dozen copies
+ * and two dozen orders cost what a group earns in a tenth of a second; a skew
+ * that falls by 0.3 shortens passes by a tenth for the seconds until the next
+ * shift.
+ */
+const LEAST_GAIN = 0.3;
+/** Copies of one set in one plan, in parts of the ranks. */
+const MOST_COPIES = 0.75;
 /** The same for one copy of an expert; see `planSpread`. */
 const GAIN_PER_COPY = 0.01;
-/** A plan for one set copies no more than this part of all places. */
-const MOST_COPIED_PART = 0.3;
+/**
+ * Copies of one set that a rank takes in with one switch. A copy takes a tenth
+ * of a second, and demand moves on: two small switches bring more than one
+ * large one that comes in force when it is outdated.
+ */
+const COPIES_PER_RANK = 1;
 
 /** One rank of the group. */
 export interface GroupRank {
@@ -55,6 +73,8 @@
   readonly ranks: readonly GroupRank[];
   readonly codec: RankCodec;
   readonly logger: Logger;
+  /** Length of a pass as this node's streams show it; 0 when none runs. */
+  paceMs(): number;
 }
 
 /** Versions of one orderer are apart from those of all others. */
@@ -62,9 +82,18 @@
 
 /** One group in one epoch, under one leader. */
 export class GroupController {
-  private readonly demand = new ExpertDemand(MEMORY_MS);
+  private readonly demand: ExpertDemand;
   private readonly machine: RankSwitch;
-  private lastReadMs = -Infinity;
+  private readAtMs = -Infinity;
+  /** When the pace last called for a reading. */
+  private paceReadMs = -Infinity;
+  private usualPaceMs = 0;
+  /** Whether the next reading is of the new demand alone. */
+  private isReread = false;
+  /** Whether what is in demand is known and not planned for yet. */
+  private isPlanDue = false;
+  /** Mean skew when the map in use was planned. */
+  private plannedSkew = 1;
   private lastReportsMs = -Infinity;
   private nextVersionSeen = '';
   private isPlanning = false;
@@ -74,6 +103,7 @@
     nowMs: number
   ) {
     const {ranks, engine, scope} = parts;
+    this.demand = new ExpertDemand(engine.expertSets, engine.experts);
     this.machine = new RankSwitch(
       ranks.length,
       dealtInTurn(engine, ranks.length),
@@ -97,55 +127,75 @@
       this.lastReportsMs = nowMs;
       this.readReports();
     }
-    if (nowMs - this.lastReadMs < READ_PERIOD_MS) return;
-    this.lastReadMs = nowMs;
-    void this.readAndPlan();
+    this.watchPace(nowMs);
+    if (nowMs >= this.readAtMs) {
+      this.readAtMs = nowMs + READ_PERIOD_MS;
+      void this.look(nowMs);
+    }
+    if (this.isPlanDue) void this.plan();
   }
 
-  private async readAndPlan(): Promise<void> {
-    const {ranks} = this.parts;
-    const sampled = Math.max(
-      LEAST_SAMPLED,
-      Math.ceil(ranks.length * SAMPLED_PART)
-    );
-    const step = Math.max(1, Math.floor(ranks.length / sampled));
-    const chosen = ranks.filter((_, rank) => rank % step === 0);
-    await Promise.all(chosen.slice(0, sampled).map(rank => this.read(rank)));
-    await this.plan();
+  /** A slower pace calls for a reading at once. */
+  private watchPace(nowMs: number): void {
+    const paceMs = this.parts.paceMs();
+    if (paceMs === 0) return;
+    const isSlower = paceMs > this.usualPaceMs * (1 + SLOWER_PART);
+    const isKnown = this.usualPaceMs > 0;
+    if (isSlower && isKnown && nowMs - this.paceReadMs >= PACE_READ_MS) {
+      this.paceReadMs = nowMs;
+      this.readAtMs = Math.min(this.readAtMs, nowMs);
+    }
+    const follow = isSlower ? USUAL_RISE : USUAL_FALL;
+    this.usualPaceMs += (paceMs - this.usualPaceMs) * (isKnown ? follow : 1);
   }
 
-  private async read({id, address}: GroupRank): Promise<void> {
-    const {codec, logger, scope} = this.parts;
-    const answer = await callRank(address, codec.countsCall());
+  /**
+   * A reading that spans a shift mixes two demands. It only tells that there
+   * was one; the plan rests on the next reading.
+   */
+  private async look(nowMs: number): Promise<void> {
+    const before = this.skew();
+    if (!(await this.read())) return;
+    const skew = this.skew();
+    const isMixed = skew > Math.max(before, this.plannedSkew) + SHIFT_SKEW;
+    const isShift = isMixed && !this.isReread;
+    this.isReread = isShift;
+    if (isShift) this.readAtMs = Math.min(this.readAtMs, nowMs + REREAD_MS);
+    this.isPlanDue = !isShift;
+    const {name, logger} = this.parts;
+    logger.debug({event: 'map.looked', group: name, skew, isShift}, 'looked');
+  }
+
+  private async read(): Promise<boolean> {
+    const {codec, logger, scope, ranks, name} = this.parts;
+    const [first] = ranks;
+    const answer = await callRank(first?.address ?? '', codec.countsCall());
     const counts =
       answer?.status === OK ? codec.readCounts(answer.text) : undefined;
-    if (counts === undefined || counts.epoch !== scope.epoch) {
-      logger.debug({event: 'ranks.unread', id}, 'counts not read');
-      return;
-    }
-    this.demand.note(id, counts, performance.now());
+    if (counts !== undefined && counts.epoch === scope.epoch)
+      return this.demand.note(counts);
+    logger.info({event: 'map.unread', group: name}, 'counts not read');
+    return false;
   }
 
   /** Plans set by set, with a pause between them: a large group takes long. */
   private async plan(): Promise<void> {
     if (this.machine.state.kind !== 'idle' || this.isPlanning) return;
-    if (this.demand.weight < LEAST_WEIGHT) return;
     this.isPlanning = true;
+    this.isPlanDue = false;
     const {engine} = this.parts;
     const lists: MapLists[number][] = [];
     let before = 0;
     let after = 0;
     let copies = 0;
     for (let set = 0; set < engine.expertSets; set++) {
-      const popularity = this.demand.ofSet(set, engine.experts);
+      const popularity = this.demand.ofSet(set);
       const current = this.machine.lists[set] ?? [];
       const plan = planSpread(current, popularity, {
         places: engine.placesPerRank,
-        newPerRank: engine.sparePlaces,
+        newPerRank: Math.min(COPIES_PER_RANK, engine.sparePlaces),
         minGainPerCopy: GAIN_PER_COPY,
-        maxCopies: Math.ceil(
-          current.length * engine.placesPerRank * MOST_COPIED_PART
-        ),
+        maxCopies: Math.ceil(current.length * MOST_COPIES),
       });
       lists.push(plan.lists);
       before += plan.skewBefore / engine.expertSets;
@@ -159,12 +209,14 @@
       {event: 'map.planned', group: this.parts.name, before, after, copies},
       'switching expert maps'
     );
+    this.plannedSkew = after;
     this.send(this.machine.begin(lists, performance.now()));
   }
 
   private readReports(): void {
     const {ranks, codec} = this.parts;
     ranks.forEach(({address}, rank) => {
+      if (!this.machine.needsReport(rank)) return;
       const askedAtMs = performance.now();
       void callRank(address, codec.reportCall()).then(answer => {
         const report =
@@ -216,9 +268,8 @@
 
   /** Mean over the sets of the highest load over the mean. */
   private skew(): number {
-    const {engine} = this.parts;
     const sets = this.machine.lists.map((lists, set) =>
-      spreadSkew(lists, this.demand.ofSet(set, engine.experts))
+      spreadSkew(lists, this.demand.ofSet(set))
     );
     return sets.reduce((sum, skew) => sum + skew, 0) / Math.max(1, sets.length);
   }
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -20,7 +20,9 @@
   constructor(
     private readonly node: ClusterNode,
     private readonly codec: RankCodec,
-    private readonly logger: Logger
+    private readonly logger: Logger,
+    /** Length of a pass of a service, as this node's streams show it. */
+    private readonly paceMs: (service: string) => number
   ) {}
 
   /** Regular work; nothing is ordered while another node leads. */
@@ -66,6 +68,7 @@
           ranks,
           codec: this.codec,
           logger: this.logger,
+          paceMs: () => this.paceMs(service.name),
         },
         nowMs
       );
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -30,12 +30,18 @@
 const SETTLE_MS = 450;
 /** Holds that came after their pass, before the switch is given up. */
 const HOLD_TRIES = 5;
-/** Passes ahead beside those that pass while orders are on their way. */
-const SPARE_PASSES = 3;
-/** Age of a report with the way of a hold order, milliseconds. */
-const HOLD_LEAD_MS = 330;
-/** Passes of a group at its fastest last about so long. */
-const SHORTEST_PASS_MS = 18;
+/**
+ * Passes ahead beside those that pass while orders are on their way. A hold
+ * that comes too late costs a round trip and is tried again further ahead.
+ */
+const SPARE_PASSES = 1;
+/** Age of what a report shows, with the way of a hold order, milliseconds. */
+const HOLD_LEAD_MS = 215;
+/** Before any pass was measured: a group under load. */
+const FIRST_PASS_MS = 50;
+/** Passes of an idle group tell nothing of their length. */
+const LONGEST_PASS_MS = 400;
+const PASS_SMOOTHING = 0.3;
 
 /** Where a switch stands. */
 export type SwitchPhase =
@@ -128,6 +134,8 @@
   private clearVersion = 0;
   private fenced = false;
   private listsKnown = true;
+  /** Length of a pass, measured from reports. */
+  private passMs = FIRST_PASS_MS;
 
   constructor(
     ranks: number,
@@ -171,6 +179,27 @@
     return this.fenced;
   }
 
+  /** Whether what a rank reports matters now; each report is paid for. */
+  needsReport(rank: number): boolean {
+    const {phase} = this;
+    const report = this.views[rank]?.report;
+    switch (phase.kind) {
+      case 'preparing':
+        return report?.preparedVersion !== phase.version;
+      case 'confirming':
+        return report?.mapVersion !== phase.version;
+      case 'inspecting':
+      case 'idle':
+      case 'holding':
+      case 'arming':
+      case 'clearing':
+      case 'releasing':
+        return true;
+      default:
+        return unreachable(phase);
+    }
+  }
+
   /** Begins a switch; only when idle. */
   begin(lists: MapLists, nowMs: number): readonly SentOrder[] {
     if (this.phase.kind !== 'idle') return [];
@@ -210,10 +239,23 @@
   private onReport(rank: number, report: RankReport, askedAtMs: number): void {
     const view = this.views[rank];
     if (view === undefined || askedAtMs < view.reportAtMs) return;
+    this.measurePass(view, report, askedAtMs);
     view.report = report;
     view.reportAtMs = askedAtMs;
   }
 
+  private measurePass(
+    view: RankView,
+    {pass}: RankReport,
+    askedAtMs: number
+  ): void {
+    const passes = pass - (view.report?.pass ?? pass);
+    if (passes <= 0) return;
+    const ms = (askedAtMs - view.reportAtMs) / passes;
+    if (ms <= LONGEST_PASS_MS)
+      this.passMs += (ms - this.passMs) * PASS_SMOOTHING;
+  }
+
   private onAnswer(rank: number, order: RankOrder, answer: OrderAnswer): void {
     const view = this.views[rank];
     if (view === undefined) return;
@@ -435,9 +477,6 @@
     return {kind: 'holding', version, lists, pass, tries};
   }
 
-  /** Shortest time of a pass; measured by whoever runs the switch. */
-  passMs = SHORTEST_PASS_MS;
-
   private arm(
     phase: Extract<SwitchPhase, {kind: 'arming'}>
   ): readonly SentOrder[] {
