Read the map in use at takeover, rest between orders, pass on unframed answers unframed

And an answer without a length that its target broke off got one from us.

Change: the controller reads all ranks' lists before it orders; a rank rests 60 ms after an order it did not take; a body without framing stays without.

--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -30,6 +30,8 @@
   /** Raw list. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  /** Whether the target told its length or where it ends. */
+  readonly isFramed: boolean;
 }
 
 /** A target that fell out is known to all within a second. */
@@ -262,7 +264,8 @@
     );
     if (!isWhole) return {kind: 'lost'};
     const headers = gateway.parts.targets.answerHeaders(res);
-    const answer = {status: head.status, headers, body};
+    const {status} = head;
+    const answer = {status, headers, body, isFramed: isFramed(res)};
     if (!isGood) return {kind: 'failed', answer};
     // A stream that has begun cannot turn into another kind of answer.
     if (stream.hasBegun) return {kind: 'lost'};
@@ -279,9 +282,15 @@
     return body;
   }
 
-  private answerWith({status, headers, body}: WholeAnswer): void {
+  private answerWith({status, headers, body, isFramed}: WholeAnswer): void {
     const {res} = this.state;
     if (res.destroyed) return;
+    // Without a length of its own the answer may have been cut off by the
+    // target's end; a length of ours would state that it is whole.
+    if (!isFramed) {
+      res.useChunkedEncodingByDefault = false;
+      res.shouldKeepAlive = false;
+    }
     res.writeHead(status, [...headers]);
     res.end(body);
   }
@@ -345,3 +354,10 @@
   if (caller.attemptId === undefined) return true;
   return head.attemptId === caller.attemptId;
 }
+
+function isFramed({headers}: IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
--- a/src/ports/rankPort.ts
+++ b/src/ports/rankPort.ts
@@ -23,6 +23,14 @@
   readonly counts: readonly number[];
 }
 
+/** The map that one rank uses. */
+export interface RankMap {
+  readonly epoch: number;
+  readonly version: number;
+  /** Experts of this rank by set. */
+  readonly experts: readonly (readonly number[])[];
+}
+
 /** An order to one rank. */
 export type RankOrder =
   | {
@@ -64,9 +72,11 @@
 export interface RankCodec {
   reportCall(): RankCall;
   countsCall(): RankCall;
+  mapCall(): RankCall;
   orderCall(order: RankOrder, scope: OrderScope): RankCall;
   /** Undefined when the text is not understood. */
   readReport(text: string): RankReport | undefined;
   readCounts(text: string): ExpertCounts | undefined;
+  readMap(text: string): RankMap | undefined;
   readOrderStatus(status: number): OrderAnswer;
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -58,6 +58,9 @@
  */
 const COPIES_PER_RANK = 1;
 
+/** Between two tries to read the map in use. */
+const LOAD_PERIOD_MS = 200;
+
 /** One rank of the group. */
 export interface GroupRank {
   readonly id: string;
@@ -83,7 +86,10 @@
 /** One group in one epoch, under one leader. */
 export class GroupController {
   private readonly demand: ExpertDemand;
-  private readonly machine: RankSwitch;
+  /** Absent until the map in use was read. */
+  private machine: RankSwitch | undefined;
+  private isLoading = false;
+  private loadedAtMs = -Infinity;
   private readAtMs = -Infinity;
   /** When the pace last called for a reading. */
   private paceReadMs = -Infinity;
@@ -98,29 +104,29 @@
   private nextVersionSeen = '';
   private isPlanning = false;
 
-  constructor(
-    private readonly parts: GroupParts,
-    nowMs: number
-  ) {
-    const {ranks, engine, scope} = parts;
+  constructor(private readonly parts: GroupParts) {
+    const {engine} = parts;
     this.demand = new ExpertDemand(engine.expertSets, engine.experts);
-    this.machine = new RankSwitch(
-      ranks.length,
-      dealtInTurn(engine, ranks.length),
-      scope.fence * VERSIONS_PER_FENCE + 1,
-      nowMs
-    );
   }
 
   /** Whether another orderer took over. */
   get isFenced(): boolean {
-    return this.machine.isFenced;
+    return this.machine?.isFenced === true;
   }
 
   /** Regular work, every few tens of milliseconds. */
   tick(nowMs: number): void {
-    this.send(this.machine.step({kind: 'tick'}, nowMs));
-    const {kind} = this.machine.state;
+    const {machine} = this;
+    if (machine === undefined) {
+      void this.load(nowMs);
+      return;
+    }
+    this.send(machine.step({kind: 'tick'}, nowMs));
+    const {kind} = machine.state;
+    if (kind === 'idle' && !machine.knowsLists) {
+      this.machine = undefined;
+      return;
+    }
     const isBusy = kind !== 'idle';
     const periodMs = isBusy ? REPORT_PERIOD_MS : IDLE_REPORT_PERIOD_MS;
     if (nowMs - this.lastReportsMs >= periodMs) {
@@ -135,6 +141,36 @@
     if (this.isPlanDue) void this.plan();
   }
 
+  /** Reads the map in use from all ranks; an earlier orderer may have set it. */
+  private async load(nowMs: number): Promise<void> {
+    if (this.isLoading || nowMs - this.loadedAtMs < LOAD_PERIOD_MS) return;
+    this.isLoading = true;
+    this.loadedAtMs = nowMs;
+    const {ranks, codec, scope, engine} = this.parts;
+    const maps = await Promise.all(
+      ranks.map(async ({address}) => {
+        const answer = await callRank(address, codec.mapCall());
+        return answer?.status === OK ? codec.readMap(answer.text) : undefined;
+      })
+    );
+    this.isLoading = false;
+    const [first] = maps;
+    const isOneMap = maps.every(
+      map => map?.epoch === scope.epoch && map.version === first?.version
+    );
+    if (!isOneMap || first === undefined) return;
+    const lists = Array.from({length: engine.expertSets}, (_, set) =>
+      maps.map(map => map?.experts[set] ?? [])
+    );
+    this.machine = new RankSwitch(
+      ranks.length,
+      lists,
+      first.version,
+      Math.max(scope.fence * VERSIONS_PER_FENCE, first.version) + 1,
+      performance.now()
+    );
+  }
+
   /** A slower pace calls for a reading at once. */
   private watchPace(nowMs: number): void {
     const paceMs = this.parts.paceMs();
@@ -180,7 +216,8 @@
 
   /** Plans set by set, with a pause between them: a large group takes long. */
   private async plan(): Promise<void> {
-    if (this.machine.state.kind !== 'idle' || this.isPlanning) return;
+    const {machine} = this;
+    if (machine?.state.kind !== 'idle' || this.isPlanning) return;
     this.isPlanning = true;
     this.isPlanDue = false;
     const {engine} = this.parts;
@@ -190,7 +227,7 @@
     let copies = 0;
     for (let set = 0; set < engine.expertSets; set++) {
       const popularity = this.demand.ofSet(set);
-      const current = this.machine.lists[set] ?? [];
+      const current = machine.lists[set] ?? [];
       const plan = planSpread(current, popularity, {
         places: engine.placesPerRank,
         newPerRank: Math.min(COPIES_PER_RANK, engine.sparePlaces),
@@ -210,20 +247,21 @@
       'switching expert maps'
     );
     this.plannedSkew = after;
-    this.send(this.machine.begin(lists, performance.now()));
+    this.send(machine.begin(lists, performance.now()));
   }
 
   private readReports(): void {
     const {ranks, codec} = this.parts;
+    const {machine} = this;
     ranks.forEach(({address}, rank) => {
-      if (!this.machine.needsReport(rank)) return;
+      if (machine?.needsReport(rank) !== true) return;
       const askedAtMs = performance.now();
       void callRank(address, codec.reportCall()).then(answer => {
         const report =
           answer?.status === OK ? codec.readReport(answer.text) : undefined;
         if (report === undefined) return;
         const event = {kind: 'report', rank, report, askedAtMs} as const;
-        this.send(this.machine.step(event, performance.now()));
+        this.send(this.machine?.step(event, performance.now()) ?? []);
       });
     });
   }
@@ -248,11 +286,13 @@
       );
     }
     const event = {kind: 'answer', rank, order, answer} as const;
-    this.send(this.machine.step(event, performance.now()));
+    this.send(this.machine?.step(event, performance.now()) ?? []);
   }
 
   private logPhase(): void {
-    const {state} = this.machine;
+    const {machine} = this;
+    if (machine === undefined) return;
+    const {state} = machine;
     const pass = 'pass' in state ? state.pass : undefined;
     const version = 'version' in state ? state.version : undefined;
     const text = `${state.kind} ${version} ${pass}`;
@@ -268,7 +308,7 @@
 
   /** Mean over the sets of the highest load over the mean. */
   private skew(): number {
-    const sets = this.machine.lists.map((lists, set) =>
+    const sets = (this.machine?.lists ?? []).map((lists, set) =>
       spreadSkew(lists, this.demand.ofSet(set))
     );
     return sets.reduce((sum, skew) => sum + skew, 0) / Math.max(1, sets.length);
@@ -276,13 +316,3 @@
 }
 
 const OK = 200;
-
-/** The map that a group starts with: experts dealt out to the ranks in turn. */
-function dealtInTurn(engine: EngineProfile, ranks: number): MapLists {
-  const lists = Array.from({length: ranks}, (_, rank) =>
-    Array.from({length: engine.experts}, (_, expert) => expert).filter(
-      expert => expert % ranks === rank
-    )
-  );
-  return Array.from({length: engine.expertSets}, () => lists);
-}
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -60,18 +60,15 @@
     let running = this.groups.get(name);
     if (engine === undefined) return;
     if (running?.key !== key) {
-      const controller = new GroupController(
-        {
-          name,
-          engine,
-          scope: {fence: this.node.term, epoch},
-          ranks,
-          codec: this.codec,
-          logger: this.logger,
-          paceMs: () => this.paceMs(service.name),
-        },
-        nowMs
-      );
+      const controller = new GroupController({
+        name,
+        engine,
+        scope: {fence: this.node.term, epoch},
+        ranks,
+        codec: this.codec,
+        logger: this.logger,
+        paceMs: () => this.paceMs(service.name),
+      });
       running = {key, controller};
       this.groups.set(name, running);
     }
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -42,6 +42,11 @@
 /** Passes of an idle group tell nothing of their length. */
 const LONGEST_PASS_MS = 400;
 const PASS_SMOOTHING = 0.3;
+/**
+ * Rest of a rank after an order that it did not take. Most of the time its
+ * state has to change first, and each order is paid for.
+ */
+const REST_MS = 60;
 
 /** Where a switch stands. */
 export type SwitchPhase =
@@ -121,6 +126,8 @@
   isDisarmed: boolean;
   /** When the last order was answered. */
   answeredAtMs: number;
+  /** Before this nothing is ordered again. */
+  restUntilMs: number;
 }
 
 /** The switch of one life of one group; a new epoch gets a new one. */
@@ -139,8 +146,9 @@
 
   constructor(
     ranks: number,
-    /** Map in use as far as known. */
+    /** Map in use, and its version. */
     lists: MapLists,
+    private readonly listsVersion: number,
     /** Above every version used in earlier lives and by earlier orderers. */
     firstVersion: number,
     private nowMs: number
@@ -157,6 +165,7 @@
       isFenced: false,
       isDisarmed: false,
       answeredAtMs: -Infinity,
+      restUntilMs: -Infinity,
     }));
   }
 
@@ -266,6 +275,8 @@
       return;
     }
     if (answer === 'done') view.isFenced = true;
+    // A hold that came too late is tried at once, for a later pass.
+    else if (order.kind !== 'hold') view.restUntilMs = this.nowMs + REST_MS;
     if (order.kind === 'arm' && answer === 'unknown')
       view.mayBeArmedLate = true;
     this.useAnswer(view, order, answer);
@@ -381,6 +392,9 @@
       ({armed, heldPass}) => armed === undefined && heldPass === undefined
     );
     if (isClean) {
+      this.listsKnown = reports.every(
+        ({mapVersion}) => mapVersion === this.listsVersion
+      );
       this.enter({kind: 'idle'});
       return [];
     }
@@ -582,6 +596,7 @@
   private order(rank: number, order: RankOrder): readonly SentOrder[] {
     const view = this.views[rank];
     if (view === undefined || view.isBusy) return [];
+    if (this.nowMs < view.restUntilMs) return [];
     view.isBusy = true;
     return [{rank, order}];
   }
