--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -14,6 +14,8 @@
   readonly cancel = new Cancellation();
   /** Targets that it was sent to, whether it ran there or not. */
   readonly tried = new Set<string>();
+  /** Milliseconds from its arrival: a place, the first event, the longest pause. */
+  readonly marks = {placeMs: 0, firstEventMs: 0, longestGapMs: 0};
   /** Whether some target may have run it. */
   mayHaveRun = false;
   private reason: StopReason | undefined;
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -315,8 +315,13 @@
         const nowMs = performance.now();
         const latencyMs = nowMs - startedAtMs;
         pool.note(target.id, {kind: 'good', latencyMs}, nowMs);
+        if (state.marks.firstEventMs === 0)
+          state.marks.firstEventMs = state.ageMs;
+      },
+      onGap: ms => {
+        pool.pace.note(ms, performance.now());
+        state.marks.longestGapMs = Math.max(state.marks.longestGapMs, ms);
       },
-      onGap: ms => pool.pace.note(ms, performance.now()),
     });
     cancel.removeEventListener('abort', stop);
     if (state.stopped !== undefined) {
@@ -341,6 +346,7 @@
         target: target.id,
         end: end.kind,
         tookMs: Math.round(tookMs),
+        ...rounded(this.state.marks),
         lastEventId: this.stream.lastEventId,
       },
       end.kind
@@ -361,3 +367,10 @@
     headers['transfer-encoding'] !== undefined
   );
 }
+
+function rounded(
+  marks: Readonly<Record<string, number>>
+): Readonly<Record<string, number>> {
+  const pairs = Object.entries(marks);
+  return Object.fromEntries(pairs.map(([name, ms]) => [name, Math.round(ms)]));
+}
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -94,6 +94,7 @@
   const refusal = await enter(gateway, state, routed);
   if (refusal !== 'entered') return refusal;
   const sinceMs = performance.now();
+  state.marks.placeMs = state.ageMs;
   try {
     if (state.stopped !== undefined) return stopRefusal(state);
     return await runAttempts(gateway, state, routed);
--- a/src/policy/expertSpread.ts
+++ b/src/policy/expertSpread.ts
@@ -17,7 +17,7 @@
   /** Experts of the set that one rank can hold. */
   readonly places: number;
   /** Experts that one rank can take in with one change of maps. */
-  readonly newPerRank: number;
+  readonly newOnRank: readonly number[];
   /** Least fall of the highest load, in mean loads, that pays for one copy. */
   readonly minGainPerCopy: number;
   /** Most copies over all ranks. */
@@ -275,5 +275,5 @@
   if (before.includes(expert)) return true;
   let fresh = 0;
   for (const held of there) if (!before.includes(held)) fresh++;
-  return fresh < limits.newPerRank;
+  return fresh < (limits.newOnRank[rank] ?? 0);
 }
--- a/src/policy/passPace.ts
+++ b/src/policy/passPace.ts
@@ -8,8 +8,8 @@
  * ranks as often would cost more than a late change of maps.
  */
 
-/** Pauses within this time show the present pace: two or three passes. */
-const RECENT_MS = 220;
+/** Pauses within this time show the present pace: one or two passes. */
+const RECENT_MS = 140;
 
 interface Gap {
   readonly atMs: number;
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -12,30 +12,26 @@
 } from '../ports/rankPort';
 import type {EngineProfile} from '../site/site';
 import {planSpread, spreadSkew} from '../policy/expertSpread';
+import type {DemandChange} from './expertDemand';
 import {ExpertDemand} from './expertDemand';
 import {callRank} from './rankClient';
 import type {SentOrder} from './rankSwitch';
 import {RankSwitch} from './rankSwitch';
 
 /** Between two readings of the counts, milliseconds. */
-const READ_PERIOD_MS = 900;
+const READ_PERIOD_MS = 1_000;
 /** A pace that is longer than the usual one by this part tells of a shift. */
 const SLOWER_PART = 0.18;
 /** Least time between two readings that the pace calls for, milliseconds. */
-const PACE_READ_MS = 500;
+const PACE_READ_MS = 400;
 /**
  * Weights of one look at the pace in what counts as usual: a map that helps
  * shows at once, a slow pace must not become usual before it is answered.
  */
 const USUAL_FALL = 0.3;
 const USUAL_RISE = 0.01;
-/**
- * After a reading that shows another demand: what is read then is of the new
- * demand alone. A few passes fit in.
- */
-const REREAD_MS = 170;
-/** Skew of the map in use beyond that after its switch which means a shift. */
-const SHIFT_SKEW = 0.2;
+/** After a reading that shows a shift without what is in demand now. */
+const REREAD_MS = 120;
 /** Reports are read this often while a switch goes on. */
 const REPORT_PERIOD_MS = 100;
 /** And this often otherwise, to find holds that came late. */
@@ -47,16 +43,17 @@
  * shift.
  */
 const LEAST_GAIN = 0.3;
-/** Copies of one set in one plan, in parts of the ranks. */
-const MOST_COPIES = 0.75;
 /** The same for one copy of an expert; see `planSpread`. */
 const GAIN_PER_COPY = 0.01;
 /**
- * Copies of one set that a rank takes in with one switch. A copy takes a tenth
- * of a second, and demand moves on: two small switches bring more than one
- * large one that comes in force when it is outdated.
+ * Copies that one rank takes in with one switch, over all sets. A copy takes a
+ * tenth of a second, and every pass of that time is slow. One copy a rank takes
+ * most of the load off the hottest ranks; a second switch does the rest.
  */
-const COPIES_PER_RANK = 1;
+const FIRST_COPIES = 1;
+const LATER_COPIES = 2;
+/** Skew from which the first, small switch is worth its own price. */
+const HIGH_SKEW = 1.9;
 
 /** Between two tries to read the map in use. */
 const LOAD_PERIOD_MS = 200;
@@ -94,12 +91,9 @@
   /** When the pace last called for a reading. */
   private paceReadMs = -Infinity;
   private usualPaceMs = 0;
-  /** Whether the next reading is of the new demand alone. */
-  private isReread = false;
+  private hasSeenDemand = false;
   /** Whether what is in demand is known and not planned for yet. */
   private isPlanDue = false;
-  /** Mean skew when the map in use was planned. */
-  private plannedSkew = 1;
   private lastReportsMs = -Infinity;
   private nextVersionSeen = '';
   private isPlanning = false;
@@ -134,7 +128,8 @@
       this.readReports();
     }
     this.watchPace(nowMs);
-    if (nowMs >= this.readAtMs) {
+    // Without streams nothing was chosen since the last reading.
+    if (nowMs >= this.readAtMs && this.parts.paceMs() > 0) {
       this.readAtMs = nowMs + READ_PERIOD_MS;
       void this.look(nowMs);
     }
@@ -185,24 +180,19 @@
     this.usualPaceMs += (paceMs - this.usualPaceMs) * (isKnown ? follow : 1);
   }
 
-  /**
-   * A reading that spans a shift mixes two demands. It only tells that there
-   * was one; the plan rests on the next reading.
-   */
   private async look(nowMs: number): Promise<void> {
-    const before = this.skew();
-    if (!(await this.read())) return;
-    const skew = this.skew();
-    const isMixed = skew > Math.max(before, this.plannedSkew) + SHIFT_SKEW;
-    const isShift = isMixed && !this.isReread;
-    this.isReread = isShift;
-    if (isShift) this.readAtMs = Math.min(this.readAtMs, nowMs + REREAD_MS);
-    this.isPlanDue = !isShift;
+    const change = await this.read();
     const {name, logger} = this.parts;
-    logger.debug({event: 'map.looked', group: name, skew, isShift}, 'looked');
+    const skew = this.skew();
+    logger.debug({event: 'map.looked', group: name, skew, change}, change);
+    if (change === 'shifting' || !this.hasSeenDemand)
+      this.readAtMs = Math.min(this.readAtMs, nowMs + REREAD_MS);
+    if (change !== 'shifted' && change !== 'same') return;
+    this.isPlanDue = true;
+    this.hasSeenDemand = true;
   }
 
-  private async read(): Promise<boolean> {
+  private async read(): Promise<DemandChange> {
     const {codec, logger, scope, ranks, name} = this.parts;
     const [first] = ranks;
     const answer = await callRank(first?.address ?? '', codec.countsCall());
@@ -211,43 +201,60 @@
     if (counts !== undefined && counts.epoch === scope.epoch)
       return this.demand.note(counts);
     logger.info({event: 'map.unread', group: name}, 'counts not read');
-    return false;
+    return 'nothing';
   }
 
-  /** Plans set by set, with a pause between them: a large group takes long. */
   private async plan(): Promise<void> {
     const {machine} = this;
     if (machine?.state.kind !== 'idle' || this.isPlanning) return;
     this.isPlanning = true;
     this.isPlanDue = false;
+    const plan = await this.planSets(machine.lists);
+    this.isPlanning = false;
+    const {before, after, copies, copiesOnRank, lists} = plan;
+    if (before - after < LEAST_GAIN) return;
+    this.parts.logger.info(
+      {event: 'map.planned', group: this.parts.name, before, after, copies},
+      'switching expert maps'
+    );
+    const copyMs = copiesOnRank * this.parts.engine.expertCopyMs;
+    this.send(machine.begin(lists, copyMs, performance.now()));
+  }
+
+  /** The sets with the highest skew come first: ranks take few copies in all. */
+  private async planSets(current: MapLists): Promise<GroupPlan> {
     const {engine} = this.parts;
-    const lists: MapLists[number][] = [];
-    let before = 0;
-    let after = 0;
+    const skews = current.map((lists, set) =>
+      spreadSkew(lists, this.demand.ofSet(set))
+    );
+    const before = meanOf(skews);
+    const perRank: number = before >= HIGH_SKEW ? FIRST_COPIES : LATER_COPIES;
+    const left = (current[0] ?? []).map(() => perRank);
+    const lists = [...current];
     let copies = 0;
-    for (let set = 0; set < engine.expertSets; set++) {
-      const popularity = this.demand.ofSet(set);
-      const current = machine.lists[set] ?? [];
-      const plan = planSpread(current, popularity, {
+    const order = skews
+      .map((skew, set) => ({skew, set}))
+      .sort((a, b) => b.skew - a.skew);
+    for (const [position, {set}] of order.entries()) {
+      const plan = planSpread(current[set] ?? [], this.demand.ofSet(set), {
         places: engine.placesPerRank,
-        newPerRank: Math.min(COPIES_PER_RANK, engine.sparePlaces),
+        newOnRank: left.map(count => Math.min(count, engine.sparePlaces)),
         minGainPerCopy: GAIN_PER_COPY,
-        maxCopies: Math.ceil(current.length * MOST_COPIES),
+        // An even part of what all ranks take in, for each set that is left.
+        maxCopies: Math.ceil(sum(left) / (order.length - position)),
+      });
+      plan.lists.forEach((list, rank) => {
+        const held = current[set]?.[rank] ?? [];
+        const fresh = list.filter(expert => !held.includes(expert)).length;
+        left[rank] = (left[rank] ?? 0) - fresh;
       });
-      lists.push(plan.lists);
-      before += plan.skewBefore / engine.expertSets;
-      after += plan.skewAfter / engine.expertSets;
+      lists[set] = plan.lists;
+      skews[set] = plan.skewAfter;
       copies += plan.copies;
       await new Promise(resolve => setImmediate(resolve));
     }
-    this.isPlanning = false;
-    if (before - after < LEAST_GAIN) return;
-    this.parts.logger.info(
-      {event: 'map.planned', group: this.parts.name, before, after, copies},
-      'switching expert maps'
-    );
-    this.plannedSkew = after;
-    this.send(machine.begin(lists, performance.now()));
+    const copiesOnRank = perRank - Math.min(...left);
+    return {lists, before, after: meanOf(skews), copies, copiesOnRank};
   }
 
   private readReports(): void {
@@ -308,11 +315,33 @@
 
   /** Mean over the sets of the highest load over the mean. */
   private skew(): number {
-    const sets = (this.machine?.lists ?? []).map((lists, set) =>
-      spreadSkew(lists, this.demand.ofSet(set))
+    const {machine} = this;
+    if (machine === undefined) return 0;
+    return meanOf(
+      machine.lists.map((lists, set) =>
+        spreadSkew(lists, this.demand.ofSet(set))
+      )
     );
-    return sets.reduce((sum, skew) => sum + skew, 0) / Math.max(1, sets.length);
   }
 }
 
 const OK = 200;
+
+/** A plan for all sets. */
+interface GroupPlan {
+  readonly lists: MapLists;
+  /** Mean skew of the sets. */
+  readonly before: number;
+  readonly after: number;
+  readonly copies: number;
+  /** Most copies that one rank makes. */
+  readonly copiesOnRank: number;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function meanOf(values: readonly number[]): number {
+  return sum(values) / Math.max(1, values.length);
+}
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -29,14 +29,15 @@
 /** Answers come within 5 ms; a reading of 250 ms' age still shows old state. */
 const SETTLE_MS = 450;
 /** Holds that came after their pass, before the switch is given up. */
-const HOLD_TRIES = 5;
+const HOLD_TRIES = 12;
+/** Age of what a report shows. The holds that follow find the exact pass. */
+const REPORT_AGE_MS = 200;
 /**
- * Passes ahead beside those that pass while orders are on their way. A hold
- * that comes too late costs a round trip and is tried again further ahead.
+ * Copies may take a little longer than told. An arm that comes too early is
+ * refused and sent again, while the group stands still.
  */
-const SPARE_PASSES = 1;
-/** Age of what a report shows, with the way of a hold order, milliseconds. */
-const HOLD_LEAD_MS = 215;
+const COPY_MARGIN = 1.1;
+const COPY_MARGIN_MS = 15;
 /** Before any pass was measured: a group under load. */
 const FIRST_PASS_MS = 50;
 /** Passes of an idle group tell nothing of their length. */
@@ -141,6 +142,7 @@
   private clearVersion = 0;
   private fenced = false;
   private listsKnown = true;
+  private copyMs = 0;
   /** Length of a pass, measured from reports. */
   private passMs = FIRST_PASS_MS;
 
@@ -210,9 +212,15 @@
   }
 
   /** Begins a switch; only when idle. */
-  begin(lists: MapLists, nowMs: number): readonly SentOrder[] {
+  begin(
+    lists: MapLists,
+    /** Time in which the slowest rank copies what is new to it. */
+    copyMs: number,
+    nowMs: number
+  ): readonly SentOrder[] {
     if (this.phase.kind !== 'idle') return [];
     this.nowMs = nowMs;
+    this.copyMs = copyMs * COPY_MARGIN + COPY_MARGIN_MS;
     this.enter({kind: 'preparing', version: this.nextVersion++, lists});
     return this.advance();
   }
@@ -299,8 +307,8 @@
         return;
       case 'arming':
         if (order.kind !== 'arm' || order.version !== phase.version) return;
+        // Refused: its copy is not complete yet, and the group waits for it.
         if (answer === 'done') view.isDone = true;
-        if (answer === 'refused') this.giveUp(phase.pass);
         return;
       case 'clearing':
         this.onClearAnswer(view, order, answer);
@@ -456,10 +464,7 @@
     phase: Extract<SwitchPhase, {kind: 'preparing'}>
   ): readonly SentOrder[] {
     const {version, lists} = phase;
-    const isReady = this.views.every(
-      ({report}) => report?.preparedVersion === version
-    );
-    if (isReady) {
+    if (this.isPrepared(phase)) {
       this.enter(this.holdAhead(version, lists, 1));
       return this.advance();
     }
@@ -476,6 +481,21 @@
     return [...stray, ...orders];
   }
 
+  /** Reports show a copy late; the time that it takes is known. */
+  private isPrepared({
+    version,
+  }: Extract<SwitchPhase, {kind: 'preparing'}>): boolean {
+    return this.views.every(view => {
+      if (view.report?.preparedVersion === version) return true;
+      if (!view.isDone || view.mayBePrepared) return false;
+      return this.nowMs - view.answeredAtMs >= this.copyMs;
+    });
+  }
+
+  /**
+   * The pass that begins next, as far as reports tell. A hold that comes too
+   * late is refused within a round trip and tried for the pass after.
+   */
   private holdAhead(
     version: number,
     lists: MapLists,
@@ -483,10 +503,10 @@
   ): SwitchPhase {
     const latest = Math.max(0, ...this.reports().map(({pass}) => pass));
     const newest = Math.max(...this.views.map(({reportAtMs}) => reportAtMs));
-    const ageMs = Math.max(0, this.nowMs - newest) + HOLD_LEAD_MS * tries;
-    const ahead = Math.ceil(ageMs / this.passMs) + SPARE_PASSES;
+    const ageMs = Math.max(0, this.nowMs - newest) + REPORT_AGE_MS;
+    const next = latest + Math.floor(ageMs / this.passMs) + 1;
     // Never the same pass twice: a late order of an earlier try must not fit.
-    const pass = Math.max(latest + ahead, this.lastPass + 1);
+    const pass = Math.max(next, this.lastPass + 1);
     this.lastPass = pass;
     return {kind: 'holding', version, lists, pass, tries};
   }
--- a/src/site/site.ts
+++ b/src/site/site.ts
@@ -65,6 +65,8 @@
   readonly placesPerRank: number;
   /** Experts of a set that one rank can load beside those in use. */
   readonly sparePlaces: number;
+  /** Time in which a rank copies one expert, milliseconds. */
+  readonly expertCopyMs: number;
   /** Time to form a group anew, milliseconds. */
   readonly formMs: number;
 }
