--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -289,6 +289,8 @@
   private takeBack(): readonly SentOrder[] {
     const pass = pendingPass(this.ranks.reports());
     if (pass === undefined) return [];
+    // Its go may come late and must not fit a later hold of this orderer.
+    this.lastPass = Math.max(this.lastPass, pass);
     this.enter({kind: 'seizing', pass});
     return this.advance();
   }
@@ -319,6 +321,7 @@
       expected !== undefined ||
       this.ranks.views.every(({isFenced}) => isFenced);
     if (!isSafe) return this.takeBack();
+    this.lastPass = Math.max(this.lastPass, heldPass);
     return this.ranks.order(this.nowMs, heldRank, {kind: 'go', pass: heldPass});
   }
 
