--- /dev/null
+++ b/tests/platform/controlCalls.spec.ts
@@ -0,0 +1,70 @@
+import {CONTROL_CODEC} from '../../platform/controlCalls';
+
+const BEAT = {
+  service: 'llm',
+  address: '10.0.0.9:8080',
+  zone: 'a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  coldRemainingMs: 1_500,
+  sequence: 4,
+  born: 1_700_000_000_000,
+  group: {name: 'g', epoch: 2, rank: 3, state: 'open'},
+  size: 12,
+};
+
+describe('calls at the control address', () => {
+  it.each([
+    ['PUT', '/-/config', {kind: 'putSite'}],
+    ['GET', '/-/config', {kind: 'getSite'}],
+    ['PUT', '/-/instances/i-1', {kind: 'announce', id: 'i-1'}],
+    ['DELETE', '/-/instances/i-1', {kind: 'leave', id: 'i-1'}],
+    [
+      'POST',
+      '/-/evacuations/zone-a',
+      {kind: 'zone', availabilityZone: 'zone-a', out: true},
+    ],
+    [
+      'DELETE',
+      '/-/evacuations/zone-a',
+      {kind: 'zone', availabilityZone: 'zone-a', out: false},
+    ],
+    ['POST', '/-/config', undefined],
+    ['PUT', '/-/instances/%E0%A4%A', undefined],
+    ['GET', '/', undefined],
+  ])('should read %s %s', (method, url, call) => {
+    expect(CONTROL_CODEC.readCall(method, url)).toEqual(call);
+  });
+
+  it('should decode what a rank of a group tells of itself', () => {
+    const text = JSON.stringify(BEAT);
+    expect(CONTROL_CODEC.decodeAnnouncement('i-1', text)).toEqual({
+      id: 'i-1',
+      bornMs: 1_700_000_000_000,
+      sequence: 4,
+      service: 'llm',
+      address: '10.0.0.9:8080',
+      availabilityZone: 'a',
+      slots: 8,
+      state: 'ready',
+      coldMs: 1_500,
+      group: {name: 'g', epoch: 2, rank: 3, size: 12, open: true},
+    });
+  });
+
+  // Another writer's entries arrive at the same address. They name no target,
+  // and must harm none of the others.
+  it.each([
+    ['bytes', '\u0000\u0001'],
+    ['nothing', ''],
+    ['a list', '[1]'],
+    ['null', 'null'],
+    ['a state of its own', JSON.stringify({...BEAT, state: 'resting'})],
+    ['slots as text', JSON.stringify({...BEAT, slots: '8'})],
+    ['no address', JSON.stringify({...BEAT, address: undefined})],
+    ['a start that is not whole', JSON.stringify({...BEAT, born: 1.5})],
+  ])('should ignore an announcement with %s', (_what, text) => {
+    expect(CONTROL_CODEC.decodeAnnouncement('i-1', text)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/tests/platform/gatewayFixture.ts
@@ -0,0 +1,215 @@
+/** A gateway before fake targets, all in this process, on loopback. */
+
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {CALLER_CODEC} from '../../platform/callerHeaders';
+import {TARGET_CODEC} from '../../platform/targetHeaders';
+import type {ClusterNode, ClusterView} from '../../src/cluster/clusterNode';
+import {TargetTable} from '../../src/cluster/targetTable';
+import {Gateway} from '../../src/gateway/gateway';
+import {serveRequest} from '../../src/gateway/serveRequest';
+import {SiteIndex} from '../../src/site/siteIndex';
+import type {Repeat, SiteRoute} from '../../src/site/site';
+
+const SILENT = {
+  trace: () => undefined,
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  fatal: () => undefined,
+  child: () => SILENT,
+} as never;
+
+/** How a fake target answers one request. */
+export type Handler = (
+  req: http.IncomingMessage,
+  res: http.ServerResponse
+) => void;
+
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether it ended as its framing said. */
+  readonly isWhole: boolean;
+}
+
+function listen(server: http.Server): Promise<number> {
+  return new Promise(resolve =>
+    server.listen(0, '127.0.0.1', () =>
+      resolve((server.address() as AddressInfo).port)
+    )
+  );
+}
+
+function route(repeat: Repeat, change: Partial<SiteRoute>): SiteRoute {
+  return {
+    name: repeat,
+    host: 'a.example',
+    pathPrefix: `/${repeat}/`,
+    repeat,
+    resumable: true,
+    timeoutMs: 2_000,
+    latencyTargetMs: 400,
+    gapTargetMs: 0,
+    priority: 1,
+    split: [{service: 's', weight: 1}],
+    maxAttempts: 2,
+    isPublic: false,
+    ...change,
+  };
+}
+
+/** One gateway with its targets. */
+export class GatewayFixture {
+  readonly seen: {target: number; headers: http.IncomingHttpHeaders}[] = [];
+  readonly table = new TargetTable();
+  private readonly servers: http.Server[] = [];
+  private port = 0;
+  private nextId = 0;
+
+  static async start(
+    handlers: readonly Handler[],
+    change: Partial<SiteRoute> = {}
+  ): Promise<GatewayFixture> {
+    const fixture = new GatewayFixture();
+    for (const [target, handler] of handlers.entries())
+      await fixture.addTarget(target, handler);
+    await fixture.startGateway(change);
+    return fixture;
+  }
+
+  /** A target that nobody listens for. */
+  addDeadTarget(): void {
+    this.announce('dead', '127.0.0.1:1');
+  }
+
+  async close(): Promise<void> {
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    }
+  }
+
+  /** Sends as a caller does; `key` undefined sends none. */
+  call(
+    path: string,
+    headers: Readonly<Record<string, string>> = {}
+  ): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const req = http.request(
+        {
+          host: '127.0.0.1',
+          port: this.port,
+          path,
+          method: 'POST',
+          agent: false,
+          headers: {
+            host: 'a.example',
+            'x-attempt-id': `a${this.nextId++}`,
+            authorization: 'Bearer key',
+            ...headers,
+          },
+        },
+        res => {
+          let body = '';
+          const end = (isWhole: boolean) =>
+            resolve({
+              status: res.statusCode ?? 0,
+              headers: res.headers,
+              body,
+              isWhole,
+            });
+          res.on('data', chunk => (body += String(chunk)));
+          res.on('error', () => end(false));
+          res.on('end', () => end(res.complete));
+        }
+      );
+      req.on('error', reject);
+      req.end('question');
+    });
+  }
+
+  private async addTarget(target: number, handler: Handler): Promise<void> {
+    const server = http.createServer((req, res) => {
+      this.seen.push({target, headers: req.headers});
+      req.resume();
+      res.setHeader('x-attempt-id', req.headers['x-attempt-id'] ?? '');
+      res.setHeader('x-response-seal', `seal-${target}`);
+      handler(req, res);
+    });
+    this.servers.push(server);
+    this.announce(`t${target}`, `127.0.0.1:${await listen(server)}`);
+  }
+
+  private announce(id: string, address: string): void {
+    this.table.merge(
+      {
+        id,
+        bornMs: 1,
+        sequence: 1,
+        service: 's',
+        address,
+        availabilityZone: 'a',
+        slots: 8,
+        state: 'ready',
+        coldMs: 0,
+      },
+      0
+    );
+  }
+
+  private async startGateway(change: Partial<SiteRoute>): Promise<void> {
+    const index = new SiteIndex({
+      version: 1,
+      routes: [
+        route('idempotent', change),
+        route('once', change),
+        route('stream', change),
+      ],
+      services: new Map([
+        [
+          's',
+          {
+            name: 's',
+            healthPath: '/',
+            maxConnections: 100,
+            coldRequestsPerSecond: 0,
+          },
+        ],
+      ]),
+      limits: {
+        maxHeaderBytes: 10_000,
+        maxBodyBytes: 1_000,
+        headerTimeoutMs: 1_000,
+        idleTimeoutMs: 1_000,
+      },
+      customers: [{name: 'one', keys: ['key']}],
+    });
+    const view: ClusterView = {
+      index,
+      zonesOut: new Set(),
+      grants: new Map([['s', {service: 's', concurrency: 10, others: {}}]]),
+      activeNodes: 1,
+    };
+    const node = {view, table: this.table} as unknown as ClusterNode;
+    const gateway = new Gateway({
+      callers: CALLER_CODEC,
+      targets: TARGET_CODEC,
+      bounds: {
+        retries: {ratio: 0.2, slack: 50, windowMs: 10_000},
+        coldMultiplier: 1.5,
+        coldSlack: 5,
+      },
+      availabilityZone: 'a',
+      logger: SILENT,
+      node: () => node,
+    });
+    const server = http.createServer(
+      (req, res) => void serveRequest(gateway, req, res)
+    );
+    this.servers.push(server);
+    this.port = await listen(server);
+  }
+}
--- /dev/null
+++ b/tests/platform/requestHeaders.spec.ts
@@ -0,0 +1,104 @@
+import type {IncomingMessage} from 'node:http';
+import {CALLER_CODEC} from '../../platform/callerHeaders';
+import {TARGET_CODEC} from '../../platform/targetHeaders';
+
+function message(
+  headers: Readonly<Record<string, string>>,
+  rest: Partial<IncomingMessage> = {}
+): IncomingMessage {
+  return {headers, ...rest} as IncomingMessage;
+}
+
+describe('headers of callers', () => {
+  it('should read what a stream request says', () => {
+    const req = message(
+      {
+        host: 'a.example',
+        'x-attempt-id': 'abc',
+        authorization: 'Bearer secret',
+        'x-deadline-remaining': '8017',
+        'x-token-count': '1460,80',
+        'last-event-id': '12',
+      },
+      {url: '/x/y?z=1'}
+    );
+    expect(CALLER_CODEC.read(req)).toEqual({
+      attemptId: 'abc',
+      host: 'a.example',
+      path: '/x/y',
+      key: 'secret',
+      waitMs: 8_017,
+      lastEventId: '12',
+      promptTokens: 1_460,
+      outputTokens: 80,
+    });
+  });
+
+  it.each(['', 'soon', '-5', 'NaN'])(
+    'should take a deadline of "%s" for none',
+    text => {
+      const req = message({'x-deadline-remaining': text}, {url: '/'});
+      expect(CALLER_CODEC.read(req).waitMs).toBeUndefined();
+    }
+  );
+
+  // 429 and 503 promise that nothing has run; a lost outcome must not.
+  it.each([
+    [{kind: 'overloaded', retryInMs: 1_250}, 503, '1.250'],
+    [{kind: 'noTarget', retryInMs: 400}, 503, '0.400'],
+    [{kind: 'outcomeUnknown'}, 502, undefined],
+    [{kind: 'timedOut'}, 504, undefined],
+    [{kind: 'unknownKey'}, 401, undefined],
+    [{kind: 'unknownRoute'}, 404, undefined],
+  ] as const)('should answer %j with %i', (refusal, status, retryAfter) => {
+    const answer = CALLER_CODEC.refuse(refusal);
+    expect(answer.status).toBe(status);
+    expect(answer.headers['retry-after']).toBe(retryAfter);
+  });
+});
+
+describe('headers of targets', () => {
+  // A caller that names itself, or its target, must not get its way.
+  it('should set the customer and the target itself, and hide the key', () => {
+    const sent = TARGET_CODEC.forwardHeaders(
+      [
+        ['Host', 'a.example'],
+        ['Authorization', 'Bearer secret'],
+        ['X-Tenant-Name', 'other'],
+        ['X-Expect-Instance', 'i-9'],
+        ['X-Deadline-Remaining', '8000'],
+        ['Connection', 'keep-alive'],
+        ['X-Attempt-Id', 'abc'],
+      ].flat(),
+      {remainingMs: 1_234.9, targetId: 'i-1', customer: 'one'}
+    );
+    const pairs = new Map<string, string>();
+    for (let i = 0; i < sent.length; i += 2)
+      pairs.set((sent[i] ?? '').toLowerCase(), sent[i + 1] ?? '');
+    expect(Object.fromEntries(pairs)).toEqual({
+      host: 'a.example',
+      'x-attempt-id': 'abc',
+      'x-deadline-remaining': '1234',
+      'x-expect-instance': 'i-1',
+      'x-tenant-name': 'one',
+    });
+  });
+
+  it('should not pass on a customer where the route asks for no key', () => {
+    const sent = TARGET_CODEC.forwardHeaders(['X-Tenant-Name', 'other'], {
+      remainingMs: 10,
+      targetId: 'i-1',
+    });
+    expect(sent.map(part => part.toLowerCase())).not.toContain('other');
+  });
+
+  it.each([
+    [503, {'x-not-executed': '1'}, true],
+    [421, {}, true],
+    [503, {}, false],
+    [500, {}, false],
+  ])('should read %i %j as not run: %s', (statusCode, headers, notRun) => {
+    const res = message(headers as Record<string, string>, {statusCode});
+    expect(TARGET_CODEC.readHead(res).notRun).toBe(notRun);
+  });
+});
