--- a/tests/drivenLog.ts
+++ b/tests/drivenLog.ts
@@ -1,6 +1,10 @@
 /** One core of the replicated log, driven by hand, and what it needs. */
 
-import type {CoreEffect, CoreEvent} from '../src/control/log/coreEvents';
+import type {
+  CoreEffect,
+  CoreEvent,
+  CoreOptions,
+} from '../src/control/log/coreEvents';
 import {DEFAULT_TIMING} from '../src/control/log/coreEvents';
 import type {DurableState, LogEntry} from '../src/control/log/entry';
 import type {
@@ -56,9 +60,10 @@
 
   constructor(
     durable: DurableState,
-    private readonly syncs = true
+    private readonly syncs = true,
+    options: CoreOptions = OPTIONS
   ) {
-    this.core = new RaftCore(OPTIONS, durable, 0);
+    this.core = new RaftCore(options, durable, 0);
   }
 
   get status() {
