Count no places in zones that are out; return soon after a gap, late in a shortage

And late returns cost those who were turned away for a moment their latency target.

Change: the coordinator leaves zones that are out aside; RetryTiming goes by the part that was turned away lately.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -92,7 +92,7 @@
       zonesOut: [...zonesOut],
       tableRevision: this.table.revision,
       records: [...this.table.since(from)],
-      grants: site === undefined ? [] : this.grantsFor(params.from.ip, site),
+      grants: this.grantsFor(params.from.ip, site, agreed.zonesOut),
       activeNodes: this.activeReports().length,
     };
   }
@@ -122,9 +122,14 @@
     return [...this.reports.values()].filter(({atMs}) => atMs >= oldest);
   }
 
-  private grantsFor(node: string, site: Site): ServiceGrant[] {
+  private grantsFor(
+    node: string,
+    site: Site | undefined,
+    zonesOut: readonly string[]
+  ): ServiceGrant[] {
+    if (site === undefined) return [];
     const reports = this.activeReports();
-    this.renewShares(site, reports);
+    this.renewShares(site, reports, zonesOut);
     return [...site.services.keys()].map(service => ({
       service,
       concurrency: this.shares.get(service)?.get(node) ?? 1,
@@ -132,12 +137,20 @@
     }));
   }
 
-  private renewShares(site: Site, reports: readonly NodeReport[]): void {
+  private renewShares(
+    site: Site,
+    reports: readonly NodeReport[],
+    zonesOut: readonly string[]
+  ): void {
     const now = this.nowMs();
     if (now - this.sharesAtMs < SHARES_PERIOD_MS) return;
     this.sharesAtMs = now;
     const pauses = acceptedPauses(site);
-    const records = this.table.records();
+    // Places where nothing may be sent would let twice as many requests in as
+    // the others can take; they would wait at the targets, unseen.
+    const records = this.table
+      .records()
+      .filter(({availabilityZone}) => !zonesOut.includes(availabilityZone));
     this.shares = new Map(
       [...site.services.values()].map(service => {
         const {name} = service;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -22,14 +22,6 @@
 const PATIENCE_PART = 0.4;
 /** Without a latency target: as long as a person waits without noticing. */
 const USUAL_TARGET_MS = 500;
-/**
- * Those turned away come back after 0.7 to 2.6 s. What makes places scarce, a
- * burst or experts that just came into demand, lasts about that long, and a
- * caller that comes back into it is turned away for good. Nobody waits beyond
- * a third of the time that streams have; spread, they do not come as one.
- */
-const RETRY_FROM_MS = 700;
-const RETRY_TO_MS = 2_600;
 /** A node without a site gets it with its first report to a leader. */
 const NO_SITE_RETRY_MS = 500;
 
@@ -114,7 +106,7 @@
   state: RequestState,
   {route, service, customer}: Routed
 ): Promise<GatewayRefusal | undefined | 'entered'> {
-  const {queue} = gateway.pool(service.name);
+  const {queue, retries} = gateway.pool(service.name);
   const targetMs = route.latencyTargetMs || USUAL_TARGET_MS;
   return new Promise(resolve => {
     const onCancel = () => {
@@ -129,19 +121,17 @@
       priority: customer?.priority ?? route.priority,
       patienceMs: targetMs * PATIENCE_PART,
       start: () => finish('entered'),
-      refuse: (ms: number) =>
-        finish({kind: 'overloaded', retryInMs: retryIn(ms)}),
+      refuse: () => {
+        const retryInMs = retries.refuse(performance.now(), Math.random);
+        finish({kind: 'overloaded', retryInMs});
+      },
     };
     state.cancel.addEventListener('abort', onCancel);
+    retries.noteAsked(performance.now());
     queue.enter(applicant, performance.now());
   });
 }
 
-function retryIn(expectedWaitMs: number): number {
-  const spread = (RETRY_TO_MS - RETRY_FROM_MS) * Math.random();
-  return Math.max(expectedWaitMs, RETRY_FROM_MS + spread);
-}
-
 function answerRefusal(
   gateway: Gateway,
   state: RequestState,
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -6,6 +6,7 @@
 import {AdmissionQueue} from '../policy/admissionQueue';
 import {PassPace} from '../policy/passPace';
 import {RateWindow, nodePartOf} from '../policy/rateWindow';
+import {RetryTiming} from '../policy/retryTiming';
 import type {TargetOption} from '../policy/targetChoice';
 import {chooseTarget} from '../policy/targetChoice';
 import type {AttemptSign} from '../policy/targetHealth';
@@ -42,6 +43,7 @@
   readonly queue = new AdmissionQueue();
   readonly budget: WindowBudget;
   readonly pace = new PassPace();
+  readonly retries = new RetryTiming();
   private readonly health = new Map<string, TargetHealth>();
   private readonly windows = new Map<string, RateWindow>();
   private readonly own = new Map<string, number>();
--- a/src/policy/admissionQueue.ts
+++ b/src/policy/admissionQueue.ts
@@ -16,8 +16,8 @@
   readonly patienceMs: number;
   /** Called once, with the place taken. */
   start(): void;
-  /** Called once instead of `start`; milliseconds until a place is likely. */
-  refuse(retryInMs: number): void;
+  /** Called once instead of `start`. */
+  refuse(): void;
 }
 
 interface Waiting {
@@ -61,7 +61,7 @@
     const ahead = this.aheadOf(applicant.priority);
     const waitMs = this.expectedWaitMs(ahead);
     if (waitMs > applicant.patienceMs) {
-      applicant.refuse(this.expectedWaitMs(this.waiting.length));
+      applicant.refuse();
       return;
     }
     const giveUpAtMs = nowMs + applicant.patienceMs;
@@ -85,8 +85,7 @@
     const late = this.waiting.filter(({giveUpAtMs}) => giveUpAtMs <= nowMs);
     if (late.length === 0) return;
     this.waiting = this.waiting.filter(({giveUpAtMs}) => giveUpAtMs > nowMs);
-    const retryInMs = this.expectedWaitMs(this.waiting.length);
-    for (const {applicant} of late) applicant.refuse(retryInMs);
+    for (const {applicant} of late) applicant.refuse();
   }
 
   private startNext(): void {
--- /dev/null
+++ b/tests/coordinator.spec.ts
@@ -0,0 +1,114 @@
+import {Coordinator} from '../src/cluster/coordinator';
+import type {SyncParams} from '../src/cluster/messages';
+import {TargetTable} from '../src/cluster/targetTable';
+import type {Site} from '../src/site/site';
+import type {TargetRecord} from '../src/site/announcement';
+import {SILENT} from './logCluster';
+
+const SITE: Site = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      's',
+      {
+        name: 's',
+        healthPath: '/',
+        maxConnections: 10,
+        coldRequestsPerSecond: 0,
+        engine: {
+          slots: 8,
+          stepsPerPass: 4,
+          stepMs: 4,
+          stepMsPerRequest: 1,
+          expertShare: 0,
+          expertSets: 0,
+          experts: 0,
+          placesPerRank: 0,
+          sparePlaces: 0,
+          expertCopyMs: 0,
+          formMs: 600,
+        },
+      },
+    ],
+  ]),
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  customers: [],
+};
+
+function target(zone: string): TargetRecord {
+  return {
+    id: `t-${zone}`,
+    bornMs: 1,
+    sequence: 1,
+    service: 's',
+    address: `10.0.0.${zone.charCodeAt(0)}:80`,
+    availabilityZone: zone,
+    slots: 8,
+    state: 'ready',
+    coldMs: 0,
+  };
+}
+
+function report(ip: string, wanted: number): SyncParams {
+  const load = {inFlight: wanted, waiting: 0, arrivals: 1, paceMs: 0};
+  return {
+    from: {ip, hasDisk: false},
+    bootId: ip,
+    siteVersion: 1,
+    tableRevision: 0,
+    tableTerm: 1,
+    records: ['a', 'b', 'c'].map(target),
+    loads: [{service: 's', byTarget: {}, ...load}],
+  };
+}
+
+function fixture() {
+  let nowMs = 1_000;
+  const table = new TargetTable();
+  const coordinator = new Coordinator(table, SILENT, () => nowMs, 4_000);
+  const sync = (ip: string, wanted: number, zonesOut: string[] = []) => {
+    nowMs += 250;
+    const agreed = {
+      term: 1,
+      index: 1,
+      siteVersion: 1,
+      packedSite: 'x',
+      zonesOut,
+    };
+    return coordinator.sync(report(ip, wanted), agreed, SITE, []);
+  };
+  return {sync};
+}
+
+const placesOf = (state: ReturnType<ReturnType<typeof fixture>['sync']>) =>
+  state.grants[0]?.concurrency ?? 0;
+
+describe('coordinator of places', () => {
+  it('should lend all places to the one node that reports', () => {
+    const {sync} = fixture();
+    expect(placesOf(sync('n1', 4))).toBe(24);
+  });
+
+  // A zone is taken out of service. Its places stay counted, so that requests
+  // for three zones run into two: they wait at the targets, and all are late.
+  it('should count no places in zones that are out', () => {
+    const {sync} = fixture();
+    expect(placesOf(sync('n1', 4, ['c']))).toBe(16);
+  });
+
+  it('should tell a node of the requests of all others', () => {
+    const {sync} = fixture();
+    sync('n1', 4);
+    const state = sync('n2', 20);
+    expect(state.activeNodes).toBe(2);
+    const shares = [placesOf(sync('n1', 4)), placesOf(sync('n2', 20))];
+    expect(shares[0]! + shares[1]!).toBe(24);
+    expect(shares[1]).toBeGreaterThan(shares[0]!);
+  });
+});
--- /dev/null
+++ b/tests/retryTiming.spec.ts
@@ -0,0 +1,34 @@
+import {RetryTiming} from '../src/policy/retryTiming';
+
+const HALF = () => 0.5;
+
+describe('time to come back', () => {
+  // One of fifty finds no place for a moment: a second try is still in time.
+  it('should be short after a gap of a moment', () => {
+    const timing = new RetryTiming();
+    for (let i = 0; i < 50; i++) timing.noteAsked(i * 20);
+    expect(timing.refuse(1_000, HALF)).toBeLessThan(400);
+  });
+
+  // Half of a burst is turned away. Back after a moment, the same requests would
+  // meet the same burst, and have no third try.
+  it('should be long in a lasting shortage', () => {
+    const timing = new RetryTiming();
+    let retryInMs = 0;
+    for (let i = 0; i < 50; i++) {
+      timing.noteAsked(i * 20);
+      if (i % 2 === 0) retryInMs = timing.refuse(i * 20, HALF);
+    }
+    expect(retryInMs).toBeGreaterThan(1_000);
+  });
+
+  it('should forget a shortage that is over', () => {
+    const timing = new RetryTiming();
+    for (let i = 0; i < 50; i++) {
+      timing.noteAsked(i * 20);
+      timing.refuse(i * 20, HALF);
+    }
+    for (let i = 0; i < 50; i++) timing.noteAsked(8_000 + i * 20);
+    expect(timing.refuse(9_000, HALF)).toBeLessThan(400);
+  });
+});
