Read the counts of a rank that has requests, and the pace that other nodes report

The rank that is read stood in a zone that was out, so its counts stood still; and a leader that no caller reaches saw no pace of its own.

Change: after three readings without choices another rank is read, five further on; without streams of its own the leader goes by the pace that nodes report.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -84,6 +84,7 @@
 export class ClusterNode {
   readonly table = new TargetTable();
   private readonly duties: LeaderDuties;
+  private readonly coordinator: Coordinator;
   private readonly bootId = newBootId();
   private readonly rpc: RpcClient;
   private readonly server: RpcServer;
@@ -126,15 +127,16 @@
       logger,
       () => this.agreed?.leader
     );
+    this.coordinator = new Coordinator(
+      this.table,
+      logger,
+      nowMs,
+      heartbeatMs * MISSED_HEARTBEATS
+    );
     this.duties = new LeaderDuties({
       agreed: () => this.agreed,
       directory: this.directory,
-      coordinator: new Coordinator(
-        this.table,
-        logger,
-        nowMs,
-        heartbeatMs * MISSED_HEARTBEATS
-      ),
+      coordinator: this.coordinator,
       site: () => this.site,
       leader: () => this.link.leader,
       logger,
@@ -168,6 +170,11 @@
     return this.duties.term;
   }
 
+  /** On the leader: pace of passes as all nodes reported it; 0 when none runs. */
+  paceMs(service: string): number {
+    return this.coordinator.paceMs(service);
+  }
+
   /** Milliseconds since a leader last answered. */
   get leaderSilenceMs(): number {
     return performance.now() - this.lastSyncMs;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -15,7 +15,7 @@
   SyncParams,
   SyncState,
 } from './messages';
-import {PlacesEstimate} from './placesEstimate';
+import {PlacesEstimate, medianPace} from './placesEstimate';
 import type {TargetTable} from './targetTable';
 
 /**
@@ -97,11 +97,10 @@
     };
   }
 
-  /** Requests of all nodes at a target, for the controller of expert maps. */
-  inFlightAt(service: string): number {
-    return this.activeReports().reduce(
-      (sum, {loads}) => sum + (loads.get(service)?.inFlight ?? 0),
-      0
+  /** Pace of passes as the nodes reported it last; 0 when no stream runs. */
+  paceMs(service: string): number {
+    return medianPace(
+      this.activeReports().flatMap(({loads}) => loads.get(service) ?? [])
     );
   }
 
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -69,8 +69,8 @@
   }
 }
 
-/** One node that reads slowly must not stand for the group. */
-function medianPace(loads: readonly ServiceLoad[]): number {
+/** One node that reads slowly must not stand for the group; 0 when none runs. */
+export function medianPace(loads: readonly ServiceLoad[]): number {
   const paces = loads.map(({paceMs}) => paceMs).filter(ms => ms > 0);
   paces.sort((a, b) => a - b);
   return paces[Math.floor(paces.length / 2)] ?? 0;
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -89,9 +89,11 @@
       readyServer.once('error', reject);
       readyServer.listen(listen.ready.port, listen.ready.host, resolve);
     });
-    const director = new RankDirector(node, codecs.ranks, logger, service =>
-      gateway.pool(service).pace.paceMs(performance.now())
-    );
+    // Callers may reach other nodes only: then their reports tell the pace.
+    const paceMs = (service: string) =>
+      gateway.pool(service).pace.paceMs(performance.now()) ||
+      running.node.paceMs(service);
+    const director = new RankDirector(node, codecs.ranks, logger, paceMs);
     running.subscription.add(
       interval(DIRECTOR_TICK_MS).subscribe(() =>
         director.tick(performance.now())
--- a/src/ranks/expertDemand.ts
+++ b/src/ranks/expertDemand.ts
@@ -32,6 +32,7 @@
 /** Demand as the latest reading shows it. */
 export class ExpertDemand {
   private base: ExpertCounts | undefined;
+  private baseRank = '';
   private latest: readonly number[] = [];
 
   constructor(
@@ -39,11 +40,13 @@
     private readonly experts: number
   ) {}
 
-  /** Takes in a reading. */
-  note(reading: ExpertCounts): DemandChange {
+  /** Takes in a reading of one rank; the first of a rank only begins its count. */
+  note(rankId: string, reading: ExpertCounts): DemandChange {
     const {base} = this;
-    if (base === undefined || isOtherLife(base, reading)) {
+    const isFirst = base === undefined || this.baseRank !== rankId;
+    if (isFirst || isOtherLife(base, reading)) {
       this.base = reading;
+      this.baseRank = rankId;
       return 'nothing';
     }
     const fresh = reading.counts.map((n, i) => n - (base.counts[i] ?? 0));
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -55,6 +55,10 @@
 /** Skew from which the first, small switch is worth its own price. */
 const HIGH_SKEW = 1.9;
 
+/** Readings without choices after which another rank is read. */
+const EMPTY_READINGS = 3;
+/** Ranks of one zone may be next to each other; the step leads out of it. */
+const RANK_STRIDE = 5;
 /** Between two tries to read the map in use. */
 const LOAD_PERIOD_MS = 200;
 
@@ -92,6 +96,9 @@
   private paceReadMs = -Infinity;
   private usualPaceMs = 0;
   private hasSeenDemand = false;
+  /** The rank whose counts are read. */
+  private readRank = 0;
+  private emptyReadings = 0;
   /** Whether what is in demand is known and not planned for yet. */
   private isPlanDue = false;
   private lastReportsMs = -Infinity;
@@ -187,19 +194,33 @@
     logger.debug({event: 'map.looked', group: name, skew, change}, change);
     if (change === 'shifting' || !this.hasSeenDemand)
       this.readAtMs = Math.min(this.readAtMs, nowMs + REREAD_MS);
+    this.moveOn(change, nowMs);
     if (change !== 'shifted' && change !== 'same') return;
     this.isPlanDue = true;
     this.hasSeenDemand = true;
   }
 
+  /**
+   * A rank in a zone that is out, or that nobody can reach, has no requests of
+   * its own, and its counts stand still: another one is read then.
+   */
+  private moveOn(change: DemandChange, nowMs: number): void {
+    this.emptyReadings = change === 'nothing' ? this.emptyReadings + 1 : 0;
+    if (this.emptyReadings < EMPTY_READINGS) return;
+    this.emptyReadings = 0;
+    this.readRank = (this.readRank + RANK_STRIDE) % this.parts.ranks.length;
+    this.readAtMs = Math.min(this.readAtMs, nowMs + REREAD_MS);
+  }
+
   private async read(): Promise<DemandChange> {
     const {codec, logger, scope, ranks, name} = this.parts;
-    const [first] = ranks;
-    const answer = await callRank(first?.address ?? '', codec.countsCall());
+    const rank = ranks[this.readRank];
+    if (rank === undefined) return 'nothing';
+    const answer = await callRank(rank.address, codec.countsCall());
     const counts =
       answer?.status === OK ? codec.readCounts(answer.text) : undefined;
     if (counts !== undefined && counts.epoch === scope.epoch)
-      return this.demand.note(counts);
+      return this.demand.note(rank.id, counts);
     logger.info({event: 'map.unread', group: name}, 'counts not read');
     return 'nothing';
   }
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -55,8 +55,8 @@
   };
 }
 
-function report(ip: string, wanted: number): SyncParams {
-  const load = {inFlight: wanted, waiting: 0, arrivals: 1, paceMs: 0};
+function report(ip: string, wanted: number, paceMs: number): SyncParams {
+  const load = {inFlight: wanted, waiting: 0, arrivals: 1, paceMs};
   return {
     from: {ip, hasDisk: false},
     bootId: ip,
@@ -72,7 +72,12 @@
   let nowMs = 1_000;
   const table = new TargetTable();
   const coordinator = new Coordinator(table, SILENT, () => nowMs, 4_000);
-  const sync = (ip: string, wanted: number, zonesOut: string[] = []) => {
+  const sync = (
+    ip: string,
+    wanted: number,
+    zonesOut: string[] = [],
+    paceMs = 0
+  ) => {
     nowMs += 250;
     const agreed = {
       term: 1,
@@ -81,9 +86,9 @@
       packedSite: 'x',
       zonesOut,
     };
-    return coordinator.sync(report(ip, wanted), agreed, SITE, []);
+    return coordinator.sync(report(ip, wanted, paceMs), agreed, SITE, []);
   };
-  return {sync};
+  return {sync, coordinator};
 }
 
 const placesOf = (state: ReturnType<ReturnType<typeof fixture>['sync']>) =>
@@ -111,4 +116,14 @@
     expect(shares[0]! + shares[1]!).toBe(24);
     expect(shares[1]).toBeGreaterThan(shares[0]!);
   });
+
+  // All callers reach other nodes than the leader. Without their reports it saw
+  // no stream, read no counts, and left the first map in force for good.
+  it('should tell the pace from the streams of other nodes', () => {
+    const {sync, coordinator} = fixture();
+    sync('leader', 0, [], 0);
+    expect(coordinator.paceMs('s')).toBe(0);
+    sync('n1', 4, [], 60);
+    expect(coordinator.paceMs('s')).toBe(60);
+  });
 });
--- a/tests/expertDemand.spec.ts
+++ b/tests/expertDemand.spec.ts
@@ -15,7 +15,7 @@
 function fixture() {
   const demand = new ExpertDemand(1, EXPERTS);
   let counts = Array.from({length: EXPERTS}, () => 0);
-  const read = () => demand.note({pass: 1, epoch: 1, counts});
+  const read = () => demand.note('r0', {pass: 1, epoch: 1, counts});
   read();
   return {
     demand,
@@ -65,6 +65,24 @@
     choose(3, 50_000);
     read();
     const fresh = Array.from({length: EXPERTS}, () => 1);
-    expect(demand.note({pass: 1, epoch: 2, counts: fresh})).toBe('nothing');
+    expect(demand.note('r0', {pass: 1, epoch: 2, counts: fresh})).toBe(
+      'nothing'
+    );
+  });
+
+  // The rank that was read has no requests any more, and another is read: the
+  // difference between the two would be no demand at all.
+  it('should not compare the counts of two ranks', () => {
+    const {demand, read, choose} = fixture();
+    choose(3, 50_000);
+    read();
+    const counts = add(
+      Array.from({length: EXPERTS}, () => 0),
+      13,
+      90_000
+    );
+    const other = {pass: 9, epoch: 1, counts};
+    expect(demand.note('r5', other)).toBe('nothing');
+    expect(leader(demand)).toBe(3);
   });
 });
