List the settings of a node; leave out one that nothing read

Cause: the page for operators had no node, and [metrics] port did nothing.

Change: the table, checked like the others; the setting is gone until metrics are served.

Measured: tests of the pages and of settings green.

--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -1,7 +1,7 @@
 /** The settings of each role: one schema a section, keys as in the file. */
 
 import * as z from 'zod';
-import {integer, name, oneOf} from '../core/textSchemas';
+import {integer, name, oneOf, textSchema} from '../core/textSchemas';
 import {
   addressList,
   anyPort,
@@ -160,7 +160,7 @@
     'nodes with a disk whose loss at once is borne'
   ),
   'data-folder': setting(
-    z.string().default(''),
+    textSchema('a path, or nothing', text => text).default(''),
     'folder for what must survive; empty on a node without a disk'
   ),
 });
@@ -228,12 +228,6 @@
     cluster: NODE_CLUSTER,
     listen: LISTEN,
     bounds: BOUNDS,
-    metrics: z.strictObject({
-      port: setting(
-        anyPort().default(0),
-        'port that serves the metrics as text; 0 for any'
-      ),
-    }),
   }),
   client: z.strictObject({
     internal: z.strictObject(SECRET),
--- a/tests/docs.spec.ts
+++ b/tests/docs.spec.ts
@@ -34,7 +34,7 @@
 }
 
 describe('page for operators', () => {
-  it.each(['entry', 'agent', 'control', 'client'] as const)(
+  it.each(['entry', 'agent', 'control', 'node', 'client'] as const)(
     'should list every setting of %s with default, range and meaning',
     role => {
       const expected = describeSettings(role).map(key => [
