Run nodes as processes in a test, and log each change of leader and voters

The first form of the wipe test killed a second node before the wiped one had its vote, which is more than is borne, and failed.

--- a/bench/mutants.ts
+++ b/bench/mutants.ts
@@ -35,6 +35,8 @@
 const ROOT = process.cwd();
 const COPIED = [
   'src',
+  'platform',
+  'deploy',
   'tests',
   'bench',
   'fakes',
--- a/src/cluster/agreedState.ts
+++ b/src/cluster/agreedState.ts
@@ -3,6 +3,7 @@
  * calls to the node that leads.
  */
 
+import {distinctUntilChanged, map} from 'rxjs';
 import type {Logger} from '../core/logger';
 import {createReplicatedLog} from '../control/log/createReplicatedLog';
 import type {ForgetRule} from '../control/log/logOptions';
@@ -100,9 +101,34 @@
         trailingEntries: TRAILING_ENTRIES,
       },
     });
+    this.logMembership(log);
     return {log, state};
   }
 
+  /** One line each time this node's part, the leader or the voters change. */
+  private logMembership(log: ReplicatedLog): void {
+    log.status$
+      .pipe(
+        map(({role, leaderId, voter, voterIds, term}) => ({
+          role,
+          leaderId,
+          voter,
+          voterIds,
+          term,
+        })),
+        distinctUntilChanged(
+          (a, b) =>
+            a.role === b.role &&
+            a.leaderId === b.leaderId &&
+            a.voter === b.voter &&
+            a.voterIds.join() === b.voterIds.join()
+        )
+      )
+      .subscribe(belief =>
+        this.options.logger.info({event: 'log.changed', ...belief}, belief.role)
+      );
+  }
+
   private reopenLater(err: unknown): void {
     this.opened = undefined;
     this.options.logger.error(
--- /dev/null
+++ b/tests/processes/platformNodes.spec.ts
@@ -0,0 +1,240 @@
+import type {ChildProcess} from 'node:child_process';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import net from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {eventually} from '../fixtures/system';
+import {PAGE_EXAMPLE, renderSettings} from '../platform/platformSettings';
+
+const APP = path.join(__dirname, '..', '..', 'dist', 'marlpulley-app.cjs');
+const OK = 200;
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  return port;
+}
+
+function call(
+  host: string,
+  port: number,
+  method: string,
+  url: string,
+  body = '',
+  headers: Readonly<Record<string, string>> = {}
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const options = {host, port, method, path: url, headers, agent: false};
+    const req = http.request({...options, timeout: 4_000}, res => {
+      let text = '';
+      res.on('data', chunk => (text += String(chunk)));
+      res.on('end', () => resolve({status: res.statusCode ?? 0, body: text}));
+    });
+    req.on('timeout', () => req.destroy(new Error('no answer')));
+    req.on('error', reject);
+    req.end(body);
+  });
+}
+
+/** Nodes at addresses of their own, on the same ports, as on the platform. */
+class Nodes {
+  private readonly root = mkdtempSync(path.join(tmpdir(), 'marlpulley-nodes-'));
+  private readonly running = new Map<string, ChildProcess>();
+  private readonly lines = new Map<string, string>();
+  ports = {callers: 0, ready: 0, control: 0, internal: 0};
+
+  constructor(readonly seeds: readonly string[]) {}
+
+  async choosePorts(): Promise<void> {
+    const [callers, ready, control, internal] = await Promise.all(
+      [1, 2, 3, 4].map(freePort)
+    );
+    this.ports = {
+      callers: callers!,
+      ready: ready!,
+      control: control!,
+      internal: internal!,
+    };
+  }
+
+  start(ip: string, isFirstStart: boolean): void {
+    const {callers, ready, control, internal} = this.ports;
+    const file = path.join(this.root, `${ip}.ini`);
+    const settings = renderSettings({
+      ...PAGE_EXAMPLE,
+      node: `node-${ip}`,
+      ip,
+      zone: 'a',
+      'listen.front': `${ip}:${callers}`,
+      'listen.ready': `${ip}:${ready}`,
+      'listen.control': `${ip}:${control}`,
+      'internalPorts.0': String(internal),
+      seeds: this.seeds.map(seed => `${seed}:${control}`).join(','),
+      bootstrap: String(isFirstStart),
+      dataDir: this.dataDir(ip),
+      heartbeatMs: '60000',
+      'bounds.graceS': '4',
+    });
+    writeFileSync(file, settings);
+    const args = [APP, 'node', '--settings', file];
+    const stdio = ['ignore', 'pipe', 'ignore'] as const;
+    const child = spawn(process.execPath, args, {stdio: [...stdio]});
+    this.running.set(ip, child);
+    this.lines.set(ip, '');
+    child.stdout?.on('data', chunk =>
+      this.lines.set(ip, `${this.lines.get(ip) ?? ''}${String(chunk)}`)
+    );
+  }
+
+  /** Resolves once the node has logged that it votes. */
+  async voting(ip: string): Promise<void> {
+    await eventually(`${ip} votes`, async () =>
+      /"event":"log.changed"[^\n]*"voter":true/.test(this.lines.get(ip) ?? '')
+    );
+  }
+
+  async kill(ip: string): Promise<void> {
+    const child = this.running.get(ip);
+    this.running.delete(ip);
+    if (child === undefined || child.exitCode !== null) return;
+    const ended = once(child, 'exit');
+    child.kill('SIGKILL');
+    await ended;
+  }
+
+  wipe(ip: string): void {
+    rmSync(this.dataDir(ip), {recursive: true, force: true});
+  }
+
+  async stop(): Promise<void> {
+    for (const ip of [...this.running.keys()]) await this.kill(ip);
+    rmSync(this.root, {recursive: true, force: true});
+  }
+
+  /** A call of an operator or target, until it is taken. */
+  order(ip: string, method: string, url: string, body = ''): Promise<Reply> {
+    const what = `${method} ${url} at ${ip}`;
+    return eventually(what, async () => {
+      const {control} = this.ports;
+      const reply = await call(ip, control, method, url, body);
+      return reply.status === OK && reply;
+    });
+  }
+
+  private dataDir(ip: string): string {
+    return path.join(this.root, `data-${ip}`);
+  }
+}
+
+function document(version: number, address = ''): string {
+  return JSON.stringify({
+    version,
+    routes: [
+      {
+        name: 'r',
+        host: 'a.example',
+        pathPrefix: '/x/',
+        kind: 'idempotent',
+        timeoutMs: 2_000,
+        targetLatencyMs: 500,
+        priority: 1,
+        service: 's',
+        maxAttempts: 2,
+        authExempt: true,
+      },
+    ],
+    services: [{name: 's', healthPath: '/', maxConnections: 9}],
+    note: address,
+  });
+}
+
+describe('nodes that find each other', () => {
+  const [A, B, C] = ['127.0.0.21', '127.0.0.22', '127.0.0.23'] as const;
+  let nodes: Nodes;
+  let target: http.Server;
+
+  beforeAll(async () => {
+    nodes = new Nodes([A, B, C]);
+    await nodes.choosePorts();
+    for (const ip of [A, B, C]) nodes.start(ip, true);
+    target = http.createServer((req, res) => {
+      res.setHeader('x-attempt-id', String(req.headers['x-attempt-id']));
+      res.setHeader('x-response-seal', 'seal');
+      res.end('served');
+    });
+    await new Promise<void>(done => target.listen(0, '127.0.0.1', done));
+  }, 30_000);
+  afterAll(async () => {
+    target.close();
+    await nodes.stop();
+  });
+
+  // The operator may reach any node. What one of them acknowledged must be read
+  // back exactly, from every other, or not at all.
+  it('should agree on a document and read it back as it was sent', async () => {
+    const text = document(3);
+    await nodes.order(A, 'PUT', '/-/config', text);
+    for (const ip of [A, B, C])
+      expect((await nodes.order(ip, 'GET', '/-/config')).body).toBe(text);
+    const older = await nodes.order(B, 'PUT', '/-/config', document(2));
+    expect(older.status).toBe(OK);
+    expect((await nodes.order(C, 'GET', '/-/config')).body).toBe(text);
+  });
+
+  it('should refuse a document with a fault', async () => {
+    const {control} = nodes.ports;
+    const reply = await call(A, control, 'PUT', '/-/config', '{"version":9');
+    expect(reply.status).toBe(400);
+  });
+
+  // A target tells one node of itself; callers reach another one.
+  it('should serve by a target that told another node of itself', async () => {
+    const {port} = target.address() as AddressInfo;
+    const beat = {
+      service: 's',
+      address: `127.0.0.1:${port}`,
+      zone: 'a',
+      slots: 4,
+      state: 'ready',
+      sequence: 1,
+      born: 1,
+    };
+    await nodes.order(B, 'PUT', '/-/instances/i-1', JSON.stringify(beat));
+    const reply = await eventually('an answer at C', async () => {
+      const headers = {host: 'a.example', 'x-attempt-id': 'one'};
+      const {callers} = nodes.ports;
+      const answer = await call(C, callers, 'GET', '/x/y', '', headers);
+      return answer.status === OK && answer;
+    });
+    expect(reply.body).toBe('served');
+    const ready = await call(C, nodes.ports.ready, 'GET', '/-/readiness');
+    expect(ready.status).toBe(OK);
+  });
+
+  // One disk is lost, and its machine comes back empty. Then a second one dies:
+  // what was accepted before must still be there, and changes must go on.
+  it('should lose nothing when one disk is wiped and another dies', async () => {
+    const text = document(7);
+    await nodes.order(C, 'PUT', '/-/config', text);
+    await nodes.kill(A);
+    nodes.wipe(A);
+    nodes.start(A, false);
+    await nodes.order(A, 'GET', '/-/config');
+    await nodes.order(B, 'PUT', '/-/config', document(8));
+    await nodes.voting(A);
+    await nodes.kill(C);
+    await nodes.order(A, 'PUT', '/-/config', document(9));
+    expect((await nodes.order(A, 'GET', '/-/config')).body).toBe(document(9));
+  }, 60_000);
+});
