--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -67,7 +67,15 @@
 };
 
 export default tseslint.config(
-  {ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**']},
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'coverage/**',
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
