--- a/tests/processes/platformNodes.spec.ts
+++ b/tests/platform/nodes.spec.ts
@@ -8,7 +8,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {eventually} from '../fixtures/system';
-import {PAGE_EXAMPLE, renderSettings} from '../platform/platformSettings';
+import {PAGE_EXAMPLE, renderSettings} from './platformSettings';
 
 const APP = path.join(__dirname, '..', '..', 'dist', 'marlpulley-app.cjs');
 const OK = 200;
