Read bodies of calls by one function, and drop a clock that nothing read

Cause: the internal port and the control address each had the same loop over a body, and the time of the leader's last answer was kept for no reader.

Change: src/core/readText.ts serves both; the unused clock is gone. Behaviour and bounds as before.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -104,7 +104,6 @@
   private heardHere = new Map<string, TargetRecord>();
   private leaderTerm = -1;
   private leaderRevision = 0;
-  private lastSyncMs = -Infinity;
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
@@ -175,11 +174,6 @@
     return this.coordinator.paceMs(service);
   }
 
-  /** Milliseconds since a leader last answered. */
-  get leaderSilenceMs(): number {
-    return performance.now() - this.lastSyncMs;
-  }
-
   setSeeds(seeds: readonly string[]): void {
     this.directory.setSeeds(seeds);
   }
@@ -346,7 +340,6 @@
     const isOlder =
       reply.term < this.leaderTerm || reply.index < this.viewIndex;
     if (isOlder) return;
-    this.lastSyncMs = performance.now();
     this.directory.note(reply.nodes);
     if (reply.term > this.leaderTerm) {
       // A new leader knows only what it is told: all that is known here.
--- a/src/cluster/rpcServer.ts
+++ b/src/cluster/rpcServer.ts
@@ -5,6 +5,7 @@
 import type {JSONRPCRequest} from 'json-rpc-2.0';
 import type * as z from 'zod';
 import type {Logger} from '../core/logger';
+import {readText} from '../core/readText';
 
 /** A snapshot of the log comes in chunks of 1 MiB characters. */
 const MAX_BODY_BYTES = 8 << 20;
@@ -53,7 +54,9 @@
     res: http.ServerResponse
   ): Promise<void> {
     try {
-      const request = JSON.parse(await readText(req)) as JSONRPCRequest;
+      const request = JSON.parse(
+        await readText(req, MAX_BODY_BYTES)
+      ) as JSONRPCRequest;
       const response = await this.methods.receive(request);
       res.setHeader('content-type', 'application/json');
       res.end(JSON.stringify(response));
@@ -63,14 +66,3 @@
     }
   }
 }
-
-async function readText(req: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) throw new Error('the call is too large');
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
--- /dev/null
+++ b/src/core/readText.ts
@@ -0,0 +1,18 @@
+/** Reads the body of a call between processes. */
+
+import type {IncomingMessage} from 'node:http';
+
+/** The whole body as text; rejects beyond `maxBytes`. */
+export async function readText(
+  req: IncomingMessage,
+  maxBytes: number
+): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > maxBytes) throw new Error('the body is too large');
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import {unreachable} from '../core/errors';
 import type {Logger} from '../core/logger';
+import {readText} from '../core/readText';
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
 import {packText} from '../site/packText';
@@ -56,7 +57,7 @@
     const {codec, logger} = this.parts;
     const call = codec.readCall(req.method ?? '', req.url ?? '');
     try {
-      const text = await readText(req);
+      const text = await readText(req, MAX_BODY_BYTES);
       const {status, body = ''} =
         call === undefined ? NOT_FOUND : await this.handle(call, text);
       if (status !== OK.status)
@@ -149,14 +150,3 @@
 
 const NOT_FOUND: Reply = {status: 404, body: '{"error":"no such call"}'};
 const UNREADABLE: Reply = {status: 400, body: '{"error":"not understood"}'};
-
-async function readText(req: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) throw new Error('the body is too large');
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
