Ask one rank for reports while a switch goes on

Ruled out: a longer period; the pass before which to hold is counted from reports. Change: the rank that takes the holds tells how far the group is; others are asked only where their answers to orders do not say it. The model of late orders now reads just what the machine asks for.

--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -294,8 +294,8 @@
     const {ranks, codec} = this.parts;
     const {machine} = this;
     ranks.forEach(({address}, rank) => {
-      if (machine?.needsReport(rank) !== true) return;
       const askedAtMs = performance.now();
+      if (machine?.needsReport(rank, askedAtMs) !== true) return;
       void callRank(address, codec.reportCall()).then(answer => {
         const report =
           answer?.status === OK ? codec.readReport(answer.text) : undefined;
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -37,8 +37,7 @@
   SwitchEvent,
   SwitchPhase,
 } from './switchPhase';
-import {isReportDue} from './switchPhase';
-import {RankViews, heldAfterAnswer, isCopied} from './rankViews';
+import {CLOCK_RANK, RankViews, heldAfterAnswer, isCopied} from './rankViews';
 
 /** Copies of a few experts take about a second; late orders up to twelve. */
 const PREPARE_LIMIT_MS = 6_000;
@@ -110,10 +109,13 @@
     return this.listsKnown;
   }
 
-  /** Whether what a rank reports matters now; each report is paid for. */
-  needsReport(rank: number): boolean {
-    const report = this.ranks.views[rank]?.report;
-    return report === undefined || isReportDue(this.phase, report);
+  /**
+   * Whether what a rank reports matters now; each report is paid for. All ranks
+   * step together, so that one tells for all how far the group is; the others'
+   * answers to orders say the rest, sooner than reports.
+   */
+  needsReport(rank: number, nowMs: number): boolean {
+    return this.ranks.needsReport(rank, this.phase, this.last.isDue(nowMs));
   }
 
   /**
@@ -301,10 +303,7 @@
         return this.prepare(phase);
       case 'holding':
       case 'seizing':
-        return this.ranks.order(this.nowMs, 0, {
-          kind: 'hold',
-          pass: phase.pass,
-        });
+        return this.toClockRank({kind: 'hold', pass: phase.pass});
       case 'arming':
         return this.arm(phase);
       case 'clearing':
@@ -449,8 +448,8 @@
   }
 
   private release(phase: PhaseOf<'releasing'>): readonly SentOrder[] {
-    if (this.ranks.views[0]?.isDone !== true)
-      return this.ranks.order(this.nowMs, 0, {kind: 'go', pass: phase.pass});
+    if (this.ranks.views[CLOCK_RANK]?.isDone !== true)
+      return this.toClockRank({kind: 'go', pass: phase.pass});
     if (phase.then === 'switched') this.noteSwitched(phase);
     this.enter({kind: 'idle'});
     return this.advance();
@@ -469,6 +468,10 @@
     this.last.noteReleased(version, pass, expectedAtMs);
   }
 
+  private toClockRank(order: RankOrder): readonly SentOrder[] {
+    return this.ranks.order(this.nowMs, CLOCK_RANK, order);
+  }
+
   private get ageMs(): number {
     return this.nowMs - this.sinceMs;
   }
--- a/src/ranks/rankViews.ts
+++ b/src/ranks/rankViews.ts
@@ -1,8 +1,11 @@
 /** What a switch knows of each rank, and the orders on their way to them. */
 
 import type {RankOrder, RankReport} from '../ports/rankPort';
-import type {RankView, SentOrder} from './switchPhase';
-import {unknownRank} from './switchPhase';
+import type {RankView, SentOrder, SwitchPhase} from './switchPhase';
+import {isReportDue, unknownRank} from './switchPhase';
+
+/** Holds are placed here, and the passes of the group are counted here. */
+export const CLOCK_RANK = 0;
 
 /** All ranks of one group. */
 export class RankViews {
@@ -25,6 +28,13 @@
     return this.views.flatMap(({report}) => report ?? []);
   }
 
+  /** Whether a report of the rank could move the switch on. */
+  needsReport(rank: number, phase: SwitchPhase, isLastInForce: boolean) {
+    const view = this.views[rank];
+    if (view === undefined || rank === CLOCK_RANK) return true;
+    return isReportDue(phase, view, isLastInForce);
+  }
+
   allReportedSince(ms: number): boolean {
     return this.views.every(({reportAtMs}) => reportAtMs >= ms);
   }
--- a/src/ranks/switchPhase.ts
+++ b/src/ranks/switchPhase.ts
@@ -95,17 +95,25 @@
 }
 
 /** Whether a report could move the switch on. */
-export function isReportDue(phase: SwitchPhase, report: RankReport): boolean {
+export function isReportDue(
+  phase: SwitchPhase,
+  view: RankView,
+  /** Whether the pass of the last switch has begun. */
+  isLastInForce: boolean
+): boolean {
+  if (view.report === undefined) return true;
   switch (phase.kind) {
     case 'preparing':
-      return report.preparedVersion !== phase.version;
-    case 'inspecting':
-    case 'idle':
+      return !view.isDone && view.report.preparedVersion !== phase.version;
     case 'holding':
     case 'arming':
+    case 'releasing':
+      return false;
+    case 'idle':
+      return isLastInForce;
+    case 'inspecting':
     case 'seizing':
     case 'clearing':
-    case 'releasing':
       return true;
     default:
       return unreachable(phase);
--- a/tests/orderedRanks.spec.ts
+++ b/tests/orderedRanks.spec.ts
@@ -71,6 +71,7 @@
     const {nowMs} = this.group;
     this.reportAtMs = nowMs + 100;
     this.group.reports().forEach((report, rank) => {
+      if (!this.machine.needsReport(rank, nowMs)) return;
       const event = {kind: 'report', rank, report, askedAtMs: nowMs} as const;
       this.send(this.machine.step(event, nowMs));
     });
@@ -201,4 +202,25 @@
       });
     }
   });
+
+  // Each report of a rank is a call on a connection of its own. With 63 ranks
+  // the leader made hundreds a second while a switch went on, and callers' events
+  // waited behind them; one rank tells how far all of them are.
+  it('should ask one rank while a switch that all have taken goes on', () => {
+    const group = new FakeRankGroup(RANKS);
+    const orderer = new Orderer(group, 1, randomOf(7), () => 0, true);
+    const asked = new Map<string, number>();
+    while (group.nowMs < 20_000) {
+      group.advance(STEP_MS);
+      orderer.step(true);
+      const {machine} = orderer;
+      const ranks = Array.from({length: RANKS}, (_, rank) => rank);
+      const due = ranks.filter(rank => machine.needsReport(rank, group.nowMs));
+      const {kind} = machine.state;
+      asked.set(kind, Math.max(asked.get(kind) ?? 0, due.length));
+    }
+    expect(asked.get('holding')).toBe(1);
+    expect(asked.get('arming')).toBe(1);
+    expect(asked.get('idle')).toBe(RANKS);
+  });
 });
