Bound requests by a model of passes and by shifts that are due

Cause: the number of requests that a group may run followed the highest cost of a request in six seconds. Holds of switches, stalls and reports that were missing counted as cost, so that half of all callers' places were shut for seconds while passes took 50 of 120 ms; and under load the backlog after each shift was turned away as if the next one came at once. Change: the length of a pass is worked out from the engines' profile, the running requests and the skew of the map in force (policy/passLength), corrected by the median of what is seen (passCorrection); pauses under a hold are left out. Shifts that came lately tell how skewed the next will be and when it is due (skewMemory); only then fewer requests run. Nodes keep the skew for the next leader. A request may wait for a place that others have free (admissionQueue). The leader logs each change of the places with what it rests on.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -13,6 +13,7 @@
 import type {TargetAnnouncement, TargetRecord} from '../site/announcement';
 import {SiteIndex} from '../site/siteIndex';
 import {unpackText} from '../site/packText';
+import type {MapOutlook} from '../policy/mapOutlook';
 import {AgreedState} from './agreedState';
 import {Coordinator} from './coordinator';
 import {LeaderDuties} from './leaderDuties';
@@ -111,6 +112,8 @@
   private heardHere = new Map<string, TargetRecord>();
   private leaderTerm = -1;
   private leaderRevision = 0;
+  private outlookOf: (service: string) => MapOutlook | undefined = () =>
+    undefined;
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
@@ -138,7 +141,8 @@
       this.table,
       logger,
       nowMs,
-      heartbeatMs * MISSED_HEARTBEATS
+      heartbeatMs * MISSED_HEARTBEATS,
+      service => this.outlookOf(service)
     );
     this.duties = new LeaderDuties({
       agreed: () => this.agreed,
@@ -182,6 +186,11 @@
     return this.coordinator.paceMs(service);
   }
 
+  /** Who knows of the expert maps while this node leads. */
+  useOutlook(of: (service: string) => MapOutlook | undefined): void {
+    this.outlookOf = of;
+  }
+
   setSeeds(seeds: readonly string[]): void {
     this.directory.setSeeds(seeds);
   }
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -5,8 +5,10 @@
  */
 
 import type {Logger} from '../core/logger';
+import {rounded} from '../core/rounded';
 import type {ShareDemand} from '../policy/shareLending';
-import {lendShares} from '../policy/shareLending';
+import {freePlaces, lendShares} from '../policy/shareLending';
+import type {MapOutlook} from '../policy/mapOutlook';
 import {acceptedPauses} from '../site/acceptedPauses';
 import type {Site} from '../site/site';
 import type {
@@ -26,6 +28,8 @@
 const ACTIVE_FOR_MS = 2_000;
 /** Shares are worked out once for all nodes that report within this time. */
 const SHARES_PERIOD_MS = 50;
+/** Change of the places of a service that is logged, in parts of them. */
+const LOGGED_PART = 0.1;
 /** Part of an older count of arrivals that stays with each report. */
 const ARRIVALS_DECAY = 0.7;
 
@@ -38,6 +42,13 @@
   readonly arrivals: ReadonlyMap<string, number>;
 }
 
+/** How the places of one service are lent. */
+interface ServiceShares {
+  /** Places by the address of the node. */
+  readonly byNode: ReadonlyMap<string, number>;
+  readonly free: number;
+}
+
 /** Replicated state that answers carry along. */
 export interface AgreedView {
   readonly term: number;
@@ -51,16 +62,18 @@
 export class Coordinator {
   private readonly reports = new Map<string, NodeReport>();
   private readonly places = new PlacesEstimate();
-  /** Places by service, then by node. */
-  private shares = new Map<string, ReadonlyMap<string, number>>();
+  private shares = new Map<string, ServiceShares>();
   private sharesAtMs = -Infinity;
+  private readonly placesLogged = new Map<string, number>();
 
   constructor(
     private readonly table: TargetTable,
     private readonly logger: Logger,
     private readonly nowMs: () => number,
     /** Silence after which a target counts as lost, milliseconds. */
-    private readonly silentAfterMs: number
+    private readonly silentAfterMs: number,
+    /** What is known of the expert maps of a service. */
+    private readonly outlookOf: (service: string) => MapOutlook | undefined
   ) {}
 
   /** Forgets all reports: another term began. */
@@ -132,8 +145,10 @@
     this.renewShares(site, reports, zonesOut);
     return [...site.services.keys()].map(service => ({
       service,
-      concurrency: this.shares.get(service)?.get(node) ?? 1,
+      concurrency: this.shares.get(service)?.byNode.get(node) ?? 1,
+      free: this.shares.get(service)?.free ?? 0,
       others: this.othersOf(node, service, reports),
+      shiftSkew: this.outlookOf(service)?.shiftSkew ?? 0,
     }));
   }
 
@@ -156,18 +171,47 @@
         const {name} = service;
         const loads = reports.flatMap(({loads}) => loads.get(name) ?? []);
         const acceptedPauseMs = pauses.get(name) ?? 0;
+        const outlook = this.outlookOf(name);
         const places = this.places.next({
           service,
           records,
           loads,
           acceptedPauseMs,
+          outlook,
           nowMs: now,
         });
-        return [name, lendShares(places, demandsOf(name, reports))];
+        this.logPlaces(name, places, loads, outlook);
+        const demands = demandsOf(name, reports);
+        const byNode = lendShares(places, demands);
+        return [name, {byNode, free: freePlaces(places, demands)}];
       })
     );
   }
 
+  /** Only what differs by a part that shows: the number is renewed all the time. */
+  private logPlaces(
+    service: string,
+    places: number,
+    loads: readonly ServiceLoad[],
+    outlook: MapOutlook | undefined
+  ): void {
+    const logged = this.placesLogged.get(service) ?? 0;
+    if (Math.abs(places - logged) <= logged * LOGGED_PART) return;
+    this.placesLogged.set(service, places);
+    const running = loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
+    const waiting = loads.reduce((sum, load) => sum + load.waiting, 0);
+    const paceMs = medianPace(loads);
+    this.logger.info(
+      {
+        event: 'places.changed',
+        service,
+        ...rounded({places, running, waiting, paceMs}),
+        ...outlook,
+      },
+      'places of a service changed'
+    );
+  }
+
   private othersOf(
     node: string,
     service: string,
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -96,8 +96,12 @@
   service: TEXT,
   /** Requests that the node may have at targets at once. */
   concurrency: COUNT,
+  /** Places of the service that no node wants now. */
+  free: COUNT,
   /** Requests of all other nodes at each target, by its id. */
   others: z.record(TEXT, COUNT),
+  /** Skew of the ranks' load right after recent shifts; 0 when none came. */
+  shiftSkew: COUNT,
 });
 /** What one node may use of one service. */
 export type ServiceGrant = z.infer<typeof SERVICE_GRANT>;
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -3,23 +3,36 @@
  *
  * A rank of a group steps with all others, so that each request anywhere slows
  * every stream. A pass lasts a fixed part, whatever runs, and a part that grows
- * with the requests. When the pauses between events come near what callers
- * accept, fewer requests give more answers in time.
+ * with the requests and with the skew of the experts' load. More requests than
+ * callers' pauses allow after the next shift make all streams late that run at
+ * that moment; fewer turn callers away who could be served.
  */
 
-import {PassCost} from '../policy/passCost';
-import type {SiteService} from '../site/site';
+import type {MapOutlook} from '../policy/mapOutlook';
+import {EVEN_OUTLOOK} from '../policy/mapOutlook';
+import {PassCorrection} from '../policy/passCorrection';
+import {fixedPassMs, requestPassMs} from '../policy/passLength';
+import type {EngineProfile, SiteService} from '../site/site';
 import {groupOpenings, isInOpenGroup} from '../site/groupOpenings';
 import type {TargetRecord} from '../site/announcement';
 import type {ServiceLoad} from './messages';
 
 /**
- * Part of the accepted pause that the longest pace may take: prompts that are
- * read beside the streams make single passes longer than their median.
+ * Part of the accepted pause that a pass may take: a prompt that is read, or a
+ * way over a slow link, makes single pauses longer than the pass.
  */
-const PAUSE_ROOM = 1.05;
-/** Never below this part of all places: a wrong reading must not stop service. */
-const LEAST_PART = 0.5;
+const PAUSE_PART = 0.95;
+/** Passes take so much longer while a map is copied that answers a shift. */
+const COPYING_FACTOR = 1.15;
+/**
+ * Never below this part of all places: where even so few requests have long
+ * pauses, a rank is slow, and refusing more of them helps nobody.
+ */
+const LEAST_PART = 0.35;
+/** Cost of a request of which nothing is known, milliseconds. */
+const UNSEEN_MS = 1e-3;
+/** With fewer requests the fixed part of a pass drowns what each one adds. */
+const LEAST_RUNNING = 4;
 /** Requests at a plain target beside those in work: its next ones are there. */
 const PLAIN_QUEUE = 1;
 
@@ -31,42 +44,57 @@
   readonly loads: readonly ServiceLoad[];
   /** Longest pause that callers accept, milliseconds; 0 when none is set. */
   readonly acceptedPauseMs: number;
+  /** Absent where nobody orders maps. */
+  readonly outlook?: MapOutlook;
   readonly nowMs: number;
 }
 
 /** Places by service. */
 export class PlacesEstimate {
-  private readonly costs = new Map<string, PassCost>();
+  private readonly corrections = new Map<string, PassCorrection>();
 
   /** Places of a service now; to be asked once each period of reports. */
   next(input: PlacesInput): number {
     const {service, records} = input;
-    const slots = workingSlots(service.name, records);
-    if (service.engine === undefined) return slots * (1 + PLAIN_QUEUE);
-    return Math.min(slots, this.boundOf(input, slots));
+    const working = workingTargets(service.name, records);
+    const slots = working.reduce((sum, {slots}) => sum + slots, 0);
+    const {engine} = service;
+    if (engine === undefined) return slots * (1 + PLAIN_QUEUE);
+    if (input.acceptedPauseMs === 0) return slots;
+    const bound = this.boundOf(input, engine, working.length);
+    return Math.min(slots, Math.max(slots * LEAST_PART, bound));
   }
 
-  /** Requests at which a pass takes no longer than it may, at its worst. */
-  private boundOf(input: PlacesInput, slots: number): number {
+  /** Requests at which passes are no longer than callers accept. */
+  private boundOf(
+    input: PlacesInput,
+    engine: EngineProfile,
+    ranks: number
+  ): number {
     const {service, loads, acceptedPauseMs, nowMs} = input;
-    const {engine} = service;
-    if (engine === undefined || acceptedPauseMs === 0) return slots;
-    const fixedMs = engine.stepMs * engine.stepsPerPass;
+    const {outlook = EVEN_OUTLOOK} = input;
+    const costAt = (skew: number) => requestPassMs({engine, ranks, skew});
+    const fixedMs = fixedPassMs(engine);
+    const pauseMs = acceptedPauseMs * PAUSE_PART;
+    const correction = this.correctionOf(service.name);
     const running = loads.reduce((sum, load) => sum + load.inFlight, 0);
-    const cost = this.costOf(service.name);
-    cost.note(medianPace(loads), fixedMs, running, nowMs);
-    const worstMs = cost.worstMs(nowMs);
-    if (worstMs === 0) return slots;
-    const roomMs = acceptedPauseMs * PAUSE_ROOM - fixedMs;
-    return Math.max(slots * LEAST_PART, roomMs / worstMs);
+    const varyingMs = medianPace(loads) - fixedMs;
+    const isSeen = running >= LEAST_RUNNING && varyingMs > 0 && !outlook.isHeld;
+    const seenMs = isSeen ? varyingMs / running : 0;
+    if (isSeen) correction.note(seenMs, costAt(outlook.skew), nowMs);
+    const shiftMs = correction.factor * costAt(outlook.dueSkew);
+    return Math.min(
+      (pauseMs - fixedMs) / Math.max(seenMs, UNSEEN_MS),
+      (pauseMs / COPYING_FACTOR - fixedMs) / Math.max(shiftMs, UNSEEN_MS)
+    );
   }
 
-  private costOf(service: string): PassCost {
-    const known = this.costs.get(service);
+  private correctionOf(service: string): PassCorrection {
+    const known = this.corrections.get(service);
     if (known !== undefined) return known;
-    const cost = new PassCost();
-    this.costs.set(service, cost);
-    return cost;
+    const correction = new PassCorrection();
+    this.corrections.set(service, correction);
+    return correction;
   }
 }
 
@@ -77,16 +105,15 @@
   return paces[Math.floor(paces.length / 2)] ?? 0;
 }
 
-function workingSlots(
+function workingTargets(
   service: string,
   records: readonly TargetRecord[]
-): number {
+): readonly TargetRecord[] {
   const openings = groupOpenings(records);
-  let slots = 0;
-  for (const record of records) {
-    if (record.service !== service || record.state !== 'ready') continue;
-    if (!isInOpenGroup(record, openings)) continue;
-    slots += record.slots;
-  }
-  return slots;
+  return records.filter(
+    record =>
+      record.service === service &&
+      record.state === 'ready' &&
+      isInOpenGroup(record, openings)
+  );
 }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -12,7 +12,7 @@
 import {readAnswer} from './readAnswer';
 import {relayEvents} from './relayEvents';
 import type {RequestState, Routed} from './requestState';
-import {rounded} from './rounded';
+import {rounded} from '../core/rounded';
 import {stopRefusal} from './stopRefusal';
 
 /** What an attempt left behind, and what may follow. */
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -12,7 +12,7 @@
 import type {Routed} from './requestState';
 import {RequestState} from './requestState';
 import {routeRequest} from './routeRequest';
-import {rounded} from './rounded';
+import {rounded} from '../core/rounded';
 import {runAttempts} from './runAttempts';
 import {stopRefusal} from './stopRefusal';
 
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -63,9 +63,9 @@
   }
 
   /** Takes over what the leader lent. */
-  grant({concurrency, others}: ServiceGrant): void {
+  grant({concurrency, free, others}: ServiceGrant): void {
     this.others = others;
-    this.queue.setLimit(concurrency);
+    this.queue.setLimit(concurrency, free);
   }
 
   noteArrival(): void {
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -113,6 +113,7 @@
       metrics,
       paceMs
     );
+    node.useOutlook(service => director.outlook(service, performance.now()));
     running.subscription.add(
       interval(DIRECTOR_TICK_MS).subscribe(() =>
         director.tick(performance.now())
--- a/src/policy/admissionQueue.ts
+++ b/src/policy/admissionQueue.ts
@@ -27,6 +27,8 @@
 
 /** Weight of one measured stay; about thirty requests follow a change. */
 const SMOOTHING = 0.03;
+/** Places follow the wishes of nodes with their next report. */
+const LENT_WITHIN_MS = 150;
 /** Before the first answer: a stream of two dozen events takes about a second. */
 const FIRST_STAY_MS = 1_000;
 
@@ -34,6 +36,7 @@
 export class AdmissionQueue {
   private waiting: Waiting[] = [];
   private limit = 0;
+  private free = 0;
   private running = 0;
   private usualStayMs = FIRST_STAY_MS;
 
@@ -55,9 +58,13 @@
     return this.waiting.length;
   }
 
-  /** Takes over a new number of places; those in use beyond it run to their end. */
-  setLimit(limit: number): void {
+  /**
+   * Takes over a new number of places; those in use beyond it run to their end.
+   * `free` ones are lent to others that do not use them, and may come here.
+   */
+  setLimit(limit: number, free = 0): void {
     this.limit = limit;
+    this.free = free;
     this.startNext();
   }
 
@@ -70,7 +77,7 @@
     }
     const ahead = this.aheadOf(applicant.priority);
     const waitMs = this.expectedWaitMs(ahead);
-    if (waitMs > applicant.patienceMs) {
+    if (waitMs > applicant.patienceMs && !this.mayBeLent(applicant)) {
       applicant.refuse();
       return;
     }
@@ -85,6 +92,14 @@
     this.startNext();
   }
 
+  /**
+   * Whether a place that others have free can be here in time. Callers reach
+   * nodes by chance: one turned them away while others had places to spare.
+   */
+  private mayBeLent({patienceMs}: Applicant): boolean {
+    return this.waiting.length < this.free && patienceMs >= LENT_WITHIN_MS;
+  }
+
   /** Takes a waiting applicant out, because its caller went away. */
   withdraw(applicant: Applicant): void {
     this.waiting = this.waiting.filter(one => one.applicant !== applicant);
--- /dev/null
+++ b/src/policy/mapOutlook.ts
@@ -0,0 +1,31 @@
+/** What the orderer of expert maps knows that bears on the length of passes. */
+
+/** State of the map of a service, over its groups the worst. */
+export interface MapOutlook {
+  /** Highest load of a rank over the mean under the map in force. */
+  readonly skew: number;
+  /** The same right after the shifts of demand that came lately; 0 when none. */
+  readonly shiftSkew: number;
+  /** That of the shift that may come now; 0 while none is due. */
+  readonly dueSkew: number;
+  /** Whether a switch holds passes up, or did a moment ago. */
+  readonly isHeld: boolean;
+}
+
+/** Without experts, or before anything is known of them. */
+export const EVEN_OUTLOOK: MapOutlook = {
+  skew: 1,
+  shiftSkew: 0,
+  dueSkew: 0,
+  isHeld: false,
+};
+
+/** The worst of both. */
+export function worseOutlook(a: MapOutlook, b: MapOutlook): MapOutlook {
+  return {
+    skew: Math.max(a.skew, b.skew),
+    shiftSkew: Math.max(a.shiftSkew, b.shiftSkew),
+    dueSkew: Math.max(a.dueSkew, b.dueSkew),
+    isHeld: a.isHeld || b.isHeld,
+  };
+}
--- a/src/policy/shareLending.ts
+++ b/src/policy/shareLending.ts
@@ -27,7 +27,7 @@
   places: number,
   demands: readonly ShareDemand[]
 ): ReadonlyMap<string, number> {
-  const wanted = demands.reduce((sum, {wanted}) => sum + wanted, 0);
+  const wanted = wantedOf(demands);
   const granted =
     wanted > places
       ? splitScarce(places, demands)
@@ -35,6 +35,18 @@
   return roundShares(places, demands, granted);
 }
 
+/** Whole places that nobody wants. */
+export function freePlaces(
+  places: number,
+  demands: readonly ShareDemand[]
+): number {
+  return Math.max(0, Math.floor(places - wantedOf(demands)));
+}
+
+function wantedOf(demands: readonly ShareDemand[]): number {
+  return demands.reduce((sum, {wanted}) => sum + wanted, 0);
+}
+
 /** Everyone gets the same at most; what some do not want goes to the others. */
 function splitScarce(
   places: number,
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -14,6 +14,8 @@
 import type {EngineProfile} from '../site/site';
 import {copiesARank} from '../policy/copyLimit';
 import {planSpread, spreadSkew} from '../policy/expertSpread';
+import type {MapOutlook} from '../policy/mapOutlook';
+import type {SkewMemory} from '../policy/skewMemory';
 import type {DueReading} from './demandWatch';
 import {DemandWatch} from './demandWatch';
 import type {DemandChange, RankCounts} from './expertDemand';
@@ -42,6 +44,8 @@
  */
 const SAMPLE_RANKS = 3;
 const RANKS_FOR_EACH_SAMPLE = 8;
+/** Pauses that streams show are still those of a switch for so long. */
+const HELD_SHOWS_MS = 250;
 /** Between two tries to read the map in use. */
 const LOAD_PERIOD_MS = 200;
 
@@ -67,6 +71,7 @@
   readonly acceptedPauseMs: number;
   /** As the group's last life showed it. */
   readonly demand?: ExpertDemand;
+  readonly shifts: SkewMemory;
 }
 
 /** Versions of one orderer are apart from those of all others. */
@@ -90,6 +95,10 @@
   private lastReportsMs = -Infinity;
   private nextVersionSeen = '';
   private isPlanning = false;
+  /** Whether the next plan answers a shift. */
+  private isShifted = false;
+  private skewInForce = 1;
+  private heldAtMs = -Infinity;
 
   constructor(private readonly parts: GroupParts) {
     const {engine} = parts;
@@ -106,6 +115,16 @@
     return this.machine?.isFenced === true;
   }
 
+  /** What is known of the length of passes to come. */
+  outlook(nowMs: number): MapOutlook {
+    return {
+      skew: this.skewInForce,
+      shiftSkew: this.parts.shifts.worst(nowMs),
+      dueSkew: this.parts.shifts.due(nowMs),
+      isHeld: nowMs - this.heldAtMs < HELD_SHOWS_MS,
+    };
+  }
+
   /** Regular work, every few tens of milliseconds. */
   tick(nowMs: number): void {
     const {machine} = this;
@@ -119,6 +138,7 @@
     // One switch takes few copies; the next one does the rest at once.
     if (kind === 'idle' && this.wasSwitching) this.isPlanDue = true;
     this.wasSwitching = kind !== 'idle';
+    if (kind !== 'idle' && kind !== 'preparing') this.heldAtMs = nowMs;
     if (kind === 'idle' && !machine.knowsLists) {
       this.firstVersion = machine.unusedVersion;
       this.machine = undefined;
@@ -181,6 +201,7 @@
     if (change !== 'shifted' && change !== 'same') return;
     // What is being copied answers a demand that is no more.
     if (change === 'shifted') this.machine?.drop(performance.now());
+    this.isShifted ||= change === 'shifted';
     this.isPlanDue = true;
   }
 
@@ -233,6 +254,9 @@
     const plan = await this.planSets(machine.lists);
     this.isPlanning = false;
     const {before, after, copies, copiesOnRank, lists} = plan;
+    this.skewInForce = before;
+    if (this.isShifted) this.parts.shifts.note(before, performance.now());
+    this.isShifted = false;
     if (!this.isWorth(before - after)) return;
     this.parts.logger.info(
       {event: 'map.planned', group: this.parts.name, before, after, copies},
@@ -341,6 +365,7 @@
     this.nextVersionSeen = text;
     const {name, scope, logger} = this.parts;
     const skew = this.skew();
+    this.skewInForce = skew;
     logger.info(
       {event: 'map.phase', group: name, ...scope, phase: text, skew},
       state.kind
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -8,12 +8,18 @@
 import type {TargetRecord} from '../site/announcement';
 import {groupOpenings} from '../site/groupOpenings';
 import type {SiteService} from '../site/site';
+import type {MapOutlook} from '../policy/mapOutlook';
+import {worseOutlook} from '../policy/mapOutlook';
+import {SkewMemory} from '../policy/skewMemory';
 import {GroupController} from './groupController';
 
 interface RunningGroup {
   /** Leader's term, epoch and ranks; another key is another controller. */
   readonly key: string;
+  readonly service: string;
   readonly controller: GroupController;
+  /** Outlives the controllers. */
+  readonly shifts: SkewMemory;
 }
 
 /** Controllers by service and group. */
@@ -40,6 +46,17 @@
         this.tickService(service, nowMs);
   }
 
+  /** Undefined while no group of the service is led from here. */
+  outlook(service: string, nowMs: number): MapOutlook | undefined {
+    return [...this.groups.values()]
+      .filter(group => group.service === service)
+      .map(({controller}) => controller.outlook(nowMs))
+      .reduce<MapOutlook | undefined>(
+        (worst, one) => (worst === undefined ? one : worseOutlook(worst, one)),
+        undefined
+      );
+  }
+
   private tickService(service: SiteService, nowMs: number): void {
     const openings = groupOpenings(this.node.table.records());
     for (const [name, ranks] of this.groupsOf(service.name)) {
@@ -65,6 +82,7 @@
     let running = this.groups.get(name);
     if (engine === undefined) return;
     if (running?.key !== key) {
+      const shifts = running?.shifts ?? this.knownShifts(service.name, nowMs);
       const controller = new GroupController({
         name,
         engine,
@@ -77,13 +95,22 @@
         acceptedPauseMs: this.acceptedPauseMs(service.name),
         // The same requests go on asking for the same experts.
         demand: running?.controller.demand,
+        shifts,
       });
-      running = {key, controller};
+      running = {key, service: service.name, controller, shifts};
       this.groups.set(name, running);
     }
     if (!running.controller.isFenced) running.controller.tick(nowMs);
   }
 
+  /** What an earlier leader told of the shifts; the next one comes soon. */
+  private knownShifts(service: string, nowMs: number): SkewMemory {
+    const shifts = new SkewMemory();
+    const known = this.node.view.grants.get(service)?.shiftSkew ?? 0;
+    if (known > 0) shifts.note(known, nowMs);
+    return shifts;
+  }
+
   private acceptedPauseMs(service: string): number {
     const {site} = this.node;
     return site === undefined ? 0 : (acceptedPauses(site).get(service) ?? 0);
--- a/src/site/site.ts
+++ b/src/site/site.ts
@@ -55,6 +55,10 @@
   readonly stepMs: number;
   /** Further time of a step for each running request, milliseconds. */
   readonly stepMsPerRequest: number;
+  /** Time in which a rank reads a usual prompt, milliseconds. */
+  readonly usualReadMs: number;
+  /** Tokens of a usual answer. */
+  readonly usualAnswerTokens: number;
   /** Part of the work for tokens that goes to experts, 0 to 1. */
   readonly expertShare: number;
   /** Sets of layers, each with experts of its own; 0 without experts. */
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -71,4 +71,25 @@
     enter('x', 1, 100_000);
     expect(queue.waitingCount).toBe(1);
   });
+
+  // Callers reach one node more than the others, which have places to spare.
+  // It would turn them away, though the next report brings it those places.
+  it('should let requests wait for places that others have free', () => {
+    const {outcomes, enter, queue} = fixture(2);
+    queue.setLimit(2, 3);
+    for (let i = 0; i < 7; i++) enter(`r${i}`);
+    expect(queue.waitingCount).toBe(3);
+    queue.setLimit(5, 0);
+    const kinds = outcomes.map(({kind}) => kind);
+    expect(kinds.filter(kind => kind === 'started')).toHaveLength(5);
+    expect(kinds.filter(kind => kind === 'refused')).toHaveLength(2);
+  });
+
+  it('should refuse at once whose patience ends before the next report', () => {
+    const {outcomes, enter, queue} = fixture(1);
+    queue.setLimit(1, 5);
+    enter('a');
+    enter('b', 1, 100);
+    expect(outcomes[1]).toEqual({id: 'b', kind: 'refused'});
+  });
 });
--- /dev/null
+++ b/tests/placesEstimate.spec.ts
@@ -0,0 +1,172 @@
+import {PlacesEstimate} from '../src/cluster/placesEstimate';
+import type {ServiceLoad} from '../src/cluster/messages';
+import type {MapOutlook} from '../src/policy/mapOutlook';
+import {fixedPassMs, requestPassMs} from '../src/policy/passLength';
+import {SkewMemory} from '../src/policy/skewMemory';
+import type {TargetRecord} from '../src/site/announcement';
+import type {EngineProfile, SiteService} from '../src/site/site';
+
+const RANKS = 12;
+const SLOTS = 8;
+const PAUSE_MS = 120;
+const STEP_MS = 50;
+
+const ENGINE: EngineProfile = {
+  slots: SLOTS,
+  stepsPerPass: 6,
+  stepMs: 4.84,
+  stepMsPerRequest: 0.543,
+  usualReadMs: 11.2,
+  usualAnswerTokens: 159,
+  expertShare: 0.85,
+  expertSets: 4,
+  experts: 72,
+  placesPerRank: 8,
+  sparePlaces: 3,
+  expertCopyMs: 98,
+  formMs: 600,
+};
+
+const SERVICE: SiteService = {
+  name: 's',
+  healthPath: '/',
+  maxConnections: 100,
+  coldRequestsPerSecond: 0,
+  engine: ENGINE,
+};
+
+const RECORDS = Array.from({length: RANKS}, (_, rank): TargetRecord => ({
+  id: `t-${rank}`,
+  bornMs: 1,
+  sequence: 1,
+  service: 's',
+  address: `10.0.0.${rank}:80`,
+  availabilityZone: 'a',
+  slots: SLOTS,
+  state: 'ready',
+  coldMs: 0,
+  group: {name: 'g', epoch: 1, rank, size: RANKS, open: true},
+}));
+
+function passMs(running: number, skew: number): number {
+  const cost = requestPassMs({engine: ENGINE, ranks: RANKS, skew});
+  return fixedPassMs(ENGINE) + running * cost;
+}
+
+function fixture() {
+  const estimate = new PlacesEstimate();
+  let nowMs = 0;
+  /** Places after a second of such passes. */
+  const placesAfter = (
+    running: number,
+    paceMs: number,
+    outlook: Partial<MapOutlook>
+  ) => {
+    const load: ServiceLoad = {
+      service: 's',
+      inFlight: running,
+      waiting: 0,
+      arrivals: 0,
+      byTarget: {},
+      paceMs,
+    };
+    let places = 0;
+    for (let i = 0; i < 1_000 / STEP_MS; i++) {
+      nowMs += STEP_MS;
+      places = estimate.next({
+        service: SERVICE,
+        records: RECORDS,
+        loads: [load],
+        acceptedPauseMs: PAUSE_MS,
+        outlook: {
+          skew: 1.2,
+          shiftSkew: 0,
+          dueSkew: 0,
+          isHeld: false,
+          ...outlook,
+        },
+        nowMs,
+      });
+    }
+    return places;
+  };
+  return {placesAfter};
+}
+
+describe('places of a group of ranks', () => {
+  it('should give all places while no shift is due', () => {
+    const {placesAfter} = fixture();
+    expect(placesAfter(60, passMs(60, 1.2), {})).toBe(RANKS * SLOTS);
+  });
+
+  // Other experts come into demand each three seconds. With all places in use
+  // at that moment, every stream has one pause that its caller does not accept.
+  it('should bear the next shift, and the copies that answer it', () => {
+    const {placesAfter} = fixture();
+    const places = placesAfter(60, passMs(60, 1.2), {dueSkew: 3.4});
+    expect(passMs(places, 3.4) * 1.15).toBeLessThan(PAUSE_MS);
+    expect(places).toBeGreaterThan(0.6 * RANKS * SLOTS);
+  });
+
+  // Prompts and answers are longer than usual: each request costs a half more
+  // than its engine's profile tells, also after the next shift.
+  it('should correct the profile by the passes that it sees', () => {
+    const {placesAfter} = fixture();
+    const cost = passMs(60, 1.2) - fixedPassMs(ENGINE);
+    const paceMs = fixedPassMs(ENGINE) + 1.5 * cost;
+    const usual = placesAfter(60, passMs(60, 1.2), {dueSkew: 3.4});
+    const places = fixture().placesAfter(60, paceMs, {dueSkew: 3.4});
+    expect(places).toBeCloseTo(usual / 1.5, 0);
+  });
+
+  // A switch holds the group before a pass. Streams show one long pause, which
+  // says nothing of the cost of a request: half of the callers were refused for
+  // the six seconds after it.
+  it('should not take the hold of a switch for a slow group', () => {
+    const {placesAfter} = fixture();
+    placesAfter(60, passMs(60, 1.2), {});
+    expect(placesAfter(60, 118, {isHeld: true})).toBe(RANKS * SLOTS);
+    expect(placesAfter(60, passMs(60, 1.2), {})).toBe(RANKS * SLOTS);
+  });
+
+  // The shift is there, and passes are as long as callers bear: nobody more.
+  it('should let no more in while passes are too long', () => {
+    const {placesAfter} = fixture();
+    expect(placesAfter(90, 125, {})).toBeLessThan(90);
+  });
+});
+
+describe('shifts that are due', () => {
+  it('should expect one at any time after the first', () => {
+    const memory = new SkewMemory();
+    memory.note(3.4, 0);
+    expect(memory.due(100)).toBe(3.4);
+  });
+
+  // After a shift a backlog waits. The next one is three seconds away: until
+  // then the group may run all it can, and only then runs fewer.
+  it('should expect none sooner than they came before', () => {
+    const memory = new SkewMemory();
+    for (const atMs of [0, 3_400, 6_800]) memory.note(3.4, atMs);
+    expect(memory.due(7_500)).toBe(0);
+    expect(memory.due(9_100)).toBe(0);
+    expect(memory.due(9_300)).toBe(3.4);
+    expect(memory.due(12_000)).toBe(3.4);
+  });
+
+  it('should go by the shortest pause, and by large shifts only', () => {
+    const memory = new SkewMemory();
+    memory.note(3.4, 0);
+    memory.note(1.4, 500);
+    memory.note(3.2, 2_000);
+    memory.note(3.3, 6_000);
+    expect(memory.due(6_500)).toBe(0);
+    expect(memory.due(7_000)).toBe(3.4);
+  });
+
+  it('should forget shifts that come no more', () => {
+    const memory = new SkewMemory();
+    memory.note(3.4, 0);
+    expect(memory.due(13_000)).toBe(0);
+  });
+});
