Turn fewer callers away for a shift to come; keep targets at a new leader

A new leader took targets for silent that it had heard of only through changes. Change: a pass right after a shift may last 1.08 of the accepted pause. Before a leader has seen a shift it expects a usual one. A new leader counts its targets as heard of now, and judges the cost of requests once all nodes have reported.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -28,6 +28,8 @@
 const ACTIVE_FOR_MS = 2_000;
 /** Shares are worked out once for all nodes that report within this time. */
 const SHARES_PERIOD_MS = 50;
+/** A new leader has heard of the loads of all nodes: some reports of each. */
+const WHOLE_AFTER_MS = 400;
 /** Change of the places of a service that is logged, in parts of them. */
 const LOGGED_PART = 0.1;
 /** Part of an older count of arrivals that stays with each report. */
@@ -64,6 +66,7 @@
   private readonly places = new PlacesEstimate();
   private shares = new Map<string, ServiceShares>();
   private sharesAtMs = -Infinity;
+  private resetAtMs = -Infinity;
   private readonly placesLogged = new Map<string, number>();
 
   constructor(
@@ -76,9 +79,15 @@
     private readonly outlookOf: (service: string) => MapOutlook | undefined
   ) {}
 
-  /** Forgets all reports: another term began. */
+  /**
+   * Another term began: forgets all reports. A node that did not lead heard
+   * only of changes, long ago of most targets; as a leader it would call them
+   * silent, and nobody had a target until each had told of itself again.
+   */
   reset(): void {
     this.reports.clear();
+    this.table.hearAll(this.nowMs());
+    this.resetAtMs = this.nowMs();
   }
 
   /** Takes in a report and answers with the whole view. */
@@ -177,6 +186,7 @@
           records,
           loads,
           acceptedPauseMs,
+          isWhole: now - this.resetAtMs >= WHOLE_AFTER_MS,
           outlook,
           nowMs: now,
         });
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -18,12 +18,11 @@
 import type {ServiceLoad} from './messages';
 
 /**
- * Part of the accepted pause that a pass may take: a prompt that is read, or a
- * way over a slow link, makes single pauses longer than the pass.
+ * Length of a pass, in parts of the accepted pause, up to which requests are let
+ * in. Above one: passes are so long for a moment only, and a caller that is
+ * turned away loses more than one that gets a single event late.
  */
-const PAUSE_PART = 0.95;
-/** Passes take so much longer while a map is copied that answers a shift. */
-const COPYING_FACTOR = 1.15;
+const PAUSE_PART = 1.08;
 /**
  * Never below this part of all places: where even so few requests have long
  * pauses, a rank is slow, and refusing more of them helps nobody.
@@ -44,6 +43,8 @@
   readonly loads: readonly ServiceLoad[];
   /** Longest pause that callers accept, milliseconds; 0 when none is set. */
   readonly acceptedPauseMs: number;
+  /** Whether all nodes have told of their loads. */
+  readonly isWhole: boolean;
   /** Absent where nobody orders maps. */
   readonly outlook?: MapOutlook;
   readonly nowMs: number;
@@ -79,13 +80,17 @@
     const correction = this.correctionOf(service.name);
     const running = loads.reduce((sum, load) => sum + load.inFlight, 0);
     const varyingMs = medianPace(loads) - fixedMs;
-    const isSeen = running >= LEAST_RUNNING && varyingMs > 0 && !outlook.isHeld;
+    const isSeen =
+      input.isWhole &&
+      running >= LEAST_RUNNING &&
+      varyingMs > 0 &&
+      !outlook.isHeld;
     const seenMs = isSeen ? varyingMs / running : 0;
     if (isSeen) correction.note(seenMs, costAt(outlook.skew), nowMs);
     const shiftMs = correction.factor * costAt(outlook.dueSkew);
     return Math.min(
       (pauseMs - fixedMs) / Math.max(seenMs, UNSEEN_MS),
-      (pauseMs / COPYING_FACTOR - fixedMs) / Math.max(shiftMs, UNSEEN_MS)
+      (pauseMs - fixedMs) / Math.max(shiftMs, UNSEEN_MS)
     );
   }
 
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -77,6 +77,12 @@
     return record;
   }
 
+  /** Counts all targets as heard of now; what left or fell silent stays so. */
+  hearAll(nowMs: number): void {
+    for (const [id, entry] of this.entries)
+      this.entries.set(id, {...entry, heardAtMs: nowMs});
+  }
+
   /** Marks those silent that told nothing for a while. */
   expire(nowMs: number, silentAfterMs: number): void {
     for (const [id, {record, heardAtMs}] of this.entries) {
--- a/src/policy/skewMemory.ts
+++ b/src/policy/skewMemory.ts
@@ -15,6 +15,13 @@
 /** A shift below this part of the largest skew is no measure of the pause. */
 const MAIN_PART = 0.6;
 
+/**
+ * Before any shift was seen: experts that were dealt out in turn, and a few of
+ * them in demand. A group that forms anew has all its callers coming back, and
+ * passes under its first map are as long as right after a shift.
+ */
+const FIRST_SKEW = 3;
+
 interface Shift {
   readonly atMs: number;
   readonly skew: number;
@@ -22,7 +29,12 @@
 
 /** Skews that shifts of demand brought lately. */
 export class SkewMemory {
-  private shifts: Shift[] = [];
+  private shifts: Shift[];
+
+  /** `known` is what an earlier leader told of shifts; 0 when nothing is known. */
+  constructor(known: number, nowMs: number) {
+    this.shifts = [{atMs: nowMs, skew: known > 0 ? known : FIRST_SKEW}];
+  }
 
   /** Notes the skew at which a shift found the map in force. */
   note(skew: number, nowMs: number): void {
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -98,6 +98,8 @@
   /** Whether the next plan answers a shift. */
   private isShifted = false;
   private skewInForce = 1;
+  /** Whether a plan answered what is in demand in this life of the group. */
+  private hasPlanned = false;
   private heldAtMs = -Infinity;
 
   constructor(private readonly parts: GroupParts) {
@@ -117,10 +119,11 @@
 
   /** What is known of the length of passes to come. */
   outlook(nowMs: number): MapOutlook {
+    const {shifts} = this.parts;
     return {
       skew: this.skewInForce,
-      shiftSkew: this.parts.shifts.worst(nowMs),
-      dueSkew: this.parts.shifts.due(nowMs),
+      shiftSkew: shifts.worst(nowMs),
+      dueSkew: this.hasPlanned ? shifts.due(nowMs) : shifts.worst(nowMs),
       isHeld: nowMs - this.heldAtMs < HELD_SHOWS_MS,
     };
   }
@@ -260,6 +263,7 @@
     this.isPlanning = false;
     const {before, after, copies, copiesOnRank, lists} = plan;
     this.skewInForce = before;
+    this.hasPlanned = true;
     if (this.isShifted) this.parts.shifts.note(before, performance.now());
     this.isShifted = false;
     if (!this.isWorth(before - after)) return;
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -105,10 +105,8 @@
 
   /** What an earlier leader told of the shifts; the next one comes soon. */
   private knownShifts(service: string, nowMs: number): SkewMemory {
-    const shifts = new SkewMemory();
     const known = this.node.view.grants.get(service)?.shiftSkew ?? 0;
-    if (known > 0) shifts.note(known, nowMs);
-    return shifts;
+    return new SkewMemory(known, nowMs);
   }
 
   private acceptedPauseMs(service: string): number {
