Count the requests in collected logs by outcome and cause

Ruled out: more counters; they do not tell what was under way. Change: `marlpulley summary` counts requests by service, outcome and what was under way. Reading a line of a log moved to a file that both commands use.

--- a/src/cli/requestTrace.ts
+++ b/src/cli/requestTrace.ts
@@ -3,15 +3,8 @@
  * lines, and what nodes came to believe while it was under way.
  */
 
-/** One log line, as far as it is read. */
-interface LogLine {
-  readonly atMs: number;
-  readonly process: string;
-  readonly event: string;
-  readonly attemptId?: string;
-  /** What the event says beside its name and place. */
-  readonly details: Readonly<Record<string, unknown>>;
-}
+import type {LogLine} from './logLine';
+import {readLine, startOf} from './logLine';
 
 /** What an engineer is shown of one line. */
 export interface TraceLine {
@@ -24,11 +17,6 @@
 const BEFORE_MS = 500;
 /** Events that say what nodes believe; those of other requests are left out. */
 const BELIEFS = /^(map|leader|log|site|process|disk|settings|change)\./;
-/** Fields that every line has, or that only repeat the event. */
-const FRAME = new Set(
-  'name role processId hostname pid level event attemptId msg time v'.split(' ')
-);
-
 /** Lines about the request in the order of time; none when no line names it. */
 export function traceRequest(
   texts: readonly string[],
@@ -54,33 +42,6 @@
     }));
 }
 
-/** Other text among the lines, such as a crash report, is passed over. */
-function readLine(text: string): LogLine | undefined {
-  const begin = text.indexOf('{');
-  if (begin < 0) return undefined;
-  try {
-    const fields = JSON.parse(text.slice(begin)) as Record<string, unknown>;
-    return {
-      atMs: Date.parse(String(fields['time'])),
-      process: String(fields['processId'] ?? ''),
-      event: String(fields['event'] ?? ''),
-      attemptId: fields['attemptId'] as string | undefined,
-      details: Object.fromEntries(
-        Object.entries(fields).filter(([name]) => !FRAME.has(name))
-      ),
-    };
-  } catch {
-    // Not a line of ours.
-    return undefined;
-  }
-}
-
-/** When the step that a line reports began. */
-function startOf({atMs, details}: LogLine): number {
-  const lasted = Number(details['tookMs'] ?? details['ageMs'] ?? 0);
-  return atMs - lasted;
-}
-
 function printLine({atMs, process, event, details}: LogLine, startMs: number) {
   const sinceMs = String(Math.round(atMs - startMs)).padStart(6);
   return `${sinceMs} ms  ${process}  ${event}  ${JSON.stringify(details)}`;
--- a/src/cli/subcommands.ts
+++ b/src/cli/subcommands.ts
@@ -45,6 +45,10 @@
     summary: 'show what collected logs say about one request',
     run: async argv => (await import('./traceCommand')).runTrace(argv),
   },
+  summary: {
+    summary: 'count the requests in collected logs by outcome and cause',
+    run: async argv => (await import('./summaryCommand')).runSummary(argv),
+  },
   usage: {
     summary: 'show use by customer',
     run: async argv => (await import('./usageCommand')).runUsage(argv),
