Take mechanisms out of a checkout by a list, and the new safeguards one at a time

Ruled out: switches in the settings; nobody should run without them. Change: bench/ablations.json names 15 mechanisms and the text that takes each out, `npm run ablate` does so in a checkout.

--- a/bench/mutants.ts
+++ b/bench/mutants.ts
@@ -11,21 +11,18 @@
   readdirSync,
   rmSync,
   symlinkSync,
-  writeFileSync,
   cpSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import * as z from 'zod';
+import {TEXT_CHANGE, changeText} from './textChange';
 
-const MUTANT = z.strictObject({
+const MUTANT = TEXT_CHANGE.extend({
   /** Promise of the brief that the safeguard serves. */
   promise: z.string(),
   /** What is taken away. */
   safeguard: z.string(),
-  file: z.string(),
-  find: z.string(),
-  replace: z.string(),
   /** Spec file, and a part of the test's name. */
   test: z.string(),
   name: z.string(),
@@ -78,21 +75,15 @@
 
 /** Why a mutant does not show its safeguard, or undefined when it does. */
 function judge(dir: string, mutant: Mutant): string | undefined {
-  const file = path.join(dir, mutant.file);
-  const original = readFileSync(file, 'utf8');
-  const matches = original.split(mutant.find).length - 1;
-  if (matches !== 1)
-    return `the text matches ${matches} times in ${mutant.file}`;
-  writeFileSync(
-    file,
-    original.replace(mutant.find, () => mutant.replace)
-  );
+  const {file, find, replace} = mutant;
+  const undo = changeText(dir, {file, find, replace});
+  if (typeof undo === 'string') return undo;
   try {
     const result = runTest(dir, mutant);
     if (!result.ran) return 'no test of that name ran';
     return result.failed ? undefined : 'SURVIVED';
   } finally {
-    writeFileSync(file, original);
+    undo();
   }
 }
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -23,6 +23,7 @@
   soak: 'bench/soak/main.ts',
   viaRelays: 'bench/deployment/viaRelays.ts',
   mutants: 'bench/mutants.ts',
+  ablate: 'bench/ablate.ts',
   quickstart: 'bench/quickstart.ts',
 };
 
