Keep one copy of the cost model of an engine

Cause: the profile of a pass stood in the site and in the policy that reads it. Ruled out: letting policies read the site; they depend on nothing but core. Change: core/passProfile holds it, the site's engine extends it.

--- a/src/policy/passLength.ts
+++ b/src/policy/passLength.ts
@@ -8,18 +8,7 @@
  * stream late that runs at that moment.
  */
 
-/** Cost model of one engine. */
-export interface PassProfile {
-  readonly stepsPerPass: number;
-  readonly stepMs: number;
-  /** Further time of a step for each running request, milliseconds. */
-  readonly stepMsPerRequest: number;
-  /** Time in which a rank reads a usual prompt, milliseconds. */
-  readonly usualReadMs: number;
-  readonly usualAnswerTokens: number;
-  /** Part of the work for tokens that goes to experts, 0 to 1. */
-  readonly expertShare: number;
-}
+import type {PassProfile} from '../core/passProfile';
 
 /** A group, as far as the length of its passes depends on it. */
 export interface GroupShape {
--- a/src/site/site.ts
+++ b/src/site/site.ts
@@ -4,6 +4,8 @@
  * text; everything inside the product reads these types.
  */
 
+import type {PassProfile} from '../core/passProfile';
+
 /** What may be done again when the outcome of a call is not known. */
 export type Repeat =
   /** May run more than once. */
@@ -46,21 +48,9 @@
 }
 
 /** Cost model and limits of a model engine, per rank. */
-export interface EngineProfile {
+export interface EngineProfile extends PassProfile {
   /** Requests that one rank works on at once. */
   readonly slots: number;
-  /** Token steps in one pass of a group. */
-  readonly stepsPerPass: number;
-  /** Fixed time of a token step, milliseconds. */
-  readonly stepMs: number;
-  /** Further time of a step for each running request, milliseconds. */
-  readonly stepMsPerRequest: number;
-  /** Time in which a rank reads a usual prompt, milliseconds. */
-  readonly usualReadMs: number;
-  /** Tokens of a usual answer. */
-  readonly usualAnswerTokens: number;
-  /** Part of the work for tokens that goes to experts, 0 to 1. */
-  readonly expertShare: number;
   /** Sets of layers, each with experts of its own; 0 without experts. */
   readonly expertSets: number;
   /** Experts of each set. */
