--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -46,8 +46,8 @@
 
 /**
  * Between two reports. Places that one node has free are lent to another with
- * the next report of each; with 250 ms, a third more callers were turned away
- * on days of high load. A report of a small deployment has some hundred bytes.
+ * the next report of each: the later it comes, the more callers are turned away
+ * beside free places. A report of a small deployment has some hundred bytes.
  */
 const SYNC_PERIOD_MS = 100;
 /** A report that takes so long is worth no more than the next one. */
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -18,8 +18,8 @@
 
 /**
  * Part of the latency target that a request may wait for a place. What is left
- * must do for reading the prompt, the first pass and a slow pass besides. With
- * half of it the queue let the load of a burst into the seconds after it.
+ * must do for reading the prompt, the first pass and a slow pass besides. A
+ * longer wait carries the load of a burst into the seconds after it.
  */
 const PATIENCE_PART = 0.4;
 /** Without a latency target: as long as a person waits without noticing. */
--- a/src/policy/copyLimit.ts
+++ b/src/policy/copyLimit.ts
@@ -19,8 +19,7 @@
 /**
  * A slow rank is to be rid of its experts with few switches, as long as it is
  * the one that makes passes long: by so much of the skew. Once it is empty, more
- * copies a rank only take longer: after a shift a group worked for half a
- * second at half its pace until four copies a rank were made.
+ * copies a rank only delay the map that answers the next shift.
  */
 const SLOW_RANK_SKEW = 0.5;
 
--- a/src/policy/expertSpread.ts
+++ b/src/policy/expertSpread.ts
@@ -4,8 +4,8 @@
  *
  * The load it answers: a few experts draw several times the mean, others each
  * few seconds, and every pass waits for the rank with the most. With experts
- * dealt out in turn the most loaded rank had 3.4 times the mean and passes took
- * three times as long. Changes are few: each copy of an expert is paid for and
+ * dealt out in turn the most loaded rank has several times the mean, and all
+ * streams wait for it. Changes are few: each copy of an expert is paid for and
  * slows passes down while it is made.
  *
  * A rank that is slow makes every pass wait for it as if it had so many times
--- a/src/policy/fleetPlan.ts
+++ b/src/policy/fleetPlan.ts
@@ -28,7 +28,7 @@
   readonly payFactor: number;
 }
 
-/** Values that measured best; see docs/DESIGN-fleet.md. */
+/** What the planner does when nothing else is set; see docs/DESIGN-fleet.md. */
 export const FLEET_DEFAULTS: FleetConfig = {
   changingPart: 0.1,
   loadsAtOnce: 16,
--- a/src/ranks/demandWatch.ts
+++ b/src/ranks/demandWatch.ts
@@ -6,8 +6,8 @@
  * all passes slow down until a new map is in force. The pace of streams shows
  * it within two passes and costs nothing. Then some ranks are read twice, a
  * few passes apart: the difference holds the new demand alone. A reading that
- * reached back across the shift gave plans for a mixture of both demands, and
- * one and a half switches more for each shift.
+ * reaches back across the shift gives plans for a mixture of both demands, and
+ * further switches to mend them.
  */
 
 import {unreachable} from '../core/errors';
--- a/src/ranks/expertDemand.ts
+++ b/src/ranks/expertDemand.ts
@@ -5,8 +5,8 @@
  *
  * The requests of one rank ask for a few subjects at a time, and each subject
  * has experts of its own, so that the counts of a single rank differ from what
- * all choose: plans for them moved copies back and forth. Those of three ranks
- * together halve that.
+ * all choose, and plans for them move copies back and forth. The counts of some
+ * ranks together are nearer to what all choose.
  */
 
 import type {ExpertCounts} from '../ports/rankPort';
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -38,9 +38,8 @@
 const GAIN_PER_COPY = 0.01;
 /**
  * Ranks whose counts are read together, at least; see `ExpertDemand`. Large
- * groups have more experts to tell apart, and fewer requests a rank: with three
- * of 63 ranks the load after a switch was 1.55 times the mean where the plan
- * had 1.25.
+ * groups have more experts to tell apart, and fewer requests a rank, so that
+ * the counts of few ranks make plans for what only their requests ask for.
  */
 const SAMPLE_RANKS = 3;
 const RANKS_FOR_EACH_SAMPLE = 8;
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -6,8 +6,7 @@
 /**
  * Answers come within 5 ms, twenty on a busy node. An order without one may be
  * carried out later; it is sent again, and the sooner the shorter the group
- * stands still: with 250 ms it stood for 2 s of a minute with one order in ten
- * unanswered.
+ * stands still for it.
  */
 const CALL_TIMEOUT_MS = 60;
 /** What a narrow link carries in a millisecond. */
