Share the fan-out of orders among the nodes near the ranks

Cause: on 129 ranks each order went from the leader alone, on a new connection each, all at once, every body encoded anew (25 kB, 3.4 MB in all) within 60 ms and 1 ms for 500 bytes. Nearly all calls timed out and were sent again: 1.3 to 4.2 s from plan to hold.

Ruled out: a longer limit alone.

Change: equal orders are encoded and logged once; above 16 ranks the call goes packed to nodes of each zone, which pass it on to some ranks each; a node that failed rests, its ranks get the retry through others. Limits follow the measured answers (Jacobson and Karels), by kind of call, and direct calls are bounded at 16 in flight. A late relay is a late order, which the switch allows for; fence and epoch are in the body. The skew in force is worked out by plans, no longer with each phase. The plan of a map and the held document got files of their own.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -19,6 +19,7 @@
 import {LeaderDuties} from './leaderDuties';
 import {findFounders} from './findFounders';
 import {Greeter} from './greeter';
+import {HeldSite} from './heldSite';
 import {LeaderLink} from './leaderLink';
 import type {
   NodeInfo,
@@ -108,7 +109,7 @@
   };
   /** Position of the log that the view shows; it never goes back. */
   private viewIndex = -1;
-  private packedSite = '';
+  private readonly held: HeldSite;
   private heardHere = new Map<string, TargetRecord>();
   private leaderTerm = -1;
   private leaderRevision = 0;
@@ -117,6 +118,7 @@
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
+    this.held = new HeldSite(options.decodeSite, logger);
     const nowMs = () => performance.now();
     this.rpc = new RpcClient(port);
     this.server = new RpcServer(logger);
@@ -186,6 +188,31 @@
     return this.coordinator.paceMs(service);
   }
 
+  /** On the leader: other nodes that reported within the last moment. */
+  recentNodes(): readonly NodeInfo[] {
+    const {self} = this.options;
+    return this.coordinator.recentNodes().filter(({ip}) => ip !== self.ip);
+  }
+
+  /** Answers calls of other nodes; parameters are validated by the schema. */
+  serve<T>(
+    method: string,
+    schema: z.ZodType<T>,
+    handle: (params: T) => Promise<unknown>
+  ): void {
+    this.server.addMethod(method, schema, handle);
+  }
+
+  /** Calls another node; the answer is the caller's to validate. */
+  callNode(
+    ip: string,
+    method: string,
+    params: unknown,
+    timeoutMs: number
+  ): Promise<unknown> {
+    return this.rpc.call(ip, method, params, timeoutMs);
+  }
+
   /** Who knows of the expert maps while this node leads. */
   useOutlook(of: (service: string) => MapOutlook | undefined): void {
     this.outlookOf = of;
@@ -239,7 +266,7 @@
             reply: READ_SITE_REPLY,
             timeoutMs: READ_TIMEOUT_MS,
           });
-    const packed = reply.packed ?? this.packedSite;
+    const packed = reply.packed ?? this.held.packed;
     const text = packed === '' ? '' : unpackText(packed);
     return {version: reply.version, text};
   }
@@ -364,30 +391,13 @@
       for (const record of reply.records) this.table.adopt(record, now);
     this.viewIndex = reply.index;
     this.current = {
-      index: this.siteFrom(reply),
+      index: this.held.adopt(reply.siteVersion, reply.packedSite),
       zonesOut: new Set(reply.zonesOut),
       grants: new Map(reply.grants.map(grant => [grant.service, grant])),
       activeNodes: Math.max(1, reply.activeNodes),
     };
   }
 
-  private siteFrom(reply: SyncState): SiteIndex | undefined {
-    const {index} = this.current;
-    const held = index?.site.version ?? NO_SITE_VERSION;
-    if (reply.packedSite === undefined || reply.siteVersion <= held)
-      return index;
-    const decoded = this.options.decodeSite(unpackText(reply.packedSite));
-    if (!decoded.ok) {
-      const {problem} = decoded;
-      this.options.logger.error({event: 'site.unreadable', problem}, problem);
-      return index;
-    }
-    this.packedSite = reply.packedSite;
-    const {version} = decoded.site;
-    this.options.logger.info({event: 'site.applied', version}, 'site applied');
-    return new SiteIndex(decoded.site);
-  }
-
   /** The site for the leader's own decisions. */
   get site(): Site | undefined {
     return this.current.index?.site;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -26,6 +26,8 @@
  * that is merely slow keeps what it has.
  */
 const ACTIVE_FOR_MS = 2_000;
+/** A few reports: a node that missed them may be lost. */
+const RECENT_MS = 400;
 /** Shares are worked out once for all nodes that report within this time. */
 const SHARES_PERIOD_MS = 50;
 /** A new leader has heard of the loads of all nodes: some reports of each. */
@@ -127,6 +129,14 @@
     );
   }
 
+  /** Nodes whose reports are fresh. */
+  recentNodes(): readonly NodeInfo[] {
+    const oldest = this.nowMs() - RECENT_MS;
+    return [...this.reports.values()]
+      .filter(({atMs}) => atMs >= oldest)
+      .map(({info}) => info);
+  }
+
   private noteReport(params: SyncParams, now: number): void {
     const {from, bootId} = params;
     const before = this.reports.get(from.ip);
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -20,6 +20,8 @@
   ip: TEXT,
   /** Whether it has a disk, and so takes part in the log. */
   hasDisk: z.boolean(),
+  /** Absent when it is not known, as of a node of an older version. */
+  availabilityZone: TEXT.optional(),
 });
 /** A node as others know it. */
 export type NodeInfo = z.infer<typeof NODE_INFO>;
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -16,6 +16,8 @@
 import type {RankCodec} from '../ports/rankPort';
 import type {TargetCodec} from '../ports/targetPort';
 import {RankDirector} from '../ranks/rankDirector';
+import {relayToRanks} from '../ranks/rankRelay';
+import {RELAY_METHOD, RELAY_PARAMS} from '../ranks/relayMessages';
 import type {NodeSettings} from '../settings/settings';
 import {ControlServer} from './controlServer';
 import {serveMetrics} from './metricsServer';
@@ -88,6 +90,7 @@
       node: () => node,
     });
     node = await ClusterNode.start(clusterOptions(parts, gateway, metrics));
+    serveRankRelay(node);
     const callers = new GatewayServer(gateway);
     const control = new ControlServer({node, codec: codecs.control, logger});
     const readyServer = http.createServer();
@@ -175,7 +178,11 @@
 ) {
   const {cluster, bounds} = settings;
   return {
-    self: {ip: settings.process.host, hasDisk: cluster.dataFolder !== ''},
+    self: {
+      ip: settings.process.host,
+      hasDisk: cluster.dataFolder !== '',
+      availabilityZone: settings.process.availabilityZone,
+    },
     port: cluster.port,
     seeds: cluster.seeds,
     dataDir: cluster.dataFolder,
@@ -189,6 +196,13 @@
   };
 }
 
+function serveRankRelay(node: ClusterNode): void {
+  node.serve(RELAY_METHOD, RELAY_PARAMS, params => {
+    const records = node.table.records();
+    return relayToRanks(params, new Set(records.map(({address}) => address)));
+  });
+}
+
 function wait(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -6,21 +6,25 @@
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
 import type {
-  MapLists,
+  OrderAnswer,
   OrderScope,
   RankCall,
   RankCodec,
+  RankMap,
+  RankOrder,
 } from '../ports/rankPort';
 import type {EngineProfile} from '../site/site';
-import {copiesARank} from '../policy/copyLimit';
-import {planSpread, spreadSkew} from '../policy/expertSpread';
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {SkewMemory} from '../policy/skewMemory';
+import {planMap} from './mapPlan';
 import type {DueReading} from './demandWatch';
 import {DemandWatch} from './demandWatch';
 import type {DemandChange, RankCounts} from './expertDemand';
 import {ExpertDemand} from './expertDemand';
-import {callRank} from './rankClient';
+import type {OrderBatch} from './orderBatches';
+import {AnswerTally, orderBatches} from './orderBatches';
+import type {RankAnswer} from './rankClient';
+import type {FanOutSummary, RankCallKind, RankCaller} from './rankCaller';
 import type {SentOrder} from './switchPhase';
 import {RankSwitch} from './rankSwitch';
 
@@ -34,8 +38,6 @@
  * copies and three dozen orders cost what a group earns in a tenth of a second.
  */
 const LEAST_GAIN = 0.2;
-/** The same for one copy of an expert; see `planSpread`. */
-const GAIN_PER_COPY = 0.01;
 /**
  * Ranks whose counts are read together, at least; see `ExpertDemand`. Large
  * groups have more experts to tell apart, and fewer requests a rank, so that
@@ -53,6 +55,7 @@
   readonly id: string;
   /** HOST:PORT */
   readonly address: string;
+  readonly availabilityZone: string;
 }
 
 /** What the controller of a group needs. */
@@ -62,6 +65,7 @@
   readonly scope: OrderScope;
   readonly ranks: readonly GroupRank[];
   readonly codec: RankCodec;
+  readonly caller: RankCaller;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
   /** Length of a pass as this node's streams show it; 0 when none runs. */
@@ -97,6 +101,8 @@
   /** Whether the next plan answers a shift. */
   private isShifted = false;
   private skewInForce = 1;
+  /** Skew under the map that is being switched to. */
+  private plannedSkew = 1;
   /** Whether a plan answered what is in demand in this life of the group. */
   private hasPlanned = false;
   private heldAtMs = -Infinity;
@@ -162,14 +168,19 @@
     if (this.isLoading || nowMs - this.loadedAtMs < LOAD_PERIOD_MS) return;
     this.isLoading = true;
     this.loadedAtMs = nowMs;
-    const {ranks, codec, scope, engine} = this.parts;
-    const maps = await Promise.all(
-      ranks.map(async ({address}) => {
-        const answer = await callRank(address, codec.mapCall());
-        return answer?.status === OK ? codec.readMap(answer.text) : undefined;
-      })
+    const {ranks, codec, scope, engine, caller} = this.parts;
+    const maps: (RankMap | undefined)[] = ranks.map(() => undefined);
+    const summary = await caller.callAll(
+      ranks,
+      'map',
+      codec.mapCall(),
+      (rank, answer) => {
+        const map = isOk(answer) ? codec.readMap(answer.text) : undefined;
+        maps[ranks.indexOf(rank)] = map;
+      }
     );
     this.isLoading = false;
+    this.logFanOut('map', summary);
     const [first] = maps;
     const isOneMap = maps.every(
       map => map?.epoch === scope.epoch && map.version === first?.version
@@ -240,10 +251,9 @@
     rank: GroupRank | undefined
   ): Promise<RankCounts | undefined> {
     if (rank === undefined) return undefined;
-    const {codec, logger, scope, name} = this.parts;
-    const answer = await callRank(rank.address, codec.countsCall());
-    const counts =
-      answer?.status === OK ? codec.readCounts(answer.text) : undefined;
+    const {codec, caller, logger, scope, name} = this.parts;
+    const answer = await caller.call(rank, 'counts', codec.countsCall());
+    const counts = isOk(answer) ? codec.readCounts(answer.text) : undefined;
     if (counts !== undefined && counts.epoch === scope.epoch)
       return {rankId: rank.id, counts};
     logger.info(
@@ -258,10 +268,18 @@
     if (machine?.isReady(performance.now()) !== true || this.isPlanning) return;
     this.isPlanning = true;
     this.isPlanDue = false;
-    const plan = await this.planSets(machine.lists);
+    const {engine} = this.parts;
+    const {lists: current, slowness} = machine;
+    const plan = await planMap({
+      current,
+      demand: this.demand,
+      engine,
+      slowness,
+    });
     this.isPlanning = false;
     const {before, after, copies, copiesOnRank, lists} = plan;
     this.skewInForce = before;
+    this.plannedSkew = after;
     this.hasPlanned = true;
     if (this.isShifted) this.parts.shifts.note(before, performance.now());
     this.isShifted = false;
@@ -282,84 +300,79 @@
     return gain * Math.min(1, strain) >= LEAST_GAIN;
   }
 
-  /** The sets with the highest skew come first: ranks take few copies in all. */
-  private async planSets(current: MapLists): Promise<GroupPlan> {
-    const {engine} = this.parts;
-    const slowness = this.machine?.slowness ?? [];
-    const skews = this.skewsOf(current, slowness);
-    const before = meanOf(skews);
-    const perRank = copiesARank({
-      skew: before,
-      skewIfInOrder: meanOf(this.skewsOf(current)),
-      copyMs: engine.expertCopyMs,
-    });
-    const left = (current[0] ?? []).map(() => perRank);
-    const lists = [...current];
-    let copies = 0;
-    const order = skews
-      .map((skew, set) => ({skew, set}))
-      .sort((a, b) => b.skew - a.skew);
-    for (const [position, {set}] of order.entries()) {
-      const plan = planSpread(current[set] ?? [], this.demand.ofSet(set), {
-        places: engine.placesPerRank,
-        newOnRank: left.map(count => Math.min(count, engine.sparePlaces)),
-        minGainPerCopy: GAIN_PER_COPY,
-        // An even part of what all ranks take in, for each set that is left.
-        maxCopies: Math.ceil(sum(left) / (order.length - position)),
-        slowness,
-      });
-      plan.lists.forEach((list, rank) => {
-        const held = current[set]?.[rank] ?? [];
-        const fresh = list.filter(expert => !held.includes(expert)).length;
-        left[rank] = (left[rank] ?? 0) - fresh;
-      });
-      lists[set] = plan.lists;
-      skews[set] = plan.skewAfter;
-      copies += plan.copies;
-      await new Promise(resolve => setImmediate(resolve));
-    }
-    const copiesOnRank = perRank - Math.min(...left);
-    return {lists, before, after: meanOf(skews), copies, copiesOnRank};
-  }
-
   private readReports(): void {
-    const {ranks, codec} = this.parts;
+    const {ranks, codec, caller} = this.parts;
     const {machine} = this;
-    ranks.forEach(({address}, rank) => {
-      const askedAtMs = performance.now();
-      if (machine?.needsReport(rank, askedAtMs) !== true) return;
-      void callRank(address, codec.reportCall()).then(answer => {
-        const report =
-          answer?.status === OK ? codec.readReport(answer.text) : undefined;
-        if (report === undefined) return;
-        const event = {kind: 'report', rank, report, askedAtMs} as const;
-        this.send(this.machine?.step(event, performance.now()) ?? []);
-      });
-    });
+    const askedAtMs = performance.now();
+    const asked = ranks.filter(
+      (_, rank) => machine?.needsReport(rank, askedAtMs) === true
+    );
+    if (asked.length === 0) return;
+    const call = codec.reportCall();
+    void caller.callAll(asked, 'report', call, (rank, answer) =>
+      this.takeReport(ranks.indexOf(rank), answer, askedAtMs)
+    );
+  }
+
+  private takeReport(
+    rank: number,
+    answer: RankAnswer | undefined,
+    askedAtMs: number
+  ): void {
+    const {codec} = this.parts;
+    const report = isOk(answer) ? codec.readReport(answer.text) : undefined;
+    if (report === undefined) return;
+    const event = {kind: 'report', rank, report, askedAtMs} as const;
+    this.send(this.machine?.step(event, performance.now()) ?? []);
   }
 
   private send(orders: readonly SentOrder[]): void {
     this.logPhase();
-    for (const sent of orders) void this.sendOne(sent);
+    for (const batch of orderBatches(orders)) void this.sendBatch(batch);
   }
 
-  private async sendOne({rank, order}: SentOrder): Promise<void> {
-    const {ranks, codec, scope, logger, name, metrics} = this.parts;
+  private async sendBatch({order, ranks: indexes}: OrderBatch): Promise<void> {
+    const {ranks, codec, scope, caller} = this.parts;
     const call: RankCall = codec.orderCall(order, scope);
-    const result = await callRank(ranks[rank]?.address ?? '', call);
+    const tally = new AnswerTally();
+    const ofBatch = indexes.flatMap(index => ranks[index] ?? []);
+    const summary = await caller.callAll(
+      ofBatch,
+      order.kind,
+      call,
+      (rank, result) => {
+        const answer = this.readOrderAnswer(order, result);
+        tally.note(answer, result?.text);
+        const index = ranks.indexOf(rank);
+        const event = {kind: 'answer', rank: index, order, answer} as const;
+        this.send(this.machine?.step(event, performance.now()) ?? []);
+      }
+    );
+    this.logFanOut(order.kind, summary, tally);
+  }
+
+  private readOrderAnswer(
+    {kind}: RankOrder,
+    result: RankAnswer | undefined
+  ): OrderAnswer {
+    const {codec, metrics} = this.parts;
     const answer =
       result === undefined ? 'unknown' : codec.readOrderStatus(result.status);
-    const {kind} = order;
     metrics.ordered(kind, answer);
-    if (answer !== 'done') {
-      const detail = result?.text;
-      logger.info(
-        {event: 'map.order', group: name, rank, kind, answer, detail},
-        'order not taken'
-      );
-    }
-    const event = {kind: 'answer', rank, order, answer} as const;
-    this.send(this.machine?.step(event, performance.now()) ?? []);
+    return answer;
+  }
+
+  /** One line for a fan-out, whatever the number of ranks. */
+  private logFanOut(
+    kind: RankCallKind,
+    summary: FanOutSummary,
+    tally?: AnswerTally
+  ): void {
+    const {name, logger} = this.parts;
+    logger.info(
+      {event: 'map.fanout', group: name, kind, ...summary, ...tally?.fields},
+      'ranks called'
+    );
   }
 
   private logPhase(): void {
@@ -372,47 +385,18 @@
     if (text === this.nextVersionSeen) return;
     this.nextVersionSeen = text;
     const {name, scope, logger} = this.parts;
-    const skew = this.skew();
-    this.skewInForce = skew;
+    if (state.kind === 'releasing' && state.then === 'switched')
+      this.skewInForce = this.plannedSkew;
+    const skew = this.skewInForce;
     logger.info(
       {event: 'map.phase', group: name, ...scope, phase: text, skew},
       state.kind
     );
   }
-
-  /** Mean over the sets of the highest load over the mean. */
-  private skew(): number {
-    const {machine} = this;
-    if (machine === undefined) return 0;
-    const {lists, slowness} = machine;
-    return meanOf(this.skewsOf(lists, slowness));
-  }
-
-  /** Highest load over the mean, by set; ranks are in order when not told. */
-  private skewsOf(lists: MapLists, slowness?: readonly number[]): number[] {
-    return lists.map((ofSet, set) =>
-      spreadSkew(ofSet, this.demand.ofSet(set), slowness)
-    );
-  }
 }
 
 const OK = 200;
 
-/** A plan for all sets. */
-interface GroupPlan {
-  readonly lists: MapLists;
-  /** Mean skew of the sets. */
-  readonly before: number;
-  readonly after: number;
-  readonly copies: number;
-  /** Most copies that one rank makes. */
-  readonly copiesOnRank: number;
-}
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
-function meanOf(values: readonly number[]): number {
-  return sum(values) / Math.max(1, values.length);
+function isOk(answer: RankAnswer | undefined): answer is RankAnswer {
+  return answer?.status === OK;
 }
--- /dev/null
+++ b/src/ranks/orderBatches.ts
@@ -0,0 +1,61 @@
+/** Orders that are alike, so that each is encoded and logged once for all its ranks. */
+
+import {unreachable} from '../core/errors';
+import type {OrderAnswer, RankOrder} from '../ports/rankPort';
+import type {SentOrder} from './switchPhase';
+
+/** One order and the ranks that it goes to. */
+export interface OrderBatch {
+  readonly order: RankOrder;
+  readonly ranks: readonly number[];
+}
+
+/** Groups equal orders. */
+export function orderBatches(
+  orders: readonly SentOrder[]
+): readonly OrderBatch[] {
+  const batches = new Map<string, {order: RankOrder; ranks: number[]}>();
+  for (const {rank, order} of orders) {
+    const key = keyOf(order);
+    const batch = batches.get(key) ?? {order, ranks: []};
+    batch.ranks.push(rank);
+    batches.set(key, batch);
+  }
+  return [...batches.values()];
+}
+
+/** A version stands for one map. */
+function keyOf(order: RankOrder): string {
+  switch (order.kind) {
+    case 'prepare':
+    case 'disarm':
+      return `${order.kind} ${order.version}`;
+    case 'arm':
+      return `arm ${order.version} ${order.pass}`;
+    case 'hold':
+    case 'go':
+      return `${order.kind} ${order.pass}`;
+    default:
+      return unreachable(order);
+  }
+}
+
+/** Answers to one batch, counted by kind. */
+export class AnswerTally {
+  private readonly counts = new Map<OrderAnswer, number>();
+  private reason: string | undefined;
+
+  /** Notes an answer; the text of the first one that was not taken is kept. */
+  note(answer: OrderAnswer, text: string | undefined): void {
+    this.counts.set(answer, (this.counts.get(answer) ?? 0) + 1);
+    if (answer !== 'done') this.reason ??= text;
+  }
+
+  /** Fields for a log line. */
+  get fields(): Readonly<Record<string, number | string>> {
+    const counts = Object.fromEntries(this.counts);
+    return this.reason === undefined
+      ? counts
+      : {...counts, reason: this.reason};
+  }
+}
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -3,25 +3,19 @@
 import http from 'node:http';
 import type {RankCall} from '../ports/rankPort';
 
-/**
- * Answers come within 5 ms, twenty on a busy node. An order without one may be
- * carried out later; it is sent again, and the sooner the shorter the group
- * stands still for it.
- */
-const CALL_TIMEOUT_MS = 60;
-/** What a narrow link carries in a millisecond. */
-const BYTES_PER_MS = 500;
-
 /** Answer of a rank. */
 export interface RankAnswer {
   readonly status: number;
   readonly text: string;
+  /** Duration of the call, milliseconds. */
+  readonly tookMs: number;
 }
 
-/** Resolves with undefined when no answer came. */
+/** Resolves with undefined when no answer came within the limit. */
 export function callRank(
   address: string,
-  call: RankCall
+  call: RankCall,
+  limitMs: number
 ): Promise<RankAnswer | undefined> {
   return new Promise(resolve => {
     const [host, port] = address.split(':');
@@ -30,6 +24,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     };
+    const sentAtMs = performance.now();
     const options = {host, port: Number(port), method, path, headers};
     const req = http.request({...options, agent: false}, res => {
       const chunks: Buffer[] = [];
@@ -37,11 +32,11 @@
       res.on('error', () => finish(undefined));
       res.on('end', () => {
         const text = Buffer.concat(chunks).toString('utf8');
-        finish(res.complete ? {status: res.statusCode ?? 0, text} : undefined);
+        const {statusCode: status = 0, complete} = res;
+        const tookMs = performance.now() - sentAtMs;
+        finish(complete ? {status, text, tookMs} : undefined);
       });
     });
-    // A map of many ranks is large for a narrow link.
-    const limitMs = CALL_TIMEOUT_MS + body.length / BYTES_PER_MS;
     const timer = setTimeout(() => finish(undefined), limitMs);
     const finish = (answer: RankAnswer | undefined) => {
       clearTimeout(timer);
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -9,9 +9,11 @@
 import {groupOpenings} from '../site/groupOpenings';
 import type {SiteService} from '../site/site';
 import type {MapOutlook} from '../policy/mapOutlook';
+import type {Located} from '../policy/relayPlan';
 import {worseOutlook} from '../policy/mapOutlook';
 import {SkewMemory} from '../policy/skewMemory';
 import {GroupController} from './groupController';
+import {RankCaller} from './rankCaller';
 
 interface RunningGroup {
   /** Leader's term, epoch and ranks; another key is another controller. */
@@ -25,6 +27,7 @@
 /** Controllers by service and group. */
 export class RankDirector {
   private readonly groups = new Map<string, RunningGroup>();
+  private readonly caller: RankCaller;
 
   constructor(
     private readonly node: ClusterNode,
@@ -33,7 +36,12 @@
     private readonly metrics: NodeMetrics,
     /** Length of a pass of a service, as this node's streams show it. */
     private readonly paceMs: (service: string) => number
-  ) {}
+  ) {
+    this.caller = new RankCaller({
+      relays: () => relaysOf(node),
+      callNode: (...call) => node.callNode(...call),
+    });
+  }
 
   /** Regular work; nothing is ordered while another node leads. */
   tick(nowMs: number): void {
@@ -89,6 +97,7 @@
         scope: {fence: this.node.term, epoch},
         ranks,
         codec: this.codec,
+        caller: this.caller,
         logger: this.logger,
         metrics: this.metrics,
         paceMs: () => this.paceMs(service.name),
@@ -135,3 +144,15 @@
     return groups;
   }
 }
+
+/** Nodes whose zone is known, busy ones of the log last. */
+function relaysOf(node: ClusterNode): readonly Located[] {
+  return node
+    .recentNodes()
+    .flatMap(({ip, hasDisk, availabilityZone}) =>
+      availabilityZone === undefined
+        ? []
+        : [{address: ip, availabilityZone, hasDisk}]
+    )
+    .sort((a, b) => Number(a.hasDisk) - Number(b.hasDisk));
+}
--- /dev/null
+++ b/src/ranks/rankRelay.ts
@@ -0,0 +1,27 @@
+/** Passes calls on to ranks near this node, for the node that leads. */
+
+import {unpackText} from '../site/packText';
+import type {RankCall} from '../ports/rankPort';
+import {callRank} from './rankClient';
+import type {RelayParams, RelayReply} from './relayMessages';
+
+/**
+ * Calls the ranks and collects their answers. Only addresses of targets that
+ * this node knows are called.
+ */
+export async function relayToRanks(
+  params: RelayParams,
+  knownAddresses: ReadonlySet<string>
+): Promise<RelayReply> {
+  const {method, path, packedBody, addresses, limitMs} = params;
+  const body = packedBody === undefined ? undefined : unpackText(packedBody);
+  const call: RankCall = {method, path, body};
+  const answers = await Promise.all(
+    addresses.map(async address =>
+      knownAddresses.has(address)
+        ? ((await callRank(address, call, limitMs)) ?? null)
+        : null
+    )
+  );
+  return {answers};
+}
