Give the rate of a cold target with its permits

Cause: each node kept to an even part of the requests a second that a cold target bears, one at least. Of 39 nodes each might send one, 39 for a bound of 30; and a node that owns all slots of a target could start only one request a second there.

Change: half of the bound goes with the permits, of which few nodes hold any; the other half is an even part, or one request for a subset of the nodes by a hash where an even part is less than one.

Measured: in the model, 1 to 1,000 nodes stay within bounds of 30 and 44; one for each node gives 39, 300 and 1,000.

--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -7,7 +7,8 @@
 import type {SiteService} from '../site/site';
 import {AdmissionQueue} from '../policy/admissionQueue';
 import {PassPace} from '../policy/passPace';
-import {RateWindow, nodePartOf} from '../policy/rateWindow';
+import {coldRateOf} from '../policy/coldRate';
+import {RateWindow} from '../policy/rateWindow';
 import {RetryTiming} from '../policy/retryTiming';
 import {StallWatch} from '../policy/stallWatch';
 import type {TargetOption} from '../policy/targetChoice';
@@ -22,6 +23,8 @@
 
 /** Bounds of the deployment that a pool keeps to. */
 export interface PoolBounds {
+  /** Of this node, different from that of each other one. */
+  readonly nodeId: string;
   readonly retries: WindowBudgetLimits;
   /** Times the rate that a cold target is said to bear. */
   readonly coldMultiplier: number;
@@ -135,10 +138,10 @@
   choose(input: ChoiceInput): TargetRecord | undefined {
     const {nowMs, tried, ownZone} = input;
     const records = this.usable(input).filter(
-      ({id}) =>
+      ({id, slots}) =>
         !tried.has(id) &&
         !this.healthOf(id).isPaused(nowMs) &&
-        this.withinRate(id, input)
+        this.withinRate(id, slots, input)
     );
     const options = records.map((record): TargetOption => {
       const health = this.healthOf(record.id);
@@ -164,17 +167,19 @@
       if (!known.has(id)) this.windows.delete(id);
   }
 
-  private withinRate(id: string, input: ChoiceInput): boolean {
+  private withinRate(id: string, slots: number, input: ChoiceInput): boolean {
     const {coldRequestsPerSecond} = input.service;
     if (coldRequestsPerSecond === 0) return true;
-    const {coldMultiplier, coldSlack} = this.bounds;
-    const part = nodePartOf(
-      coldRequestsPerSecond,
-      coldMultiplier,
-      coldSlack,
-      input.activeNodes
-    );
-    return this.windowOf(id).allows(input.nowMs, part);
+    const {coldMultiplier, coldSlack, nodeId} = this.bounds;
+    const rate = coldRateOf({
+      bound: coldRequestsPerSecond * coldMultiplier + coldSlack,
+      nodes: input.activeNodes,
+      nodeId,
+      targetId: id,
+      permits: this.permits[id] ?? 0,
+      capacity: slots,
+    });
+    return this.windowOf(id).allows(input.nowMs, rate);
   }
 
   private healthOf(id: string): TargetHealth {
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -79,6 +79,7 @@
       logger,
       metrics,
       bounds: {
+        nodeId: settings.process.host,
         retries: {
           ratio: bounds.retryRatio,
           slack: bounds.retrySlack,
--- a/tests/nodePolicies.spec.ts
+++ b/tests/nodePolicies.spec.ts
@@ -1,5 +1,6 @@
 import {PassPace} from '../src/policy/passPace';
-import {RateWindow, nodePartOf} from '../src/policy/rateWindow';
+import {coldRateOf} from '../src/policy/coldRate';
+import {RateWindow} from '../src/policy/rateWindow';
 import type {TargetOption} from '../src/policy/targetChoice';
 import {chooseTarget} from '../src/policy/targetChoice';
 import {TargetHealth} from '../src/policy/targetHealth';
@@ -12,7 +13,7 @@
     id: 'x',
     slots: 8,
     own: 0,
-    others: 0,
+    permits: 8,
     isNear: true,
     failureRate: 0,
     latencyMs: 20,
@@ -52,9 +53,34 @@
 describe('rate of a cold target', () => {
   // A target may turn cold at any moment, and it is known only later: what all
   // nodes send together must be bearable all the time.
-  it('should keep all nodes together under the bound', () => {
-    for (const nodes of [1, 3, 7, 20])
-      expect(nodes * nodePartOf(26, 1.5, 5, nodes)).toBeLessThanOrEqual(44);
+  it.each([1, 3, 7, 20, 39, 300, 1_000])(
+    'should keep %i nodes together under the bound',
+    nodes => {
+      const capacity = 8;
+      for (const bound of [44, 30]) {
+        const rates = Array.from({length: nodes}, (_, i) =>
+          coldRateOf({
+            bound,
+            nodes,
+            nodeId: `10.0.${i >> 8}.${i & 255}`,
+            targetId: 't',
+            permits:
+              i < capacity ? Math.max(1, Math.floor(capacity / nodes)) : 0,
+            capacity,
+          })
+        );
+        const all = rates.reduce((sum, rate) => sum + rate, 0);
+        expect(all).toBeGreaterThan(0);
+        expect(all).toBeLessThanOrEqual(bound);
+      }
+    }
+  );
+
+  // A node that owns all slots of a target must be able to fill them again as
+  // they come free.
+  it('should let a node that holds all permits use half of the bound', () => {
+    const all = {bound: 30, nodes: 39, nodeId: 'n', targetId: 't', capacity: 4};
+    expect(coldRateOf({...all, permits: 4})).toBeGreaterThanOrEqual(13);
   });
 
   it('should count every span of a second', () => {
@@ -76,10 +102,18 @@
     expect(chooseTarget([fuller, far], NO_TIE)?.id).toBe('far');
   });
 
-  it('should count what other nodes have there', () => {
-    const busy = option({id: 'busy', others: 6});
-    const free = option({id: 'free', own: 2});
-    expect(chooseTarget([busy, free], NO_TIE)?.id).toBe('free');
+  // Another node uses the slots that this one has no permit for: the request
+  // would wait there for the whole stay of another one.
+  it('should use a target only within its permits while others have some left', () => {
+    const used = option({id: 'used', own: 0, permits: 0});
+    const free = option({id: 'free', own: 2, permits: 3, isNear: false});
+    expect(chooseTarget([used, free], NO_TIE)?.id).toBe('free');
+  });
+
+  it('should use the least used target when no permit is left', () => {
+    const busy = option({id: 'busy', own: 3, permits: 3});
+    const less = option({id: 'less', own: 1, permits: 1});
+    expect(chooseTarget([busy, less], NO_TIE)?.id).toBe('less');
   });
 
   // Its health check is good, but it fails part of what it gets.
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -192,7 +192,6 @@
       service: 's',
       concurrency: 10,
       free: 0,
-      others: {},
       shiftSkew: 0,
     };
     const view: ClusterView = {
@@ -206,6 +205,7 @@
       callers: CALLER_CODEC,
       targets: TARGET_CODEC,
       bounds: {
+        nodeId: 'node',
         retries: {ratio: 0.2, slack: 50, windowMs: 10_000},
         coldMultiplier: 1.5,
         coldSlack: 5,
