Tell shifts of demand by how far the ranks of a sample are apart

Cause: two windows counted as the same demand when less than a fifth of the choices differed. On 129 ranks a shift moves less; it was called the same, added to the known demand and blurred it. Looks at one of 129 ranks, with three requests, tell nothing; samples of 16 ranks held the group up for 80 ms each.

Ruled out: another constant.

Change: a sample shows a shift when its squared distance from the known demand is more than three times what the ranks' distance from each other makes likely, with the error of the known demand. All readings are of the sample; its size follows from the time that a reading holds the group up (20 ms at most), and readings without an alarm take 2% of the time. The alarm compares passes with the length foreseen for the requests that run. The test of one rank a second is replaced by one of the part of time.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -188,6 +188,11 @@
     return this.coordinator.paceMs(service);
   }
 
+  /** On the leader: requests of all nodes that run at a service. */
+  runningRequests(service: string): number {
+    return this.coordinator.runningRequests(service);
+  }
+
   /** On the leader: other nodes that reported within the last moment. */
   recentNodes(): readonly NodeInfo[] {
     const {self} = this.options;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -134,6 +134,14 @@
     );
   }
 
+  /** Requests of all nodes at a service, as they reported last. */
+  runningRequests(service: string): number {
+    return this.activeReports().reduce(
+      (sum, {loads}) => sum + (loads.get(service)?.inFlight ?? 0),
+      0
+    );
+  }
+
   /** Nodes whose reports are fresh. */
   recentNodes(): readonly NodeInfo[] {
     const oldest = this.nowMs() - RECENT_MS;
--- a/src/ranks/demandWatch.ts
+++ b/src/ranks/demandWatch.ts
@@ -1,22 +1,22 @@
 /**
- * When the counts of which ranks are read. Each reading is paid for, so that
- * little is read while nothing changes, and much in the moment of a shift.
+ * When the counts of a sample of ranks are read.
  *
- * The load it answers: every few seconds other experts come into demand, and
- * all passes slow down until a new map is in force. The pace of streams shows
- * it within two passes and costs nothing. Then some ranks are read twice, a
- * few passes apart: the difference holds the new demand alone. A reading that
- * reaches back across the shift gives plans for a mixture of both demands, and
- * further switches to mend them.
+ * Pattern: other experts come into demand every few seconds, and all passes are
+ * slow until a new map is in force. Streams show slow passes at no cost. A pass
+ * that lasts longer than its forecast raises an alarm: the sample is read twice,
+ * a few passes apart, and the difference holds the new demand alone. Readings
+ * hold the group up, so that those without an alarm take a small part of its time.
  */
 
 import {unreachable} from '../core/errors';
 import type {DemandChange} from './expertDemand';
 
-/** Looks without an alarm, for shifts that hardly change the pace. */
-const READ_PERIOD_MS = 1_000;
-/** A pace that is longer than the usual one by this part tells of a shift. */
-const SLOWER_PART = 0.25;
+/** Between readings without an alarm, for shifts that hardly change the pace. */
+const MIN_READ_PERIOD_MS = 700;
+/** Part of the time for which those readings may hold the group up. */
+const MAX_HOLD_RATIO = 0.02;
+/** Passes that are longer than usual by this part raise an alarm. */
+const SLOWDOWN_RATIO = 0.25;
 /** Least time between two alarms that the pace raises, milliseconds. */
 const ALARM_PERIOD_MS = 700;
 /** Between the two readings: a few passes, some thousand choices a set. */
@@ -34,8 +34,6 @@
 
 /** A reading that is due. */
 export interface DueReading {
-  /** One rank, or all ranks of the sample. */
-  readonly scope: 'one' | 'sample';
   /** Whether it only begins the window of the next one. */
   readonly isBegin: boolean;
   /** Whether its window began after a shift was suspected. */
@@ -58,15 +56,24 @@
 export class DemandWatch {
   private state: WatchState = {kind: 'alarmed'};
   private isReading = false;
-  private usualPaceMs = 0;
+  private usualPace = 0;
   private alarmAtMs = -Infinity;
   private lookedAtMs = 0;
+  private readonly periodMs: number;
 
-  /** The reading that is due now; to be followed by `took`. */
-  next(paceMs: number, nowMs: number): DueReading | undefined {
-    this.watchPace(paceMs, nowMs);
+  /** `holdMs` is the time for which one reading holds the group up. */
+  constructor(holdMs: number) {
+    this.periodMs = Math.max(MIN_READ_PERIOD_MS, holdMs / MAX_HOLD_RATIO);
+  }
+
+  /**
+   * The reading that is due now; to be followed by `took`. The pace is the length
+   * of passes over their forecast; 0 while no stream runs.
+   */
+  next(pace: number, nowMs: number): DueReading | undefined {
+    this.watchPace(pace, nowMs);
     // Without streams nothing was chosen since the last reading.
-    if (this.isReading || paceMs === 0) return undefined;
+    if (this.isReading || pace === 0) return undefined;
     const reading = this.dueAt(nowMs);
     this.isReading = reading !== undefined;
     return reading;
@@ -81,15 +88,12 @@
     }
     switch (change) {
       case 'shifting':
-        // The window that this reading began is as good as one begun anew.
-        this.state =
-          reading.scope === 'sample'
-            ? measureIn(MEASURE_MS, nowMs, 0)
-            : {kind: 'alarmed'};
+        // This reading began the next window.
+        this.state = measureIn(MEASURE_MS, nowMs, 0);
         return;
       case 'shifted':
       case 'same':
-        this.state = watchIn(READ_PERIOD_MS, nowMs);
+        this.state = watchIn(this.periodMs, nowMs);
         return;
       case 'nothing':
         this.tookNothing(nowMs);
@@ -110,8 +114,8 @@
     const {state} = this;
     this.state =
       state.kind === 'measuring'
-        ? measureIn(rereadMs(state.empty), nowMs, state.empty + 1)
-        : watchIn(READ_PERIOD_MS, nowMs);
+        ? measureIn(this.rereadMs(state.empty), nowMs, state.empty + 1)
+        : watchIn(this.periodMs, nowMs);
   }
 
   private dueAt(nowMs: number): DueReading | undefined {
@@ -119,26 +123,26 @@
     switch (state.kind) {
       case 'watching':
         if (nowMs < state.dueAtMs) return undefined;
-        return {scope: 'one', isBegin: false, isRecent: false};
+        return {isBegin: false, isRecent: false};
       case 'alarmed':
-        return {scope: 'sample', isBegin: true, isRecent: true};
+        return {isBegin: true, isRecent: true};
       case 'measuring':
         if (nowMs < state.dueAtMs) return undefined;
-        return {scope: 'sample', isBegin: false, isRecent: true};
+        return {isBegin: false, isRecent: true};
       default:
         return unreachable(state);
     }
   }
 
-  private watchPace(paceMs: number, nowMs: number): void {
+  private watchPace(pace: number, nowMs: number): void {
     const elapsedMs = nowMs - this.lookedAtMs;
     this.lookedAtMs = nowMs;
-    if (paceMs === 0) return;
-    if (this.usualPaceMs === 0) {
-      this.usualPaceMs = paceMs;
+    if (pace === 0) return;
+    if (this.usualPace === 0) {
+      this.usualPace = pace;
       return;
     }
-    const isSlower = paceMs > this.usualPaceMs * (1 + SLOWER_PART);
+    const isSlower = pace > this.usualPace * (1 + SLOWDOWN_RATIO);
     const isFresh = nowMs - this.alarmAtMs >= ALARM_PERIOD_MS;
     if (isSlower && isFresh && this.state.kind === 'watching') {
       this.alarmAtMs = nowMs;
@@ -146,13 +150,13 @@
     }
     const overMs = isSlower ? RISE_MS : FALL_MS;
     const part = 1 - Math.exp(-elapsedMs / overMs);
-    this.usualPaceMs += (paceMs - this.usualPaceMs) * part;
+    this.usualPace += (pace - this.usualPace) * part;
   }
-}
 
-/** Longer each time: with hardly a request left, nothing is to be learned. */
-function rereadMs(empty: number): number {
-  return Math.min(READ_PERIOD_MS, REREAD_MS * 2 ** empty);
+  /** Longer each time: with hardly a request left, nothing is to be learned. */
+  private rereadMs(empty: number): number {
+    return Math.min(this.periodMs, REREAD_MS * 2 ** empty);
+  }
 }
 
 function measureIn(ms: number, nowMs: number, empty: number): WatchState {
--- a/src/ranks/expertDemand.ts
+++ b/src/ranks/expertDemand.ts
@@ -1,20 +1,23 @@
 /**
- * Which experts are in demand, from the counts of some ranks. What is in demand
- * changes at once, not bit by bit: choices since the last shift are added up,
- * and what was chosen before only blurs what is seen.
+ * Which experts are in demand, from the counts of a sample of ranks.
  *
- * The requests of one rank ask for a few subjects at a time, and each subject
- * has experts of its own, so that the counts of a single rank differ from what
- * all choose, and plans for them move copies back and forth. The counts of some
- * ranks together are nearer to what all choose.
+ * Pattern: demand shifts at once, not bit by bit. Choices since the last shift
+ * are added up; older ones would only blur what is seen. The few requests of a
+ * rank ask for few subjects, each with experts of its own, so that two samples of
+ * one demand differ as well. A sample shows a shift when it differs by more than
+ * the ranks of a sample differ from each other.
  */
 
 import type {ExpertCounts} from '../ports/rankPort';
 
 /** Choices that tell the parts of the experts that matter, for each expert. */
 const ENOUGH_PER_EXPERT = 28;
-/** Two windows of one demand differ by less: the noise of their choices. */
-const SAME_DIFFERENCE = 0.2;
+/** Squared difference of two samples over its expected value without a shift. */
+const SHIFT_RATIO = 3;
+/** Windows that the known demand stands for; older ones fade. */
+const MAX_WINDOWS = 6;
+/** EWMA weight of one sample in the spread between ranks. */
+const SPREAD_WEIGHT = 0.3;
 
 /** What a reading showed. */
 export type DemandChange =
@@ -37,7 +40,12 @@
   /** Where the present window of each rank began. */
   private readonly begins = new Map<string, ExpertCounts>();
   private since: readonly number[] = [];
+  /** Expected squared error of what is known, in parts of all choices. */
+  private sinceError = 0;
+  /** Expected squared difference of one rank from all; undefined before a sample. */
+  private rankSpread: number | undefined;
   private lastFilled = 0;
+  private lastRatio = 0;
 
   constructor(
     private readonly sets: number,
@@ -49,6 +57,11 @@
     return this.lastFilled;
   }
 
+  /** Difference of the last sample over its expected value; 1 without a shift. */
+  get shiftRatio(): number {
+    return this.lastRatio;
+  }
+
   /** Begins the windows of these ranks anew, and leaves out what came before. */
   begin(readings: readonly RankCounts[]): void {
     for (const {rankId, counts} of readings) this.begins.set(rankId, counts);
@@ -60,13 +73,15 @@
    */
   note(readings: readonly RankCounts[], isRecent: boolean): DemandChange {
     const known = readings.filter(reading => this.continues(reading));
-    const fresh = this.freshOf(known);
+    const windows = known.map(reading => this.windowOf(reading));
+    const fresh = sumOfAll(windows, this.sets * this.experts);
     const enough = ENOUGH_PER_EXPERT * this.sets * this.experts;
     this.lastFilled = sumOf(fresh) / enough;
     const isEnough = this.lastFilled >= 1;
     const begun = readings.filter(reading => !known.includes(reading));
     this.begin(isEnough ? readings : begun);
-    return isEnough ? this.compare(fresh, isRecent) : 'nothing';
+    if (!isEnough) return 'nothing';
+    return this.compare(fresh, this.errorOf(windows, fresh), isRecent);
   }
 
   /** Whether it counts that many sets and experts. */
@@ -82,46 +97,89 @@
     return withPrior(part);
   }
 
-  private compare(fresh: readonly number[], isRecent: boolean): DemandChange {
+  private compare(
+    fresh: readonly number[],
+    error: number,
+    isRecent: boolean
+  ): DemandChange {
     const isFirst = this.since.length === 0;
-    if (!isFirst && differenceOf(fresh, this.since) < SAME_DIFFERENCE) {
-      this.since = this.since.map((count, i) => count + (fresh[i] ?? 0));
+    this.lastRatio = isFirst
+      ? 0
+      : distanceOf(fresh, this.since) / (error + this.sinceError);
+    if (!isFirst && this.lastRatio < SHIFT_RATIO) {
+      this.add(fresh, error);
       return 'same';
     }
     if (!isFirst && !isRecent) return 'shifting';
     this.since = fresh;
+    this.sinceError = error;
     return 'shifted';
   }
 
+  /** Adds a window of the same demand; old ones fade. */
+  private add(fresh: readonly number[], error: number): void {
+    const known = sumOf(this.since);
+    const freshSum = sumOf(fresh);
+    const kept = Math.min(1, ((MAX_WINDOWS - 1) * freshSum) / known);
+    const part = freshSum / (known * kept + freshSum);
+    this.since = this.since.map((count, i) => count * kept + (fresh[i] ?? 0));
+    this.sinceError = (1 - part) ** 2 * this.sinceError + part ** 2 * error;
+  }
+
+  /**
+   * Expected squared error of a sample, from how far its ranks are apart; for a
+   * single rank, from how far ranks were apart before.
+   */
+  private errorOf(
+    windows: readonly (readonly number[])[],
+    fresh: readonly number[]
+  ): number {
+    const total = sumOf(fresh);
+    const sums = windows.map(sumOf).filter(sum => sum > 0);
+    const byChance = 1 / total;
+    const squares = sums.reduce((all, sum) => all + (sum / total) ** 2, 0);
+    if (sums.length < 2)
+      return Math.max(byChance, (this.rankSpread ?? 0) * squares);
+    const apart = windows.reduce((all, window) => {
+      const sum = sumOf(window);
+      if (sum === 0) return all;
+      return all + (sum / total) ** 2 * distanceOf(window, fresh);
+    }, 0);
+    const error = (apart * sums.length) / (sums.length - 1);
+    const before = this.rankSpread ?? error / squares;
+    this.rankSpread = before + (error / squares - before) * SPREAD_WEIGHT;
+    return Math.max(byChance, this.rankSpread * squares);
+  }
+
   private continues({rankId, counts}: RankCounts): boolean {
     const begin = this.begins.get(rankId);
     return begin !== undefined && !isOtherLife(begin, counts);
   }
 
-  private freshOf(readings: readonly RankCounts[]): readonly number[] {
-    const fresh = Array.from({length: this.sets * this.experts}, () => 0);
-    for (const {rankId, counts} of readings) {
-      const before = this.begins.get(rankId)?.counts ?? [];
-      counts.counts.forEach((count, i) => {
-        fresh[i] = (fresh[i] ?? 0) + count - (before[i] ?? 0);
-      });
-    }
-    return fresh;
+  /** Choices of a rank since its window began. */
+  private windowOf({rankId, counts}: RankCounts): readonly number[] {
+    const before = this.begins.get(rankId)?.counts ?? [];
+    return counts.counts.map((count, i) => count - (before[i] ?? 0));
   }
 }
 
-/** Part of the choices that went to other experts, 0 to 1. */
-function differenceOf(
-  fresh: readonly number[],
-  before: readonly number[]
-): number {
-  const now = Math.max(1, sumOf(fresh));
-  const then = Math.max(1, sumOf(before));
-  const moved = fresh.reduce(
-    (sum, count, i) => sum + Math.abs(count / now - (before[i] ?? 0) / then),
+/** Squared distance of two demands, each in parts of all its choices. */
+function distanceOf(a: readonly number[], b: readonly number[]): number {
+  const sumA = Math.max(1, sumOf(a));
+  const sumB = Math.max(1, sumOf(b));
+  return a.reduce(
+    (sum, count, i) => sum + (count / sumA - (b[i] ?? 0) / sumB) ** 2,
     0
   );
-  return moved / 2;
+}
+
+function sumOfAll(
+  windows: readonly (readonly number[])[],
+  length: number
+): readonly number[] {
+  return Array.from({length}, (_, i) =>
+    windows.reduce((sum, window) => sum + (window[i] ?? 0), 0)
+  );
 }
 
 function sumOf(counts: readonly number[]): number {
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -16,6 +16,7 @@
 import type {EngineProfile} from '../site/site';
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {SkewMemory} from '../policy/skewMemory';
+import {fixedPassMs, requestPassMs} from '../policy/passLength';
 import {planMap} from './mapPlan';
 import type {DueReading} from './demandWatch';
 import {DemandWatch} from './demandWatch';
@@ -39,12 +40,12 @@
  */
 const LEAST_GAIN = 0.2;
 /**
- * Ranks whose counts are read together, at least; see `ExpertDemand`. Large
- * groups have more experts to tell apart, and fewer requests a rank, so that
- * the counts of few ranks make plans for what only their requests ask for.
+ * Ranks of a sample. One rank's few requests differ from all; more ranks tell
+ * more, and hold the group up longer.
  */
-const SAMPLE_RANKS = 3;
-const RANKS_FOR_EACH_SAMPLE = 8;
+const MIN_SAMPLE_RANKS = 3;
+const MAX_SAMPLE_RATIO = 1 / 8;
+const MAX_SAMPLE_HOLD_MS = 20;
 /** Pauses that streams show are still those of a switch for so long. */
 const HELD_SHOWS_MS = 250;
 /** Between two tries to read the map in use. */
@@ -70,6 +71,8 @@
   readonly metrics: NodeMetrics;
   /** Length of a pass as this node's streams show it; 0 when none runs. */
   paceMs(): number;
+  /** Requests of all nodes that run at the service now. */
+  running(): number;
   /** Longest pause between events that callers accept; 0 when none is set. */
   readonly acceptedPauseMs: number;
   /** As the group's last life showed it. */
@@ -89,7 +92,8 @@
   private firstVersion = 0;
   private isLoading = false;
   private loadedAtMs = -Infinity;
-  private readonly watch = new DemandWatch();
+  private readonly watch: DemandWatch;
+  private readonly sampleSize: number;
   /** Where the sample of ranks begins. */
   private firstRank = 0;
   /** Whether what is in demand is known and not planned for yet. */
@@ -108,8 +112,10 @@
   private heldAtMs = -Infinity;
 
   constructor(private readonly parts: GroupParts) {
-    const {engine} = parts;
-    const {expertSets, experts} = engine;
+    const {engine, ranks} = parts;
+    const {expertSets, experts, countsHoldMs} = engine;
+    this.sampleSize = sampleSizeOf(ranks.length, countsHoldMs);
+    this.watch = new DemandWatch(this.sampleSize * countsHoldMs);
     const known = parts.demand?.fits(expertSets, experts)
       ? parts.demand
       : undefined;
@@ -158,7 +164,7 @@
       this.lastReportsMs = nowMs;
       this.readReports();
     }
-    const due = this.watch.next(this.parts.paceMs(), nowMs);
+    const due = this.watch.next(this.relativePace(), nowMs);
     if (due !== undefined) void this.look(due);
     if (this.isPlanDue) void this.plan();
   }
@@ -203,14 +209,22 @@
   }
 
   private async look(due: DueReading): Promise<void> {
-    const readings = await this.read(due);
+    const readings = await this.readSample();
     const change = this.take(due, readings);
     this.watch.took(due, change, performance.now());
     const {name, logger} = this.parts;
-    const {scope, isBegin} = due;
-    const {filled} = this.demand;
+    const {isBegin} = due;
+    const {filled, shiftRatio} = this.demand;
     logger.info(
-      {event: 'map.looked', group: name, scope, isBegin, change, filled},
+      {
+        event: 'map.sampled',
+        group: name,
+        isBegin,
+        change,
+        filled,
+        shiftRatio,
+        pace: this.relativePace(),
+      },
       change
     );
     // A zone that is out, or that nobody can reach, has no requests, and the
@@ -229,16 +243,19 @@
     return 'nothing';
   }
 
-  private async read({scope}: DueReading): Promise<readonly RankCounts[]> {
+  /** Length of passes over what is foreseen for the requests that run. */
+  private relativePace(): number {
+    const {engine, ranks, paceMs, running} = this.parts;
+    const skew = this.skewInForce;
+    const requestMs = requestPassMs({engine, ranks: ranks.length, skew});
+    return paceMs() / (fixedPassMs(engine) + running() * requestMs);
+  }
+
+  private async readSample(): Promise<readonly RankCounts[]> {
     const {ranks} = this.parts;
-    const all = Math.max(
-      SAMPLE_RANKS,
-      Math.round(ranks.length / RANKS_FOR_EACH_SAMPLE)
-    );
-    const size = scope === 'one' ? 1 : all;
-    const stride = Math.floor(ranks.length / all) + 1;
+    const stride = Math.floor(ranks.length / this.sampleSize) + 1;
     const sample = Array.from(
-      {length: size},
+      {length: this.sampleSize},
       (_, i) => ranks[(this.firstRank + i * stride) % ranks.length]
     );
     const readings = await Promise.all(
@@ -395,6 +412,12 @@
   }
 }
 
+function sampleSizeOf(ranks: number, holdMs: number): number {
+  const affordable = Math.floor(MAX_SAMPLE_HOLD_MS / Math.max(holdMs, 1e-3));
+  const most = Math.min(affordable, Math.round(ranks * MAX_SAMPLE_RATIO));
+  return Math.min(ranks, Math.max(MIN_SAMPLE_RANKS, most));
+}
+
 const OK = 200;
 
 function isOk(answer: RankAnswer | undefined): answer is RankAnswer {
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -101,6 +101,7 @@
         logger: this.logger,
         metrics: this.metrics,
         paceMs: () => this.paceMs(service.name),
+        running: () => this.node.runningRequests(service.name),
         acceptedPauseMs: this.acceptedPauseMs(service.name),
         // The same requests go on asking for the same experts.
         demand: running?.controller.demand,
--- a/src/site/site.ts
+++ b/src/site/site.ts
@@ -61,6 +61,8 @@
   readonly sparePlaces: number;
   /** Time in which a rank copies one expert, milliseconds. */
   readonly expertCopyMs: number;
+  /** Time for which reading a rank's counts holds up its group, milliseconds. */
+  readonly countsHoldMs: number;
   /** Time to form a group anew, milliseconds. */
   readonly formMs: number;
 }
--- a/tests/expertDemand.spec.ts
+++ b/tests/expertDemand.spec.ts
@@ -1,3 +1,4 @@
+import {xorshift128plus} from 'pure-rand/generator/xorshift128plus';
 import {ExpertDemand} from '../src/ranks/expertDemand';
 
 const EXPERTS = 20;
@@ -47,6 +48,36 @@
   }
 }
 
+/** Ranks with a common demand, and a part of their own that changes each time. */
+class SampleFixture {
+  readonly demand = new ExpertDemand(1, EXPERTS);
+  private readonly random = xorshift128plus(7);
+  private counts: (readonly number[])[];
+
+  constructor(ranks: number) {
+    this.counts = Array.from({length: ranks}, noChoices);
+    this.demand.begin(this.readings());
+  }
+
+  /** `moved` and `own` are parts of all choices. */
+  choose(moved: number, own: number) {
+    this.counts = this.counts.map(counts => {
+      const top = Math.abs(this.random.next()) % EXPERTS;
+      const common = add(counts, 3, 50_000 * (1 - own - moved));
+      const shifted = add(common, 13, 50_000 * moved);
+      return add(shifted, top, 50_000 * own);
+    });
+    return this.demand.note(this.readings(), false);
+  }
+
+  private readings() {
+    return this.counts.map((counts, i) => ({
+      rankId: `r${i}`,
+      counts: {pass: 1, epoch: 1, counts},
+    }));
+  }
+}
+
 describe('demand for experts', () => {
   it('should wait for enough choices', () => {
     const fixture = new DemandFixture();
@@ -133,4 +164,23 @@
     expect(fixture.demand.note([other], true)).toBe('nothing');
     expect(fixture.leader).toBe(3);
   });
+
+  // Shifts that move a few hundredths of the choices pass for noise, each window
+  // blurs what is known, and no map is changed any more while passes get longer.
+  it('should tell a small shift by how little the ranks of a sample differ', () => {
+    const sample = new SampleFixture(4);
+    expect(sample.choose(0, 0.02)).toBe('shifted');
+    for (let i = 0; i < 5; i++) expect(sample.choose(0, 0.02)).toBe('same');
+    expect(sample.choose(0.1, 0.02)).toBe('shifting');
+  });
+
+  // The few requests of each rank ask for other subjects with every window. Taken
+  // for shifts, they would move copies back and forth.
+  it('should take ranks that differ widely from each other for no shift', () => {
+    const sample = new SampleFixture(4);
+    sample.choose(0, 0.4);
+    const changes = Array.from({length: 40}, () => sample.choose(0, 0.4));
+    const falsely = changes.filter(change => change !== 'same');
+    expect(falsely.length).toBeLessThanOrEqual(2);
+  });
 });
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -24,6 +24,7 @@
   placesPerRank: 8,
   sparePlaces: 3,
   expertCopyMs: 98,
+  countsHoldMs: 0,
   formMs: 600,
 };
 
