Bound lasting passes within the pause and the time to the first event

Cause: once slots are used fully, the group runs at the bound. The bound knew pauses alone, though the first event takes two to three passes. While a switch held passes, and while passes were longer than 140 ms apart, no pass was seen and the bound opened to all slots; so it did for a group that formed anew before anybody ordered its maps (326 ms after a loss of power).

Change: lasting passes are kept below 0.94 of the pause and the first event within 3.5 passes; the pass after a shift below 0.96 of the pause. Without a view of its own the bound uses the model under the skew in force. The last pass counts until the next is due; a group that nobody orders has the skew of the first map.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -9,7 +9,7 @@
 import type {ShareDemand} from '../policy/shareLending';
 import {freePlaces, lendShares} from '../policy/shareLending';
 import type {MapOutlook} from '../policy/mapOutlook';
-import {acceptedPauses} from '../site/acceptedPauses';
+import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
 import type {
   NodeInfo,
@@ -192,7 +192,7 @@
     const now = this.nowMs();
     if (now - this.sharesAtMs < SHARES_PERIOD_MS) return;
     this.sharesAtMs = now;
-    const pauses = acceptedPauses(site);
+    const goals = streamGoals(site);
     // Places where nothing may be sent would let twice as many requests in as
     // the others can take; they would wait at the targets, unseen.
     const records = this.table
@@ -202,13 +202,12 @@
       [...site.services.values()].map(service => {
         const {name} = service;
         const loads = reports.flatMap(({loads}) => loads.get(name) ?? []);
-        const acceptedPauseMs = pauses.get(name) ?? 0;
         const outlook = this.outlookOf(name);
         const places = this.places.next({
           service,
           records,
           loads,
-          acceptedPauseMs,
+          goals: goals.get(name) ?? NO_GOALS,
           isWhole: this.isWhole,
           outlook,
           nowMs: now,
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -9,21 +9,29 @@
  */
 
 import type {MapOutlook} from '../policy/mapOutlook';
-import {EVEN_OUTLOOK} from '../policy/mapOutlook';
+import {EVEN_OUTLOOK, FIRST_MAP_OUTLOOK} from '../policy/mapOutlook';
 import {PassCorrection} from '../policy/passCorrection';
 import {fixedPassMs, requestPassMs} from '../policy/passLength';
 import type {EngineProfile, SiteService} from '../site/site';
+import type {StreamGoals} from '../site/streamGoals';
 import type {PermitTarget} from '../policy/targetPermits';
 import {groupOpenings, isInOpenGroup} from '../site/groupOpenings';
 import type {TargetRecord} from '../site/announcement';
 import type {ServiceLoad} from './messages';
 
 /**
- * Length of a pass, in parts of the accepted pause, up to which requests are let
- * in. Above one: passes are so long for a moment only, and a caller that is
- * turned away loses more than one that gets a single event late.
+ * Longest passes, in parts of the accepted pause. Passes that last are kept below
+ * it, with room for the copies of a switch. Those after a shift may exceed it: they
+ * are so long for a moment only, and a caller that is rejected loses more than
+ * one that gets a single event late.
  */
-const PAUSE_PART = 1.08;
+const LASTING_PAUSE_RATIO = 0.94;
+const SHIFT_PAUSE_RATIO = 0.96;
+/**
+ * Passes until the first event: half a one until the next begins, one that reads
+ * the prompt, one that writes, and one for the wait in the queue.
+ */
+const FIRST_EVENT_PASSES = 3.5;
 /**
  * Never below this part of all places: where even so few requests have long
  * pauses, a rank is slow, and refusing more of them helps nobody.
@@ -42,8 +50,7 @@
   readonly records: readonly TargetRecord[];
   /** Of all nodes. */
   readonly loads: readonly ServiceLoad[];
-  /** Longest pause that callers accept, milliseconds; 0 when none is set. */
-  readonly acceptedPauseMs: number;
+  readonly goals: StreamGoals;
   /** Whether all nodes have told of their loads. */
   readonly isWhole: boolean;
   /** Absent where nobody orders maps. */
@@ -62,7 +69,7 @@
     const slots = working.reduce((sum, {slots}) => sum + slots, 0);
     const {engine} = service;
     if (engine === undefined) return slots * (1 + PLAIN_QUEUE);
-    if (input.acceptedPauseMs === 0) return slots;
+    if (input.goals.pauseMs === 0) return slots;
     const bound = this.boundOf(input, engine, working.length);
     return Math.min(slots, Math.max(slots * LEAST_PART, bound));
   }
@@ -73,11 +80,10 @@
     engine: EngineProfile,
     ranks: number
   ): number {
-    const {service, loads, acceptedPauseMs, nowMs} = input;
-    const {outlook = EVEN_OUTLOOK} = input;
+    const {service, loads, goals, nowMs} = input;
+    const {outlook = unknownOutlook(engine)} = input;
     const costAt = (skew: number) => requestPassMs({engine, ranks, skew});
     const fixedMs = fixedPassMs(engine);
-    const pauseMs = acceptedPauseMs * PAUSE_PART;
     const correction = this.correctionOf(service.name);
     const running = loads.reduce((sum, load) => sum + load.inFlight, 0);
     const varyingMs = medianPace(loads) - fixedMs;
@@ -86,12 +92,16 @@
       running >= LEAST_RUNNING &&
       varyingMs > 0 &&
       !outlook.isHeld;
-    const seenMs = isSeen ? varyingMs / running : 0;
-    if (isSeen) correction.note(seenMs, costAt(outlook.skew), nowMs);
+    if (isSeen)
+      correction.note(varyingMs / running, costAt(outlook.skew), nowMs);
+    const seenMs = isSeen
+      ? varyingMs / running
+      : correction.factor * costAt(outlook.skew);
     const shiftMs = correction.factor * costAt(outlook.dueSkew);
+    const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO;
     return Math.min(
-      (pauseMs - fixedMs) / Math.max(seenMs, UNSEEN_MS),
-      (pauseMs - fixedMs) / Math.max(shiftMs, UNSEEN_MS)
+      (lastingLimitMs(goals) - fixedMs) / Math.max(seenMs, UNSEEN_MS),
+      (shiftLimitMs - fixedMs) / Math.max(shiftMs, UNSEEN_MS)
     );
   }
 
@@ -104,6 +114,18 @@
   }
 }
 
+/** After an outage a group forms anew before anybody orders its maps. */
+function unknownOutlook({expertSets}: EngineProfile): MapOutlook {
+  return expertSets > 0 ? FIRST_MAP_OUTLOOK : EVEN_OUTLOOK;
+}
+
+/** Longest pass that keeps both goals for as long as it lasts. */
+function lastingLimitMs({pauseMs, firstEventMs}: StreamGoals): number {
+  const forPauses = pauseMs * LASTING_PAUSE_RATIO;
+  if (firstEventMs === 0) return forPauses;
+  return Math.min(forPauses, firstEventMs / FIRST_EVENT_PASSES);
+}
+
 /** One node that reads slowly must not stand for the group; 0 when none runs. */
 export function medianPace(loads: readonly ServiceLoad[]): number {
   const paces = loads.map(({paceMs}) => paceMs).filter(ms => ms > 0);
--- a/src/policy/mapOutlook.ts
+++ b/src/policy/mapOutlook.ts
@@ -1,5 +1,7 @@
 /** What the orderer of expert maps knows that bears on the length of passes. */
 
+import {FIRST_SKEW} from './skewMemory';
+
 /** State of the map of a service, over its groups the worst. */
 export interface MapOutlook {
   /** Highest load of a rank over the mean under the map in force. */
@@ -20,6 +22,14 @@
   isHeld: false,
 };
 
+/** A group that nobody has ordered yet: it begins with the first map. */
+export const FIRST_MAP_OUTLOOK: MapOutlook = {
+  skew: FIRST_SKEW,
+  shiftSkew: FIRST_SKEW,
+  dueSkew: FIRST_SKEW,
+  isHeld: false,
+};
+
 /** The worst of both. */
 export function worseOutlook(a: MapOutlook, b: MapOutlook): MapOutlook {
   return {
--- a/src/policy/passPace.ts
+++ b/src/policy/passPace.ts
@@ -10,6 +10,8 @@
 
 /** Pauses within this time show the present pace: one or two passes. */
 const RECENT_MS = 140;
+/** Long passes end less often: the last one counts until the next is due. */
+const RECENT_PASSES = 1.5;
 
 interface Gap {
   readonly atMs: number;
@@ -34,7 +36,8 @@
   }
 
   private trim(nowMs: number): void {
-    while ((this.recent[0]?.atMs ?? nowMs) < nowMs - RECENT_MS)
-      this.recent.shift();
+    const lastMs = this.recent[this.recent.length - 1]?.ms ?? 0;
+    const oldestMs = nowMs - Math.max(RECENT_MS, lastMs * RECENT_PASSES);
+    while ((this.recent[0]?.atMs ?? nowMs) < oldestMs) this.recent.shift();
   }
 }
--- a/src/policy/skewMemory.ts
+++ b/src/policy/skewMemory.ts
@@ -20,7 +20,7 @@
  * them in demand. A group that forms anew has all its callers coming back, and
  * passes under its first map are as long as right after a shift.
  */
-const FIRST_SKEW = 3;
+export const FIRST_SKEW = 3;
 
 interface Shift {
   readonly atMs: number;
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
 import type {RankCodec} from '../ports/rankPort';
-import {acceptedPauses} from '../site/acceptedPauses';
+import {streamGoals} from '../site/streamGoals';
 import type {TargetRecord} from '../site/announcement';
 import {groupOpenings} from '../site/groupOpenings';
 import type {SiteService} from '../site/site';
@@ -121,7 +121,9 @@
 
   private acceptedPauseMs(service: string): number {
     const {site} = this.node;
-    return site === undefined ? 0 : (acceptedPauses(site).get(service) ?? 0);
+    return site === undefined
+      ? 0
+      : (streamGoals(site).get(service)?.pauseMs ?? 0);
   }
 
   /** The newest life at each place of each group, in the order of places. */
--- a/tests/nodePolicies.spec.ts
+++ b/tests/nodePolicies.spec.ts
@@ -145,6 +145,15 @@
 });
 
 describe('pace of passes', () => {
+  // A slow rank makes passes of 400 ms. Between two of them the pace read 0, no
+  // pass was bounded any more, and all slots were filled.
+  it('should last until the next pass is due, however long passes are', () => {
+    const pace = new PassPace();
+    pace.note(430, 1_000);
+    expect(pace.paceMs(1_400)).toBe(430);
+    expect(pace.paceMs(1_700)).toBe(0);
+  });
+
   it('should show a longer pass as soon as it has ended', () => {
     const pace = new PassPace();
     for (let t = 0; t < 1_000; t += 50) pace.note(50, t);
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -79,7 +79,7 @@
         service: SERVICE,
         records: RECORDS,
         loads: [load],
-        acceptedPauseMs: PAUSE_MS,
+        goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
         isWhole,
         outlook: {
           skew: 1.2,
@@ -128,6 +128,28 @@
     expect(places).toBeCloseTo(usual / 1.5, 0);
   });
 
+  // All power was lost, and the group forms anew with its first map. Nobody orders
+  // it yet; with all places in use passes take twice as long as callers accept.
+  it('should allow for the first map while nobody orders maps', () => {
+    const load = {
+      service: 's',
+      inFlight: 0,
+      waiting: 100,
+      arrivals: 0,
+      byTarget: {},
+      paceMs: 0,
+    };
+    const places = new PlacesEstimate().next({
+      service: SERVICE,
+      records: RECORDS,
+      loads: [load],
+      goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
+      isWhole: false,
+      nowMs: 0,
+    });
+    expect(passMs(places, 3)).toBeLessThan(PAUSE_MS);
+  });
+
   // A switch holds the group before a pass. Streams show one long pause, which
   // says nothing of the cost of a request: half of the callers were refused for
   // the six seconds after it.
