Begin the windows of other ranks before they are read

Cause: after three readings with too few choices the sample moved on with every reading, each time to ranks whose windows had not begun.

Change: the windows of the next ranks are begun first, and readings that show nothing stay within 2% of the time. A window is at least a pass long: shorter ones held none and were read again. Orders that follow answers of one moment go out together.

--- a/src/ranks/demandWatch.ts
+++ b/src/ranks/demandWatch.ts
@@ -19,8 +19,9 @@
 const SLOWDOWN_RATIO = 0.25;
 /** Least time between two alarms that the pace raises, milliseconds. */
 const ALARM_PERIOD_MS = 700;
-/** Between the two readings: a few passes, some thousand choices a set. */
-const MEASURE_MS = 100;
+/** Window of the two readings: at least one whole pass lies within it. */
+const MIN_WINDOW_MS = 100;
+const WINDOW_PASSES = 1.2;
 /** After a second reading with too few choices. */
 const REREAD_MS = 60;
 /** Readings with too few choices after which other ranks are read. */
@@ -32,6 +33,14 @@
 const FALL_MS = 150;
 const RISE_MS = 5_000;
 
+/** Passes of the group, milliseconds. */
+export interface Pace {
+  /** As streams show them; 0 while none runs. */
+  readonly passMs: number;
+  /** As foreseen for the requests that run, under the map in force. */
+  readonly forecastMs: number;
+}
+
 /** A reading that is due. */
 export interface DueReading {
   /** Whether it only begins the window of the next one. */
@@ -45,7 +54,12 @@
       readonly kind: 'watching';
       readonly dueAtMs: number;
     }
-  | {readonly kind: 'alarmed'}
+  | {
+      readonly kind: 'alarmed';
+      readonly dueAtMs: number;
+      /** Readings with too few choices before it. */
+      readonly empty: number;
+    }
   | {
       readonly kind: 'measuring';
       readonly dueAtMs: number;
@@ -54,26 +68,25 @@
 
 /** Decides on readings; time is given with each call. */
 export class DemandWatch {
-  private state: WatchState = {kind: 'alarmed'};
+  private state: WatchState = {kind: 'alarmed', dueAtMs: -Infinity, empty: 0};
   private isReading = false;
   private usualPace = 0;
   private alarmAtMs = -Infinity;
   private lookedAtMs = 0;
   private readonly periodMs: number;
+  private windowMs = MIN_WINDOW_MS;
 
   /** `holdMs` is the time for which one reading holds the group up. */
   constructor(holdMs: number) {
     this.periodMs = Math.max(MIN_READ_PERIOD_MS, holdMs / MAX_HOLD_RATIO);
   }
 
-  /**
-   * The reading that is due now; to be followed by `took`. The pace is the length
-   * of passes over their forecast; 0 while no stream runs.
-   */
-  next(pace: number, nowMs: number): DueReading | undefined {
-    this.watchPace(pace, nowMs);
+  /** The reading that is due now; to be followed by `took`. */
+  next({passMs, forecastMs}: Pace, nowMs: number): DueReading | undefined {
+    this.windowMs = Math.max(MIN_WINDOW_MS, passMs * WINDOW_PASSES);
+    this.watchPace(passMs / forecastMs, nowMs);
     // Without streams nothing was chosen since the last reading.
-    if (this.isReading || pace === 0) return undefined;
+    if (this.isReading || passMs === 0) return undefined;
     const reading = this.dueAt(nowMs);
     this.isReading = reading !== undefined;
     return reading;
@@ -83,13 +96,16 @@
   took(reading: DueReading, change: DemandChange, nowMs: number): void {
     this.isReading = false;
     if (reading.isBegin) {
-      this.state = measureIn(MEASURE_MS, nowMs, 0);
+      const {state} = this;
+      const empty = state.kind === 'alarmed' ? state.empty : 0;
+      const waitMs = Math.max(this.windowMs, this.rereadMs(empty - 1));
+      this.state = measureIn(waitMs, nowMs, empty);
       return;
     }
     switch (change) {
       case 'shifting':
         // This reading began the next window.
-        this.state = measureIn(MEASURE_MS, nowMs, 0);
+        this.state = measureIn(this.windowMs, nowMs, 0);
         return;
       case 'shifted':
       case 'same':
@@ -105,17 +121,20 @@
 
   /** Whether the ranks of the sample have no requests, and others are due. */
   get isEmpty(): boolean {
-    return (
-      this.state.kind === 'measuring' && this.state.empty >= EMPTY_READINGS
-    );
+    return this.state.kind === 'alarmed' && this.state.empty > 0;
   }
 
   private tookNothing(nowMs: number): void {
     const {state} = this;
-    this.state =
-      state.kind === 'measuring'
-        ? measureIn(this.rereadMs(state.empty), nowMs, state.empty + 1)
-        : watchIn(this.periodMs, nowMs);
+    if (state.kind !== 'measuring') {
+      this.state = watchIn(this.periodMs, nowMs);
+      return;
+    }
+    const empty = state.empty + 1;
+    const dueAtMs = nowMs + this.rereadMs(state.empty);
+    // The windows of other ranks have to begin first.
+    const kind = empty % EMPTY_READINGS === 0 ? 'alarmed' : 'measuring';
+    this.state = {kind, dueAtMs, empty};
   }
 
   private dueAt(nowMs: number): DueReading | undefined {
@@ -125,6 +144,7 @@
         if (nowMs < state.dueAtMs) return undefined;
         return {isBegin: false, isRecent: false};
       case 'alarmed':
+        if (nowMs < state.dueAtMs) return undefined;
         return {isBegin: true, isRecent: true};
       case 'measuring':
         if (nowMs < state.dueAtMs) return undefined;
@@ -146,7 +166,7 @@
     const isFresh = nowMs - this.alarmAtMs >= ALARM_PERIOD_MS;
     if (isSlower && isFresh && this.state.kind === 'watching') {
       this.alarmAtMs = nowMs;
-      this.state = {kind: 'alarmed'};
+      this.state = {kind: 'alarmed', dueAtMs: -Infinity, empty: 0};
     }
     const overMs = isSlower ? RISE_MS : FALL_MS;
     const part = 1 - Math.exp(-elapsedMs / overMs);
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Logger} from '../core/logger';
+import {rounded} from '../core/rounded';
 import type {NodeMetrics} from '../core/nodeMetrics';
 import type {
   OrderAnswer,
@@ -17,14 +18,16 @@
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {SkewMemory} from '../policy/skewMemory';
 import {fixedPassMs, requestPassMs} from '../policy/passLength';
+import {DemandSampler} from './demandSampler';
 import {planMap} from './mapPlan';
-import type {DueReading} from './demandWatch';
+import type {DueReading, Pace} from './demandWatch';
 import {DemandWatch} from './demandWatch';
 import type {DemandChange, RankCounts} from './expertDemand';
 import {ExpertDemand} from './expertDemand';
 import type {OrderBatch} from './orderBatches';
 import {AnswerTally, orderBatches} from './orderBatches';
 import type {RankAnswer} from './rankClient';
+import {isOk} from './rankClient';
 import type {FanOutSummary, RankCallKind, RankCaller} from './rankCaller';
 import type {SentOrder} from './switchPhase';
 import {RankSwitch} from './rankSwitch';
@@ -39,13 +42,6 @@
  * copies and three dozen orders cost what a group earns in a tenth of a second.
  */
 const LEAST_GAIN = 0.2;
-/**
- * Ranks of a sample. One rank's few requests differ from all; more ranks tell
- * more, and hold the group up longer.
- */
-const MIN_SAMPLE_RANKS = 3;
-const MAX_SAMPLE_RATIO = 1 / 8;
-const MAX_SAMPLE_HOLD_MS = 20;
 /** Pauses that streams show are still those of a switch for so long. */
 const HELD_SHOWS_MS = 250;
 /** Between two tries to read the map in use. */
@@ -93,9 +89,7 @@
   private isLoading = false;
   private loadedAtMs = -Infinity;
   private readonly watch: DemandWatch;
-  private readonly sampleSize: number;
-  /** Where the sample of ranks begins. */
-  private firstRank = 0;
+  private readonly sampler: DemandSampler;
   /** Whether what is in demand is known and not planned for yet. */
   private isPlanDue = false;
   private wasSwitching = false;
@@ -110,12 +104,13 @@
   /** Whether a plan answered what is in demand in this life of the group. */
   private hasPlanned = false;
   private heldAtMs = -Infinity;
+  private readonly unsent: SentOrder[] = [];
 
   constructor(private readonly parts: GroupParts) {
-    const {engine, ranks} = parts;
-    const {expertSets, experts, countsHoldMs} = engine;
-    this.sampleSize = sampleSizeOf(ranks.length, countsHoldMs);
-    this.watch = new DemandWatch(this.sampleSize * countsHoldMs);
+    const {engine} = parts;
+    const {expertSets, experts} = engine;
+    this.sampler = new DemandSampler(parts);
+    this.watch = new DemandWatch(this.sampler.holdMs);
     const known = parts.demand?.fits(expertSets, experts)
       ? parts.demand
       : undefined;
@@ -153,7 +148,7 @@
     if (kind === 'idle' && this.wasSwitching) this.isPlanDue = true;
     this.wasSwitching = kind !== 'idle';
     if (kind !== 'idle' && kind !== 'preparing') this.heldAtMs = nowMs;
-    if (kind === 'idle' && !machine.knowsLists) {
+    if (machine.isReady(nowMs) && !machine.knowsLists) {
       this.firstVersion = machine.unusedVersion;
       this.machine = undefined;
       return;
@@ -164,7 +159,7 @@
       this.lastReportsMs = nowMs;
       this.readReports();
     }
-    const due = this.watch.next(this.relativePace(), nowMs);
+    const due = this.watch.next(this.pace(), nowMs);
     if (due !== undefined) void this.look(due);
     if (this.isPlanDue) void this.plan();
   }
@@ -209,7 +204,7 @@
   }
 
   private async look(due: DueReading): Promise<void> {
-    const readings = await this.readSample();
+    const readings = await this.sampler.read();
     const change = this.take(due, readings);
     this.watch.took(due, change, performance.now());
     const {name, logger} = this.parts;
@@ -223,13 +218,13 @@
         change,
         filled,
         shiftRatio,
-        pace: this.relativePace(),
+        ...rounded({...this.pace()}),
       },
       change
     );
     // A zone that is out, or that nobody can reach, has no requests, and the
     // counts of its ranks stand still.
-    if (this.watch.isEmpty) this.firstRank++;
+    if (this.watch.isEmpty) this.sampler.moveOn();
     if (change !== 'shifted' && change !== 'same') return;
     // What is being copied answers a demand that is no more.
     if (change === 'shifted') this.machine?.drop(performance.now());
@@ -243,41 +238,12 @@
     return 'nothing';
   }
 
-  /** Length of passes over what is foreseen for the requests that run. */
-  private relativePace(): number {
+  private pace(): Pace {
     const {engine, ranks, paceMs, running} = this.parts;
     const skew = this.skewInForce;
     const requestMs = requestPassMs({engine, ranks: ranks.length, skew});
-    return paceMs() / (fixedPassMs(engine) + running() * requestMs);
-  }
-
-  private async readSample(): Promise<readonly RankCounts[]> {
-    const {ranks} = this.parts;
-    const stride = Math.floor(ranks.length / this.sampleSize) + 1;
-    const sample = Array.from(
-      {length: this.sampleSize},
-      (_, i) => ranks[(this.firstRank + i * stride) % ranks.length]
-    );
-    const readings = await Promise.all(
-      [...new Set(sample)].map(rank => this.readRank(rank))
-    );
-    return readings.flatMap(reading => reading ?? []);
-  }
-
-  private async readRank(
-    rank: GroupRank | undefined
-  ): Promise<RankCounts | undefined> {
-    if (rank === undefined) return undefined;
-    const {codec, caller, logger, scope, name} = this.parts;
-    const answer = await caller.call(rank, 'counts', codec.countsCall());
-    const counts = isOk(answer) ? codec.readCounts(answer.text) : undefined;
-    if (counts !== undefined && counts.epoch === scope.epoch)
-      return {rankId: rank.id, counts};
-    logger.info(
-      {event: 'map.unread', group: name, rank: rank.id},
-      'counts not read'
-    );
-    return undefined;
+    const forecastMs = fixedPassMs(engine) + running() * requestMs;
+    return {passMs: paceMs(), forecastMs};
   }
 
   private async plan(): Promise<void> {
@@ -343,8 +309,16 @@
     this.send(this.machine?.step(event, performance.now()) ?? []);
   }
 
+  /** Answers that arrive together are followed by one order for all their ranks. */
   private send(orders: readonly SentOrder[]): void {
     this.logPhase();
+    if (orders.length === 0) return;
+    if (this.unsent.length === 0) queueMicrotask(() => this.flush());
+    this.unsent.push(...orders);
+  }
+
+  private flush(): void {
+    const orders = this.unsent.splice(0);
     for (const batch of orderBatches(orders)) void this.sendBatch(batch);
   }
 
@@ -411,15 +385,3 @@
     );
   }
 }
-
-function sampleSizeOf(ranks: number, holdMs: number): number {
-  const affordable = Math.floor(MAX_SAMPLE_HOLD_MS / Math.max(holdMs, 1e-3));
-  const most = Math.min(affordable, Math.round(ranks * MAX_SAMPLE_RATIO));
-  return Math.min(ranks, Math.max(MIN_SAMPLE_RANKS, most));
-}
-
-const OK = 200;
-
-function isOk(answer: RankAnswer | undefined): answer is RankAnswer {
-  return answer?.status === OK;
-}
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -47,3 +47,10 @@
     req.end(body);
   });
 }
+
+const OK = 200;
+
+/** Whether it came and holds what was asked for. */
+export function isOk(answer: RankAnswer | undefined): answer is RankAnswer {
+  return answer?.status === OK;
+}
--- a/tests/demandWatch.spec.ts
+++ b/tests/demandWatch.spec.ts
@@ -9,16 +9,18 @@
 class WatchFixture {
   readonly watch = new DemandWatch(HOLD_MS);
   readonly read: string[] = [];
+  movedOn = 0;
   private nowMs = 0;
 
   run(ms: number, paceMs: number, answer: DemandChange): void {
     const endMs = this.nowMs + ms;
     while (this.nowMs < endMs) {
       this.nowMs += TICK_MS;
-      const due = this.watch.next(paceMs, this.nowMs);
+      const due = this.watch.next({passMs: paceMs, forecastMs: 50}, this.nowMs);
       if (due === undefined) continue;
       this.read.push(due.isBegin ? 'begin' : 'sample');
       this.watch.took(due, due.isBegin ? 'nothing' : answer, this.nowMs);
+      if (this.watch.isEmpty) this.movedOn++;
     }
   }
 
@@ -79,9 +81,29 @@
     expect(fixture.takeRead()).toEqual(['sample', 'sample']);
   });
 
-  it('should give up ranks that have no requests', () => {
+  // Hardly a request runs when streams begin. Reading other ranks each time,
+  // before their windows had begun, nothing was known of demand for good.
+  it('should begin the windows of other ranks before it reads them', () => {
     const fixture = calm();
-    fixture.run(500, 75, 'nothing');
-    expect(fixture.watch.isEmpty).toBe(true);
+    fixture.run(3_000, 75, 'nothing');
+    const read = fixture.takeRead();
+    expect(read.slice(0, 6)).toEqual([
+      'begin',
+      'sample',
+      'sample',
+      'sample',
+      'begin',
+      'sample',
+    ]);
+    expect(fixture.movedOn).toBeGreaterThan(0);
+  });
+
+  it('should read less and less often while nothing is to be learned', () => {
+    const fixture = calm();
+    fixture.run(3_000, 75, 'nothing');
+    fixture.takeRead();
+    fixture.run(10_000, 75, 'nothing');
+    const read = fixture.takeRead();
+    expect(read.length * HOLD_MS).toBeLessThanOrEqual(0.02 * 10_000);
   });
 });
