Finish the switch of a lost leader instead of taking it back

Cause: a leader that is lost after its hold leaves the group standing.

Ruled out: letting the group go without the hold; late arm orders of the old leader would switch some ranks alone.

Change: the hold is taken over as before. If every rank holds the same prepared version, or is armed for it at that pass, the ranks are armed for it and the group is let go: late orders of the old leader ask for the same. If that fails within 300 ms it is taken back as before; then copies go out together once all ranks are disarmed.

--- a/src/ranks/clearing.ts
+++ b/src/ranks/clearing.ts
@@ -5,7 +5,8 @@
  */
 
 import type {MapLists, OrderAnswer, RankOrder} from '../ports/rankPort';
-import type {RankView} from './switchPhase';
+import type {RankViews} from './rankViews';
+import type {RankView, SentOrder} from './switchPhase';
 
 /** Reports show what was 200 ms ago; an answer comes within 5 ms. */
 const SETTLE_MS = 450;
@@ -19,8 +20,23 @@
   return isDone && report.preparedVersion === clearVersion;
 }
 
-/** What the rank is to be told next. */
-export function clearingOrder(
+/** What all ranks are to be told next. */
+export function clearingOrders(
+  ranks: RankViews,
+  nowMs: number,
+  clearVersion: number,
+  lists: MapLists
+): readonly SentOrder[] {
+  // Copies go out together, once no rank is left that may still be armed.
+  const areDisarmed = ranks.views.every(({isDisarmed}) => isDisarmed);
+  return ranks.views.flatMap((view, rank) => {
+    if (view.isDisarmed && !areDisarmed) return [];
+    const order = clearingOrder(view, clearVersion, lists);
+    return order === undefined ? [] : ranks.order(nowMs, rank, order);
+  });
+}
+
+function clearingOrder(
   view: RankView,
   clearVersion: number,
   lists: MapLists
--- a/src/ranks/passClock.ts
+++ b/src/ranks/passClock.ts
@@ -14,6 +14,7 @@
   private atMs = -Infinity;
   private passMs = FIRST_PASS_MS;
   private paceMs = 0;
+  private lastTaken = 0;
 
   /** Takes in the last pass that a report shows. */
   note(pass: number, askedAtMs: number): void {
@@ -37,6 +38,21 @@
     return nowMs + ahead * Math.max(this.passMs, this.paceMs);
   }
 
+  /**
+   * A pass for the next hold, `spare` passes after the one that begins next. Never
+   * the same twice: a late order of an earlier try must not fit.
+   */
+  takeNext(nowMs: number, spare: number): number {
+    const next = this.nextPass(nowMs) + spare;
+    this.lastTaken = Math.max(next, this.lastTaken + 1);
+    return this.lastTaken;
+  }
+
+  /** Takes no pass up to this one any more. */
+  exclude(pass: number): void {
+    this.lastTaken = Math.max(this.lastTaken, pass);
+  }
+
   /** The pass after the one that is likely running. */
   nextPass(nowMs: number): number {
     const ageMs = Math.max(0, nowMs - this.atMs) + REPORT_AGE_MS;
--- a/src/ranks/rankReports.ts
+++ b/src/ranks/rankReports.ts
@@ -24,6 +24,23 @@
   return held?.heldPass ?? armed?.armed?.pass;
 }
 
+/**
+ * Version that every rank holds beside the map in use, or is armed for at that
+ * pass; undefined when they differ. A version stands for one map.
+ */
+export function preparedByAll(
+  reports: readonly RankReport[],
+  pass: number
+): number | undefined {
+  const versions = new Set(
+    reports.map(({armed, preparedVersion}) =>
+      armed?.pass === pass ? armed.version : preparedVersion
+    )
+  );
+  const [version = 0] = versions;
+  return versions.size === 1 && version > 0 ? version : undefined;
+}
+
 /** Whether some rank is armed for a version that was not let go. */
 export function isArmedOtherwise(
   reports: readonly RankReport[],
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -21,7 +21,7 @@
   RankOrder,
   RankReport,
 } from '../ports/rankPort';
-import {clearingOrder, isCleared, noteClearing} from './clearing';
+import {clearingOrders, isCleared, noteClearing} from './clearing';
 import {LastSwitch} from './lastSwitch';
 import {PassClock} from './passClock';
 import {
@@ -29,6 +29,7 @@
   isMapOfAll,
   isNothingPending,
   pendingPass,
+  preparedByAll,
 } from './rankReports';
 import type {
   PhaseOf,
@@ -37,12 +38,14 @@
   SwitchEvent,
   SwitchPhase,
 } from './switchPhase';
-import {CLOCK_RANK, RankViews, heldAfterAnswer, isCopied} from './rankViews';
+import {CLOCK_RANK, RankViews, heldAfterAnswer} from './rankViews';
 
 /** Copies of a few experts take about a second; late orders up to twelve. */
 const PREPARE_LIMIT_MS = 6_000;
 /** The group stands still from pass S on, so arming is given up early. */
 const ARM_LIMIT_MS = 900;
+/** The same for finishing an earlier leader's switch; it can still be taken back. */
+const COMPLETE_LIMIT_MS = 300;
 /** Holds that came after their pass, before the switch is given up. */
 const HOLD_TRIES = 12;
 /**
@@ -56,12 +59,6 @@
  * still before pass S until the last rank has answered.
  */
 const SPARE_PASSES = 3;
-/**
- * Rest of a rank after an order that it did not take. Most of the time its
- * state has to change first, and each order is paid for.
- */
-const REST_MS = 60;
-
 /** The switch of one life of one group; a new epoch gets a new one. */
 export class RankSwitch {
   private phase: SwitchPhase = {kind: 'inspecting'};
@@ -71,7 +68,6 @@
   private readonly ranks: RankViews;
   private inForce: MapLists;
   private nextVersion: number;
-  private lastPass = 0;
   private clearVersion = 0;
   private listsKnown = true;
   private copyMs = 0;
@@ -191,30 +187,15 @@
   }
 
   private onReport(rank: number, report: RankReport, askedAtMs: number): void {
-    const view = this.ranks.views[rank];
-    if (view === undefined || askedAtMs < view.reportAtMs) return;
+    if (!this.ranks.noteReport(rank, report, askedAtMs)) return;
     this.clock.note(report.pass, askedAtMs);
-    view.report = report;
-    view.reportAtMs = askedAtMs;
     this.last.noteReport(report);
   }
 
   private onAnswer(rank: number, order: RankOrder, answer: OrderAnswer): void {
-    const view = this.ranks.views[rank];
-    if (view === undefined) return;
-    view.isBusy = false;
-    view.answeredAtMs = this.nowMs;
-    if (answer === 'fenced') {
-      this.isFenced = true;
-      return;
-    }
-    if (answer === 'done') view.isFenced = true;
-    // A hold that came too late is tried at once, for a later pass.
-    else if (answer === 'refused' && order.kind !== 'hold')
-      view.restUntilMs = this.nowMs + REST_MS;
-    if (order.kind === 'arm' && answer === 'unknown')
-      view.mayBeArmedLate = true;
-    this.useAnswer(view, order, answer);
+    const view = this.ranks.noteAnswer(rank, order, answer, this.nowMs);
+    if (answer === 'fenced') this.isFenced = true;
+    else if (view !== undefined) this.useAnswer(view, order, answer);
   }
 
   private useAnswer(
@@ -233,13 +214,14 @@
           this.onHoldAnswer(phase, answer);
         return;
       case 'arming':
-        if (order.kind !== 'arm' || order.version !== phase.version) return;
+      case 'completing':
         // Refused: its copy is not complete yet, and the group waits for it.
-        if (answer === 'done') view.isDone = true;
+        if (order.kind === 'arm' && order.version === phase.version)
+          view.isDone ||= answer === 'done';
         return;
       case 'seizing':
         if (order.kind === 'hold' && order.pass === phase.pass)
-          this.onSeizeAnswer(phase.pass, answer);
+          this.onSeizeAnswer(phase, answer);
         return;
       case 'clearing':
         noteClearing(view, order, answer);
@@ -306,6 +288,8 @@
         return this.toClockRank({kind: 'hold', pass: phase.pass});
       case 'arming':
         return this.arm(phase);
+      case 'completing':
+        return this.complete(phase);
       case 'clearing':
         return this.clear(phase);
       case 'releasing':
@@ -324,7 +308,7 @@
       this.enter({kind: 'idle'});
       return [];
     }
-    return this.takeBack();
+    return this.takeBack(true);
   }
 
   /**
@@ -334,20 +318,45 @@
    * first. Where the rank takes it, S has not begun, and only this orderer can
    * let it begin; where it refuses, S has begun, and there is nothing to undo.
    */
-  private takeBack(): readonly SentOrder[] {
+  private takeBack(mayComplete: boolean): readonly SentOrder[] {
     const pass = pendingPass(this.ranks.reports(), this.last.released);
     if (pass === undefined) return [];
     // Its go may come late and must not fit a later hold of this orderer.
-    this.lastPass = Math.max(this.lastPass, pass);
-    this.enter({kind: 'seizing', pass});
+    this.clock.exclude(pass);
+    this.enter({kind: 'seizing', pass, mayComplete});
     return this.advance();
   }
 
-  private onSeizeAnswer(pass: number, answer: OrderAnswer): void {
+  private onSeizeAnswer(
+    {pass, mayComplete}: PhaseOf<'seizing'>,
+    answer: OrderAnswer
+  ): void {
     if (answer === 'refused') this.enter({kind: 'inspecting'});
     if (answer !== 'done') return;
     for (const view of this.ranks.views) view.mayBeArmedLate = true;
-    this.giveUp(pass);
+    const version = mayComplete
+      ? preparedByAll(this.ranks.reports(), pass)
+      : undefined;
+    if (version === undefined) this.giveUp(pass);
+    else this.enter({kind: 'completing', version, pass});
+  }
+
+  /**
+   * The group stands before the held pass, and every rank has the copies of one
+   * version. Arming it takes one round trip; taking it back takes seconds. Late
+   * arm orders of the earlier leader ask for the same.
+   */
+  private complete(phase: PhaseOf<'completing'>): readonly SentOrder[] {
+    const {version, pass} = phase;
+    if (this.ranks.areAllDone) {
+      // What the version holds is read from the ranks.
+      this.listsKnown = false;
+      for (const view of this.ranks.views) view.mayBeArmedLate = false;
+      const lists = this.inForce;
+      this.enter({kind: 'releasing', pass, then: 'switched', version, lists});
+      return this.advance();
+    }
+    return this.armWithin(COMPLETE_LIMIT_MS, version, pass);
   }
 
   /**
@@ -357,19 +366,20 @@
    */
   private handleStray(): readonly SentOrder[] {
     const reports = this.ranks.reports();
-    if (isArmedOtherwise(reports, this.last.released)) return this.takeBack();
+    if (isArmedOtherwise(reports, this.last.released))
+      return this.takeBack(false);
     const held = heldAfterAnswer(this.ranks.views);
     if (held === undefined) return [];
     if (!this.ranks.views.every(({isFenced}) => isFenced))
-      return this.takeBack();
+      return this.takeBack(false);
     const {rank, heldPass} = held;
-    this.lastPass = Math.max(this.lastPass, heldPass);
+    this.clock.exclude(heldPass);
     return this.ranks.order(this.nowMs, rank, {kind: 'go', pass: heldPass});
   }
 
   private prepare(phase: PhaseOf<'preparing'>): readonly SentOrder[] {
     const {version, lists} = phase;
-    if (this.isPrepared(phase)) {
+    if (this.ranks.areCopied(version, this.nowMs - this.copyMs)) {
       this.enter(this.holdAhead(version, lists, 1));
       return this.advance();
     }
@@ -387,13 +397,6 @@
     return [...stray, ...orders];
   }
 
-  /** Reports show a copy late; the time that it takes is known. */
-  private isPrepared({version}: PhaseOf<'preparing'>): boolean {
-    return this.ranks.views.every(view =>
-      isCopied(view, version, this.nowMs - this.copyMs)
-    );
-  }
-
   /**
    * The pass that begins next, as far as reports tell. A hold that comes too
    * late is refused within a round trip and tried for the pass after.
@@ -404,28 +407,28 @@
     tries: number
   ): SwitchPhase {
     const spare = this.isLossy ? SPARE_PASSES : 0;
-    const next = this.clock.nextPass(this.nowMs) + spare;
-    // Never the same pass twice: a late order of an earlier try must not fit.
-    const pass = Math.max(next, this.lastPass + 1);
-    this.lastPass = pass;
+    const pass = this.clock.takeNext(this.nowMs, spare);
     return {kind: 'holding', version, lists, pass, tries};
   }
 
   private arm(phase: PhaseOf<'arming'>): readonly SentOrder[] {
     const {version, lists, pass} = phase;
-    if (this.ranks.views.every(({isDone}) => isDone)) {
+    if (this.ranks.areAllDone) {
       this.enter({kind: 'releasing', pass, then: 'switched', version, lists});
       return this.advance();
     }
-    if (this.ageMs > ARM_LIMIT_MS) {
-      this.giveUp(pass);
-      return this.advance();
-    }
-    return this.ranks.toAll(this.nowMs, ({isDone}) => !isDone, {
-      kind: 'arm',
-      version,
-      pass,
-    });
+    return this.armWithin(ARM_LIMIT_MS, version, pass);
+  }
+
+  private armWithin(
+    limitMs: number,
+    version: number,
+    pass: number
+  ): readonly SentOrder[] {
+    if (this.ageMs <= limitMs)
+      return this.ranks.armAll(this.nowMs, version, pass);
+    this.giveUp(pass);
+    return this.advance();
   }
 
   private clear(phase: PhaseOf<'clearing'>): readonly SentOrder[] {
@@ -439,12 +442,8 @@
       this.enter({kind: 'releasing', pass, then: 'idle', version: 0, lists});
       return this.advance();
     }
-    return this.ranks.views.flatMap((view, rank) => this.clearOne(view, rank));
-  }
-
-  private clearOne(view: RankView, rank: number): readonly SentOrder[] {
-    const order = clearingOrder(view, this.clearVersion, this.inForce);
-    return order === undefined ? [] : this.ranks.order(this.nowMs, rank, order);
+    const {ranks, nowMs, clearVersion, inForce} = this;
+    return clearingOrders(ranks, nowMs, clearVersion, inForce);
   }
 
   private release(phase: PhaseOf<'releasing'>): readonly SentOrder[] {
--- a/src/ranks/rankViews.ts
+++ b/src/ranks/rankViews.ts
@@ -1,12 +1,18 @@
 /** What a switch knows of each rank, and the orders on their way to them. */
 
-import type {RankOrder, RankReport} from '../ports/rankPort';
+import type {OrderAnswer, RankOrder, RankReport} from '../ports/rankPort';
 import type {RankView, SentOrder, SwitchPhase} from './switchPhase';
 import {isReportDue, unknownRank} from './switchPhase';
 
 /** Holds are placed here, and the passes of the group are counted here. */
 export const CLOCK_RANK = 0;
 
+/**
+ * Rest of a rank after an order that it did not take. Most of the time its
+ * state has to change first, and each order is paid for.
+ */
+const REST_MS = 60;
+
 /** All ranks of one group. */
 export class RankViews {
   readonly views: RankView[];
@@ -35,6 +41,54 @@
     return isReportDue(phase, view, isLastInForce);
   }
 
+  /** Whether all have confirmed the present phase's order. */
+  get areAllDone(): boolean {
+    return this.views.every(({isDone}) => isDone);
+  }
+
+  /**
+   * Whether all copies that were begun by then are complete. Reports show a copy
+   * late; the time that it takes is known.
+   */
+  areCopied(version: number, begunByMs: number): boolean {
+    return this.views.every(view => isCopied(view, version, begunByMs));
+  }
+
+  /** Notes a report; false when a later one is known. */
+  noteReport(rank: number, report: RankReport, askedAtMs: number): boolean {
+    const view = this.views[rank];
+    if (view === undefined || askedAtMs < view.reportAtMs) return false;
+    view.report = report;
+    view.reportAtMs = askedAtMs;
+    return true;
+  }
+
+  /** Notes what an answer says whatever the phase. */
+  noteAnswer(
+    rank: number,
+    order: RankOrder,
+    answer: OrderAnswer,
+    nowMs: number
+  ): RankView | undefined {
+    const view = this.views[rank];
+    if (view === undefined) return undefined;
+    view.isBusy = false;
+    view.answeredAtMs = nowMs;
+    if (answer === 'done') view.isFenced = true;
+    // A hold that came too late is tried at once, for a later pass.
+    if (answer === 'refused' && order.kind !== 'hold')
+      view.restUntilMs = nowMs + REST_MS;
+    if (answer === 'unknown' && order.kind === 'arm')
+      view.mayBeArmedLate = true;
+    return view;
+  }
+
+  /** Arms all ranks that have not confirmed it. */
+  armAll(nowMs: number, version: number, pass: number): readonly SentOrder[] {
+    const order = {kind: 'arm', version, pass} as const;
+    return this.toAll(nowMs, ({isDone}) => !isDone, order);
+  }
+
   allReportedSince(ms: number): boolean {
     return this.views.every(({reportAtMs}) => reportAtMs >= ms);
   }
@@ -72,11 +126,7 @@
 }
 
 /** Whether the copies that a rank began by then, or reports, are complete. */
-export function isCopied(
-  view: RankView,
-  version: number,
-  begunByMs: number
-): boolean {
+function isCopied(view: RankView, version: number, begunByMs: number): boolean {
   if (view.report?.preparedVersion === version) return true;
   return view.isDone && view.answeredAtMs <= begunByMs;
 }
--- a/src/ranks/switchPhase.ts
+++ b/src/ranks/switchPhase.ts
@@ -30,8 +30,19 @@
       readonly lists: MapLists;
       readonly pass: number;
     }
-  /** Makes a hold its own that an earlier orderer may have let go already. */
-  | {readonly kind: 'seizing'; readonly pass: number}
+  /** Makes a hold its own that an earlier leader may have let go already. */
+  | {
+      readonly kind: 'seizing';
+      readonly pass: number;
+      /** Whether the switch of the earlier leader may be finished. */
+      readonly mayComplete: boolean;
+    }
+  /** Finishes the switch of an earlier leader: all ranks hold its copies. */
+  | {
+      readonly kind: 'completing';
+      readonly version: number;
+      readonly pass: number;
+    }
   /** Disarms after an arm that failed. */
   | {readonly kind: 'clearing'; readonly pass: number}
   /** Lets the group go, on the new map or on the old one. */
@@ -107,6 +118,7 @@
       return !view.isDone && view.report.preparedVersion !== phase.version;
     case 'holding':
     case 'arming':
+    case 'completing':
     case 'releasing':
       return false;
     case 'idle':
--- a/tests/orderedRanks.spec.ts
+++ b/tests/orderedRanks.spec.ts
@@ -232,4 +232,28 @@
     expect(asked.get('arming')).toBe(1);
     expect(asked.get('idle')).toBe(RANKS);
   });
+
+  // The leader dies while the group waits for its go. Taking the switch back takes
+  // more than a second, in which no stream of the whole group gets an event.
+  it.each(['holding', 'arming', 'releasing'] as const)(
+    'should let the group go on soon after a leader was lost while %s',
+    lost => {
+      const group = new FakeRankGroup(RANKS);
+      const first = new Orderer(group, 1, randomOf(7), () => 0, true, false);
+      while (first.machine.state.kind !== lost || group.nowMs < 2_000) {
+        group.advance(STEP_MS);
+        first.step(true);
+      }
+      for (let ms = 0; ms < 300; ms += STEP_MS) group.advance(STEP_MS);
+      const next = new Orderer(group, 2, randomOf(8), () => 0, false, false);
+      const {pass} = group;
+      const sinceMs = group.nowMs;
+      while (group.pass < pass + 3 && group.nowMs < sinceMs + 5_000) {
+        group.advance(STEP_MS);
+        next.step(true);
+      }
+      expect(group.nowMs - sinceMs).toBeLessThan(450);
+      expect(group.mixedPasses).toBe(0);
+    }
+  );
 });
