Call callers back late while no leader is known

Change: a node without a document that knows no leader gives the Retry-After of an outage; one that knows a leader keeps half a second.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -178,6 +178,11 @@
     return this.duties.isConfirmed;
   }
 
+  /** Whether some node is known to lead. */
+  get knowsLeader(): boolean {
+    return this.link.leader !== undefined;
+  }
+
   /** Term in which this node leads. */
   get term(): number {
     return this.duties.term;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -5,7 +5,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {unreachable} from '../core/errors';
-import {outageRetryMs} from '../policy/outageRetry';
+import {noSiteRetryMs, outageRetryMs} from '../policy/outageRetry';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
 import {readBody} from './readBody';
@@ -24,8 +24,7 @@
 const PATIENCE_PART = 0.4;
 /** Without a latency target: as long as a person waits without noticing. */
 const USUAL_TARGET_MS = 500;
-/** A node without a site gets it with its first report to a leader. */
-const NO_SITE_RETRY_MS = 500;
+const FAULT_RETRY_MS = 500;
 
 /** Serves one request to its end; never rejects. */
 export async function serveRequest(
@@ -49,7 +48,7 @@
 function refuseFault(gateway: Gateway, state: RequestState): void {
   const kind = state.mayHaveRun ? 'outcomeUnknown' : 'noTarget';
   const refusal: GatewayRefusal =
-    kind === 'noTarget' ? {kind, retryInMs: NO_SITE_RETRY_MS} : {kind};
+    kind === 'noTarget' ? {kind, retryInMs: FAULT_RETRY_MS} : {kind};
   answerRefusal(gateway, state, refusal);
 }
 
@@ -58,12 +57,15 @@
   state: RequestState
 ): Promise<GatewayRefusal | undefined> {
   const {view} = gateway;
-  if (view?.index === undefined)
-    return {kind: 'noSite', retryInMs: NO_SITE_RETRY_MS};
+  const {waitMs = Infinity} = state.caller;
+  if (view?.index === undefined) {
+    const knowsLeader = gateway.parts.node()?.knowsLeader === true;
+    const retryInMs = noSiteRetryMs(knowsLeader, waitMs, Math.random);
+    return {kind: 'noSite', retryInMs};
+  }
   const found = routeRequest(view.index, state.caller, Math.random);
   if (found.kind === 'refused') return found.refusal;
   const {route, service, customer} = found;
-  const {waitMs = Infinity} = state.caller;
   state.limitTo(Math.min(route.timeoutMs, waitMs));
   const read = await readBody(state.req, view.index.site.limits.maxBodyBytes);
   switch (read.kind) {
--- a/src/policy/outageRetry.ts
+++ b/src/policy/outageRetry.ts
@@ -24,3 +24,18 @@
   const earliestMs = (latestMs * FROM_MS) / TO_MS;
   return earliestMs + (latestMs - earliestMs) * random();
 }
+
+/** A node that has just started gets the site with its first report to a leader. */
+const NO_SITE_RETRY_MS = 500;
+
+/**
+ * The same for a node that has no site yet. Without a leader all of control is
+ * out, as after a loss of all power, and an early return finds nothing either.
+ */
+export function noSiteRetryMs(
+  knowsLeader: boolean,
+  remainingMs: number,
+  random: () => number
+): number {
+  return knowsLeader ? NO_SITE_RETRY_MS : outageRetryMs(remainingMs, random);
+}
--- a/tests/outages.spec.ts
+++ b/tests/outages.spec.ts
@@ -1,4 +1,4 @@
-import {outageRetryMs} from '../src/policy/outageRetry';
+import {noSiteRetryMs, outageRetryMs} from '../src/policy/outageRetry';
 import {StallWatch} from '../src/policy/stallWatch';
 import type {TargetRecord} from '../src/site/announcement';
 import {groupOpenings, isInOpenGroup} from '../src/site/groupOpenings';
@@ -101,3 +101,13 @@
     expect(watch.isStalled(9_000)).toBe(false);
   });
 });
+
+describe('return to a node without a site', () => {
+  // All power was lost. Who comes back half a second later finds no leader yet,
+  // and is rejected for good.
+  it('should be late while no leader is known, and soon otherwise', () => {
+    expect(noSiteRetryMs(false, 8_000, () => 0)).toBeGreaterThan(1_500);
+    expect(noSiteRetryMs(false, Infinity, () => 0.5)).toBeLessThan(2_700);
+    expect(noSiteRetryMs(true, 8_000, () => 0)).toBe(500);
+  });
+});
