Keep the leader's work for reports the same as nodes are added

Ruled out: heartbeats of targets as the bytes to nodes: only changes that matter to others are numbered already.

Change: the period of reports grows with the nodes (100 ms up to 33, 0.9 s at 300); the list of nodes comes when it changed and each 5 s; records are indexed by address, changes and silence are looked for only when there can be any; a new leader is told what was heard here within the last seconds, of targets that leave within the last minute. The position in the leader's view and the heard records have files of their own.

Measured: tests of the period, of what a new leader is told and of the list.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -4,7 +4,7 @@
  * stands in `view`, also while nobody else can be reached.
  */
 
-import {Subscription, exhaustMap, interval} from 'rxjs';
+import {Subscription, defer, repeat, timer} from 'rxjs';
 import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
@@ -14,13 +14,16 @@
 import {SiteIndex} from '../site/siteIndex';
 import {unpackText} from '../site/packText';
 import type {MapOutlook} from '../policy/mapOutlook';
+import {reportPeriodMs} from '../policy/reportPeriod';
 import {AgreedState} from './agreedState';
 import {Coordinator} from './coordinator';
 import {LeaderDuties} from './leaderDuties';
 import {findFounders} from './findFounders';
 import {Greeter} from './greeter';
+import {HeardRecords} from './heardRecords';
 import {HeldSite} from './heldSite';
 import {LeaderLink} from './leaderLink';
+import {LeaderProgress} from './leaderProgress';
 import type {
   NodeInfo,
   OperatorCommand,
@@ -45,12 +48,6 @@
 import {TargetTable} from './targetTable';
 import * as z from 'zod';
 
-/**
- * Between two reports. Places that one node has free are lent to another with
- * the next report of each: the later it comes, the more callers are turned away
- * beside free places. A report of a small deployment has some hundred bytes.
- */
-const SYNC_PERIOD_MS = 100;
 /** A report that takes so long is worth no more than the next one. */
 const SYNC_TIMEOUT_MS = 700;
 const LOG_TIMEOUT_MS = 1_000;
@@ -107,12 +104,10 @@
     grants: new Map(),
     activeNodes: 1,
   };
-  /** Position of the log that the view shows; it never goes back. */
-  private viewIndex = -1;
   private readonly held: HeldSite;
-  private heardHere = new Map<string, TargetRecord>();
-  private leaderTerm = -1;
-  private leaderRevision = 0;
+  private readonly heard = new HeardRecords();
+  private readonly progress = new LeaderProgress();
+  private syncedAtMs = -Infinity;
   private outlookOf: (service: string) => MapOutlook | undefined = () =>
     undefined;
 
@@ -161,8 +156,8 @@
     node.addMethods();
     await node.server.listen(options.self.ip, options.port);
     node.subscription.add(
-      interval(SYNC_PERIOD_MS)
-        .pipe(exhaustMap(() => node.sync()))
+      defer(() => node.sync())
+        .pipe(repeat({delay: () => timer(node.syncDelayMs)}))
         .subscribe()
     );
     if (options.self.hasDisk) void node.joinLog();
@@ -234,15 +229,17 @@
 
   /** Takes in what a target told this node; false when it is outdated. */
   hear(announcement: TargetAnnouncement): boolean {
-    const isNew = this.table.merge(announcement, performance.now());
-    if (isNew) this.heardHere.set(announcement.id, announcement);
+    const now = performance.now();
+    const isNew = this.table.merge(announcement, now);
+    if (isNew) this.heard.note(announcement, now);
     return isNew;
   }
 
   /** Takes in the goodbye of a target. */
   hearLeave(id: string): void {
-    const record = this.table.leave(id, performance.now());
-    if (record !== undefined) this.heardHere.set(id, record);
+    const now = performance.now();
+    const record = this.table.leave(id, now);
+    if (record !== undefined) this.heard.note(record, now);
   }
 
   /** Resolves once the leader knows what was heard here; rejects when not. */
@@ -336,7 +333,14 @@
     );
   }
 
+  /** Until the next report; one that took long is followed at once. */
+  private get syncDelayMs(): number {
+    const periodMs = reportPeriodMs(this.current.activeNodes);
+    return Math.max(0, this.syncedAtMs + periodMs - performance.now());
+  }
+
   private async sync(): Promise<void> {
+    this.syncedAtMs = performance.now();
     try {
       await this.syncOnce();
       this.options.metrics.reported('done');
@@ -349,8 +353,7 @@
   }
 
   private async syncOnce(): Promise<void> {
-    const heard = this.heardHere;
-    this.heardHere = new Map();
+    const heard = this.heard.take();
     try {
       const params = this.syncParams(heard);
       const reply =
@@ -365,41 +368,29 @@
       if (reply.kind !== 'state') throw new Error('no leader');
       this.adopt(reply);
     } catch (err) {
-      // What the leader may not have taken in is told again.
-      for (const [id, record] of heard)
-        if (!this.heardHere.has(id)) this.heardHere.set(id, record);
+      this.heard.putBack(heard);
       throw err;
     }
   }
 
-  private syncParams(heard: ReadonlyMap<string, TargetRecord>): SyncParams {
+  private syncParams(heard: readonly TargetRecord[]): SyncParams {
     return {
       from: this.directory.self,
       bootId: this.bootId,
       siteVersion: this.current.index?.site.version ?? NO_SITE_VERSION,
-      tableRevision: this.leaderRevision,
-      tableTerm: this.leaderTerm,
-      records: [...heard.values()],
+      ...this.progress.params(performance.now()),
+      records: [...heard],
       loads: [...this.options.takeLoads()],
     };
   }
 
   private adopt(reply: SyncState): void {
-    const isOlder =
-      reply.term < this.leaderTerm || reply.index < this.viewIndex;
-    if (isOlder) return;
-    this.directory.note(reply.nodes);
-    if (reply.term > this.leaderTerm) {
-      // A new leader knows only what it is told: all that is known here.
-      for (const record of this.table.records())
-        this.heardHere.set(record.id, record);
-      this.leaderTerm = reply.term;
-    }
-    this.leaderRevision = reply.tableRevision;
+    if (this.progress.isOlder(reply)) return;
     const now = performance.now();
+    this.directory.note(reply.nodes);
+    if (this.progress.note(reply, now)) this.heard.tellAgain(now);
     if (!this.leads)
       for (const record of reply.records) this.table.adopt(record, now);
-    this.viewIndex = reply.index;
     this.current = {
       index: this.held.adopt(reply.siteVersion, reply.packedSite),
       zonesOut: new Set(reply.zonesOut),
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -6,6 +6,7 @@
 
 import type {Logger} from '../core/logger';
 import {rounded} from '../core/rounded';
+import {reportPeriodMs} from '../policy/reportPeriod';
 import type {ShareDemand} from '../policy/shareLending';
 import {freePlaces, lendShares} from '../policy/shareLending';
 import type {MapOutlook} from '../policy/mapOutlook';
@@ -28,12 +29,14 @@
  * that is merely slow keeps what it has.
  */
 const ACTIVE_FOR_MS = 2_000;
-/** A few reports: a node that missed them may be lost. */
-const RECENT_MS = 400;
+/** A node that missed so many reports may be lost. */
+const RECENT_PERIODS = 4;
+/** Between two looks for targets that fell silent. */
+const EXPIRE_PERIOD_MS = 50;
 /** Shares are worked out once for all nodes that report within this time. */
 const SHARES_PERIOD_MS = 50;
-/** A new leader has heard of the loads of all nodes: some reports of each. */
-const WHOLE_AFTER_MS = 400;
+/** A new leader has heard of the loads of all nodes after so many reports. */
+const WHOLE_AFTER_PERIODS = 4;
 /** Change of the places of a service that is logged, in parts of them. */
 const LOGGED_PART = 0.1;
 /** Part of an older count of arrivals that stays with each report. */
@@ -56,6 +59,12 @@
   readonly targets: readonly PermitTarget[];
 }
 
+/** The nodes that are known, numbered by changes. */
+export interface NodeList {
+  readonly revision: number;
+  all(): readonly NodeInfo[];
+}
+
 /** Replicated state that answers carry along. */
 export interface AgreedView {
   readonly term: number;
@@ -73,6 +82,7 @@
   private readonly permits = new Map<string, TargetPermits>();
   private sharesAtMs = -Infinity;
   private resetAtMs = -Infinity;
+  private expiredAtMs = -Infinity;
   private readonly placesLogged = new Map<string, number>();
 
   constructor(
@@ -102,12 +112,12 @@
     params: SyncParams,
     agreed: AgreedView,
     site: Site | undefined,
-    nodes: readonly NodeInfo[]
+    nodes: NodeList
   ): SyncState {
     const now = this.nowMs();
     for (const record of params.records)
       if (this.table.merge(record, now)) this.logMerged(params.from, record.id);
-    this.table.expire(now, this.silentAfterMs);
+    this.expire(now);
     this.noteReport(params, now);
     const isKnownTable = params.tableTerm === agreed.term;
     const from = isKnownTable ? params.tableRevision : 0;
@@ -116,7 +126,11 @@
       kind: 'state',
       term,
       index,
-      nodes: [...nodes],
+      nodes:
+        isKnownTable && params.nodesRevision === nodes.revision
+          ? []
+          : [...nodes.all()],
+      nodesRevision: nodes.revision,
       siteVersion,
       ...(params.siteVersion < siteVersion ? {packedSite} : {}),
       zonesOut: [...zonesOut],
@@ -142,9 +156,16 @@
     );
   }
 
+  private expire(now: number): void {
+    if (now - this.expiredAtMs < EXPIRE_PERIOD_MS) return;
+    this.expiredAtMs = now;
+    this.table.expire(now, this.silentAfterMs);
+  }
+
   /** Nodes whose reports are fresh. */
   recentNodes(): readonly NodeInfo[] {
-    const oldest = this.nowMs() - RECENT_MS;
+    const periodMs = reportPeriodMs(this.reports.size);
+    const oldest = this.nowMs() - RECENT_PERIODS * periodMs;
     return [...this.reports.values()]
       .filter(({atMs}) => atMs >= oldest)
       .map(({info}) => info);
@@ -268,7 +289,8 @@
 
   /** Whether all nodes had time to report to this leader. */
   private get isWhole(): boolean {
-    return this.nowMs() - this.resetAtMs >= WHOLE_AFTER_MS;
+    const periodMs = reportPeriodMs(this.reports.size);
+    return this.nowMs() - this.resetAtMs >= WHOLE_AFTER_PERIODS * periodMs;
   }
 
   private logMerged(from: NodeInfo, id: string): void {
--- a/src/cluster/leaderDuties.ts
+++ b/src/cluster/leaderDuties.ts
@@ -103,7 +103,7 @@
       packedSite: packed,
       zonesOut,
     };
-    return coordinator.sync(params, agreed, site(), directory.all());
+    return coordinator.sync(params, agreed, site(), directory);
   }
 
   private get leads(): boolean {
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -86,6 +86,8 @@
   tableRevision: z.number(),
   /** Term whose table that is. */
   tableTerm: z.number(),
+  /** Revision of the list of nodes that it has of this leader. */
+  nodesRevision: z.number().optional(),
   /** Records that the node heard of itself, or all it has when the term is new. */
   records: z.array(TARGET_RECORD),
   loads: z.array(SERVICE_LOAD),
@@ -116,7 +118,9 @@
     term: z.number(),
     /** Index of the log that the replicated parts show. */
     index: z.number(),
+    /** Empty while the node has this revision of the list. */
     nodes: z.array(NODE_INFO),
+    nodesRevision: z.number().optional(),
     siteVersion: z.number(),
     /** Only when the node has an older one. */
     packedSite: TEXT.optional(),
--- a/src/cluster/nodeDirectory.ts
+++ b/src/cluster/nodeDirectory.ts
@@ -18,6 +18,7 @@
 export class NodeDirectory implements LogPeers {
   private readonly nodes = new Map<string, KnownNode>();
   private readonly links = new Map<string, LogPeer>();
+  private lastRevision = 0;
 
   constructor(
     readonly self: NodeInfo,
@@ -39,9 +40,17 @@
 
   /** Notes nodes that were heard of just now. */
   note(infos: readonly NodeInfo[]): void {
-    for (const info of infos)
-      if (info.ip !== this.self.ip)
-        this.nodes.set(info.ip, {info, heardAtMs: this.nowMs()});
+    for (const info of infos) {
+      if (info.ip === this.self.ip) continue;
+      if (!this.nodes.has(info.ip)) this.lastRevision++;
+      this.nodes.set(info.ip, {info, heardAtMs: this.nowMs()});
+    }
+  }
+
+  /** Counts up with each node that is found or forgotten. */
+  get revision(): number {
+    this.forgetOld();
+    return this.lastRevision;
   }
 
   /** Notes nodes that another one named; it may have heard of them long ago. */
@@ -83,6 +92,6 @@
   private forgetOld(): void {
     const oldest = this.nowMs() - FORGET_AFTER_MS;
     for (const [ip, {heardAtMs}] of this.nodes)
-      if (heardAtMs < oldest) this.nodes.delete(ip);
+      if (heardAtMs < oldest && this.nodes.delete(ip)) this.lastRevision++;
   }
 }
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -20,6 +20,8 @@
 /** Records by id, with the newest life at each address. */
 export class TargetTable {
   private readonly entries = new Map<string, Entry>();
+  /** Ids of all lives known at an address. */
+  private readonly idsByAddress = new Map<string, Set<string>>();
   private lastRevision = 0;
 
   /** Number of the latest change. */
@@ -38,6 +40,7 @@
 
   /** Records that changed after a revision. */
   since(revision: number): readonly TargetRecord[] {
+    if (revision === this.lastRevision) return [];
     return [...this.entries.values()]
       .filter(entry => entry.revision > revision)
       .map(({record}) => record);
@@ -50,7 +53,7 @@
     if (record.state !== 'gone' && this.isOvertaken(record)) return false;
     const changed = known === undefined || !sameUse(known.record, record);
     const revision = changed ? ++this.lastRevision : known.revision;
-    this.entries.set(record.id, {record, revision, heardAtMs: nowMs});
+    this.set({record, revision, heardAtMs: nowMs});
     if (changed) this.endEarlierLives(record, nowMs);
     return true;
   }
@@ -90,36 +93,49 @@
       const isHere = record.state === 'ready' || record.state === 'draining';
       if (isHere && age >= silentAfterMs)
         this.put({...record, state: 'silent'}, heardAtMs);
-      if (!isHere && age >= KEEP_GONE_MS) this.entries.delete(id);
+      if (!isHere && age >= KEEP_GONE_MS) this.delete(id);
     }
   }
 
   private put(record: TargetRecord, heardAtMs: number): void {
     const revision = ++this.lastRevision;
-    this.entries.set(record.id, {record, revision, heardAtMs});
+    this.set({record, revision, heardAtMs});
+  }
+
+  private set(entry: Entry): void {
+    const {id, address} = entry.record;
+    if (this.entries.get(id)?.record.address !== address) this.delete(id);
+    this.entries.set(id, entry);
+    const ids = this.idsByAddress.get(address) ?? new Set();
+    this.idsByAddress.set(address, ids.add(id));
+  }
+
+  private delete(id: string): void {
+    const address = this.entries.get(id)?.record.address;
+    if (address === undefined) return;
+    this.entries.delete(id);
+    const ids = this.idsByAddress.get(address);
+    ids?.delete(id);
+    if (ids?.size === 0) this.idsByAddress.delete(address);
+  }
+
+  /** Records of other lives at the address of a record. */
+  private othersAt({id, address}: TargetRecord): readonly TargetRecord[] {
+    const ids = [...(this.idsByAddress.get(address) ?? [])];
+    return ids
+      .filter(other => other !== id)
+      .flatMap(other => this.entries.get(other)?.record ?? []);
   }
 
   /** Whether a later life is known at the same address. */
   private isOvertaken(record: TargetRecord): boolean {
-    for (const {record: other} of this.entries.values())
-      if (
-        other.id !== record.id &&
-        other.address === record.address &&
-        other.bornMs > record.bornMs
-      )
-        return true;
-    return false;
+    return this.othersAt(record).some(({bornMs}) => bornMs > record.bornMs);
   }
 
   /** An address belongs to the life that began last. */
   private endEarlierLives(record: TargetRecord, nowMs: number): void {
-    for (const {record: other} of [...this.entries.values()])
-      if (
-        other.id !== record.id &&
-        other.address === record.address &&
-        other.bornMs < record.bornMs &&
-        other.state !== 'gone'
-      )
+    for (const other of this.othersAt(record))
+      if (other.bornMs < record.bornMs && other.state !== 'gone')
         this.put({...other, state: 'gone'}, nowMs);
   }
 }
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -95,7 +95,8 @@
       packedSite: 'x',
       zonesOut,
     };
-    return coordinator.sync(report(ip, wanted, paceMs), agreed, SITE, []);
+    const nodes = {revision: 1, all: () => []};
+    return coordinator.sync(report(ip, wanted, paceMs), agreed, SITE, nodes);
   };
   const wait = (ms: number) => {
     nowMs += ms;
--- /dev/null
+++ b/tests/reports.spec.ts
@@ -0,0 +1,117 @@
+import {HeardRecords} from '../src/cluster/heardRecords';
+import {LeaderProgress} from '../src/cluster/leaderProgress';
+import type {SyncState} from '../src/cluster/messages';
+import {NodeDirectory} from '../src/cluster/nodeDirectory';
+import {reportPeriodMs} from '../src/policy/reportPeriod';
+import type {TargetRecord} from '../src/site/announcement';
+
+function record(
+  id: string,
+  state: TargetRecord['state'] = 'ready'
+): TargetRecord {
+  return {
+    id,
+    bornMs: 1,
+    sequence: 1,
+    service: 's',
+    address: `10.0.0.1:${id}`,
+    availabilityZone: 'a',
+    slots: 4,
+    state,
+    coldMs: 0,
+  };
+}
+
+function state(change: Partial<SyncState>): SyncState {
+  return {
+    kind: 'state',
+    term: 1,
+    index: 1,
+    nodes: [],
+    siteVersion: 1,
+    zonesOut: [],
+    tableRevision: 1,
+    records: [],
+    grants: [],
+    activeNodes: 1,
+    ...change,
+  };
+}
+
+describe('reports to the leader', () => {
+  // With a fixed period the reports of 300 nodes take more than the leader's core,
+  // and changes wait behind them for seconds.
+  it('should not come more often in all as nodes are added', () => {
+    const perSecond = (nodes: number) =>
+      (nodes * 1_000) / reportPeriodMs(nodes);
+    expect(perSecond(7)).toBeCloseTo(70);
+    for (const nodes of [39, 100, 300, 1_000])
+      expect(perSecond(nodes)).toBeLessThanOrEqual(334);
+  });
+
+  // A new leader is told by every node of all targets: nodes times targets
+  // records at once, while callers wait for it.
+  it('should tell a new leader only of targets that were heard here lately', () => {
+    const heard = new HeardRecords();
+    heard.note(record('old'), 0);
+    heard.note(record('new'), 8_000);
+    heard.take();
+    heard.tellAgain(10_000);
+    expect(heard.take().map(({id}) => id)).toEqual(['new']);
+  });
+
+  // The leader that knew of it is lost. A target that leaves would get requests
+  // again that it must not get any more.
+  it('should tell a new leader of targets that left, for as long as it matters', () => {
+    const heard = new HeardRecords();
+    heard.note(record('left', 'gone'), 0);
+    heard.note(record('leaving', 'draining'), 0);
+    heard.take();
+    heard.tellAgain(50_000);
+    expect(heard.take().map(({id}) => id)).toEqual(['left', 'leaving']);
+  });
+
+  it('should keep what a leader may not have received, but nothing outdated', () => {
+    const heard = new HeardRecords();
+    heard.note(record('a'), 0);
+    const taken = heard.take();
+    heard.note(record('a', 'draining'), 10);
+    heard.putBack(taken);
+    expect(heard.take().map(one => one.state)).toEqual(['draining']);
+  });
+
+  // A late answer of an old leader must not take a node back.
+  it('should take no answer of an older leader or position', () => {
+    const progress = new LeaderProgress();
+    expect(progress.note(state({term: 3, index: 9}), 0)).toBe(true);
+    expect(progress.isOlder(state({term: 2, index: 20}))).toBe(true);
+    expect(progress.isOlder(state({term: 3, index: 8}))).toBe(true);
+    expect(progress.isOlder(state({term: 4, index: 9}))).toBe(false);
+  });
+
+  it('should ask for the list of nodes again before they are forgotten', () => {
+    const progress = new LeaderProgress();
+    const nodes = [{ip: '10.0.0.2', hasDisk: true}];
+    progress.note(state({nodes, nodesRevision: 4}), 0);
+    expect(progress.params(1_000).nodesRevision).toBe(4);
+    expect(progress.params(6_000).nodesRevision).toBeUndefined();
+  });
+
+  it('should number the nodes that are found and forgotten', () => {
+    let nowMs = 0;
+    const self = {ip: '10.0.0.1', hasDisk: true};
+    const none = () => ({
+      id: '',
+      send: () => Promise.reject(new Error('none')),
+    });
+    const directory = new NodeDirectory(self, [], none, () => nowMs);
+    directory.note([{ip: '10.0.0.2', hasDisk: false}]);
+    const {revision} = directory;
+    nowMs = 5_000;
+    directory.note([{ip: '10.0.0.2', hasDisk: false}]);
+    expect(directory.revision).toBe(revision);
+    nowMs = 60_000;
+    expect(directory.revision).toBeGreaterThan(revision);
+    expect(directory.all()).toEqual([self]);
+  });
+});
