Name queues, discovery and shifts by the field's terms

Measured: the program built before and after has the same words but for the pairs that were renamed, each as often (compared as a count of all identifiers); the tests of these modules pass.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -19,7 +19,7 @@
 import {Coordinator} from './coordinator';
 import {LeaderDuties} from './leaderDuties';
 import {findFounders} from './findFounders';
-import {Greeter} from './greeter';
+import {PeerDiscovery} from './peerDiscovery';
 import {HeardRecords} from './heardRecords';
 import {HeldSite} from './heldSite';
 import {LeaderLink} from './leaderLink';
@@ -95,7 +95,7 @@
   private readonly server: RpcServer;
   private readonly directory: NodeDirectory;
   private readonly link: LeaderLink;
-  private readonly greeter: Greeter;
+  private readonly peerDiscovery: PeerDiscovery;
   private readonly subscription = new Subscription();
   private agreed: AgreedState | undefined;
   private current: ClusterView = {
@@ -127,7 +127,7 @@
       }),
       nowMs
     );
-    this.greeter = new Greeter(this.directory, this.rpc, logger);
+    this.peerDiscovery = new PeerDiscovery(this.directory, this.rpc, logger);
     this.link = new LeaderLink(
       this.rpc,
       this.directory,
@@ -347,9 +347,9 @@
     } catch (err) {
       this.options.metrics.reported('failed');
       this.options.logger.debug({event: 'sync.failed', err: String(err)}, '');
-      this.greeter.askAround();
+      this.peerDiscovery.probePeers();
     }
-    if (this.leads) this.greeter.tellSeeds(performance.now());
+    if (this.leads) this.peerDiscovery.announceToSeeds(performance.now());
   }
 
   private async syncOnce(): Promise<void> {
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -7,8 +7,8 @@
 import type {Logger} from '../core/logger';
 import {rounded} from '../core/rounded';
 import {reportPeriodMs} from '../policy/reportPeriod';
-import type {ShareDemand} from '../policy/shareLending';
-import {freePlaces, lendShares} from '../policy/shareLending';
+import type {ShareDemand} from '../policy/shareAllocation';
+import {freePlaces, allocateShares} from '../policy/shareAllocation';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
@@ -235,7 +235,7 @@
         });
         this.logPlaces(name, places, loads, outlook);
         const demands = demandsOf(name, reports);
-        const byNode = lendShares(places, demands);
+        const byNode = allocateShares(places, demands);
         const free = freePlaces(places, demands);
         return [name, {byNode, free, targets: permitTargets(service, records)}];
       })
--- a/src/cluster/leaderLink.ts
+++ b/src/cluster/leaderLink.ts
@@ -12,7 +12,7 @@
 }
 
 /** Nodes asked for one call before it fails: a leader that moved is found. */
-const MOST_ASKED = 5;
+const MAX_ASKED = 5;
 
 /** One call and how its answer reads. */
 export interface LeaderCall<T> {
@@ -47,7 +47,7 @@
   ): Promise<Exclude<T, NotLeader>> {
     let hint = this.leader;
     let failure: unknown = new Error('no other node is known');
-    for (let asked = 0; asked < MOST_ASKED; asked++) {
+    for (let asked = 0; asked < MAX_ASKED; asked++) {
       const ip = hint ?? this.nextNode();
       if (ip === undefined || ip === this.directory.self.ip) break;
       try {
--- a/src/cluster/greeter.ts
+++ b/src/cluster/peerDiscovery.ts
@@ -1,10 +1,6 @@
 /**
- * Tells other nodes that this one is there, and learns from them who else is.
- *
- * All nodes may start at once with seeds that lead to no node with a disk: the
- * seeds were exchanged for other machines before. Whoever leads finds its voters
- * in its log and would need nobody else, while the others know only the seeds
- * and never find it. So the leader greets the seeds all the time.
+ * Peer discovery through seeds. The leader announces itself to the seeds, since
+ * they may be nodes without a disk, through which others could not find it.
  */
 
 import type {Logger} from '../core/logger';
@@ -14,13 +10,13 @@
 
 /** An answer takes a few milliseconds; a frozen node's never comes. */
 const HELLO_TIMEOUT_MS = 500;
-/** Nodes greeted at once while no leader is known. */
-const ASKED_AT_ONCE = 3;
-/** Between two greetings of the seeds by the leader. */
+/** Peers probed at once while no leader is known. */
+const CONCURRENT_PROBES = 3;
+/** Between two announcements of the leader to the seeds. */
 const SEEDS_PERIOD_MS = 500;
 
-/** Greets nodes; answers go into the directory. */
-export class Greeter {
+/** Probes peers; answers go into the directory. */
+export class PeerDiscovery {
   private next = 0;
   private seedsAtMs = -Infinity;
 
@@ -30,26 +26,26 @@
     private readonly logger: Logger
   ) {}
 
-  /** Asks some nodes who is there, other ones each time. */
-  askAround(): void {
+  /** Asks some peers for the nodes that they know, in rotation. */
+  probePeers(): void {
     const candidates = this.directory.candidates();
-    const count = Math.min(ASKED_AT_ONCE, candidates.length);
+    const count = Math.min(CONCURRENT_PROBES, candidates.length);
     for (let i = 0; i < count; i++) {
       const ip = candidates[this.next++ % candidates.length];
-      if (ip !== undefined) void this.greet(ip);
+      if (ip !== undefined) void this.probe(ip);
     }
   }
 
-  /** For the leader: tells the seeds, if that is due. */
-  tellSeeds(nowMs: number): void {
+  /** For the leader: announces this node to the seeds when due. */
+  announceToSeeds(nowMs: number): void {
     if (nowMs - this.seedsAtMs < SEEDS_PERIOD_MS) return;
     this.seedsAtMs = nowMs;
     const {self} = this.directory;
     for (const ip of this.directory.seedAddresses())
-      if (ip !== self.ip) void this.greet(ip);
+      if (ip !== self.ip) void this.probe(ip);
   }
 
-  private async greet(ip: string): Promise<void> {
+  private async probe(ip: string): Promise<void> {
     const params = {from: this.directory.self};
     try {
       const answer = await this.rpc.call(
--- a/src/cluster/placesEstimate.ts
+++ b/src/cluster/placesEstimate.ts
@@ -36,11 +36,11 @@
  * Never below this part of all places: where even so few requests have long
  * pauses, a rank is slow, and refusing more of them helps nobody.
  */
-const LEAST_PART = 0.35;
+const MIN_LIMIT_RATIO = 0.35;
 /** Cost of a request of which nothing is known, milliseconds. */
 const UNSEEN_MS = 1e-3;
 /** With fewer requests the fixed part of a pass drowns what each one adds. */
-const LEAST_RUNNING = 4;
+const MIN_RUNNING = 4;
 /** Requests at a plain target beside those in work: its next ones are there. */
 const PLAIN_QUEUE = 1;
 
@@ -71,7 +71,7 @@
     if (engine === undefined) return slots * (1 + PLAIN_QUEUE);
     if (input.goals.pauseMs === 0) return slots;
     const bound = this.boundOf(input, engine, working.length);
-    return Math.min(slots, Math.max(slots * LEAST_PART, bound));
+    return Math.min(slots, Math.max(slots * MIN_LIMIT_RATIO, bound));
   }
 
   /** Requests at which passes are no longer than callers accept. */
@@ -89,7 +89,7 @@
     const varyingMs = medianPace(loads) - fixedMs;
     const isSeen =
       input.isWhole &&
-      running >= LEAST_RUNNING &&
+      running >= MIN_RUNNING &&
       varyingMs > 0 &&
       !outlook.isHeld;
     if (isSeen)
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -21,7 +21,7 @@
  * must do for reading the prompt, the first pass and a slow pass besides. A
  * longer wait carries the load of a burst into the seconds after it.
  */
-const PATIENCE_PART = 0.4;
+const MAX_WAIT_RATIO = 0.4;
 /** Without a latency target: as long as a person waits without noticing. */
 const USUAL_TARGET_MS = 500;
 const FAULT_RETRY_MS = 500;
@@ -118,28 +118,34 @@
   const targetMs = route.latencyTargetMs || USUAL_TARGET_MS;
   return new Promise(resolve => {
     const onCancel = () => {
-      queue.withdraw(applicant);
+      queue.withdraw(request);
       resolve(stopRefusal(state));
     };
     const finish = (result: GatewayRefusal | 'entered') => {
       state.cancel.removeEventListener('abort', onCancel);
       resolve(result);
     };
-    const applicant = {
+    const request = {
       priority: customer?.priority ?? route.priority,
-      patienceMs: targetMs * PATIENCE_PART,
+      maxWaitMs: targetMs * MAX_WAIT_RATIO,
       start: () => finish('entered'),
       refuse: () => {
-        const {places, inFlight, waitingCount, stayMs} = queue;
-        const {patienceMs} = applicant;
-        state.basis = {places, inFlight, waitingCount, stayMs, patienceMs};
+        const {places, inFlight, waitingCount, serviceTimeMs} = queue;
+        const {maxWaitMs} = request;
+        state.basis = {
+          places,
+          inFlight,
+          waitingCount,
+          serviceTimeMs,
+          maxWaitMs,
+        };
         const retryInMs = retries.refuse(performance.now(), Math.random);
         finish({kind: 'overloaded', retryInMs});
       },
     };
     state.cancel.addEventListener('abort', onCancel);
     retries.noteAsked(performance.now());
-    queue.enter(applicant, performance.now());
+    queue.enter(request, performance.now());
   });
 }
 
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -19,7 +19,7 @@
 import {WindowBudget} from '../policy/windowBudget';
 
 /** Before a leader has lent any places: enough to begin with. */
-const FIRST_PLACES = 2;
+const INITIAL_PLACES = 2;
 
 /** Bounds of the deployment that a pool keeps to. */
 export interface PoolBounds {
@@ -62,7 +62,7 @@
     private readonly bounds: PoolBounds
   ) {
     this.budget = new WindowBudget(bounds.retries);
-    this.queue.setLimit(FIRST_PLACES);
+    this.queue.setLimit(INITIAL_PLACES);
   }
 
   /** Takes over what the leader lent. */
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -43,9 +43,9 @@
  * Callers are still led here until two looks at the readiness, a second apart,
  * have failed.
  */
-const CALLERS_LEAVE_MS = 3_000;
+const REBALANCE_MS = 3_000;
 /** Left of the grace for the end itself. */
-const FAREWELL_MS = 600;
+const SHUTDOWN_RESERVE_MS = 600;
 const MS_PER_S = 1_000;
 /**
  * Orders follow each other by answers; this is for what is resent or due. A
@@ -140,9 +140,9 @@
     const graceMs = this.parts.settings.bounds.graceS * MS_PER_S;
     this.ready = false;
     this.callers.beginDrain();
-    await wait(Math.min(CALLERS_LEAVE_MS, graceMs / 2));
+    await wait(Math.min(REBALANCE_MS, graceMs / 2));
     this.callers.turnAway();
-    const leftMs = graceMs - CALLERS_LEAVE_MS - FAREWELL_MS;
+    const leftMs = graceMs - REBALANCE_MS - SHUTDOWN_RESERVE_MS;
     await this.callers.idle(Math.max(0, leftMs));
     this.callers.close();
     this.control.close();
--- a/src/policy/admissionQueue.ts
+++ b/src/policy/admissionQueue.ts
@@ -1,55 +1,53 @@
 /**
- * Who waits for a place, and who is turned away at once.
+ * Concurrency limit of one service at one node, with a bounded queue.
  *
- * The load it answers: bursts of up to twice what the targets can do. A request
- * that waits in line beyond its latency target is served late, and keeps the
- * ones behind it waiting, so that in a long burst every answer is late. Here a
- * request waits only if its turn is expected in time; the others are told at
- * once when to come back, while they can still be served.
+ * Pattern: bursts of up to twice the capacity. Requests that wait beyond their
+ * latency target are served late and delay those behind them. A request is queued
+ * only if its turn is expected in time, and rejected at once otherwise.
  */
 
-/** A request that asks for a place. */
-export interface Applicant {
+/** A request that asks to be admitted. */
+export interface QueuedRequest {
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Longest wait that still leaves an answer in time, milliseconds. */
-  readonly patienceMs: number;
-  /** Called once, with the place taken. */
+  readonly maxWaitMs: number;
+  /** Called once, when it is admitted. */
   start(): void;
   /** Called once instead of `start`. */
   refuse(): void;
 }
 
 interface Waiting {
-  readonly applicant: Applicant;
-  readonly giveUpAtMs: number;
+  readonly request: QueuedRequest;
+  readonly expiresAtMs: number;
 }
 
-/** Weight of one measured stay; about thirty requests follow a change. */
-const SMOOTHING = 0.03;
-/** Places follow the wishes of nodes with their next report. */
-const LENT_WITHIN_MS = 150;
-/** Before the first answer: a stream of two dozen events takes about a second. */
-const FIRST_STAY_MS = 1_000;
+/** EWMA weight of one sample. */
+const SERVICE_TIME_EWMA_ALPHA = 0.03;
+/** Limits follow demand with the next report of each node. */
+const BORROW_WITHIN_MS = 150;
+/** Before the first answer. */
+const INITIAL_SERVICE_TIME_MS = 1_000;
 
-/** Places of one service at one node. Time is given with each call. */
+/** Admits, queues and rejects requests. Time is given with each call. */
 export class AdmissionQueue {
   private waiting: Waiting[] = [];
   private limit = 0;
   private free = 0;
   private running = 0;
-  private usualStayMs = FIRST_STAY_MS;
+  private meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
 
   get inFlight(): number {
     return this.running;
   }
 
-  /** How long a request holds its place, smoothed, milliseconds. */
-  get stayMs(): number {
-    return this.usualStayMs;
+  /** Smoothed time from admission to the end of a request, milliseconds. */
+  get serviceTimeMs(): number {
+    return this.meanServiceTimeMs;
   }
 
-  /** Places that this node has. */
+  /** Concurrency limit of this node. */
   get places(): number {
     return this.limit;
   }
@@ -59,8 +57,8 @@
   }
 
   /**
-   * Takes over a new number of places; those in use beyond it run to their end.
-   * `free` ones are lent to others that do not use them, and may come here.
+   * Takes over a new limit; requests beyond it run to their end. `free` is what
+   * other nodes do not use of theirs and may be allocated here.
    */
   setLimit(limit: number, free = 0): void {
     this.limit = limit;
@@ -68,49 +66,47 @@
     this.startNext();
   }
 
-  /** Starts, queues or refuses the applicant. */
-  enter(applicant: Applicant, nowMs: number): void {
+  /** Admits, queues or rejects the request. */
+  enter(request: QueuedRequest, nowMs: number): void {
     if (this.running < this.limit && this.waiting.length === 0) {
       this.running++;
-      applicant.start();
+      request.start();
       return;
     }
-    const ahead = this.aheadOf(applicant.priority);
+    const ahead = this.aheadOf(request.priority);
     const waitMs = this.expectedWaitMs(ahead);
-    if (waitMs > applicant.patienceMs && !this.mayBeLent(applicant)) {
-      applicant.refuse();
+    if (waitMs > request.maxWaitMs && !this.canBorrow(request)) {
+      request.refuse();
       return;
     }
-    const giveUpAtMs = nowMs + applicant.patienceMs;
-    this.waiting.splice(ahead, 0, {applicant, giveUpAtMs});
+    const expiresAtMs = nowMs + request.maxWaitMs;
+    this.waiting.splice(ahead, 0, {request, expiresAtMs});
   }
 
-  /** Frees a place that was held for a time. */
+  /** Notes the end of an admitted request. */
   leave(heldMs: number): void {
     this.running--;
-    this.usualStayMs += (heldMs - this.usualStayMs) * SMOOTHING;
+    this.meanServiceTimeMs +=
+      (heldMs - this.meanServiceTimeMs) * SERVICE_TIME_EWMA_ALPHA;
     this.startNext();
   }
 
-  /**
-   * Whether a place that others have free can be here in time. Callers reach
-   * nodes by chance: one turned them away while others had places to spare.
-   */
-  private mayBeLent({patienceMs}: Applicant): boolean {
-    return this.waiting.length < this.free && patienceMs >= LENT_WITHIN_MS;
+  /** Whether part of the others' free limit can be allocated here in time. */
+  private canBorrow({maxWaitMs}: QueuedRequest): boolean {
+    return this.waiting.length < this.free && maxWaitMs >= BORROW_WITHIN_MS;
   }
 
-  /** Takes a waiting applicant out, because its caller went away. */
-  withdraw(applicant: Applicant): void {
-    this.waiting = this.waiting.filter(one => one.applicant !== applicant);
+  /** Removes a queued request whose caller went away. */
+  withdraw(request: QueuedRequest): void {
+    this.waiting = this.waiting.filter(one => one.request !== request);
   }
 
-  /** Refuses those whose turn did not come in time. */
+  /** Rejects requests that have waited too long. */
   expire(nowMs: number): void {
-    const late = this.waiting.filter(({giveUpAtMs}) => giveUpAtMs <= nowMs);
+    const late = this.waiting.filter(({expiresAtMs}) => expiresAtMs <= nowMs);
     if (late.length === 0) return;
-    this.waiting = this.waiting.filter(({giveUpAtMs}) => giveUpAtMs > nowMs);
-    for (const {applicant} of late) applicant.refuse();
+    this.waiting = this.waiting.filter(({expiresAtMs}) => expiresAtMs > nowMs);
+    for (const {request} of late) request.refuse();
   }
 
   private startNext(): void {
@@ -118,21 +114,21 @@
       const next = this.waiting.shift();
       if (next === undefined) return;
       this.running++;
-      next.applicant.start();
+      next.request.start();
     }
   }
 
   /** Those that are as urgent and came before, or are more urgent. */
   private aheadOf(priority: number): number {
     const index = this.waiting.findIndex(
-      ({applicant}) => applicant.priority > priority
+      ({request}) => request.priority > priority
     );
     return index < 0 ? this.waiting.length : index;
   }
 
-  /** A place comes free each `stay / limit` on average. */
+  /** A request ends each `service time / limit` on average. */
   private expectedWaitMs(ahead: number): number {
     const over = Math.max(0, this.running - this.limit);
-    return ((ahead + 1 + over) * this.stayMs) / Math.max(1, this.limit);
+    return ((ahead + 1 + over) * this.serviceTimeMs) / Math.max(1, this.limit);
   }
 }
--- a/src/policy/copyLimit.ts
+++ b/src/policy/copyLimit.ts
@@ -2,7 +2,7 @@
  * Copies of experts that one rank takes in with one switch of maps, over all
  * sets.
  *
- * The load it answers: a shift of demand, every few seconds. All passes are slow
+ * Pattern: a shift of demand, every few seconds. All passes are slow
  * until the copies are made and the map is switched, and somewhat slower while
  * they are made. One copy a rank takes most of the load off the hottest ranks; a
  * second switch does the rest. A rank that turns slow is to be rid of all that
@@ -15,7 +15,7 @@
 const HIGH_SKEW = 1.9;
 /** Small experts are copied faster: so many fit into the time of a large one. */
 const FIRST_COPIES_MS = 60;
-const MOST_COPIES = 4;
+const MAX_COPIES = 4;
 /**
  * A slow rank is to be rid of its experts with few switches, as long as it is
  * the one that makes passes long: by so much of the skew. Once it is empty, more
@@ -35,8 +35,8 @@
 
 /** Copies a rank at most. */
 export function copiesARank({skew, skewIfInOrder, copyMs}: CopyInput): number {
-  if (skew - skewIfInOrder >= SLOW_RANK_SKEW) return MOST_COPIES;
+  if (skew - skewIfInOrder >= SLOW_RANK_SKEW) return MAX_COPIES;
   const usual = skew >= HIGH_SKEW ? FIRST_COPIES : LATER_COPIES;
   const inTime = Math.floor(FIRST_COPIES_MS / Math.max(1, copyMs));
-  return Math.min(MOST_COPIES, Math.max(usual, inTime));
+  return Math.min(MAX_COPIES, Math.max(usual, inTime));
 }
--- a/src/policy/expertSpread.ts
+++ b/src/policy/expertSpread.ts
@@ -2,7 +2,7 @@
  * Spreads the experts of one set over ranks that split each expert's tokens
  * evenly among the ranks that hold it.
  *
- * The load it answers: a few experts draw several times the mean, others each
+ * Pattern: a few experts draw several times the mean, others each
  * few seconds, and every pass waits for the rank with the most. With experts
  * dealt out in turn the most loaded rank has several times the mean, and all
  * streams wait for it. Changes are few: each copy of an expert is paid for and
@@ -71,7 +71,7 @@
     const skew = spread.skew;
     spread.apply(move);
     const gain = skew - spread.skew;
-    const isFlat = costBefore - spread.cost < costBefore * LEAST_COST_PART;
+    const isFlat = costBefore - spread.cost < costBefore * MIN_COST_RATIO;
     if (isFlat || gain < -limits.minGainPerCopy) {
       spread.apply(inverseOf(move));
       break;
@@ -86,7 +86,7 @@
 }
 
 /** A move that lowers the cost by less changes nothing that counts. */
-const LEAST_COST_PART = 0.004;
+const MIN_COST_RATIO = 0.004;
 
 /** On one rank: an expert that comes, one that goes, or both. */
 interface Change {
--- a/src/policy/mapOutlook.ts
+++ b/src/policy/mapOutlook.ts
@@ -1,6 +1,6 @@
-/** What the orderer of expert maps knows that bears on the length of passes. */
+/** What the leader of expert maps knows that bears on the length of passes. */
 
-import {FIRST_SKEW} from './skewMemory';
+import {FIRST_SKEW} from './shiftHistory';
 
 /** State of the map of a service, over its groups the worst. */
 export interface MapOutlook {
--- a/src/policy/outageRetry.ts
+++ b/src/policy/outageRetry.ts
@@ -1,7 +1,7 @@
 /**
  * When callers of a service that does not work at all are to come back.
  *
- * The load it answers: a rank of a group is lost, and with it the whole group,
+ * Pattern: a rank of a group is lost, and with it the whole group,
  * until the rank is back and the group has formed anew: two to four seconds.
  * Callers that came back within half a second came into the same outage and
  * were turned away for good, all that arrived in it. They wait no longer than
@@ -10,18 +10,18 @@
  */
 
 /** Earliest and latest return; spread, so that they do not come as one. */
-const FROM_MS = 1_700;
-const TO_MS = 2_600;
+const MIN_RETRY_MS = 1_700;
+const MAX_RETRY_MS = 2_600;
 /** Where callers have less time, they come back in the last part of a third. */
-const MOST_PART = 1 / 3;
+const MAX_RATIO = 1 / 3;
 
 /** Time until the caller is to come back; `random` is from 0 to below 1. */
 export function outageRetryMs(
   remainingMs: number,
   random: () => number
 ): number {
-  const latestMs = Math.min(TO_MS, Math.max(0, remainingMs) * MOST_PART);
-  const earliestMs = (latestMs * FROM_MS) / TO_MS;
+  const latestMs = Math.min(MAX_RETRY_MS, Math.max(0, remainingMs) * MAX_RATIO);
+  const earliestMs = (latestMs * MIN_RETRY_MS) / MAX_RETRY_MS;
   return earliestMs + (latestMs - earliestMs) * random();
 }
 
--- a/src/policy/passCorrection.ts
+++ b/src/policy/passCorrection.ts
@@ -1,18 +1,18 @@
 /**
- * What passes really cost, in parts of what the profile of the engines tells.
+ * Corrects the cost model of an engine by the passes that are seen.
  *
- * The load it answers: prompts and answers that are longer than the usual ones,
- * or a rank that is slower than its profile. The median of some seconds leaves
- * out the moments after a shift, when the skew in force is not known yet.
+ * Pattern: prompts and answers longer than usual, or a rank slower than its
+ * profile. The median of some seconds leaves out the moments after a shift, when
+ * the skew in force is not known yet.
  */
 
 /** Several shifts are fewer than half of the samples of this time. */
 const MEMORY_MS = 3_000;
 /** Fewer samples tell nothing yet. */
-const LEAST_SAMPLES = 5;
+const MIN_SAMPLES = 5;
 /** Beyond these the profile or the samples are wrong. */
-const LEAST = 0.6;
-const MOST = 2.5;
+const MIN_FACTOR = 0.6;
+const MAX_FACTOR = 2.5;
 
 interface Sample {
   readonly atMs: number;
@@ -33,9 +33,9 @@
 
   /** Factor for expected costs; 1 until enough was seen. */
   get factor(): number {
-    if (this.samples.length < LEAST_SAMPLES) return 1;
+    if (this.samples.length < MIN_SAMPLES) return 1;
     const ratios = this.samples.map(({ratio}) => ratio).sort((a, b) => a - b);
     const median = ratios[Math.floor(ratios.length / 2)] ?? 1;
-    return Math.min(MOST, Math.max(LEAST, median));
+    return Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, median));
   }
 }
--- a/src/policy/passLength.ts
+++ b/src/policy/passLength.ts
@@ -2,7 +2,7 @@
  * How long a pass of a group lasts, from the profile of its engines, what runs,
  * and how unevenly the experts' work lies on the ranks.
  *
- * The load it answers: a group under many streams, with other experts in demand
+ * Pattern: a group under many streams, with other experts in demand
  * every few seconds. What a pass will last after the next shift can be foreseen
  * from the skew that shifts bring; waiting until a pass was too long makes every
  * stream late that runs at that moment.
--- a/src/policy/passPace.ts
+++ b/src/policy/passPace.ts
@@ -3,7 +3,7 @@
  * streams. All ranks step together, so that a node's own streams show the pace
  * of the whole group, without asking any rank.
  *
- * The load it answers: other experts come into demand from one pass to the
+ * Pattern: other experts come into demand from one pass to the
  * next. The pace shows it two passes later, at no price; reading the counts of
  * ranks as often would cost more than a late change of maps.
  */
--- a/src/policy/retryTiming.ts
+++ b/src/policy/retryTiming.ts
@@ -1,15 +1,14 @@
 /**
- * When those who are turned away are to come back.
+ * Retry-After of rejected requests.
  *
- * The loads it answers differ. A gap of a moment, with few turned away: a quick
- * second try is still in time for its latency target. A burst, or experts that
- * just came into demand, with many turned away: it lasts for a second or two,
- * and who comes back into it is turned away for good.
+ * Two patterns. A shortage of a moment rejects few: a quick retry still meets its
+ * latency target. A burst, or a shift of demand, rejects many and lasts a second
+ * or two: a retry within it is rejected for good.
  */
 
-/** Time over which those turned away are counted. */
+/** Time over which rejections are counted. */
 const MEMORY_MS = 1_500;
-/** Part of the requests turned away from which a shortage counts as lasting. */
+/** Part of the requests rejected from which a shortage counts as lasting. */
 const LASTING_PART = 0.12;
 /** A quick second try: the next places come free within a few passes. */
 const QUICK_FROM_MS = 120;
@@ -21,19 +20,19 @@
 const LATE_FROM_MS = 700;
 const LATE_TO_MS = 2_600;
 
-/** Decides by how many were turned away lately. */
+/** Chooses by the recent part of rejections. */
 export class RetryTiming {
   private asked = 0;
   private refused = 0;
   private atMs = 0;
 
-  /** Counts a request that asks for a place. */
+  /** Counts a request that asks to be admitted. */
   noteAsked(nowMs: number): void {
     this.fade(nowMs);
     this.asked++;
   }
 
-  /** Counts one that is turned away; the time until it is to come back. */
+  /** Counts a rejection; returns its Retry-After, milliseconds. */
   refuse(nowMs: number, random: () => number): number {
     this.fade(nowMs);
     this.refused++;
--- a/src/policy/shareLending.ts
+++ b/src/policy/shareAllocation.ts
@@ -1,29 +1,27 @@
 /**
- * Lends the places of a service to the nodes that send to it.
+ * Allocates the concurrency limit of a service to the nodes that send to it.
  *
- * The load it answers: callers reach nodes by a hash, so one node may have
- * three times the requests of another, and a group of ranks slows down with
- * every request that runs anywhere in it. With a fixed part each, the busiest
- * node turned callers away while others had places free; with no bound, all
- * streams were late.
+ * Pattern: callers reach nodes by a hash, so that one node may have three times
+ * the requests of another. Equal parts reject callers at the busiest node while
+ * others have room.
  */
 
-/** What one node wants. */
+/** Demand of one node. */
 export interface ShareDemand {
   readonly node: string;
   /** Requests at targets and waiting now. */
   readonly wanted: number;
-  /** Requests taken lately, for the places that nobody wants at the moment. */
+  /** Requests taken lately, by which what nobody demands now is allocated. */
   readonly arrivals: number;
 }
 
 /** Weight of a node without arrivals: it can take its first ones at once. */
 const IDLE_WEIGHT = 0.5;
-/** A node with no place could not even learn whether targets answer. */
-const LEAST_PLACES = 1;
+/** A node without any could not learn whether targets answer. */
+const MIN_PLACES = 1;
 
-/** Places by node; they add up to `places`, or to one a node if that is more. */
-export function lendShares(
+/** Parts by node; they add up to `places`, or to one a node if that is more. */
+export function allocateShares(
   places: number,
   demands: readonly ShareDemand[]
 ): ReadonlyMap<string, number> {
@@ -35,7 +33,7 @@
   return roundShares(places, demands, granted);
 }
 
-/** Whole places that nobody wants. */
+/** What is beyond the demand of all nodes, a whole number. */
 export function freePlaces(
   places: number,
   demands: readonly ShareDemand[]
@@ -47,7 +45,7 @@
   return demands.reduce((sum, {wanted}) => sum + wanted, 0);
 }
 
-/** Everyone gets the same at most; what some do not want goes to the others. */
+/** Max-min fair: what some nodes do not demand goes to the others. */
 function splitScarce(
   places: number,
   demands: readonly ShareDemand[]
@@ -65,7 +63,7 @@
   return granted;
 }
 
-/** All wishes, and the rest by arrivals, where the next requests will come. */
+/** All demand, and the rest by arrivals, where the next requests will come. */
 function splitPlenty(
   rest: number,
   demands: readonly ShareDemand[]
@@ -83,7 +81,7 @@
   demands: readonly ShareDemand[],
   granted: readonly number[]
 ): ReadonlyMap<string, number> {
-  const whole = granted.map(part => Math.max(LEAST_PLACES, Math.floor(part)));
+  const whole = granted.map(part => Math.max(MIN_PLACES, Math.floor(part)));
   let left = Math.floor(places) - whole.reduce((sum, part) => sum + part, 0);
   const byFraction = granted
     .map((part, index) => ({fraction: part - Math.floor(part), index}))
@@ -93,5 +91,5 @@
     whole[index] = (whole[index] ?? 0) + 1;
     left--;
   }
-  return new Map(demands.map(({node}, i) => [node, whole[i] ?? LEAST_PLACES]));
+  return new Map(demands.map(({node}, i) => [node, whole[i] ?? MIN_PLACES]));
 }
--- a/src/policy/skewMemory.ts
+++ b/src/policy/shiftHistory.ts
@@ -2,10 +2,9 @@
  * How uneven the next shift of demand will make the load of the ranks, and
  * whether one may come soon, from the last ones.
  *
- * The load it answers: shifts of about the same size, some seconds apart. Just
- * before one the group must run no more requests than it can still step in time
- * right after it. Just after one a backlog has built up behind slow passes; to
- * turn it away as if the next shift came at once costs more than it protects.
+ * Pattern: shifts of about the same size, some seconds apart. Before one the group
+ * must run no more requests than it can step in time right after it; right after
+ * one a backlog has built up, and rejecting it protects nothing.
  */
 
 /** Shifts come within seconds of each other, or not at all. */
@@ -13,7 +12,7 @@
 /** Requests that run when the next shift comes were let in this long before. */
 const LEAD_MS = 1_000;
 /** A shift below this part of the largest skew is no measure of the pause. */
-const MAIN_PART = 0.6;
+const MAIN_SHIFT_RATIO = 0.6;
 
 /**
  * Before any shift was seen: experts that were dealt out in turn, and a few of
@@ -28,7 +27,7 @@
 }
 
 /** Skews that shifts of demand brought lately. */
-export class SkewMemory {
+export class ShiftHistory {
   private shifts: Shift[];
 
   /** `known` is what an earlier leader told of shifts; 0 when nothing is known. */
@@ -52,7 +51,7 @@
   due(nowMs: number): number {
     const worst = this.worst(nowMs);
     const times = this.shifts
-      .filter(({skew}) => skew >= worst * MAIN_PART)
+      .filter(({skew}) => skew >= worst * MAIN_SHIFT_RATIO)
       .map(({atMs}) => atMs);
     const [first = nowMs, ...rest] = times;
     if (rest.length === 0) return worst;
--- a/src/ports/rankPort.ts
+++ b/src/ports/rankPort.ts
@@ -47,7 +47,7 @@
 
 /** Who orders, and for which life of the group. */
 export interface OrderScope {
-  /** Rises with each new orderer. */
+  /** Rises with each new leader. */
   readonly fence: number;
   readonly epoch: number;
 }
@@ -65,7 +65,7 @@
   | 'done'
   /** It does not fit the rank's state, and never took effect. */
   | 'refused'
-  /** Another orderer has a higher fence. */
+  /** Another leader has a higher fence. */
   | 'fenced'
   /** Nothing is known. */
   | 'unknown';
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -16,12 +16,12 @@
 } from '../ports/rankPort';
 import type {EngineProfile} from '../site/site';
 import type {MapOutlook} from '../policy/mapOutlook';
-import type {SkewMemory} from '../policy/skewMemory';
+import type {ShiftHistory} from '../policy/shiftHistory';
 import {fixedPassMs, requestPassMs} from '../policy/passLength';
 import {DemandSampler} from './demandSampler';
 import {planMap} from './mapPlan';
-import type {DueReading, Pace} from './demandWatch';
-import {DemandWatch} from './demandWatch';
+import type {DueReading, Pace} from './shiftDetector';
+import {ShiftDetector} from './shiftDetector';
 import type {DemandChange, RankCounts} from './expertDemand';
 import {ExpertDemand} from './expertDemand';
 import type {OrderBatch} from './orderBatches';
@@ -41,7 +41,7 @@
  * as long as callers bear; twice that where they last half as long. Two dozen
  * copies and three dozen orders cost what a group earns in a tenth of a second.
  */
-const LEAST_GAIN = 0.2;
+const MIN_GAIN = 0.2;
 /** Pauses that streams show are still those of a switch for so long. */
 const HELD_SHOWS_MS = 250;
 /** Between two tries to read the map in use. */
@@ -73,10 +73,10 @@
   readonly acceptedPauseMs: number;
   /** As the group's last life showed it. */
   readonly demand?: ExpertDemand;
-  readonly shifts: SkewMemory;
+  readonly shifts: ShiftHistory;
 }
 
-/** Versions of one orderer are apart from those of all others. */
+/** Versions of one leader are apart from those of all others. */
 const VERSIONS_PER_FENCE = 100_000;
 
 /** One group in one epoch, under one leader. */
@@ -88,7 +88,7 @@
   private firstVersion = 0;
   private isLoading = false;
   private loadedAtMs = -Infinity;
-  private readonly watch: DemandWatch;
+  private readonly watch: ShiftDetector;
   private readonly sampler: DemandSampler;
   /** Whether what is in demand is known and not planned for yet. */
   private isPlanDue = false;
@@ -110,7 +110,7 @@
     const {engine} = parts;
     const {expertSets, experts} = engine;
     this.sampler = new DemandSampler(parts);
-    this.watch = new DemandWatch(this.sampler.holdMs);
+    this.watch = new ShiftDetector(this.sampler.holdMs);
     const known = parts.demand?.fits(expertSets, experts)
       ? parts.demand
       : undefined;
@@ -118,7 +118,7 @@
     this.isPlanDue = known !== undefined;
   }
 
-  /** Whether another orderer took over. */
+  /** Whether a newer leader has fenced it off. */
   get isFenced(): boolean {
     return this.machine?.isFenced === true;
   }
@@ -164,7 +164,7 @@
     if (this.isPlanDue) void this.plan();
   }
 
-  /** Reads the map in use from all ranks; an earlier orderer may have set it. */
+  /** Reads the map in use from all ranks; an earlier leader may have set it. */
   private async load(nowMs: number): Promise<void> {
     if (this.isLoading || nowMs - this.loadedAtMs < LOAD_PERIOD_MS) return;
     this.isLoading = true;
@@ -280,7 +280,7 @@
   private isWorth(gain: number): boolean {
     const {paceMs, acceptedPauseMs} = this.parts;
     const strain = acceptedPauseMs === 0 ? 1 : paceMs() / acceptedPauseMs;
-    return gain * Math.min(1, strain) >= LEAST_GAIN;
+    return gain * Math.min(1, strain) >= MIN_GAIN;
   }
 
   private readReports(): void {
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -11,7 +11,7 @@
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {Located} from '../policy/relayPlan';
 import {worseOutlook} from '../policy/mapOutlook';
-import {SkewMemory} from '../policy/skewMemory';
+import {ShiftHistory} from '../policy/shiftHistory';
 import {GroupController} from './groupController';
 import {RankCaller} from './rankCaller';
 
@@ -21,7 +21,7 @@
   readonly service: string;
   readonly controller: GroupController;
   /** Outlives the controllers. */
-  readonly shifts: SkewMemory;
+  readonly shifts: ShiftHistory;
 }
 
 /** Controllers by service and group. */
@@ -114,9 +114,9 @@
   }
 
   /** What an earlier leader told of the shifts; the next one comes soon. */
-  private knownShifts(service: string, nowMs: number): SkewMemory {
+  private knownShifts(service: string, nowMs: number): ShiftHistory {
     const known = this.node.view.grants.get(service)?.shiftSkew ?? 0;
-    return new SkewMemory(known, nowMs);
+    return new ShiftHistory(known, nowMs);
   }
 
   private acceptedPauseMs(service: string): number {
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -59,11 +59,11 @@
  * still before pass S until the last rank has answered.
  */
 const SPARE_PASSES = 3;
-/** The switch of one life of one group; a new epoch gets a new one. */
+/** The switch of one epoch of one group. */
 export class RankSwitch {
   private phase: SwitchPhase = {kind: 'inspecting'};
   private sinceMs: number;
-  /** Another orderer took over: nothing more is ordered here. */
+  /** Fenced off by a newer leader: nothing more is ordered here. */
   isFenced = false;
   private readonly ranks: RankViews;
   private inForce: MapLists;
@@ -81,7 +81,7 @@
     /** Map in use, and its version. */
     lists: MapLists,
     private inForceVersion: number,
-    /** Above every version used in earlier lives and by earlier orderers. */
+    /** Above every version used in earlier lives and by earlier leaders. */
     firstVersion: number,
     private nowMs: number
   ) {
@@ -299,7 +299,7 @@
     }
   }
 
-  /** What an earlier orderer left behind is finished or taken back first. */
+  /** What an earlier leader left behind is finished or taken back first. */
   private inspect(): readonly SentOrder[] {
     if (!this.ranks.allReportedSince(this.sinceMs)) return [];
     const reports = this.ranks.reports();
@@ -312,16 +312,16 @@
   }
 
   /**
-   * Takes back whatever an earlier orderer began. Its orders may still arrive,
+   * Takes back whatever an earlier leader began. Its orders may still arrive,
    * a go among them, and reports are old: a rank that is disarmed while the
    * others run into pass S would be alone with the old map. So the hold comes
-   * first. Where the rank takes it, S has not begun, and only this orderer can
+   * first. Where the rank takes it, S has not begun, and only this leader can
    * let it begin; where it refuses, S has begun, and there is nothing to undo.
    */
   private takeBack(mayComplete: boolean): readonly SentOrder[] {
     const pass = pendingPass(this.ranks.reports(), this.last.released);
     if (pass === undefined) return [];
-    // Its go may come late and must not fit a later hold of this orderer.
+    // Its go may come late and must not fit a later hold of this leader.
     this.clock.exclude(pass);
     this.enter({kind: 'seizing', pass, mayComplete});
     return this.advance();
@@ -362,7 +362,7 @@
   /**
    * A hold that was carried out late, after its switch had ended, would stop
    * the group for good. It is let go only if no rank is armed, and none can be
-   * by an earlier orderer; else everything is taken back first.
+   * by an earlier leader; else everything is taken back first.
    */
   private handleStray(): readonly SentOrder[] {
     const reports = this.ranks.reports();
--- a/src/ranks/demandWatch.ts
+++ b/src/ranks/shiftDetector.ts
@@ -71,7 +71,7 @@
     };
 
 /** Decides on readings; time is given with each call. */
-export class DemandWatch {
+export class ShiftDetector {
   private state: WatchState = {kind: 'alarmed', dueAtMs: -Infinity, empty: 0};
   private isReading = false;
   private usualPace = 0;
--- a/src/ranks/switchPhase.ts
+++ b/src/ranks/switchPhase.ts
@@ -95,7 +95,7 @@
   mayBeArmedLate: boolean;
   /** Whether a copy order got no answer, so that a refusal may mean it is there. */
   mayBePrepared: boolean;
-  /** Whether it took an order of ours: older orderers are refused since. */
+  /** Whether it took an order of ours: older leaders are refused since. */
   isFenced: boolean;
   /** While clearing. */
   isDisarmed: boolean;
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -9,11 +9,11 @@
   const queue = new AdmissionQueue();
   const outcomes: Outcome[] = [];
   queue.setLimit(limit);
-  const enter = (id: string, priority = 1, patienceMs = 200, nowMs = 0) =>
+  const enter = (id: string, priority = 1, maxWaitMs = 200, nowMs = 0) =>
     queue.enter(
       {
         priority,
-        patienceMs,
+        maxWaitMs,
         start: () => outcomes.push({id, kind: 'started'}),
         refuse: () => outcomes.push({id, kind: 'refused'}),
       },
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -2,7 +2,7 @@
 import type {ServiceLoad} from '../src/cluster/messages';
 import type {MapOutlook} from '../src/policy/mapOutlook';
 import {fixedPassMs, requestPassMs} from '../src/policy/passLength';
-import {SkewMemory} from '../src/policy/skewMemory';
+import {ShiftHistory} from '../src/policy/shiftHistory';
 import type {TargetRecord} from '../src/site/announcement';
 import type {EngineProfile, SiteService} from '../src/site/site';
 
@@ -171,19 +171,19 @@
   // All power was lost. The group stands under its first map, its demand is not
   // known yet, and all callers come back: passes are as long as after a shift.
   it('should expect a usual shift before any was seen', () => {
-    const memory = new SkewMemory(0, 0);
+    const memory = new ShiftHistory(0, 0);
     expect(memory.due(100)).toBe(3);
     expect(memory.due(13_000)).toBe(0);
   });
 
   it('should go on with what an earlier leader told', () => {
-    expect(new SkewMemory(3.4, 0).due(100)).toBe(3.4);
+    expect(new ShiftHistory(3.4, 0).due(100)).toBe(3.4);
   });
 
   // After a shift a backlog waits. The next one is three seconds away: until
   // then the group may run all it can, and only then runs fewer.
   it('should expect none sooner than they came before', () => {
-    const memory = new SkewMemory(3.4, 0);
+    const memory = new ShiftHistory(3.4, 0);
     for (const atMs of [3_400, 6_800]) memory.note(3.4, atMs);
     expect(memory.due(7_500)).toBe(0);
     expect(memory.due(9_100)).toBe(0);
@@ -192,7 +192,7 @@
   });
 
   it('should go by the shortest pause, and by large shifts only', () => {
-    const memory = new SkewMemory(3.4, 0);
+    const memory = new ShiftHistory(3.4, 0);
     memory.note(1.4, 500);
     memory.note(3.2, 2_000);
     memory.note(3.3, 6_000);
@@ -201,7 +201,7 @@
   });
 
   it('should forget shifts that come no more', () => {
-    const memory = new SkewMemory(3.4, 0);
+    const memory = new ShiftHistory(3.4, 0);
     expect(memory.due(13_000)).toBe(0);
   });
 });
--- a/tests/shareLending.spec.ts
+++ b/tests/shareAllocation.spec.ts
@@ -1,4 +1,4 @@
-import {lendShares} from '../src/policy/shareLending';
+import {allocateShares} from '../src/policy/shareAllocation';
 
 function sum(shares: ReadonlyMap<string, number>): number {
   return [...shares.values()].reduce((total, share) => total + share, 0);
@@ -8,7 +8,7 @@
   // Callers reach one node with three times the requests of the others. With
   // equal parts it turned callers away while places stood free elsewhere.
   it('should give a node what it wants while others want less', () => {
-    const shares = lendShares(96, [
+    const shares = allocateShares(96, [
       {node: 'a', wanted: 50, arrivals: 20},
       {node: 'b', wanted: 10, arrivals: 5},
       {node: 'c', wanted: 10, arrivals: 5},
@@ -21,7 +21,7 @@
   // All want more than there is: nobody gets more than an equal part of what
   // those that want little leave.
   it('should never lend more places than there are', () => {
-    const shares = lendShares(30, [
+    const shares = allocateShares(30, [
       {node: 'a', wanted: 100, arrivals: 50},
       {node: 'b', wanted: 40, arrivals: 20},
       {node: 'c', wanted: 4, arrivals: 1},
@@ -32,7 +32,7 @@
   });
 
   it('should leave an idle node one place to begin with', () => {
-    const shares = lendShares(2, [
+    const shares = allocateShares(2, [
       {node: 'a', wanted: 20, arrivals: 9},
       {node: 'b', wanted: 0, arrivals: 0},
     ]);
--- a/tests/demandWatch.spec.ts
+++ b/tests/shiftDetector.spec.ts
@@ -1,4 +1,4 @@
-import {DemandWatch} from '../src/ranks/demandWatch';
+import {ShiftDetector} from '../src/ranks/shiftDetector';
 import type {DemandChange} from '../src/ranks/expertDemand';
 
 const TICK_MS = 20;
@@ -7,7 +7,7 @@
 
 /** Plays a pace over time and answers each reading. */
 class WatchFixture {
-  readonly watch = new DemandWatch(HOLD_MS);
+  readonly watch = new ShiftDetector(HOLD_MS);
   readonly read: string[] = [];
   movedOn = 0;
   private nowMs = 0;
