Sum numbers by one function, and forget old heard records as they age

Cause: reading the change once more: three modules of it had a sum of their own, and the records heard at a node were dropped only at a change of leader, so that ids of past lives piled up under a leader that stays.

Ruled out: a limit by count; a leaving target must be told for a minute.

Change: src/core/sum.ts; heard records are kept in the order of time and those beyond a minute go as new ones come.

--- a/src/cluster/heardRecords.ts
+++ b/src/cluster/heardRecords.ts
@@ -20,7 +20,17 @@
   /** Notes what a target told this node. */
   note(record: TargetRecord, nowMs: number): void {
     this.unsent.set(record.id, record);
+    // In the order of time, the oldest first.
+    this.recent.delete(record.id);
     this.recent.set(record.id, {record, atMs: nowMs});
+    this.forgetOld(nowMs);
+  }
+
+  private forgetOld(nowMs: number): void {
+    for (const [id, {atMs}] of this.recent) {
+      if (nowMs - atMs <= LEAVING_MS) return;
+      this.recent.delete(id);
+    }
   }
 
   /** Records that the leader was not told yet. */
--- a/src/policy/targetPermits.ts
+++ b/src/policy/targetPermits.ts
@@ -8,6 +8,8 @@
  * use one slot, and a node needs to know nothing of the others' requests.
  */
 
+import {sum} from '../core/sum';
+
 /** Requests at each target by its id. */
 export type CountsByTarget = Readonly<Record<string, number>>;
 
@@ -179,7 +181,3 @@
     else this.given.delete(id);
   }
 }
-
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
--- a/src/ranks/expertDemand.ts
+++ b/src/ranks/expertDemand.ts
@@ -8,6 +8,7 @@
  * the ranks of a sample differ from each other.
  */
 
+import {sum} from '../core/sum';
 import type {ExpertCounts} from '../ports/rankPort';
 
 /** Choices that tell the parts of the experts that matter, for each expert. */
@@ -76,7 +77,7 @@
     const windows = known.map(reading => this.windowOf(reading));
     const fresh = sumOfAll(windows, this.sets * this.experts);
     const enough = ENOUGH_PER_EXPERT * this.sets * this.experts;
-    this.lastFilled = sumOf(fresh) / enough;
+    this.lastFilled = sum(fresh) / enough;
     const isEnough = this.lastFilled >= 1;
     const begun = readings.filter(reading => !known.includes(reading));
     this.begin(isEnough ? readings : begun);
@@ -118,8 +119,8 @@
 
   /** Adds a window of the same demand; old ones fade. */
   private add(fresh: readonly number[], error: number): void {
-    const known = sumOf(this.since);
-    const freshSum = sumOf(fresh);
+    const known = sum(this.since);
+    const freshSum = sum(fresh);
     const kept = Math.min(1, ((MAX_WINDOWS - 1) * freshSum) / known);
     const part = freshSum / (known * kept + freshSum);
     this.since = this.since.map((count, i) => count * kept + (fresh[i] ?? 0));
@@ -134,16 +135,16 @@
     windows: readonly (readonly number[])[],
     fresh: readonly number[]
   ): number {
-    const total = sumOf(fresh);
-    const sums = windows.map(sumOf).filter(sum => sum > 0);
+    const total = sum(fresh);
+    const sums = windows.map(sum).filter(size => size > 0);
     const byChance = 1 / total;
-    const squares = sums.reduce((all, sum) => all + (sum / total) ** 2, 0);
+    const squares = sums.reduce((all, size) => all + (size / total) ** 2, 0);
     if (sums.length < 2)
       return Math.max(byChance, (this.rankSpread ?? 0) * squares);
     const apart = windows.reduce((all, window) => {
-      const sum = sumOf(window);
-      if (sum === 0) return all;
-      return all + (sum / total) ** 2 * distanceOf(window, fresh);
+      const size = sum(window);
+      if (size === 0) return all;
+      return all + (size / total) ** 2 * distanceOf(window, fresh);
     }, 0);
     const error = (apart * sums.length) / (sums.length - 1);
     const before = this.rankSpread ?? error / squares;
@@ -165,10 +166,10 @@
 
 /** Squared distance of two demands, each in parts of all its choices. */
 function distanceOf(a: readonly number[], b: readonly number[]): number {
-  const sumA = Math.max(1, sumOf(a));
-  const sumB = Math.max(1, sumOf(b));
+  const sumA = Math.max(1, sum(a));
+  const sumB = Math.max(1, sum(b));
   return a.reduce(
-    (sum, count, i) => sum + (count / sumA - (b[i] ?? 0) / sumB) ** 2,
+    (all, count, i) => all + (count / sumA - (b[i] ?? 0) / sumB) ** 2,
     0
   );
 }
@@ -178,14 +179,10 @@
   length: number
 ): readonly number[] {
   return Array.from({length}, (_, i) =>
-    windows.reduce((sum, window) => sum + (window[i] ?? 0), 0)
+    windows.reduce((all, window) => all + (window[i] ?? 0), 0)
   );
 }
 
-function sumOf(counts: readonly number[]): number {
-  return counts.reduce((sum, count) => sum + count, 0);
-}
-
 /** The rank started anew, and its counts with it. */
 function isOtherLife(before: ExpertCounts, now: ExpertCounts): boolean {
   if (before.epoch !== now.epoch) return true;
@@ -199,6 +196,6 @@
 const PRIOR_PART = 0.05;
 
 function withPrior(demand: readonly number[]): readonly number[] {
-  const mean = sumOf(demand) / demand.length;
+  const mean = sum(demand) / demand.length;
   return demand.map(value => value + Math.max(mean, 1) * PRIOR_PART);
 }
--- a/src/ranks/mapPlan.ts
+++ b/src/ranks/mapPlan.ts
@@ -1,5 +1,6 @@
 /** Plans the next map of a group: which experts each rank holds, set by set. */
 
+import {sum} from '../core/sum';
 import type {MapLists} from '../ports/rankPort';
 import {copiesARank} from '../policy/copyLimit';
 import {planSpread, spreadSkew} from '../policy/expertSpread';
@@ -83,10 +84,6 @@
   );
 }
 
-function sum(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0);
-}
-
 function meanOf(values: readonly number[]): number {
   return sum(values) / Math.max(1, values.length);
 }
