Keep the slowness of a rank out of the skew that shifts are expected to bring

Cause: on the shifted deployment (two groups of 32 ranks) a rank twelve times slower made the plan's skew 13. When a reading called the demand shifted at that time, 13 went into the history of shifts, bounded the service at its floor for 12 s and was handed on to the next leader. Change: the plan tells its skew with all ranks in order as well; the history notes that one.

--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -264,7 +264,9 @@
     this.skewInForce = before;
     this.plannedSkew = after;
     this.hasPlanned = true;
-    if (this.isShifted) this.parts.shifts.note(before, performance.now());
+    // A slow rank says nothing of the skew that the next shift will bring.
+    if (this.isShifted)
+      this.parts.shifts.note(plan.beforeIfInOrder, performance.now());
     this.isShifted = false;
     if (!this.isWorth(before - after)) return;
     this.parts.logger.info(
--- a/src/ranks/mapPlan.ts
+++ b/src/ranks/mapPlan.ts
@@ -23,9 +23,11 @@
 /** A plan for all sets. */
 export interface MapPlan {
   readonly lists: MapLists;
-  /** Mean skew of the sets. */
+  /** Mean skew of the sets, slow ranks included. */
   readonly before: number;
   readonly after: number;
+  /** Mean skew before if all ranks were in order. */
+  readonly beforeIfInOrder: number;
   readonly copies: number;
   /** Most copies that one rank makes. */
   readonly copiesOnRank: number;
@@ -39,9 +41,10 @@
   const {current, demand, engine, slowness} = input;
   const skews = skewsOf(current, demand, slowness);
   const before = meanOf(skews);
+  const beforeIfInOrder = meanOf(skewsOf(current, demand));
   const perRank = copiesARank({
     skew: before,
-    skewIfInOrder: meanOf(skewsOf(current, demand)),
+    skewIfInOrder: beforeIfInOrder,
     copyMs: engine.expertCopyMs,
   });
   const left = (current[0] ?? []).map(() => perRank);
@@ -70,7 +73,8 @@
     await new Promise(resolve => setImmediate(resolve));
   }
   const copiesOnRank = perRank - Math.min(...left);
-  return {lists, before, after: meanOf(skews), copies, copiesOnRank};
+  const after = meanOf(skews);
+  return {lists, before, after, beforeIfInOrder, copies, copiesOnRank};
 }
 
 /** Highest load over the mean, by set; ranks are in order when not told. */
