Bound requests by group of ranks, not by service

Cause: the limit of a service was one number from the worst skew and the median pace of its groups. With one slow rank in 64 the healthy group (passes of 60 ms where 120 are accepted) was cut to a third of its slots, 80 to 150 callers a second were rejected, and the slow group went on receiving streams with pauses of 0.8 s. Change: pace, stalls, cost correction, outlook and limit by group (src/policy/groupLimits.ts); permits are given in groups that have room, and what ends in a group over its bound is not followed there; a group that serves hardly any stream in time leaves them to the others while one of these does, and is probed. With one group nothing changes.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -108,8 +108,10 @@
   private readonly heard = new HeardRecords();
   private readonly progress = new LeaderProgress();
   private syncedAtMs = -Infinity;
-  private outlookOf: (service: string) => MapOutlook | undefined = () =>
-    undefined;
+  private outlookOf: (
+    service: string,
+    group: string
+  ) => MapOutlook | undefined = () => undefined;
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
@@ -139,7 +141,7 @@
       logger,
       nowMs,
       heartbeatMs * MISSED_HEARTBEATS,
-      service => this.outlookOf(service)
+      (service, group) => this.outlookOf(service, group)
     );
     this.duties = new LeaderDuties({
       agreed: () => this.agreed,
@@ -183,14 +185,17 @@
     return this.duties.term;
   }
 
-  /** On the leader: pace of passes as all nodes reported it; 0 when none runs. */
-  paceMs(service: string): number {
-    return this.coordinator.paceMs(service);
+  /** On the leader: pace of a group as all nodes reported it; 0 when none runs. */
+  paceMs(service: string, group: string): number {
+    return this.coordinator.paceMs(service, group);
   }
 
-  /** On the leader: requests of all nodes that run at a service. */
-  runningRequests(service: string): number {
-    return this.coordinator.runningRequests(service);
+  /** On the leader: requests of all nodes at some targets of a service. */
+  runningRequests(
+    service: string,
+    targets: readonly {readonly id: string}[]
+  ): number {
+    return this.coordinator.runningRequests(service, targets);
   }
 
   /** On the leader: other nodes that reported within the last moment. */
@@ -219,7 +224,9 @@
   }
 
   /** Who knows of the expert maps while this node leads. */
-  useOutlook(of: (service: string) => MapOutlook | undefined): void {
+  useOutlook(
+    of: (service: string, group: string) => MapOutlook | undefined
+  ): void {
     this.outlookOf = of;
   }
 
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -9,6 +9,7 @@
 import {reportPeriodMs} from '../policy/reportPeriod';
 import type {ShareDemand} from '../policy/shareAllocation';
 import {freePlaces, allocateShares} from '../policy/shareAllocation';
+import {GroupLimits} from '../policy/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
@@ -19,9 +20,9 @@
   SyncParams,
   SyncState,
 } from './messages';
-import type {PermitTarget} from '../policy/targetPermits';
 import {TargetPermits} from '../policy/targetPermits';
-import {PlacesEstimate, medianPace, permitTargets} from './placesEstimate';
+import type {ServiceConcurrency} from './serviceGroups';
+import {concurrencyOf, medianPace, runningAt} from './serviceGroups';
 import type {TargetTable} from './targetTable';
 
 /**
@@ -56,7 +57,7 @@
   /** Places by the address of the node. */
   readonly byNode: ReadonlyMap<string, number>;
   readonly free: number;
-  readonly targets: readonly PermitTarget[];
+  readonly concurrency: ServiceConcurrency;
 }
 
 /** The nodes that are known, numbered by changes. */
@@ -77,7 +78,7 @@
 /** The leader's side of the reports. */
 export class Coordinator {
   private readonly reports = new Map<string, NodeReport>();
-  private readonly places = new PlacesEstimate();
+  private readonly limits = new Map<string, GroupLimits>();
   private shares = new Map<string, ServiceShares>();
   private readonly permits = new Map<string, TargetPermits>();
   private sharesAtMs = -Infinity;
@@ -91,8 +92,11 @@
     private readonly nowMs: () => number,
     /** Silence after which a target counts as lost, milliseconds. */
     private readonly silentAfterMs: number,
-    /** What is known of the expert maps of a service. */
-    private readonly outlookOf: (service: string) => MapOutlook | undefined
+    /** What is known of the expert maps of a group of a service. */
+    private readonly outlookOf: (
+      service: string,
+      group: string
+    ) => MapOutlook | undefined
   ) {}
 
   /**
@@ -141,19 +145,21 @@
     };
   }
 
-  /** Pace of passes as the nodes reported it last; 0 when no stream runs. */
-  paceMs(service: string): number {
-    return medianPace(
-      this.activeReports().flatMap(({loads}) => loads.get(service) ?? [])
-    );
+  /** Pace of a group as the nodes reported it last; 0 when no stream runs. */
+  paceMs(service: string, group: string): number {
+    return medianPace(this.loadsOf(service), group);
   }
 
-  /** Requests of all nodes at a service, as they reported last. */
-  runningRequests(service: string): number {
-    return this.activeReports().reduce(
-      (sum, {loads}) => sum + (loads.get(service)?.inFlight ?? 0),
-      0
-    );
+  /** Requests of all nodes at these targets, as they reported last. */
+  runningRequests(
+    service: string,
+    targets: readonly {readonly id: string}[]
+  ): number {
+    return runningAt(targets, this.loadsOf(service));
+  }
+
+  private loadsOf(service: string): readonly ServiceLoad[] {
+    return this.activeReports().flatMap(({loads}) => loads.get(service) ?? []);
   }
 
   private expire(now: number): void {
@@ -201,7 +207,7 @@
       concurrency: this.shares.get(service)?.byNode.get(node) ?? 1,
       free: this.shares.get(service)?.free ?? 0,
       permits: this.permitsOf(node, service),
-      shiftSkew: this.outlookOf(service)?.shiftSkew ?? 0,
+      shiftSkews: this.shiftSkewsOf(service),
     }));
   }
 
@@ -223,46 +229,76 @@
       [...site.services.values()].map(service => {
         const {name} = service;
         const loads = reports.flatMap(({loads}) => loads.get(name) ?? []);
-        const outlook = this.outlookOf(name);
-        const places = this.places.next({
+        const concurrency = concurrencyOf(this.limitsOf(name), {
           service,
           records,
           loads,
           goals: goals.get(name) ?? NO_GOALS,
           isWhole: this.isWhole,
-          outlook,
+          outlookOf: group => this.outlookOf(name, group),
           nowMs: now,
         });
-        this.logPlaces(name, places, loads, outlook);
+        this.logLimits(name, concurrency, loads);
+        this.takeTargets(name, concurrency);
         const demands = demandsOf(name, reports);
-        const byNode = allocateShares(places, demands);
-        const free = freePlaces(places, demands);
-        return [name, {byNode, free, targets: permitTargets(service, records)}];
+        const byNode = allocateShares(concurrency.total, demands);
+        const free = freePlaces(concurrency.total, demands);
+        return [name, {byNode, free, concurrency}];
       })
     );
     const active = new Set(reports.map(({info}) => info.ip));
     for (const permits of this.permits.values()) permits.retain(active);
   }
 
-  /** Only what differs by a part that shows: the number is renewed all the time. */
-  private logPlaces(
+  private limitsOf(service: string): GroupLimits {
+    const limits = this.limits.get(service) ?? new GroupLimits();
+    this.limits.set(service, limits);
+    return limits;
+  }
+
+  private takeTargets(service: string, concurrency: ServiceConcurrency): void {
+    const {targets, groups} = concurrency;
+    const permits = this.permits.get(service) ?? new TargetPermits();
+    this.permits.set(service, permits);
+    // The concurrency of all nodes together bounds a single group already.
+    const isShared = groups.length > 1;
+    permits.setTargets(
+      targets,
+      isShared
+        ? new Map(groups.map(({name, concurrency}) => [name, concurrency]))
+        : undefined
+    );
+  }
+
+  private shiftSkewsOf(service: string): Record<string, number> {
+    const groups = this.shares.get(service)?.concurrency.groups ?? [];
+    return Object.fromEntries(
+      groups.map(({name, outlook}) => [name, outlook.shiftSkew])
+    );
+  }
+
+  /** Only what differs by a part that shows: limits are renewed all the time. */
+  private logLimits(
     service: string,
-    places: number,
-    loads: readonly ServiceLoad[],
-    outlook: MapOutlook | undefined
+    {total, groups}: ServiceConcurrency,
+    loads: readonly ServiceLoad[]
   ): void {
     const logged = this.placesLogged.get(service) ?? 0;
-    if (Math.abs(places - logged) <= logged * LOGGED_PART) return;
-    this.placesLogged.set(service, places);
+    if (Math.abs(total - logged) <= logged * LOGGED_PART) return;
+    this.placesLogged.set(service, total);
     const running = loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const waiting = loads.reduce((sum, load) => sum + load.waiting, 0);
-    const paceMs = medianPace(loads);
     this.logger.info(
       {
         event: 'places.changed',
         service,
-        ...rounded({places, running, waiting, paceMs}),
-        ...outlook,
+        ...rounded({places: total, running, waiting}),
+        groups: groups.map(({name, reason, outlook, ...figures}) => ({
+          name,
+          reason,
+          ...rounded(figures),
+          ...outlook,
+        })),
       },
       'places of a service changed'
     );
@@ -282,9 +318,8 @@
       concurrency: shares?.byNode.get(node) ?? 1,
       inUse: report.loads.get(service)?.byTarget ?? {},
     };
-    const permits = this.permits.get(service) ?? new TargetPermits();
-    this.permits.set(service, permits);
-    return Object.fromEntries(permits.renew(demand, shares?.targets ?? []));
+    const permits = this.permits.get(service)?.renew(demand) ?? new Map();
+    return Object.fromEntries(permits);
   }
 
   /** Whether all nodes had time to report to this leader. */
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -70,8 +70,8 @@
   arrivals: COUNT,
   /** Requests at each target now, by its id. */
   byTarget: z.record(TEXT, COUNT),
-  /** Pace of passes, milliseconds; 0 unknown. */
-  paceMs: COUNT,
+  /** Length of a pass by group, milliseconds; only where streams run. */
+  pacesMs: z.record(TEXT, COUNT),
 });
 /** What one node sees of one service. */
 export type ServiceLoad = z.infer<typeof SERVICE_LOAD>;
@@ -104,8 +104,8 @@
   free: COUNT,
   /** Requests that it may have at each target, by its id; absent: as before. */
   permits: z.record(TEXT, COUNT).optional(),
-  /** Skew of the ranks' load right after recent shifts; 0 when none came. */
-  shiftSkew: COUNT,
+  /** Skew of the ranks' load right after recent shifts, by group. */
+  shiftSkews: z.record(TEXT, COUNT),
 });
 /** What one node may use of one service. */
 export type ServiceGrant = z.infer<typeof SERVICE_GRANT>;
--- /dev/null
+++ b/src/cluster/serviceGroups.ts
@@ -0,0 +1,150 @@
+/** Targets and loads of a service, by the groups that its ranks form. */
+
+import type {MapOutlook} from '../policy/mapOutlook';
+import {EVEN_OUTLOOK, FIRST_MAP_OUTLOOK} from '../policy/mapOutlook';
+import type {GroupLimit, GroupLimits, GroupLoad} from '../policy/groupLimits';
+import type {PermitTarget} from '../policy/targetPermits';
+import type {TargetRecord} from '../site/announcement';
+import {groupNameOf, groupOpenings, isInOpenGroup} from '../site/groupOpenings';
+import type {EngineProfile, SiteService} from '../site/site';
+import type {StreamGoals} from '../site/streamGoals';
+import type {ServiceLoad} from './messages';
+
+/** Requests at a plain target beside those in work: its next ones are there. */
+const PLAIN_QUEUE = 1;
+
+/** What the concurrency of a service rests on. */
+export interface ConcurrencyInput {
+  readonly service: SiteService;
+  readonly records: readonly TargetRecord[];
+  /** Of all nodes. */
+  readonly loads: readonly ServiceLoad[];
+  readonly goals: StreamGoals;
+  /** Whether all nodes have reported their loads. */
+  readonly isWhole: boolean;
+  /** Undefined where nobody orders the maps of the group. */
+  outlookOf(group: string): MapOutlook | undefined;
+  readonly nowMs: number;
+}
+
+/** Requests that a service may run at once. */
+export interface ServiceConcurrency {
+  readonly total: number;
+  readonly targets: readonly PermitTarget[];
+  /** Empty where groups do not bound the requests of a service. */
+  readonly groups: readonly (GroupLoad & GroupLimit)[];
+}
+
+/** Concurrency of a service now; to be asked once each period of reports. */
+export function concurrencyOf(
+  limits: GroupLimits,
+  input: ConcurrencyInput
+): ServiceConcurrency {
+  const {service, records, goals} = input;
+  const targets = permitTargets(service, records);
+  const {engine} = service;
+  if (engine === undefined || goals.pauseMs === 0)
+    return {total: capacityOf(targets), targets, groups: []};
+  const loads = groupLoads(targets, input, engine);
+  const {isWhole, nowMs} = input;
+  const found = limits.next({engine, goals, groups: loads, isWhole, nowMs});
+  const groups = loads.flatMap(load => {
+    const limit = found.get(load.name);
+    return limit === undefined ? [] : [{...load, ...limit}];
+  });
+  // What runs in a group beyond its limit takes nothing from the other groups.
+  const isShared = groups.length > 1;
+  const total = groups.reduce(
+    (sum, {concurrency, running}) =>
+      sum + (isShared ? Math.max(concurrency, running) : concurrency),
+    0
+  );
+  return {total, targets, groups};
+}
+
+/** Targets of a service and the requests that each takes at once. */
+function permitTargets(
+  service: SiteService,
+  records: readonly TargetRecord[]
+): readonly PermitTarget[] {
+  const queued = service.engine === undefined ? 1 + PLAIN_QUEUE : 1;
+  return workingTargets(service.name, records).map(record => ({
+    id: record.id,
+    capacity: record.slots * queued,
+    availabilityZone: record.availabilityZone,
+    group: groupNameOf(record),
+  }));
+}
+
+function groupLoads(
+  targets: readonly PermitTarget[],
+  {loads, outlookOf}: ConcurrencyInput,
+  engine: EngineProfile
+): readonly GroupLoad[] {
+  const byGroup = new Map<string, PermitTarget[]>();
+  for (const target of targets) {
+    const members = byGroup.get(target.group) ?? [];
+    byGroup.set(target.group, members);
+    members.push(target);
+  }
+  // Requests at targets that fell out count with what works: they come back.
+  const isAlone = byGroup.size === 1;
+  return [...byGroup].map(([name, members]) => ({
+    name,
+    ranks: members.length,
+    slots: capacityOf(members),
+    running: isAlone ? inFlightOf(loads) : runningAt(members, loads),
+    paceMs: medianPace(loads, name),
+    outlook: outlookOf(name) ?? unknownOutlook(engine),
+  }));
+}
+
+/** Requests of all nodes at these targets, as they reported last. */
+export function runningAt(
+  targets: readonly {readonly id: string}[],
+  loads: readonly ServiceLoad[]
+): number {
+  return loads.reduce(
+    (sum, {byTarget}) =>
+      targets.reduce((all, {id}) => all + (byTarget[id] ?? 0), sum),
+    0
+  );
+}
+
+/** One node that reads slowly must not stand for the group; 0 when none runs. */
+export function medianPace(
+  loads: readonly ServiceLoad[],
+  group: string
+): number {
+  const paces = loads
+    .map(({pacesMs}) => pacesMs[group] ?? 0)
+    .filter(ms => ms > 0)
+    .sort((a, b) => a - b);
+  return paces[Math.floor(paces.length / 2)] ?? 0;
+}
+
+function inFlightOf(loads: readonly ServiceLoad[]): number {
+  return loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
+}
+
+function capacityOf(targets: readonly PermitTarget[]): number {
+  return targets.reduce((sum, {capacity}) => sum + capacity, 0);
+}
+
+/** After an outage a group forms anew before anybody orders its maps. */
+function unknownOutlook({expertSets}: EngineProfile): MapOutlook {
+  return expertSets > 0 ? FIRST_MAP_OUTLOOK : EVEN_OUTLOOK;
+}
+
+function workingTargets(
+  service: string,
+  records: readonly TargetRecord[]
+): readonly TargetRecord[] {
+  const openings = groupOpenings(records);
+  return records.filter(
+    record =>
+      record.service === service &&
+      record.state === 'ready' &&
+      isInOpenGroup(record, openings)
+  );
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,7 +81,6 @@
     this.grantsSeen = view.grants;
     for (const [service, grant] of view.grants) this.pool(service).grant(grant);
     const records = this.parts.node()?.table.records() ?? [];
-    const known = new Set(records.map(({id}) => id));
-    for (const pool of this.pools.values()) pool.forget(known);
+    for (const pool of this.pools.values()) pool.forget(records);
   }
 }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -6,6 +6,7 @@
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {TargetHead} from '../ports/targetPort';
 import type {TargetRecord} from '../site/announcement';
+import {groupNameOf} from '../site/groupOpenings';
 import {callTarget} from './callTarget';
 import {CallerStream} from './callerStream';
 import type {Gateway} from './gateway';
@@ -316,6 +317,7 @@
   ): Promise<AttemptEnd> {
     const {gateway, state, routed, stream} = this;
     const pool = gateway.pool(routed.service.name);
+    const {pace, stalls} = pool.streams.of(groupNameOf(target));
     const {cancel} = state;
     const stop = () => res.destroy();
     cancel.addEventListener('abort', stop);
@@ -327,20 +329,20 @@
     const end = await relayEvents(res, callerHead, stream, {
       onFirstEvent: () => {
         const nowMs = performance.now();
-        pool.stalls.opened();
+        stalls.opened();
         hasBegun = true;
         const latencyMs = nowMs - startedAtMs;
         pool.note(target.id, {kind: 'good', latencyMs}, nowMs);
         if (state.marks.firstEventMs === 0)
           state.marks.firstEventMs = state.ageMs;
       },
-      onEvent: nowMs => pool.stalls.noteEvent(nowMs),
+      onEvent: nowMs => stalls.noteEvent(nowMs),
       onGap: ms => {
-        pool.pace.note(ms, performance.now());
+        pace.note(ms, performance.now());
         state.marks.longestGapMs = Math.max(state.marks.longestGapMs, ms);
       },
     });
-    if (hasBegun) pool.stalls.closed();
+    if (hasBegun) stalls.closed();
     cancel.removeEventListener('abort', stop);
     if (state.stopped !== undefined) {
       state.mayHaveRun = true;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -92,7 +92,7 @@
   routed: Routed
 ): Promise<GatewayRefusal | undefined> {
   const pool = gateway.pool(routed.service.name);
-  if (pool.stalls.isStalled(performance.now())) {
+  if (pool.isStalled(performance.now())) {
     const retryInMs = outageRetryMs(state.remainingMs, Math.random);
     return {kind: 'noTarget', retryInMs};
   }
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -3,20 +3,19 @@
 import type {ServiceGrant, ServiceLoad} from '../cluster/messages';
 import type {PoolGauge} from '../core/nodeMetrics';
 import type {TargetRecord} from '../site/announcement';
-import {groupOpenings, isInOpenGroup} from '../site/groupOpenings';
+import {groupNameOf, groupOpenings, isInOpenGroup} from '../site/groupOpenings';
 import type {SiteService} from '../site/site';
 import {AdmissionQueue} from '../policy/admissionQueue';
-import {PassPace} from '../policy/passPace';
 import {coldRateOf} from '../policy/coldRate';
 import {RateWindow} from '../policy/rateWindow';
 import {RetryTiming} from '../policy/retryTiming';
-import {StallWatch} from '../policy/stallWatch';
 import type {TargetOption} from '../policy/targetChoice';
 import {chooseTarget} from '../policy/targetChoice';
 import type {AttemptSign} from '../policy/targetHealth';
 import {TargetHealth} from '../policy/targetHealth';
 import type {WindowBudgetLimits} from '../policy/windowBudget';
 import {WindowBudget} from '../policy/windowBudget';
+import {StreamsByGroup} from './groupStreams';
 
 /** Before a leader has lent any places: enough to begin with. */
 const INITIAL_PLACES = 2;
@@ -48,9 +47,8 @@
 export class ServicePool {
   readonly queue = new AdmissionQueue();
   readonly budget: WindowBudget;
-  readonly pace = new PassPace();
+  readonly streams = new StreamsByGroup();
   readonly retries = new RetryTiming();
-  readonly stalls = new StallWatch();
   private readonly health = new Map<string, TargetHealth>();
   private readonly windows = new Map<string, RateWindow>();
   private readonly own = new Map<string, number>();
@@ -101,17 +99,25 @@
       waiting: this.queue.waitingCount,
       arrivals,
       byTarget: Object.fromEntries(this.own),
-      paceMs: this.pace.paceMs(performance.now()),
+      pacesMs: this.streams.pacesMs(performance.now()),
     };
   }
 
+  /** Length of a pass of a group; 0 when no stream runs. */
+  paceMs(group: string, nowMs: number): number {
+    return this.streams.paceMs(group, nowMs);
+  }
+
   gauge(): PoolGauge {
     return {
       service: this.service,
       places: this.queue.places,
       inFlight: this.queue.inFlight,
       waiting: this.queue.waitingCount,
-      paceMs: this.pace.paceMs(performance.now()),
+      paceMs: Math.max(
+        0,
+        ...Object.values(this.streams.pacesMs(performance.now()))
+      ),
     };
   }
 
@@ -123,15 +129,19 @@
         record.service === this.service &&
         record.state === 'ready' &&
         isInOpenGroup(record, openings) &&
-        !input.zonesOut.has(record.availabilityZone)
+        !input.zonesOut.has(record.availabilityZone) &&
+        !this.streams.isStalled(groupNameOf(record), input.nowMs)
     );
   }
 
+  /** Whether all groups stand still, as the streams of this node show. */
+  isStalled(nowMs: number): boolean {
+    return this.streams.areAllStalled(nowMs);
+  }
+
   /** Whether the whole service stands still, as far as known. */
   isOut(input: ChoiceInput): boolean {
-    return (
-      this.stalls.isStalled(input.nowMs) || this.usable(input).length === 0
-    );
+    return this.usable(input).length === 0;
   }
 
   /** The target for one send; undefined when none can take it now. */
@@ -160,7 +170,9 @@
   }
 
   /** Drops what is kept of targets that are no more. */
-  forget(known: ReadonlySet<string>): void {
+  forget(records: readonly TargetRecord[]): void {
+    const known = new Set(records.map(({id}) => id));
+    this.streams.retain(new Set(records.map(groupNameOf)));
     for (const id of this.health.keys())
       if (!known.has(id)) this.health.delete(id);
     for (const id of this.windows.keys())
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -107,9 +107,9 @@
       readyServer.listen(listen.ready.port, listen.ready.host, resolve);
     });
     // Callers may reach other nodes only: then their reports tell the pace.
-    const paceMs = (service: string) =>
-      gateway.pool(service).pace.paceMs(performance.now()) ||
-      running.node.paceMs(service);
+    const paceMs = (service: string, group: string) =>
+      gateway.pool(service).paceMs(group, performance.now()) ||
+      running.node.paceMs(service, group);
     const director = new RankDirector(
       node,
       codecs.ranks,
@@ -117,7 +117,9 @@
       metrics,
       paceMs
     );
-    node.useOutlook(service => director.outlook(service, performance.now()));
+    node.useOutlook((service, group) =>
+      director.outlook(service, group, performance.now())
+    );
     running.subscription.add(
       interval(DIRECTOR_TICK_MS).subscribe(() =>
         director.tick(performance.now())
--- a/src/policy/mapOutlook.ts
+++ b/src/policy/mapOutlook.ts
@@ -2,7 +2,7 @@
 
 import {FIRST_SKEW} from './shiftHistory';
 
-/** State of the map of a service, over its groups the worst. */
+/** State of the map of a group. */
 export interface MapOutlook {
   /** Highest load of a rank over the mean under the map in force. */
   readonly skew: number;
@@ -29,13 +29,3 @@
   dueSkew: FIRST_SKEW,
   isHeld: false,
 };
-
-/** The worst of both. */
-export function worseOutlook(a: MapOutlook, b: MapOutlook): MapOutlook {
-  return {
-    skew: Math.max(a.skew, b.skew),
-    shiftSkew: Math.max(a.shiftSkew, b.shiftSkew),
-    dueSkew: Math.max(a.dueSkew, b.dueSkew),
-    isHeld: a.isHeld || b.isHeld,
-  };
-}
--- a/src/policy/stallWatch.ts
+++ b/src/policy/stallWatch.ts
@@ -15,7 +15,7 @@
 /** A single stream may wait for other reasons. */
 const LEAST_STREAMS = 2;
 
-/** Streams of one service at one node. */
+/** Streams of one group at one node. */
 export class StallWatch {
   private streams = 0;
   private eventAtMs = -Infinity;
@@ -34,6 +34,10 @@
     this.eventAtMs = nowMs;
   }
 
+  get isEmpty(): boolean {
+    return this.streams === 0;
+  }
+
   isStalled(nowMs: number): boolean {
     const isSilent = nowMs - this.eventAtMs > SILENT_MS;
     return this.streams >= LEAST_STREAMS && isSilent;
--- a/src/policy/targetPermits.ts
+++ b/src/policy/targetPermits.ts
@@ -19,8 +19,15 @@
   /** Requests that it takes at once. */
   readonly capacity: number;
   readonly availabilityZone: string;
+  /** Targets of one group slow each other down; empty when it works alone. */
+  readonly group: string;
 }
 
+/** Requests that all nodes may have in each group; without bound if absent. */
+export type GroupConcurrency = ReadonlyMap<string, number>;
+
+const UNBOUNDED: GroupConcurrency = new Map();
+
 /** What a node reported, and what it may have in all. */
 export interface PermitDemand {
   readonly node: string;
@@ -43,13 +50,35 @@
   private readonly held = new Map<string, Map<string, number>>();
   /** Permits given out by target. */
   private readonly given = new Map<string, number>();
+  private readonly givenToGroup = new Map<string, number>();
+  private readonly groupOf = new Map<string, string>();
+  private targets: readonly PermitTarget[] = [];
+  private groups = UNBOUNDED;
+
+  /** Takes over the targets and the bounds of their groups. */
+  setTargets(
+    targets: readonly PermitTarget[],
+    groups: GroupConcurrency = UNBOUNDED
+  ): void {
+    this.groups = groups;
+    if (this.targets === targets) return;
+    this.targets = targets;
+    this.groupOf.clear();
+    this.givenToGroup.clear();
+    for (const {id, group} of targets) {
+      this.groupOf.set(id, group);
+      this.countGroup(group, this.given.get(id) ?? 0);
+    }
+  }
 
-  /** Renews the permits of a node that has just reported. */
-  renew(
-    demand: PermitDemand,
-    targets: readonly PermitTarget[]
-  ): ReadonlyMap<string, number> {
+  /**
+   * Renews the permits of a node that has just reported. A group that is over its
+   * bound has none: what ends there is not followed by another request.
+   */
+  renew(demand: PermitDemand): ReadonlyMap<string, number> {
+    const {targets} = this;
     const held = this.keepUsable(demand, targets);
+    this.withdrawBeyondBounds(demand, held, targets);
     const inUse = Object.values(demand.inUse);
     const wanted = Math.max(Math.floor(demand.concurrency), sum(inUse));
     let count = sum([...held.values()]);
@@ -57,7 +86,7 @@
     while (count < wanted && this.giveOne(demand, held, targets)) count++;
     for (let moves = 0; moves < MAX_MOVES; moves++)
       if (!this.moveOne(demand, held, targets)) break;
-    return held;
+    return this.withinBounds(held);
   }
 
   /** Takes back all permits of nodes that are gone. */
@@ -85,6 +114,32 @@
     return held;
   }
 
+  /** What a group may no longer run is not taken up again there. */
+  private withdrawBeyondBounds(
+    {inUse}: PermitDemand,
+    held: Map<string, number>,
+    targets: readonly PermitTarget[]
+  ): void {
+    for (const {id, group} of targets) {
+      const count = held.get(id) ?? 0;
+      const over = this.overOf(group);
+      const unused = count - (inUse[id] ?? 0);
+      if (over >= 1 && unused > 0)
+        this.set(held, id, count - Math.min(unused, Math.floor(over)));
+    }
+  }
+
+  private withinBounds(
+    held: ReadonlyMap<string, number>
+  ): ReadonlyMap<string, number> {
+    const groups = [...this.groups.keys()];
+    if (!groups.some(group => this.overOf(group) >= 1)) return held;
+    const ids = [...held].filter(
+      ([id]) => this.overOf(this.groupOf.get(id) ?? '') < 1
+    );
+    return new Map(ids);
+  }
+
   private withdrawOne(
     demand: PermitDemand,
     held: Map<string, number>,
@@ -101,7 +156,7 @@
     held: Map<string, number>,
     targets: readonly PermitTarget[]
   ): boolean {
-    const best = this.bestFree(demand, targets);
+    const best = this.bestFree(demand, targets, undefined);
     if (best === undefined) return false;
     this.set(held, best.id, (held.get(best.id) ?? 0) + 1);
     return true;
@@ -114,8 +169,9 @@
     targets: readonly PermitTarget[]
   ): boolean {
     const worst = this.worstUnused(demand, held, targets);
-    const best = this.bestFree(demand, targets);
-    if (worst === undefined || best === undefined) return false;
+    if (worst === undefined) return false;
+    const best = this.bestFree(demand, targets, worst.group);
+    if (best === undefined) return false;
     const gain = this.costOf(worst, demand) - this.costOf(best, demand);
     if (gain * worst.capacity < MIN_IMBALANCE_SLOTS) return false;
     this.set(held, worst.id, (held.get(worst.id) ?? 0) - 1);
@@ -142,14 +198,17 @@
     return worst;
   }
 
+  /** `group` gives up a permit in exchange, and needs no room for another. */
   private bestFree(
     demand: PermitDemand,
-    targets: readonly PermitTarget[]
+    targets: readonly PermitTarget[],
+    group: string | undefined
   ): PermitTarget | undefined {
     let best: PermitTarget | undefined;
     let least = Infinity;
     for (const target of targets) {
       if ((this.given.get(target.id) ?? 0) >= target.capacity) continue;
+      if (target.group !== group && this.overOf(target.group) >= 0) continue;
       const cost = this.costOf(target, demand);
       if (cost >= least) continue;
       least = cost;
@@ -179,5 +238,17 @@
     const count = (this.given.get(id) ?? 0) + by;
     if (count > 0) this.given.set(id, count);
     else this.given.delete(id);
+    const group = this.groupOf.get(id);
+    if (group !== undefined) this.countGroup(group, by);
+  }
+
+  private countGroup(group: string, by: number): void {
+    this.givenToGroup.set(group, (this.givenToGroup.get(group) ?? 0) + by);
+  }
+
+  /** Permits beyond the bound of a group; negative while there is room. */
+  private overOf(group: string): number {
+    const given = this.givenToGroup.get(group) ?? 0;
+    return given - (this.groups.get(group) ?? Infinity);
   }
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -65,9 +65,9 @@
   readonly caller: RankCaller;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
-  /** Length of a pass as this node's streams show it; 0 when none runs. */
+  /** Length of a pass as streams show it; 0 when none runs. */
   paceMs(): number;
-  /** Requests of all nodes that run at the service now. */
+  /** Requests of all nodes that run in the group now. */
   running(): number;
   /** Longest pause between events that callers accept; 0 when none is set. */
   readonly acceptedPauseMs: number;
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -10,7 +10,6 @@
 import type {SiteService} from '../site/site';
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {Located} from '../policy/relayPlan';
-import {worseOutlook} from '../policy/mapOutlook';
 import {ShiftHistory} from '../policy/shiftHistory';
 import {GroupController} from './groupController';
 import {RankCaller} from './rankCaller';
@@ -34,8 +33,8 @@
     private readonly codec: RankCodec,
     private readonly logger: Logger,
     private readonly metrics: NodeMetrics,
-    /** Length of a pass of a service, as this node's streams show it. */
-    private readonly paceMs: (service: string) => number
+    /** Length of a pass of a group, as this node's streams show it. */
+    private readonly paceMs: (service: string, group: string) => number
   ) {
     this.caller = new RankCaller({
       relays: () => relaysOf(node),
@@ -54,15 +53,15 @@
         this.tickService(service, nowMs);
   }
 
-  /** Undefined while no group of the service is led from here. */
-  outlook(service: string, nowMs: number): MapOutlook | undefined {
-    return [...this.groups.values()]
-      .filter(group => group.service === service)
-      .map(({controller}) => controller.outlook(nowMs))
-      .reduce<MapOutlook | undefined>(
-        (worst, one) => (worst === undefined ? one : worseOutlook(worst, one)),
-        undefined
-      );
+  /** Undefined while the group is not led from here. */
+  outlook(
+    service: string,
+    group: string,
+    nowMs: number
+  ): MapOutlook | undefined {
+    const running = this.groups.get(group);
+    if (running?.service !== service) return undefined;
+    return running.controller.outlook(nowMs);
   }
 
   private tickService(service: SiteService, nowMs: number): void {
@@ -90,7 +89,8 @@
     let running = this.groups.get(name);
     if (engine === undefined) return;
     if (running?.key !== key) {
-      const shifts = running?.shifts ?? this.knownShifts(service.name, nowMs);
+      const shifts =
+        running?.shifts ?? this.knownShifts(service.name, name, nowMs);
       const controller = new GroupController({
         name,
         engine,
@@ -100,8 +100,8 @@
         caller: this.caller,
         logger: this.logger,
         metrics: this.metrics,
-        paceMs: () => this.paceMs(service.name),
-        running: () => this.node.runningRequests(service.name),
+        paceMs: () => this.paceMs(service.name, name),
+        running: () => this.node.runningRequests(service.name, ranks),
         acceptedPauseMs: this.acceptedPauseMs(service.name),
         // The same requests go on asking for the same experts.
         demand: running?.controller.demand,
@@ -114,8 +114,12 @@
   }
 
   /** What an earlier leader told of the shifts; the next one comes soon. */
-  private knownShifts(service: string, nowMs: number): ShiftHistory {
-    const known = this.node.view.grants.get(service)?.shiftSkew ?? 0;
+  private knownShifts(
+    service: string,
+    group: string,
+    nowMs: number
+  ): ShiftHistory {
+    const known = this.node.view.grants.get(service)?.shiftSkews[group] ?? 0;
     return new ShiftHistory(known, nowMs);
   }
 
--- a/src/site/groupOpenings.ts
+++ b/src/site/groupOpenings.ts
@@ -38,3 +38,8 @@
 ): boolean {
   return group === undefined || openings.get(group.name)?.isOpen === true;
 }
+
+/** Name of the target's group; empty when it works alone. */
+export function groupNameOf({group}: Pick<TargetRecord, 'group'>): string {
+  return group?.name ?? '';
+}
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -59,7 +59,8 @@
 }
 
 function report(ip: string, wanted: number, paceMs: number): SyncParams {
-  const load = {inFlight: wanted, waiting: 0, arrivals: 1, paceMs};
+  const load = {inFlight: wanted, waiting: 0, arrivals: 1};
+  const pacesMs: Record<string, number> = paceMs > 0 ? {'': paceMs} : {};
   return {
     from: {ip, hasDisk: false},
     bootId: ip,
@@ -67,7 +68,7 @@
     tableRevision: 0,
     tableTerm: 1,
     records: ['a', 'b', 'c'].map(target),
-    loads: [{service: 's', byTarget: {}, ...load}],
+    loads: [{service: 's', byTarget: {}, pacesMs, ...load}],
   };
 }
 
@@ -148,8 +149,8 @@
   it('should tell the pace from the streams of other nodes', () => {
     const {sync, coordinator} = fixture();
     sync('leader', 0, [], 0);
-    expect(coordinator.paceMs('s')).toBe(0);
+    expect(coordinator.paceMs('s', '')).toBe(0);
     sync('n1', 4, [], 60);
-    expect(coordinator.paceMs('s')).toBe(60);
+    expect(coordinator.paceMs('s', '')).toBe(60);
   });
 });
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -1,4 +1,5 @@
-import {PlacesEstimate} from '../src/cluster/placesEstimate';
+import {concurrencyOf} from '../src/cluster/serviceGroups';
+import {GroupLimits} from '../src/policy/groupLimits';
 import type {ServiceLoad} from '../src/cluster/messages';
 import type {MapOutlook} from '../src/policy/mapOutlook';
 import {fixedPassMs, requestPassMs} from '../src/policy/passLength';
@@ -55,7 +56,7 @@
 }
 
 function fixture() {
-  const estimate = new PlacesEstimate();
+  const limits = new GroupLimits();
   let nowMs = 0;
   /** Places after a second of such passes. */
   const placesAfter = (
@@ -70,26 +71,26 @@
       waiting: 0,
       arrivals: 0,
       byTarget: {},
-      paceMs,
+      pacesMs: {g: paceMs},
     };
     let places = 0;
     for (let i = 0; i < 1_000 / STEP_MS; i++) {
       nowMs += STEP_MS;
-      places = estimate.next({
+      places = concurrencyOf(limits, {
         service: SERVICE,
         records: RECORDS,
         loads: [load],
         goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
         isWhole,
-        outlook: {
+        outlookOf: () => ({
           skew: 1.2,
           shiftSkew: 0,
           dueSkew: 0,
           isHeld: false,
           ...outlook,
-        },
+        }),
         nowMs,
-      });
+      }).total;
     }
     return places;
   };
@@ -137,16 +138,17 @@
       waiting: 100,
       arrivals: 0,
       byTarget: {},
-      paceMs: 0,
+      pacesMs: {},
     };
-    const places = new PlacesEstimate().next({
+    const places = concurrencyOf(new GroupLimits(), {
       service: SERVICE,
       records: RECORDS,
       loads: [load],
       goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
       isWhole: false,
+      outlookOf: () => undefined,
       nowMs: 0,
-    });
+    }).total;
     expect(passMs(places, 3)).toBeLessThan(PAUSE_MS);
   });
 
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -192,7 +192,7 @@
       service: 's',
       concurrency: 10,
       free: 0,
-      shiftSkew: 0,
+      shiftSkews: {},
     };
     const view: ClusterView = {
       index,
--- a/tests/targetPermits.spec.ts
+++ b/tests/targetPermits.spec.ts
@@ -1,5 +1,5 @@
 import {xorshift128plus} from 'pure-rand/generator/xorshift128plus';
-import type {PermitTarget} from '../src/policy/targetPermits';
+import type {PermitDemand, PermitTarget} from '../src/policy/targetPermits';
 import {TargetPermits} from '../src/policy/targetPermits';
 
 const SLOTS = 4;
@@ -9,6 +9,7 @@
     id: `t${i}`,
     capacity: SLOTS,
     availabilityZone: zones[i % zones.length] ?? 'a',
+    group: 'g',
   }));
 }
 
@@ -16,6 +17,15 @@
   return {node, availabilityZone: 'a', concurrency, inUse};
 }
 
+function renew(
+  permits: TargetPermits,
+  demand: PermitDemand,
+  all: readonly PermitTarget[]
+) {
+  permits.setTargets(all);
+  return permits.renew(demand);
+}
+
 /** Nodes that fill their permits and give back at random, as time goes on. */
 function play(seed: number, targetCount: number, nodeCount: number) {
   const generator = xorshift128plus(seed);
@@ -33,7 +43,8 @@
     const used = inUse[i] ?? {};
     for (const id of Object.keys(used))
       if (random(3) === 0) used[id] = Math.max(0, (used[id] ?? 0) - 1);
-    const held = permits.renew(
+    const held = renew(
+      permits,
       {
         node: `n${i}`,
         availabilityZone: i % 2 ? 'a' : 'b',
@@ -62,13 +73,13 @@
 
   it('should spread permits evenly over the targets', () => {
     const permits = new TargetPermits();
-    const held = permits.renew(demand('n', 18), targets(6));
+    const held = renew(permits, demand('n', 18), targets(6));
     expect([...held.values()]).toEqual([3, 3, 3, 3, 3, 3]);
   });
 
   it('should prefer targets of the own zone until they are fuller by a fifth', () => {
     const permits = new TargetPermits();
-    const held = permits.renew(demand('n', 4), targets(4, ['a', 'b']));
+    const held = renew(permits, demand('n', 4), targets(4, ['a', 'b']));
     expect(held.get('t0')).toBe(1);
     expect(held.get('t2')).toBe(1);
     expect(held.get('t1')).toBe(1);
@@ -78,16 +89,16 @@
   it('should give what one node returns to the next that reports', () => {
     const permits = new TargetPermits();
     const all = targets(2);
-    permits.renew(demand('idle', 8), all);
-    expect(permits.renew(demand('busy', 4), all).size).toBe(0);
-    permits.renew(demand('idle', 2, {t0: 1}), all);
-    const held = permits.renew(demand('busy', 6), all);
+    renew(permits, demand('idle', 8), all);
+    expect(renew(permits, demand('busy', 4), all).size).toBe(0);
+    renew(permits, demand('idle', 2, {t0: 1}), all);
+    const held = renew(permits, demand('busy', 6), all);
     expect([...held.values()].reduce((sum, count) => sum + count, 0)).toBe(6);
   });
 
   it('should keep the permits of requests that still run', () => {
     const permits = new TargetPermits();
-    const held = permits.renew(demand('n', 1, {t0: 3}), targets(2));
+    const held = renew(permits, demand('n', 1, {t0: 3}), targets(2));
     expect(held.get('t0')).toBe(3);
   });
 
@@ -95,9 +106,9 @@
   // those slots again.
   it('should take the permits of lost nodes back', () => {
     const permits = new TargetPermits();
-    permits.renew(demand('lost', 8), targets(2));
+    renew(permits, demand('lost', 8), targets(2));
     permits.retain(new Set(['n']));
-    const held = permits.renew(demand('n', 8), targets(2));
+    const held = renew(permits, demand('n', 8), targets(2));
     expect([...held.values()]).toEqual([4, 4]);
   });
 
@@ -105,9 +116,9 @@
   // hold as many as they may would never get one.
   it('should move unused permits to a target that came back', () => {
     const permits = new TargetPermits();
-    permits.renew(demand('n', 4), targets(1));
-    for (let i = 0; i < 3; i++) permits.renew(demand('n', 4), targets(2));
-    const held = permits.renew(demand('n', 4), targets(2));
+    renew(permits, demand('n', 4), targets(1));
+    for (let i = 0; i < 3; i++) renew(permits, demand('n', 4), targets(2));
+    const held = renew(permits, demand('n', 4), targets(2));
     expect(held.get('t1')).toBe(2);
   });
 });
