Let in no more prompts than the next pass reads in time, and grant provisionally after an election

Cause: after all power was off, all callers come back at once. The limit rose to 414 within 0.6 s, and the passes that read all the prompts lasted 127 to 134 ms where 120 are accepted: 360 of 680 streams late by a hair. After a change of leader the first nodes that reported were granted the slots of all, since nothing was known of the others. Ruled out: a limit that opens by a fixed step: what a pass can read follows from the engine's profile and the skew. Change: a group takes what it runs and the prompts that the next pass can read beside them; until the loads of all nodes are known, a node keeps what the last leader granted, and a new one gets an even part of what can begin.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -140,7 +140,7 @@
       zonesOut: [...zonesOut],
       tableRevision: this.table.revision,
       records: [...this.table.since(from)],
-      grants: this.grantsFor(params.from.ip, site, agreed.zonesOut),
+      grants: this.grantsFor(params.from.ip, site, agreed.zonesOut, nodes),
       activeNodes: this.activeReports().length,
     };
   }
@@ -197,20 +197,32 @@
   private grantsFor(
     node: string,
     site: Site | undefined,
-    zonesOut: readonly string[]
+    zonesOut: readonly string[],
+    nodes: NodeList
   ): ServiceGrant[] {
     if (site === undefined) return [];
     const reports = this.activeReports();
     this.renewShares(site, reports, zonesOut);
+    const isProvisional = !this.isWhole;
     return [...site.services.keys()].map(service => ({
       service,
-      concurrency: this.shares.get(service)?.byNode.get(node) ?? 1,
+      concurrency: isProvisional
+        ? this.evenShare(service, nodes)
+        : (this.shares.get(service)?.byNode.get(node) ?? 1),
+      isProvisional,
       free: this.shares.get(service)?.free ?? 0,
       permits: this.permitsOf(node, service),
       shiftSkews: this.shiftSkewsOf(service),
     }));
   }
 
+  /** Nodes that have not reported yet need as much as the others. */
+  private evenShare(service: string, nodes: NodeList): number {
+    const opening = this.shares.get(service)?.concurrency.opening ?? 0;
+    const count = Math.max(nodes.all().length, this.activeReports().length);
+    return Math.max(1, Math.floor(opening / count));
+  }
+
   private renewShares(
     site: Site,
     reports: readonly NodeReport[],
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -100,6 +100,11 @@
   service: TEXT,
   /** Requests that the node may have at targets at once. */
   concurrency: COUNT,
+  /**
+   * Whether the leader does not know all loads yet: only for a node that no
+   * leader granted anything.
+   */
+  isProvisional: z.boolean().optional(),
   /** Places of the service that no node wants now. */
   free: COUNT,
   /** Requests that it may have at each target, by its id; absent: as before. */
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -54,6 +54,8 @@
   private readonly own = new Map<string, number>();
   private permits: Readonly<Record<string, number>> = {};
   private arrivals = 0;
+  /** Whether a leader that knew all loads granted it anything. */
+  private isGranted = false;
 
   constructor(
     private readonly service: string,
@@ -64,7 +66,9 @@
   }
 
   /** Takes over what the leader lent. */
-  grant({concurrency, free, permits}: ServiceGrant): void {
+  grant({concurrency, isProvisional, free, permits}: ServiceGrant): void {
+    if (isProvisional === true && this.isGranted) return;
+    this.isGranted ||= isProvisional !== true;
     this.permits = permits ?? this.permits;
     this.queue.setLimit(concurrency, free);
   }
--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -9,7 +9,7 @@
 import type {PassProfile} from '../core/passProfile';
 import type {MapOutlook} from './mapOutlook';
 import {PassCorrection} from './passCorrection';
-import {fixedPassMs, requestPassMs} from './passLength';
+import {fixedPassMs, promptPassMs, requestPassMs} from './passLength';
 
 /** What callers of streams accept, milliseconds; 0 for none. */
 export interface PassGoals {
@@ -51,17 +51,25 @@
   | 'passes'
   /** The same, right after the shift of demand that is due. */
   | 'shift'
+  /** The next pass has no time to read more prompts. */
+  | 'prompts'
   /** Other groups serve callers in time, this one does not. */
   | 'slowGroup'
   /** No group serves callers in time; some are served late. */
   | 'slow';
 
-/** Requests that one group may run at once. */
-export interface GroupLimit {
+/** A bound of the requests of a group. */
+interface Bound {
   readonly concurrency: number;
   readonly reason: LimitReason;
 }
 
+/** Requests that one group may run at once. */
+export interface GroupLimit extends Bound {
+  /** Those that run, and the ones whose prompts the next pass can read. */
+  readonly opening: number;
+}
+
 /**
  * Longest passes, in parts of the accepted pause. Passes that last are kept below
  * it, with room for the copies of a switch. Those after a shift may exceed it: they
@@ -92,43 +100,54 @@
   next(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
     const {groups} = input;
     this.retain(groups);
-    const bounds = groups.map(group => this.boundOf(group, input));
+    const bounds = groups.map(group => this.boundsOf(group, input));
     const isServed = groups.some(
-      ({slots}, i) => (bounds[i]?.concurrency ?? 0) >= slots * MIN_LIMIT_RATIO
+      ({slots}, i) => (bounds[i]?.lasting.concurrency ?? 0) >= leastOf(slots)
     );
     return new Map(
-      groups.map((group, i) => [
-        group.name,
-        limitOf(group, bounds[i] ?? NOTHING, isServed),
-      ])
+      groups.flatMap((group, i) => {
+        const found = bounds[i];
+        if (found === undefined) return [];
+        const {concurrency: opening} = found.next;
+        // Of the requests of other nodes nothing is known yet.
+        const bound = input.isWhole
+          ? boundOf(group, found, isServed)
+          : boundOf(group, {...found, next: found.lasting}, isServed);
+        return [[group.name, {...bound, opening}]];
+      })
     );
   }
 
   /** Requests at which passes are no longer than callers accept. */
-  private boundOf(group: GroupLoad, input: GroupLimitsInput): GroupLimit {
+  private boundsOf(group: GroupLoad, input: GroupLimitsInput): Bounds {
     const {engine, goals, isWhole, nowMs} = input;
     const {ranks, running, paceMs, outlook} = group;
-    const costAt = (skew: number) => requestPassMs({engine, ranks, skew});
+    const shapeAt = (skew: number) => ({engine, ranks, skew});
     const fixedMs = fixedPassMs(engine);
     const correction = this.correctionOf(group.name);
     const varyingMs = paceMs - fixedMs;
     const isSeen =
       isWhole && running >= MIN_RUNNING && varyingMs > 0 && !outlook.isHeld;
-    const expectedMs = costAt(outlook.skew);
-    if (isSeen) correction.note(varyingMs / running, expectedMs, nowMs);
+    const skew = outlook.isKnown
+      ? outlook.skew
+      : Math.max(outlook.skew, outlook.dueSkew);
+    const expectedMs = requestPassMs(shapeAt(skew));
+    if (isSeen && outlook.isKnown)
+      correction.note(varyingMs / running, expectedMs, nowMs);
     const {factor} = correction;
-    const seenMs = isSeen ? varyingMs / running : factor * expectedMs;
-    const shiftMs = factor * costAt(outlook.dueSkew);
+    const costMs = isSeen ? varyingMs / running : factor * expectedMs;
+    const shiftMs = factor * requestPassMs(shapeAt(outlook.dueSkew));
     const lastingMs = lastingLimitMs(goals) - fixedMs;
     const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
-    return smallest([
+    const lasting = smallest([
       {concurrency: group.slots, reason: 'slots'},
-      {concurrency: lastingMs / Math.max(seenMs, UNSEEN_MS), reason: 'passes'},
-      {
-        concurrency: shiftLimitMs / Math.max(shiftMs, UNSEEN_MS),
-        reason: 'shift',
-      },
+      {concurrency: requestsIn(lastingMs, costMs), reason: 'passes'},
+      {concurrency: requestsIn(shiftLimitMs, shiftMs), reason: 'shift'},
     ]);
+    const pauseLimitMs = goals.pauseMs * LASTING_PAUSE_RATIO - fixedMs;
+    const leftMs = Math.max(0, pauseLimitMs - running * costMs);
+    const more = requestsIn(leftMs, promptPassMs(shapeAt(skew)));
+    return {lasting, next: {concurrency: running + more, reason: 'prompts'}};
   }
 
   private correctionOf(name: string): PassCorrection {
@@ -146,21 +165,33 @@
   }
 }
 
-const NOTHING: GroupLimit = {concurrency: 0, reason: 'slots'};
+/** Bounds of one group. */
+interface Bounds {
+  readonly lasting: Bound;
+  /** For the next pass, which reads the prompts of all that are new. */
+  readonly next: Bound;
+}
 
-function limitOf(
+function leastOf(slots: number): number {
+  return slots * MIN_LIMIT_RATIO;
+}
+
+function boundOf(
   {slots}: GroupLoad,
-  bound: GroupLimit,
+  {lasting, next}: Bounds,
   isServed: boolean
-): GroupLimit {
-  const least = slots * MIN_LIMIT_RATIO;
-  if (bound.concurrency >= least) return bound;
-  if (!isServed) return {concurrency: least, reason: 'slow'};
-  const concurrency = Math.max(PROBE_REQUESTS, bound.concurrency);
+): Bound {
+  if (lasting.concurrency >= leastOf(slots)) return smallest([lasting, next]);
+  if (!isServed) return {concurrency: leastOf(slots), reason: 'slow'};
+  const concurrency = Math.max(PROBE_REQUESTS, lasting.concurrency);
   return {concurrency: Math.min(slots, concurrency), reason: 'slowGroup'};
 }
 
-function smallest(limits: readonly GroupLimit[]): GroupLimit {
+function requestsIn(ms: number, costMs: number): number {
+  return ms / Math.max(costMs, UNSEEN_MS);
+}
+
+function smallest(limits: readonly Bound[]): Bound {
   return limits.reduce((least, limit) =>
     limit.concurrency < least.concurrency ? limit : least
   );
--- a/src/policy/mapOutlook.ts
+++ b/src/policy/mapOutlook.ts
@@ -6,6 +6,8 @@
 export interface MapOutlook {
   /** Highest load of a rank over the mean under the map in force. */
   readonly skew: number;
+  /** Whether that was worked out from the demand of this epoch. */
+  readonly isKnown: boolean;
   /** The same right after the shifts of demand that came lately; 0 when none. */
   readonly shiftSkew: number;
   /** That of the shift that may come now; 0 while none is due. */
@@ -17,6 +19,7 @@
 /** Without experts, or before anything is known of them. */
 export const EVEN_OUTLOOK: MapOutlook = {
   skew: 1,
+  isKnown: true,
   shiftSkew: 0,
   dueSkew: 0,
   isHeld: false,
@@ -25,6 +28,7 @@
 /** A group that nobody has ordered yet: it begins with the first map. */
 export const FIRST_MAP_OUTLOOK: MapOutlook = {
   skew: FIRST_SKEW,
+  isKnown: false,
   shiftSkew: FIRST_SKEW,
   dueSkew: FIRST_SKEW,
   isHeld: false,
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -128,6 +128,7 @@
     const {shifts} = this.parts;
     return {
       skew: this.skewInForce,
+      isKnown: this.hasPlanned,
       shiftSkew: shifts.worst(nowMs),
       dueSkew: this.hasPlanned ? shifts.due(nowMs) : shifts.worst(nowMs),
       isHeld: nowMs - this.heldAtMs < HELD_SHOWS_MS,
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -72,7 +72,7 @@
   };
 }
 
-function fixture() {
+function fixture(knownNodes: readonly string[] = []) {
   let nowMs = 1_000;
   const table = new TargetTable();
   const coordinator = new Coordinator(
@@ -96,7 +96,8 @@
       packedSite: 'x',
       zonesOut,
     };
-    const nodes = {revision: 1, all: () => []};
+    const infos = knownNodes.map(known => ({ip: known, hasDisk: false}));
+    const nodes = {revision: 1, all: () => infos};
     return coordinator.sync(report(ip, wanted, paceMs), agreed, SITE, nodes);
   };
   const wait = (ms: number) => {
@@ -134,6 +135,19 @@
     expect(placesOf(sync('n1', 4))).toBe(1);
   });
 
+  // The first nodes that report to a new leader must not be granted what the
+  // others, not heard of yet, are using.
+  it('should grant provisionally until all loads are known', () => {
+    const {sync, coordinator} = fixture(['n1', 'n2']);
+    sync('n1', 4);
+    coordinator.reset();
+    const provisional = sync('n1', 4);
+    expect(provisional.grants[0]?.isProvisional).toBe(true);
+    expect(placesOf(provisional)).toBe(12);
+    sync('n2', 4);
+    expect(sync('n2', 4).grants[0]?.isProvisional).toBe(false);
+  });
+
   it('should share the places by what nodes have in work', () => {
     const {sync} = fixture();
     sync('n1', 4);
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -84,6 +84,7 @@
         isWhole,
         outlookOf: () => ({
           skew: 1.2,
+          isKnown: true,
           shiftSkew: 0,
           dueSkew: 0,
           isHeld: false,
