Count a slow rank's own part of a pass, and keep a slow group's limit during switches

Ruled out: the reports of ranks alone: they come each 2 s, and a slow rank lasts five. Change: the outlook of a group tells how slow its slowest rank is, which counts for the fixed part of a pass; the cost seen last stands for half a second; all ranks are asked each 0.4 s while passes look slow.

--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -89,12 +89,15 @@
 const PROBE_REQUESTS = 3;
 /** Cost of a request of which nothing is known, milliseconds. */
 const UNSEEN_MS = 1e-3;
+/** What passes showed stands while a switch holds them up. */
+const SEEN_FOR_MS = 500;
 /** With fewer requests the fixed part of a pass drowns what each one adds. */
 const MIN_RUNNING = 4;
 
 /** Limits by group; keeps what was seen of the passes of each. */
 export class GroupLimits {
-  private corrections = new Map<string, PassCorrection>();
+  private readonly corrections = new Map<string, PassCorrection>();
+  private readonly seen = new Map<string, SeenCost>();
 
   /** Limits now; to be asked once each period of reports. */
   next(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
@@ -123,7 +126,8 @@
     const {engine, goals, isWhole, nowMs} = input;
     const {ranks, running, paceMs, outlook} = group;
     const shapeAt = (skew: number) => ({engine, ranks, skew});
-    const fixedMs = fixedPassMs(engine);
+    // The rank that is slowest ends its own part of a pass last.
+    const fixedMs = fixedPassMs(engine) * outlook.slowness;
     const correction = this.correctionOf(group.name);
     const varyingMs = paceMs - fixedMs;
     const isSeen =
@@ -134,8 +138,10 @@
     const expectedMs = requestPassMs(shapeAt(skew));
     if (isSeen && outlook.isKnown)
       correction.note(varyingMs / running, expectedMs, nowMs);
+    if (isSeen) this.seen.set(group.name, {nowMs, ms: varyingMs / running});
     const {factor} = correction;
-    const costMs = isSeen ? varyingMs / running : factor * expectedMs;
+    const seenMs = this.seenMs(group.name, nowMs);
+    const costMs = seenMs ?? factor * expectedMs;
     const shiftMs = factor * requestPassMs(shapeAt(outlook.dueSkew));
     const lastingMs = lastingLimitMs(goals) - fixedMs;
     const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
@@ -150,6 +156,13 @@
     return {lasting, next: {concurrency: running + more, reason: 'prompts'}};
   }
 
+  /** Cost of a request as passes showed it last; undefined if not lately. */
+  private seenMs(name: string, nowMs: number): number | undefined {
+    const last = this.seen.get(name);
+    const isRecent = last !== undefined && nowMs - last.nowMs < SEEN_FOR_MS;
+    return isRecent ? last.ms : undefined;
+  }
+
   private correctionOf(name: string): PassCorrection {
     const known = this.corrections.get(name);
     if (known !== undefined) return known;
@@ -161,10 +174,19 @@
   private retain(groups: readonly GroupLoad[]): void {
     const names = new Set(groups.map(({name}) => name));
     for (const name of this.corrections.keys())
-      if (!names.has(name)) this.corrections.delete(name);
+      if (!names.has(name)) {
+        this.corrections.delete(name);
+        this.seen.delete(name);
+      }
   }
 }
 
+/** Cost of one request in a pass. */
+interface SeenCost {
+  readonly nowMs: number;
+  readonly ms: number;
+}
+
 /** Bounds of one group. */
 interface Bounds {
   readonly lasting: Bound;
--- a/src/policy/mapOutlook.ts
+++ b/src/policy/mapOutlook.ts
@@ -14,6 +14,8 @@
   readonly dueSkew: number;
   /** Whether a switch holds passes up, or did a moment ago. */
   readonly isHeld: boolean;
+  /** Times that the work of the slowest rank takes as long as usual. */
+  readonly slowness: number;
 }
 
 /** Without experts, or before anything is known of them. */
@@ -23,6 +25,7 @@
   shiftSkew: 0,
   dueSkew: 0,
   isHeld: false,
+  slowness: 1,
 };
 
 /** A group that nobody has ordered yet: it begins with the first map. */
@@ -32,4 +35,5 @@
   shiftSkew: FIRST_SKEW,
   dueSkew: FIRST_SKEW,
   isHeld: false,
+  slowness: 1,
 };
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -36,6 +36,12 @@
 const REPORT_PERIOD_MS = 100;
 /** And this often otherwise, to find holds that came late. */
 const IDLE_REPORT_PERIOD_MS = 2_000;
+/** All ranks are asked how fast they are while one seems to be slow. */
+const SLOW_REPORT_PERIOD_MS = 400;
+/** Passes this many times as long as forecast suggest a slow rank. */
+const SLOW_PASS_RATIO = 2;
+/** A rank whose work takes so many times as long is slow. */
+const SLOW_RANK_RATIO = 1.3;
 /**
  * Fall of the mean skew of the sets that a switch must bring where passes last
  * as long as callers bear; twice that where they last half as long. Two dozen
@@ -94,6 +100,7 @@
   private isPlanDue = false;
   private wasSwitching = false;
   private lastReportsMs = -Infinity;
+  private slowReportsMs = -Infinity;
   private nextVersionSeen = '';
   private isPlanning = false;
   /** Whether the next plan answers a shift. */
@@ -132,9 +139,14 @@
       shiftSkew: shifts.worst(nowMs),
       dueSkew: this.hasPlanned ? shifts.due(nowMs) : shifts.worst(nowMs),
       isHeld: nowMs - this.heldAtMs < HELD_SHOWS_MS,
+      slowness: this.slowness,
     };
   }
 
+  private get slowness(): number {
+    return Math.max(1, ...(this.machine?.slowness ?? []));
+  }
+
   /** Regular work, every few tens of milliseconds. */
   tick(nowMs: number): void {
     const {machine} = this;
@@ -158,7 +170,11 @@
     const periodMs = isBusy ? REPORT_PERIOD_MS : IDLE_REPORT_PERIOD_MS;
     if (nowMs - this.lastReportsMs >= periodMs) {
       this.lastReportsMs = nowMs;
-      this.readReports();
+      this.readReports(machine.ranksToReport(nowMs));
+    }
+    if (this.isSlow && nowMs - this.slowReportsMs >= SLOW_REPORT_PERIOD_MS) {
+      this.slowReportsMs = nowMs;
+      this.readReports(this.parts.ranks.map((_, rank) => rank));
     }
     const due = this.watch.next(this.pace(), nowMs);
     if (due !== undefined) void this.look(due);
@@ -286,13 +302,17 @@
     return gain * Math.min(1, strain) >= MIN_GAIN;
   }
 
-  private readReports(): void {
+  /** Whether a rank is slow, or passes look as if one were. */
+  private get isSlow(): boolean {
+    const {passMs, forecastMs} = this.pace();
+    const isSlowPass = passMs > forecastMs * SLOW_PASS_RATIO;
+    return isSlowPass || this.slowness > SLOW_RANK_RATIO;
+  }
+
+  private readReports(indexes: readonly number[]): void {
     const {ranks, codec, caller} = this.parts;
-    const {machine} = this;
     const askedAtMs = performance.now();
-    const asked = ranks.filter(
-      (_, rank) => machine?.needsReport(rank, askedAtMs) === true
-    );
+    const asked = indexes.flatMap(index => ranks[index] ?? []);
     if (asked.length === 0) return;
     const call = codec.reportCall();
     void caller.callAll(asked, 'report', call, (rank, answer) =>
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -106,12 +106,15 @@
   }
 
   /**
-   * Whether what a rank reports matters now; each report is paid for. All ranks
-   * step together, so that one tells for all how far the group is; the others'
+   * Ranks whose reports matter now; each report is paid for. All ranks step
+   * together, so that one tells for all how far the group is; the others'
    * answers to orders say the rest, sooner than reports.
    */
-  needsReport(rank: number, nowMs: number): boolean {
-    return this.ranks.needsReport(rank, this.phase, this.last.isDue(nowMs));
+  ranksToReport(nowMs: number): readonly number[] {
+    const isLastInForce = this.last.isDue(nowMs);
+    return [...this.ranks.views.keys()].filter(rank =>
+      this.ranks.needsReport(rank, this.phase, isLastInForce)
+    );
   }
 
   /**
--- a/tests/orderedRanks.spec.ts
+++ b/tests/orderedRanks.spec.ts
@@ -72,9 +72,9 @@
   private readReports(): void {
     const {nowMs} = this.group;
     this.reportAtMs = nowMs + 100;
+    const needed = this.machine.ranksToReport(nowMs);
     this.group.reports().forEach((report, rank) => {
-      const isNeeded = this.machine.needsReport(rank, nowMs);
-      if (!this.readsAll && !isNeeded) return;
+      if (!this.readsAll && !needed.includes(rank)) return;
       const event = {kind: 'report', rank, report, askedAtMs: nowMs} as const;
       this.send(this.machine.step(event, nowMs));
     });
@@ -224,8 +224,7 @@
       group.advance(STEP_MS);
       orderer.step(true);
       const {machine} = orderer;
-      const ranks = Array.from({length: RANKS}, (_, rank) => rank);
-      const due = ranks.filter(rank => machine.needsReport(rank, group.nowMs));
+      const due = machine.ranksToReport(group.nowMs);
       const {kind} = machine.state;
       asked.set(kind, Math.max(asked.get(kind) ?? 0, due.length));
     }
--- a/tests/placesEstimate.spec.ts
+++ b/tests/placesEstimate.spec.ts
@@ -88,6 +88,7 @@
           shiftSkew: 0,
           dueSkew: 0,
           isHeld: false,
+          slowness: 1,
           ...outlook,
         }),
         nowMs,
--- a/tests/targetPermits.spec.ts
+++ b/tests/targetPermits.spec.ts
@@ -122,3 +122,47 @@
     expect(held.get('t1')).toBe(2);
   });
 });
+
+describe('permits for groups of targets', () => {
+  const twoGroups = [
+    ...targets(3),
+    ...targets(3).map(one => ({...one, id: `h${one.id}`, group: 'h'})),
+  ];
+  const held = (permits: ReadonlyMap<string, number>, group: string) =>
+    [...permits]
+      .filter(([id]) => id.startsWith('h') === (group === 'h'))
+      .reduce((sum, [, count]) => sum + count, 0);
+
+  // A rank of one group is slow. What the group may no longer run must go to the
+  // other one, and not wait for a turn in slots that stay empty.
+  it('should give permits in the group that has room', () => {
+    const permits = new TargetPermits();
+    permits.setTargets(twoGroups, new Map([['g', 2]]));
+    const given = permits.renew(demand('n', 12));
+    expect(held(given, 'g')).toBe(2);
+    expect(held(given, 'h')).toBe(10);
+  });
+
+  // Requests that run in a slow group end one by one. Each end must not be
+  // followed by another request there.
+  it('should give no permit in a group that is over its bound', () => {
+    const permits = new TargetPermits();
+    permits.setTargets(twoGroups);
+    const before = permits.renew(demand('n', 24));
+    expect(held(before, 'g')).toBe(12);
+    permits.setTargets(twoGroups, new Map([['g', 2]]));
+    const inUse = {t0: 4, t1: 4, t2: 3, ht0: 1};
+    expect(held(permits.renew(demand('n', 24, inUse)), 'g')).toBe(0);
+    const fewer = permits.renew(demand('n', 24, {t0: 1, ht0: 1}));
+    expect(held(fewer, 'g')).toBe(2);
+    expect(held(fewer, 'h')).toBe(12);
+  });
+
+  it('should move unused permits within a group that is full', () => {
+    const permits = new TargetPermits();
+    permits.setTargets(twoGroups.slice(0, 1), new Map([['g', 4]]));
+    permits.renew(demand('n', 4));
+    permits.setTargets(twoGroups.slice(0, 2), new Map([['g', 4]]));
+    expect(permits.renew(demand('n', 4)).get('t1')).toBeGreaterThan(0);
+  });
+});
