Tell limits by group in logs, refusals and the summary

Cause: places.changed had one set of figures for a service, and a refusal did not say what bound it, so that the summary put refusals for want of capacity under "none known". Change: places.changed has figures and the reason by group and is written when a reason changes; request.refused has service and boundBy; marlpulley summary says "limit: slowGroup" and so on. Measured: tests/logSummary.spec.ts; no behaviour changes.

--- a/src/cli/logSummary.ts
+++ b/src/cli/logSummary.ts
@@ -21,7 +21,13 @@
 }
 
 /** What was under way, the most telling first. */
-export type Cause = 'restart' | 'no leader' | 'map switch' | 'none known';
+export type Cause =
+  | 'restart'
+  | 'no leader'
+  | 'map switch'
+  /** What bound the requests of the service, as the refusal tells. */
+  | `limit: ${string}`
+  | 'none known';
 
 interface Span {
   readonly fromMs: number;
@@ -79,12 +85,16 @@
   return IN_TIME;
 }
 
-function causeOf(line: LogLine, spans: ReadonlyMap<Cause, readonly Span[]>) {
+function causeOf(
+  line: LogLine,
+  spans: ReadonlyMap<Cause, readonly Span[]>
+): Cause {
   const fromMs = startOf(line);
   for (const [cause, known] of spans)
     if (known.some(span => span.fromMs <= line.atMs && span.toMs >= fromMs))
       return cause;
-  return 'none known';
+  const {boundBy} = line.details;
+  return typeof boundBy === 'string' ? `limit: ${boundBy}` : 'none known';
 }
 
 /** When each cause was under way, the most telling first. */
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -22,7 +22,12 @@
 } from './messages';
 import {TargetPermits} from '../policy/targetPermits';
 import type {ServiceConcurrency} from './serviceGroups';
-import {concurrencyOf, medianPace, runningAt} from './serviceGroups';
+import {
+  concurrencyOf,
+  medianPace,
+  runningAt,
+  tightestBound,
+} from './serviceGroups';
 import type {TargetTable} from './targetTable';
 
 /**
@@ -84,7 +89,10 @@
   private sharesAtMs = -Infinity;
   private resetAtMs = -Infinity;
   private expiredAtMs = -Infinity;
-  private readonly placesLogged = new Map<string, number>();
+  private readonly limitsLogged = new Map<
+    string,
+    {readonly total: number; readonly reasons: string}
+  >();
 
   constructor(
     private readonly table: TargetTable,
@@ -210,12 +218,18 @@
         ? this.evenShare(service, nodes)
         : (this.shares.get(service)?.byNode.get(node) ?? 1),
       isProvisional,
+      boundBy: this.boundBy(service),
       free: this.shares.get(service)?.free ?? 0,
       permits: this.permitsOf(node, service),
       shiftSkews: this.shiftSkewsOf(service),
     }));
   }
 
+  private boundBy(service: string): string | undefined {
+    const shares = this.shares.get(service);
+    return shares === undefined ? undefined : tightestBound(shares.concurrency);
+  }
+
   /** Nodes that have not reported yet need as much as the others. */
   private evenShare(service: string, nodes: NodeList): number {
     const opening = this.shares.get(service)?.concurrency.opening ?? 0;
@@ -295,9 +309,13 @@
     {total, groups}: ServiceConcurrency,
     loads: readonly ServiceLoad[]
   ): void {
-    const logged = this.placesLogged.get(service) ?? 0;
-    if (Math.abs(total - logged) <= logged * LOGGED_PART) return;
-    this.placesLogged.set(service, total);
+    const reasons = groups.map(({name, reason}) => `${name} ${reason}`).join();
+    const logged = this.limitsLogged.get(service);
+    const isAlike =
+      logged?.reasons === reasons &&
+      Math.abs(total - logged.total) <= logged.total * LOGGED_PART;
+    if (isAlike) return;
+    this.limitsLogged.set(service, {total, reasons});
     const running = loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
     const waiting = loads.reduce((sum, load) => sum + load.waiting, 0);
     this.logger.info(
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -107,6 +107,8 @@
   isProvisional: z.boolean().optional(),
   /** Places of the service that no node wants now. */
   free: COUNT,
+  /** What bounds the group that is bound most, for logs. */
+  boundBy: TEXT.optional(),
   /** Requests that it may have at each target, by its id; absent: as before. */
   permits: z.record(TEXT, COUNT).optional(),
   /** Skew of the ranks' load right after recent shifts, by group. */
--- a/src/cluster/serviceGroups.ts
+++ b/src/cluster/serviceGroups.ts
@@ -2,7 +2,12 @@
 
 import type {MapOutlook} from '../policy/mapOutlook';
 import {EVEN_OUTLOOK, FIRST_MAP_OUTLOOK} from '../policy/mapOutlook';
-import type {GroupLimit, GroupLimits, GroupLoad} from '../policy/groupLimits';
+import type {
+  GroupLimit,
+  GroupLimits,
+  GroupLoad,
+  LimitReason,
+} from '../policy/groupLimits';
 import type {PermitTarget} from '../policy/targetPermits';
 import type {TargetRecord} from '../site/announcement';
 import {groupNameOf, groupOpenings, isInOpenGroup} from '../site/groupOpenings';
@@ -69,6 +74,16 @@
   return {total, opening: total, targets, groups: []};
 }
 
+/** What bounds the group that is bound most; undefined where none is known. */
+export function tightestBound({
+  groups,
+}: ServiceConcurrency): LimitReason | undefined {
+  const byFill = [...groups].sort(
+    (a, b) => a.concurrency / a.slots - b.concurrency / b.slots
+  );
+  return byFill[0]?.reason;
+}
+
 /** Targets of a service and the requests that each takes at once. */
 function permitTargets(
   service: SiteService,
--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -18,6 +18,8 @@
   readonly marks = {placeMs: 0, firstEventMs: 0, longestGapMs: 0};
   /** What a refusal rested on, for the log: names and figures. */
   basis: Readonly<Record<string, number>> = {};
+  /** Service that refused it for want of capacity, and what bounds that. */
+  bound: {readonly service?: string; readonly boundBy?: string} = {};
   /** Whether some target may have run it. */
   mayHaveRun = false;
   private reason: StopReason | undefined;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -114,7 +114,8 @@
   state: RequestState,
   {route, service, customer}: Routed
 ): Promise<GatewayRefusal | undefined | 'entered'> {
-  const {queue, retries} = gateway.pool(service.name);
+  const pool = gateway.pool(service.name);
+  const {queue, retries} = pool;
   const targetMs = route.latencyTargetMs || USUAL_TARGET_MS;
   return new Promise(resolve => {
     const onCancel = () => {
@@ -139,6 +140,7 @@
           serviceTimeMs,
           maxWaitMs,
         };
+        state.bound = {service: service.name, boundBy: pool.boundBy};
         const retryInMs = retries.refuse(performance.now(), Math.random);
         finish({kind: 'overloaded', retryInMs});
       },
@@ -164,6 +166,7 @@
       attemptId: caller.attemptId,
       refusal,
       ...rounded(state.basis),
+      ...state.bound,
       siteVersion: gateway.view?.index?.site.version,
       ageMs: Math.round(state.ageMs),
       tried: [...state.tried],
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -54,6 +54,7 @@
   private readonly own = new Map<string, number>();
   private permits: Readonly<Record<string, number>> = {};
   private arrivals = 0;
+  private bound: string | undefined;
   /** Whether a leader that knew all loads granted it anything. */
   private isGranted = false;
 
@@ -66,13 +67,20 @@
   }
 
   /** Takes over what the leader lent. */
-  grant({concurrency, isProvisional, free, permits}: ServiceGrant): void {
+  grant(grant: ServiceGrant): void {
+    const {concurrency, isProvisional, free, permits} = grant;
+    this.bound = grant.boundBy;
     if (isProvisional === true && this.isGranted) return;
     this.isGranted ||= isProvisional !== true;
     this.permits = permits ?? this.permits;
     this.queue.setLimit(concurrency, free);
   }
 
+  /** What bounds the requests of the service, as the leader told last. */
+  get boundBy(): string | undefined {
+    return this.bound;
+  }
+
   noteArrival(): void {
     this.arrivals++;
   }
@@ -157,22 +165,27 @@
         !this.healthOf(id).isPaused(nowMs) &&
         this.withinRate(id, slots, input)
     );
-    const options = records.map((record): TargetOption => {
-      const health = this.healthOf(record.id);
-      return {
-        id: record.id,
-        slots: record.slots,
-        own: this.own.get(record.id) ?? 0,
-        permits: this.permits[record.id] ?? 0,
-        isNear: record.availabilityZone === ownZone,
-        failureRate: health.failureRate,
-        latencyMs: health.latencyMs,
-      };
-    });
+    const options = records.map(record => this.optionOf(record, ownZone));
     const chosen = chooseTarget(options, Math.random);
     return records.find(({id}) => id === chosen?.id);
   }
 
+  private optionOf(
+    {id, slots, availabilityZone}: TargetRecord,
+    ownZone: string
+  ): TargetOption {
+    const {failureRate, latencyMs} = this.healthOf(id);
+    return {
+      id,
+      slots,
+      own: this.own.get(id) ?? 0,
+      permits: this.permits[id] ?? 0,
+      isNear: availabilityZone === ownZone,
+      failureRate,
+      latencyMs,
+    };
+  }
+
   /** Drops what is kept of targets that are no more. */
   forget(records: readonly TargetRecord[]): void {
     const known = new Set(records.map(({id}) => id));
--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -3,7 +3,7 @@
  *
  * Pattern: groups of ranks that step apart from each other, and a slow rank that
  * holds one of them up. Each group takes the requests that it can serve in time;
- * one that can serve hardly any leaves them to the others.
+ * one that can serve hardly any is left to a few probes.
  */
 
 import type {PassProfile} from '../core/passProfile';
--- a/src/policy/passLength.ts
+++ b/src/policy/passLength.ts
@@ -23,12 +23,16 @@
   return stepMs * stepsPerPass;
 }
 
+/** Passes that write a usual answer. */
+export function answerPasses(engine: PassProfile): number {
+  return Math.max(1, engine.usualAnswerTokens / engine.stepsPerPass);
+}
+
 /** What each running request adds to a pass on average, milliseconds. */
 export function requestPassMs(shape: GroupShape): number {
   const {engine} = shape;
   const writingMs = engine.stepMsPerRequest * engine.stepsPerPass;
-  const passes = Math.max(1, engine.usualAnswerTokens / engine.stepsPerPass);
-  return groupMs(writingMs + engine.usualReadMs / passes, shape);
+  return groupMs(writingMs + engine.usualReadMs / answerPasses(engine), shape);
 }
 
 /** What a usual prompt adds to the pass that reads it, milliseconds. */
--- a/src/ranks/rankSwitch.ts
+++ b/src/ranks/rankSwitch.ts
@@ -111,10 +111,7 @@
    * answers to orders say the rest, sooner than reports.
    */
   ranksToReport(nowMs: number): readonly number[] {
-    const isLastInForce = this.last.isDue(nowMs);
-    return [...this.ranks.views.keys()].filter(rank =>
-      this.ranks.needsReport(rank, this.phase, isLastInForce)
-    );
+    return this.ranks.toReport(this.phase, this.last.isDue(nowMs));
   }
 
   /**
--- a/src/ranks/rankViews.ts
+++ b/src/ranks/rankViews.ts
@@ -34,11 +34,11 @@
     return this.views.flatMap(({report}) => report ?? []);
   }
 
-  /** Whether a report of the rank could move the switch on. */
-  needsReport(rank: number, phase: SwitchPhase, isLastInForce: boolean) {
-    const view = this.views[rank];
-    if (view === undefined || rank === CLOCK_RANK) return true;
-    return isReportDue(phase, view, isLastInForce);
+  /** Ranks whose reports could move the switch on. */
+  toReport(phase: SwitchPhase, isLastInForce: boolean): readonly number[] {
+    const isDue = (view: RankView, rank: number) =>
+      rank === CLOCK_RANK || isReportDue(phase, view, isLastInForce);
+    return this.views.flatMap((view, rank) => (isDue(view, rank) ? rank : []));
   }
 
   /** Whether all have confirmed the present phase's order. */
--- a/tests/groupLimits.spec.ts
+++ b/tests/groupLimits.spec.ts
@@ -58,9 +58,10 @@
   // One rank of 64 is twelve times slower, and its group stands for 0.8 s a pass.
   // With one limit for both groups two thirds of all callers were rejected.
   it('should leave the limit of a group as it is when another one is slow', () => {
+    const outlook = {...EVEN_OUTLOOK, skew: 1.2, slowness: 12};
     const limits = limitsOf([
       group('well', {}),
-      group('slow', {running: 120, paceMs: 800}),
+      group('slow', {running: 120, paceMs: 800, outlook}),
     ]);
     expect(limits.get('well')).toMatchObject({
       concurrency: SLOTS,
@@ -70,16 +71,20 @@
     expect(limits.get('slow')?.concurrency).toBeLessThan(0.1 * SLOTS);
   });
 
-  // A rank is three times slower: its own part of a pass alone is as long as
-  // callers accept, so that even a few streams in its group are late.
-  it('should leave a group to the others whose slow rank alone takes too long', () => {
-    const outlook = {...EVEN_OUTLOOK, skew: 1.2, slowness: 3.3};
-    const paceMs = 3.3 * fixedPassMs(ENGINE) + 45;
-    const limits = limitsOf([
+  const slowGroup = (slowness: number) => {
+    const outlook = {...EVEN_OUTLOOK, skew: 1.2, slowness};
+    const paceMs = slowness * fixedPassMs(ENGINE) + 45;
+    return limitsOf([
       group('well', {}),
       group('slow', {running: 95, paceMs, outlook}),
-    ]);
-    expect(limits.get('slow')?.concurrency).toBeLessThanOrEqual(3);
+    ]).get('slow');
+  };
+
+  // A rank is three times slower: its own part of a pass alone is as long as
+  // callers accept, so that even a few streams in its group are late.
+  it('should leave a group whose slow rank alone takes too long to probes', () => {
+    expect(slowGroup(3.3)?.reason).toBe('slowGroup');
+    expect(slowGroup(3.3)?.concurrency).toBeLessThanOrEqual(3);
   });
 
   // A switch of maps holds passes up, which tells nothing of the group's pace. It
--- a/tests/logSummary.spec.ts
+++ b/tests/logSummary.spec.ts
@@ -56,6 +56,16 @@
     ]);
   });
 
+  it('should name the limit that refused a request', () => {
+    const refusal = {kind: 'overloaded', retryInMs: 200};
+    const fields = {attemptId: 'b', refusal, service: 's'};
+    const rows = summarize(
+      [line(50_000, 'request.refused', {...fields, boundBy: 'slowGroup'})],
+      LIMITS
+    );
+    expect(rows).toMatchObject([{service: 's', cause: 'limit: slowGroup'}]);
+  });
+
   it('should count refusals by their reason', () => {
     const refusal = {kind: 'overloaded', retryInMs: 200};
     const fields = {attemptId: 'b', refusal, ageMs: 0};
