Split the coordinator's reports and log lines, and the sender of orders, from their classes

Cause: coordinator.ts and groupController.ts had grown with the limits by group; what runs in a group was counted anew for each group at each tick, nodes times targets each time: some 10^8 look-ups a second at 300 nodes and 23 groups. Ruled out: an index kept by the reports: the shares are worked out each 50 ms anyway and hold the numbers. Change: nodeReports.ts, limitLog.ts, orderSender.ts; what runs is counted once for all groups; the pace of a group is worked out once a tick. stallWatch and the names of initial concurrency and least retry by the field's terms. Behaviour stays but for the age of the running requests (50 ms at most).

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -190,12 +190,9 @@
     return this.coordinator.paceMs(service, group);
   }
 
-  /** On the leader: requests of all nodes at some targets of a service. */
-  runningRequests(
-    service: string,
-    targets: readonly {readonly id: string}[]
-  ): number {
-    return this.coordinator.runningRequests(service, targets);
+  /** On the leader: requests of all nodes that run in a group. */
+  runningRequests(service: string, group: string): number {
+    return this.coordinator.runningRequests(service, group);
   }
 
   /** On the leader: other nodes that reported within the last moment. */
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -1,65 +1,34 @@
 /**
  * What the leader of the log does for all nodes besides: it merges what they
- * heard of targets, and lends them the places of each service. All of this is
- * soft state; a new leader has it again after one report of each node.
+ * heard of targets, and allocates the concurrency of each service to them. All of
+ * this is soft state; a new leader has it again after one report of each node.
  */
 
 import type {Logger} from '../core/logger';
-import {rounded} from '../core/rounded';
-import {reportPeriodMs} from '../policy/reportPeriod';
-import type {ShareDemand} from '../policy/shareAllocation';
+import {sum} from '../core/sum';
 import {freePlaces, allocateShares} from '../policy/shareAllocation';
 import {GroupLimits} from '../policy/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
-import type {
-  NodeInfo,
-  ServiceGrant,
-  ServiceLoad,
-  SyncParams,
-  SyncState,
-} from './messages';
+import {LimitLog} from './limitLog';
+import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
+import type {NodeReport} from './nodeReports';
+import {NodeReports, demandsOf, loadsOf} from './nodeReports';
 import {TargetPermits} from '../policy/targetPermits';
 import type {ServiceConcurrency} from './serviceGroups';
-import {
-  concurrencyOf,
-  medianPace,
-  runningAt,
-  tightestBound,
-} from './serviceGroups';
+import {concurrencyOf, medianPace, tightestBound} from './serviceGroups';
 import type {TargetTable} from './targetTable';
 
-/**
- * A node that did not report for so long gets no share. Twenty reports: one
- * that is merely slow keeps what it has.
- */
-const ACTIVE_FOR_MS = 2_000;
-/** A node that missed so many reports may be lost. */
-const RECENT_PERIODS = 4;
 /** Between two looks for targets that fell silent. */
 const EXPIRE_PERIOD_MS = 50;
 /** Shares are worked out once for all nodes that report within this time. */
 const SHARES_PERIOD_MS = 50;
 /** A new leader has heard of the loads of all nodes after so many reports. */
 const WHOLE_AFTER_PERIODS = 4;
-/** Change of the places of a service that is logged, in parts of them. */
-const LOGGED_PART = 0.1;
-/** Part of an older count of arrivals that stays with each report. */
-const ARRIVALS_DECAY = 0.7;
-
-interface NodeReport {
-  readonly info: NodeInfo;
-  readonly bootId: string;
-  readonly atMs: number;
-  readonly loads: ReadonlyMap<string, ServiceLoad>;
-  /** Smoothed arrivals by service. */
-  readonly arrivals: ReadonlyMap<string, number>;
-}
-
-/** How the places of one service are lent. */
+/** How the concurrency of one service is allocated. */
 interface ServiceShares {
-  /** Places by the address of the node. */
+  /** Requests at once by the address of the node. */
   readonly byNode: ReadonlyMap<string, number>;
   readonly free: number;
   readonly concurrency: ServiceConcurrency;
@@ -82,17 +51,14 @@
 
 /** The leader's side of the reports. */
 export class Coordinator {
-  private readonly reports = new Map<string, NodeReport>();
+  private readonly reports = new NodeReports();
   private readonly limits = new Map<string, GroupLimits>();
   private shares = new Map<string, ServiceShares>();
   private readonly permits = new Map<string, TargetPermits>();
   private sharesAtMs = -Infinity;
   private resetAtMs = -Infinity;
   private expiredAtMs = -Infinity;
-  private readonly limitsLogged = new Map<
-    string,
-    {readonly total: number; readonly reasons: string}
-  >();
+  private readonly limitLog: LimitLog;
 
   constructor(
     private readonly table: TargetTable,
@@ -105,7 +71,9 @@
       service: string,
       group: string
     ) => MapOutlook | undefined
-  ) {}
+  ) {
+    this.limitLog = new LimitLog(logger);
+  }
 
   /**
    * Another term began: forgets all reports. A node that did not lead heard
@@ -130,7 +98,7 @@
     for (const record of params.records)
       if (this.table.merge(record, now)) this.logMerged(params.from, record.id);
     this.expire(now);
-    this.noteReport(params, now);
+    this.reports.note(params, now);
     const isKnownTable = params.tableTerm === agreed.term;
     const from = isKnownTable ? params.tableRevision : 0;
     const {term, index, siteVersion, packedSite, zonesOut} = agreed;
@@ -149,25 +117,28 @@
       tableRevision: this.table.revision,
       records: [...this.table.since(from)],
       grants: this.grantsFor(params.from.ip, site, agreed.zonesOut, nodes),
-      activeNodes: this.activeReports().length,
+      activeNodes: this.reports.active(now).length,
     };
   }
 
   /** Pace of a group as the nodes reported it last; 0 when no stream runs. */
   paceMs(service: string, group: string): number {
-    return medianPace(this.loadsOf(service), group);
+    const reports = this.reports.active(this.nowMs());
+    return medianPace(loadsOf(service, reports), group);
   }
 
-  /** Requests of all nodes at these targets, as they reported last. */
-  runningRequests(
-    service: string,
-    targets: readonly {readonly id: string}[]
-  ): number {
-    return runningAt(targets, this.loadsOf(service));
+  /** Requests of all nodes in a group, or at a service without groups. */
+  runningRequests(service: string, group: string): number {
+    const groups = this.shares.get(service)?.concurrency.groups ?? [];
+    const known = groups.find(({name}) => name === group);
+    if (known !== undefined) return known.running;
+    const loads = loadsOf(service, this.reports.active(this.nowMs()));
+    return sum(loads.map(({inFlight}) => inFlight));
   }
 
-  private loadsOf(service: string): readonly ServiceLoad[] {
-    return this.activeReports().flatMap(({loads}) => loads.get(service) ?? []);
+  /** Nodes whose reports are fresh. */
+  recentNodes(): readonly NodeInfo[] {
+    return this.reports.recentNodes(this.nowMs());
   }
 
   private expire(now: number): void {
@@ -176,32 +147,6 @@
     this.table.expire(now, this.silentAfterMs);
   }
 
-  /** Nodes whose reports are fresh. */
-  recentNodes(): readonly NodeInfo[] {
-    const periodMs = reportPeriodMs(this.reports.size);
-    const oldest = this.nowMs() - RECENT_PERIODS * periodMs;
-    return [...this.reports.values()]
-      .filter(({atMs}) => atMs >= oldest)
-      .map(({info}) => info);
-  }
-
-  private noteReport(params: SyncParams, now: number): void {
-    const {from, bootId} = params;
-    const before = this.reports.get(from.ip);
-    const loads = new Map(params.loads.map(load => [load.service, load]));
-    const arrivals = new Map<string, number>();
-    for (const {service, arrivals: fresh} of params.loads) {
-      const old = before?.arrivals.get(service) ?? 0;
-      arrivals.set(service, old * ARRIVALS_DECAY + fresh);
-    }
-    this.reports.set(from.ip, {info: from, bootId, atMs: now, loads, arrivals});
-  }
-
-  private activeReports(): readonly NodeReport[] {
-    const oldest = this.nowMs() - ACTIVE_FOR_MS;
-    return [...this.reports.values()].filter(({atMs}) => atMs >= oldest);
-  }
-
   private grantsFor(
     node: string,
     site: Site | undefined,
@@ -209,7 +154,7 @@
     nodes: NodeList
   ): ServiceGrant[] {
     if (site === undefined) return [];
-    const reports = this.activeReports();
+    const reports = this.reports.active(this.nowMs());
     this.renewShares(site, reports, zonesOut);
     const isProvisional = !this.isWhole;
     return [...site.services.keys()].map(service => ({
@@ -233,7 +178,8 @@
   /** Nodes that have not reported yet need as much as the others. */
   private evenShare(service: string, nodes: NodeList): number {
     const opening = this.shares.get(service)?.concurrency.opening ?? 0;
-    const count = Math.max(nodes.all().length, this.activeReports().length);
+    const reporting = this.reports.active(this.nowMs()).length;
+    const count = Math.max(nodes.all().length, reporting);
     return Math.max(1, Math.floor(opening / count));
   }
 
@@ -246,15 +192,15 @@
     if (now - this.sharesAtMs < SHARES_PERIOD_MS) return;
     this.sharesAtMs = now;
     const goals = streamGoals(site);
-    // Places where nothing may be sent would let twice as many requests in as
-    // the others can take; they would wait at the targets, unseen.
+    // Slots where nothing may be sent would let more requests in than the others
+    // can take; they would wait at the targets, unseen.
     const records = this.table
       .records()
       .filter(({availabilityZone}) => !zonesOut.includes(availabilityZone));
     this.shares = new Map(
       [...site.services.values()].map(service => {
         const {name} = service;
-        const loads = reports.flatMap(({loads}) => loads.get(name) ?? []);
+        const loads = loadsOf(name, reports);
         const concurrency = concurrencyOf(this.limitsOf(name), {
           service,
           records,
@@ -264,7 +210,7 @@
           outlookOf: group => this.outlookOf(name, group),
           nowMs: now,
         });
-        this.logLimits(name, concurrency, loads);
+        this.limitLog.note(name, concurrency, loads);
         this.takeTargets(name, concurrency);
         const demands = demandsOf(name, reports);
         const byNode = allocateShares(concurrency.total, demands);
@@ -303,43 +249,12 @@
     );
   }
 
-  /** Only what differs by a part that shows: limits are renewed all the time. */
-  private logLimits(
-    service: string,
-    {total, groups}: ServiceConcurrency,
-    loads: readonly ServiceLoad[]
-  ): void {
-    const reasons = groups.map(({name, reason}) => `${name} ${reason}`).join();
-    const logged = this.limitsLogged.get(service);
-    const isAlike =
-      logged?.reasons === reasons &&
-      Math.abs(total - logged.total) <= logged.total * LOGGED_PART;
-    if (isAlike) return;
-    this.limitsLogged.set(service, {total, reasons});
-    const running = loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
-    const waiting = loads.reduce((sum, load) => sum + load.waiting, 0);
-    this.logger.info(
-      {
-        event: 'places.changed',
-        service,
-        ...rounded({places: total, running, waiting}),
-        groups: groups.map(({name, reason, outlook, ...figures}) => ({
-          name,
-          reason,
-          ...rounded(figures),
-          ...outlook,
-        })),
-      },
-      'places of a service changed'
-    );
-  }
-
   /** Undefined until all loads are known: what a node has stays as it is. */
   private permitsOf(
     node: string,
     service: string
   ): Record<string, number> | undefined {
-    const report = this.reports.get(node);
+    const report = this.reports.find(node);
     if (report === undefined || !this.isWhole) return undefined;
     const shares = this.shares.get(service);
     const demand = {
@@ -354,7 +269,7 @@
 
   /** Whether all nodes had time to report to this leader. */
   private get isWhole(): boolean {
-    const periodMs = reportPeriodMs(this.reports.size);
+    const {periodMs} = this.reports;
     return this.nowMs() - this.resetAtMs >= WHOLE_AFTER_PERIODS * periodMs;
   }
 
@@ -363,17 +278,3 @@
     this.logger.debug({event: 'target.merged', from: from.ip, record}, id);
   }
 }
-
-function demandsOf(
-  service: string,
-  reports: readonly NodeReport[]
-): readonly ShareDemand[] {
-  return reports.map(({info, loads, arrivals}) => {
-    const load = loads.get(service);
-    return {
-      node: info.ip,
-      wanted: (load?.inFlight ?? 0) + (load?.waiting ?? 0),
-      arrivals: arrivals.get(service) ?? 0,
-    };
-  });
-}
--- /dev/null
+++ b/src/cluster/nodeReports.ts
@@ -0,0 +1,90 @@
+/** What nodes reported last to the leader; soft state of one term. */
+
+import {reportPeriodMs} from '../policy/reportPeriod';
+import type {ShareDemand} from '../policy/shareAllocation';
+import type {NodeInfo, ServiceLoad, SyncParams} from './messages';
+
+/** A node that did not report for so long gets no share. */
+const ACTIVE_FOR_MS = 2_000;
+/** A node that missed so many reports may be lost. */
+const RECENT_PERIODS = 4;
+/** Part of an older count of arrivals that stays with each report. */
+const ARRIVALS_DECAY = 0.7;
+
+/** The last report of one node. */
+export interface NodeReport {
+  readonly info: NodeInfo;
+  readonly bootId: string;
+  readonly atMs: number;
+  readonly loads: ReadonlyMap<string, ServiceLoad>;
+  /** Smoothed arrivals by service. */
+  readonly arrivals: ReadonlyMap<string, number>;
+}
+
+/** The last reports by the address of the node. */
+export class NodeReports {
+  private readonly reports = new Map<string, NodeReport>();
+
+  clear(): void {
+    this.reports.clear();
+  }
+
+  find(ip: string): NodeReport | undefined {
+    return this.reports.get(ip);
+  }
+
+  /** Period in which each node reports, milliseconds. */
+  get periodMs(): number {
+    return reportPeriodMs(this.reports.size);
+  }
+
+  note({from, bootId, loads: fresh}: SyncParams, nowMs: number): void {
+    const before = this.reports.get(from.ip);
+    const loads = new Map(fresh.map(load => [load.service, load]));
+    const arrivals = new Map<string, number>();
+    for (const {service, arrivals: count} of fresh) {
+      const old = before?.arrivals.get(service) ?? 0;
+      arrivals.set(service, old * ARRIVALS_DECAY + count);
+    }
+    const {ip} = from;
+    this.reports.set(ip, {info: from, bootId, atMs: nowMs, loads, arrivals});
+  }
+
+  /** Those of nodes that serve callers now. */
+  active(nowMs: number): readonly NodeReport[] {
+    return this.since(nowMs - ACTIVE_FOR_MS);
+  }
+
+  /** Nodes whose reports are fresh. */
+  recentNodes(nowMs: number): readonly NodeInfo[] {
+    const oldestMs = nowMs - RECENT_PERIODS * this.periodMs;
+    return this.since(oldestMs).map(({info}) => info);
+  }
+
+  private since(oldestMs: number): readonly NodeReport[] {
+    return [...this.reports.values()].filter(({atMs}) => atMs >= oldestMs);
+  }
+}
+
+/** Loads of one service at these nodes. */
+export function loadsOf(
+  service: string,
+  reports: readonly NodeReport[]
+): readonly ServiceLoad[] {
+  return reports.flatMap(({loads}) => loads.get(service) ?? []);
+}
+
+/** Demand of these nodes for the concurrency of one service. */
+export function demandsOf(
+  service: string,
+  reports: readonly NodeReport[]
+): readonly ShareDemand[] {
+  return reports.map(({info, loads, arrivals}) => {
+    const load = loads.get(service);
+    return {
+      node: info.ip,
+      wanted: (load?.inFlight ?? 0) + (load?.waiting ?? 0),
+      arrivals: arrivals.get(service) ?? 0,
+    };
+  });
+}
--- a/src/cluster/serviceGroups.ts
+++ b/src/cluster/serviceGroups.ts
@@ -111,26 +111,31 @@
   }
   // Requests at targets that fell out count with what works: they come back.
   const isAlone = byGroup.size === 1;
+  const running = runningByGroup(targets, loads);
   return [...byGroup].map(([name, members]) => ({
     name,
     ranks: members.length,
     slots: capacityOf(members),
-    running: isAlone ? inFlightOf(loads) : runningAt(members, loads),
+    running: isAlone ? inFlightOf(loads) : (running.get(name) ?? 0),
     paceMs: medianPace(loads, name),
     outlook: outlookOf(name) ?? unknownOutlook(engine),
   }));
 }
 
-/** Requests of all nodes at these targets, as they reported last. */
-export function runningAt(
-  targets: readonly {readonly id: string}[],
+/** Requests of all nodes at the targets of each group. */
+function runningByGroup(
+  targets: readonly PermitTarget[],
   loads: readonly ServiceLoad[]
-): number {
-  return loads.reduce(
-    (sum, {byTarget}) =>
-      targets.reduce((all, {id}) => all + (byTarget[id] ?? 0), sum),
-    0
-  );
+): ReadonlyMap<string, number> {
+  const groupOf = new Map(targets.map(({id, group}) => [id, group]));
+  const running = new Map<string, number>();
+  for (const {byTarget} of loads)
+    for (const [id, count] of Object.entries(byTarget)) {
+      const group = groupOf.get(id);
+      if (group !== undefined)
+        running.set(group, (running.get(group) ?? 0) + count);
+    }
+  return running;
 }
 
 /** One node that reads slowly must not stand for the group; 0 when none runs. */
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -17,8 +17,8 @@
 import {WindowBudget} from '../policy/windowBudget';
 import {StreamsByGroup} from './groupStreams';
 
-/** Before a leader has lent any places: enough to begin with. */
-const INITIAL_PLACES = 2;
+/** Before a leader has granted anything: enough to begin with. */
+const INITIAL_CONCURRENCY = 2;
 
 /** Bounds of the deployment that a pool keeps to. */
 export interface PoolBounds {
@@ -63,10 +63,10 @@
     private readonly bounds: PoolBounds
   ) {
     this.budget = new WindowBudget(bounds.retries);
-    this.queue.setLimit(INITIAL_PLACES);
+    this.queue.setLimit(INITIAL_CONCURRENCY);
   }
 
-  /** Takes over what the leader lent. */
+  /** Takes over what the leader granted. */
   grant(grant: ServiceGrant): void {
     const {concurrency, isProvisional, free, permits} = grant;
     this.bound = grant.boundBy;
--- a/src/gateway/stopRefusal.ts
+++ b/src/gateway/stopRefusal.ts
@@ -4,12 +4,12 @@
 import type {RequestState} from './requestState';
 
 /** Least time after which to come back; less would only be refused again. */
-export const LEAST_RETRY_MS = 150;
+export const MIN_RETRY_MS = 150;
 
 /** The answer; none when nobody is there for it. */
 export function stopRefusal(state: RequestState): GatewayRefusal | undefined {
   if (state.stopped !== 'timedOut') return undefined;
   return state.mayHaveRun
     ? {kind: 'timedOut'}
-    : {kind: 'overloaded', retryInMs: LEAST_RETRY_MS};
+    : {kind: 'overloaded', retryInMs: MIN_RETRY_MS};
 }
--- a/src/policy/stallWatch.ts
+++ b/src/policy/stallWatch.ts
@@ -1,19 +1,15 @@
 /**
  * Tells that a group of ranks stands still, from the streams of one node.
  *
- * The load it answers: a rank is lost, and all ranks wait for it for more than
- * a second before they answer anything. Until a rank tells that the group is
- * broken, requests that are sent to it lose a second and a half and then come
- * back not run. Streams show it sooner: they all fall silent together.
+ * Pattern: a rank is lost, and all ranks wait for it for more than a second before
+ * they answer anything. Streams show it before a rank tells that the group is
+ * broken: all of them fall silent together.
  */
 
-/**
- * Silence of all streams that counts. Four of the longest passes that callers
- * bear; switches of maps hold a group for a tenth of a second.
- */
+/** Silence of all streams that counts; a switch of maps holds a group for less. */
 const SILENT_MS = 600;
 /** A single stream may wait for other reasons. */
-const LEAST_STREAMS = 2;
+const MIN_STREAMS = 2;
 
 /** Streams of one group at one node. */
 export class StallWatch {
@@ -40,6 +36,6 @@
 
   isStalled(nowMs: number): boolean {
     const isSilent = nowMs - this.eventAtMs > SILENT_MS;
-    return this.streams >= LEAST_STREAMS && isSilent;
+    return this.streams >= MIN_STREAMS && isSilent;
   }
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -6,14 +6,7 @@
 import type {Logger} from '../core/logger';
 import {rounded} from '../core/rounded';
 import type {NodeMetrics} from '../core/nodeMetrics';
-import type {
-  OrderAnswer,
-  OrderScope,
-  RankCall,
-  RankCodec,
-  RankMap,
-  RankOrder,
-} from '../ports/rankPort';
+import type {OrderScope, RankCodec, RankMap} from '../ports/rankPort';
 import type {EngineProfile} from '../site/site';
 import type {MapOutlook} from '../policy/mapOutlook';
 import type {ShiftHistory} from '../policy/shiftHistory';
@@ -24,11 +17,10 @@
 import {ShiftDetector} from './shiftDetector';
 import type {DemandChange, RankCounts} from './expertDemand';
 import {ExpertDemand} from './expertDemand';
-import type {OrderBatch} from './orderBatches';
-import {AnswerTally, orderBatches} from './orderBatches';
+import {OrderSender} from './orderSender';
 import type {RankAnswer} from './rankClient';
 import {isOk} from './rankClient';
-import type {FanOutSummary, RankCallKind, RankCaller} from './rankCaller';
+import type {RankCaller} from './rankCaller';
 import type {SentOrder} from './switchPhase';
 import {RankSwitch} from './rankSwitch';
 
@@ -44,8 +36,7 @@
 const SLOW_RANK_RATIO = 1.3;
 /**
  * Fall of the mean skew of the sets that a switch must bring where passes last
- * as long as callers bear; twice that where they last half as long. Two dozen
- * copies and three dozen orders cost what a group earns in a tenth of a second.
+ * as long as callers accept; twice that where they last half as long.
  */
 const MIN_GAIN = 0.2;
 /** Pauses that streams show are still those of a switch for so long. */
@@ -111,12 +102,15 @@
   /** Whether a plan answered what is in demand in this life of the group. */
   private hasPlanned = false;
   private heldAtMs = -Infinity;
-  private readonly unsent: SentOrder[] = [];
+  private readonly sender: OrderSender;
 
   constructor(private readonly parts: GroupParts) {
     const {engine} = parts;
     const {expertSets, experts} = engine;
     this.sampler = new DemandSampler(parts);
+    this.sender = new OrderSender(parts, event =>
+      this.send(this.machine?.step(event, performance.now()) ?? [])
+    );
     this.watch = new ShiftDetector(this.sampler.holdMs);
     const known = parts.demand?.fits(expertSets, experts)
       ? parts.demand
@@ -172,11 +166,13 @@
       this.lastReportsMs = nowMs;
       this.readReports(machine.ranksToReport(nowMs));
     }
-    if (this.isSlow && nowMs - this.slowReportsMs >= SLOW_REPORT_PERIOD_MS) {
+    const pace = this.pace();
+    const isSlowDue = nowMs - this.slowReportsMs >= SLOW_REPORT_PERIOD_MS;
+    if (isSlowDue && this.isSlow(pace)) {
       this.slowReportsMs = nowMs;
       this.readReports(this.parts.ranks.map((_, rank) => rank));
     }
-    const due = this.watch.next(this.pace(), nowMs);
+    const due = this.watch.next(pace, nowMs);
     if (due !== undefined) void this.look(due);
     if (this.isPlanDue) void this.plan();
   }
@@ -198,7 +194,7 @@
       }
     );
     this.isLoading = false;
-    this.logFanOut('map', summary);
+    this.sender.logFanOut('map', summary);
     const [first] = maps;
     const isOneMap = maps.every(
       map => map?.epoch === scope.epoch && map.version === first?.version
@@ -295,7 +291,7 @@
     this.send(machine.begin(lists, copyMs, performance.now()));
   }
 
-  /** A skew hurts the more, the nearer passes are to what callers bear. */
+  /** A skew costs more, the nearer passes are to the accepted pause. */
   private isWorth(gain: number): boolean {
     const {paceMs, acceptedPauseMs} = this.parts;
     const strain = acceptedPauseMs === 0 ? 1 : paceMs() / acceptedPauseMs;
@@ -303,8 +299,7 @@
   }
 
   /** Whether a rank is slow, or passes look as if one were. */
-  private get isSlow(): boolean {
-    const {passMs, forecastMs} = this.pace();
+  private isSlow({passMs, forecastMs}: Pace): boolean {
     const isSlowPass = passMs > forecastMs * SLOW_PASS_RATIO;
     return isSlowPass || this.slowness > SLOW_RANK_RATIO;
   }
@@ -332,61 +327,9 @@
     this.send(this.machine?.step(event, performance.now()) ?? []);
   }
 
-  /** Answers that arrive together are followed by one order for all their ranks. */
   private send(orders: readonly SentOrder[]): void {
     this.logPhase();
-    if (orders.length === 0) return;
-    if (this.unsent.length === 0) queueMicrotask(() => this.flush());
-    this.unsent.push(...orders);
-  }
-
-  private flush(): void {
-    const orders = this.unsent.splice(0);
-    for (const batch of orderBatches(orders)) void this.sendBatch(batch);
-  }
-
-  private async sendBatch({order, ranks: indexes}: OrderBatch): Promise<void> {
-    const {ranks, codec, scope, caller} = this.parts;
-    const call: RankCall = codec.orderCall(order, scope);
-    const tally = new AnswerTally();
-    const ofBatch = indexes.flatMap(index => ranks[index] ?? []);
-    const summary = await caller.callAll(
-      ofBatch,
-      order.kind,
-      call,
-      (rank, result) => {
-        const answer = this.readOrderAnswer(order, result);
-        tally.note(answer, result?.text);
-        const index = ranks.indexOf(rank);
-        const event = {kind: 'answer', rank: index, order, answer} as const;
-        this.send(this.machine?.step(event, performance.now()) ?? []);
-      }
-    );
-    this.logFanOut(order.kind, summary, tally);
-  }
-
-  private readOrderAnswer(
-    {kind}: RankOrder,
-    result: RankAnswer | undefined
-  ): OrderAnswer {
-    const {codec, metrics} = this.parts;
-    const answer =
-      result === undefined ? 'unknown' : codec.readOrderStatus(result.status);
-    metrics.ordered(kind, answer);
-    return answer;
-  }
-
-  /** One line for a fan-out, whatever the number of ranks. */
-  private logFanOut(
-    kind: RankCallKind,
-    summary: FanOutSummary,
-    tally?: AnswerTally
-  ): void {
-    const {name, logger} = this.parts;
-    logger.info(
-      {event: 'map.fanout', group: name, kind, ...summary, ...tally?.fields},
-      'ranks called'
-    );
+    this.sender.send(orders);
   }
 
   private logPhase(): void {
--- a/src/ranks/rankDirector.ts
+++ b/src/ranks/rankDirector.ts
@@ -101,7 +101,7 @@
         logger: this.logger,
         metrics: this.metrics,
         paceMs: () => this.paceMs(service.name, name),
-        running: () => this.node.runningRequests(service.name, ranks),
+        running: () => this.node.runningRequests(service.name, name),
         acceptedPauseMs: this.acceptedPauseMs(service.name),
         // The same requests go on asking for the same experts.
         demand: running?.controller.demand,
