--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -112,8 +112,9 @@
         const found = bounds[i];
         if (found === undefined) return [];
         const {concurrency: opening} = found.next;
-        // Of the requests of other nodes nothing is known yet.
-        const bound = input.isWhole
+        // Whole reports tell what runs; a known map takes what it runs already.
+        const isOpening = input.isWhole && !group.outlook.isKnown;
+        const bound = isOpening
           ? boundOf(group, found, isServed)
           : boundOf(group, {...found, next: found.lasting}, isServed);
         return [[group.name, {...bound, opening}]];
@@ -190,7 +191,7 @@
 /** Bounds of one group. */
 interface Bounds {
   readonly lasting: Bound;
-  /** For the next pass, which reads the prompts of all that are new. */
+  /** For the next pass of a group that opens: it reads the prompts of all that are new. */
   readonly next: Bound;
 }
 
--- a/tests/groupLimits.spec.ts
+++ b/tests/groupLimits.spec.ts
@@ -187,6 +187,12 @@
     expect(running).toBeGreaterThan(0.85 * SLOTS);
   });
 
+  it('should bound only a group whose map is not planned yet', () => {
+    const outlook = {...EVEN_OUTLOOK, skew: 3};
+    const limit = limitsOf([group('g', {running: 0, paceMs: 0, outlook})]);
+    expect(limit.get('g')?.reason).toBe('slots');
+  });
+
   // Reports of some nodes are missing: what runs in all is not known.
   it('should not bound requests by the loads of a part of the nodes', () => {
     const limit = limitsOf([group('g', {running: 10})], false).get('g');
