--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -116,7 +116,7 @@
       zonesOut: [...zonesOut],
       tableRevision: this.table.revision,
       records: [...this.table.since(from)],
-      grants: this.grantsFor(params.from.ip, site, agreed.zonesOut, nodes),
+      grants: this.grantsFor(params.from.ip, site, agreed.zonesOut),
       activeNodes: this.reports.active(now).length,
     };
   }
@@ -150,19 +150,14 @@
   private grantsFor(
     node: string,
     site: Site | undefined,
-    zonesOut: readonly string[],
-    nodes: NodeList
+    zonesOut: readonly string[]
   ): ServiceGrant[] {
     if (site === undefined) return [];
     const reports = this.reports.active(this.nowMs());
     this.renewShares(site, reports, zonesOut);
-    const isProvisional = !this.isWhole;
     return [...site.services.keys()].map(service => ({
       service,
-      concurrency: isProvisional
-        ? this.evenShare(service, nodes)
-        : (this.shares.get(service)?.byNode.get(node) ?? 1),
-      isProvisional,
+      concurrency: this.shares.get(service)?.byNode.get(node) ?? 1,
       boundBy: this.boundBy(service),
       free: this.shares.get(service)?.free ?? 0,
       permits: this.permitsOf(node, service),
@@ -175,14 +170,6 @@
     return shares === undefined ? undefined : tightestBound(shares.concurrency);
   }
 
-  /** Nodes that have not reported yet need as much as the others. */
-  private evenShare(service: string, nodes: NodeList): number {
-    const opening = this.shares.get(service)?.concurrency.opening ?? 0;
-    const reporting = this.reports.active(this.nowMs()).length;
-    const count = Math.max(nodes.all().length, reporting);
-    return Math.max(1, Math.floor(opening / count));
-  }
-
   private renewShares(
     site: Site,
     reports: readonly NodeReport[],
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -100,11 +100,6 @@
   service: TEXT,
   /** Requests that the node may have at targets at once. */
   concurrency: COUNT,
-  /**
-   * Whether the leader does not know all loads yet: only for a node that no
-   * leader granted anything.
-   */
-  isProvisional: z.boolean().optional(),
   /** Places of the service that no node wants now. */
   free: COUNT,
   /** What bounds the group that is bound most, for logs. */
--- a/src/cluster/serviceGroups.ts
+++ b/src/cluster/serviceGroups.ts
@@ -35,8 +35,6 @@
 /** Requests that a service may run at once. */
 export interface ServiceConcurrency {
   readonly total: number;
-  /** What can begin while the loads of all nodes are not known. */
-  readonly opening: number;
   readonly targets: readonly PermitTarget[];
   /** Empty where groups do not bound the requests of a service. */
   readonly groups: readonly (GroupLoad & GroupLimit)[];
@@ -50,7 +48,8 @@
   const {service, records, goals} = input;
   const targets = permitTargets(service, records);
   const {engine} = service;
-  if (engine === undefined || goals.pauseMs === 0) return unbounded(targets);
+  if (engine === undefined || goals.pauseMs === 0)
+    return {total: capacityOf(targets), targets, groups: []};
   const loads = groupLoads(targets, input, engine);
   const {isWhole, nowMs} = input;
   const found = limits.next({engine, goals, groups: loads, isWhole, nowMs});
@@ -65,13 +64,7 @@
       sum + (isShared ? Math.max(concurrency, running) : concurrency),
     0
   );
-  const opening = groups.reduce((all, {opening}) => all + opening, 0);
-  return {total, opening: Math.min(total, opening), targets, groups};
-}
-
-function unbounded(targets: readonly PermitTarget[]): ServiceConcurrency {
-  const total = capacityOf(targets);
-  return {total, opening: total, targets, groups: []};
+  return {total, targets, groups};
 }
 
 /** What bounds the group that is bound most; undefined where none is known. */
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -55,8 +55,6 @@
   private permits: Readonly<Record<string, number>> = {};
   private arrivals = 0;
   private bound: string | undefined;
-  /** Whether a leader that knew all loads granted it anything. */
-  private isGranted = false;
 
   constructor(
     private readonly service: string,
@@ -68,10 +66,8 @@
 
   /** Takes over what the leader granted. */
   grant(grant: ServiceGrant): void {
-    const {concurrency, isProvisional, free, permits} = grant;
+    const {concurrency, free, permits} = grant;
     this.bound = grant.boundBy;
-    if (isProvisional === true && this.isGranted) return;
-    this.isGranted ||= isProvisional !== true;
     this.permits = permits ?? this.permits;
     this.queue.setLimit(concurrency, free);
   }
--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -9,7 +9,7 @@
 import type {PassProfile} from '../core/passProfile';
 import type {MapOutlook} from './mapOutlook';
 import {PassCorrection} from './passCorrection';
-import {fixedPassMs, promptPassMs, requestPassMs} from './passLength';
+import {fixedPassMs, requestPassMs} from './passLength';
 
 /** What callers of streams accept, milliseconds; 0 for none. */
 export interface PassGoals {
@@ -51,25 +51,17 @@
   | 'passes'
   /** The same, right after the shift of demand that is due. */
   | 'shift'
-  /** The next pass has no time to read more prompts. */
-  | 'prompts'
   /** Other groups serve callers in time, this one does not. */
   | 'slowGroup'
   /** No group serves callers in time; some are served late. */
   | 'slow';
 
-/** A bound of the requests of a group. */
-interface Bound {
+/** Requests that one group may run at once. */
+export interface GroupLimit {
   readonly concurrency: number;
   readonly reason: LimitReason;
 }
 
-/** Requests that one group may run at once. */
-export interface GroupLimit extends Bound {
-  /** Those that run, and the ones whose prompts the next pass can read. */
-  readonly opening: number;
-}
-
 /**
  * Longest passes, in parts of the accepted pause. Passes that last are kept below
  * it, with room for the copies of a switch. Those after a shift may exceed it: they
@@ -89,79 +81,52 @@
 const PROBE_REQUESTS = 3;
 /** Cost of a request of which nothing is known, milliseconds. */
 const UNSEEN_MS = 1e-3;
-/** What passes showed stands while a switch holds them up. */
-const SEEN_FOR_MS = 500;
 /** With fewer requests the fixed part of a pass drowns what each one adds. */
 const MIN_RUNNING = 4;
 
 /** Limits by group; keeps what was seen of the passes of each. */
 export class GroupLimits {
   private readonly corrections = new Map<string, PassCorrection>();
-  private readonly seen = new Map<string, SeenCost>();
 
   /** Limits now; to be asked once each period of reports. */
   next(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
     const {groups} = input;
     this.retain(groups);
-    const bounds = groups.map(group => this.boundsOf(group, input));
+    const bounds = groups.map(group => this.boundOf(group, input));
     const isServed = groups.some(
-      ({slots}, i) => (bounds[i]?.lasting.concurrency ?? 0) >= leastOf(slots)
+      ({slots}, i) => (bounds[i]?.concurrency ?? 0) >= leastOf(slots)
     );
     return new Map(
       groups.flatMap((group, i) => {
-        const found = bounds[i];
-        if (found === undefined) return [];
-        const {concurrency: opening} = found.next;
-        // Whole reports tell what runs; a known map takes what it runs already.
-        const isOpening = input.isWhole && !group.outlook.isKnown;
-        const bound = isOpening
-          ? boundOf(group, found, isServed)
-          : boundOf(group, {...found, next: found.lasting}, isServed);
-        return [[group.name, {...bound, opening}]];
+        const bound = bounds[i];
+        if (bound === undefined) return [];
+        return [[group.name, limitOf(group, bound, isServed)]];
       })
     );
   }
 
   /** Requests at which passes are no longer than callers accept. */
-  private boundsOf(group: GroupLoad, input: GroupLimitsInput): Bounds {
+  private boundOf(group: GroupLoad, input: GroupLimitsInput): GroupLimit {
     const {engine, goals, isWhole, nowMs} = input;
     const {ranks, running, paceMs, outlook} = group;
-    const shapeAt = (skew: number) => ({engine, ranks, skew});
-    // The rank that is slowest ends its own part of a pass last.
-    const fixedMs = fixedPassMs(engine) * outlook.slowness;
+    const costAt = (skew: number) => requestPassMs({engine, ranks, skew});
+    const fixedMs = fixedPassMs(engine);
     const correction = this.correctionOf(group.name);
     const varyingMs = paceMs - fixedMs;
     const isSeen =
       isWhole && running >= MIN_RUNNING && varyingMs > 0 && !outlook.isHeld;
-    const skew = outlook.isKnown
-      ? outlook.skew
-      : Math.max(outlook.skew, outlook.dueSkew);
-    const expectedMs = requestPassMs(shapeAt(skew));
-    if (isSeen && outlook.isKnown)
-      correction.note(varyingMs / running, expectedMs, nowMs);
-    if (isSeen) this.seen.set(group.name, {nowMs, ms: varyingMs / running});
+    const expectedMs = costAt(outlook.skew);
+    if (isSeen) correction.note(varyingMs / running, expectedMs, nowMs);
     const {factor} = correction;
-    const seenMs = this.seenMs(group.name, nowMs);
-    const costMs = seenMs ?? factor * expectedMs;
-    const shiftMs = factor * requestPassMs(shapeAt(outlook.dueSkew));
+    const costMs = isSeen ? varyingMs / running : factor * expectedMs;
+    const shiftMs = factor * costAt(outlook.dueSkew);
     const lastingMs = lastingLimitMs(goals) - fixedMs;
     const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
-    const lasting = smallest([
+    return smallest([
       {concurrency: group.slots, reason: 'slots'},
       {concurrency: requestsIn(lastingMs, costMs), reason: 'passes'},
       {concurrency: requestsIn(shiftLimitMs, shiftMs), reason: 'shift'},
     ]);
-    const pauseLimitMs = goals.pauseMs * LASTING_PAUSE_RATIO - fixedMs;
-    const leftMs = Math.max(0, pauseLimitMs - running * costMs);
-    const more = requestsIn(leftMs, promptPassMs(shapeAt(skew)));
-    return {lasting, next: {concurrency: running + more, reason: 'prompts'}};
-  }
-
-  /** Cost of a request as passes showed it last; undefined if not lately. */
-  private seenMs(name: string, nowMs: number): number | undefined {
-    const last = this.seen.get(name);
-    const isRecent = last !== undefined && nowMs - last.nowMs < SEEN_FOR_MS;
-    return isRecent ? last.ms : undefined;
   }
 
   private correctionOf(name: string): PassCorrection {
@@ -175,38 +140,23 @@
   private retain(groups: readonly GroupLoad[]): void {
     const names = new Set(groups.map(({name}) => name));
     for (const name of this.corrections.keys())
-      if (!names.has(name)) {
-        this.corrections.delete(name);
-        this.seen.delete(name);
-      }
+      if (!names.has(name)) this.corrections.delete(name);
   }
 }
 
-/** Cost of one request in a pass. */
-interface SeenCost {
-  readonly nowMs: number;
-  readonly ms: number;
-}
-
-/** Bounds of one group. */
-interface Bounds {
-  readonly lasting: Bound;
-  /** For the next pass of a group that opens: it reads the prompts of all that are new. */
-  readonly next: Bound;
-}
-
 function leastOf(slots: number): number {
   return slots * MIN_LIMIT_RATIO;
 }
 
-function boundOf(
+function limitOf(
   {slots}: GroupLoad,
-  {lasting, next}: Bounds,
+  bound: GroupLimit,
   isServed: boolean
-): Bound {
-  if (lasting.concurrency >= leastOf(slots)) return smallest([lasting, next]);
-  if (!isServed) return {concurrency: leastOf(slots), reason: 'slow'};
-  const concurrency = Math.max(PROBE_REQUESTS, lasting.concurrency);
+): GroupLimit {
+  const least = leastOf(slots);
+  if (bound.concurrency >= least) return bound;
+  if (!isServed) return {concurrency: least, reason: 'slow'};
+  const concurrency = Math.max(PROBE_REQUESTS, bound.concurrency);
   return {concurrency: Math.min(slots, concurrency), reason: 'slowGroup'};
 }
 
@@ -214,7 +164,7 @@
   return ms / Math.max(costMs, UNSEEN_MS);
 }
 
-function smallest(limits: readonly Bound[]): Bound {
+function smallest(limits: readonly GroupLimit[]): GroupLimit {
   return limits.reduce((least, limit) =>
     limit.concurrency < least.concurrency ? limit : least
   );
--- a/src/policy/passLength.ts
+++ b/src/policy/passLength.ts
@@ -23,26 +23,12 @@
   return stepMs * stepsPerPass;
 }
 
-/** Passes that write a usual answer. */
-export function answerPasses(engine: PassProfile): number {
-  return Math.max(1, engine.usualAnswerTokens / engine.stepsPerPass);
-}
-
-/** What each running request adds to a pass on average, milliseconds. */
-export function requestPassMs(shape: GroupShape): number {
-  const {engine} = shape;
+/** What each running request adds to a pass, milliseconds. */
+export function requestPassMs({engine, ranks, skew}: GroupShape): number {
   const writingMs = engine.stepMsPerRequest * engine.stepsPerPass;
-  return groupMs(writingMs + engine.usualReadMs / answerPasses(engine), shape);
-}
-
-/** What a usual prompt adds to the pass that reads it, milliseconds. */
-export function promptPassMs(shape: GroupShape): number {
-  return groupMs(shape.engine.usualReadMs, shape);
-}
-
-/** Time that work of one rank takes when it is spread over the experts of all. */
-function groupMs(workMs: number, {engine, ranks, skew}: GroupShape): number {
+  const passes = Math.max(1, engine.usualAnswerTokens / engine.stepsPerPass);
+  const readingMs = engine.usualReadMs / passes;
   const {expertShare} = engine;
   const unevenness = 1 - expertShare + expertShare * skew;
-  return (workMs * unevenness) / Math.max(1, ranks);
+  return ((writingMs + readingMs) * unevenness) / Math.max(1, ranks);
 }
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -28,12 +28,6 @@
 const REPORT_PERIOD_MS = 100;
 /** And this often otherwise, to find holds that came late. */
 const IDLE_REPORT_PERIOD_MS = 2_000;
-/** All ranks are asked how fast they are while one seems to be slow. */
-const SLOW_REPORT_PERIOD_MS = 400;
-/** Passes this many times as long as forecast suggest a slow rank. */
-const SLOW_PASS_RATIO = 2;
-/** A rank whose work takes so many times as long is slow. */
-const SLOW_RANK_RATIO = 1.3;
 /**
  * Fall of the mean skew of the sets that a switch must bring where passes last
  * as long as callers accept; twice that where they last half as long.
@@ -91,7 +85,6 @@
   private isPlanDue = false;
   private wasSwitching = false;
   private lastReportsMs = -Infinity;
-  private slowReportsMs = -Infinity;
   private nextVersionSeen = '';
   private isPlanning = false;
   /** Whether the next plan answers a shift. */
@@ -129,18 +122,12 @@
     const {shifts} = this.parts;
     return {
       skew: this.skewInForce,
-      isKnown: this.hasPlanned,
       shiftSkew: shifts.worst(nowMs),
       dueSkew: this.hasPlanned ? shifts.due(nowMs) : shifts.worst(nowMs),
       isHeld: nowMs - this.heldAtMs < HELD_SHOWS_MS,
-      slowness: this.slowness,
     };
   }
 
-  private get slowness(): number {
-    return Math.max(1, ...(this.machine?.slowness ?? []));
-  }
-
   /** Regular work, every few tens of milliseconds. */
   tick(nowMs: number): void {
     const {machine} = this;
@@ -166,13 +153,7 @@
       this.lastReportsMs = nowMs;
       this.readReports(machine.ranksToReport(nowMs));
     }
-    const pace = this.pace();
-    const isSlowDue = nowMs - this.slowReportsMs >= SLOW_REPORT_PERIOD_MS;
-    if (isSlowDue && this.isSlow(pace)) {
-      this.slowReportsMs = nowMs;
-      this.readReports(this.parts.ranks.map((_, rank) => rank));
-    }
-    const due = this.watch.next(pace, nowMs);
+    const due = this.watch.next(this.pace(), nowMs);
     if (due !== undefined) void this.look(due);
     if (this.isPlanDue) void this.plan();
   }
@@ -298,12 +279,6 @@
     return gain * Math.min(1, strain) >= MIN_GAIN;
   }
 
-  /** Whether a rank is slow, or passes look as if one were. */
-  private isSlow({passMs, forecastMs}: Pace): boolean {
-    const isSlowPass = passMs > forecastMs * SLOW_PASS_RATIO;
-    return isSlowPass || this.slowness > SLOW_RANK_RATIO;
-  }
-
   private readReports(indexes: readonly number[]): void {
     const {ranks, codec, caller} = this.parts;
     const askedAtMs = performance.now();
