Start agents and fakes of a test deployment on another port when theirs was taken

Between the release and the listening of a process that starts slowly, the kernel may give the port to another one, also of the same deployment. Ruled out: a connection that ends: 20 tries in 5 s had the port taken each time. Change: a start that meets a taken port is made anew on a fresh one, three times at most; no test is changed.

--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -5,13 +5,12 @@
 import {once} from 'node:events';
 import readline from 'node:readline';
 import {setTimeout as delay} from 'node:timers/promises';
+import {PortTakenError} from './freePorts';
 
 const START_TIMEOUT_MS = 15_000;
 const PORT_TRIES = 20;
 const PORT_PAUSE_MS = 250;
 
-class PortTakenError extends Error {}
-
 /** A started program whose first line of stdout is a JSON document. */
 export class Child {
   private constructor(
--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {Child} from './childProcess';
 import type {CutDirection} from './cutRelay';
-import {freePorts, holdPorts} from './freePorts';
+import {freePorts, holdPorts, onFreshPort} from './freePorts';
 import {Links} from './links';
 import {ClientResult, runClient} from './runClient';
 import type {DeploymentShape, PoolShape} from './shape';
@@ -231,14 +231,8 @@
     const fakePort =
       rankPort ??
       known?.fakePort ??
-      (await this.startFake(shape, `fake-${targetId}`));
-    const id = `agent-${targetId}`;
-    const held = await holdPorts(this.shape.linked ? 1 : 0);
-    const [port = 0] = held.ports;
-    this.agentPorts.set(id, port);
-    const file = this.write(id, [
-      ...this.processLines(id, index),
-      ...(await this.internalLines(id, `port = ${port}`)),
+      (await onFreshPort(() => this.startFake(shape, `fake-${targetId}`)));
+    const lines = [
       '[target]',
       `id = ${targetId}`,
       `pool = ${pool}`,
@@ -246,9 +240,8 @@
       `host = ${HOST}`,
       `port = ${fakePort}`,
       ...(this.shape.agentTargetLines ?? []),
-    ]);
-    await held.release();
-    await this.startRole('agent', id, file);
+    ];
+    await onFreshPort(() => this.startAgent(`agent-${targetId}`, index, lines));
     this.targets.push({
       targetId,
       pool,
@@ -257,6 +250,23 @@
     });
   }
 
+  private async startAgent(
+    id: string,
+    index: number,
+    targetLines: readonly string[]
+  ): Promise<void> {
+    const held = await holdPorts(this.shape.linked ? 1 : 0);
+    const [port = 0] = held.ports;
+    this.agentPorts.set(id, port);
+    const file = this.write(id, [
+      ...this.processLines(id, index),
+      ...(await this.internalLines(id, `port = ${port}`)),
+      ...targetLines,
+    ]);
+    await held.release();
+    await this.startRole('agent', id, file);
+  }
+
   /** Resolves with the port. */
   private async startFake(
     {kind, fakeArgs}: PoolShape,
--- a/bench/deployment/freePorts.ts
+++ b/bench/deployment/freePorts.ts
@@ -3,6 +3,28 @@
 import net, {AddressInfo} from 'node:net';
 import {once} from 'node:events';
 
+/** Fresh ports that are tried before a start counts as failed. */
+const MAX_FRESH_PORTS = 3;
+
+/** Somebody else listens on the port that a process was to listen on. */
+export class PortTakenError extends Error {}
+
+/**
+ * Starts a process on a port that `start` chooses anew with each call: between
+ * the choice and the listening another process may be given the same one.
+ */
+export async function onFreshPort<T>(start: () => Promise<T>): Promise<T> {
+  for (let tries = 1; ; tries++) {
+    try {
+      return await start();
+    } catch (err) {
+      const mayTryAgain =
+        err instanceof PortTakenError && tries < MAX_FRESH_PORTS;
+      if (!mayTryAgain) throw err;
+    }
+  }
+}
+
 /** Ports that nobody else is given until they are released. */
 export interface HeldPorts {
   readonly ports: readonly number[];
