Call one sum and one list of targets where the change had written them again

Cause: read anew, the change counted the requests in flight in three places, handed the targets of a service from method to method though the permits hold them, and paired groups and bounds by index. No behaviour changes.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -5,7 +5,6 @@
  */
 
 import type {Logger} from '../core/logger';
-import {sum} from '../core/sum';
 import {freePlaces, allocateShares} from '../policy/shareAllocation';
 import {GroupLimits} from '../policy/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
@@ -14,7 +13,7 @@
 import {LimitLog} from './limitLog';
 import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
 import type {NodeReport} from './nodeReports';
-import {NodeReports, demandsOf, loadsOf} from './nodeReports';
+import {NodeReports, demandsOf, inFlightOf, loadsOf} from './nodeReports';
 import {TargetPermits} from '../policy/targetPermits';
 import type {ServiceConcurrency} from './serviceGroups';
 import {concurrencyOf, medianPace, tightestBound} from './serviceGroups';
@@ -132,8 +131,7 @@
     const groups = this.shares.get(service)?.concurrency.groups ?? [];
     const known = groups.find(({name}) => name === group);
     if (known !== undefined) return known.running;
-    const loads = loadsOf(service, this.reports.active(this.nowMs()));
-    return sum(loads.map(({inFlight}) => inFlight));
+    return inFlightOf(loadsOf(service, this.reports.active(this.nowMs())));
   }
 
   /** Nodes whose reports are fresh. */
--- a/src/cluster/limitLog.ts
+++ b/src/cluster/limitLog.ts
@@ -4,6 +4,7 @@
 import {rounded} from '../core/rounded';
 import {sum} from '../core/sum';
 import type {ServiceLoad} from './messages';
+import {inFlightOf} from './nodeReports';
 import type {ServiceConcurrency} from './serviceGroups';
 
 /** Change of the concurrency of a service that is logged, in parts of it. */
@@ -32,7 +33,7 @@
       Math.abs(total - last.total) <= last.total * LOGGED_PART;
     if (isAlike) return;
     this.logged.set(service, {total, reasons});
-    const running = sum(loads.map(({inFlight}) => inFlight));
+    const running = inFlightOf(loads);
     const waiting = sum(loads.map(load => load.waiting));
     this.logger.info(
       {
--- a/src/cluster/nodeReports.ts
+++ b/src/cluster/nodeReports.ts
@@ -1,5 +1,6 @@
 /** What nodes reported last to the leader; soft state of one term. */
 
+import {sum} from '../core/sum';
 import {reportPeriodMs} from '../policy/reportPeriod';
 import type {ShareDemand} from '../policy/shareAllocation';
 import type {NodeInfo, ServiceLoad, SyncParams} from './messages';
@@ -74,6 +75,11 @@
   return reports.flatMap(({loads}) => loads.get(service) ?? []);
 }
 
+/** Requests at targets now, at all nodes that reported these loads. */
+export function inFlightOf(loads: readonly ServiceLoad[]): number {
+  return sum(loads.map(({inFlight}) => inFlight));
+}
+
 /** Demand of these nodes for the concurrency of one service. */
 export function demandsOf(
   service: string,
--- a/src/cluster/serviceGroups.ts
+++ b/src/cluster/serviceGroups.ts
@@ -1,5 +1,6 @@
 /** Targets and loads of a service, by the groups that its ranks form. */
 
+import {sum} from '../core/sum';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {EVEN_OUTLOOK, FIRST_MAP_OUTLOOK} from '../policy/mapOutlook';
 import type {
@@ -14,6 +15,7 @@
 import type {EngineProfile, SiteService} from '../site/site';
 import type {StreamGoals} from '../site/streamGoals';
 import type {ServiceLoad} from './messages';
+import {inFlightOf} from './nodeReports';
 
 /** Requests at a plain target beside those in work: its next ones are there. */
 const PLAIN_QUEUE = 1;
@@ -59,10 +61,10 @@
   });
   // What runs in a group beyond its limit takes nothing from the other groups.
   const isShared = groups.length > 1;
-  const total = groups.reduce(
-    (sum, {concurrency, running}) =>
-      sum + (isShared ? Math.max(concurrency, running) : concurrency),
-    0
+  const total = sum(
+    groups.map(({concurrency, running}) =>
+      isShared ? Math.max(concurrency, running) : concurrency
+    )
   );
   return {total, targets, groups};
 }
@@ -143,12 +145,8 @@
   return paces[Math.floor(paces.length / 2)] ?? 0;
 }
 
-function inFlightOf(loads: readonly ServiceLoad[]): number {
-  return loads.reduce((sum, {inFlight}) => sum + inFlight, 0);
-}
-
 function capacityOf(targets: readonly PermitTarget[]): number {
-  return targets.reduce((sum, {capacity}) => sum + capacity, 0);
+  return sum(targets.map(({capacity}) => capacity));
 }
 
 /** After an outage a group forms anew before anybody orders its maps. */
--- a/src/policy/groupLimits.ts
+++ b/src/policy/groupLimits.ts
@@ -92,16 +92,18 @@
   next(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
     const {groups} = input;
     this.retain(groups);
-    const bounds = groups.map(group => this.boundOf(group, input));
-    const isServed = groups.some(
-      ({slots}, i) => (bounds[i]?.concurrency ?? 0) >= leastOf(slots)
+    const bounds = groups.map(group => ({
+      group,
+      bound: this.boundOf(group, input),
+    }));
+    const isServed = bounds.some(
+      ({group, bound}) => bound.concurrency >= leastOf(group.slots)
     );
     return new Map(
-      groups.flatMap((group, i) => {
-        const bound = bounds[i];
-        if (bound === undefined) return [];
-        return [[group.name, limitOf(group, bound, isServed)]];
-      })
+      bounds.map(({group, bound}) => [
+        group.name,
+        limitOf(group, bound, isServed),
+      ])
     );
   }
 
--- a/src/policy/targetPermits.ts
+++ b/src/policy/targetPermits.ts
@@ -76,16 +76,15 @@
    * bound has none: what ends there is not followed by another request.
    */
   renew(demand: PermitDemand): ReadonlyMap<string, number> {
-    const {targets} = this;
-    const held = this.keepUsable(demand, targets);
-    this.withdrawBeyondBounds(demand, held, targets);
+    const held = this.keepUsable(demand);
+    this.withdrawBeyondBounds(demand, held);
     const inUse = Object.values(demand.inUse);
     const wanted = Math.max(Math.floor(demand.concurrency), sum(inUse));
     let count = sum([...held.values()]);
-    while (count > wanted && this.withdrawOne(demand, held, targets)) count--;
-    while (count < wanted && this.giveOne(demand, held, targets)) count++;
+    while (count > wanted && this.withdrawOne(demand, held)) count--;
+    while (count < wanted && this.giveOne(demand, held)) count++;
     for (let moves = 0; moves < MAX_MOVES; moves++)
-      if (!this.moveOne(demand, held, targets)) break;
+      if (!this.moveOne(demand, held)) break;
     return this.withinBounds(held);
   }
 
@@ -99,14 +98,11 @@
   }
 
   /** Permits for targets that are gone end; requests at others count as held. */
-  private keepUsable(
-    {node, inUse}: PermitDemand,
-    targets: readonly PermitTarget[]
-  ): Map<string, number> {
+  private keepUsable({node, inUse}: PermitDemand): Map<string, number> {
     const before = this.held.get(node) ?? new Map<string, number>();
     const held = new Map<string, number>();
     for (const [id, count] of before) this.count(id, -count);
-    for (const {id} of targets) {
+    for (const {id} of this.targets) {
       const count = Math.max(before.get(id) ?? 0, inUse[id] ?? 0);
       if (count > 0) this.set(held, id, count);
     }
@@ -117,10 +113,9 @@
   /** What a group may no longer run is not taken up again there. */
   private withdrawBeyondBounds(
     {inUse}: PermitDemand,
-    held: Map<string, number>,
-    targets: readonly PermitTarget[]
+    held: Map<string, number>
   ): void {
-    for (const {id, group} of targets) {
+    for (const {id, group} of this.targets) {
       const count = held.get(id) ?? 0;
       const over = this.overOf(group);
       const unused = count - (inUse[id] ?? 0);
@@ -132,8 +127,6 @@
   private withinBounds(
     held: ReadonlyMap<string, number>
   ): ReadonlyMap<string, number> {
-    const groups = [...this.groups.keys()];
-    if (!groups.some(group => this.overOf(group) >= 1)) return held;
     const ids = [...held].filter(
       ([id]) => this.overOf(this.groupOf.get(id) ?? '') < 1
     );
@@ -142,51 +135,41 @@
 
   private withdrawOne(
     demand: PermitDemand,
-    held: Map<string, number>,
-    targets: readonly PermitTarget[]
+    held: Map<string, number>
   ): boolean {
-    const worst = this.worstUnused(demand, held, targets);
+    const worst = this.worstUnused(demand, held);
     if (worst === undefined) return false;
-    this.set(held, worst.id, (held.get(worst.id) ?? 0) - 1);
+    this.add(held, worst.id, -1);
     return true;
   }
 
-  private giveOne(
-    demand: PermitDemand,
-    held: Map<string, number>,
-    targets: readonly PermitTarget[]
-  ): boolean {
-    const best = this.bestFree(demand, targets, undefined);
+  private giveOne(demand: PermitDemand, held: Map<string, number>): boolean {
+    const best = this.bestFree(demand);
     if (best === undefined) return false;
-    this.set(held, best.id, (held.get(best.id) ?? 0) + 1);
+    this.add(held, best.id, 1);
     return true;
   }
 
   /** Moves an unused permit from a crowded target to one that has room. */
-  private moveOne(
-    demand: PermitDemand,
-    held: Map<string, number>,
-    targets: readonly PermitTarget[]
-  ): boolean {
-    const worst = this.worstUnused(demand, held, targets);
+  private moveOne(demand: PermitDemand, held: Map<string, number>): boolean {
+    const worst = this.worstUnused(demand, held);
     if (worst === undefined) return false;
-    const best = this.bestFree(demand, targets, worst.group);
+    const best = this.bestFree(demand, worst.group);
     if (best === undefined) return false;
     const gain = this.costOf(worst, demand) - this.costOf(best, demand);
     if (gain * worst.capacity < MIN_IMBALANCE_SLOTS) return false;
-    this.set(held, worst.id, (held.get(worst.id) ?? 0) - 1);
-    this.set(held, best.id, (held.get(best.id) ?? 0) + 1);
+    this.add(held, worst.id, -1);
+    this.add(held, best.id, 1);
     return true;
   }
 
   private worstUnused(
     demand: PermitDemand,
-    held: ReadonlyMap<string, number>,
-    targets: readonly PermitTarget[]
+    held: ReadonlyMap<string, number>
   ): PermitTarget | undefined {
     let worst: PermitTarget | undefined;
     let highest = -Infinity;
-    for (const target of targets) {
+    for (const target of this.targets) {
       const unused =
         (held.get(target.id) ?? 0) - (demand.inUse[target.id] ?? 0);
       if (unused <= 0) continue;
@@ -201,12 +184,11 @@
   /** `group` gives up a permit in exchange, and needs no room for another. */
   private bestFree(
     demand: PermitDemand,
-    targets: readonly PermitTarget[],
-    group: string | undefined
+    group?: string
   ): PermitTarget | undefined {
     let best: PermitTarget | undefined;
     let least = Infinity;
-    for (const target of targets) {
+    for (const target of this.targets) {
       if ((this.given.get(target.id) ?? 0) >= target.capacity) continue;
       if (target.group !== group && this.overOf(target.group) >= 0) continue;
       const cost = this.costOf(target, demand);
@@ -228,6 +210,10 @@
     return use + (isNear ? 0 : FAR_PENALTY);
   }
 
+  private add(held: Map<string, number>, id: string, by: number): void {
+    this.set(held, id, (held.get(id) ?? 0) + by);
+  }
+
   private set(held: Map<string, number>, id: string, count: number): void {
     this.count(id, count - (held.get(id) ?? 0));
     if (count > 0) held.set(id, count);
