--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -15,6 +15,8 @@
 import type {RequestState, RoutedRequest} from './requestState';
 import {rounded} from '../core/rounded';
 import {stopRefusal} from './stopRefusal';
+import type {WholeResponse} from './wholeResponse';
+import {isFramed, writeWholeResponse} from './wholeResponse';
 
 /** Outcome of an attempt, which decides whether a retry may follow. */
 type AttemptEnd =
@@ -29,15 +31,6 @@
   /** The request was cancelled; see `StopReason`. */
   | {readonly kind: 'stopped'};
 
-interface WholeResponse {
-  readonly status: number;
-  /** Flat list of names and values, as in `rawHeaders`. */
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-  /** Whether the end was marked by a Content-Length or Transfer-Encoding. */
-  readonly isFramed: boolean;
-}
-
 /** All nodes learn of a lost target within a second. */
 const NO_TARGET_RETRY_MS = 400;
 /** A target's full queue has room again after a few passes. */
@@ -138,7 +131,7 @@
       return undefined;
     }
     if (lastErrorResponse !== undefined) {
-      this.respond(lastErrorResponse);
+      writeWholeResponse(state.res, lastErrorResponse);
       return undefined;
     }
     if (state.mayHaveRun) return {kind: 'outcomeUnknown'};
@@ -290,7 +283,7 @@
     if (!isGood) return {kind: 'failed', answer: response};
     // The caller already has the beginning of a stream.
     if (stream.hasBegun) return {kind: 'lost'};
-    this.respond(response);
+    writeWholeResponse(state.res, response);
     return {kind: 'answered'};
   }
 
@@ -303,19 +296,6 @@
     return body;
   }
 
-  private respond({status, headers, body, isFramed}: WholeResponse): void {
-    const {res} = this.state;
-    if (res.destroyed) return;
-    // An unframed response may have been truncated when the target closed the
-    // connection. A Content-Length or chunked encoding would declare it complete.
-    if (!isFramed) {
-      res.useChunkedEncodingByDefault = false;
-      res.shouldKeepAlive = false;
-    }
-    res.writeHead(status, [...headers]);
-    res.end(body);
-  }
-
   private async relayStream(
     target: TargetRecord,
     res: IncomingMessage,
@@ -397,10 +377,3 @@
   if (caller.attemptId === undefined) return true;
   return head.attemptId === caller.attemptId;
 }
-
-function isFramed({headers}: IncomingMessage): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
