--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -6,15 +6,14 @@
 
 import {Subscription, defer, repeat, timer} from 'rxjs';
 import {newBootId} from '../core/bootId';
-import type {Logger} from '../core/logger';
-import type {NodeMetrics} from '../core/nodeMetrics';
 import {NO_SITE_VERSION} from '../control/state/siteState';
-import type {DecodedSite, Site} from '../site/site';
+import type {Site} from '../site/site';
 import type {TargetAnnouncement, TargetRecord} from '../site/announcement';
-import {SiteIndex} from '../site/siteIndex';
 import {unpackText} from '../site/packText';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {reportPeriodMs} from '../policy/reportPeriod';
+import type {ClusterNodeOptions} from './clusterNodeOptions';
+import type {ClusterView} from './clusterView';
 import {LogReplica} from './logReplica';
 import {Coordinator} from './coordinator';
 import {LeaderService} from './leaderService';
@@ -27,8 +26,6 @@
 import type {
   NodeInfo,
   OperatorCommand,
-  ServiceGrant,
-  ServiceLoad,
   SyncParams,
   SyncState,
 } from './messages';
@@ -62,32 +59,6 @@
  */
 const SILENT_AFTER_HEARTBEATS = 3.5;
 
-/** Settings and dependencies of a node. */
-export interface ClusterNodeOptions {
-  readonly self: NodeInfo;
-  readonly port: number;
-  readonly seeds: readonly string[];
-  /** Folder of the log; empty for a node without a disk. */
-  readonly dataDir: string;
-  readonly isFirstStart: boolean;
-  readonly lossesBorne: number;
-  /** Period of the targets' announcements, milliseconds. */
-  readonly heartbeatMs: number;
-  readonly logger: Logger;
-  readonly metrics: NodeMetrics;
-  decodeSite(text: string): DecodedSite;
-  /** Loads by service; arrivals are counted since the last call. */
-  takeLoads(): readonly ServiceLoad[];
-}
-
-/** State by which a gateway routes and admits requests. */
-export interface ClusterView {
-  readonly index: SiteIndex | undefined;
-  readonly zonesOut: ReadonlySet<string>;
-  readonly grants: ReadonlyMap<string, ServiceGrant>;
-  readonly activeNodes: number;
-}
-
 /** A running node. */
 export class ClusterNode {
   readonly table = new TargetTable();
--- /dev/null
+++ b/src/cluster/clusterNodeOptions.ts
@@ -0,0 +1,24 @@
+/** Settings and dependencies of a node of the cluster. */
+
+import type {Logger} from '../core/logger';
+import type {NodeMetrics} from '../core/nodeMetrics';
+import type {DecodedSite} from '../site/site';
+import type {NodeInfo, ServiceLoad} from './messages';
+
+/** Settings and dependencies of a node. */
+export interface ClusterNodeOptions {
+  readonly self: NodeInfo;
+  readonly port: number;
+  readonly seeds: readonly string[];
+  /** Folder of the log; empty for a node without a disk. */
+  readonly dataDir: string;
+  readonly isFirstStart: boolean;
+  readonly lossesBorne: number;
+  /** Period of the targets' announcements, milliseconds. */
+  readonly heartbeatMs: number;
+  readonly logger: Logger;
+  readonly metrics: NodeMetrics;
+  decodeSite(text: string): DecodedSite;
+  /** Loads by service; arrivals are counted since the last call. */
+  takeLoads(): readonly ServiceLoad[];
+}
--- /dev/null
+++ b/src/cluster/clusterView.ts
@@ -0,0 +1,12 @@
+/** What a node knows of the cluster, as its gateway uses it. */
+
+import type {SiteIndex} from '../site/siteIndex';
+import type {ServiceGrant} from './messages';
+
+/** State by which a gateway routes and admits requests. */
+export interface ClusterView {
+  readonly index: SiteIndex | undefined;
+  readonly zonesOut: ReadonlySet<string>;
+  readonly grants: ReadonlyMap<string, ServiceGrant>;
+  readonly activeNodes: number;
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** State that all requests of one gateway share. */
 
-import type {ClusterNode, ClusterView} from '../cluster/clusterNode';
+import type {ClusterNode} from '../cluster/clusterNode';
+import type {ClusterView} from '../cluster/clusterView';
 import type {ServiceLoad} from '../cluster/messages';
 import type {Logger} from '../core/logger';
 import type {NodeMetrics, PoolGauge} from '../core/nodeMetrics';
