Log and count what targets state of a rate limit

Each node now writes a line when a target begins, changes or ceases to state a limit in its responses, and counts the calls to targets that state one, by kind: requests of callers, and each kind of call to ranks, also those that relays make. One class, TargetPushback, reads every response of a target and of a rank. Invalid values are ignored, counted, and logged once for each target. A 421 comes from another target at that address and states nothing of this one; a response that names another attempt is not read.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -42,6 +42,7 @@
 import {NodeDirectory} from './nodeDirectory';
 import {RpcClient} from './rpcClient';
 import {RpcServer} from './rpcServer';
+import {TargetPushback} from './targetPushback';
 import {TargetTable} from './targetTable';
 import * as z from 'zod';
 
@@ -62,6 +63,7 @@
 /** A running node. */
 export class ClusterNode {
   readonly table = new TargetTable();
+  readonly pushback: TargetPushback;
   private readonly leaderService: LeaderService;
   private readonly coordinator: Coordinator;
   private readonly bootId = newBootId();
@@ -90,6 +92,7 @@
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
     this.activeSite = new ActiveSite(options.decodeSite, logger);
+    this.pushback = new TargetPushback(this.table, options);
     const nowMs = () => performance.now();
     this.rpc = new RpcClient(port);
     this.server = new RpcServer(logger);
--- a/src/cluster/clusterNodeOptions.ts
+++ b/src/cluster/clusterNodeOptions.ts
@@ -2,7 +2,9 @@
 
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
+import type {IncomingMessage} from 'node:http';
 import type {DecodedSite} from '../site/site';
+import type {TargetNotice} from '../site/targetNotice';
 import type {NodeInfo, ServiceLoad} from './messages';
 
 /** Settings and dependencies of a node. */
@@ -19,6 +21,8 @@
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
   decodeSite(text: string): DecodedSite;
+  /** Undefined for a response of another target than the one that was called. */
+  readNotice(res: IncomingMessage): TargetNotice | undefined;
   /** Loads by service; arrivals are counted since the last call. */
   takeLoads(): readonly ServiceLoad[];
 }
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -40,6 +40,14 @@
     return this.entries.get(id)?.record;
   }
 
+  /** The latest boot that is known at an address; undefined after it left. */
+  findByAddress(address: string): TargetRecord | undefined {
+    const records = [...(this.idsByAddress.get(address) ?? [])].flatMap(
+      id => this.entries.get(id)?.record ?? []
+    );
+    return records.find(({state}) => state !== 'gone');
+  }
+
   /** Records that changed after a revision. */
   changedSince(revision: number): readonly TargetRecord[] {
     if (revision === this.lastRevision) return [];
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -79,6 +79,16 @@
     'reports to the leader, by outcome',
     ['outcome']
   );
+  private readonly limitedTargetCalls = this.counter(
+    'marlpulley_limited_target_calls_total',
+    'calls to targets that state a rate limit, by kind',
+    ['kind']
+  );
+  private readonly invalidHeaders = this.counter(
+    'marlpulley_target_headers_invalid_total',
+    'headers of targets whose values were ignored, by name',
+    ['header']
+  );
   private readonly slotWait = this.histogram(
     'marlpulley_place_wait_seconds',
     'time from the arrival of a request to its place'
@@ -117,6 +127,14 @@
     this.orders.inc({kind, answer});
   }
 
+  limitedTargetCalled(kind: string): void {
+    this.limitedTargetCalls.inc({kind});
+  }
+
+  invalidHeader(header: string): void {
+    this.invalidHeaders.inc({header});
+  }
+
   switched(group: string): void {
     this.switches.inc({group});
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {ClusterView} from '../cluster/clusterView';
 import type {ServiceLoad} from '../cluster/messages';
+import type {TargetPushback} from '../cluster/targetPushback';
 import type {Logger} from '../core/logger';
 import type {NodeMetrics, PoolGauge} from '../core/nodeMetrics';
 import type {CallerCodec} from '../ports/callerPort';
@@ -41,6 +42,11 @@
     return view;
   }
 
+  /** What targets stated; undefined until the cluster node has started. */
+  get pushback(): TargetPushback | undefined {
+    return this.parts.node()?.pushback;
+  }
+
   pool(service: string): ServicePool {
     const known = this.pools.get(service);
     if (known !== undefined) return known;
@@ -87,5 +93,6 @@
       this.pool(service).applyGrant(grant);
     const records = this.parts.node()?.table.records() ?? [];
     for (const pool of this.pools.values()) pool.retainTargets(records);
+    this.pushback?.retain(records);
   }
 }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -163,6 +163,7 @@
     const startedAtMs = performance.now();
     state.tried.add(target.id);
     pool.begin(target.id, startedAtMs);
+    gateway.pushback?.countCall(target, 'request');
     try {
       const end = await this.send(target, startedAtMs);
       this.log(target, end, performance.now() - startedAtMs);
@@ -239,6 +240,7 @@
     const {gateway, state, routed} = this;
     const pool = gateway.pool(routed.service.name);
     const head = gateway.parts.targets.readHead(res);
+    if (isResponseTo(head, state)) gateway.pushback?.noteResponse(target, res);
     if (head.notRun) {
       pool.noteAttempt(target.id, {kind: 'full'}, performance.now());
       res.destroy();
@@ -377,3 +379,8 @@
   if (caller.attemptId === undefined) return true;
   return head.attemptId === caller.attemptId;
 }
+
+/** Whether the response is to this attempt, or names none. */
+function isResponseTo({attemptId}: TargetHead, {caller}: RequestState) {
+  return attemptId === undefined || attemptId === caller.attemptId;
+}
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -202,6 +202,7 @@
     logger,
     metrics,
     decodeSite: codecs.control.decodeSite,
+    readNotice: codecs.targets.readNotice,
     takeLoads: () => gateway.takeLoads(),
   };
 }
@@ -209,7 +210,10 @@
 function serveRankRelay(node: ClusterNode): void {
   node.serve(RELAY_METHOD, RELAY_PARAMS, params => {
     const records = node.table.records();
-    return relayToRanks(params, new Set(records.map(({address}) => address)));
+    const addresses = new Set(records.map(({address}) => address));
+    return relayToRanks(params, addresses, (address, res) =>
+      node.pushback.noteRankResponse(address, res)
+    );
   });
 }
 
--- a/src/ports/targetPort.ts
+++ b/src/ports/targetPort.ts
@@ -1,6 +1,7 @@
 /** Interface between a gateway and the targets that it calls without an agent. */
 
 import type {IncomingMessage} from 'node:http';
+import type {TargetNotice} from '../site/targetNotice';
 
 /** Data that the gateway adds to a forwarded request. */
 export interface ForwardContext {
@@ -35,6 +36,8 @@
     context: ForwardContext
   ): string[];
   readHead(res: IncomingMessage): TargetHead;
+  /** Undefined for a response of another target. */
+  readNotice(res: IncomingMessage): TargetNotice | undefined;
   /** Raw header list for the caller. */
   responseHeaders(res: IncomingMessage): string[];
 }
--- a/src/ranks/groupControllerManager.ts
+++ b/src/ranks/groupControllerManager.ts
@@ -36,10 +36,17 @@
     /** Pass duration of a group, as observed in this node's streams. */
     private readonly streamPassMs: (service: string, group: string) => number
   ) {
-    this.transport = new RankTransport({
-      relays: () => relayNodes(node),
-      callNode: (...call) => node.callNode(...call),
-    });
+    this.transport = new RankTransport(
+      {
+        relays: () => relayNodes(node),
+        callNode: (...call) => node.callNode(...call),
+      },
+      {
+        onCall: (address, kind) => node.pushback.countRankCall(address, kind),
+        onResponse: (address, res) =>
+          node.pushback.noteRankResponse(address, res),
+      }
+    );
   }
 
   /** Periodic work; no orders are sent while another node is the leader. */
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -1,5 +1,6 @@
 /** HTTP client for ranks. Each call uses a connection of its own. */
 
+import type {IncomingMessage} from 'node:http';
 import http from 'node:http';
 import type {RankCall} from '../ports/rankPort';
 
@@ -11,11 +12,15 @@
   readonly tookMs: number;
 }
 
+/** Gets the headers of each response, before its body. */
+export type OnRankResponse = (address: string, res: IncomingMessage) => void;
+
 /** Resolves with undefined on an error, or without a response in time. */
 export function callRank(
   address: string,
   call: RankCall,
-  timeoutMs: number
+  timeoutMs: number,
+  onResponse: OnRankResponse
 ): Promise<RankAnswer | undefined> {
   return new Promise(resolve => {
     const [host, port] = address.split(':');
@@ -27,6 +32,7 @@
     const sentAtMs = performance.now();
     const options = {host, port: Number(port), method, path, headers};
     const req = http.request({...options, agent: false}, res => {
+      onResponse(address, res);
       const chunks: Buffer[] = [];
       res.on('data', (chunk: Buffer) => chunks.push(chunk));
       res.on('error', () => finish(undefined));
--- a/src/ranks/rankRelay.ts
+++ b/src/ranks/rankRelay.ts
@@ -2,6 +2,7 @@
 
 import {unpackText} from '../site/packText';
 import type {RankCall} from '../ports/rankPort';
+import type {OnRankResponse} from './rankClient';
 import {callRank} from './rankClient';
 import type {RelayParams, RelayReply} from './relayMessages';
 
@@ -11,7 +12,8 @@
  */
 export async function relayToRanks(
   params: RelayParams,
-  knownAddresses: ReadonlySet<string>
+  knownAddresses: ReadonlySet<string>,
+  onResponse: OnRankResponse
 ): Promise<RelayReply> {
   const {method, path, packedBody, addresses, limitMs} = params;
   const body = packedBody === undefined ? undefined : unpackText(packedBody);
@@ -19,7 +21,7 @@
   const answers = await Promise.all(
     addresses.map(async address =>
       knownAddresses.has(address)
-        ? ((await callRank(address, call, limitMs)) ?? null)
+        ? ((await callRank(address, call, limitMs, onResponse)) ?? null)
         : null
     )
   );
--- a/src/ranks/rankTransport.ts
+++ b/src/ranks/rankTransport.ts
@@ -6,7 +6,7 @@
 import type {ZonedAddress} from '../policy/relayPlan';
 import {planRelays} from '../policy/relayPlan';
 import {RetransmitTimeout} from '../policy/retransmitTimeout';
-import type {RankAnswer} from './rankClient';
+import type {OnRankResponse, RankAnswer} from './rankClient';
 import {callRank} from './rankClient';
 import {RELAY_METHOD, RELAY_REPLY} from './relayMessages';
 import type {RelayParams} from './relayMessages';
@@ -28,6 +28,14 @@
   ): Promise<unknown>;
 }
 
+/** Observes the calls to ranks. */
+export interface RankCallObserver {
+  /** Called before each call, also before those that a relay makes. */
+  onCall(address: string, kind: RankCallKind): void;
+  /** Called with each direct response; a relay notes those that it receives. */
+  readonly onResponse: OnRankResponse;
+}
+
 /** Outcome of a fan-out. */
 export interface FanOutSummary {
   readonly sent: number;
@@ -61,7 +69,10 @@
   private readonly timeouts = new Map<RankCallKind, RetransmitTimeout>();
   private readonly backoffUntilMs = new Map<string, number>();
 
-  constructor(private readonly nodes: RelayNodes) {}
+  constructor(
+    private readonly nodes: RelayNodes,
+    private readonly observer: RankCallObserver
+  ) {}
 
   /** Calls one rank; undefined when no response arrived in time. */
   async call(
@@ -70,7 +81,9 @@
     call: RankCall
   ): Promise<RankAnswer | undefined> {
     const timeout = this.timeoutOf(kind);
-    const answer = await callRank(rank.address, call, timeout.ms);
+    const {onResponse} = this.observer;
+    this.observer.onCall(rank.address, kind);
+    const answer = await callRank(rank.address, call, timeout.ms, onResponse);
     if (answer === undefined) timeout.noteTimeouts(1, 1);
     else timeout.noteAnswer(answer.tookMs);
     return answer;
@@ -88,6 +101,7 @@
   ): Promise<FanOutSummary> {
     const startMs = performance.now();
     const limitMs = this.timeoutOf(kind).ms;
+    for (const {address} of ranks) this.observer.onCall(address, kind);
     const shares = planRelays(ranks, this.usableRelays(startMs));
     const packedBody = shares.some(({relay}) => relay !== undefined)
       ? packBody(call)
@@ -95,7 +109,7 @@
     const answers = await Promise.all(
       shares.map(({relay, ranks: shareRanks}) =>
         relay === undefined
-          ? callDirectly(shareRanks, call, limitMs, onAnswer)
+          ? this.callDirectly(shareRanks, call, limitMs, onAnswer)
           : this.callViaRelay(
               relay,
               {method: call.method, path: call.path, packedBody, limitMs},
@@ -114,6 +128,26 @@
     };
   }
 
+  private callDirectly<T extends ZonedAddress>(
+    ranks: readonly T[],
+    call: RankCall,
+    timeoutMs: number,
+    onAnswer: (rank: T, answer: RankAnswer | undefined) => void
+  ): Promise<readonly (RankAnswer | undefined)[]> {
+    const {onResponse} = this.observer;
+    return lastValueFrom(
+      from(ranks).pipe(
+        mergeMap(async rank => {
+          const {address} = rank;
+          const answer = await callRank(address, call, timeoutMs, onResponse);
+          onAnswer(rank, answer);
+          return answer;
+        }, MAX_CONCURRENT_CALLS),
+        toArray()
+      )
+    );
+  }
+
   private async callViaRelay<T extends ZonedAddress>(
     relay: string,
     call: Omit<RelayParams, 'addresses'>,
@@ -169,24 +203,6 @@
   }
 }
 
-function callDirectly<T extends ZonedAddress>(
-  ranks: readonly T[],
-  call: RankCall,
-  timeoutMs: number,
-  onAnswer: (rank: T, answer: RankAnswer | undefined) => void
-): Promise<readonly (RankAnswer | undefined)[]> {
-  return lastValueFrom(
-    from(ranks).pipe(
-      mergeMap(async rank => {
-        const answer = await callRank(rank.address, call, timeoutMs);
-        onAnswer(rank, answer);
-        return answer;
-      }, MAX_CONCURRENT_CALLS),
-      toArray()
-    )
-  );
-}
-
 function packBody({body}: RankCall): string | undefined {
   return body === undefined ? undefined : packText(body);
 }
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -6,6 +6,7 @@
 import {TARGET_CODEC} from '../../platform/targetHeaders';
 import type {ClusterNode} from '../../src/cluster/clusterNode';
 import type {ClusterView} from '../../src/cluster/clusterView';
+import {TargetPushback} from '../../src/cluster/targetPushback';
 import {TargetTable} from '../../src/cluster/targetTable';
 import {NodeMetrics} from '../../src/core/nodeMetrics';
 import {Gateway} from '../../src/gateway/gateway';
@@ -210,7 +211,14 @@
       grants: new Map([['s', grant]]),
       activeNodes: 1,
     };
-    const node = {view, table: this.table} as unknown as ClusterNode;
+    const metrics = new NodeMetrics();
+    const pushback = new TargetPushback(this.table, {
+      logger: SILENT_LOGGER,
+      metrics,
+      readNotice: TARGET_CODEC.readNotice,
+    });
+    const {table} = this;
+    const node = {view, table, pushback} as unknown as ClusterNode;
     const gateway = new Gateway({
       callers: CALLER_CODEC,
       targets: TARGET_CODEC,
@@ -222,7 +230,7 @@
       },
       availabilityZone: 'a',
       logger: SILENT_LOGGER,
-      metrics: new NodeMetrics(),
+      metrics,
       node: () => node,
     });
     const server = http.createServer(
--- a/tests/platform/requestHeaders.spec.ts
+++ b/tests/platform/requestHeaders.spec.ts
@@ -101,4 +101,34 @@
     const res = message(headers as Record<string, string>, {statusCode});
     expect(TARGET_CODEC.readHead(res).notRun).toBe(notRun);
   });
+
+  it.each([
+    ['12', 12],
+    ['0.5', 0.5],
+    ['0', 0],
+  ])('should read a rate limit of "%s"', (text, rateLimit) => {
+    const res = message({'server-limit': text}, {statusCode: 200});
+    expect(TARGET_CODEC.readNotice(res)).toEqual({
+      rateLimit,
+      invalidHeaders: [],
+    });
+  });
+
+  // Guards against a garbled value that becomes NaN in a rate limiter. Two headers
+  // of one name are joined by a comma.
+  it.each(['', '-1', 'NaN', 'Infinity', '1e400', '9'.repeat(400), '1, 2', 'x'])(
+    'should ignore a rate limit of "%.10s"',
+    text => {
+      const res = message({'server-limit': text}, {statusCode: 200});
+      expect(TARGET_CODEC.readNotice(res)).toEqual({
+        invalidHeaders: ['server-limit'],
+      });
+    }
+  );
+
+  // Status 421 comes from another target that has the address by now.
+  it('should attribute no statement of a misdirected request to the target', () => {
+    const res = message({'server-limit': '1'}, {statusCode: 421});
+    expect(TARGET_CODEC.readNotice(res)).toBeUndefined();
+  });
 });
--- a/tests/rankTransport.spec.ts
+++ b/tests/rankTransport.spec.ts
@@ -39,6 +39,8 @@
 let ranks: Rank[];
 let lostRelays: Set<string>;
 let usedRelays: string[];
+let calls: string[];
+let responses: string[];
 
 beforeEach(async () => {
   fakes = Array.from({length: RANKS}, () => new FakeRank());
@@ -49,6 +51,8 @@
   }));
   lostRelays = new Set();
   usedRelays = [];
+  calls = [];
+  responses = [];
 });
 afterEach(() => {
   for (const fake of fakes) fake.close();
@@ -56,18 +60,26 @@
 
 function transportWith(nodes: readonly string[]): RankTransport {
   const known = new Set(ranks.map(({address}) => address));
-  return new RankTransport({
-    relays: () =>
-      nodes.map((address, i) => ({
-        address,
-        availabilityZone: i % 2 === 0 ? 'a' : 'b',
-      })),
-    callNode: async (ip, _method, params) => {
-      if (lostRelays.has(ip)) throw new Error('no answer');
-      usedRelays.push(ip);
-      return relayToRanks(RELAY_PARAMS.parse(params), known);
+  return new RankTransport(
+    {
+      relays: () =>
+        nodes.map((address, i) => ({
+          address,
+          availabilityZone: i % 2 === 0 ? 'a' : 'b',
+        })),
+      callNode: async (ip, _method, params) => {
+        if (lostRelays.has(ip)) throw new Error('no answer');
+        usedRelays.push(ip);
+        return relayToRanks(RELAY_PARAMS.parse(params), known, address =>
+          responses.push(`${ip} ${address}`)
+        );
+      },
     },
-  });
+    {
+      onCall: (address, kind) => calls.push(`${kind} ${address}`),
+      onResponse: address => responses.push(`direct ${address}`),
+    }
+  );
 }
 
 async function callAll(transport: RankTransport) {
@@ -100,6 +112,21 @@
     expect(summary.relays).toBe(0);
   });
 
+  // A node that acts on what ranks state must see each call and each response,
+  // whichever node makes the call.
+  it('should have each call counted here and each response noted where it arrives', async () => {
+    await callAll(transportWith(['n0', 'n1', 'n2', 'n3']));
+    const addresses = ranks.map(({address}) => address);
+    expect(calls.sort()).toEqual(addresses.map(a => `prepare ${a}`).sort());
+    expect(responses.map(line => line.split(' ')[1]).sort()).toEqual(
+      [...addresses].sort()
+    );
+    expect(responses.some(line => line.startsWith('direct'))).toBe(false);
+    responses = [];
+    await transportWith([]).call(ranks[0]!, 'counts', {...CALL});
+    expect(responses).toEqual([`direct ${ranks[0]!.address}`]);
+  });
+
   // A relay dies with a share of the orders, so the state of their ranks is
   // unknown. A retry through the same relay would delay the switch until it
   // recovers.
@@ -128,7 +155,11 @@
       addresses: [one!.address, other!.address],
       limitMs: 1_000,
     };
-    const {answers} = await relayToRanks(params, new Set([other!.address]));
+    const {answers} = await relayToRanks(
+      params,
+      new Set([other!.address]),
+      () => undefined
+    );
     expect(answers[0]).toBeNull();
     expect(answers[1]?.status).toBe(200);
     expect(fakes[0]?.bodies).toEqual([]);
