Move a node's side of its reports into a class without calls

To show what several nodes do together about what a target states, a model needs the code that ships on both sides of a report. The leader's side (Coordinator) made no calls already; the node's side stood inside ClusterNode between calls. NodeSync has it now: what is reported, and what is taken from a reply.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -5,10 +5,8 @@
  */
 
 import {Subscription, defer, repeat, timer} from 'rxjs';
-import {newBootId} from '../core/bootId';
-import {NO_SITE_VERSION} from '../control/state/siteState';
 import type {Site} from '../site/site';
-import type {TargetAnnouncement, TargetRecord} from '../site/announcement';
+import type {TargetAnnouncement} from '../site/announcement';
 import {unpackText} from '../site/packText';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {reportPeriodMs} from '../policy/reportPeriod';
@@ -19,16 +17,8 @@
 import {LeaderService} from './leaderService';
 import {findFounders} from './findFounders';
 import {PeerDiscovery} from './peerDiscovery';
-import {LocalAnnouncements} from './localAnnouncements';
-import {ActiveSite} from './activeSite';
 import {LeaderClient} from './leaderClient';
-import {SyncCursor} from './syncCursor';
-import type {
-  NodeInfo,
-  OperatorCommand,
-  SyncParams,
-  SyncState,
-} from './messages';
+import type {NodeInfo, OperatorCommand} from './messages';
 import {
   HELLO_PARAMS,
   NODE_METHODS,
@@ -40,6 +30,7 @@
   SYNC_REPLY,
 } from './messages';
 import {NodeDirectory} from './nodeDirectory';
+import {NodeSync} from './nodeSync';
 import {RpcClient} from './rpcClient';
 import {RpcServer} from './rpcServer';
 import {TargetPushback} from './targetPushback';
@@ -64,9 +55,9 @@
 export class ClusterNode {
   readonly table = new TargetTable();
   readonly pushback: TargetPushback;
+  private readonly reports: NodeSync;
   private readonly leaderService: LeaderService;
   private readonly coordinator: Coordinator;
-  private readonly bootId = newBootId();
   private readonly rpc: RpcClient;
   private readonly server: RpcServer;
   private readonly directory: NodeDirectory;
@@ -74,15 +65,6 @@
   private readonly peerDiscovery: PeerDiscovery;
   private readonly subscription = new Subscription();
   private replica: LogReplica | undefined;
-  private current: ClusterView = {
-    index: undefined,
-    zonesOut: new Set(),
-    grants: new Map(),
-    activeNodes: 1,
-  };
-  private readonly activeSite: ActiveSite;
-  private readonly heard = new LocalAnnouncements();
-  private readonly progress = new SyncCursor();
   private syncStartedAtMs = -Infinity;
   private outlookOf: (
     service: string,
@@ -91,7 +73,6 @@
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
-    this.activeSite = new ActiveSite(options.decodeSite, logger);
     this.pushback = new TargetPushback(this.table, options);
     const nowMs = () => performance.now();
     this.rpc = new RpcClient(port);
@@ -106,6 +87,8 @@
       }),
       nowMs
     );
+    const {table, pushback, directory: nodes} = this;
+    this.reports = new NodeSync({...options, nodes, table, pushback});
     this.peerDiscovery = new PeerDiscovery(this.directory, this.rpc, logger);
     this.leaderClient = new LeaderClient(
       this.rpc,
@@ -124,7 +107,7 @@
       replica: () => this.replica,
       directory: this.directory,
       coordinator: this.coordinator,
-      site: () => this.site,
+      site: () => this.reports.site,
       leader: () => this.leaderClient.leader,
       logger,
     });
@@ -144,7 +127,7 @@
   }
 
   get view(): ClusterView {
-    return this.current;
+    return this.reports.view;
   }
 
   /** Whether this node leads and has applied all earlier commits. */
@@ -210,17 +193,12 @@
 
   /** Merges an announcement of a target; false when it is outdated. */
   handleAnnouncement(announcement: TargetAnnouncement): boolean {
-    const now = performance.now();
-    const isNew = this.table.merge(announcement, now);
-    if (isNew) this.heard.add(announcement, now);
-    return isNew;
+    return this.reports.handleAnnouncement(announcement, performance.now());
   }
 
   /** Marks a target that announced its departure as gone. */
   handleLeave(id: string): void {
-    const now = performance.now();
-    const record = this.table.leave(id, now);
-    if (record !== undefined) this.heard.add(record, now);
+    this.reports.handleLeave(id, performance.now());
   }
 
   /** Reports now; resolves once the leader has this node's announcements. */
@@ -244,7 +222,7 @@
 
   /** The newest site document, confirmed by a quorum; rejects without one. */
   async readSite(): Promise<{version: number; text: string}> {
-    const heldVersion = this.current.index?.site.version ?? NO_SITE_VERSION;
+    const heldVersion = this.reports.siteVersion;
     const reply =
       this.replica?.leads === true
         ? await this.leaderService.readSite(heldVersion)
@@ -254,7 +232,7 @@
             reply: READ_SITE_REPLY,
             timeoutMs: READ_TIMEOUT_MS,
           });
-    const packed = reply.packed ?? this.activeSite.packed;
+    const packed = reply.packed ?? this.reports.packedSite;
     const text = packed === '' ? '' : unpackText(packed);
     return {version: reply.version, text};
   }
@@ -316,7 +294,7 @@
 
   /** Delay until the next report; 0 when the last one exceeded the period. */
   private get syncDelayMs(): number {
-    const periodMs = reportPeriodMs(this.current.activeNodes);
+    const periodMs = reportPeriodMs(this.view.activeNodes);
     return Math.max(0, this.syncStartedAtMs + periodMs - performance.now());
   }
 
@@ -337,9 +315,8 @@
   }
 
   private async syncOnce(): Promise<void> {
-    const announcements = this.heard.takeUnsent();
+    const params = this.reports.takeReport(performance.now());
     try {
-      const params = this.syncParams(announcements);
       const reply =
         this.replica?.leads === true
           ? await this.leaderService.sync(params)
@@ -350,41 +327,15 @@
               timeoutMs: SYNC_TIMEOUT_MS,
             });
       if (reply.kind !== 'state') throw new Error('this node no longer leads');
-      this.applyReply(reply);
+      this.reports.applyReply(reply, this.leads, performance.now());
     } catch (err) {
-      this.heard.requeue(announcements);
+      this.reports.requeue(params);
       throw err;
     }
   }
 
-  private syncParams(announcements: readonly TargetRecord[]): SyncParams {
-    return {
-      from: this.directory.self,
-      bootId: this.bootId,
-      siteVersion: this.current.index?.site.version ?? NO_SITE_VERSION,
-      ...this.progress.reportParams(performance.now()),
-      records: [...announcements],
-      loads: [...this.options.takeLoads()],
-    };
-  }
-
-  private applyReply(reply: SyncState): void {
-    if (this.progress.isStale(reply)) return;
-    const now = performance.now();
-    this.directory.markSeen(reply.nodes);
-    if (this.progress.advance(reply, now)) this.heard.requeueRecent(now);
-    if (!this.leads)
-      for (const record of reply.records) this.table.mergeShared(record, now);
-    this.current = {
-      index: this.activeSite.update(reply.siteVersion, reply.packedSite),
-      zonesOut: new Set(reply.zonesOut),
-      grants: new Map(reply.grants.map(grant => [grant.service, grant])),
-      activeNodes: Math.max(1, reply.activeNodes),
-    };
-  }
-
   /** The active site, which the leader's decisions are based on. */
   get site(): Site | undefined {
-    return this.current.index?.site;
+    return this.reports.site;
   }
 }
--- /dev/null
+++ b/src/cluster/nodeSync.ts
@@ -0,0 +1,116 @@
+/**
+ * This node's side of its reports to the leader: what it reports, and the state
+ * that it takes from the replies. It makes no calls.
+ */
+
+import {newBootId} from '../core/bootId';
+import type {Logger} from '../core/logger';
+import {NO_SITE_VERSION} from '../control/state/siteState';
+import type {TargetAnnouncement} from '../site/announcement';
+import type {DecodedSite, Site} from '../site/site';
+import {ActiveSite} from './activeSite';
+import type {ClusterView} from './clusterView';
+import {LocalAnnouncements} from './localAnnouncements';
+import type {NodeInfo, ServiceLoad, SyncParams, SyncState} from './messages';
+import {SyncCursor} from './syncCursor';
+import type {TargetPushback} from './targetPushback';
+import type {TargetTable} from './targetTable';
+
+/** The nodes that this node knows. */
+export interface KnownNodes {
+  readonly self: NodeInfo;
+  markSeen(infos: readonly NodeInfo[]): void;
+}
+
+/** Dependencies of the reports. */
+export interface NodeSyncParts {
+  readonly nodes: KnownNodes;
+  readonly table: TargetTable;
+  readonly pushback: TargetPushback;
+  readonly logger: Logger;
+  decodeSite(text: string): DecodedSite;
+  /** Loads by service; arrivals are counted since the last call. */
+  takeLoads(): readonly ServiceLoad[];
+}
+
+/** What this node reports, and its view of the cluster. */
+export class NodeSync {
+  private current: ClusterView = {
+    index: undefined,
+    zonesOut: new Set(),
+    grants: new Map(),
+    activeNodes: 1,
+  };
+  private readonly bootId = newBootId();
+  private readonly activeSite: ActiveSite;
+  private readonly heard = new LocalAnnouncements();
+  private readonly cursor = new SyncCursor();
+
+  constructor(private readonly parts: NodeSyncParts) {
+    this.activeSite = new ActiveSite(parts.decodeSite, parts.logger);
+  }
+
+  get view(): ClusterView {
+    return this.current;
+  }
+
+  /** The active site, which the leader's decisions are based on. */
+  get site(): Site | undefined {
+    return this.current.index?.site;
+  }
+
+  get siteVersion(): number {
+    return this.site?.version ?? NO_SITE_VERSION;
+  }
+
+  /** The active site document as sent between nodes; empty before the first. */
+  get packedSite(): string {
+    return this.activeSite.packed;
+  }
+
+  /** Merges an announcement of a target; false when it is outdated. */
+  handleAnnouncement(announcement: TargetAnnouncement, nowMs: number): boolean {
+    const isNew = this.parts.table.merge(announcement, nowMs);
+    if (isNew) this.heard.add(announcement, nowMs);
+    return isNew;
+  }
+
+  /** Marks a target that announced its departure as gone. */
+  handleLeave(id: string, nowMs: number): void {
+    const record = this.parts.table.leave(id, nowMs);
+    if (record !== undefined) this.heard.add(record, nowMs);
+  }
+
+  /** The next report; `requeue` it if no reply to it arrives. */
+  takeReport(nowMs: number): SyncParams {
+    return {
+      from: this.parts.nodes.self,
+      bootId: this.bootId,
+      siteVersion: this.siteVersion,
+      ...this.cursor.reportParams(nowMs),
+      records: [...this.heard.takeUnsent()],
+      loads: [...this.parts.takeLoads()],
+    };
+  }
+
+  /** Repeats the announcements of a report that the leader may not have received. */
+  requeue({records}: SyncParams): void {
+    this.heard.requeue(records);
+  }
+
+  /** Takes the leader's state. The leader's own table is the source of records. */
+  applyReply(reply: SyncState, isLeader: boolean, nowMs: number): void {
+    if (this.cursor.isStale(reply)) return;
+    const {nodes, table} = this.parts;
+    nodes.markSeen(reply.nodes);
+    if (this.cursor.advance(reply, nowMs)) this.heard.requeueRecent(nowMs);
+    if (!isLeader)
+      for (const record of reply.records) table.mergeShared(record, nowMs);
+    this.current = {
+      index: this.activeSite.update(reply.siteVersion, reply.packedSite),
+      zonesOut: new Set(reply.zonesOut),
+      grants: new Map(reply.grants.map(grant => [grant.service, grant])),
+      activeNodes: Math.max(1, reply.activeNodes),
+    };
+  }
+}
