Show that targets get more than the rate limit that they state

Callers saw nothing; a target that asked all nodes together for no more than 1 request a second got 12 in 4 s, where the users' rule allows 11.

The test runs the code of gateways and of both sides of a report in virtual time: 1 to 12 nodes, a target that states 0, 1 or 10 a second, no faults; and 60 seeded schedules in which limits change and end, targets restart, nodes freeze, restart and are cut off, and two nodes lead for a while. The bound is the users' rule: in any 4 s one and a half times the limit, and 5 requests, from 3 s after it was stated, at all nodes, told or not and whatever befell them.

On this code all six fail, the least with 13 of 11, the most with 111 of 65, with a single node as well.

--- /dev/null
+++ b/bench/fuzz/simulatedNode.ts
@@ -0,0 +1,156 @@
+/**
+ * A node without I/O: the code of a gateway and of both sides of a report, in
+ * virtual time. A restart replaces it by a new one.
+ */
+
+import type {IncomingMessage} from 'node:http';
+import {Coordinator} from '../../src/cluster/coordinator';
+import type {NodeInfo, SyncParams, SyncState} from '../../src/cluster/messages';
+import type {ReplicatedView} from '../../src/cluster/coordinator';
+import type {ClusterNode} from '../../src/cluster/clusterNode';
+import {NodeDirectory} from '../../src/cluster/nodeDirectory';
+import {NodeSync} from '../../src/cluster/nodeSync';
+import {TargetPushback} from '../../src/cluster/targetPushback';
+import {TargetTable} from '../../src/cluster/targetTable';
+import type {Logger} from '../../src/core/logger';
+import {NodeMetrics} from '../../src/core/nodeMetrics';
+import {Gateway} from '../../src/gateway/gateway';
+import type {TargetRecord} from '../../src/site/announcement';
+import type {Site, SiteService} from '../../src/site/site';
+import type {TargetNotice} from '../../src/site/targetNotice';
+
+/** The only service. */
+export const SERVICE: SiteService = {
+  name: 's',
+  healthPath: '/',
+  maxConnections: 100,
+  coldRequestsPerSecond: 0,
+};
+
+const SITE: Site = {
+  version: 1,
+  routes: [],
+  services: new Map([[SERVICE.name, SERVICE]]),
+  limits: {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  },
+  customers: [],
+};
+const ignore = () => undefined;
+const LOGGER = {
+  trace: ignore,
+  debug: ignore,
+  info: ignore,
+  warn: ignore,
+  error: ignore,
+  fatal: ignore,
+} as unknown as Logger;
+const METRICS = new NodeMetrics();
+const SILENT_AFTER_MS = 4_200;
+/** Longest wait in the queue, and its priority, of all requests. */
+const QUEUED = {priority: 1, maxWaitMs: 200};
+
+/** One boot of a node. */
+export class SimulatedNode {
+  readonly table = new TargetTable();
+  readonly pushback: TargetPushback;
+  readonly sync: NodeSync;
+  readonly directory: NodeDirectory;
+  readonly gateway: Gateway;
+  private readonly coordinator: Coordinator;
+
+  constructor(
+    readonly info: NodeInfo,
+    private readonly nowMs: () => number
+  ) {
+    this.directory = new NodeDirectory(info, [], () => ({}) as never, nowMs);
+    this.pushback = new TargetPushback(this.table, {
+      logger: LOGGER,
+      metrics: METRICS,
+      readNotice: res => res as unknown as TargetNotice,
+    });
+    this.gateway = new Gateway({
+      callers: {} as never,
+      targets: {} as never,
+      bounds: {
+        nodeId: info.ip,
+        retries: {ratio: 0.2, slack: 50, windowMs: 10_000},
+        coldMultiplier: 1.5,
+        coldSlack: 5,
+      },
+      availabilityZone: info.availabilityZone ?? '',
+      logger: LOGGER,
+      metrics: METRICS,
+      node: () => this as unknown as ClusterNode,
+    });
+    this.sync = new NodeSync({
+      nodes: this.directory,
+      table: this.table,
+      pushback: this.pushback,
+      logger: LOGGER,
+      decodeSite: () => ({ok: true, site: SITE}),
+      takeLoads: () => this.gateway.takeLoads(),
+    });
+    this.coordinator = new Coordinator(
+      this.table,
+      LOGGER,
+      nowMs,
+      SILENT_AFTER_MS,
+      ignore
+    );
+  }
+
+  /** As in ClusterNode, for the gateway. */
+  get view() {
+    return this.sync.view;
+  }
+
+  /** Admits a request; `start` is called once it may be sent. */
+  enter(start: () => void): void {
+    const pool = this.gateway.pool(SERVICE.name);
+    pool.noteArrival();
+    pool.queue.enter({...QUEUED, start, refuse: ignore}, this.nowMs());
+  }
+
+  /** Ends a request that was admitted. */
+  leave(heldMs: number): void {
+    this.gateway.pool(SERVICE.name).queue.leave(heldMs);
+  }
+
+  /** The target of an admitted request, which counts as sent. */
+  send(): TargetRecord | undefined {
+    const {gateway} = this;
+    const {view} = gateway;
+    if (view?.index === undefined) return undefined;
+    const nowMs = this.nowMs();
+    const pool = gateway.pool(SERVICE.name);
+    const target = pool.choose(
+      gateway.choiceInput(SERVICE, view, new Set(), nowMs)
+    );
+    if (target !== undefined) pool.begin(target.id, nowMs);
+    return target;
+  }
+
+  /** Takes a complete response. */
+  receive(target: TargetRecord, notice: TargetNotice, latencyMs: number): void {
+    const pool = this.gateway.pool(SERVICE.name);
+    this.pushback.noteResponse(target, notice as unknown as IncomingMessage);
+    pool.noteAttempt(target.id, {kind: 'good', latencyMs}, this.nowMs());
+    pool.done(target.id);
+  }
+
+  /** Starts to lead. */
+  lead(): void {
+    this.coordinator.reset();
+  }
+
+  /** Handles a report as the leader. */
+  handleReport(params: SyncParams, replicated: ReplicatedView): SyncState {
+    const {directory} = this;
+    directory.markSeen([params.from]);
+    return this.coordinator.sync(params, replicated, this.sync.site, directory);
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -58,7 +58,8 @@
   choiceInput(
     service: SiteService,
     view: ClusterView,
-    tried: ReadonlySet<string>
+    tried: ReadonlySet<string>,
+    nowMs: number
   ): ChoiceInput {
     return {
       service,
@@ -67,7 +68,7 @@
       ownZone: this.parts.availabilityZone,
       activeNodes: view.activeNodes,
       tried,
-      nowMs: performance.now(),
+      nowMs,
     };
   }
 
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -116,7 +116,10 @@
     const {view} = gateway;
     if (view === undefined || state.stopped !== undefined) return undefined;
     const pool = gateway.pool(routed.service.name);
-    return pool.choose(gateway.choiceInput(routed.service, view, state.tried));
+    const {service} = routed;
+    return pool.choose(
+      gateway.choiceInput(service, view, state.tried, performance.now())
+    );
   }
 
   /**
@@ -145,7 +148,12 @@
     const {gateway, state, routed} = this;
     const {view} = gateway;
     if (view === undefined) return defaultMs;
-    const input = gateway.choiceInput(routed.service, view, state.tried);
+    const input = gateway.choiceInput(
+      routed.service,
+      view,
+      state.tried,
+      performance.now()
+    );
     return gateway.pool(routed.service.name).hasNoUsableTarget(input)
       ? outageRetryMs(state.remainingMs, Math.random)
       : defaultMs;
