Hold targets to the rate limits that they state, over all nodes together

What callers saw: nothing. A target that had asked all nodes together for 1 request a second got 12 in 4 s; the users' rule allows 11 (one and a half times the limit, and 5). It got 1.9 a second before it stated the limit and 2.1 after.

Cause: no node read the header, so the target was chosen like any other. The class of fault: what a target says of itself in a response reached no decision. Of the two other hypotheses, a full share at each node is out, since the test fails with one node as well, and the leader's own calls are not needed for the fault; they are counted in the new design all the same.

Change, in one design: TargetPushback reads every response of a target or rank, and whatever sends to targets asks it. A node reports what it read; the leader puts the limit into the target's record, which all nodes have, and grants tokens that expire, first to nodes with requests that nothing else can take. Nodes without a leader have a share of the limit that is safe beside tokens still in use. Weighed: an even split (needs fractions of requests from 12 nodes on), a share proportional to permits (the same), buckets at the nodes (add up after a quiet while), a limit that ends when it was not stated for a while (a zone that comes back after that while overruns its targets).

Why it works: all of what nodes may send in a window comes from one bucket, and what is left over expires before the window has passed. A limit ends only by a response whose request was sent after the last evidence of it; the leader dates reports by its own clock. It outlives the leader in the records of nodes, which tell the next leader what it lacks.

--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -7,6 +7,7 @@
 import {ONCE_MODEL} from './onceModel';
 import {QUEUE_MODEL} from './queueModel';
 import {RAMP_MODEL} from './rampModel';
+import {RATE_LIMIT_MODEL} from './rateLimitModel';
 import {STREAM_MODEL} from './streamModel';
 
 /** One model per decision state machine. */
@@ -17,5 +18,6 @@
   ONCE_MODEL,
   QUEUE_MODEL,
   RAMP_MODEL,
+  RATE_LIMIT_MODEL,
   STREAM_MODEL,
 ];
--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -73,7 +73,10 @@
 
   private constructor(private readonly options: ClusterNodeOptions) {
     const {self, port, seeds, logger, heartbeatMs} = options;
-    this.pushback = new TargetPushback(this.table, options);
+    this.pushback = new TargetPushback(this.table, {
+      ...options,
+      nodeIds: () => this.directory.addresses(),
+    });
     const nowMs = () => performance.now();
     this.rpc = new RpcClient(port);
     this.server = new RpcServer(logger);
@@ -180,6 +183,14 @@
     return this.rpc.call(ip, method, params, timeoutMs);
   }
 
+  /** Notes a call to the rank at this address, also one that a relay makes. */
+  noteRankCall(address: string, kind: string): void {
+    const target = this.table.findByAddress(address);
+    if (target === undefined) return;
+    this.pushback.countCall(target, kind);
+    this.coordinator.chargeCall(target.id);
+  }
+
   /** Sets the source of map outlooks, which is used while this node leads. */
   setOutlookSource(
     of: (service: string, group: string) => MapOutlook | undefined
@@ -315,7 +326,8 @@
   }
 
   private async syncOnce(): Promise<void> {
-    const params = this.reports.takeReport(performance.now());
+    const sentAtMs = performance.now();
+    const params = this.reports.takeReport(sentAtMs);
     try {
       const reply =
         this.replica?.leads === true
@@ -327,7 +339,8 @@
               timeoutMs: SYNC_TIMEOUT_MS,
             });
       if (reply.kind !== 'state') throw new Error('this node no longer leads');
-      this.reports.applyReply(reply, this.leads, performance.now());
+      const report = {params, sentAtMs, isLeader: this.leads};
+      this.reports.applyReply(reply, report, performance.now());
     } catch (err) {
       this.reports.requeue(params);
       throw err;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -13,6 +13,7 @@
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
+import {LeaderRateLimits} from './leaderRateLimits';
 import {LimitChangeLogger} from './limitChangeLogger';
 import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
 import type {NodeReport} from './nodeReports';
@@ -66,6 +67,7 @@
   private resetAtMs = -Infinity;
   private expireCheckedAtMs = -Infinity;
   private readonly limitLogger: LimitChangeLogger;
+  private readonly rateLimits: LeaderRateLimits;
 
   constructor(
     private readonly table: TargetTable,
@@ -80,6 +82,7 @@
     ) => MapOutlook | undefined
   ) {
     this.limitLogger = new LimitChangeLogger(logger);
+    this.rateLimits = new LeaderRateLimits(table, logger);
   }
 
   /**
@@ -93,6 +96,7 @@
     this.permits.clear();
     this.table.markAllSeen(this.nowMs());
     this.resetAtMs = this.nowMs();
+    this.rateLimits.reset(this.nowMs());
   }
 
   /** Handles a report; replies with what the node lacks of the view. */
@@ -109,6 +113,16 @@
     this.expire(now);
     this.reports.add(params, now);
     const isSameTerm = params.tableTerm === replicated.term;
+    const {leaderTimeMs = -Infinity} = params;
+    const {limits = [], from, records} = params;
+    this.rateLimits.applyTo(records);
+    this.rateLimits.handleReports(
+      from.ip,
+      limits,
+      {earliestMs: isSameTerm ? leaderTimeMs : -Infinity, latestMs: now},
+      now
+    );
+    const grants = this.grantsFor(from.ip, site, replicated.zonesOut);
     const sinceRevision = isSameTerm ? params.tableRevision : 0;
     const {term, index, siteVersion, packedSite, zonesOut} = replicated;
     return {
@@ -125,11 +139,26 @@
       zonesOut: [...zonesOut],
       tableRevision: this.table.revision,
       records: [...this.table.changedSince(sinceRevision)],
-      grants: this.grantsFor(params.from.ip, site, replicated.zonesOut),
+      grants,
+      tokens: this.rateLimits.grant(
+        {
+          node: from.ip,
+          reports: limits,
+          permitted: targetsIn(grants),
+          reportPeriodMs: this.reports.periodMs,
+        },
+        now
+      ),
+      leaderTimeMs: now,
       activeNodes: this.reports.active(now).length,
     };
   }
 
+  /** Counts a call to a target that was made without a token. */
+  chargeCall(id: string): void {
+    this.rateLimits.charge(id, this.nowMs());
+  }
+
   /** Median of the pass durations that nodes reported; 0 without streams. */
   passMs(service: string, group: string): number {
     const reports = this.reports.active(this.nowMs());
@@ -153,6 +182,7 @@
     if (now - this.expireCheckedAtMs < EXPIRE_CHECK_INTERVAL_MS) return;
     this.expireCheckedAtMs = now;
     this.table.expire(now, this.silentAfterMs);
+    this.rateLimits.evict(now);
   }
 
   private grantsFor(
@@ -279,3 +309,12 @@
     this.logger.debug({event: 'target.merged', from: from.ip, record}, id);
   }
 }
+
+/** Ids of the targets for which grants have permits. */
+function targetsIn(grants: readonly ServiceGrant[]): ReadonlySet<string> {
+  return new Set(
+    grants.flatMap(({permits = {}}) =>
+      Object.keys(permits).filter(id => (permits[id] ?? 0) > 0)
+    )
+  );
+}
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -58,6 +58,7 @@
   state: z.enum(['ready', 'draining', 'silent', 'gone']),
   coldMs: z.number(),
   group: GROUP_MEMBERSHIP.optional(),
+  rateLimit: COUNT.optional(),
 });
 
 /** Load of one service at one node. */
@@ -76,6 +77,29 @@
 /** Load of one service at one node. */
 export type ServiceLoad = z.infer<typeof SERVICE_LOAD>;
 
+/** A node's report on a target that states a rate limit, or did. */
+export const LIMIT_REPORT = z.object({
+  /** Id of the target, and the boot that the report is about. */
+  id: TEXT,
+  bornMs: z.number(),
+  /** Requests since the last report that no target could take without a token. */
+  wanted: COUNT,
+  /** Tokens that expired unused since the last report. */
+  unused: COUNT,
+  /** What a response to this node stated, if the leader may not know it. */
+  evidence: z
+    .object({
+      /** Requests per second; null when the response stated no limit. */
+      perSecond: COUNT.nullable(),
+      /** Age of the statement at the time of the report, milliseconds. */
+      maxAgeMs: COUNT,
+      minAgeMs: COUNT,
+    })
+    .optional(),
+});
+/** A node's report on a target that states a rate limit, or did. */
+export type LimitReport = z.infer<typeof LIMIT_REPORT>;
+
 /** A node's regular report to the leader. */
 export const SYNC_PARAMS = z.object({
   from: NODE_INFO,
@@ -94,6 +118,13 @@
    */
   records: z.array(TARGET_RECORD),
   loads: z.array(SERVICE_LOAD),
+  /** Absent from a node of an older version. */
+  limits: z.array(LIMIT_REPORT).optional(),
+  /**
+   * Earliest time of the report on the clock of the leader of `tableTerm`: that of
+   * its last reply, plus what has passed since. Absent before the first reply.
+   */
+  leaderTimeMs: z.number().optional(),
 });
 /** A node's regular report to the leader. */
 export type SyncParams = z.infer<typeof SYNC_PARAMS>;
@@ -133,6 +164,10 @@
     tableRevision: z.number(),
     records: z.array(TARGET_RECORD),
     grants: z.array(SERVICE_GRANT),
+    /** Requests granted under the rate limits of targets, by target id. */
+    tokens: z.record(TEXT, COUNT).optional(),
+    /** Time on the leader's clock, milliseconds. */
+    leaderTimeMs: z.number().optional(),
     /** Nodes that serve callers now. */
     activeNodes: z.number(),
   }),
--- a/src/cluster/nodeDirectory.ts
+++ b/src/cluster/nodeDirectory.ts
@@ -67,6 +67,11 @@
     return [this.self, ...[...this.nodes.values()].map(({info}) => info)];
   }
 
+  /** The address of this node, and those of all known nodes with it. */
+  addresses(): {readonly self: string; readonly all: readonly string[]} {
+    return {self: this.self.ip, all: this.all().map(({ip}) => ip)};
+  }
+
   /** Addresses of other nodes to try when the leader is not known. */
   probeAddresses(): readonly string[] {
     const known = this.all().map(({ip}) => ip);
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -33,6 +33,14 @@
   takeLoads(): readonly ServiceLoad[];
 }
 
+/** A report that was sent. */
+export interface SentReport {
+  readonly params: SyncParams;
+  readonly sentAtMs: number;
+  /** Whether this node is the leader that replied. */
+  readonly isLeader: boolean;
+}
+
 /** What this node reports, and its view of the cluster. */
 export class NodeSync {
   private current: ClusterView = {
@@ -90,6 +98,7 @@
       ...this.cursor.reportParams(nowMs),
       records: [...this.heard.takeUnsent()],
       loads: [...this.parts.takeLoads()],
+      limits: [...this.parts.pushback.takeReports(nowMs)],
     };
   }
 
@@ -98,12 +107,21 @@
     this.heard.requeue(records);
   }
 
-  /** Takes the leader's state. The leader's own table is the source of records. */
-  applyReply(reply: SyncState, isLeader: boolean, nowMs: number): void {
+  /**
+   * Takes the leader's reply to a report. The leader's own table is the source of
+   * the records.
+   */
+  applyReply(
+    reply: SyncState,
+    {params, sentAtMs, isLeader}: SentReport,
+    nowMs: number
+  ): void {
     if (this.cursor.isStale(reply)) return;
-    const {nodes, table} = this.parts;
+    const {nodes, table, pushback} = this.parts;
     nodes.markSeen(reply.nodes);
-    if (this.cursor.advance(reply, nowMs)) this.heard.requeueRecent(nowMs);
+    const isNewLeader = this.cursor.advance(reply, nowMs);
+    if (isNewLeader) this.heard.requeueRecent(nowMs);
+    if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
     if (!isLeader)
       for (const record of reply.records) table.mergeShared(record, nowMs);
     this.current = {
@@ -112,5 +130,6 @@
       grants: new Map(reply.grants.map(grant => [grant.service, grant])),
       activeNodes: Math.max(1, reply.activeNodes),
     };
+    pushback.applyReply(reply, params.limits ?? [], sentAtMs, nowMs);
   }
 }
--- a/src/cluster/serviceConcurrency.ts
+++ b/src/cluster/serviceConcurrency.ts
@@ -23,6 +23,9 @@
  */
 const QUEUED_PER_PLAIN_SLOT = 1;
 
+/** Turns a rate limit into requests that run at once. */
+const ASSUMED_SERVICE_TIME_S = 1;
+
 /** What the concurrency of a service is computed from. */
 export interface ConcurrencyInput {
   readonly service: SiteService;
@@ -100,12 +103,26 @@
     service.engine === undefined ? 1 + QUEUED_PER_PLAIN_SLOT : 1;
   return usableTargets(service.name, records).map(record => ({
     id: record.id,
-    capacity: record.slots * requestsPerSlot,
+    capacity: capacityOf(record, requestsPerSlot),
     availabilityZone: record.availabilityZone,
     group: groupNameOf(record),
   }));
 }
 
+/**
+ * Slots that a rate limit leaves unused must not count: they would admit requests
+ * that no target takes.
+ */
+function capacityOf(
+  {slots, rateLimit}: TargetRecord,
+  requestsPerSlot: number
+): number {
+  const capacity = slots * requestsPerSlot;
+  if (rateLimit === undefined) return capacity;
+  const running = Math.ceil(rateLimit * ASSUMED_SERVICE_TIME_S);
+  return Math.min(capacity, Math.max(1, running));
+}
+
 function groupLoads(
   targets: readonly PermitTarget[],
   {loads, outlookOf}: ConcurrencyInput,
--- a/src/cluster/syncCursor.ts
+++ b/src/cluster/syncCursor.ts
@@ -12,11 +12,16 @@
   private tableRevision = 0;
   private nodesRevision: number | undefined;
   private nodesReceivedAtMs = -Infinity;
+  private leaderTimeMs: number | undefined;
+  private repliedAtMs = -Infinity;
 
   /** The position as fields of a report. */
   reportParams(
     nowMs: number
-  ): Pick<SyncParams, 'tableTerm' | 'tableRevision' | 'nodesRevision'> {
+  ): Pick<
+    SyncParams,
+    'tableTerm' | 'tableRevision' | 'nodesRevision' | 'leaderTimeMs'
+  > {
     const isFresh = nowMs - this.nodesReceivedAtMs < NODES_REFRESH_MS;
     return {
       tableTerm: this.term,
@@ -24,6 +29,10 @@
       // The whole list is requested in time: nodes that are not named for long
       // are dropped from the directory.
       nodesRevision: isFresh ? this.nodesRevision : undefined,
+      leaderTimeMs:
+        this.leaderTimeMs === undefined
+          ? undefined
+          : this.leaderTimeMs + nowMs - this.repliedAtMs,
     };
   }
 
@@ -39,6 +48,8 @@
     this.index = reply.index;
     this.tableRevision = reply.tableRevision;
     this.nodesRevision = reply.nodesRevision;
+    this.leaderTimeMs = reply.leaderTimeMs;
+    this.repliedAtMs = nowMs;
     if (reply.nodes.length > 0) this.nodesReceivedAtMs = nowMs;
     return isNewLeader;
   }
--- a/src/cluster/targetPushback.ts
+++ b/src/cluster/targetPushback.ts
@@ -1,83 +1,156 @@
-/** What targets state about themselves in their responses, as this node knows it. */
+/**
+ * What targets ask for in their responses, as this node knows it. Every response of
+ * a target or a rank is read here, and whatever sends to targets asks here first.
+ */
 
 import type {IncomingMessage} from 'node:http';
+import {Subject} from 'rxjs';
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
 import type {TargetRecord} from '../site/announcement';
 import type {TargetNotice} from '../site/targetNotice';
+import type {LimitReport, SyncState} from './messages';
+import type {NodeIds, TargetBoot} from './nodeRateLimits';
+import {NodeRateLimits} from './nodeRateLimits';
 import type {TargetTable} from './targetTable';
 
-/** One boot of a target; its statements do not apply to the next one. */
-export type TargetBoot = Pick<TargetRecord, 'id' | 'bornMs'>;
-
 /** Dependencies of the pushback of targets. */
 export interface TargetPushbackParts {
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
   /** Undefined for a response of another target. */
   readNotice(res: IncomingMessage): TargetNotice | undefined;
+  nodeIds(): NodeIds;
+}
+
+/** A response, and when its request was sent. */
+export interface TimedResponse {
+  readonly res: IncomingMessage;
+  readonly sentAtMs: number;
 }
 
-interface StatedLimit {
+interface StatedValue {
   readonly bornMs: number;
-  readonly perSecond: number;
+  readonly perSecond: number | undefined;
 }
 
-/** Statements of targets by id. */
+/** Requests of targets by id. */
 export class TargetPushback {
-  private readonly limits = new Map<string, StatedLimit>();
+  /** Emits with each reply of the leader, which may bring tokens. */
+  readonly replies$ = new Subject<void>();
+  private readonly limits: NodeRateLimits;
+  /** Limits in the latest responses, for the log. */
+  private readonly stated = new Map<string, StatedValue>();
   private readonly loggedInvalid = new Set<string>();
 
   constructor(
     private readonly table: TargetTable,
     private readonly parts: TargetPushbackParts
-  ) {}
+  ) {
+    this.limits = new NodeRateLimits(table, () => parts.nodeIds());
+  }
+
+  /** Whether a request may be sent to the target now. */
+  allows(target: TargetBoot, nowMs: number): boolean {
+    return this.limits.allows(target, nowMs);
+  }
+
+  /** Notes a request that no target can take, and this one only with a token. */
+  noteShortage(target: TargetBoot): void {
+    this.limits.noteShortage(target);
+  }
+
+  /** Counts a request that is sent to the target. */
+  noteRequest(target: TargetBoot, nowMs: number): void {
+    this.limits.spend(target, nowMs);
+    this.countCall(target, 'request');
+  }
 
   /** Notes what the response of a target states. */
-  noteResponse(target: TargetBoot, res: IncomingMessage): void {
+  noteResponse(
+    target: TargetBoot,
+    {res, sentAtMs}: TimedResponse,
+    nowMs: number
+  ): void {
     const notice = this.parts.readNotice(res);
     if (notice === undefined) return;
     for (const header of notice.invalidHeaders) this.logInvalid(target, header);
-    if (notice.invalidHeaders.length === 0)
-      this.noteLimit(target, notice.rateLimit);
-  }
-
-  /** Counts a call to a target, if the target states a limit. */
-  countCall({id, bornMs}: TargetBoot, kind: string): void {
-    if (this.limits.get(id)?.bornMs === bornMs)
-      this.parts.metrics.limitedTargetCalled(kind);
+    if (notice.invalidHeaders.length > 0) return;
+    this.logLimit(target, notice.rateLimit);
+    this.limits.addEvidence(target, {
+      perSecond: notice.rateLimit ?? Infinity,
+      notBeforeMs: sentAtMs,
+      notAfterMs: nowMs,
+    });
   }
 
   /** As `noteResponse`, for a rank that is known by its address. */
-  noteRankResponse(address: string, res: IncomingMessage): void {
+  noteRankResponse(
+    address: string,
+    response: TimedResponse,
+    nowMs: number
+  ): void {
     const target = this.table.findByAddress(address);
-    if (target !== undefined) this.noteResponse(target, res);
+    if (target !== undefined) this.noteResponse(target, response, nowMs);
   }
 
-  /** As `countCall`, for a rank that is known by its address. */
-  countRankCall(address: string, kind: string): void {
-    const target = this.table.findByAddress(address);
-    if (target !== undefined) this.countCall(target, kind);
+  /** Counts a call of a kind, if the target has a rate limit. */
+  countCall(target: TargetBoot, kind: string): void {
+    if (this.isLimited(target)) this.parts.metrics.limitedTargetCalled(kind);
+  }
+
+  /** Whether the target has a rate limit. */
+  isLimited(target: TargetBoot): boolean {
+    return this.limitOf(target) !== Infinity;
+  }
+
+  /** Requests per second that all nodes may send; Infinity without a limit. */
+  limitOf(target: TargetBoot): number {
+    return this.limits.limitOf(target);
+  }
+
+  /** The part of a report to the leader. */
+  takeReports(nowMs: number): readonly LimitReport[] {
+    return this.limits.takeReports(nowMs);
+  }
+
+  /** Takes the leader's reply to a report that was sent at `sentAtMs`. */
+  applyReply(
+    reply: SyncState,
+    reports: readonly LimitReport[],
+    sentAtMs: number,
+    nowMs: number
+  ): void {
+    this.limits.applyReply(reply, reports, sentAtMs, nowMs);
+    this.replies$.next();
+  }
+
+  /**
+   * Reports the limits that the table of a new leader lacks: it may have started
+   * just now.
+   */
+  reportLimitsMissingIn(leaderRecords: readonly TargetRecord[]): void {
+    this.limits.reportMissingIn(leaderRecords);
   }
 
-  /** Evicts the statements of targets that are not in `records`. */
-  retain(records: readonly TargetBoot[]): void {
-    const bornById = new Map(records.map(({id, bornMs}) => [id, bornMs]));
-    for (const [id, {bornMs}] of this.limits)
-      if (bornById.get(id) !== bornMs) this.limits.delete(id);
-    for (const id of this.loggedInvalid)
-      if (!bornById.has(id)) this.loggedInvalid.delete(id);
+  /** Evicts the state of targets that are gone or have restarted. */
+  evict(): void {
+    this.limits.evict();
+    for (const id of [...this.loggedInvalid, ...this.stated.keys()]) {
+      if (this.table.find(id) !== undefined) continue;
+      this.loggedInvalid.delete(id);
+      this.stated.delete(id);
+    }
   }
 
-  private noteLimit(
+  private logLimit(
     {id, bornMs}: TargetBoot,
     perSecond: number | undefined
   ): void {
-    const known = this.limits.get(id);
+    const known = this.stated.get(id);
     const before = known?.bornMs === bornMs ? known.perSecond : undefined;
     if (before === perSecond) return;
-    if (perSecond === undefined) this.limits.delete(id);
-    else this.limits.set(id, {bornMs, perSecond});
+    this.stated.set(id, {bornMs, perSecond});
     this.parts.logger.info(
       {event: 'target.limit', target: id, bornMs, perSecond, before},
       perSecond === undefined
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -63,20 +63,32 @@
     if (record.state !== 'gone' && this.isSuperseded(record)) return false;
     const changed = known === undefined || !isEquivalent(known.record, record);
     const revision = changed ? ++this.lastRevision : known.revision;
-    this.set({record, revision, seenAtMs: nowMs});
+    const merged = withLimitOf(known?.record, record);
+    this.set({record: merged, revision, seenAtMs: nowMs});
     if (changed) this.retireEarlierBoots(record, nowMs);
     return true;
   }
 
+  /** Sets or removes the rate limit of the known boot; only the leader does. */
+  setRateLimit(id: string, rateLimit: number | undefined): void {
+    const entry = this.entries.get(id);
+    if (entry === undefined || entry.record.rateLimit === rateLimit) return;
+    this.putChange({...entry.record, rateLimit}, entry.seenAtMs);
+  }
+
   /** Merges a record of the leader's table, unless a newer one is known. */
   mergeShared(record: TargetRecord, nowMs: number): void {
     const known = this.entries.get(record.id)?.record;
     if (known !== undefined) {
       if (record.bornMs < known.bornMs) return;
-      const isOlder =
-        record.bornMs === known.bornMs && record.sequence < known.sequence;
-      if (isOlder && record.state !== 'gone') return;
-      if (known.state === 'gone' && record.bornMs === known.bornMs) return;
+      const isSameBoot = record.bornMs === known.bornMs;
+      const isOlder = isSameBoot && record.sequence < known.sequence;
+      const isGone = isSameBoot && known.state === 'gone';
+      if (isGone || (isOlder && record.state !== 'gone')) {
+        // The announcement that is known here is newer, but the limit is the leader's.
+        this.setRateLimit(record.id, record.rateLimit);
+        return;
+      }
     }
     this.putChange(record, nowMs);
   }
@@ -161,6 +173,16 @@
   return record.sequence > known.sequence;
 }
 
+/** An announcement of the same boot does not change its rate limit. */
+function withLimitOf(
+  known: TargetRecord | undefined,
+  record: TargetRecord
+): TargetRecord {
+  const rateLimit =
+    known?.bornMs === record.bornMs ? known.rateLimit : undefined;
+  return {...record, rateLimit};
+}
+
 /** Whether both records have the same effect on every reader. */
 function isEquivalent(a: TargetRecord, b: TargetRecord): boolean {
   return (
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,8 @@
   readonly availabilityZone: string;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
+  /** Returns 0 up to but excluding 1. */
+  random(): number;
   /** This process's cluster node; undefined until it has started. */
   node(): ClusterNode | undefined;
 }
@@ -67,8 +69,10 @@
       zonesOut: view.zonesOut,
       ownZone: this.parts.availabilityZone,
       activeNodes: view.activeNodes,
+      pushback: this.pushback,
       tried,
       nowMs,
+      random: this.parts.random,
     };
   }
 
@@ -94,6 +98,6 @@
       this.pool(service).applyGrant(grant);
     const records = this.parts.node()?.table.records() ?? [];
     for (const pool of this.pools.values()) pool.retainTargets(records);
-    this.pushback?.retain(records);
+    this.pushback?.evict();
   }
 }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -2,7 +2,6 @@
 
 import type {IncomingMessage} from 'node:http';
 import {unreachable} from '../core/errors';
-import {outageRetryMs} from '../policy/outageRetry';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {TargetHead} from '../ports/targetPort';
 import type {TargetRecord} from '../site/announcement';
@@ -15,6 +14,7 @@
 import type {RequestState, RoutedRequest} from './requestState';
 import {rounded} from '../core/rounded';
 import {stopRefusal} from './stopRefusal';
+import {TargetSelection} from './targetSelection';
 import type {WholeResponse} from './wholeResponse';
 import {isFramed, writeWholeResponse} from './wholeResponse';
 
@@ -57,6 +57,7 @@
 
 class AttemptLoop {
   private readonly stream: CallerStream;
+  private readonly targets: TargetSelection;
   private sendCount = 0;
   private lastErrorResponse: WholeResponse | undefined;
 
@@ -66,11 +67,12 @@
     private readonly routed: RoutedRequest
   ) {
     this.stream = new CallerStream(state.res);
+    this.targets = new TargetSelection(gateway, state, routed);
   }
 
   async run(): Promise<GatewayRefusal | undefined> {
     for (;;) {
-      const target = this.chooseTarget();
+      const target = await this.targets.next();
       if (target === undefined) return this.endUnsuccessfully();
       const end = await this.attempt(target);
       switch (end.kind) {
@@ -111,17 +113,6 @@
     return retryBudget.tryRetry(performance.now(), nodes);
   }
 
-  private chooseTarget(): TargetRecord | undefined {
-    const {gateway, state, routed} = this;
-    const {view} = gateway;
-    if (view === undefined || state.stopped !== undefined) return undefined;
-    const pool = gateway.pool(routed.service.name);
-    const {service} = routed;
-    return pool.choose(
-      gateway.choiceInput(service, view, state.tried, performance.now())
-    );
-  }
-
   /**
    * Ends the request after its last attempt: aborts a stream that has begun,
    * relays the last error response, or returns a refusal.
@@ -139,24 +130,14 @@
     }
     if (state.mayHaveRun) return {kind: 'outcomeUnknown'};
     return this.sendCount > 0
-      ? {kind: 'turnedAway', retryInMs: this.retryInMs(REJECTED_RETRY_MS)}
-      : {kind: 'noTarget', retryInMs: this.retryInMs(NO_TARGET_RETRY_MS)};
-  }
-
-  /** Retry-After; longer than `defaultMs` if the service has no usable target. */
-  private retryInMs(defaultMs: number): number {
-    const {gateway, state, routed} = this;
-    const {view} = gateway;
-    if (view === undefined) return defaultMs;
-    const input = gateway.choiceInput(
-      routed.service,
-      view,
-      state.tried,
-      performance.now()
-    );
-    return gateway.pool(routed.service.name).hasNoUsableTarget(input)
-      ? outageRetryMs(state.remainingMs, Math.random)
-      : defaultMs;
+      ? {
+          kind: 'turnedAway',
+          retryInMs: this.targets.retryInMs(REJECTED_RETRY_MS),
+        }
+      : {
+          kind: 'noTarget',
+          retryInMs: this.targets.retryInMs(NO_TARGET_RETRY_MS),
+        };
   }
 
   private endStopped(): GatewayRefusal | undefined {
@@ -171,7 +152,7 @@
     const startedAtMs = performance.now();
     state.tried.add(target.id);
     pool.begin(target.id, startedAtMs);
-    gateway.pushback?.countCall(target, 'request');
+    gateway.pushback?.noteRequest(target, startedAtMs);
     try {
       const end = await this.send(target, startedAtMs);
       this.log(target, end, performance.now() - startedAtMs);
@@ -248,7 +229,10 @@
     const {gateway, state, routed} = this;
     const pool = gateway.pool(routed.service.name);
     const head = gateway.parts.targets.readHead(res);
-    if (isResponseTo(head, state)) gateway.pushback?.noteResponse(target, res);
+    if (isResponseTo(head, state)) {
+      const response = {res, sentAtMs: startedAtMs};
+      gateway.pushback?.noteResponse(target, response, performance.now());
+    }
     if (head.notRun) {
       pool.noteAttempt(target.id, {kind: 'full'}, performance.now());
       res.destroy();
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -8,6 +8,7 @@
 import {noSiteRetryMs, outageRetryMs} from '../policy/outageRetry';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
+import {maxQueueWaitMs} from './queueWait';
 import {readBody} from './readBody';
 import type {RoutedRequest} from './requestState';
 import {RequestState} from './requestState';
@@ -16,14 +17,6 @@
 import {runAttempts} from './runAttempts';
 import {stopRefusal} from './stopRefusal';
 
-/**
- * Part of the latency target that a request may be queued for. The rest must
- * cover reading the prompt, the first pass and one slow pass. A longer queue
- * would carry the load of a burst over into the following seconds.
- */
-const MAX_QUEUE_WAIT_RATIO = 0.4;
-/** For routes without a latency target: a delay that a person hardly notices. */
-const DEFAULT_LATENCY_TARGET_MS = 500;
 const INTERNAL_ERROR_RETRY_MS = 500;
 
 /** Serves one request until its response has ended; never rejects. */
@@ -122,7 +115,6 @@
 ): Promise<GatewayRefusal | undefined | 'admitted'> {
   const pool = gateway.pool(service.name);
   const {queue, retryTiming} = pool;
-  const latencyTargetMs = route.latencyTargetMs || DEFAULT_LATENCY_TARGET_MS;
   return new Promise(resolve => {
     const onCancel = () => {
       queue.withdraw(request);
@@ -134,7 +126,7 @@
     };
     const request = {
       priority: customer?.priority ?? route.priority,
-      maxWaitMs: latencyTargetMs * MAX_QUEUE_WAIT_RATIO,
+      maxWaitMs: maxQueueWaitMs(route),
       start: () => settle('admitted'),
       refuse: () => {
         const {
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -1,6 +1,7 @@
 /** State of one service at one gateway: admission, target choice and load. */
 
 import type {ServiceGrant, ServiceLoad} from '../cluster/messages';
+import type {TargetPushback} from '../cluster/targetPushback';
 import type {PoolGauge} from '../core/nodeMetrics';
 import type {TargetRecord} from '../site/announcement';
 import {groupNameOf, groupStatuses, isInOpenGroup} from '../site/groupStatus';
@@ -38,11 +39,22 @@
   readonly zonesOut: ReadonlySet<string>;
   readonly ownZone: string;
   readonly activeNodes: number;
+  /** Undefined until the cluster node has started. */
+  readonly pushback: TargetPushback | undefined;
   /** Targets that this request was already sent to. */
   readonly tried: ReadonlySet<string>;
   readonly nowMs: number;
+  /** Returns 0 up to but excluding 1. */
+  random(): number;
 }
 
+/** The target of an attempt, or why there is none. */
+export type TargetChoice =
+  | {readonly kind: 'target'; readonly target: TargetRecord}
+  /** Only targets with a rate limit could take it; `target` would be the first. */
+  | {readonly kind: 'needsToken'; readonly target: TargetRecord}
+  | {readonly kind: 'none'};
+
 /** Admission, health and load of one service at one gateway. */
 export class ServicePool {
   readonly queue = new AdmissionQueue();
@@ -155,24 +167,39 @@
     return this.usableTargets(input).length === 0;
   }
 
-  /** The target of the next attempt; undefined when none can take it now. */
-  choose(input: ChoiceInput): TargetRecord | undefined {
-    const {nowMs, tried, ownZone} = input;
+  /** The target of the next attempt, or why none can take it now. */
+  choose(input: ChoiceInput): TargetChoice {
+    const {nowMs, tried, pushback} = input;
     const records = this.usableTargets(input).filter(
       ({id, slots}) =>
         !tried.has(id) &&
         !this.healthOf(id).isPaused(nowMs) &&
         this.isWithinRate(id, slots, input)
     );
-    const options = records.map(record => this.optionOf(record, ownZone));
-    const chosen = chooseTargetByPermits(options, Math.random);
+    const allowed = records.filter(
+      record => pushback?.allows(record, nowMs) !== false
+    );
+    const target = this.cheapest(allowed, input);
+    if (target !== undefined) return {kind: 'target', target};
+    const lacking = this.cheapest(records, input);
+    if (lacking === undefined) return {kind: 'none'};
+    return {kind: 'needsToken', target: lacking};
+  }
+
+  private cheapest(
+    records: readonly TargetRecord[],
+    input: ChoiceInput
+  ): TargetRecord | undefined {
+    const options = records.map(record => this.optionOf(record, input));
+    const chosen = chooseTargetByPermits(options, input.random);
     return records.find(({id}) => id === chosen?.id);
   }
 
   private optionOf(
-    {id, slots, availabilityZone}: TargetRecord,
-    ownZone: string
+    record: TargetRecord,
+    {ownZone, pushback}: ChoiceInput
   ): TargetOption {
+    const {id, slots, availabilityZone} = record;
     const {failureRate, latencyMs} = this.healthOf(id);
     return {
       id,
@@ -182,6 +209,7 @@
       isInOwnZone: availabilityZone === ownZone,
       failureRate,
       latencyMs,
+      hasToken: pushback?.isLimited(record) === true,
     };
   }
 
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -71,27 +71,10 @@
 
   static async start(parts: NodeParts): Promise<NodeProcess> {
     const {settings, codecs, logger} = parts;
-    const {listen, bounds} = settings;
+    const {listen} = settings;
     const metrics = new NodeMetrics();
     let node: ClusterNode | undefined = undefined;
-    const gateway = new Gateway({
-      callers: codecs.callers,
-      targets: codecs.targets,
-      availabilityZone: settings.process.availabilityZone,
-      logger,
-      metrics,
-      bounds: {
-        nodeId: settings.process.host,
-        retries: {
-          ratio: bounds.retryRatio,
-          slack: bounds.retrySlack,
-          windowMs: bounds.retryWindowS * MS_PER_S,
-        },
-        coldMultiplier: bounds.coldMultiplier,
-        coldSlack: bounds.coldSlack,
-      },
-      node: () => node,
-    });
+    const gateway = createGateway(parts, metrics, () => node);
     node = await ClusterNode.start(clusterOptions(parts, gateway, metrics));
     serveRankRelay(node);
     const callers = new GatewayServer(gateway);
@@ -181,6 +164,33 @@
   }
 }
 
+function createGateway(
+  {settings, codecs, logger}: NodeParts,
+  metrics: NodeMetrics,
+  node: () => ClusterNode | undefined
+): Gateway {
+  const {bounds} = settings;
+  return new Gateway({
+    callers: codecs.callers,
+    targets: codecs.targets,
+    availabilityZone: settings.process.availabilityZone,
+    logger,
+    metrics,
+    bounds: {
+      nodeId: settings.process.host,
+      retries: {
+        ratio: bounds.retryRatio,
+        slack: bounds.retrySlack,
+        windowMs: bounds.retryWindowS * MS_PER_S,
+      },
+      coldMultiplier: bounds.coldMultiplier,
+      coldSlack: bounds.coldSlack,
+    },
+    random: Math.random,
+    node,
+  });
+}
+
 function clusterOptions(
   {settings, codecs, logger}: NodeParts,
   gateway: Gateway,
@@ -211,8 +221,8 @@
   node.serve(RELAY_METHOD, RELAY_PARAMS, params => {
     const records = node.table.records();
     const addresses = new Set(records.map(({address}) => address));
-    return relayToRanks(params, addresses, (address, res) =>
-      node.pushback.noteRankResponse(address, res)
+    return relayToRanks(params, addresses, (address, response) =>
+      node.pushback.noteRankResponse(address, response, performance.now())
     );
   });
 }
--- a/src/policy/permitTargetChoice.ts
+++ b/src/policy/permitTargetChoice.ts
@@ -18,6 +18,8 @@
   readonly failureRate: number;
   /** Moving average of the response time; 0 when unknown. */
   readonly latencyMs: number;
+  /** Whether the node holds a token for the target, which expires unused. */
+  readonly hasToken: boolean;
 }
 
 /**
@@ -30,6 +32,8 @@
 const FAILURE_PENALTY = 3;
 /** Ratio to the median latency above which a target costs more. */
 const SLOW_LATENCY_RATIO = 1.6;
+/** Puts targets with a token before others that are free. */
+const TOKEN_BONUS = 1;
 /** Cost factor that puts targets without an unused permit last. */
 const NO_PERMIT_PENALTY = 4;
 
@@ -56,9 +60,11 @@
 function costOf(option: TargetOption, medianMs: number): number {
   const {slots, inFlight, permits, isInOwnZone, failureRate, latencyMs} =
     option;
+  const {hasToken} = option;
   const utilization = (inFlight + 1) / Math.max(1, slots);
   let cost = utilization;
-  if (inFlight >= permits) cost += NO_PERMIT_PENALTY * utilization;
+  if (hasToken) cost -= TOKEN_BONUS;
+  else if (inFlight >= permits) cost += NO_PERMIT_PENALTY * utilization;
   if (!isInOwnZone) cost += REMOTE_ZONE_PENALTY;
   cost += FAILURE_PENALTY * failureRate ** 2;
   if (medianMs > 0 && latencyMs > SLOW_LATENCY_RATIO * medianMs)
--- a/src/policy/rateWindow.ts
+++ b/src/policy/rateWindow.ts
@@ -1,17 +1,19 @@
-/** Counts sends in the last second, for targets with a rate limit when cold. */
+/** Counts the sends of one node to one target in a sliding window. */
 
-const WINDOW_MS = 1_000;
+const MS_PER_S = 1_000;
 
-/** Sliding-window rate limiter for the sends of one node to one target. */
+/** Sliding-window rate limiter; the window is a second by default. */
 export class RateWindow {
   private sentAtMs: number[] = [];
 
-  /** Whether one more send keeps every span of a second within `perSecond`. */
-  allows(nowMs: number, perSecond: number): boolean {
-    const windowStartMs = nowMs - WINDOW_MS;
+  constructor(private readonly windowMs = MS_PER_S) {}
+
+  /** Whether one more send keeps every window within `limit` sends. */
+  allows(nowMs: number, limit: number): boolean {
+    const windowStartMs = nowMs - this.windowMs;
     while ((this.sentAtMs[0] ?? Infinity) <= windowStartMs)
       this.sentAtMs.shift();
-    return this.sentAtMs.length < perSecond;
+    return this.sentAtMs.length < limit;
   }
 
   add(nowMs: number): void {
--- a/src/ranks/demandSampler.ts
+++ b/src/ranks/demandSampler.ts
@@ -26,6 +26,8 @@
   readonly codec: RankCodec;
   readonly transport: RankTransport;
   readonly logger: Logger;
+  /** Whether calls to the rank should be avoided, since it asked for less load. */
+  isRestricted(rankId: string): boolean;
 }
 
 /** Chooses and reads the sample of one group. */
@@ -53,9 +55,8 @@
   async read(): Promise<readonly RankCounts[]> {
     const {ranks} = this.parts;
     const stride = Math.floor(ranks.length / this.size) + 1;
-    const indexes = Array.from(
-      {length: this.size},
-      (_, i) => (this.firstRank + i * stride) % ranks.length
+    const indexes = Array.from({length: this.size}, (_, i) =>
+      this.nextUnrestricted(this.firstRank + i * stride)
     );
     const readings = await Promise.all(
       [...new Set(indexes)].map(index => this.readRank(index))
@@ -63,6 +64,16 @@
     return readings.flatMap(reading => reading ?? []);
   }
 
+  /** The rank at this place, or the next one that is not restricted. */
+  private nextUnrestricted(place: number): number {
+    const {ranks, isRestricted} = this.parts;
+    for (let step = 0; step < ranks.length; step++) {
+      const index = (place + step) % ranks.length;
+      if (!isRestricted(ranks[index]?.id ?? '')) return index;
+    }
+    return place % ranks.length;
+  }
+
   private async readRank(index: number): Promise<RankCounts | undefined> {
     const {ranks, codec, transport, logger, scope, name} = this.parts;
     const rank = ranks[index];
--- a/src/ranks/groupController.ts
+++ b/src/ranks/groupController.ts
@@ -65,6 +65,8 @@
   streamPassMs(): number;
   /** Requests of all nodes that are running in the group. */
   running(): number;
+  /** Whether calls to the rank should be avoided, since it asked for less load. */
+  isRestricted(rankId: string): boolean;
   /** Longest pause between events that callers accept; 0 when none is set. */
   readonly acceptedPauseMs: number;
   /** Demand that the group's previous controller knew. */
--- a/src/ranks/groupControllerManager.ts
+++ b/src/ranks/groupControllerManager.ts
@@ -42,9 +42,9 @@
         callNode: (...call) => node.callNode(...call),
       },
       {
-        onCall: (address, kind) => node.pushback.countRankCall(address, kind),
-        onResponse: (address, res) =>
-          node.pushback.noteRankResponse(address, res),
+        onCall: (address, kind) => node.noteRankCall(address, kind),
+        onResponse: (address, response) =>
+          node.pushback.noteRankResponse(address, response, performance.now()),
       }
     );
   }
@@ -111,6 +111,7 @@
         streamPassMs: () => this.streamPassMs(service.name, name),
         running: () => this.node.runningRequests(service.name, name),
         acceptedPauseMs: this.acceptedPauseMs(service.name),
+        isRestricted: id => this.isRestricted(id),
         // The same requests continue to choose the same experts.
         demand: running?.controller.demand,
         shifts,
@@ -134,6 +135,12 @@
     return new ShiftHistory(known, nowMs);
   }
 
+  private isRestricted(id: string): boolean {
+    const {table, pushback} = this.node;
+    const record = table.find(id);
+    return record !== undefined && pushback.isLimited(record);
+  }
+
   private acceptedPauseMs(service: string): number {
     const {site} = this.node;
     return site === undefined
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -13,7 +13,10 @@
 }
 
 /** Gets the headers of each response, before its body. */
-export type OnRankResponse = (address: string, res: IncomingMessage) => void;
+export type OnRankResponse = (
+  address: string,
+  response: {readonly res: IncomingMessage; readonly sentAtMs: number}
+) => void;
 
 /** Resolves with undefined on an error, or without a response in time. */
 export function callRank(
@@ -32,7 +35,7 @@
     const sentAtMs = performance.now();
     const options = {host, port: Number(port), method, path, headers};
     const req = http.request({...options, agent: false}, res => {
-      onResponse(address, res);
+      onResponse(address, {res, sentAtMs});
       const chunks: Buffer[] = [];
       res.on('data', (chunk: Buffer) => chunks.push(chunk));
       res.on('error', () => finish(undefined));
--- a/src/site/announcement.ts
+++ b/src/site/announcement.ts
@@ -34,4 +34,9 @@
 /** A target as nodes share it: its last announcement, or that it is lost. */
 export type TargetRecord = Omit<TargetAnnouncement, 'state'> & {
   readonly state: 'ready' | 'draining' | 'silent' | 'gone';
+  /**
+   * Requests per second that this boot accepts from all nodes together, as it states
+   * in its responses; set by the leader.
+   */
+  readonly rateLimit?: number;
 };
--- a/tests/nodePolicies.spec.ts
+++ b/tests/nodePolicies.spec.ts
@@ -17,6 +17,7 @@
     isInOwnZone: true,
     failureRate: 0,
     latencyMs: 20,
+    hasToken: false,
     ...change,
   };
 }
--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -1,3 +1,5 @@
+import type {SyncState} from '../../src/cluster/messages';
+import {eventually} from '../fixtures/testSystem';
 import type {Handler} from './gatewayFixture';
 import {GatewayFixture} from './gatewayFixture';
 
@@ -214,3 +216,67 @@
     expect(fixture.receivedRequests).toHaveLength(1);
   });
 });
+
+describe('targets that state a rate limit', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  const limited: Handler = (_req, res) => {
+    res.setHeader('server-limit', '0.5');
+    res.end('answer');
+  };
+
+  /** The leader's reply, with tokens for the first target. */
+  function reply(tokens: number) {
+    fixture.table.setRateLimit('t0', 0.5);
+    const state = {activeNodes: 1, tokens: {t0: tokens}};
+    const nowMs = performance.now();
+    fixture.pushback.applyReply(
+      state as unknown as SyncState,
+      [],
+      nowMs,
+      nowMs
+    );
+  }
+
+  it('should be sent nothing after the first response that says so', async () => {
+    fixture = await GatewayFixture.start([limited, OK]);
+    reply(0);
+    fixture.table.setRateLimit('t0', undefined);
+    let isStated = false;
+    for (let i = 0; i < 20; i++) {
+      const before = fixture.receivedRequests.length;
+      expect((await fixture.call('/once/x')).status).toBe(200);
+      const target = fixture.receivedRequests[before]?.target;
+      if (isStated) expect(target).toBe(1);
+      isStated ||= target === 0;
+    }
+    expect(isStated).toBe(true);
+  });
+
+  // Guards against callers who are refused a moment before a token comes.
+  it('should let a request wait for a token', async () => {
+    fixture = await GatewayFixture.start([limited]);
+    reply(0);
+    const answer = fixture.call('/once/x');
+    await eventually('a report that asks for a token', async () =>
+      fixture.pushback
+        .takeReports(performance.now())
+        .some(({wanted}) => wanted > 0)
+    );
+    expect(fixture.receivedRequests).toHaveLength(0);
+    reply(1);
+    expect((await answer).status).toBe(200);
+  });
+
+  it('should tell callers when a token may come', async () => {
+    fixture = await GatewayFixture.start([limited], {latencyTargetMs: 50});
+    reply(0);
+    const answer = await fixture.call('/once/x');
+    expect(answer.status).toBe(503);
+    const retryAfterS = Number(answer.headers['retry-after']);
+    expect(retryAfterS).toBeGreaterThanOrEqual(1);
+    expect(retryAfterS).toBeLessThanOrEqual(3);
+    expect(fixture.receivedRequests).toHaveLength(0);
+  });
+});
--- a/tests/serviceConcurrency.spec.ts
+++ b/tests/serviceConcurrency.spec.ts
@@ -112,6 +112,29 @@
     expect(limit).toBeGreaterThan(0.6 * RANKS * SLOTS);
   });
 
+  // Guards against requests that are admitted for slots that no node may fill: they
+  // would press on the other targets.
+  it('should not count slots that a rate limit leaves unused', () => {
+    const compute = (records: readonly TargetRecord[]) =>
+      computeConcurrency(new GroupLimits(), {
+        service: {...SERVICE, engine: undefined},
+        records,
+        loads: [],
+        goals: {pauseMs: 0, firstEventMs: 0},
+        allNodesReported: true,
+        outlookOf: () => undefined,
+        nowMs: 0,
+      }).total;
+    const [first, ...others] = RECORDS;
+    const all = compute(RECORDS);
+    const perTarget = all / RANKS;
+    const withLimit = (rateLimit: number) =>
+      compute([{...first!, rateLimit}, ...others]);
+    expect(withLimit(3)).toBe(all - perTarget + 3);
+    expect(withLimit(0)).toBe(all - perTarget + 1);
+    expect(withLimit(1_000)).toBe(all);
+  });
+
   // A new leader receives the reports of nodes one after the other: passes take
   // as long as all requests need, but only some of the requests are known.
   it('should not estimate the cost before all nodes have reported', () => {
