Let targets of the soak state rate limits, and count what reaches them

Two of its four targets now state limits of 0 to 5 requests a second for 6 to 12 s at a time, while nodes are killed, frozen and stopped. Checked from outside by the users' rule: from 3 s after the statement, in any 4 s, one and a half times the limit, and 5, over the nodes that were told half a second before and not disturbed since.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -70,8 +70,8 @@
   const folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-soak-'));
   const program = path.join(__dirname, 'marlpulley-app.cjs');
   const nodes = new SoakNodes(program, folder, seed);
-  const targets = new SoakTargets(SERVICE, random);
   const callers = new SoakCallers(HOST, nodes.callersPort);
+  const targets = new SoakTargets(SERVICE, random, id => callers.nodeOf(id));
   const operator = new SoakOperator(HOST, SERVICE, nodes.controlPort);
   const pick = () => nodes.ips[Math.floor(random() * nodes.ips.length)] ?? '';
   nodes.startAll();
@@ -103,6 +103,7 @@
   const violations = [
     ...callers.violations(targets.runs),
     ...operator.violations,
+    ...targets.violations(nodes.signals),
   ];
   for (const {promise, detail} of violations)
     process.stdout.write(`VIOLATED ${promise}: ${detail}\n`);
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -17,7 +17,8 @@
 
 /** One violation of a promise. */
 export interface Violation {
-  readonly promise: 'atMostOnce' | 'notRun' | 'wholeAnswer' | 'document';
+  readonly promise:
+    'atMostOnce' | 'notRun' | 'wholeAnswer' | 'document' | 'rateLimit';
   readonly detail: string;
 }
 
@@ -26,6 +27,7 @@
   readonly counts: Record<string, number> = {};
   private readonly notRun = new Set<string>();
   private readonly once = new Set<string>();
+  private readonly nodeById = new Map<string, string>();
   private readonly wrong: Violation[] = [];
   private nextId = 0;
 
@@ -37,6 +39,7 @@
   async call(ip: string, isOnce: boolean): Promise<number> {
     const id = `r${this.nextId++}`;
     if (isOnce) this.once.add(id);
+    this.nodeById.set(id, ip);
     const answer = await send({
       ip,
       port: this.port,
@@ -52,6 +55,11 @@
     return answer?.status ?? 0;
   }
 
+  /** The node that a request was sent to. */
+  nodeOf(id: string): string {
+    return this.nodeById.get(id) ?? '';
+  }
+
   /** All violations; to be called at the end, since late runs count too. */
   violations(runs: ReadonlyMap<string, number>): readonly Violation[] {
     const found = [...this.wrong];
--- a/bench/soak/soakNodes.ts
+++ b/bench/soak/soakNodes.ts
@@ -4,6 +4,7 @@
 import {spawn} from 'node:child_process';
 import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
+import type {NodeEvent} from './statementLog';
 
 /** Last octets of the addresses of the nodes with and without a disk. */
 const WITH_DISK = [41, 42, 43] as const;
@@ -22,6 +23,8 @@
 /** Starts, signals and restarts the nodes. */
 export class SoakNodes {
   readonly ips: readonly string[];
+  /** All signals that were sent, in the order of time. */
+  readonly signals: NodeEvent[] = [];
   private readonly diskIps: readonly string[];
   private readonly running = new Map<string, ChildProcess>();
   private isEnding = false;
@@ -54,6 +57,7 @@
   }
 
   signal(ip: string, signal: NodeJS.Signals): void {
+    this.signals.push({atMs: performance.now(), ip});
     this.running.get(ip)?.kill(signal);
   }
 
--- a/tests/processes/soak.spec.ts
+++ b/tests/processes/soak.spec.ts
@@ -24,9 +24,9 @@
 describe('soak of nodes', () => {
   // Nodes are killed, frozen, stopped and all killed at once, one fault after
   // another, while callers and an operator continue. Checks that no at-most-once
-  // call ran twice, no refused call ran, and no node has a site document older
-  // than an acknowledged one.
+  // call ran twice, no refused call ran, no node has a site document older than an
+  // acknowledged one, and no target gets more than the rate limit that it states.
   it('should keep its promises under a short series of faults', async () => {
-    expect(await runSoak(3, 5)).toMatch(/seed 3: .* 0 violations: held\n$/);
+    expect(await runSoak(3, 20)).toMatch(/seed 3: .* 0 violations: held\n$/);
   }, 90_000);
 });
