Log and count the rests that targets ask this node for

Each node now reads Retry-After of a response that turns a request away, in seconds; dates and other values are ignored, counted and logged once. It writes a line when a rest begins, and counts calls to targets at rest, by kind, orders and reads of ranks among them. A rest lasts five minutes at most, so that a garbled value does not take a target away for good. No decision depends on it yet.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -187,7 +187,7 @@
   noteRankCall(address: string, kind: string): void {
     const target = this.table.findByAddress(address);
     if (target === undefined) return;
-    this.pushback.countCall(target, kind);
+    this.pushback.countCall(target, kind, performance.now());
     this.coordinator.chargeCall(target.id);
   }
 
--- a/src/cluster/targetPushback.ts
+++ b/src/cluster/targetPushback.ts
@@ -12,6 +12,7 @@
 import type {LimitReport, SyncState} from './messages';
 import type {NodeIds, TargetBoot} from './nodeRateLimits';
 import {NodeRateLimits} from './nodeRateLimits';
+import {TargetRests} from './targetRests';
 import type {TargetTable} from './targetTable';
 
 /** Dependencies of the pushback of targets. */
@@ -39,6 +40,7 @@
   /** Emits with each reply of the leader, which may bring tokens. */
   readonly replies$ = new Subject<void>();
   private readonly limits: NodeRateLimits;
+  private readonly rests = new TargetRests();
   /** Limits in the latest responses, for the log. */
   private readonly stated = new Map<string, StatedValue>();
   private readonly loggedInvalid = new Set<string>();
@@ -63,7 +65,7 @@
   /** Counts a request that is sent to the target. */
   noteRequest(target: TargetBoot, nowMs: number): void {
     this.limits.spend(target, nowMs);
-    this.countCall(target, 'request');
+    this.countCall(target, 'request', nowMs);
   }
 
   /** Notes what the response of a target states. */
@@ -74,11 +76,13 @@
   ): void {
     const notice = this.parts.readNotice(res);
     if (notice === undefined) return;
-    for (const header of notice.invalidHeaders) this.logInvalid(target, header);
-    if (notice.invalidHeaders.length > 0) return;
-    this.logLimit(target, notice.rateLimit);
+    const {rateLimit, restMs, invalidHeaders} = notice;
+    for (const header of invalidHeaders) this.logInvalid(target, header);
+    if (restMs !== undefined) this.noteRest(target, restMs, nowMs);
+    if (rateLimit === 'invalid') return;
+    this.logLimit(target, rateLimit);
     this.limits.addEvidence(target, {
-      perSecond: notice.rateLimit ?? Infinity,
+      perSecond: rateLimit ?? Infinity,
       notBeforeMs: sentAtMs,
       notAfterMs: nowMs,
     });
@@ -94,9 +98,12 @@
     if (target !== undefined) this.noteResponse(target, response, nowMs);
   }
 
-  /** Counts a call of a kind, if the target has a rate limit. */
-  countCall(target: TargetBoot, kind: string): void {
-    if (this.isLimited(target)) this.parts.metrics.limitedTargetCalled(kind);
+  /** Counts a call of a kind, if the target has a rate limit or is at rest. */
+  countCall(target: TargetBoot, kind: string, nowMs: number): void {
+    const {metrics} = this.parts;
+    if (this.isLimited(target)) metrics.limitedTargetCalled(kind);
+    if (this.rests.remainingMs(target, nowMs) > 0)
+      metrics.restingTargetCalled(kind);
   }
 
   /** Whether the target has a rate limit. */
@@ -136,6 +143,7 @@
   /** Evicts the state of targets that are gone or have restarted. */
   evict(): void {
     this.limits.evict();
+    this.rests.evict(this.table);
     for (const id of [...this.loggedInvalid, ...this.stated.keys()]) {
       if (this.table.find(id) !== undefined) continue;
       this.loggedInvalid.delete(id);
@@ -143,6 +151,17 @@
     }
   }
 
+  private noteRest(target: TargetBoot, restMs: number, nowMs: number): void {
+    const wasAtRest = this.rests.remainingMs(target, nowMs) > 0;
+    this.rests.begin(target, restMs, nowMs);
+    if (wasAtRest) return;
+    const {id, bornMs} = target;
+    this.parts.logger.info(
+      {event: 'target.rest', target: id, bornMs, restMs},
+      `target ${id} asks this node for a rest of ${restMs} ms`
+    );
+  }
+
   private logLimit(
     {id, bornMs}: TargetBoot,
     perSecond: number | undefined
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -84,6 +84,11 @@
     'calls to targets that state a rate limit, by kind',
     ['kind']
   );
+  private readonly restingTargetCalls = this.counter(
+    'marlpulley_resting_target_calls_total',
+    'calls to targets that asked this node for a rest, by kind',
+    ['kind']
+  );
   private readonly invalidHeaders = this.counter(
     'marlpulley_target_headers_invalid_total',
     'headers of targets whose values were ignored, by name',
@@ -131,6 +136,10 @@
     this.limitedTargetCalls.inc({kind});
   }
 
+  restingTargetCalled(kind: string): void {
+    this.restingTargetCalls.inc({kind});
+  }
+
   invalidHeader(header: string): void {
     this.invalidHeaders.inc({header});
   }
--- a/src/site/targetNotice.ts
+++ b/src/site/targetNotice.ts
@@ -4,9 +4,14 @@
 export interface TargetNotice {
   /**
    * Requests per second that the target accepts from all nodes together; absent
-   * when the response states no limit.
+   * when the response states no limit, `invalid` when it cannot be read.
    */
-  readonly rateLimit?: number;
+  readonly rateLimit?: number | 'invalid';
+  /**
+   * Time for which the target wants nothing from this node, milliseconds; absent
+   * unless it turned the request away and asked for that.
+   */
+  readonly restMs?: number;
   /** Names of headers whose values are invalid; these values are ignored. */
   readonly invalidHeaders: readonly string[];
 }
--- a/tests/platform/requestHeaders.spec.ts
+++ b/tests/platform/requestHeaders.spec.ts
@@ -121,11 +121,41 @@
     text => {
       const res = message({'server-limit': text}, {statusCode: 200});
       expect(TARGET_CODEC.readNotice(res)).toEqual({
+        rateLimit: 'invalid',
         invalidHeaders: ['server-limit'],
       });
     }
   );
 
+  it.each([
+    ['3', 503, 3_000],
+    ['0.25', 429, 250],
+    ['3', 200, undefined],
+    [undefined, 503, undefined],
+  ])(
+    'should read a rest of "%s" with status %i',
+    (text, statusCode, restMs) => {
+      const headers: Record<string, string> =
+        text === undefined ? {} : {'retry-after': text};
+      const notice = TARGET_CODEC.readNotice(message(headers, {statusCode}));
+      expect(notice).toEqual({
+        ...(restMs === undefined ? {} : {restMs}),
+        invalidHeaders: [],
+      });
+    }
+  );
+
+  // Guards against a date or garbled bytes that become NaN in a timer.
+  it.each(['', '-1', 'NaN', '1e400', 'Wed, 21 Oct 2026 07:28:00 GMT', '1, 2'])(
+    'should ignore a rest of "%s"',
+    text => {
+      const res = message({'retry-after': text}, {statusCode: 503});
+      expect(TARGET_CODEC.readNotice(res)).toEqual({
+        invalidHeaders: ['retry-after'],
+      });
+    }
+  );
+
   // Status 421 comes from another target that has the address by now.
   it('should attribute no statement of a misdirected request to the target', () => {
     const res = message({'server-limit': '1'}, {statusCode: 421});
--- a/tests/targetPushback.spec.ts
+++ b/tests/targetPushback.spec.ts
@@ -29,7 +29,10 @@
       },
       ++nowMs
     );
-  return {pushback, metrics, events, respond};
+  const countCall = (target: typeof TARGET, kind: string) =>
+    pushback.countCall(target, kind, nowMs);
+  const wait = (ms: number) => void (nowMs += ms);
+  return {pushback, metrics, events, respond, countCall, wait};
 }
 
 describe('statements of targets', () => {
@@ -45,12 +48,12 @@
   });
 
   it('should count calls to targets that state a limit, by kind', async () => {
-    const {pushback, metrics, respond} = fixture();
-    pushback.countCall(TARGET, 'request');
+    const {countCall, metrics, respond} = fixture();
+    countCall(TARGET, 'request');
     respond(TARGET, {rateLimit: 1});
-    pushback.countCall(TARGET, 'request');
-    pushback.countCall(TARGET, 'counts');
-    pushback.countCall(RESTARTED, 'request');
+    countCall(TARGET, 'request');
+    countCall(TARGET, 'counts');
+    countCall(RESTARTED, 'request');
     const lines = (await metrics.text()).split('\n');
     for (const kind of ['request', 'counts'])
       expect(lines).toContain(
@@ -61,14 +64,43 @@
   // Guards against a log that a garbling target fills, and against a bad value
   // that ends a limit in force.
   it('should log an invalid header once, count each, and keep the limit', async () => {
-    const {pushback, metrics, events, respond} = fixture();
+    const {countCall, metrics, events, respond} = fixture();
     respond(TARGET, {rateLimit: 1});
     for (let i = 0; i < 3; i++)
-      respond(TARGET, {invalidHeaders: ['server-limit']});
-    pushback.countCall(TARGET, 'request');
+      respond(TARGET, {
+        rateLimit: 'invalid',
+        invalidHeaders: ['server-limit'],
+      });
+    countCall(TARGET, 'request');
     expect(events('target.malformed')).toHaveLength(1);
     const text = await metrics.text();
     expect(text).toContain('invalid_total{header="server-limit"} 3');
     expect(text).toContain('calls_total{kind="request"} 1');
   });
+
+  it('should log a rest when it begins, and count calls in it', async () => {
+    const {metrics, events, respond, countCall, wait} = fixture();
+    for (const restMs of [3_000, 2_000]) respond(TARGET, {restMs});
+    countCall(TARGET, 'request');
+    countCall(RESTARTED, 'request');
+    wait(3_000);
+    countCall(TARGET, 'request');
+    expect(events('target.rest')).toMatchObject([{target: 't', restMs: 3_000}]);
+    expect(await metrics.text()).toContain(
+      'resting_target_calls_total{kind="request"} 1'
+    );
+  });
+
+  // Guards against a garbling target that asks for a year.
+  it('should end a rest after some minutes at the latest', async () => {
+    const {metrics, respond, countCall, wait} = fixture();
+    respond(TARGET, {restMs: 31_536_000_000});
+    wait(299_000);
+    countCall(TARGET, 'request');
+    wait(2_000);
+    countCall(TARGET, 'request');
+    expect(await metrics.text()).toContain(
+      'resting_target_calls_total{kind="request"} 1'
+    );
+  });
 });
