Show that nodes send to targets that asked them for rest

What callers saw: 37 of 225 streams refused while a third of their targets turned all requests away, since both attempts met one of them. A target that had asked a node for 3 s of rest got 7 and 8 requests from it in that time; two are allowed.

Two tests of the gateway over HTTP: one request reaches a target that asks for 30 s, and callers are told the shortest rest of all at once.

--- a/bench/fuzz/rateLimitModel.ts
+++ b/bench/fuzz/rateLimitModel.ts
@@ -4,6 +4,8 @@
  * that fail meanwhile.
  */
 
+import type {TimedFault} from './clusterFaults';
+import {injectFault, randomFaults} from './clusterFaults';
 import type {FuzzModel} from './fuzzModel';
 import {SeededRandom} from './schedule';
 import {SimulatedCluster} from './simulatedCluster';
@@ -21,17 +23,6 @@
 const RUN_MS = 45_000;
 const LIMITS = [0, 0.3, 1, 1, 2, 5, 10, 30];
 
-type Fault =
-  'none' | 'freeze' | 'cut' | 'restart' | 'lostLeader' | 'twoLeaders';
-const FAULTS: readonly Fault[] = [
-  'none',
-  'freeze',
-  'cut',
-  'restart',
-  'lostLeader',
-  'twoLeaders',
-];
-
 /** A scenario without or with faults. */
 export interface RateLimitScenario {
   readonly nodes: number;
@@ -39,7 +30,7 @@
   /** Requests per second for each target, before any limit. */
   readonly ratePerTarget: number;
   readonly statements: readonly Statement[];
-  readonly faults: readonly {readonly atMs: number; readonly kind: Fault}[];
+  readonly faults: readonly TimedFault[];
   /** When the limited target restarts and states nothing. */
   readonly restartsAtMs?: number;
 }
@@ -59,7 +50,7 @@
   for (let i = 1; i < targets; i++)
     cluster.addTarget(new StatingTarget(`t${i}`, 1, `a${i}:1`, []));
   for (const {atMs, kind} of scenario.faults)
-    cluster.queue.after(atMs, () => inject(cluster, kind, random, nodes));
+    cluster.queue.after(atMs, () => injectFault(cluster, kind, nodes, random));
   const {restartsAtMs} = scenario;
   if (restartsAtMs !== undefined)
     cluster.queue.after(restartsAtMs, () =>
@@ -69,30 +60,6 @@
   checkWindows(limited);
 }
 
-function inject(
-  cluster: SimulatedCluster,
-  kind: Fault,
-  random: SeededRandom,
-  nodes: number
-): void {
-  const victim = random.int(0, nodes - 1);
-  const ms = random.int(100, 6_000);
-  switch (kind) {
-    case 'none':
-      return;
-    case 'freeze':
-      return cluster.freeze(victim, ms);
-    case 'cut':
-      return cluster.cut(victim, ms);
-    case 'restart':
-      return cluster.restart(victim);
-    case 'lostLeader':
-      return cluster.restart(Math.max(0, cluster.leaderIndex));
-    case 'twoLeaders':
-      return cluster.changeLeader(random.int(0, 700));
-  }
-}
-
 /** Checks every window that begins with an arrival. */
 function checkWindows({id, arrivals, statements}: StatingTarget): void {
   arrivals.forEach(({atMs}, first) => {
@@ -149,10 +116,7 @@
       {fromMs: random.int(18_000, 26_000), rateLimit: changedTo},
       {fromMs: random.int(34_000, 40_000)},
     ],
-    faults: Array.from({length: random.int(0, 5)}, () => ({
-      atMs: random.int(START_MS, RUN_MS),
-      kind: random.pick(FAULTS),
-    })),
+    faults: randomFaults(random, 5, START_MS, RUN_MS),
     restartsAtMs: random.chance(0.2) ? random.int(20_000, 40_000) : undefined,
   };
 }
--- a/bench/fuzz/simulatedCluster.ts
+++ b/bench/fuzz/simulatedCluster.ts
@@ -28,6 +28,7 @@
 /** Longest wait of a request for a token, and how often it looks for one. */
 const MAX_WAIT_MS = 200;
 const TOKEN_POLL_MS = 50;
+const MAX_ATTEMPTS = 2;
 const SLOTS = 8;
 const PACKED_SITE = packText('{}');
 
@@ -39,6 +40,14 @@
   cutUntilMs: number;
 }
 
+/** A request of a caller that was admitted. */
+interface Call {
+  readonly machine: Machine;
+  readonly node: SimulatedNode;
+  readonly tried: Set<string>;
+  readonly startedAtMs: number;
+}
+
 interface Leadership {
   readonly machine: Machine;
   readonly node: SimulatedNode;
@@ -61,6 +70,8 @@
   private readonly targets = new Map<string, StatingTarget>();
   private leaderships: Leadership[] = [];
   private sequence = 0;
+  /** Begin and end of each freeze, cut and restart, by machine. */
+  readonly disturbances: {readonly atMs: number; readonly node: string}[] = [];
 
   constructor(
     private readonly shape: ClusterShape,
@@ -90,6 +101,7 @@
   /** Stops the processes of a machine for a while. */
   freeze(index: number, ms: number): void {
     const machine = this.machineAt(index);
+    this.noteDisturbance(machine, ms);
     machine.frozenUntilMs = this.queue.now + ms;
     this.replaceLeaderOn(machine, ms);
   }
@@ -97,6 +109,7 @@
   /** Cuts a machine off from all other nodes, but not from targets and callers. */
   cut(index: number, ms: number): void {
     const machine = this.machineAt(index);
+    this.noteDisturbance(machine, ms);
     machine.cutUntilMs = this.queue.now + ms;
     this.replaceLeaderOn(machine, STEP_DOWN_MS);
   }
@@ -104,6 +117,7 @@
   /** Replaces the node of a machine by a new one, which knows nothing. */
   restart(index: number): void {
     const machine = this.machineAt(index);
+    this.noteDisturbance(machine, 0);
     machine.node = this.startNode(machine.info);
     this.replaceLeaderOn(machine, 0);
     this.syncLoop(machine, machine.node);
@@ -126,6 +140,12 @@
     return leader === undefined ? -1 : this.machines.indexOf(leader);
   }
 
+  private noteDisturbance({info}: Machine, ms: number): void {
+    const {now} = this.queue;
+    this.disturbances.push({atMs: now, node: info.ip});
+    this.disturbances.push({atMs: now + ms, node: info.ip});
+  }
+
   private startNode(info: NodeInfo): SimulatedNode {
     return new SimulatedNode(
       info,
@@ -274,63 +294,56 @@
     const machine = this.random.pick(this.machines);
     const {node} = machine;
     if (machine.frozenUntilMs <= this.queue.now)
-      node.enter(() => this.serve(machine, node, this.queue.now));
+      node.enter(() => {
+        const startedAtMs = this.queue.now;
+        this.serve({machine, node, tried: new Set(), startedAtMs});
+      });
     const meanMs = 1_000 / this.shape.requestsPerSecond;
     const waitMs = -Math.log(1 - this.random.next()) * meanMs;
     this.queue.after(waitMs, () => this.callLoop());
   }
 
-  private serve(
-    machine: Machine,
-    node: SimulatedNode,
-    startedAtMs: number
-  ): void {
-    const target = node.send();
-    const end = () => node.leave(this.queue.now - startedAtMs);
+  private serve(call: Call): void {
+    const {machine, node, tried, startedAtMs} = call;
+    const target = node.send(tried);
     const waitedMs = this.queue.now - startedAtMs;
     if (target === 'wait' && waitedMs < MAX_WAIT_MS) {
       this.queue.after(TOKEN_POLL_MS, () =>
-        this.run(machine, node, () => this.serve(machine, node, startedAtMs))
+        this.run(machine, node, () => this.serve(call))
       );
       return;
     }
     if (target === 'wait' || target === 'refuse') {
-      end();
+      node.leave(waitedMs);
       return;
     }
+    tried.add(target.id);
     const sentAtMs = this.queue.now;
     const isSlow = this.random.chance(SLOW_RATIO);
     const maxMs = isSlow ? SLOW_CONNECT_MS : CONNECT_MS.max;
     // The request is written by the node once it is connected.
     this.queue.after(this.random.int(CONNECT_MS.min, maxMs), () =>
-      this.run(machine, node, () =>
-        this.arrive(machine, node, target, sentAtMs, end)
-      )
+      this.run(machine, node, () => this.arrive(call, target, sentAtMs))
     );
   }
 
-  private arrive(
-    machine: Machine,
-    node: SimulatedNode,
-    target: TargetRecord,
-    sentAtMs: number,
-    end: () => void
-  ): void {
+  private arrive(call: Call, target: TargetRecord, sentAtMs: number): void {
+    const {machine, node, tried, startedAtMs} = call;
     const boot = this.targets.get(target.address);
-    const {now} = this.queue;
     // A request for an earlier boot is misdirected and states nothing of it.
     const isExpected = boot?.id === target.id && boot.bornMs === target.bornMs;
-    if (boot !== undefined && isExpected)
-      boot.arrivals.push({atMs: now, node: machine.info.ip});
-    const notice =
-      boot !== undefined && isExpected
-        ? boot.noticeAt(now)
-        : {invalidHeaders: []};
-    const tookMs = this.random.int(SERVICE_MS.min, SERVICE_MS.max);
-    this.queue.after(this.random.int(1, tookMs), () =>
+    const notice = isExpected
+      ? boot.handle(machine.info.ip, this.queue.now)
+      : {invalidHeaders: []};
+    const isRefused = notice.restMs !== undefined;
+    const tookMs = isRefused
+      ? 1
+      : this.random.int(1, this.random.int(SERVICE_MS.min, SERVICE_MS.max));
+    this.queue.after(tookMs, () =>
       this.run(machine, node, () => {
         node.receive(target, notice, sentAtMs);
-        end();
+        if (isRefused && tried.size < MAX_ATTEMPTS) this.serve(call);
+        else node.leave(this.queue.now - startedAtMs);
       })
     );
   }
--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -128,14 +128,14 @@
    * The target of an admitted request, which counts as sent; otherwise whether the
    * request may wait for a token.
    */
-  send(): TargetRecord | 'wait' | 'refuse' {
+  send(tried: ReadonlySet<string>): TargetRecord | 'wait' | 'refuse' {
     const {gateway} = this;
     const {view} = gateway;
     if (view?.index === undefined) return 'refuse';
     const nowMs = this.nowMs();
     const pool = gateway.pool(SERVICE.name);
     const choice = pool.choose(
-      gateway.choiceInput(SERVICE, view, new Set(), nowMs)
+      gateway.choiceInput(SERVICE, view, tried, nowMs)
     );
     switch (choice.kind) {
       case 'none':
@@ -152,14 +152,19 @@
     }
   }
 
-  /** Takes a complete response to a request that was sent at `sentAtMs`. */
+  /** Takes the response to a request that was sent at `sentAtMs`. */
   receive(target: TargetRecord, notice: TargetNotice, sentAtMs: number): void {
     const nowMs = this.nowMs();
     const pool = this.gateway.pool(SERVICE.name);
     const res = notice as unknown as IncomingMessage;
     this.pushback.noteResponse(target, {res, sentAtMs}, nowMs);
     const latencyMs = nowMs - sentAtMs;
-    pool.noteAttempt(target.id, {kind: 'good', latencyMs}, nowMs);
+    const isServed = notice.restMs === undefined;
+    pool.noteAttempt(
+      target.id,
+      isServed ? {kind: 'good', latencyMs} : {kind: 'full'},
+      nowMs
+    );
     pool.done(target.id);
   }
 
--- a/bench/fuzz/statingTarget.ts
+++ b/bench/fuzz/statingTarget.ts
@@ -1,4 +1,4 @@
-/** A simulated target that states limits in its responses, and counts what it gets. */
+/** A simulated target that states limits in its responses, and records what it gets. */
 
 import type {TargetNotice} from '../../src/site/targetNotice';
 
@@ -7,12 +7,16 @@
   readonly fromMs: number;
   /** Absent when it states no limit. */
   readonly rateLimit?: number;
+  /** Turns all requests away and asks for this rest; absent when it serves. */
+  readonly restMs?: number;
 }
 
 /** One request that reached the target. */
 export interface Arrival {
   readonly atMs: number;
   readonly node: string;
+  /** The rest that the response asked for. */
+  readonly restMs?: number;
 }
 
 /** One boot of a target. */
@@ -27,14 +31,14 @@
     readonly statements: readonly Statement[]
   ) {}
 
-  /** What a response that is generated now states. */
-  noticeAt(nowMs: number): TargetNotice {
-    const {rateLimit} = this.statementAt(nowMs);
-    return {rateLimit, invalidHeaders: []};
+  /** Takes a request; returns what the response states. */
+  handle(node: string, nowMs: number): TargetNotice {
+    const {rateLimit, restMs} = this.statementAt(nowMs);
+    this.arrivals.push({atMs: nowMs, node, restMs});
+    return {rateLimit, restMs, invalidHeaders: []};
   }
 
-  /** The statement in force. */
-  statementAt(nowMs: number): Statement {
+  private statementAt(nowMs: number): Statement {
     const past = this.statements.filter(({fromMs}) => fromMs <= nowMs);
     return past.at(-1) ?? {fromMs: -Infinity};
   }
--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -280,3 +280,38 @@
     expect(fixture.receivedRequests).toHaveLength(0);
   });
 });
+
+describe('targets that ask for a rest', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  const resting =
+    (seconds: number): Handler =>
+    (_req, res) => {
+      res.writeHead(503, {'x-not-executed': '1', 'retry-after': `${seconds}`});
+      res.end();
+    };
+
+  // Guards against requests that are turned away again, each of which costs its
+  // caller one of two attempts.
+  it('should be sent nothing until its end', async () => {
+    fixture = await GatewayFixture.start([resting(30), OK]);
+    for (let i = 0; i < 20; i++)
+      expect((await fixture.call('/once/x')).status).toBe(200);
+    const refused = fixture.receivedRequests.filter(({target}) => target === 0);
+    expect(refused).toHaveLength(1);
+  });
+
+  // Guards against callers who come back while all targets are still at rest, and
+  // against requests that are queued for targets which take none.
+  it('should be told to callers at once, the shortest of all', async () => {
+    fixture = await GatewayFixture.start([resting(30), resting(12)]);
+    await fixture.call('/once/x');
+    const answer = await fixture.call('/once/x');
+    expect(answer.status).toBe(503);
+    expect(fixture.receivedRequests).toHaveLength(2);
+    const retryAfterS = Number(answer.headers['retry-after']);
+    expect(retryAfterS).toBeGreaterThan(11);
+    expect(retryAfterS).toBeLessThan(13);
+  });
+});
