Leave targets alone for the rest that they ask a node for

A target that had asked a node for 3 s of rest got 7 and 8 requests from it in that time; two are allowed.

Cause: a response that turns a request away counted as a full target whatever it asked for, which pauses the target for 60 ms at that node. The class is that of the stated rate limit: what a target says of itself in a response reached no decision.

Change, in the same design: TargetPushback remembers rests by boot, and the choice of a target asks it, for first attempts, retries and resumed streams alike. After a rest one request goes first. Where all targets are at rest, callers are told the shortest at once, and requests take no place in the queue; a rest that ends in time is waited for. Nodes report their rests: the leader moves unused permits to other targets, and grants no slots of a target that rests for all nodes. Counts are read from other ranks; orders of a map switch go out as before, since a group of which one rank missed an order would stand.

Why it works: there is one place where a target is chosen, and nothing but a response or the restart of the target changes the rest it holds. A response to an earlier request does not end it, an announcement does not, nor does the leader.

--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -8,6 +8,7 @@
 import {QUEUE_MODEL} from './queueModel';
 import {RAMP_MODEL} from './rampModel';
 import {RATE_LIMIT_MODEL} from './rateLimitModel';
+import {REST_MODEL} from './restModel';
 import {STREAM_MODEL} from './streamModel';
 
 /** One model per decision state machine. */
@@ -19,5 +20,6 @@
   QUEUE_MODEL,
   RAMP_MODEL,
   RATE_LIMIT_MODEL,
+  REST_MODEL,
   STREAM_MODEL,
 ];
--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -139,6 +139,7 @@
     );
     switch (choice.kind) {
       case 'none':
+      case 'atRest':
         return 'refuse';
       case 'needsToken':
         this.pushback.noteShortage(choice.target);
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -18,7 +18,7 @@
 /** One violation of a promise. */
 export interface Violation {
   readonly promise:
-    'atMostOnce' | 'notRun' | 'wholeAnswer' | 'document' | 'rateLimit';
+    'atMostOnce' | 'notRun' | 'wholeAnswer' | 'document' | 'rateLimit' | 'rest';
   readonly detail: string;
 }
 
--- a/bench/soak/soakTargets.ts
+++ b/bench/soak/soakTargets.ts
@@ -1,6 +1,6 @@
 /**
- * Targets of the soak, which run, refuse or reset requests, state rate limits for a
- * while, and record what they got.
+ * Targets of the soak, which run, refuse or reset requests, state rate limits or ask
+ * for rest for a while, and record what they got.
  */
 
 import http from 'node:http';
@@ -9,6 +9,7 @@
   ECHO_HEADER,
   NOT_RUN_HEADER,
   RATE_LIMIT_HEADER,
+  REST_HEADER,
   SEAL_HEADER,
   announcement,
   announcementPath,
@@ -24,14 +25,18 @@
 const RESET_AFTER_RUN_SHARE = 0.03;
 const HEARTBEAT_MS = 300;
 const MAX_WORK_MS = 30;
-/** Targets that state limits; the others serve on. */
+/** Targets that state limits, and the one that asks for rest; one serves on. */
 const LIMITED_TARGETS = 2;
+const RESTING_TARGET = 2;
 /** Requests per second that a target may state, and how long it states a limit. */
 const RATE_LIMITS = [0, 0.5, 1, 2, 5];
 const MIN_LIMIT_MS = 6_000;
 const MAX_LIMIT_MS = 12_000;
-/** Longest time without a limit. */
+/** Seconds of rest that a target may ask for. */
+const RESTS_S = [0.7, 1.5, 3];
+/** Longest time without a limit or rest. */
 const MAX_FREE_MS = 6_000;
+const MS_PER_S = 1_000;
 
 /** All targets of one service. */
 export class SoakTargets {
@@ -40,6 +45,9 @@
   private readonly servers: http.Server[] = [];
   private readonly logs: StatementLog[] = [];
   private readonly limitTimers = new Map<number, NodeJS.Timeout>();
+  /** Until when the resting target turns all requests away, and when it did last. */
+  private refusesUntilMs = 0;
+  private refusesAgainAtMs = 0;
   private timer: NodeJS.Timeout | undefined;
   private sequence = 0;
   private readonly bornMs = Date.now();
@@ -57,7 +65,9 @@
       this.logs.push(log);
       const server = http.createServer((req, res) => {
         this.noteArrival(log, req, res);
-        this.respond(req, res);
+        if (i === RESTING_TARGET && this.isRefusing())
+          this.refuse(log, req, res);
+        else this.respond(req, res);
       });
       if (i < LIMITED_TARGETS) this.scheduleLimit(i, log);
       await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
@@ -96,6 +106,36 @@
     this.limitTimers.set(target, setTimeout(begin, freeMs));
   }
 
+  /** Turns requests away for a few seconds at a time. */
+  private isRefusing(): boolean {
+    const nowMs = performance.now();
+    if (nowMs >= this.refusesAgainAtMs) {
+      this.refusesUntilMs = nowMs + this.random() * MAX_LIMIT_MS;
+      this.refusesAgainAtMs = this.refusesUntilMs + this.random() * MAX_FREE_MS;
+    }
+    return nowMs < this.refusesUntilMs;
+  }
+
+  private refuse(
+    log: StatementLog,
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): void {
+    const id = String(req.headers[ECHO_HEADER] ?? '');
+    const seconds = RESTS_S[Math.floor(this.random() * RESTS_S.length)] ?? 1;
+    res.writeHead(503, {
+      [NOT_RUN_HEADER]: 'full',
+      [ECHO_HEADER]: id,
+      [REST_HEADER]: String(seconds),
+    });
+    res.once('finish', () => {
+      const atMs = performance.now();
+      const untilMs = atMs + seconds * MS_PER_S;
+      log.rests.push({atMs, ip: this.nodeOf(id), untilMs});
+    });
+    res.end();
+  }
+
   private noteArrival(
     log: StatementLog,
     req: http.IncomingMessage,
--- a/bench/soak/statementLog.ts
+++ b/bench/soak/statementLog.ts
@@ -14,6 +14,8 @@
 const CONTACT_MS = 3_000;
 /** A node is held to a statement this long after it was told. */
 const TOLD_MS = 500;
+/** The users' rule on rests: requests of a node in one, once it was told. */
+const ALLOWED_IN_REST = 2;
 const MS_PER_S = 1_000;
 
 /** A time at which something happened to or through a node. */
@@ -30,18 +32,25 @@
   readonly perSecond: number;
 }
 
+/** A rest that the target asked a node for. */
+export interface RequestedRest extends NodeEvent {
+  readonly untilMs: number;
+}
+
 /** Requests to one target, and the statements that it made. */
 export class StatementLog {
   readonly arrivals: NodeEvent[] = [];
   readonly limits: LimitSpan[] = [];
   /** Responses with a rate limit. */
   readonly told: NodeEvent[] = [];
+  readonly rests: RequestedRest[] = [];
 
   /** Violations; `disturbances` are signals to nodes. */
   violations(disturbances: readonly NodeEvent[]): readonly Violation[] {
-    return this.limits.flatMap(limit =>
-      this.limitViolation(limit, disturbances)
-    );
+    return [
+      ...this.limits.flatMap(limit => this.limitViolation(limit, disturbances)),
+      ...this.rests.flatMap(rest => this.restViolation(rest, disturbances)),
+    ];
   }
 
   private limitViolation(
@@ -65,6 +74,21 @@
     return [{promise: 'rateLimit', detail}];
   }
 
+  private restViolation(
+    {atMs, ip, untilMs}: RequestedRest,
+    disturbances: readonly NodeEvent[]
+  ): readonly Violation[] {
+    const isOfNode = (event: NodeEvent, fromMs: number) =>
+      event.ip === ip && event.atMs >= fromMs && event.atMs < untilMs;
+    if (disturbances.some(event => isOfNode(event, atMs))) return [];
+    const count = this.arrivals.filter(arrival =>
+      isOfNode(arrival, atMs + TOLD_MS)
+    ).length;
+    if (count <= ALLOWED_IN_REST) return [];
+    const detail = `${count} requests of ${ip} in a rest of ${untilMs - atMs} ms`;
+    return [{promise: 'rest', detail}];
+  }
+
   /** Whether the node was told since `fromMs`, and undisturbed from then on. */
   private isBound(
     {atMs, ip}: NodeEvent,
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -17,7 +17,13 @@
 import {LimitChangeLogger} from './limitChangeLogger';
 import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
 import type {NodeReport} from './nodeReports';
-import {NodeReports, demandsOf, inFlightOf, loadsOf} from './nodeReports';
+import {
+  NodeReports,
+  demandsOf,
+  inFlightOf,
+  loadsOf,
+  restsForAll,
+} from './nodeReports';
 import {TargetPermits} from '../policy/targetPermits';
 import type {ServiceConcurrency} from './serviceConcurrency';
 import {
@@ -235,6 +241,7 @@
           loads,
           goals: goals.get(name) ?? NO_GOALS,
           allNodesReported: this.allNodesReported,
+          isAtRest: id => restsForAll(id, reports),
           outlookOf: group => this.outlookOf(name, group),
           nowMs: now,
         });
@@ -293,6 +300,7 @@
       availabilityZone: report.info.availabilityZone,
       concurrency: shares?.byNode.get(node) ?? 1,
       inUse: report.loads.get(service)?.byTarget ?? {},
+      excluded: report.resting,
     };
     const permits = this.permits.get(service)?.renew(demand) ?? new Map();
     return Object.fromEntries(permits);
--- a/src/cluster/nodeReports.ts
+++ b/src/cluster/nodeReports.ts
@@ -20,6 +20,8 @@
   readonly loads: ReadonlyMap<string, ServiceLoad>;
   /** Smoothed arrivals by service. */
   readonly arrivals: ReadonlyMap<string, number>;
+  /** Targets that want nothing from the node now. */
+  readonly resting: ReadonlySet<string>;
 }
 
 /** The last reports by node address. */
@@ -39,7 +41,8 @@
     return reportPeriodMs(this.reports.size);
   }
 
-  add({from, bootId, loads: reported}: SyncParams, nowMs: number): void {
+  add(report: SyncParams, nowMs: number): void {
+    const {from, bootId, loads: reported} = report;
     const previous = this.reports.get(from.ip);
     const loads = new Map(reported.map(load => [load.service, load]));
     const arrivals = new Map<string, number>();
@@ -47,8 +50,14 @@
       const smoothed = previous?.arrivals.get(service) ?? 0;
       arrivals.set(service, smoothed * ARRIVALS_DECAY + count);
     }
-    const {ip} = from;
-    this.reports.set(ip, {info: from, bootId, atMs: nowMs, loads, arrivals});
+    this.reports.set(from.ip, {
+      info: from,
+      bootId,
+      atMs: nowMs,
+      loads,
+      arrivals,
+      resting: new Set(report.resting),
+    });
   }
 
   /** Reports of the nodes that serve callers now. */
@@ -67,6 +76,16 @@
   }
 }
 
+/** Whether a target wants nothing from any of these nodes. */
+export function restsForAll(
+  targetId: string,
+  reports: readonly NodeReport[]
+): boolean {
+  return (
+    reports.length > 0 && reports.every(({resting}) => resting.has(targetId))
+  );
+}
+
 /** Loads of one service in these reports. */
 export function loadsOf(
   service: string,
--- a/src/cluster/serviceConcurrency.ts
+++ b/src/cluster/serviceConcurrency.ts
@@ -35,6 +35,8 @@
   readonly goals: StreamGoals;
   /** Whether all nodes have reported their loads. */
   readonly allNodesReported: boolean;
+  /** Whether a target wants nothing from any node now. */
+  isAtRest(targetId: string): boolean;
   /** Undefined while nothing controls the maps of the group. */
   outlookOf(group: string): MapOutlook | undefined;
   readonly nowMs: number;
@@ -57,7 +59,7 @@
   input: ConcurrencyInput
 ): ServiceConcurrency {
   const {service, records, goals} = input;
-  const targets = permitTargets(service, records);
+  const targets = permitTargets(service, records, input);
   const {engine} = service;
   if (engine === undefined || goals.pauseMs === 0)
     return {total: totalCapacity(targets), targets, groups: []};
@@ -97,21 +99,22 @@
 /** Targets of a service and the requests that each takes at once. */
 function permitTargets(
   service: SiteService,
-  records: readonly TargetRecord[]
+  records: readonly TargetRecord[],
+  {isAtRest}: ConcurrencyInput
 ): readonly PermitTarget[] {
   const requestsPerSlot =
     service.engine === undefined ? 1 + QUEUED_PER_PLAIN_SLOT : 1;
   return usableTargets(service.name, records).map(record => ({
     id: record.id,
-    capacity: capacityOf(record, requestsPerSlot),
+    capacity: isAtRest(record.id) ? 0 : capacityOf(record, requestsPerSlot),
     availabilityZone: record.availabilityZone,
     group: groupNameOf(record),
   }));
 }
 
 /**
- * Slots that a rate limit leaves unused must not count: they would admit requests
- * that no target takes.
+ * Slots that a rate limit leaves unused must not count, as those of a target at rest:
+ * they would admit requests that no target takes.
  */
 function capacityOf(
   {slots, rateLimit}: TargetRecord,
--- a/src/cluster/targetPushback.ts
+++ b/src/cluster/targetPushback.ts
@@ -52,8 +52,18 @@
     this.limits = new NodeRateLimits(table, () => parts.nodeIds());
   }
 
-  /** Whether a request may be sent to the target now. */
-  allows(target: TargetBoot, nowMs: number): boolean {
+  /** Time until a request may be sent to a target that asked for a rest; 0 if now. */
+  restMs(target: TargetBoot, nowMs: number): number {
+    return this.rests.blockedMs(target, nowMs);
+  }
+
+  /** Ids of the targets that asked this node for a rest that goes on. */
+  restingIds(nowMs: number): readonly string[] {
+    return this.rests.ids(nowMs);
+  }
+
+  /** Whether the rate limit of the target, if any, allows a request now. */
+  hasToken(target: TargetBoot, nowMs: number): boolean {
     return this.limits.allows(target, nowMs);
   }
 
@@ -64,8 +74,9 @@
 
   /** Counts a request that is sent to the target. */
   noteRequest(target: TargetBoot, nowMs: number): void {
-    this.limits.spend(target, nowMs);
     this.countCall(target, 'request', nowMs);
+    this.limits.spend(target, nowMs);
+    this.rests.noteRequest(target, nowMs);
   }
 
   /** Notes what the response of a target states. */
@@ -78,7 +89,8 @@
     if (notice === undefined) return;
     const {rateLimit, restMs, invalidHeaders} = notice;
     for (const header of invalidHeaders) this.logInvalid(target, header);
-    if (restMs !== undefined) this.noteRest(target, restMs, nowMs);
+    if (restMs === undefined) this.rests.noteServed(target, nowMs);
+    else this.noteRest(target, restMs, nowMs);
     if (rateLimit === 'invalid') return;
     this.logLimit(target, rateLimit);
     this.limits.addEvidence(target, {
@@ -106,6 +118,11 @@
       metrics.restingTargetCalled(kind);
   }
 
+  /** Whether the target asked for less load, by a rate limit or a rest. */
+  isRestricted(target: TargetBoot, nowMs: number): boolean {
+    return this.isLimited(target) || this.restMs(target, nowMs) > 0;
+  }
+
   /** Whether the target has a rate limit. */
   isLimited(target: TargetBoot): boolean {
     return this.limitOf(target) !== Infinity;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {unreachable} from '../core/errors';
 import {noSiteRetryMs, outageRetryMs} from '../policy/outageRetry';
+import {restRetryMs} from '../policy/restRetry';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
 import {maxQueueWaitMs} from './queueWait';
@@ -16,6 +17,7 @@
 import {rounded} from '../core/rounded';
 import {runAttempts} from './runAttempts';
 import {stopRefusal} from './stopRefusal';
+import {TargetSelection} from './targetSelection';
 
 const INTERNAL_ERROR_RETRY_MS = 500;
 
@@ -95,6 +97,11 @@
     const retryInMs = outageRetryMs(state.remainingMs, Math.random);
     return {kind: 'noTarget', retryInMs};
   }
+  const {tooLongRestMs} = new TargetSelection(gateway, state, routed);
+  if (tooLongRestMs > 0) {
+    const retryInMs = restRetryMs(tooLongRestMs, Math.random);
+    return {kind: 'noTarget', retryInMs};
+  }
   pool.noteArrival();
   const refusal = await waitForSlot(gateway, state, routed);
   if (refusal !== 'admitted') return refusal;
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -53,6 +53,8 @@
   | {readonly kind: 'target'; readonly target: TargetRecord}
   /** Only targets with a rate limit could take it; `target` would be the first. */
   | {readonly kind: 'needsToken'; readonly target: TargetRecord}
+  /** All targets that could take it asked for rest; `waitMs` is the shortest. */
+  | {readonly kind: 'atRest'; readonly waitMs: number}
   | {readonly kind: 'none'};
 
 /** Admission, health and load of one service at one gateway. */
@@ -167,6 +169,14 @@
     return this.usableTargets(input).length === 0;
   }
 
+  /**
+   * Time until the first target may be used, if all asked this node for rest;
+   * otherwise 0.
+   */
+  restMs(input: ChoiceInput): number {
+    return shortestRestMs(this.usableTargets(input), input);
+  }
+
   /** The target of the next attempt, or why none can take it now. */
   choose(input: ChoiceInput): TargetChoice {
     const {nowMs, tried, pushback} = input;
@@ -176,14 +186,18 @@
         !this.healthOf(id).isPaused(nowMs) &&
         this.isWithinRate(id, slots, input)
     );
-    const allowed = records.filter(
-      record => pushback?.allows(record, nowMs) !== false
+    const open = records.filter(
+      record => pushback === undefined || pushback.restMs(record, nowMs) === 0
+    );
+    const allowed = open.filter(
+      record => pushback === undefined || pushback.hasToken(record, nowMs)
     );
     const target = this.cheapest(allowed, input);
     if (target !== undefined) return {kind: 'target', target};
-    const lacking = this.cheapest(records, input);
-    if (lacking === undefined) return {kind: 'none'};
-    return {kind: 'needsToken', target: lacking};
+    const lacking = this.cheapest(open, input);
+    if (lacking !== undefined) return {kind: 'needsToken', target: lacking};
+    if (records.length === 0) return {kind: 'none'};
+    return {kind: 'atRest', waitMs: shortestRestMs(records, input)};
   }
 
   private cheapest(
@@ -256,3 +270,12 @@
     return window;
   }
 }
+
+/** Time until the first of these targets may be used; 0 if one may be used now. */
+function shortestRestMs(
+  records: readonly TargetRecord[],
+  {pushback, nowMs}: ChoiceInput
+): number {
+  if (pushback === undefined || records.length === 0) return 0;
+  return Math.min(...records.map(record => pushback.restMs(record, nowMs)));
+}
--- a/src/gateway/targetSelection.ts
+++ b/src/gateway/targetSelection.ts
@@ -1,11 +1,13 @@
 /**
- * Selects the targets of one request, one after the other. A request that only
- * targets with a rate limit could take waits for a token as long as it may be
- * queued.
+ * Selects the targets of one request, one after the other. A request that no target
+ * can take now waits for a token or the end of a rest, as long as it may be queued.
  */
 
-import {Subject, firstValueFrom, merge, take, timer} from 'rxjs';
+import type {Observable} from 'rxjs';
+import {NEVER, Subject, firstValueFrom, merge, take, timer} from 'rxjs';
+import {unreachable} from '../core/errors';
 import {outageRetryMs} from '../policy/outageRetry';
+import {restRetryMs} from '../policy/restRetry';
 import type {TargetRecord} from '../site/announcement';
 import type {Gateway} from './gateway';
 import {maxQueueWaitMs} from './queueWait';
@@ -35,25 +37,49 @@
       const input = this.input();
       if (input === undefined || this.state.stopped !== undefined)
         return undefined;
-      const choice = this.pool.choose(input);
-      if (choice.kind === 'target') return choice.target;
       this.missingTokenOf = undefined;
-      if (choice.kind === 'none') return undefined;
-      this.missingTokenOf = this.gateway.pushback?.limitOf(choice.target);
-      this.gateway.pushback?.noteShortage(choice.target);
-      if (!(await this.waitForReply())) return undefined;
+      const choice = this.pool.choose(input);
+      switch (choice.kind) {
+        case 'target':
+          return choice.target;
+        case 'none':
+          return undefined;
+        case 'needsToken':
+          if (!(await this.waitForToken(choice.target))) return undefined;
+          break;
+        case 'atRest':
+          if (choice.waitMs > this.waitLeftMs) return undefined;
+          await this.wait(choice.waitMs, NEVER);
+          break;
+        default:
+          return unreachable(choice);
+      }
     }
   }
 
+  /**
+   * Time until the first target may be used, if all asked for rest for longer than
+   * the request may be queued; otherwise 0.
+   */
+  get tooLongRestMs(): number {
+    const input = this.input();
+    if (input === undefined) return 0;
+    const restMs = this.pool.restMs(input);
+    return restMs > this.waitLeftMs ? restMs : 0;
+  }
+
   /**
    * Retry-After when no target took the request; `defaultMs` unless all of them
-   * are out or have rate limits.
+   * are out, at rest, or have rate limits.
    */
   retryInMs(defaultMs: number): number {
     const input = this.input();
     if (input === undefined) return defaultMs;
     if (this.pool.hasNoUsableTarget(input))
       return outageRetryMs(this.state.remainingMs, Math.random);
+    const restMs = this.pool.restMs(input);
+    if (restMs > 0)
+      return Math.max(defaultMs, restRetryMs(restMs, Math.random));
     if (this.missingTokenOf === undefined) return defaultMs;
     const {min, max} = TOKEN_RETRY_RANGE;
     const tokenMs = Math.min(
@@ -68,6 +94,11 @@
     return this.gateway.pool(this.routed.service.name);
   }
 
+  /** How much longer the request may wait. */
+  private get waitLeftMs(): number {
+    return maxQueueWaitMs(this.routed.route) - this.state.ageMs;
+  }
+
   private input(): ChoiceInput | undefined {
     const {gateway, state, routed} = this;
     const {view} = gateway;
@@ -77,18 +108,25 @@
   }
 
   /** Waits for the leader's next reply; false when the request must not wait. */
-  private async waitForReply(): Promise<boolean> {
-    const {state, routed, gateway} = this;
-    const leftMs = maxQueueWaitMs(routed.route) - state.ageMs;
-    const replies$ = gateway.pushback?.replies$;
-    if (leftMs <= 0 || replies$ === undefined) return false;
-    const stopped$ = new Subject<void>();
-    const onCancel = () => stopped$.next();
-    state.cancellation.addEventListener('abort', onCancel);
-    await firstValueFrom(
-      merge(replies$, timer(leftMs), stopped$).pipe(take(1))
-    );
-    state.cancellation.removeEventListener('abort', onCancel);
+  private async waitForToken(target: TargetRecord): Promise<boolean> {
+    const {pushback} = this.gateway;
+    if (pushback === undefined) return false;
+    this.missingTokenOf = pushback.limitOf(target);
+    pushback.noteShortage(target);
+    const {waitLeftMs} = this;
+    if (waitLeftMs <= 0) return false;
+    await this.wait(waitLeftMs, pushback.replies$);
     return true;
   }
+
+  /** Waits until the time is over, `signal$` emits or the request is cancelled. */
+  private async wait(ms: number, signal$: Observable<void>): Promise<void> {
+    const {cancellation} = this.state;
+    const cancelled$ = new Subject<void>();
+    const onCancel = () => cancelled$.next();
+    cancellation.addEventListener('abort', onCancel);
+    const end$ = merge(signal$, timer(ms), cancelled$).pipe(take(1));
+    await firstValueFrom(end$);
+    cancellation.removeEventListener('abort', onCancel);
+  }
 }
--- a/src/policy/targetPermits.ts
+++ b/src/policy/targetPermits.ts
@@ -36,10 +36,14 @@
   /** Requests that the node may have in flight at all targets together. */
   readonly concurrency: number;
   readonly inUse: CountsByTarget;
+  /** Targets that want nothing from the node now. */
+  readonly excluded: ReadonlySet<string>;
 }
 
 /** Cost of a target in another zone, as a ratio of its capacity. */
 const REMOTE_ZONE_PENALTY = 0.2;
+/** Cost of a target that wants nothing from the node; its permits go first. */
+const EXCLUDED_COST = 1e6;
 /** Minimum difference in utilization, in slots, that moves an unused permit. */
 const MIN_IMBALANCE_SLOTS = 1.5;
 /** Maximum number of permits that one renewal moves. */
@@ -195,6 +199,7 @@
     for (const target of this.targets) {
       if ((this.assigned.get(target.id) ?? 0) >= target.capacity) continue;
       if (target.group !== group && this.excessOf(target.group) >= 0) continue;
+      if (demand.excluded.has(target.id)) continue;
       const cost = this.costOf(target, demand);
       if (cost >= least) continue;
       least = cost;
@@ -207,6 +212,7 @@
     {id, capacity, availabilityZone}: PermitTarget,
     demand: PermitDemand
   ): number {
+    if (demand.excluded.has(id)) return EXCLUDED_COST;
     const utilization = (this.assigned.get(id) ?? 0) / Math.max(1, capacity);
     const isNear =
       demand.availabilityZone === undefined ||
--- a/src/ranks/groupControllerManager.ts
+++ b/src/ranks/groupControllerManager.ts
@@ -138,7 +138,9 @@
   private isRestricted(id: string): boolean {
     const {table, pushback} = this.node;
     const record = table.find(id);
-    return record !== undefined && pushback.isLimited(record);
+    return (
+      record !== undefined && pushback.isRestricted(record, performance.now())
+    );
   }
 
   private acceptedPauseMs(service: string): number {
--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -302,8 +302,18 @@
     expect(refused).toHaveLength(1);
   });
 
-  // Guards against callers who come back while all targets are still at rest, and
-  // against requests that are queued for targets which take none.
+  // Guards against requests that are queued, and take the places of others, for
+  // targets which are known to take none.
+  it('should be told to callers without a place in the queue', async () => {
+    fixture = await GatewayFixture.start([resting(30)], {maxAttempts: 1});
+    await fixture.call('/once/x');
+    const arrivals = () => fixture.arrivals();
+    arrivals();
+    expect((await fixture.call('/once/x')).status).toBe(503);
+    expect(arrivals()).toBe(0);
+  });
+
+  // Guards against callers who come back while all targets are still at rest.
   it('should be told to callers at once, the shortest of all', async () => {
     fixture = await GatewayFixture.start([resting(30), resting(12)]);
     await fixture.call('/once/x');
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -78,6 +78,7 @@
   readonly pushback: TargetPushback;
   private readonly metrics = new NodeMetrics();
   private readonly servers: http.Server[] = [];
+  private gateway: Gateway | undefined;
   private port = 0;
   private nextId = 0;
 
@@ -107,6 +108,12 @@
     this.announce('dead', '127.0.0.1:1');
   }
 
+  /** Requests that entered the queue since the last call. */
+  arrivals(): number {
+    const loads = this.gateway?.takeLoads() ?? [];
+    return loads.reduce((sum, load) => sum + load.arrivals, 0);
+  }
+
   async close(): Promise<void> {
     for (const server of this.servers) {
       server.closeAllConnections();
@@ -225,7 +232,7 @@
     };
     const {table, pushback, metrics} = this;
     const node = {view, table, pushback} as unknown as ClusterNode;
-    const gateway = new Gateway({
+    this.gateway = new Gateway({
       callers: CALLER_CODEC,
       targets: TARGET_CODEC,
       bounds: {
@@ -241,7 +248,7 @@
       node: () => node,
     });
     const server = http.createServer(
-      (req, res) => void serveRequest(gateway, req, res)
+      (req, res) => void serveRequest(this.gateway!, req, res)
     );
     this.servers.push(server);
     this.port = await listen(server);
--- a/tests/serviceConcurrency.spec.ts
+++ b/tests/serviceConcurrency.spec.ts
@@ -82,6 +82,7 @@
         loads: [load],
         goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
         allNodesReported: isWhole,
+        isAtRest: () => false,
         outlookOf: () => ({
           skew: 1.2,
           shiftSkew: 0,
@@ -114,7 +115,8 @@
 
   // Guards against requests that are admitted for slots that no node may fill: they
   // would press on the other targets.
-  it('should not count slots that a rate limit leaves unused', () => {
+  it('should not count slots that a rate limit or a rest leaves unused', () => {
+    const resting = new Set<string>();
     const compute = (records: readonly TargetRecord[]) =>
       computeConcurrency(new GroupLimits(), {
         service: {...SERVICE, engine: undefined},
@@ -122,6 +124,7 @@
         loads: [],
         goals: {pauseMs: 0, firstEventMs: 0},
         allNodesReported: true,
+        isAtRest: id => resting.has(id),
         outlookOf: () => undefined,
         nowMs: 0,
       }).total;
@@ -133,6 +136,8 @@
     expect(withLimit(3)).toBe(all - perTarget + 3);
     expect(withLimit(0)).toBe(all - perTarget + 1);
     expect(withLimit(1_000)).toBe(all);
+    resting.add(first!.id);
+    expect(compute(RECORDS)).toBe(all - perTarget);
   });
 
   // A new leader receives the reports of nodes one after the other: passes take
@@ -170,6 +175,7 @@
       loads: [load],
       goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
       allNodesReported: false,
+      isAtRest: () => false,
       outlookOf: () => undefined,
       nowMs: 0,
     }).total;
--- a/tests/statementLog.spec.ts
+++ b/tests/statementLog.spec.ts
@@ -41,4 +41,17 @@
       log.arrivals.push({atMs, ip: 'new'});
     expect(log.violations([])).toEqual([]);
   });
+
+  it('should count the requests of a node in a rest that it was asked for', () => {
+    const log = new StatementLog();
+    log.rests.push({atMs: 1_000, ip: 'a', untilMs: 4_000});
+    for (const atMs of [1_100, 1_400, 2_000, 3_000, 4_000])
+      log.arrivals.push({atMs, ip: 'a'});
+    for (const atMs of [2_000, 2_500, 3_000])
+      log.arrivals.push({atMs, ip: 'b'});
+    expect(log.violations([])).toEqual([]);
+    log.arrivals.push({atMs: 3_500, ip: 'a'});
+    expect(log.violations([])).toMatchObject([{promise: 'rest'}]);
+    expect(log.violations([{atMs: 2_500, ip: 'a'}])).toEqual([]);
+  });
 });
--- a/tests/targetPermits.spec.ts
+++ b/tests/targetPermits.spec.ts
@@ -13,8 +13,19 @@
   }));
 }
 
-function demand(node: string, concurrency: number, inUse = {}) {
-  return {node, availabilityZone: 'a', concurrency, inUse};
+function demand(
+  node: string,
+  concurrency: number,
+  inUse = {},
+  excluded: readonly string[] = []
+) {
+  return {
+    node,
+    availabilityZone: 'a',
+    concurrency,
+    inUse,
+    excluded: new Set(excluded),
+  };
 }
 
 function renew(
@@ -53,6 +64,7 @@
         availabilityZone: i % 2 ? 'a' : 'b',
         concurrency,
         inUse: used,
+        excluded: new Set<string>(),
       },
       all
     );
@@ -168,4 +180,21 @@
     permits.setTargets(twoGroups.slice(0, 2), new Map([['g', 4]]));
     expect(permits.renew(demand('n', 4)).get('t1')).toBeGreaterThan(0);
   });
+
+  // A target asked one node for rest. With its permits left there, the node presses on
+  // slots that other nodes hold, and nobody uses these.
+  it('should move unused permits from a target that rests for the node', () => {
+    const permits = new TargetPermits();
+    const all = targets(2);
+    const atRest = (inUse = {}) => demand('n', 4, inUse, ['t0']);
+    expect(renew(permits, demand('n', 4), all).get('t0')).toBe(2);
+    renew(permits, atRest({t0: 1}), all);
+    const held = renew(permits, atRest({t0: 1}), all);
+    expect([...held]).toEqual([
+      ['t0', 1],
+      ['t1', 3],
+    ]);
+    const others = renew(permits, demand('m', 4), all);
+    expect(others.get('t0')).toBe(3);
+  });
 });
