Send nothing more to a target that states that it leaves

What callers would see: requests that are cut off as their target stops, where its announcements are late or lost, or the node that sends is cut off from the others.

Announcements alone ended requests to a target, through the leader.

Change: TargetPushback remembers departures by boot, and a target that leaves is no usable one, leader or no leader. Neither a later announcement nor a record of the leader brings the boot back; the next boot at the address is another target. Nodes report it with their rests, so that permits go elsewhere.

Starts of nodes excuse now as the users' rule says.

--- a/bench/fuzz/restModel.ts
+++ b/bench/fuzz/restModel.ts
@@ -1,6 +1,7 @@
 /**
- * Checks the rests that targets ask nodes for against what each node sends: targets
- * that turn requests away, restart, or serve again, while nodes and leaders fail.
+ * Checks what targets ask single nodes for against what each node sends: targets that
+ * turn requests away and ask for rest, serve again, or leave, while nodes and leaders
+ * fail. A leaving target goes on announcing itself as ready, as late announcements do.
  */
 
 import type {TimedFault} from './clusterFaults';
@@ -14,6 +15,8 @@
 /** The users' rule: requests of a node within the rest, from half a second on. */
 const ALLOWED = 2;
 const GRACE_MS = 500;
+/** The users' rule: nothing reaches a target this long after it said that it leaves. */
+const DRAIN_MS = 2_000;
 const MS_PER_S = 1_000;
 const RUN_MS = 40_000;
 const RESTS_S = [0.3, 1, 3, 3, 8];
@@ -28,7 +31,7 @@
   readonly faults: readonly TimedFault[];
 }
 
-/** Runs a scenario; throws when a node sends more than is allowed in a rest. */
+/** Runs a scenario; throws when a node sends more than is allowed. */
 export function checkRests(scenario: RestScenario, random: SeededRandom): void {
   const {nodes, targets: statements, ratePerTarget, faults} = scenario;
   const requestsPerSecond = ratePerTarget * statements.length;
@@ -40,10 +43,13 @@
   for (const {atMs, kind} of faults)
     cluster.queue.after(atMs, () => injectFault(cluster, kind, nodes, random));
   cluster.queue.runUntil(RUN_MS);
-  for (const target of targets) checkTarget(target, cluster.disturbances);
+  for (const target of targets) {
+    checkRestsOf(target, cluster.disturbances);
+    checkLeaving(target, cluster.disturbances);
+  }
 }
 
-function checkTarget(
+function checkRestsOf(
   {id, arrivals}: StatingTarget,
   disturbances: readonly Pick<Arrival, 'atMs' | 'node'>[]
 ): void {
@@ -65,14 +71,37 @@
   }
 }
 
+function checkLeaving(
+  {id, arrivals}: StatingTarget,
+  disturbances: readonly Pick<Arrival, 'atMs' | 'node'>[]
+): void {
+  for (const {atMs, node} of arrivals.filter(({isLeaving}) => isLeaving)) {
+    const late = arrivals.find(
+      arrival => arrival.node === node && arrival.atMs > atMs + DRAIN_MS
+    );
+    if (late === undefined) continue;
+    const isExcused = disturbances.some(
+      event =>
+        event.node === node && event.atMs > atMs && event.atMs <= late.atMs
+    );
+    if (!isExcused)
+      throw new Error(
+        `${id} told ${node} at ${Math.round(atMs)} ms that it leaves, and got a ` +
+          `request from it at ${Math.round(late.atMs)} ms`
+      );
+  }
+}
+
 function randomStatements(random: SeededRandom): readonly Statement[] {
   if (random.chance(0.3)) return [];
   const fromMs = random.int(4_000, 20_000);
+  const nextMs = fromMs + random.int(1_000, 12_000);
+  if (random.chance(0.3)) return [{fromMs, isLeaving: true}, {fromMs: nextMs}];
   const restMs = random.pick(RESTS_S) * MS_PER_S;
-  return [{fromMs, restMs}, {fromMs: fromMs + random.int(1_000, 12_000)}];
+  return [{fromMs, restMs}, {fromMs: nextMs}];
 }
 
-/** Checks the rests that targets ask for. */
+/** Checks rests and departures of targets. */
 export const REST_MODEL: FuzzModel = {
   name: 'rest',
   run(seed) {
--- a/bench/fuzz/simulatedCluster.ts
+++ b/bench/fuzz/simulatedCluster.ts
@@ -334,7 +334,7 @@
     const isExpected = boot?.id === target.id && boot.bornMs === target.bornMs;
     const notice = isExpected
       ? boot.handle(machine.info.ip, this.queue.now)
-      : {invalidHeaders: []};
+      : {isLeaving: false, invalidHeaders: []};
     const isRefused = notice.restMs !== undefined;
     const tookMs = isRefused
       ? 1
--- a/bench/fuzz/statingTarget.ts
+++ b/bench/fuzz/statingTarget.ts
@@ -9,6 +9,8 @@
   readonly rateLimit?: number;
   /** Turns all requests away and asks for this rest; absent when it serves. */
   readonly restMs?: number;
+  /** Whether it states that it leaves, and serves on. */
+  readonly isLeaving?: boolean;
 }
 
 /** One request that reached the target. */
@@ -17,6 +19,8 @@
   readonly node: string;
   /** The rest that the response asked for. */
   readonly restMs?: number;
+  /** Whether the response stated that the target leaves. */
+  readonly isLeaving: boolean;
 }
 
 /** One boot of a target. */
@@ -33,9 +37,9 @@
 
   /** Takes a request; returns what the response states. */
   handle(node: string, nowMs: number): TargetNotice {
-    const {rateLimit, restMs} = this.statementAt(nowMs);
-    this.arrivals.push({atMs: nowMs, node, restMs});
-    return {rateLimit, restMs, invalidHeaders: []};
+    const {rateLimit, restMs, isLeaving = false} = this.statementAt(nowMs);
+    this.arrivals.push({atMs: nowMs, node, restMs, isLeaving});
+    return {rateLimit, restMs, isLeaving, invalidHeaders: []};
   }
 
   private statementAt(nowMs: number): Statement {
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -19,7 +19,6 @@
 
 const HOST = 'soak.example';
 const SERVICE = 'soak';
-const TARGETS = 4;
 const OK = 200;
 /** Intervals of calls, of document changes and of document reads. */
 const CALL_INTERVAL_MS = 15;
@@ -75,7 +74,7 @@
   const operator = new SoakOperator(HOST, SERVICE, nodes.controlPort);
   const pick = () => nodes.ips[Math.floor(random() * nodes.ips.length)] ?? '';
   nodes.startAll();
-  await targets.start(TARGETS, nodes.ips, nodes.controlPort);
+  await targets.start(nodes.ips, nodes.controlPort);
   const hasStarted = await retryUntil(RECOVERY_MS, () =>
     operator.change(pick())
   );
@@ -103,7 +102,7 @@
   const violations = [
     ...callers.violations(targets.runs),
     ...operator.violations,
-    ...targets.violations(nodes.signals),
+    ...targets.violations(nodes.disturbances),
   ];
   for (const {promise, detail} of violations)
     process.stdout.write(`VIOLATED ${promise}: ${detail}\n`);
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -18,7 +18,13 @@
 /** One violation of a promise. */
 export interface Violation {
   readonly promise:
-    'atMostOnce' | 'notRun' | 'wholeAnswer' | 'document' | 'rateLimit' | 'rest';
+    | 'atMostOnce'
+    | 'notRun'
+    | 'wholeAnswer'
+    | 'document'
+    | 'rateLimit'
+    | 'rest'
+    | 'leaving';
   readonly detail: string;
 }
 
--- a/bench/soak/soakNodes.ts
+++ b/bench/soak/soakNodes.ts
@@ -23,8 +23,8 @@
 /** Starts, signals and restarts the nodes. */
 export class SoakNodes {
   readonly ips: readonly string[];
-  /** All signals that were sent, in the order of time. */
-  readonly signals: NodeEvent[] = [];
+  /** Signals to nodes and their starts, in the order of time. */
+  readonly disturbances: NodeEvent[] = [];
   private readonly diskIps: readonly string[];
   private readonly running = new Map<string, ChildProcess>();
   private isEnding = false;
@@ -57,7 +57,7 @@
   }
 
   signal(ip: string, signal: NodeJS.Signals): void {
-    this.signals.push({atMs: performance.now(), ip});
+    this.noteDisturbance(ip);
     this.running.get(ip)?.kill(signal);
   }
 
@@ -77,6 +77,8 @@
     const child = spawn(process.execPath, args, {
       stdio: ['ignore', 'pipe', 'ignore'],
     });
+    // A node that was told to end serves on for seconds before it starts again.
+    this.noteDisturbance(ip);
     const log = path.join(this.folder, `${ip}.jsonl`);
     child.stdout.pipe(createWriteStream(log, {flags: 'a'}));
     this.running.set(ip, child);
@@ -90,6 +92,10 @@
     });
   }
 
+  private noteDisturbance(ip: string): void {
+    this.disturbances.push({atMs: performance.now(), ip});
+  }
+
   private settings(ip: string, isFirstStart: boolean): string {
     const data = path.join(this.folder, `data-${ip}`);
     if (this.hasDisk(ip)) mkdirSync(data, {recursive: true});
--- a/bench/soak/statementLog.ts
+++ b/bench/soak/statementLog.ts
@@ -16,6 +16,8 @@
 const TOLD_MS = 500;
 /** The users' rule on rests: requests of a node in one, once it was told. */
 const ALLOWED_IN_REST = 2;
+/** The users' rule on targets that leave: when the last request reaches them. */
+const DRAIN_MS = 2_000;
 const MS_PER_S = 1_000;
 
 /** A time at which something happened to or through a node. */
@@ -27,7 +29,7 @@
 /** A rate limit that was stated for a while. */
 export interface LimitSpan {
   readonly fromMs: number;
-  untilMs: number;
+  readonly untilMs: number;
   /** Requests per second. */
   readonly perSecond: number;
 }
@@ -44,12 +46,18 @@
   /** Responses with a rate limit. */
   readonly told: NodeEvent[] = [];
   readonly rests: RequestedRest[] = [];
+  /** Responses that said that the target leaves, and its starts after that. */
+  readonly departures: NodeEvent[] = [];
+  readonly startsMs: number[] = [];
 
-  /** Violations; `disturbances` are signals to nodes. */
+  /** Violations; `disturbances` are signals to nodes and their starts. */
   violations(disturbances: readonly NodeEvent[]): readonly Violation[] {
     return [
       ...this.limits.flatMap(limit => this.limitViolation(limit, disturbances)),
       ...this.rests.flatMap(rest => this.restViolation(rest, disturbances)),
+      ...this.departures.flatMap(told =>
+        this.lateViolation(told, disturbances)
+      ),
     ];
   }
 
@@ -89,6 +97,25 @@
     return [{promise: 'rest', detail}];
   }
 
+  private lateViolation(
+    {atMs, ip}: NodeEvent,
+    disturbances: readonly NodeEvent[]
+  ): readonly Violation[] {
+    const nextStartMs = this.startsMs.find(ms => ms > atMs) ?? Infinity;
+    const excusedMs =
+      disturbances.find(event => event.ip === ip && event.atMs > atMs)?.atMs ??
+      Infinity;
+    const late = this.arrivals.find(
+      arrival =>
+        arrival.ip === ip &&
+        arrival.atMs > atMs + DRAIN_MS &&
+        arrival.atMs < Math.min(nextStartMs, excusedMs)
+    );
+    if (late === undefined) return [];
+    const detail = `a request of ${ip} ${Math.round(late.atMs - atMs)} ms after it was told`;
+    return [{promise: 'leaving', detail}];
+  }
+
   /** Whether the node was told since `fromMs`, and undisturbed from then on. */
   private isBound(
     {atMs, ip}: NodeEvent,
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -22,7 +22,7 @@
   demandsOf,
   inFlightOf,
   loadsOf,
-  restsForAll,
+  isClosedToAll,
 } from './nodeReports';
 import {TargetPermits} from '../policy/targetPermits';
 import type {ServiceConcurrency} from './serviceConcurrency';
@@ -241,7 +241,7 @@
           loads,
           goals: goals.get(name) ?? NO_GOALS,
           allNodesReported: this.allNodesReported,
-          isAtRest: id => restsForAll(id, reports),
+          isClosed: id => isClosedToAll(id, reports),
           outlookOf: group => this.outlookOf(name, group),
           nowMs: now,
         });
@@ -300,7 +300,7 @@
       availabilityZone: report.info.availabilityZone,
       concurrency: shares?.byNode.get(node) ?? 1,
       inUse: report.loads.get(service)?.byTarget ?? {},
-      excluded: report.resting,
+      excluded: report.closed,
     };
     const permits = this.permits.get(service)?.renew(demand) ?? new Map();
     return Object.fromEntries(permits);
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -120,8 +120,8 @@
   loads: z.array(SERVICE_LOAD),
   /** Absent from a node of an older version. */
   limits: z.array(LIMIT_REPORT).optional(),
-  /** Ids of targets that asked the node for a rest that goes on. */
-  resting: z.array(TEXT).optional(),
+  /** Ids of targets that want nothing from the node now: at rest, or leaving. */
+  closed: z.array(TEXT).optional(),
   /**
    * Earliest time of the report on the clock of the leader of `tableTerm`: that of
    * its last reply, plus what has passed since. Absent before the first reply.
--- a/src/cluster/nodeReports.ts
+++ b/src/cluster/nodeReports.ts
@@ -21,7 +21,7 @@
   /** Smoothed arrivals by service. */
   readonly arrivals: ReadonlyMap<string, number>;
   /** Targets that want nothing from the node now. */
-  readonly resting: ReadonlySet<string>;
+  readonly closed: ReadonlySet<string>;
 }
 
 /** The last reports by node address. */
@@ -56,7 +56,7 @@
       atMs: nowMs,
       loads,
       arrivals,
-      resting: new Set(report.resting),
+      closed: new Set(report.closed),
     });
   }
 
@@ -77,12 +77,12 @@
 }
 
 /** Whether a target wants nothing from any of these nodes. */
-export function restsForAll(
+export function isClosedToAll(
   targetId: string,
   reports: readonly NodeReport[]
 ): boolean {
   return (
-    reports.length > 0 && reports.every(({resting}) => resting.has(targetId))
+    reports.length > 0 && reports.every(({closed}) => closed.has(targetId))
   );
 }
 
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -99,7 +99,7 @@
       records: [...this.heard.takeUnsent()],
       loads: [...this.parts.takeLoads()],
       limits: [...this.parts.pushback.takeReports(nowMs)],
-      resting: [...this.parts.pushback.restingIds(nowMs)],
+      closed: [...this.parts.pushback.closedIds(nowMs)],
     };
   }
 
--- a/src/cluster/serviceConcurrency.ts
+++ b/src/cluster/serviceConcurrency.ts
@@ -36,7 +36,7 @@
   /** Whether all nodes have reported their loads. */
   readonly allNodesReported: boolean;
   /** Whether a target wants nothing from any node now. */
-  isAtRest(targetId: string): boolean;
+  isClosed(targetId: string): boolean;
   /** Undefined while nothing controls the maps of the group. */
   outlookOf(group: string): MapOutlook | undefined;
   readonly nowMs: number;
@@ -100,13 +100,13 @@
 function permitTargets(
   service: SiteService,
   records: readonly TargetRecord[],
-  {isAtRest}: ConcurrencyInput
+  {isClosed}: ConcurrencyInput
 ): readonly PermitTarget[] {
   const requestsPerSlot =
     service.engine === undefined ? 1 + QUEUED_PER_PLAIN_SLOT : 1;
   return usableTargets(service.name, records).map(record => ({
     id: record.id,
-    capacity: isAtRest(record.id) ? 0 : capacityOf(record, requestsPerSlot),
+    capacity: isClosed(record.id) ? 0 : capacityOf(record, requestsPerSlot),
     availabilityZone: record.availabilityZone,
     group: groupNameOf(record),
   }));
--- a/src/cluster/targetPushback.ts
+++ b/src/cluster/targetPushback.ts
@@ -12,6 +12,7 @@
 import type {LimitReport, SyncState} from './messages';
 import type {NodeIds, TargetBoot} from './nodeRateLimits';
 import {NodeRateLimits} from './nodeRateLimits';
+import {TargetDepartures} from './targetDepartures';
 import {TargetRests} from './targetRests';
 import type {TargetTable} from './targetTable';
 
@@ -41,6 +42,7 @@
   readonly replies$ = new Subject<void>();
   private readonly limits: NodeRateLimits;
   private readonly rests = new TargetRests();
+  private readonly departures = new TargetDepartures();
   /** Limits in the latest responses, for the log. */
   private readonly stated = new Map<string, StatedValue>();
   private readonly loggedInvalid = new Set<string>();
@@ -57,9 +59,14 @@
     return this.rests.blockedMs(target, nowMs);
   }
 
-  /** Ids of the targets that asked this node for a rest that goes on. */
-  restingIds(nowMs: number): readonly string[] {
-    return this.rests.ids(nowMs);
+  /** Whether the target leaves, so that nothing more may be sent to it. */
+  isLeaving(target: TargetBoot): boolean {
+    return this.departures.has(target);
+  }
+
+  /** Ids of the targets that want nothing from this node now. */
+  closedIds(nowMs: number): readonly string[] {
+    return [...this.rests.ids(nowMs), ...this.departures.ids()];
   }
 
   /** Whether the rate limit of the target, if any, allows a request now. */
@@ -87,8 +94,9 @@
   ): void {
     const notice = this.parts.readNotice(res);
     if (notice === undefined) return;
-    const {rateLimit, restMs, invalidHeaders} = notice;
+    const {rateLimit, restMs, isLeaving, invalidHeaders} = notice;
     for (const header of invalidHeaders) this.logInvalid(target, header);
+    if (isLeaving) this.noteDeparture(target, nowMs);
     if (restMs === undefined) this.rests.noteServed(target, nowMs);
     else this.noteRest(target, restMs, nowMs);
     if (rateLimit === 'invalid') return;
@@ -158,9 +166,10 @@
   }
 
   /** Evicts the state of targets that are gone or have restarted. */
-  evict(): void {
+  evict(nowMs: number): void {
     this.limits.evict();
     this.rests.evict(this.table);
+    this.departures.evict(this.table, nowMs);
     for (const id of [...this.loggedInvalid, ...this.stated.keys()]) {
       if (this.table.find(id) !== undefined) continue;
       this.loggedInvalid.delete(id);
@@ -168,6 +177,15 @@
     }
   }
 
+  private noteDeparture(target: TargetBoot, nowMs: number): void {
+    if (!this.departures.add(target, nowMs)) return;
+    const {id, bornMs} = target;
+    this.parts.logger.info(
+      {event: 'target.leaving', target: id, bornMs},
+      `target ${id} states that it leaves`
+    );
+  }
+
   private noteRest(target: TargetBoot, restMs: number, nowMs: number): void {
     const wasAtRest = this.rests.remainingMs(target, nowMs) > 0;
     this.rests.begin(target, restMs, nowMs);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -98,6 +98,6 @@
       this.pool(service).applyGrant(grant);
     const records = this.parts.node()?.table.records() ?? [];
     for (const pool of this.pools.values()) pool.retainTargets(records);
-    this.pushback?.evict();
+    this.pushback?.evict(performance.now());
   }
 }
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -144,8 +144,8 @@
   }
 
   /**
-   * Targets that may receive requests, whatever their load: ready, in a zone
-   * that is in service, in an open group, and not stalled.
+   * Targets that may receive requests, whatever their load: ready, not leaving, in
+   * a zone that is in service, in an open group, and not stalled.
    */
   usableTargets(input: ChoiceInput): readonly TargetRecord[] {
     const openings = groupStatuses(input.records);
@@ -154,6 +154,7 @@
         record.service === this.service &&
         record.state === 'ready' &&
         isInOpenGroup(record, openings) &&
+        input.pushback?.isLeaving(record) !== true &&
         !input.zonesOut.has(record.availabilityZone) &&
         !this.streams.isStalled(groupNameOf(record), input.nowMs)
     );
--- a/src/site/targetNotice.ts
+++ b/src/site/targetNotice.ts
@@ -12,6 +12,8 @@
    * unless it turned the request away and asked for that.
    */
   readonly restMs?: number;
+  /** Whether the target is about to stop; it takes no new requests then. */
+  readonly isLeaving: boolean;
   /** Names of headers whose values are invalid; these values are ignored. */
   readonly invalidHeaders: readonly string[];
 }
--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -325,3 +325,29 @@
     expect(retryAfterS).toBeLessThan(13);
   });
 });
+
+describe('targets that leave', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  // Guards against requests to a target that is about to stop. The node acts on the
+  // response, also when an announcement says otherwise: that one was sent before.
+  it('should be sent nothing once a response says so', async () => {
+    const leaving: Handler = (_req, res) => {
+      res.setHeader('server-leaving', '1');
+      res.end('answer');
+    };
+    fixture = await GatewayFixture.start([leaving, leaving, OK]);
+    for (let i = 0; i < 30; i++) {
+      expect((await fixture.call('/once/x')).status).toBe(200);
+      for (const id of ['t0', 't1', 't2'])
+        fixture.table.merge(
+          {...fixture.table.find(id)!, sequence: 2 + i, state: 'ready'},
+          i
+        );
+    }
+    const targets = fixture.receivedRequests.map(({target}) => target);
+    expect(targets.filter(target => target === 0)).toHaveLength(1);
+    expect(targets.filter(target => target === 1)).toHaveLength(1);
+  });
+});
--- a/tests/platform/requestHeaders.spec.ts
+++ b/tests/platform/requestHeaders.spec.ts
@@ -110,6 +110,7 @@
     const res = message({'server-limit': text}, {statusCode: 200});
     expect(TARGET_CODEC.readNotice(res)).toEqual({
       rateLimit,
+      isLeaving: false,
       invalidHeaders: [],
     });
   });
@@ -122,6 +123,7 @@
       const res = message({'server-limit': text}, {statusCode: 200});
       expect(TARGET_CODEC.readNotice(res)).toEqual({
         rateLimit: 'invalid',
+        isLeaving: false,
         invalidHeaders: ['server-limit'],
       });
     }
@@ -140,6 +142,7 @@
       const notice = TARGET_CODEC.readNotice(message(headers, {statusCode}));
       expect(notice).toEqual({
         ...(restMs === undefined ? {} : {restMs}),
+        isLeaving: false,
         invalidHeaders: [],
       });
     }
@@ -151,11 +154,25 @@
     text => {
       const res = message({'retry-after': text}, {statusCode: 503});
       expect(TARGET_CODEC.readNotice(res)).toEqual({
+        isLeaving: false,
         invalidHeaders: ['retry-after'],
       });
     }
   );
 
+  it.each([
+    [undefined, true, []],
+    ['1', true, []],
+    ['0', false, ['server-leaving']],
+    ['yes', false, ['server-leaving']],
+  ] as const)('should read the departure "%s"', (text, isKnown, invalid) => {
+    const headers: Record<string, string> =
+      text === undefined ? {} : {'server-leaving': text};
+    const notice = TARGET_CODEC.readNotice(message(headers, {statusCode: 200}));
+    expect(notice?.isLeaving).toBe(isKnown && text !== undefined);
+    expect(notice?.invalidHeaders).toEqual(invalid);
+  });
+
   // Status 421 comes from another target that has the address by now.
   it('should attribute no statement of a misdirected request to the target', () => {
     const res = message({'server-limit': '1'}, {statusCode: 421});
--- a/tests/requestedRest.spec.ts
+++ b/tests/requestedRest.spec.ts
@@ -26,3 +26,27 @@
       expect(() => REST_MODEL.run(seed)).not.toThrow();
   });
 });
+
+describe('target that states that it leaves', () => {
+  const LEAVING = [{fromMs: 5_000, isLeaving: true}];
+
+  // Guards against requests to a target that is about to stop, by a node that is told
+  // by nobody else: its announcements are late or lost, or the node is cut off.
+  it.each([
+    {nodes: 1, faults: []},
+    {nodes: 7, faults: []},
+    {nodes: 7, faults: [{atMs: 5_500, kind: 'lostLeader' as const}]},
+    {nodes: 60, faults: []},
+  ])(
+    'should get nothing more from $nodes nodes that were told',
+    ({nodes, faults}) => {
+      const scenario = {
+        nodes,
+        targets: [LEAVING, [], []],
+        ratePerTarget: 4 * nodes,
+        faults,
+      };
+      expect(() => checkRests(scenario, new SeededRandom(1))).not.toThrow();
+    }
+  );
+});
--- a/tests/serviceConcurrency.spec.ts
+++ b/tests/serviceConcurrency.spec.ts
@@ -82,7 +82,7 @@
         loads: [load],
         goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
         allNodesReported: isWhole,
-        isAtRest: () => false,
+        isClosed: () => false,
         outlookOf: () => ({
           skew: 1.2,
           shiftSkew: 0,
@@ -124,7 +124,7 @@
         loads: [],
         goals: {pauseMs: 0, firstEventMs: 0},
         allNodesReported: true,
-        isAtRest: id => resting.has(id),
+        isClosed: id => resting.has(id),
         outlookOf: () => undefined,
         nowMs: 0,
       }).total;
@@ -175,7 +175,7 @@
       loads: [load],
       goals: {pauseMs: PAUSE_MS, firstEventMs: 0},
       allNodesReported: false,
-      isAtRest: () => false,
+      isClosed: () => false,
       outlookOf: () => undefined,
       nowMs: 0,
     }).total;
--- a/tests/statementLog.spec.ts
+++ b/tests/statementLog.spec.ts
@@ -54,4 +54,17 @@
     expect(log.violations([])).toMatchObject([{promise: 'rest'}]);
     expect(log.violations([{atMs: 2_500, ip: 'a'}])).toEqual([]);
   });
+
+  it('should find requests to a target that has said that it leaves', () => {
+    const log = new StatementLog();
+    log.departures.push({atMs: 1_000, ip: 'a'});
+    for (const atMs of [1_500, 2_900]) log.arrivals.push({atMs, ip: 'a'});
+    for (const atMs of [3_500, 9_000]) log.arrivals.push({atMs, ip: 'b'});
+    expect(log.violations([])).toEqual([]);
+    log.arrivals.push({atMs: 3_100, ip: 'a'});
+    expect(log.violations([])).toMatchObject([{promise: 'leaving'}]);
+    expect(log.violations([{atMs: 2_000, ip: 'a'}])).toEqual([]);
+    log.startsMs.push(3_050);
+    expect(log.violations([])).toEqual([]);
+  });
 });
--- a/tests/targetPushback.spec.ts
+++ b/tests/targetPushback.spec.ts
@@ -24,7 +24,11 @@
     pushback.noteResponse(
       target,
       {
-        res: {invalidHeaders: [], ...notice} as unknown as IncomingMessage,
+        res: {
+          isLeaving: false,
+          invalidHeaders: [],
+          ...notice,
+        } as unknown as IncomingMessage,
         sentAtMs: nowMs,
       },
       ++nowMs
--- a/tests/targetRests.spec.ts
+++ b/tests/targetRests.spec.ts
@@ -94,7 +94,7 @@
   };
 
   /** Reports of two nodes; returns the grant of the second. */
-  function grantAfter(restingAtFirst: string[], restingAtSecond: string[]) {
+  function grantAfter(closedAtFirst: string[], closedAtSecond: string[]) {
     let nowMs = 1_000;
     const coordinator = new Coordinator(
       new TargetTable(),
@@ -103,7 +103,7 @@
       60_000,
       () => undefined
     );
-    const sync = (ip: string, resting: string[]) => {
+    const sync = (ip: string, closed: string[]) => {
       nowMs += 500;
       return coordinator.sync(
         {
@@ -123,7 +123,7 @@
               pacesMs: {},
             },
           ],
-          resting,
+          closed,
         },
         {term: 1, index: 1, siteVersion: 1, packedSite: '', zonesOut: []},
         {
@@ -143,8 +143,8 @@
     };
     let grant;
     for (let i = 0; i < 6; i++) {
-      sync('first', restingAtFirst);
-      grant = sync('second', restingAtSecond).grants[0];
+      sync('first', closedAtFirst);
+      grant = sync('second', closedAtSecond).grants[0];
     }
     return grant;
   }
