--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -146,16 +146,8 @@
       tableRevision: this.table.revision,
       records: [...this.table.changedSince(sinceRevision)],
       grants,
-      tokens: this.rateLimits.grant(
-        {
-          node: from.ip,
-          reports: limits,
-          permitted: targetsIn(grants),
-          reportPeriodMs: this.reports.periodMs,
-        },
-        now
-      ),
-      leaderTimeMs: now,
+      tokens: this.tokensFor(params, grants),
+      leaderTimeMs: Math.floor(now),
       activeNodes: this.reports.active(now).length,
     };
   }
@@ -209,6 +201,18 @@
     }));
   }
 
+  /** Tokens for a node that has just reported and gets these grants. */
+  private tokensFor(
+    {from, limits: reports = []}: SyncParams,
+    grants: readonly ServiceGrant[]
+  ): Record<string, number> {
+    if (this.rateLimits.isEmpty) return {};
+    const permitted = targetsIn(grants);
+    const reportPeriodMs = this.reports.periodMs;
+    const request = {node: from.ip, reports, permitted, reportPeriodMs};
+    return this.rateLimits.grant(request, this.nowMs());
+  }
+
   private boundBy(service: string): string | undefined {
     const shares = this.shares.get(service);
     return shares === undefined
--- a/src/cluster/leaderRateLimits.ts
+++ b/src/cluster/leaderRateLimits.ts
@@ -34,8 +34,11 @@
   reportedAtMs: number;
 }
 
-/** Records of targets that are not heard of for this long are dropped. */
-const KEEP_WITHOUT_RECORD_MS = 60_000;
+/**
+ * Time for which a target without a record, or whose limit has ended, is remembered:
+ * a report on its limit may still be under way.
+ */
+const KEEP_MS = 60_000;
 
 /** Limits by target id; soft state of one term. */
 export class LeaderRateLimits {
@@ -46,6 +49,11 @@
     private readonly logger: Logger
   ) {}
 
+  /** Whether no target has, or had recently, a rate limit. */
+  get isEmpty(): boolean {
+    return this.boots.size === 0;
+  }
+
   /** Starts a term with the limits that the records have. */
   reset(nowMs: number): void {
     this.boots.clear();
@@ -106,15 +114,14 @@
     this.boots.get(id)?.allocator.charge(1, nowMs);
   }
 
-  /** Evicts targets that have restarted, or whose record was dropped. */
+  /** Evicts targets that have restarted, are gone, or have no limit any more. */
   evict(nowMs: number): void {
-    for (const [id, {bornMs, reportedAtMs}] of this.boots) {
+    for (const [id, {bornMs, stated, reportedAtMs}] of this.boots) {
       const record = this.table.find(id);
-      const isOutdated =
-        record === undefined
-          ? nowMs - reportedAtMs > KEEP_WITHOUT_RECORD_MS
-          : record.bornMs > bornMs;
-      if (isOutdated) this.boots.delete(id);
+      const isIdle = record === undefined || stated.perSecond === Infinity;
+      const isOutdated = isIdle && nowMs - reportedAtMs > KEEP_MS;
+      const hasRestarted = record !== undefined && record.bornMs > bornMs;
+      if (isOutdated || hasRestarted) this.boots.delete(id);
     }
   }
 
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -118,9 +118,9 @@
    */
   records: z.array(TARGET_RECORD),
   loads: z.array(SERVICE_LOAD),
-  /** Absent from a node of an older version. */
+  /** Targets that state a rate limit; absent for none. */
   limits: z.array(LIMIT_REPORT).optional(),
-  /** Ids of targets that want nothing from the node now: at rest, or leaving. */
+  /** Targets that want nothing from the node: at rest, or leaving; absent for none. */
   closed: z.array(TEXT).optional(),
   /**
    * Earliest time of the report on the clock of the leader of `tableTerm`: that of
@@ -166,9 +166,12 @@
     tableRevision: z.number(),
     records: z.array(TARGET_RECORD),
     grants: z.array(SERVICE_GRANT),
-    /** Requests granted under the rate limits of targets, by target id. */
+    /**
+     * Requests granted under the rate limits of targets, by target id; absent from a
+     * leader of an older version.
+     */
     tokens: z.record(TEXT, COUNT).optional(),
-    /** Time on the leader's clock, milliseconds. */
+    /** Time on the leader's clock, whole milliseconds. */
     leaderTimeMs: z.number().optional(),
     /** Nodes that serve callers now. */
     activeNodes: z.number(),
--- a/src/cluster/nodeRateLimits.ts
+++ b/src/cluster/nodeRateLimits.ts
@@ -33,7 +33,7 @@
 const LEADERLESS_AFTER_PERIODS = 3;
 const LEADERLESS_AFTER_MS = 1_000;
 
-/** Age that stands for evidence of unknown age in reports, milliseconds. */
+/** Age of evidence in reports at most, also of evidence whose age is not known. */
 const MAX_AGE_MS = 3_600_000;
 
 interface LimitedBoot {
@@ -201,6 +201,6 @@
   return {
     perSecond: perSecond === Infinity ? null : perSecond,
     maxAgeMs: Math.min(nowMs - notBeforeMs, MAX_AGE_MS),
-    minAgeMs: nowMs - notAfterMs,
+    minAgeMs: Math.min(nowMs - notAfterMs, MAX_AGE_MS),
   };
 }
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -98,8 +98,8 @@
       ...this.cursor.reportParams(nowMs),
       records: [...this.heard.takeUnsent()],
       loads: [...this.parts.takeLoads()],
-      limits: [...this.parts.pushback.takeReports(nowMs)],
-      closed: [...this.parts.pushback.closedIds(nowMs)],
+      limits: unlessEmpty(this.parts.pushback.takeReports(nowMs)),
+      closed: unlessEmpty(this.parts.pushback.closedIds(nowMs)),
     };
   }
 
@@ -134,3 +134,8 @@
     pushback.applyReply(reply, params.limits ?? [], sentAtMs, nowMs);
   }
 }
+
+/** Leaves a list out of a message that is sent all the time. */
+function unlessEmpty<T>(items: readonly T[]): T[] | undefined {
+  return items.length === 0 ? undefined : [...items];
+}
--- a/src/cluster/syncCursor.ts
+++ b/src/cluster/syncCursor.ts
@@ -32,7 +32,7 @@
       leaderTimeMs:
         this.leaderTimeMs === undefined
           ? undefined
-          : this.leaderTimeMs + nowMs - this.repliedAtMs,
+          : this.leaderTimeMs + Math.floor(nowMs - this.repliedAtMs),
     };
   }
 
--- a/src/cluster/targetPushback.ts
+++ b/src/cluster/targetPushback.ts
@@ -36,7 +36,7 @@
   readonly perSecond: number | undefined;
 }
 
-/** Requests of targets by id. */
+/** What targets ask for, by target id. */
 export class TargetPushback {
   /** Emits with each reply of the leader, which may bring tokens. */
   readonly replies$ = new Subject<void>();
@@ -59,6 +59,11 @@
     return this.rests.blockedMs(target, nowMs);
   }
 
+  /** Whether any target asked this node for rest. */
+  get hasRests(): boolean {
+    return !this.rests.isEmpty;
+  }
+
   /** Whether the target leaves, so that nothing more may be sent to it. */
   isLeaving(target: TargetBoot): boolean {
     return this.departures.has(target);
--- a/src/cluster/targetRests.ts
+++ b/src/cluster/targetRests.ts
@@ -27,6 +27,11 @@
 export class TargetRests {
   private readonly rests = new Map<string, Rest>();
 
+  /** Whether no target asked for rest. */
+  get isEmpty(): boolean {
+    return this.rests.size === 0;
+  }
+
   /** Begins a rest, or prolongs it; a shorter one does not end it sooner. */
   begin(target: TargetBoot, restMs: number, nowMs: number): void {
     const {id, bornMs} = target;
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -175,6 +175,7 @@
    * otherwise 0.
    */
   restMs(input: ChoiceInput): number {
+    if (input.pushback?.hasRests !== true) return 0;
     return shortestRestMs(this.usableTargets(input), input);
   }
 
--- a/tests/rateLimitReports.spec.ts
+++ b/tests/rateLimitReports.spec.ts
@@ -110,6 +110,17 @@
     expect(table.find('t')?.rateLimit).toBe(1);
   });
 
+  it('should forget a limit some time after its end', () => {
+    const {limits} = fixture();
+    expect(limits.isEmpty).toBe(true);
+    limits.handleReports('n', [report(1)], at(100), 100);
+    limits.handleReports('n', [report(null)], at(200), 200);
+    limits.evict(60_000);
+    expect(limits.isEmpty).toBe(false);
+    limits.evict(61_000);
+    expect(limits.isEmpty).toBe(true);
+  });
+
   it('should start a term with the limits of the records', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 2);
@@ -267,6 +278,16 @@
     expect(limits.takeReports(120)).toMatchObject([{evidence: {perSecond: 1}}]);
   });
 
+  // Guards against ages that JSON cannot carry: the leader would reject the report.
+  it('should report finite ages', () => {
+    const {table, limits} = fixture();
+    table.setRateLimit('t', 1);
+    limits.reportMissingIn([]);
+    const [{evidence} = report(0)] = limits.takeReports(120);
+    expect(Number.isFinite(evidence?.maxAgeMs)).toBe(true);
+    expect(Number.isFinite(evidence?.minAgeMs)).toBe(true);
+  });
+
   it('should not report limits that the records of a new leader have', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 1);
