Compute a safe share once a second, and share fixtures of records and replies

A reader found that a node without a leader hashed all nodes that it knows, up to 2,900 at the size designed for, for each request and each target with a limit. The share is kept for a second now. A limit that began is logged without an infinite one before it. Tests of tables and reports build records and replies in one place.

--- a/src/cluster/leaderRateLimits.ts
+++ b/src/cluster/leaderRateLimits.ts
@@ -136,7 +136,7 @@
     const boot = this.bootFor(report, evidence.perSecond, nowMs);
     if (boot === undefined) return;
     boot.reportedAtMs = nowMs;
-    const before = boot.stated.perSecond;
+    const {perSecond: before} = boot.stated;
     const isChanged = boot.stated.add({
       perSecond: evidence.perSecond ?? Infinity,
       notBeforeMs: time.earliestMs - evidence.maxAgeMs,
@@ -146,7 +146,14 @@
     const limit = this.apply(id);
     boot.allocator.setLimit(limit ?? 0, nowMs);
     this.logger.info(
-      {event: 'target.limited', target: id, bornMs, limit, before, node},
+      {
+        event: 'target.limited',
+        target: id,
+        bornMs,
+        limit,
+        before: before === Infinity ? undefined : before,
+        node,
+      },
       limit === undefined
         ? `target ${id} has no rate limit any more`
         : `target ${id} gets at most ${limit} requests per second`
--- a/src/cluster/nodeRateLimits.ts
+++ b/src/cluster/nodeRateLimits.ts
@@ -33,12 +33,23 @@
 const LEADERLESS_AFTER_PERIODS = 3;
 const LEADERLESS_AFTER_MS = 1_000;
 
+/** Time for which a safe share is kept: it takes a hash of each known node. */
+const SAFE_SHARE_REFRESH_MS = 1_000;
+
 /** Age of evidence in reports at most, also of evidence whose age is not known. */
 const MAX_AGE_MS = 3_600_000;
 
+/** Requests in each window that were safe for a limit, as computed last. */
+interface KnownShare {
+  readonly share: number;
+  readonly limit: number;
+  readonly untilMs: number;
+}
+
 interface LimitedBoot {
   readonly bornMs: number;
   readonly lease: RateLease;
+  safe: KnownShare;
   /** What this node read and the leader may not know. */
   unreported: StatedLimit | undefined;
   /** Requests since the last report that no target could take without a token. */
@@ -93,7 +104,9 @@
   allows(target: TargetBoot, nowMs: number): boolean {
     const limit = this.limitOf(target);
     if (limit === Infinity) return true;
-    const share = this.isLeaderless(nowMs) ? this.safeShare(target, limit) : 0;
+    const share = this.isLeaderless(nowMs)
+      ? this.safeShare(target, limit, nowMs)
+      : 0;
     return this.bootOf(target).lease.allows(limit, share, nowMs);
   }
 
@@ -173,9 +186,14 @@
     return nowMs - this.repliedAtMs > limitMs;
   }
 
-  private safeShare({id: targetId}: TargetBoot, limit: number): number {
+  private safeShare(target: TargetBoot, limit: number, nowMs: number): number {
+    const boot = this.bootOf(target);
+    if (boot.safe.limit === limit && nowMs < boot.safe.untilMs)
+      return boot.safe.share;
     const {self: nodeId, all: nodeIds} = this.nodeIds();
-    return safeShare({limit, targetId, nodeId, nodeIds});
+    const share = safeShare({limit, targetId: target.id, nodeId, nodeIds});
+    boot.safe = {share, limit, untilMs: nowMs + SAFE_SHARE_REFRESH_MS};
+    return share;
   }
 
   private find({id, bornMs}: TargetBoot): LimitedBoot | undefined {
@@ -187,8 +205,13 @@
     const known = this.find(target);
     if (known !== undefined) return known;
     const {id, bornMs} = target;
-    const lease = new RateLease();
-    const boot = {bornMs, lease, unreported: undefined, shortage: 0};
+    const boot = {
+      bornMs,
+      lease: new RateLease(),
+      safe: {share: 0, limit: 0, untilMs: -Infinity},
+      unreported: undefined,
+      shortage: 0,
+    };
     this.boots.set(id, boot);
     return boot;
   }
--- a/tests/rateLimitReports.spec.ts
+++ b/tests/rateLimitReports.spec.ts
@@ -1,9 +1,10 @@
 import {Coordinator} from '../src/cluster/coordinator';
 import {LeaderRateLimits} from '../src/cluster/leaderRateLimits';
-import type {LimitReport, SyncState} from '../src/cluster/messages';
+import type {LimitReport} from '../src/cluster/messages';
 import {NodeRateLimits} from '../src/cluster/nodeRateLimits';
 import {TargetTable} from '../src/cluster/targetTable';
-import type {TargetRecord} from '../src/site/announcement';
+import {syncState} from './fixtures/syncState';
+import {targetRecord} from './fixtures/targetRecord';
 import {SILENT_LOGGER} from './logCluster';
 
 const FIRST = {id: 't', bornMs: 1};
@@ -11,38 +12,6 @@
 /** Time from which the leader grants tokens to a term's first limit. */
 const GRANTING_MS = 5_000;
 
-function record(change: Partial<TargetRecord> = {}): TargetRecord {
-  return {
-    id: 't',
-    bornMs: 1,
-    sequence: 1,
-    service: 's',
-    address: '10.0.0.1:80',
-    availabilityZone: 'a',
-    slots: 8,
-    state: 'ready',
-    coldMs: 0,
-    ...change,
-  };
-}
-
-function reply(change: Partial<SyncState> = {}): SyncState {
-  return {
-    kind: 'state',
-    term: 1,
-    index: 1,
-    nodes: [],
-    siteVersion: 1,
-    zonesOut: [],
-    tableRevision: 1,
-    records: [],
-    grants: [],
-    tokens: {},
-    activeNodes: 1,
-    ...change,
-  };
-}
-
 const at = (ms: number) => ({earliestMs: ms, latestMs: ms});
 
 function report(
@@ -62,7 +31,7 @@
 describe('rate limits at the leader', () => {
   function fixture() {
     const table = new TargetTable();
-    table.merge(record(), 0);
+    table.merge(targetRecord(), 0);
     const limits = new LeaderRateLimits(table, SILENT_LOGGER);
     return {table, limits};
   }
@@ -89,7 +58,7 @@
   it('should not apply a limit to the next boot of the target', () => {
     const {table, limits} = fixture();
     limits.handleReports('n', [report(1)], at(100), 100);
-    table.merge(record({bornMs: 2}), 200);
+    table.merge(targetRecord({bornMs: 2}), 200);
     limits.applyTo([NEXT]);
     expect(table.find('t')?.rateLimit).toBeUndefined();
     limits.handleReports('n', [report(1)], at(300), 300);
@@ -105,7 +74,7 @@
     const limits = new LeaderRateLimits(table, SILENT_LOGGER);
     limits.handleReports('n', [report(1)], at(100), 100);
     limits.evict(200);
-    table.merge(record(), 300);
+    table.merge(targetRecord(), 300);
     limits.applyTo([FIRST]);
     expect(table.find('t')?.rateLimit).toBe(1);
   });
@@ -167,7 +136,7 @@
           siteVersion: 1,
           tableRevision: 0,
           tableTerm: 1,
-          records: [record()],
+          records: [targetRecord()],
           loads: [],
           limits,
           leaderTimeMs,
@@ -194,7 +163,7 @@
 describe('rate limits at a node', () => {
   function fixture(nodes = 1) {
     const table = new TargetTable();
-    table.merge(record(), 0);
+    table.merge(targetRecord(), 0);
     const all = Array.from({length: nodes}, (_, i) => `n${i}`);
     const limits = new NodeRateLimits(table, () => ({self: 'n0', all}));
     const read = (perSecond: number, sentAtMs: number, nowMs: number) =>
@@ -210,7 +179,7 @@
   // the leader that knows of it.
   it('should hold a limit that the leader does not know yet', () => {
     const {table, limits, read} = fixture();
-    limits.applyReply(reply(), [], 0, 0);
+    limits.applyReply(syncState(), [], 0, 0);
     expect(limits.allows(FIRST, 10)).toBe(true);
     read(1, 5, 20);
     expect(limits.allows(FIRST, 30)).toBe(false);
@@ -219,7 +188,7 @@
       {id: 't', evidence: {perSecond: 1, maxAgeMs: 35, minAgeMs: 20}},
     ]);
     table.setRateLimit('t', 1);
-    limits.applyReply(reply({tokens: {t: 1}}), reports, 40, 50);
+    limits.applyReply(syncState({tokens: {t: 1}}), reports, 40, 50);
     expect(limits.takeReports(60)).toEqual([]);
     expect(limits.allows(FIRST, 60)).toBe(true);
     limits.spend(FIRST, 60);
@@ -238,7 +207,7 @@
   it('should leave the end of a limit to the leader', () => {
     const {table, limits, read} = fixture();
     table.setRateLimit('t', 1);
-    limits.applyReply(reply(), [], 0, 0);
+    limits.applyReply(syncState(), [], 0, 0);
     read(Infinity, 5, 20);
     expect(limits.allows(FIRST, 30)).toBe(false);
     expect(limits.takeReports(40)).toMatchObject([
@@ -251,16 +220,16 @@
   it('should not prolong tokens by a reply that was held up', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 1);
-    limits.applyReply(reply({tokens: {t: 1}}), [], 1_000, 1_690);
+    limits.applyReply(syncState({tokens: {t: 1}}), [], 1_000, 1_690);
     expect(limits.allows(FIRST, 1_695)).toBe(true);
     expect(limits.allows(FIRST, 1_700)).toBe(false);
   });
 
   it('should not hold the next boot to the limit of the last', () => {
     const {table, limits, read} = fixture();
-    limits.applyReply(reply(), [], 0, 0);
+    limits.applyReply(syncState(), [], 0, 0);
     read(1, 5, 20);
-    table.merge(record({bornMs: 2}), 30);
+    table.merge(targetRecord({bornMs: 2}), 30);
     expect(limits.allows(NEXT, 40)).toBe(true);
     limits.evict();
     expect(limits.takeReports(50)).toEqual([]);
@@ -271,9 +240,9 @@
   it('should report limits that the records of a new leader lack', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 1);
-    limits.applyReply(reply(), [], 0, 0);
-    limits.reportMissingIn([record()]);
-    table.mergeShared(record(), 100);
+    limits.applyReply(syncState(), [], 0, 0);
+    limits.reportMissingIn([targetRecord()]);
+    table.mergeShared(targetRecord(), 100);
     expect(limits.allows(FIRST, 110)).toBe(false);
     expect(limits.takeReports(120)).toMatchObject([{evidence: {perSecond: 1}}]);
   });
@@ -291,7 +260,7 @@
   it('should not report limits that the records of a new leader have', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 1);
-    limits.reportMissingIn([record({rateLimit: 1})]);
+    limits.reportMissingIn([targetRecord({rateLimit: 1})]);
     expect(limits.takeReports(120)).toEqual([]);
   });
 
@@ -300,7 +269,7 @@
   it('should keep to its safe share without a leader', () => {
     const {table, limits} = fixture();
     table.setRateLimit('t', 1);
-    limits.applyReply(reply(), [], 0, 0);
+    limits.applyReply(syncState(), [], 0, 0);
     expect(limits.allows(FIRST, 1_000)).toBe(false);
     let sent = 0;
     for (let atMs = 2_000; atMs < 6_000; atMs += 10) {
@@ -316,7 +285,7 @@
     const {limits, read} = fixture();
     read(1, 5, 20);
     const reports = limits.takeReports(40);
-    limits.applyReply(reply({tokens: undefined}), reports, 40, 50);
+    limits.applyReply(syncState({tokens: undefined}), reports, 40, 50);
     expect(limits.limitOf(FIRST)).toBe(1);
     expect(limits.allows(FIRST, 60)).toBe(true);
   });
@@ -325,13 +294,13 @@
 describe('rate limits in the table of targets', () => {
   it('should survive announcements of the same boot alone', () => {
     const table = new TargetTable();
-    table.merge(record(), 0);
+    table.merge(targetRecord(), 0);
     table.setRateLimit('t', 1);
-    table.merge(record({sequence: 2}), 10);
+    table.merge(targetRecord({sequence: 2}), 10);
     expect(table.find('t')?.rateLimit).toBe(1);
-    table.merge(record({sequence: 3, rateLimit: 9}), 10);
+    table.merge(targetRecord({sequence: 3, rateLimit: 9}), 10);
     expect(table.find('t')?.rateLimit).toBe(1);
-    table.merge(record({bornMs: 2}), 20);
+    table.merge(targetRecord({bornMs: 2}), 20);
     expect(table.find('t')?.rateLimit).toBeUndefined();
   });
 
@@ -339,10 +308,10 @@
   // the leader had when it learned the limit.
   it('should be taken from an older record of the leader', () => {
     const table = new TargetTable();
-    table.merge(record({sequence: 9}), 0);
-    table.mergeShared(record({sequence: 3, rateLimit: 1}), 10);
+    table.merge(targetRecord({sequence: 9}), 0);
+    table.mergeShared(targetRecord({sequence: 3, rateLimit: 1}), 10);
     expect(table.find('t')).toMatchObject({sequence: 9, rateLimit: 1});
-    table.mergeShared(record({bornMs: 0, rateLimit: 7}), 20);
+    table.mergeShared(targetRecord({bornMs: 0, rateLimit: 7}), 20);
     expect(table.find('t')?.rateLimit).toBe(1);
   });
 });
--- a/tests/reports.spec.ts
+++ b/tests/reports.spec.ts
@@ -1,9 +1,9 @@
 import {LocalAnnouncements} from '../src/cluster/localAnnouncements';
 import {SyncCursor} from '../src/cluster/syncCursor';
-import type {SyncState} from '../src/cluster/messages';
 import {NodeDirectory} from '../src/cluster/nodeDirectory';
 import {reportPeriodMs} from '../src/policy/reportPeriod';
 import type {TargetRecord} from '../src/site/announcement';
+import {syncState} from './fixtures/syncState';
 
 function record(
   id: string,
@@ -22,22 +22,6 @@
   };
 }
 
-function state(change: Partial<SyncState>): SyncState {
-  return {
-    kind: 'state',
-    term: 1,
-    index: 1,
-    nodes: [],
-    siteVersion: 1,
-    zonesOut: [],
-    tableRevision: 1,
-    records: [],
-    grants: [],
-    activeNodes: 1,
-    ...change,
-  };
-}
-
 describe('reports to the leader', () => {
   // With a fixed period, the reports of 300 nodes need more than one CPU core of
   // the leader, and changes wait behind them for seconds.
@@ -88,16 +72,16 @@
   // A late reply of an earlier leader must not revert the view of a node.
   it('should treat replies of an earlier leader or log position as stale', () => {
     const progress = new SyncCursor();
-    expect(progress.advance(state({term: 3, index: 9}), 0)).toBe(true);
-    expect(progress.isStale(state({term: 2, index: 20}))).toBe(true);
-    expect(progress.isStale(state({term: 3, index: 8}))).toBe(true);
-    expect(progress.isStale(state({term: 4, index: 9}))).toBe(false);
+    expect(progress.advance(syncState({term: 3, index: 9}), 0)).toBe(true);
+    expect(progress.isStale(syncState({term: 2, index: 20}))).toBe(true);
+    expect(progress.isStale(syncState({term: 3, index: 8}))).toBe(true);
+    expect(progress.isStale(syncState({term: 4, index: 9}))).toBe(false);
   });
 
   it('should request the list of nodes again before nodes expire', () => {
     const progress = new SyncCursor();
     const nodes = [{ip: '10.0.0.2', hasDisk: true}];
-    progress.advance(state({nodes, nodesRevision: 4}), 0);
+    progress.advance(syncState({nodes, nodesRevision: 4}), 0);
     expect(progress.reportParams(1_000).nodesRevision).toBe(4);
     expect(progress.reportParams(6_000).nodesRevision).toBeUndefined();
   });
--- a/tests/targetDepartures.spec.ts
+++ b/tests/targetDepartures.spec.ts
@@ -1,25 +1,10 @@
 import {TargetDepartures} from '../src/cluster/targetDepartures';
 import {TargetTable} from '../src/cluster/targetTable';
-import type {TargetRecord} from '../src/site/announcement';
+import {targetRecord} from './fixtures/targetRecord';
 
 const TARGET = {id: 't', bornMs: 1};
 const NEXT = {id: 't', bornMs: 2};
 
-function record(change: Partial<TargetRecord> = {}): TargetRecord {
-  return {
-    id: 't',
-    bornMs: 1,
-    sequence: 1,
-    service: 's',
-    address: '10.0.0.1:80',
-    availabilityZone: 'a',
-    slots: 8,
-    state: 'ready',
-    coldMs: 0,
-    ...change,
-  };
-}
-
 describe('departures of targets', () => {
   it('should be new once', () => {
     const departures = new TargetDepartures();
@@ -50,11 +35,11 @@
   it('should be forgotten with the next boot', () => {
     const departures = new TargetDepartures();
     const table = new TargetTable();
-    table.merge(record(), 0);
+    table.merge(targetRecord(), 0);
     departures.add(TARGET, 0);
     departures.evict(table, 10);
     expect(departures.ids()).toEqual(['t']);
-    table.merge(record({bornMs: 2}), 20);
+    table.merge(targetRecord({bornMs: 2}), 20);
     departures.evict(table, 30);
     expect(departures.ids()).toEqual([]);
   });
--- a/tests/targetRests.spec.ts
+++ b/tests/targetRests.spec.ts
@@ -2,7 +2,7 @@
 import {TargetRests} from '../src/cluster/targetRests';
 import {TargetTable} from '../src/cluster/targetTable';
 import {restRetryMs} from '../src/policy/restRetry';
-import type {TargetRecord} from '../src/site/announcement';
+import {targetRecord} from './fixtures/targetRecord';
 import {SILENT_LOGGER} from './logCluster';
 
 const TARGET = {id: 't', bornMs: 1};
@@ -55,7 +55,7 @@
   it('should be forgotten with the target', () => {
     const rests = new TargetRests();
     const table = new TargetTable();
-    table.merge(record('t'), 0);
+    table.merge(targetRecord(), 0);
     rests.begin(TARGET, 3_000, 0);
     rests.evict(table);
     expect(rests.ids(10)).toEqual(['t']);
@@ -71,20 +71,6 @@
   });
 });
 
-function record(id: string): TargetRecord {
-  return {
-    id,
-    bornMs: 1,
-    sequence: 1,
-    service: 's',
-    address: `10.0.0.1:${id}`,
-    availabilityZone: 'a',
-    slots: 4,
-    state: 'ready',
-    coldMs: 0,
-  };
-}
-
 describe('rests in reports to the leader', () => {
   const service = {
     name: 's',
@@ -112,7 +98,10 @@
           siteVersion: 1,
           tableRevision: 0,
           tableTerm: 1,
-          records: [record('t0'), record('t1')],
+          records: [
+            targetRecord({id: 't0', address: '10.0.0.1:80', slots: 4}),
+            targetRecord({id: 't1', address: '10.0.0.2:80', slots: 4}),
+          ],
           loads: [
             {
               service: 's',
