--- a/bench/emulator/gate.ts
+++ b/bench/emulator/gate.ts
@@ -13,7 +13,7 @@
   FairQueue,
   type OfferResult,
   type QueueItem,
-} from '../../src/policy/fairQueue';
+} from '../../src/policy/admission/fairQueue';
 import {
   freshRamp,
   restartRamp,
--- a/bench/fuzz/queueModel.ts
+++ b/bench/fuzz/queueModel.ts
@@ -4,7 +4,7 @@
  * leaves the queue once, and expired items leave it immediately.
  */
 
-import {FairQueue, type QueueItem} from '../../src/policy/fairQueue';
+import {FairQueue, type QueueItem} from '../../src/policy/admission/fairQueue';
 import type {FuzzModel} from './fuzzModel';
 import {SeededRandom} from './schedule';
 
--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -7,7 +7,7 @@
 import type {Metrics} from '../core/metrics';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import type {Dispatch} from '../core/wire';
-import {FairQueue, QueueItem} from '../policy/fairQueue';
+import {FairQueue, QueueItem} from '../policy/admission/fairQueue';
 import type {CustomerRule} from '../rules/rule';
 import type {RuleIndex} from '../rules/ruleIndex';
 
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -8,8 +8,8 @@
 import {
   unusedConcurrency,
   allocateConcurrency,
-} from '../policy/concurrencyAllocation';
-import {GroupLimits} from '../policy/groupLimits';
+} from '../policy/admission/concurrencyAllocation';
+import {GroupLimits} from '../policy/admission/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
--- a/src/cluster/nodeReports.ts
+++ b/src/cluster/nodeReports.ts
@@ -2,7 +2,7 @@
 
 import {sum} from '../core/sum';
 import {reportPeriodMs} from '../policy/reportPeriod';
-import type {NodeDemand} from '../policy/concurrencyAllocation';
+import type {NodeDemand} from '../policy/admission/concurrencyAllocation';
 import type {NodeInfo, ServiceLoad, SyncParams} from './messages';
 
 /** A node whose last report is older gets no share. */
--- a/src/cluster/serviceConcurrency.ts
+++ b/src/cluster/serviceConcurrency.ts
@@ -8,7 +8,7 @@
   GroupLimits,
   GroupLoad,
   LimitReason,
-} from '../policy/groupLimits';
+} from '../policy/admission/groupLimits';
 import type {PermitTarget} from '../policy/targetPermits';
 import type {TargetRecord} from '../site/announcement';
 import {groupNameOf, groupStatuses, isInOpenGroup} from '../site/groupStatus';
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -5,8 +5,8 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {unreachable} from '../core/errors';
-import {noSiteRetryMs, outageRetryMs} from '../policy/outageRetry';
-import {restRetryMs} from '../policy/restRetry';
+import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
+import {restRetryMs} from '../policy/admission/restRetry';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
 import {maxQueueWaitMs} from './queueWait';
--- a/src/gateway/targetSelection.ts
+++ b/src/gateway/targetSelection.ts
@@ -6,8 +6,8 @@
 import type {Observable} from 'rxjs';
 import {NEVER, Subject, firstValueFrom, merge, take, timer} from 'rxjs';
 import {unreachable} from '../core/errors';
-import {outageRetryMs} from '../policy/outageRetry';
-import {restRetryMs} from '../policy/restRetry';
+import {outageRetryMs} from '../policy/admission/outageRetry';
+import {restRetryMs} from '../policy/admission/restRetry';
 import type {TargetRecord} from '../site/announcement';
 import type {Gateway} from './gateway';
 import {maxQueueWaitMs} from './queueWait';
--- a/src/policy/groupLimits.ts
+++ b/src/policy/admission/groupLimits.ts
@@ -6,10 +6,10 @@
  * that can serve hardly any gets only a few probe requests.
  */
 
-import type {PassProfile} from '../core/passProfile';
-import type {MapOutlook} from './mapOutlook';
-import {PassCorrection} from './passCorrection';
-import {fixedPassMs, passMsPerRequest} from './passDuration';
+import type {PassProfile} from '../../core/passProfile';
+import type {MapOutlook} from '../mapOutlook';
+import {PassCorrection} from '../passCorrection';
+import {fixedPassMs, passMsPerRequest} from '../passDuration';
 
 /** Latency that callers of streams accept, milliseconds; 0 for no goal. */
 export interface LatencyGoals {
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -1,4 +1,4 @@
-import {AdmissionQueue} from '../src/policy/admissionQueue';
+import {AdmissionQueue} from '../src/policy/admission/admissionQueue';
 
 interface Outcome {
   readonly id: string;
--- a/tests/fairQueue.spec.ts
+++ b/tests/fairQueue.spec.ts
@@ -1,4 +1,4 @@
-import {FairQueue, type QueueItem} from '../src/policy/fairQueue';
+import {FairQueue, type QueueItem} from '../src/policy/admission/fairQueue';
 
 const LIMITS = {maxQueued: 100, maxQueuedPerCustomer: 40};
 
--- a/tests/groupLimits.spec.ts
+++ b/tests/groupLimits.spec.ts
@@ -1,6 +1,6 @@
 import type {PassProfile} from '../src/core/passProfile';
-import type {GroupLoad} from '../src/policy/groupLimits';
-import {GroupLimits} from '../src/policy/groupLimits';
+import type {GroupLoad} from '../src/policy/admission/groupLimits';
+import {GroupLimits} from '../src/policy/admission/groupLimits';
 import {EVEN_OUTLOOK} from '../src/policy/mapOutlook';
 import {fixedPassMs, passMsPerRequest} from '../src/policy/passDuration';
 
--- a/tests/outages.spec.ts
+++ b/tests/outages.spec.ts
@@ -1,4 +1,7 @@
-import {noSiteRetryMs, outageRetryMs} from '../src/policy/outageRetry';
+import {
+  noSiteRetryMs,
+  outageRetryMs,
+} from '../src/policy/admission/outageRetry';
 import {StallDetector} from '../src/policy/stallDetector';
 import type {TargetRecord} from '../src/site/announcement';
 import {groupStatuses, isInOpenGroup} from '../src/site/groupStatus';
--- a/tests/retryTiming.spec.ts
+++ b/tests/retryTiming.spec.ts
@@ -1,4 +1,4 @@
-import {RetryTiming} from '../src/policy/retryTiming';
+import {RetryTiming} from '../src/policy/admission/retryTiming';
 
 const HALF = () => 0.5;
 
--- a/tests/serviceConcurrency.spec.ts
+++ b/tests/serviceConcurrency.spec.ts
@@ -1,5 +1,5 @@
 import {computeConcurrency} from '../src/cluster/serviceConcurrency';
-import {GroupLimits} from '../src/policy/groupLimits';
+import {GroupLimits} from '../src/policy/admission/groupLimits';
 import type {ServiceLoad} from '../src/cluster/messages';
 import type {MapOutlook} from '../src/policy/mapOutlook';
 import {fixedPassMs, passMsPerRequest} from '../src/policy/passDuration';
--- a/tests/shareAllocation.spec.ts
+++ b/tests/shareAllocation.spec.ts
@@ -1,4 +1,4 @@
-import {allocateConcurrency} from '../src/policy/concurrencyAllocation';
+import {allocateConcurrency} from '../src/policy/admission/concurrencyAllocation';
 
 function sum(shares: ReadonlyMap<string, number>): number {
   return [...shares.values()].reduce((total, share) => total + share, 0);
--- a/tests/targetRests.spec.ts
+++ b/tests/targetRests.spec.ts
@@ -1,7 +1,7 @@
 import {Coordinator} from '../src/cluster/coordinator';
 import {TargetRests} from '../src/cluster/targetRests';
 import {TargetTable} from '../src/cluster/targetTable';
-import {restRetryMs} from '../src/policy/restRetry';
+import {restRetryMs} from '../src/policy/admission/restRetry';
 import {targetRecord} from './fixtures/targetRecord';
 import {SILENT_LOGGER} from './logCluster';
 
