--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -52,7 +52,7 @@
 const METRICS = new NodeMetrics();
 const SILENT_AFTER_MS = 4_200;
 /** Longest wait in the queue, and its priority, of all requests. */
-const QUEUED = {priority: 1, maxWaitMs: 200};
+const QUEUED = {urgency: {customer: 1, route: 1}, maxWaitMs: 200};
 
 /** One boot of a node. */
 export class SimulatedNode {
--- a/src/cluster/clusterNodeOptions.ts
+++ b/src/cluster/clusterNodeOptions.ts
@@ -16,6 +16,8 @@
   readonly dataDir: string;
   readonly isFirstStart: boolean;
   readonly lossesBorne: number;
+  /** Part of its demand that each urgency keeps under overload, 0 to 1. */
+  readonly admissionFloor: number;
   /** Period of the targets' announcements, milliseconds. */
   readonly heartbeatMs: number;
   readonly logger: Logger;
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -61,6 +61,20 @@
   rateLimit: COUNT.optional(),
 });
 
+/** Arrivals of one urgency and customer at one node since its last report. */
+export const URGENCY_DEMAND = z.object({
+  /** Text form of the urgency. */
+  urgency: TEXT,
+  /** Empty for callers without a key. */
+  customer: TEXT,
+  /** Requests, with those that were refused. */
+  arrivals: COUNT,
+  /** Cost of these requests in output tokens. */
+  work: COUNT,
+});
+/** Arrivals of one urgency and customer at one node since its last report. */
+export type UrgencyDemand = z.infer<typeof URGENCY_DEMAND>;
+
 /** Load of one service at one node. */
 export const SERVICE_LOAD = z.object({
   service: TEXT,
@@ -73,6 +87,15 @@
   byTarget: z.record(TEXT, COUNT),
   /** Pass duration by group, milliseconds; only for groups with streams. */
   pacesMs: z.record(TEXT, COUNT),
+  /** Arrivals since the last report; only for prioritized services. */
+  demand: z.array(URGENCY_DEMAND).optional(),
+  /** Queued requests by urgency; only for prioritized services. */
+  waitingByUrgency: z.record(TEXT, COUNT).optional(),
+  /**
+   * Moving average of the time from admission to end, milliseconds; only for
+   * prioritized services.
+   */
+  serviceTimeMs: COUNT.optional(),
 });
 /** Load of one service at one node. */
 export type ServiceLoad = z.infer<typeof SERVICE_LOAD>;
@@ -131,6 +154,19 @@
 /** A node's regular report to the leader. */
 export type SyncParams = z.infer<typeof SYNC_PARAMS>;
 
+const RATIO = z.number().min(0).max(1);
+
+/** Part of the arrivals of one urgency that nodes admit. */
+export const ADMISSION_RATIO = z.object({
+  /** Text form of the urgency. */
+  urgency: TEXT,
+  ratio: RATIO,
+  /** Ratios of the customers that differ from `ratio`, by name. */
+  customers: z.record(TEXT, RATIO),
+});
+/** Part of the arrivals of one urgency that nodes admit. */
+export type AdmissionRatio = z.infer<typeof ADMISSION_RATIO>;
+
 /** What the leader grants one node of one service. */
 export const SERVICE_GRANT = z.object({
   service: TEXT,
@@ -144,6 +180,11 @@
   permits: z.record(TEXT, COUNT).optional(),
   /** Load skew of the ranks right after recent demand shifts, by group. */
   shiftSkews: z.record(TEXT, COUNT),
+  /**
+   * Admission ratios under overload; urgencies that are absent are admitted whole.
+   * Absent when everything is admitted.
+   */
+  admission: z.array(ADMISSION_RATIO).optional(),
 });
 /** What the leader grants one node of one service. */
 export type ServiceGrant = z.infer<typeof SERVICE_GRANT>;
--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -2,6 +2,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Cancellation} from '../core/cancellation';
+import type {Urgency} from '../policy/admission/urgency';
 import type {CallerRequest} from '../ports/callerPort';
 import type {SiteCustomer, SiteRoute, SiteService} from '../site/site';
 
@@ -80,5 +81,6 @@
   readonly route: SiteRoute;
   readonly service: SiteService;
   readonly customer?: SiteCustomer;
+  readonly urgency: Urgency;
   readonly body: Buffer;
 }
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -7,6 +7,7 @@
 import {unreachable} from '../core/errors';
 import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
 import {restRetryMs} from '../policy/admission/restRetry';
+import {urgencyOf} from '../policy/admission/urgency';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
 import {maxQueueWaitMs} from './queueWait';
@@ -79,6 +80,7 @@
         route,
         service,
         customer,
+        urgency: urgencyOf(route.priority, customer?.priority),
         body: bodyResult.body,
       });
     default:
@@ -118,7 +120,7 @@
 function waitForSlot(
   gateway: Gateway,
   state: RequestState,
-  {route, service, customer}: RoutedRequest
+  {route, service, urgency}: RoutedRequest
 ): Promise<GatewayRefusal | undefined | 'admitted'> {
   const pool = gateway.pool(service.name);
   const {queue, retryTiming} = pool;
@@ -132,7 +134,7 @@
       resolve(result);
     };
     const request = {
-      priority: customer?.priority ?? route.priority,
+      urgency,
       maxWaitMs: maxQueueWaitMs(route),
       start: () => settle('admitted'),
       refuse: () => {
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -208,6 +208,7 @@
     dataDir: cluster.dataFolder,
     isFirstStart: cluster.firstStart === 'true',
     lossesBorne: cluster.lossesBorne,
+    admissionFloor: bounds.admissionFloor,
     heartbeatMs: bounds.heartbeatMs,
     logger,
     metrics,
--- a/src/policy/admission/admissionQueue.ts
+++ b/src/policy/admission/admissionQueue.ts
@@ -6,10 +6,12 @@
  * only if it is expected to start in time, and is refused at once otherwise.
  */
 
+import type {Urgency} from './urgency';
+import {compareUrgency} from './urgency';
+
 /** A request to admit, queue or refuse. */
 export interface QueuedRequest {
-  /** 0 is the most urgent. */
-  readonly priority: number;
+  readonly urgency: Urgency;
   /** Longest wait after which the response is still in time, milliseconds. */
   readonly maxWaitMs: number;
   /** Called once, when the request is admitted. */
@@ -77,7 +79,7 @@
       request.start();
       return;
     }
-    const ahead = this.countAhead(request.priority);
+    const ahead = this.countAhead(request.urgency);
     const waitMs = this.expectedWaitMs(ahead);
     if (waitMs > request.maxWaitMs && !this.canBorrow(request)) {
       request.refuse();
@@ -124,10 +126,10 @@
     }
   }
 
-  /** Number of queued requests of the same or a more urgent priority. */
-  private countAhead(priority: number): number {
+  /** Number of queued requests that are at least as urgent. */
+  private countAhead(urgency: Urgency): number {
     const index = this.waiting.findIndex(
-      ({request}) => request.priority > priority
+      ({request}) => compareUrgency(request.urgency, urgency) > 0
     );
     return index < 0 ? this.waiting.length : index;
   }
--- a/src/ports/callerPort.ts
+++ b/src/ports/callerPort.ts
@@ -18,6 +18,10 @@
   readonly promptTokens: number;
   /** Maximum number of output tokens; 0 when not given. */
   readonly outputTokens: number;
+  /** The caller's estimate of its output tokens; the maximum when not given. */
+  readonly expectedOutputTokens: number;
+  /** Id of the prompt, which a retry of the request repeats. */
+  readonly promptId?: string;
 }
 
 /** Why a gateway refuses a request or cannot relay a response to it. */
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -206,6 +206,10 @@
     decimal(0.5, 3600),
     'time from SIGTERM until the process is killed, seconds'
   ),
+  'admission-floor': setting(
+    decimal(0, 1).default(0.4),
+    'part of its requests that each urgency keeps when not all can be served'
+  ),
 });
 
 /** Settings schemas by role. */
--- a/src/site/siteIndex.ts
+++ b/src/site/siteIndex.ts
@@ -1,13 +1,16 @@
 /** Looks up routes and keys of a site; built once for each version. */
 
+import {prioritizedServices} from './prioritizedServices';
 import type {Site, SiteCustomer, SiteRoute} from './site';
 
 /** Lookup tables of one version. */
 export class SiteIndex {
   private readonly byHost = new Map<string, SiteRoute[]>();
   private readonly byKey = new Map<string, SiteCustomer>();
+  private readonly prioritized: ReadonlySet<string>;
 
   constructor(readonly site: Site) {
+    this.prioritized = prioritizedServices(site);
     for (const route of site.routes) this.addRoute(route);
     // Longest first: the first that matches is the most specific.
     for (const routes of this.byHost.values())
@@ -21,6 +24,11 @@
     return this.site.customers.length > 0;
   }
 
+  /** Whether the routes of the service differ in priority. */
+  isPrioritized(service: string): boolean {
+    return this.prioritized.has(service);
+  }
+
   /** The route with the longest prefix of the path. */
   findRoute(host: string, path: string): SiteRoute | undefined {
     const hostName = host.replace(/:\d+$/, '').toLowerCase();
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -12,7 +12,7 @@
   const enter = (id: string, priority = 1, maxWaitMs = 200, nowMs = 0) =>
     queue.enter(
       {
-        priority,
+        urgency: {customer: priority, route: priority},
         maxWaitMs,
         start: () => outcomes.push({id, kind: 'started'}),
         refuse: () => outcomes.push({id, kind: 'refused'}),
--- a/tests/platform/requestHeaders.spec.ts
+++ b/tests/platform/requestHeaders.spec.ts
@@ -31,9 +31,34 @@
       lastEventId: '12',
       promptTokens: 1_460,
       outputTokens: 80,
+      expectedOutputTokens: 80,
     });
   });
 
+  it('should read the prompt id and the estimate of the output', () => {
+    const req = message(
+      {
+        'x-token-count': '1460,80',
+        'x-length-hint': '31',
+        'x-prompt-prefix': '5c1e07a2:800,e4402b7d:250',
+      },
+      {url: '/'}
+    );
+    expect(CALLER_CODEC.read(req)).toMatchObject({
+      expectedOutputTokens: 31,
+      promptId: 'e4402b7d',
+    });
+  });
+
+  it.each(['', 'many', '-5', 'NaN', '1e400'])(
+    'should use the maximum output for an estimate of "%s"',
+    text => {
+      const headers = {'x-token-count': '10,80', 'x-length-hint': text};
+      const req = message(headers, {url: '/'});
+      expect(CALLER_CODEC.read(req).expectedOutputTokens).toBe(80);
+    }
+  );
+
   it.each(['', 'soon', '-5', 'NaN'])(
     'should ignore a deadline of "%s"',
     text => {
