--- a/src/ranks/groupMapSwitch.ts
+++ b/src/ranks/groupMapSwitch.ts
@@ -24,6 +24,7 @@
   RankReport,
 } from '../ports/rankPort';
 import {clearingOrders, isCleared, noteClearingAnswer} from './clearingPhase';
+import {paddedCopyMs} from './copyTime';
 import {ReleasedSwitches} from './releasedSwitches';
 import {PassClock} from './passClock';
 import {
@@ -61,13 +62,6 @@
  * switch is aborted.
  */
 const MAX_HOLD_ATTEMPTS = 12;
-/**
- * Copies may take slightly longer than the profile states. An arm order that
- * arrives before the copy is complete is refused and sent again, and the group
- * is held meanwhile.
- */
-const COPY_TIME_FACTOR = 1.1;
-const COPY_TIME_MARGIN_MS = 15;
 /**
  * Passes that begin between the hold order and pass S, as time for arming.
  * Without any, the group stands before pass S until the last rank has responded,
@@ -185,7 +179,7 @@
     if (!this.isReady(nowMs)) return [];
     this.nowMs = nowMs;
     this.hasUnknownOutcome = false;
-    this.copyMs = copyMs * COPY_TIME_FACTOR + COPY_TIME_MARGIN_MS;
+    this.copyMs = paddedCopyMs(copyMs);
     this.enter({kind: 'preparing', version: this.nextVersion++, lists});
     return this.advance();
   }
