--- a/src/agent/agentCore.ts
+++ b/src/agent/agentCore.ts
@@ -1,6 +1,7 @@
 /** State of one agent, shared by its components. */
 
 import {randomUUID} from 'node:crypto';
+import {NEVER, Observable} from 'rxjs';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
 import type {Refusal} from '../core/refusal';
@@ -13,7 +14,7 @@
 import type {WarmupLimits} from '../policy/ramp';
 import {DEFAULT_WARMUP} from '../rules/ruleDefaults';
 import type {RuleIndex} from '../rules/ruleIndex';
-import type {ControlSync} from '../sync/controlSync';
+import type {ActiveRules, ControlSync} from '../sync/controlSync';
 import type {
   RankReport,
   TargetAdapter,
@@ -111,6 +112,11 @@
     return this.sync?.rules?.index;
   }
 
+  /** Emits the applied rules, first those that are applied now. */
+  get rules$(): Observable<ActiveRules | undefined> {
+    return this.sync?.rules$ ?? NEVER;
+  }
+
   /** Sets the source of rules and freshness; called once. */
   attach(sync: ControlSync): void {
     this.sync = sync;
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -20,6 +20,7 @@
 import {Dispatch, REPORT_HEADER} from '../core/wire';
 import {enginePriority} from '../policy/enginePriority';
 import type {AgentCore} from './agentCore';
+import {awaitRevision} from './awaitRevision';
 import type {Slot} from './gate';
 import {claimIdOf} from './claimRegistry';
 
@@ -48,7 +49,8 @@
   res.on('close', () => {
     if (!res.writableFinished) callerGone.cancel();
   });
-  const slot = await core.gate.acquire(dispatch, callerGone);
+  const current = await awaitRevision(core, dispatch, callerGone);
+  const slot = await core.gate.acquire(current, callerGone);
   const claimId =
     dispatch.claim &&
     claimIdOf(dispatch.customer, dispatch.claim.key, dispatch.claim.attempt);
--- a/tests/agentPort.spec.ts
+++ b/tests/agentPort.spec.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import https from 'node:https';
 import {FakeLedger} from '../fakes/ledger';
+import {AgentCore} from '../src/agent/agentCore';
 import {PROTOCOL_VERSION} from '../src/core/protocolVersion';
 import {METHODS} from '../src/rpc/messages';
 import {PeerClient, createPeerHttpsAgent} from '../src/rpc/peerClient';
@@ -24,7 +25,10 @@
   testAgent = await startAgent(ledger.port);
   await eventually('the agent accepts work', async () => announced().limit > 0);
 });
-afterEach(runCleanups);
+afterEach(() => {
+  jest.restoreAllMocks();
+  return runCleanups();
+});
 
 function announced() {
   const announcement = testAgent.lastPoll()?.announcement;
@@ -99,6 +103,20 @@
     await drained;
   });
 
+  // An entry applies a new rule file up to a poll before the agents do. If each
+  // agent refused what comes under it, the attempts would be used up and the
+  // caller would get a 503 right after each change.
+  it('should hold a dispatch under a revision that the next poll brings', async () => {
+    const {observeRevision} = AgentCore.prototype;
+    jest
+      .spyOn(AgentCore.prototype, 'observeRevision')
+      .mockImplementation(function (this: AgentCore, revision) {
+        observeRevision.call(this, revision);
+        testAgent.offerRevision(revision);
+      });
+    expect((await dispatch({dispatch: {revision: 2}})).status).toBe(201);
+  });
+
   // The entry disconnects while the target works on a non-idempotent call, so
   // the response can't be relayed. Waiting for the closed connection would
   // occupy the slot forever, and leave the claim in state "running".
