--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -100,10 +100,14 @@
     return new ControlProcess(port, server, log, subscription);
   }
 
+  /**
+   * Hands over the lead before the port closes: a leader that no peer and no
+   * client can reach would keep its lead by its own heartbeats.
+   */
   async stop(): Promise<void> {
     this.subscription.unsubscribe();
-    await this.server.close();
     await this.log.close();
+    await this.server.close();
   }
 }
 
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -35,6 +35,7 @@
   private draining = false;
   /** The latest response on each connection. */
   private readonly answers = new WeakMap<Duplex, ServerResponse>();
+  private readonly sockets = new Set<Duplex>();
 
   constructor(
     private readonly core: EntryCore,
@@ -61,6 +62,10 @@
       'checkContinue',
       (req: IncomingMessage, res: ServerResponse) => this.received(req, res)
     );
+    this.server.on('connection', (socket: Duplex) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.handleClientError(err, socket)
     );
@@ -89,11 +94,29 @@
     await this.close();
   }
 
-  close(): Promise<void> {
-    return new Promise(resolve => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
-    });
+  /**
+   * Completes every request in progress. Node ends neither the connections that
+   * have sent no request nor, once the server closes, those that are late with
+   * the head of one, so both end here after the header timeout.
+   */
+  async close(): Promise<void> {
+    const closed = new Promise<void>(resolve =>
+      this.server.close(() => resolve())
+    );
+    this.server.closeIdleConnections();
+    const timer = setTimeout(
+      () => this.endUnusedConnections(),
+      this.settings.callers.headerTimeoutMs
+    );
+    await closed;
+    clearTimeout(timer);
+  }
+
+  private endUnusedConnections(): void {
+    for (const socket of this.sockets) {
+      const latestResponse = this.answers.get(socket);
+      if (latestResponse?.writableFinished !== false) socket.destroy();
+    }
   }
 
   private received(req: IncomingMessage, res: ServerResponse): void {
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -69,6 +69,7 @@
       this.options.logger.debug({err: String(data)}, message),
   });
   readonly server: https.Server;
+  private readonly sockets = new Set<Socket>();
 
   constructor(private readonly options: PeerServerOptions) {
     const tls = serverTls(options.secret, options.acceptSecret);
@@ -76,9 +77,11 @@
       this.handleRequest(req, res)
     );
     // Emitted with the TCP socket underneath TLS.
-    this.server.on('connection', socket =>
-      options.traffic?.trackSocket(socket as Socket)
-    );
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+      options.traffic?.trackSocket(socket);
+    });
     this.server.on('tlsClientError', err =>
       this.recordRejection('handshake', err.message)
     );
@@ -114,10 +117,15 @@
     });
   }
 
+  /**
+   * Ends all connections. `closeAllConnections` leaves out those in a TLS
+   * handshake, which then serve on: an idle one held a close up for 61 s, the
+   * keep-alive time and a second.
+   */
   close(): Promise<void> {
     return new Promise(resolve => {
       this.server.close(() => resolve());
-      this.server.closeAllConnections();
+      for (const socket of this.sockets) socket.destroy();
     });
   }
 
--- /dev/null
+++ b/tests/controlProcess.spec.ts
@@ -0,0 +1,109 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import net, {Socket} from 'node:net';
+import {once} from 'node:events';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {reservePorts} from '../bench/deployment/freePorts';
+import {ControlProcess} from '../src/control/controlProcess';
+import {createLogger} from '../src/core/logger';
+import {Metrics} from '../src/core/metrics';
+import {METHODS} from '../src/rpc/messages';
+import {PeerClient, createPeerHttpsAgent} from '../src/rpc/peerClient';
+import {PeerServer} from '../src/rpc/peerServer';
+import {eventually} from './fixtures/testSystem';
+import {onCleanup, runCleanups} from './fixtures/targets';
+
+const SECRET = 'a shared secret';
+const HOST = '127.0.0.1';
+const logger = createLogger('test', 'test', 'fatal');
+
+afterEach(async () => {
+  jest.restoreAllMocks();
+  await runCleanups();
+});
+
+interface Instance {
+  readonly running: ControlProcess;
+  readonly client: PeerClient;
+}
+
+async function startInstances(): Promise<readonly Instance[]> {
+  const {ports, release} = await reservePorts(3);
+  const folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-control-'));
+  onCleanup(() => rmSync(folder, {recursive: true}));
+  const agent = createPeerHttpsAgent(SECRET, 'client');
+  onCleanup(() => agent.destroy());
+  const instances = ports.map((port, i) => ({id: `c${i}`, host: HOST, port}));
+  await release();
+  return Promise.all(
+    instances.map(async address => {
+      const running = await ControlProcess.start({
+        ...address,
+        secret: SECRET,
+        instances,
+        dataDir: path.join(folder, address.id),
+        logger,
+        metrics: new Metrics(address.id),
+        onFatal: () => undefined,
+      });
+      onCleanup(() => running.stop());
+      return {running, client: new PeerClient(address, agent)};
+    })
+  );
+}
+
+/** Waits until one of the instances leads. */
+function leaderOf(instances: readonly Instance[]): Promise<Instance> {
+  return eventually('a leader', async () => {
+    for (const instance of instances) {
+      const status = await instance.client.call<{instance: {role: string}}>(
+        METHODS.status,
+        {},
+        1_000
+      );
+      if (status.instance.role === 'leader') return instance;
+    }
+    return undefined;
+  });
+}
+
+describe('a control instance that stops', () => {
+  // The close of its port waited for a connection. The leader could no longer
+  // be reached, and led on by its heartbeats: nobody could submit rules.
+  it('should hand over the lead before it waits for its port to close', async () => {
+    const instances = await startInstances();
+    const leader = await leaderOf(instances);
+    const {promise, resolve} = openPromise();
+    onCleanup(resolve);
+    jest.spyOn(PeerServer.prototype, 'close').mockReturnValueOnce(promise);
+    void leader.running.stop();
+    const others = instances.filter(one => one !== leader);
+    expect(others).toContain(await leaderOf(others));
+  }, 40_000);
+
+  // A peer that connects and then hangs. Such a connection held up the exit of
+  // a process until its keep-alive time was over.
+  it('should end connections that are still in the handshake', async () => {
+    const server = new PeerServer({
+      host: HOST,
+      port: 0,
+      secret: SECRET,
+      logger,
+      metrics: new Metrics('c'),
+    });
+    const port = await server.listen();
+    const accepted = once(server.server, 'connection');
+    const socket: Socket = net.connect(port, HOST);
+    onCleanup(() => socket.destroy());
+    const ended = once(socket, 'close');
+    await accepted;
+    await server.close();
+    await ended;
+  });
+});
+
+function openPromise() {
+  let resolve = () => {};
+  const promise = new Promise<void>(done => (resolve = done));
+  return {promise, resolve};
+}
