--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -11,6 +11,7 @@
 } from '../policy/admission/concurrencyAllocation';
 import {GroupLimits} from '../policy/admission/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
+import {prioritizedServices} from '../site/prioritizedServices';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
 import {LeaderRateLimits} from './leaderRateLimits';
@@ -229,6 +230,7 @@
     if (now - this.sharesUpdatedAtMs < SHARES_INTERVAL_MS) return;
     this.sharesUpdatedAtMs = now;
     const goals = streamGoals(site);
+    const prioritized = prioritizedServices(site);
     // Slots in zones that are out must not count: they would admit more requests
     // than the other targets can run, and the rest would queue at the targets,
     // where the balancer does not see them.
@@ -245,6 +247,7 @@
           loads,
           goals: goals.get(name) ?? NO_GOALS,
           allNodesReported: this.allNodesReported,
+          isPrioritized: prioritized.has(name),
           isClosed: id => isClosedToAll(id, reports),
           outlookOf: group => this.outlookOf(name, group),
           nowMs: now,
--- a/src/cluster/serviceConcurrency.ts
+++ b/src/cluster/serviceConcurrency.ts
@@ -35,6 +35,8 @@
   readonly goals: StreamGoals;
   /** Whether all nodes have reported their loads. */
   readonly allNodesReported: boolean;
+  /** Whether the routes of the service differ in priority; false if absent. */
+  readonly isPrioritized?: boolean;
   /** Whether a target wants nothing from any node now. */
   isClosed(targetId: string): boolean;
   /** Undefined while nothing controls the maps of the group. */
@@ -64,12 +66,13 @@
   if (engine === undefined || goals.pauseMs === 0)
     return {total: totalCapacity(targets), targets, groups: []};
   const loads = groupLoads(targets, input, engine);
-  const {allNodesReported, nowMs} = input;
+  const {allNodesReported, isPrioritized, nowMs} = input;
   const limitsByGroup = limits.update({
     engine,
     goals,
     groups: loads,
     hasAllReports: allNodesReported,
+    isPrioritized,
     nowMs,
   });
   const groups = loads.flatMap(load => {
--- a/src/policy/admission/groupLimits.ts
+++ b/src/policy/admission/groupLimits.ts
@@ -40,6 +40,11 @@
   readonly groups: readonly GroupLoad[];
   /** Whether `groups` includes the loads of all nodes. */
   readonly hasAllReports: boolean;
+  /**
+   * Whether the pass after the next demand shift must always be in time, not only
+   * when a shift is due; false if absent.
+   */
+  readonly isPrioritized?: boolean;
   readonly nowMs: number;
 }
 
@@ -49,7 +54,7 @@
   | 'slots'
   /** With more requests, passes would last longer than callers accept. */
   | 'passes'
-  /** As `passes`, but right after the demand shift that is expected now. */
+  /** As `passes`, but right after the demand shift that is expected. */
   | 'shift'
   /** Other groups serve callers in time, but this one doesn't. */
   | 'slowGroup'
@@ -112,7 +117,7 @@
 
   /** Maximum requests with which passes last no longer than callers accept. */
   private upperBound(group: GroupLoad, input: GroupLimitsInput): GroupLimit {
-    const {engine, goals, hasAllReports, nowMs} = input;
+    const {engine, goals, hasAllReports, isPrioritized = false, nowMs} = input;
     const {ranks, running, paceMs, outlook} = group;
     const costAt = (skew: number) => passMsPerRequest({engine, ranks, skew});
     const fixedMs = fixedPassMs(engine);
@@ -127,7 +132,10 @@
     if (isMeasured) correction.record(varyingMs / running, expectedMs, nowMs);
     const {factor} = correction;
     const costMs = isMeasured ? varyingMs / running : factor * expectedMs;
-    const shiftMs = factor * costAt(outlook.dueSkew);
+    // Streams outlast the time until a shift is due, so those admitted right after
+    // a shift still run at the next one.
+    const shiftSkew = isPrioritized ? outlook.shiftSkew : outlook.dueSkew;
+    const shiftMs = factor * costAt(shiftSkew);
     const sustainedMs = sustainedPassLimitMs(goals) - fixedMs;
     const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
     return smallest([
