--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -101,6 +101,7 @@
   reset(): void {
     this.reports.clear();
     this.permits.clear();
+    for (const limits of this.limits.values()) limits.restart();
     this.table.markAllSeen(this.nowMs());
     this.resetAtMs = this.nowMs();
     this.rateLimits.reset(this.nowMs());
--- a/src/policy/admission/groupLimits.ts
+++ b/src/policy/admission/groupLimits.ts
@@ -10,6 +10,8 @@
 import type {MapOutlook} from '../mapOutlook';
 import {PassCorrection} from '../passCorrection';
 import {fixedPassMs, passMsPerRequest} from '../passDuration';
+import type {LimitRise} from './limitRise';
+import {nextLimitRise} from './limitRise';
 
 /** Latency that callers of streams accept, milliseconds; 0 for no goal. */
 export interface LatencyGoals {
@@ -56,6 +58,8 @@
   | 'passes'
   /** As `passes`, but right after the demand shift that is expected. */
   | 'shift'
+  /** The limit may not rise yet, or not faster; only for prioritized services. */
+  | 'rise'
   /** Other groups serve callers in time, but this one doesn't. */
   | 'slowGroup'
   /** No group serves callers in time, so some callers are served late. */
@@ -92,9 +96,19 @@
 /** With fewer requests, what each one adds is too small against the fixed part. */
 const MIN_RUNNING_TO_MEASURE = 4;
 
+/** Below this ratio of its bound, a limit is bound by its rise. */
+const MIN_RISEN_RATIO = 0.97;
+
 /** Computes the limits by group; keeps the measured correction of each group. */
 export class GroupLimits {
   private readonly corrections = new Map<string, PassCorrection>();
+  /** Only for prioritized services. */
+  private readonly rises = new Map<string, LimitRise>();
+
+  /** Starts a new term: limits begin at the requests that are running. */
+  restart(): void {
+    this.rises.clear();
+  }
 
   /** Records measured passes and returns the limits; call once per report. */
   update(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
@@ -110,7 +124,11 @@
     return new Map(
       bounds.map(({group, bound}) => [
         group.name,
-        applyMinimum(group, bound, isAnyGroupOnTime),
+        this.applyRise(
+          group,
+          applyMinimum(group, bound, isAnyGroupOnTime),
+          input
+        ),
       ])
     );
   }
@@ -137,7 +155,7 @@
     const shiftSkew = isPrioritized ? outlook.shiftSkew : outlook.dueSkew;
     const shiftMs = factor * costAt(shiftSkew);
     const sustainedMs = sustainedPassLimitMs(goals) - fixedMs;
-    const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
+    const shiftLimitMs = shiftPassLimitMs(goals) - fixedMs;
     return smallest([
       {concurrency: group.slots, reason: 'slots'},
       {concurrency: requestsWithin(sustainedMs, costMs), reason: 'passes'},
@@ -145,6 +163,32 @@
     ]);
   }
 
+  /** Lets the limit of a prioritized service rise slowly toward its bound. */
+  private applyRise(
+    {name, running, paceMs, outlook}: GroupLoad,
+    bound: GroupLimit,
+    {goals, hasAllReports, isPrioritized = false, nowMs}: GroupLimitsInput
+  ): GroupLimit {
+    if (!isPrioritized) {
+      this.rises.delete(name);
+      return bound;
+    }
+    const isInTime = paceMs > 0 && paceMs <= shiftPassLimitMs(goals);
+    const next = nextLimitRise(this.rises.get(name), {
+      bound: bound.concurrency,
+      running,
+      hasAllReports,
+      isServedInTime: isInTime && !outlook.isHeld,
+      nowMs,
+    });
+    this.rises.set(name, next);
+    const isRisen = next.limit >= bound.concurrency * MIN_RISEN_RATIO;
+    return {
+      concurrency: next.limit,
+      reason: isRisen ? bound.reason : 'rise',
+    };
+  }
+
   private correctionOf(name: string): PassCorrection {
     const known = this.corrections.get(name);
     if (known !== undefined) return known;
@@ -155,8 +199,9 @@
 
   private retain(groups: readonly GroupLoad[]): void {
     const names = new Set(groups.map(({name}) => name));
-    for (const name of this.corrections.keys())
-      if (!names.has(name)) this.corrections.delete(name);
+    for (const byName of [this.corrections, this.rises])
+      for (const name of byName.keys())
+        if (!names.has(name)) byName.delete(name);
   }
 }
 
@@ -186,6 +231,11 @@
   );
 }
 
+/** Longest pass duration right after a demand shift. */
+function shiftPassLimitMs({pauseMs}: LatencyGoals): number {
+  return pauseMs * SHIFT_PAUSE_RATIO;
+}
+
 /** Longest pass duration that meets both goals when it is sustained. */
 function sustainedPassLimitMs({pauseMs, firstEventMs}: LatencyGoals): number {
   const forPauses = pauseMs * SUSTAINED_PAUSE_RATIO;
