--- a/tests/admissionLimit.spec.ts
+++ b/tests/admissionLimit.spec.ts
@@ -1,15 +1,11 @@
 import {SeededRandom} from '../bench/fuzz/schedule';
 import type {PassProfile} from '../src/core/passProfile';
 import type {
-  GroupLimit,
   GroupLimitsInput,
   GroupLoad,
 } from '../src/policy/admission/groupLimits';
 import {GroupLimits} from '../src/policy/admission/groupLimits';
-import type {
-  LimitRise,
-  LimitRiseInput,
-} from '../src/policy/admission/limitRise';
+import type {LimitRiseInput} from '../src/policy/admission/limitRise';
 import {nextLimitRise} from '../src/policy/admission/limitRise';
 import {MeasuredCost} from '../src/policy/admission/measuredCost';
 import {FIRST_MAP_OUTLOOK} from '../src/policy/mapOutlook';
@@ -38,7 +34,7 @@
 
 const AFTER_SHIFT = {skew: 1.2, shiftSkew: 3, dueSkew: 0, isHeld: false};
 
-function limitOf(limits: GroupLimits, change: Change): GroupLimit {
+function limitOf(limits: GroupLimits, change: Change) {
   const load = {running: 0, paceMs: 0, outlook: AFTER_SHIFT, ...change};
   const all = limits.update({
     groups: [{name: 'g', ranks: RANKS, slots: SLOTS, ...load}],
@@ -148,19 +144,12 @@
 });
 
 /** Steps every 50 ms; returns the limits. */
-function limitsOver(
-  inputs: readonly Partial<LimitRiseInput>[],
-  start?: LimitRise
-): readonly number[] {
-  let state = start;
+function limitsOver(inputs: readonly Partial<LimitRiseInput>[]) {
+  let state: ReturnType<typeof nextLimitRise> | undefined;
   return inputs.map((input, step) => {
     state = nextLimitRise(state, {
-      bound: 500,
-      running: 300,
-      hasAllReports: true,
-      isServedInTime: true,
-      nowMs: step * 50,
-      ...input,
+      ...{bound: 500, running: 300, nowMs: step * 50},
+      ...{hasAllReports: true, isServedInTime: true, ...input},
     });
     return state.limit;
   });
@@ -220,9 +209,9 @@
 function turnIntervalsMs(limits: readonly number[]): readonly number[] {
   const moves = limits
     .map((limit, i) => ({i, sign: Math.sign(limit - (limits[i - 1] ?? limit))}))
-    .filter(({sign}) => Math.abs(sign) === 1);
+    .filter(({sign}) => sign !== 0);
   const turns = moves.filter(
-    ({sign}, i) => sign !== (moves[i - 1]?.sign ?? sign)
+    (move, i) => move.sign + (moves[i - 1]?.sign ?? 0) === 0
   );
   return turns.slice(1).map(({i}, at) => (i - turns[at]!.i) * 50);
 }
@@ -234,16 +223,14 @@
 const CAPACITY =
   (GOALS.pauseMs - fixedPassMs(ENGINE)) /
   (COST_RATIO * (1 + COST_NOISE) * (passMs(1, 3) - passMs(0, 3)));
-const PASSES_PER_STREAM = 24;
+const STREAM_PASSES = 24;
 const STREAM_S = 2;
 const NODES = 14;
 const REPORT_MS = 100;
 const OVERLOAD_MS = 4_000;
 const SHIFTS_MS = [-2_000, 1_400, 4_800];
 /** Times after a shift at which its map is planned, held back, and in use. */
-const PLAN_MS = 350;
-const HOLD_MS = 450;
-const SWITCHED_MS = 600;
+const [PLAN_MS, HOLD_MS, SWITCHED_MS] = [350, 450, 600] as const;
 
 /**
  * Streams of 14 nodes in one group: 0.7 times the capacity, twice it from 4 s on, and
@@ -252,19 +239,17 @@
  */
 function play(seed: number, {lossRatio = 0, newLeaderMs = Infinity} = {}) {
   const random = new SeededRandom(seed);
-  const nodes = Array.from({length: NODES}, () => ({
-    ...{grant: 1, inFlight: 0, reported: 0, paceMs: 0},
-  }));
+  const idle = {grant: 1, inFlight: 0, reported: 0, paceMs: 0};
+  const nodes = Array.from({length: NODES}, () => ({...idle}));
   const total = (key: 'grant' | 'reported') =>
     nodes.reduce((all, node) => all + node[key], 0);
-  const done: {isLate: boolean}[] = [];
   const limitsByStep: number[] = [];
   const used: number[] = [];
   let limits = new GroupLimits();
   let history = new ShiftHistory(3, -6_000);
   let leaderMs = -10_000;
-  let streams: {node: number; atMs: number; left: number; isLate: boolean}[] =
-    [];
+  const done: {isLate: boolean}[] = [];
+  let streams = [{node: 0, atMs: 0, left: 0, isLate: false}].slice(1);
   let pass = {fromMs: 0, endMs: 0};
   let lastPassMs = 0;
   for (let nowMs = 0; nowMs < 7_000; nowMs += 10) {
@@ -286,15 +271,13 @@
     nodes.forEach((node, i) => {
       node.inFlight = streams.filter(stream => stream.node === i).length;
     });
-    const arrivals =
-      ((nowMs < OVERLOAD_MS ? 0.7 : 2) * CAPACITY) / STREAM_S / 100;
-    for (let i = Math.floor(arrivals + random.next()); i > 0; i--) {
+    const load = nowMs < OVERLOAD_MS ? 0.7 : 2;
+    const arrivals = (load * CAPACITY) / STREAM_S / 100 + random.next();
+    for (let i = Math.floor(arrivals); i > 0; i--) {
       const node = random.int(0, NODES - 1);
-      if (nodes[node]!.inFlight++ < nodes[node]!.grant)
-        streams.push({
-          ...{node, atMs: nowMs, left: PASSES_PER_STREAM, isLate: false},
-        });
-      else nodes[node]!.inFlight--;
+      if (nodes[node]!.inFlight >= nodes[node]!.grant) continue;
+      nodes[node]!.inFlight++;
+      streams.push({node, atMs: nowMs, left: STREAM_PASSES, isLate: false});
     }
     if (nowMs === newLeaderMs) {
       limits = new GroupLimits();
@@ -315,12 +298,10 @@
     if (nowMs % 50 !== 0) continue;
     const isSkewKnown = nowMs - leaderMs >= 600;
     const isPlanned = shiftedMs >= PLAN_MS && shiftedMs < SWITCHED_MS;
-    const pacesMs = nodes
-      .flatMap(({paceMs}) => (paceMs > 0 ? paceMs : []))
-      .sort((a, b) => a - b);
+    const pacesMs = nodes.map(({paceMs}) => paceMs).sort((a, b) => b - a);
     const limit = limitOf(limits, {
       running: total('reported'),
-      paceMs: pacesMs[Math.floor(pacesMs.length / 2)] ?? 0,
+      paceMs: pacesMs[NODES / 2]!,
       outlook: {
         skew: isSkewKnown ? (isPlanned ? 3 : 1.2) : 1,
         shiftSkew: history.worstSkew(nowMs),
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -72,7 +72,7 @@
   };
 }
 
-function fixture() {
+function fixture(site = SITE) {
   let nowMs = 1_000;
   const table = new TargetTable();
   const coordinator = new Coordinator(
@@ -97,7 +97,7 @@
       zonesOut,
     };
     const nodes = {revision: 1, all: () => []};
-    return coordinator.sync(report(ip, wanted, passMs), agreed, SITE, nodes);
+    return coordinator.sync(report(ip, wanted, passMs), agreed, site, nodes);
   };
   const wait = (ms: number) => {
     nowMs += ms;
@@ -144,6 +144,18 @@
     expect(shares[1]).toBeGreaterThan(shares[0]!);
   });
 
+  // Guards against a leader of a new term that continues with limits of an earlier one.
+  it('should start limits of a prioritized service from what runs', () => {
+    const split = [{service: 's', weight: 1}];
+    const goals = {repeat: 'stream', gapTargetMs: 150, latencyTargetMs: 500};
+    const routes = [0, 1].map(priority => ({...goals, priority, split}));
+    const site = {...SITE, routes: routes as unknown as Site['routes']};
+    const {sync, coordinator} = fixture(site);
+    expect(grantedSlots(sync('n1', 0))).toBe(24);
+    coordinator.reset();
+    expect(grantedSlots(sync('n1', 4))).toBe(4);
+  });
+
   // All callers use other nodes than the leader. Without the reports of those
   // nodes it saw no stream, read no counters, and kept the first map for good.
   it('should take the pass duration from the streams of other nodes', () => {
