--- a/src/policy/admission/groupLimits.ts
+++ b/src/policy/admission/groupLimits.ts
@@ -10,6 +10,8 @@
 import type {MapOutlook} from '../mapOutlook';
 import {PassCorrection} from '../passCorrection';
 import {fixedPassMs, passMsPerRequest} from '../passDuration';
+import type {RequestCosts} from './protectedLimit';
+import {ProtectedLimit} from './protectedLimit';
 
 /** Latency that callers of streams accept, milliseconds; 0 for no goal. */
 export interface LatencyGoals {
@@ -40,6 +42,13 @@
   readonly groups: readonly GroupLoad[];
   /** Whether `groups` includes the loads of all nodes. */
   readonly hasAllReports: boolean;
+  /**
+   * Whether the pass after the next demand shift must always be in time, not only
+   * when a shift is due; false if absent.
+   */
+  readonly isPrioritized?: boolean;
+  /** Period in which each node reports, milliseconds; 0 if absent. */
+  readonly reportPeriodMs?: number;
   readonly nowMs: number;
 }
 
@@ -49,8 +58,10 @@
   | 'slots'
   /** With more requests, passes would last longer than callers accept. */
   | 'passes'
-  /** As `passes`, but right after the demand shift that is expected now. */
+  /** As `passes`, but right after the demand shift that is expected. */
   | 'shift'
+  /** The limit may not rise yet, or not faster; only for prioritized services. */
+  | 'rise'
   /** Other groups serve callers in time, but this one doesn't. */
   | 'slowGroup'
   /** No group serves callers in time, so some callers are served late. */
@@ -86,10 +97,19 @@
 const MIN_REQUEST_COST_MS = 1e-3;
 /** With fewer requests, what each one adds is too small against the fixed part. */
 const MIN_RUNNING_TO_MEASURE = 4;
+/** Below this ratio of its bound, a limit is bound by its rise. */
+const MIN_RISEN_RATIO = 0.97;
 
 /** Computes the limits by group; keeps the measured correction of each group. */
 export class GroupLimits {
   private readonly corrections = new Map<string, PassCorrection>();
+  /** Only for prioritized services. */
+  private readonly protectedLimits = new Map<string, ProtectedLimit>();
+
+  /** Starts a new term: limits begin at the requests that are running. */
+  restart(): void {
+    for (const limit of this.protectedLimits.values()) limit.restart();
+  }
 
   /** Records measured passes and returns the limits; call once per report. */
   update(input: GroupLimitsInput): ReadonlyMap<string, GroupLimit> {
@@ -105,19 +125,42 @@
     return new Map(
       bounds.map(({group, bound}) => [
         group.name,
-        applyMinimum(group, bound, isAnyGroupOnTime),
+        this.applyRise(
+          group,
+          applyMinimum(group, bound, isAnyGroupOnTime),
+          input
+        ),
       ])
     );
   }
 
   /** Maximum requests with which passes last no longer than callers accept. */
   private upperBound(group: GroupLoad, input: GroupLimitsInput): GroupLimit {
-    const {engine, goals, hasAllReports, nowMs} = input;
+    const {engine, goals, isPrioritized} = input;
+    const fixedMs = fixedPassMs(engine);
+    const passLimitMs = shiftPassLimitMs(goals);
+    const costs = isPrioritized
+      ? this.protectedLimitOf(group.name).costs(group, input, passLimitMs)
+      : this.costs(group, input);
+    const sustainedLimitMs = sustainedPassLimitMs(goals) - fixedMs;
+    const shiftLimitMs = passLimitMs - fixedMs;
+    const {sustainedMs, shiftMs} = costs;
+    return smallest([
+      {concurrency: group.slots, reason: 'slots'},
+      {
+        concurrency: requestsWithin(sustainedLimitMs, sustainedMs),
+        reason: 'passes',
+      },
+      {concurrency: requestsWithin(shiftLimitMs, shiftMs), reason: 'shift'},
+    ]);
+  }
+
+  private costs(group: GroupLoad, input: GroupLimitsInput): RequestCosts {
+    const {engine, hasAllReports, nowMs} = input;
     const {ranks, running, paceMs, outlook} = group;
     const costAt = (skew: number) => passMsPerRequest({engine, ranks, skew});
-    const fixedMs = fixedPassMs(engine);
     const correction = this.correctionOf(group.name);
-    const varyingMs = paceMs - fixedMs;
+    const varyingMs = paceMs - fixedPassMs(engine);
     const isMeasured =
       hasAllReports &&
       running >= MIN_RUNNING_TO_MEASURE &&
@@ -126,15 +169,39 @@
     const expectedMs = costAt(outlook.skew);
     if (isMeasured) correction.record(varyingMs / running, expectedMs, nowMs);
     const {factor} = correction;
-    const costMs = isMeasured ? varyingMs / running : factor * expectedMs;
-    const shiftMs = factor * costAt(outlook.dueSkew);
-    const sustainedMs = sustainedPassLimitMs(goals) - fixedMs;
-    const shiftLimitMs = goals.pauseMs * SHIFT_PAUSE_RATIO - fixedMs;
-    return smallest([
-      {concurrency: group.slots, reason: 'slots'},
-      {concurrency: requestsWithin(sustainedMs, costMs), reason: 'passes'},
-      {concurrency: requestsWithin(shiftLimitMs, shiftMs), reason: 'shift'},
-    ]);
+    return {
+      sustainedMs: isMeasured ? varyingMs / running : factor * expectedMs,
+      shiftMs: factor * costAt(outlook.dueSkew),
+    };
+  }
+
+  /** Lets the limit of a prioritized service rise slowly toward its bound. */
+  private applyRise(
+    group: GroupLoad,
+    bound: GroupLimit,
+    input: GroupLimitsInput
+  ): GroupLimit {
+    const {name} = group;
+    if (!input.isPrioritized) {
+      this.protectedLimits.delete(name);
+      return bound;
+    }
+    const conditions = {
+      bound: bound.concurrency,
+      passLimitMs: shiftPassLimitMs(input.goals),
+    };
+    const limit = this.protectedLimitOf(name);
+    const concurrency = limit.rise(group, input, conditions);
+    const isRisen = concurrency >= bound.concurrency * MIN_RISEN_RATIO;
+    return {concurrency, reason: isRisen ? bound.reason : 'rise'};
+  }
+
+  private protectedLimitOf(name: string): ProtectedLimit {
+    const known = this.protectedLimits.get(name);
+    if (known !== undefined) return known;
+    const limit = new ProtectedLimit();
+    this.protectedLimits.set(name, limit);
+    return limit;
   }
 
   private correctionOf(name: string): PassCorrection {
@@ -147,8 +214,9 @@
 
   private retain(groups: readonly GroupLoad[]): void {
     const names = new Set(groups.map(({name}) => name));
-    for (const name of this.corrections.keys())
-      if (!names.has(name)) this.corrections.delete(name);
+    for (const byName of [this.corrections, this.protectedLimits])
+      for (const name of byName.keys())
+        if (!names.has(name)) byName.delete(name);
   }
 }
 
@@ -178,6 +246,11 @@
   );
 }
 
+/** Longest pass duration right after a demand shift. */
+function shiftPassLimitMs({pauseMs}: LatencyGoals): number {
+  return pauseMs * SHIFT_PAUSE_RATIO;
+}
+
 /** Longest pass duration that meets both goals when it is sustained. */
 function sustainedPassLimitMs({pauseMs, firstEventMs}: LatencyGoals): number {
   const forPauses = pauseMs * SUSTAINED_PAUSE_RATIO;
