--- a/src/policy/admission/admissionQueue.ts
+++ b/src/policy/admission/admissionQueue.ts
@@ -6,12 +6,14 @@
  * only if it is expected to start in time, and is refused at once otherwise.
  */
 
-import type {Urgency} from './urgency';
-import {compareUrgency} from './urgency';
+import type {Urgency, UrgencyKey} from './urgency';
+import {compareUrgency, urgencyKey} from './urgency';
 
 /** A request to admit, queue or refuse. */
 export interface QueuedRequest {
   readonly urgency: Urgency;
+  /** Whether it returns as told after a refusal; goes before others of its urgency. */
+  readonly isReturning?: boolean;
   /** Longest wait after which the response is still in time, milliseconds. */
   readonly maxWaitMs: number;
   /** Called once, when the request is admitted. */
@@ -33,6 +35,7 @@
  * node.
  */
 const MIN_BORROW_WAIT_MS = 150;
+const MS_PER_S = 1_000;
 /** Assumed service time before the first request has ended. */
 const INITIAL_SERVICE_TIME_MS = 1_000;
 
@@ -62,6 +65,21 @@
     return this.waiting.length;
   }
 
+  /** Slots that become free per second. */
+  get freedPerSecond(): number {
+    return (this.limit * MS_PER_S) / Math.max(1, this.serviceTimeMs);
+  }
+
+  /** Number of queued requests of each urgency that has any. */
+  waitingByUrgency(): Record<UrgencyKey, number> {
+    const counts: Record<UrgencyKey, number> = {};
+    for (const {request} of this.waiting) {
+      const key = urgencyKey(request.urgency);
+      counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /**
    * Applies a new limit; running requests beyond it are not aborted. `free` is the
    * number of slots that other nodes leave unused and that may be granted here.
@@ -79,7 +97,7 @@
       request.start();
       return;
     }
-    const ahead = this.countAhead(request.urgency);
+    const ahead = this.countAhead(request);
     const waitMs = this.expectedWaitMs(ahead);
     if (waitMs > request.maxWaitMs && !this.canBorrow(request)) {
       request.refuse();
@@ -126,10 +144,10 @@
     }
   }
 
-  /** Number of queued requests that are at least as urgent. */
-  private countAhead(urgency: Urgency): number {
+  /** Number of queued requests that go before it. */
+  private countAhead(added: QueuedRequest): number {
     const index = this.waiting.findIndex(
-      ({request}) => compareUrgency(request.urgency, urgency) > 0
+      ({request}) => compareOrder(request, added) > 0
     );
     return index < 0 ? this.waiting.length : index;
   }
@@ -140,3 +158,10 @@
     return ((ahead + 1 + extra) * this.serviceTimeMs) / Math.max(1, this.limit);
   }
 }
+
+/** Positive if `b` goes before `a` although it came later. */
+function compareOrder(a: QueuedRequest, b: QueuedRequest): number {
+  const byUrgency = compareUrgency(a.urgency, b.urgency);
+  if (byUrgency !== 0) return byUrgency;
+  return Number(b.isReturning === true) - Number(a.isReturning === true);
+}
--- a/src/policy/admission/retryTiming.ts
+++ b/src/policy/admission/retryTiming.ts
@@ -9,10 +9,11 @@
 /** Time constant with which the counts of requests and refusals decay. */
 const DECAY_MS = 1_500;
 /** Ratio of refused requests above which a shortage counts as lasting. */
-const LASTING_REFUSAL_RATIO = 0.12;
-/** Range of a quick retry: the next slots become free within a few passes. */
-const QUICK_RETRY_MIN_MS = 120;
-const QUICK_RETRY_MAX_MS = 300;
+export const LASTING_REFUSAL_RATIO = 0.12;
+/** Earliest quick retry: the next slots become free within a few passes. */
+export const QUICK_RETRY_MIN_MS = 120;
+/** Latest quick retry. */
+export const QUICK_RETRY_MAX_MS = 300;
 /**
  * Range of a late retry: shortages last about this long, and callers wait at most a
  * third of the eight seconds that streams have. The range spreads the retries.
--- /dev/null
+++ b/tests/nodeAdmission.spec.ts
@@ -0,0 +1,86 @@
+import {NodeAdmission} from '../src/policy/admission/nodeAdmission';
+
+const HALF = () => 0.5;
+
+function createNode(ratio: number, freshForMs = 1_000) {
+  const node = new NodeAdmission(HALF);
+  node.applyGrant([{urgency: '1/0', ratio, customers: {}}], freshForMs, 0);
+  const request = (promptId?: string, customer = 'a', work = 50) => ({
+    urgency: {customer: 1, route: 0},
+    customer,
+    promptId,
+    work,
+    remainingMs: 8_000,
+    freedPerSecond: 100,
+  });
+  const arrive = (promptId?: string, nowMs = 0, customer = 'a') =>
+    node.arrive(request(promptId, customer), nowMs);
+  return {node, request, arrive};
+}
+
+describe('admission at a node', () => {
+  it('should recognize a request that returns as told', () => {
+    const {arrive} = createNode(0.01);
+    const refused = arrive('p');
+    if (refused.kind !== 'refused') throw new Error('admitted at 0.01');
+    expect(refused.retryInMs).toBeGreaterThanOrEqual(700);
+    expect(arrive('q', refused.retryInMs).kind).toBe('refused');
+    expect(arrive('p', refused.retryInMs)).toMatchObject({isReturning: true});
+  });
+
+  // Guards against callers who hammer: each early return would be one more chance.
+  it('should refuse a request that returns early, and keep its time', () => {
+    const {arrive} = createNode(0.9);
+    const earlyMs = 450;
+    let nowMs = 0;
+    let waitMs: number | undefined;
+    for (let i = 0; waitMs === undefined; i++) {
+      const decision = arrive(`p${i}`, nowMs);
+      if (decision.kind === 'refused') waitMs = decision.retryInMs;
+      else nowMs++;
+    }
+    const dueAtMs = nowMs + waitMs;
+    for (let i = 0; i < 50; i++)
+      expect(arrive(`p${nowMs}`, dueAtMs - earlyMs)).toMatchObject({
+        kind: 'refused',
+        retryInMs: earlyMs,
+      });
+    expect(arrive(`p${nowMs}`, dueAtMs).kind).toBe('admitted');
+  });
+
+  // Guards against a caller that takes the place of another by a guessed prompt id.
+  it("should not recognize another customer's prompt id", () => {
+    const {arrive} = createNode(0.01, 10_000);
+    arrive('p');
+    expect(arrive('p', 3_000, 'b').kind).toBe('refused');
+  });
+
+  // Guards against demand that vanishes from the reports because it was refused.
+  it('should count the work of all arrivals, also of those refused', () => {
+    const {node, request} = createNode(0.3);
+    for (let i = 0; i < 9; i++) node.arrive(request(`p${i}`), 0);
+    for (const work of [NaN, -1, 0]) node.arrive(request('x', 'b', work), 0);
+    expect(node.takeDemand()).toEqual([
+      {urgency: '1/0', customer: 'a', arrivals: 9, work: 450},
+      {urgency: '1/0', customer: 'b', arrivals: 3, work: 3},
+    ]);
+    expect(node.takeDemand()).toEqual([]);
+  });
+
+  it('should keep the ratio while the grant is fresh', () => {
+    const {node} = createNode(0.5);
+    expect(node.ratios(1_000).get('1/0')).toBe(0.5);
+    expect(node.ratios(3_000).get('1/0')).toBe(0.75);
+  });
+
+  // Guards against quick retries during an overload that the leader does not know yet.
+  it('should tell a quick retry only after a momentary refusal by the queue', () => {
+    const {node, request} = createNode(1);
+    for (let i = 0; i < 50; i++) node.arrive(request(`p${i}`), i * 20);
+    const first = node.refuseInQueue(request('p1'), 1_000);
+    expect(first).toBeGreaterThanOrEqual(120);
+    expect(first).toBeLessThan(300);
+    for (let i = 0; i < 20; i++) node.refuseInQueue(request(`p${i}`), 1_000);
+    expect(node.refuseInQueue(request('p2'), 1_000)).toBeGreaterThan(700);
+  });
+});
