--- a/src/gateway/admitRequest.ts
+++ b/src/gateway/admitRequest.ts
@@ -7,6 +7,7 @@
 import type {AdmissionOutcome} from '../core/nodeMetrics';
 import type {ArrivingRequest} from '../policy/admission/nodeAdmission';
 import {urgencyKey} from '../policy/admission/urgency';
+import {reportPeriodMs} from '../policy/reportPeriod';
 import {requestCost} from '../policy/sampledTargetChoice';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {Gateway} from './gateway';
@@ -18,12 +19,22 @@
 /** Digits of a ratio in log lines. */
 const RATIO_DIGITS = 3;
 
+/**
+ * Requests that a node may queue for slots of other nodes after the admission ratio
+ * admitted them: the service has capacity for them, and the leader moves a slot here
+ * after the next report. A node with few slots would otherwise refuse them whenever
+ * all of its own are taken.
+ */
+const BORROW_LIMIT = 2;
+
 /** Result of an admission; undefined when the caller is gone. */
 export type AdmissionResult = GatewayRefusal | undefined | 'admitted';
 
 /** A request that may enter the queue. */
 interface QueueTicket {
   readonly isReturning: boolean;
+  /** See `QueuedRequest`. */
+  readonly borrowLimit: number;
   onAdmitted(): void;
   /** Counts a refusal by the queue and returns its Retry-After, milliseconds. */
   onRefused(): number;
@@ -50,6 +61,7 @@
   retryTiming.recordRequest(performance.now());
   return waitForSlot(pool, state, routed, {
     isReturning: false,
+    borrowLimit: 0,
     onAdmitted: () => undefined,
     onRefused: () => {
       state.refusalCause = {
@@ -93,6 +105,7 @@
   }
   return waitForSlot(pool, state, routed, {
     isReturning: decision.isReturning,
+    borrowLimit: borrowLimit(gateway, routed, decision.ratio),
     onAdmitted: () => count('admitted'),
     onRefused: () => {
       count('refused_by_queue');
@@ -102,6 +115,18 @@
   });
 }
 
+/** Other nodes' slots arrive in time only if the next report is soon. */
+function borrowLimit(
+  gateway: Gateway,
+  {route}: RoutedRequest,
+  ratio: number
+): number {
+  const nodes = gateway.view?.activeNodes ?? 1;
+  const isOverloaded = ratio < 1;
+  const isInTime = reportPeriodMs(nodes) < maxQueueWaitMs(route);
+  return isOverloaded && nodes > 1 && isInTime ? BORROW_LIMIT : 0;
+}
+
 function arrivingRequest(
   pool: ServicePool,
   {caller, remainingMs}: RequestState,
@@ -143,6 +168,7 @@
     const request = {
       urgency,
       isReturning: ticket.isReturning,
+      borrowLimit: ticket.borrowLimit,
       maxWaitMs,
       start: () => {
         ticket.onAdmitted();
--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -143,7 +143,7 @@
     return {
       demand: [...this.admission.takeDemand()],
       waitingByUrgency: this.queue.waitingByUrgency(),
-      serviceTimeMs: this.queue.serviceTimeMs,
+      serviceTimeMs: this.queue.measuredServiceTimeMs,
     };
   }
 
--- a/src/policy/admission/admissionQueue.ts
+++ b/src/policy/admission/admissionQueue.ts
@@ -14,6 +14,11 @@
   readonly urgency: Urgency;
   /** Whether it returns as told after a refusal; goes before others of its urgency. */
   readonly isReturning?: boolean;
+  /**
+   * Queued requests up to which it may wait for slots of other nodes, even if the
+   * leader knows of none that are unused; 0 if absent.
+   */
+  readonly borrowLimit?: number;
   /** Longest wait after which the response is still in time, milliseconds. */
   readonly maxWaitMs: number;
   /** Called once, when the request is admitted. */
@@ -46,6 +51,8 @@
   private free = 0;
   private running = 0;
   private meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
+  private measuredTimeMs = INITIAL_SERVICE_TIME_MS;
+  private ended = 0;
 
   get inFlight(): number {
     return this.running;
@@ -56,6 +63,15 @@
     return this.meanServiceTimeMs;
   }
 
+  /**
+   * Mean service time of the requests that ended, as a moving average once there are
+   * enough. `serviceTimeMs` still shows its initial value after dozens of requests, for
+   * which a node with few slots takes many seconds.
+   */
+  get measuredServiceTimeMs(): number {
+    return this.measuredTimeMs;
+  }
+
   /** Concurrency limit of this node. */
   get concurrencyLimit(): number {
     return this.limit;
@@ -67,7 +83,7 @@
 
   /** Slots that become free per second. */
   get freedPerSecond(): number {
-    return (this.limit * MS_PER_S) / Math.max(1, this.serviceTimeMs);
+    return (this.limit * MS_PER_S) / Math.max(1, this.measuredTimeMs);
   }
 
   /** Number of queued requests of each urgency that has any. */
@@ -112,12 +128,17 @@
     this.running--;
     this.meanServiceTimeMs +=
       (heldMs - this.meanServiceTimeMs) * SERVICE_TIME_EWMA_ALPHA;
+    this.ended++;
+    this.measuredTimeMs +=
+      (heldMs - this.measuredTimeMs) *
+      Math.max(SERVICE_TIME_EWMA_ALPHA, 1 / this.ended);
     this.startNext();
   }
 
   /** Whether a slot that another node leaves unused can be granted in time. */
-  private canBorrow({maxWaitMs}: QueuedRequest): boolean {
-    return this.waiting.length < this.free && maxWaitMs >= MIN_BORROW_WAIT_MS;
+  private canBorrow({maxWaitMs, borrowLimit = 0}: QueuedRequest): boolean {
+    const limit = Math.max(this.free, borrowLimit);
+    return this.waiting.length < limit && maxWaitMs >= MIN_BORROW_WAIT_MS;
   }
 
   /** Removes a queued request whose caller has disconnected. */
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -93,4 +93,27 @@
     enter('b', 1, 100);
     expect(outcomes[1]).toEqual({id: 'b', kind: 'refused'});
   });
+
+  // Guards against a node with few slots that refuses what the admission ratio admitted
+  // while the leader could move a slot there.
+  it('should queue a few requests for slots that the leader moves', () => {
+    const {queue} = fixture(0);
+    const urgency = {customer: 1, route: 1};
+    const refuse = jest.fn();
+    const request = {urgency, borrowLimit: 2, start: jest.fn(), refuse};
+    for (let i = 0; i < 3; i++) queue.enter({...request, maxWaitMs: 160}, 0);
+    queue.enter({...request, maxWaitMs: 100}, 0);
+    expect(queue.waitingByUrgency()).toEqual({'1/1': 2});
+    expect(refuse).toHaveBeenCalledTimes(2);
+  });
+
+  // Guards against a report of half the service time for many seconds after a start,
+  // by which the leader admitted half again as much as the capacity.
+  it('should measure the service time from the first requests on', () => {
+    const {queue, enter} = fixture(3);
+    for (const id of ['a', 'b', 'c']) enter(id);
+    for (const heldMs of [2_000, 3_000, 2_500]) queue.leave(heldMs);
+    expect(queue.measuredServiceTimeMs).toBeCloseTo(2_500);
+    expect(queue.freedPerSecond).toBeCloseTo(3 / 2.5);
+  });
 });
