--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -14,16 +14,7 @@
 import {serveRequest} from '../../src/gateway/serveRequest';
 import {SiteIndex} from '../../src/site/siteIndex';
 import type {RetrySemantics, SiteRoute} from '../../src/site/site';
-
-const SILENT_LOGGER = {
-  trace: () => undefined,
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  fatal: () => undefined,
-  child: () => SILENT_LOGGER,
-} as never;
+import {recordingLogger} from '../fixtures/recordingLogger';
 
 /** Handles one request at a fake target. */
 export type Handler = (
@@ -84,6 +75,8 @@
   }[] = [];
   readonly table = new TargetTable();
   readonly pushback: TargetPushback;
+  /** What the gateway logs. */
+  readonly log = recordingLogger();
   private readonly metrics = new NodeMetrics();
   private readonly servers: http.Server[] = [];
   private gateway: Gateway | undefined;
@@ -93,7 +86,7 @@
   private constructor(private readonly cluster: ClusterOverrides) {
     const {metrics} = this;
     this.pushback = new TargetPushback(this.table, {
-      logger: SILENT_LOGGER,
+      logger: this.log.logger,
       metrics,
       readNotice: TARGET_CODEC.readNotice,
       nodeIds: () => ({self: 'node', all: ['node']}),
@@ -272,7 +265,7 @@
         coldSlack: 5,
       },
       availabilityZone: 'a',
-      logger: SILENT_LOGGER,
+      logger: this.log.logger,
       metrics,
       random: Math.random,
       node: () => node,
--- a/tests/platform/prioritizedService.spec.ts
+++ b/tests/platform/prioritizedService.spec.ts
@@ -56,6 +56,12 @@
         waitingByUrgency: {},
       },
     ]);
+    expect(fixture.log.events('request.refused')).toMatchObject([
+      {
+        ...{refusedBy: 'ratio', urgency: '1/1', customer: 'one', ratio: 0},
+        ...{boundBy: 'passes', grantAgeMs: expect.any(Number)},
+      },
+    ]);
     const metrics = await fixture.metricsText();
     expect(metrics).toContain(
       'marlpulley_admission_total{service="s",urgency="1/1",outcome="refused_by_ratio"} 1'
@@ -79,6 +85,15 @@
     expect(sent).toEqual(['1', '1', '0']);
   });
 
+  // Guards against work that follows false hints: these streams have two events.
+  it('should correct the length hints by the streams that ended', async () => {
+    fixture = await start([BREAKS_ONCE, BREAKS_ONCE], 1);
+    const hints = {'x-token-count': '0,100', 'x-length-hint': '40'};
+    for (let i = 0; i < 2; i++) await fixture.call('/stream/x', hints);
+    const work = fixture.takeLoads()[0]?.demand?.[0]?.work;
+    expect(work).toBeCloseTo(40 + 40 * (1 - 0.05 * 0.75));
+  });
+
   it('should be the only one whose urgency is sent', async () => {
     fixture = await GatewayFixture.start([OK]);
     await fixture.call('/once/x', {'x-request-urgency': '7'});
