--- /dev/null
+++ b/bench/fuzz/diskNodes.ts
@@ -0,0 +1,168 @@
+/**
+ * Clusters of the log model whose nodes all have a disk: three found the group,
+ * and the others may become voters.
+ */
+
+import type {VoterLimit} from '../../src/control/log/logOptions';
+import type {LogInstance} from './logInstance';
+import {LogCluster} from './logModel';
+
+const FOUNDERS = 3;
+const SETTLE_CHECK_MS = 250;
+const SETTLE_TIMEOUT_MS = 120_000;
+const SILENT_MS = 8_000;
+/** Report period of 300 nodes. */
+const REPORT_PERIOD_MS = 900;
+
+/** Shape of a cluster of nodes with disks. */
+export interface DiskNodesShape {
+  readonly nodes: number;
+  /** Zone of the node with this index; three zones in turn when absent. */
+  readonly zoneAt?: (index: number) => string;
+  /** Most voters; unlimited when absent. */
+  readonly maxVoters?: number;
+  readonly minVoters?: number;
+  /** Whether nodes report to the leader outside the log; true when absent. */
+  readonly hasReports?: boolean;
+}
+
+/** A running cluster of nodes with disks. */
+export class DiskNodes {
+  readonly cluster: LogCluster;
+  /** Nodes that the others no longer know, for example replaced machines. */
+  readonly forgotten = new Set<string>();
+  private readonly zones: ReadonlyMap<string, string>;
+  private maxVoters: number;
+  private readonly reportedAt = new Map<string, number>();
+
+  constructor(
+    seed: number,
+    private readonly shape: DiskNodesShape
+  ) {
+    this.maxVoters = shape.maxVoters ?? Infinity;
+    const {nodes, zoneAt = index => 'abc'[index % 3] ?? ''} = shape;
+    const ids = Array.from({length: nodes}, (_, index) => nodeId(index));
+    this.zones = new Map(ids.map((id, index) => [id, zoneAt(index)]));
+    this.cluster = new LogCluster(seed, {
+      ids,
+      settingsOf: id => ({
+        peerIds: () =>
+          ids.filter(other => other !== id && !this.forgotten.has(other)),
+        founders: ids.slice(0, FOUNDERS),
+        voterEviction: {silentMs: SILENT_MS, minVoters: shape.minVoters ?? 3},
+        voterLimit: this.voterLimit(id),
+      }),
+    });
+    this.cluster.endFaults();
+  }
+
+  /** As if all nodes were replaced by a version with another limit. */
+  setMaxVoters(maxVoters: number): void {
+    this.maxVoters = maxVoters;
+  }
+
+  zoneOf(id: string): string | undefined {
+    return this.forgotten.has(id) ? undefined : this.zones.get(id);
+  }
+
+  /** The instance that leads; throws without one. */
+  leader(): LogInstance {
+    const leader = this.cluster.leader();
+    if (leader === undefined) throw new Error('no leader');
+    return leader;
+  }
+
+  voterIds(): readonly string[] {
+    return this.cluster.leader()?.status()?.voterIds ?? [];
+  }
+
+  /** Voters by zone. */
+  votersByZone(): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const id of this.voterIds()) {
+      const zone = this.zones.get(id) ?? '';
+      counts[zone] = (counts[zone] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  instance(id: string): LogInstance {
+    const instance = this.cluster.instances.get(id);
+    if (instance === undefined) throw new Error(`no instance ${id}`);
+    return instance;
+  }
+
+  advance(ms: number): void {
+    this.cluster.advance(ms, () => this.report());
+  }
+
+  /** Advances until the condition holds and returns the elapsed time. */
+  until(condition: () => boolean, timeoutMs = SETTLE_TIMEOUT_MS): number {
+    const start = this.cluster.now();
+    while (!condition()) {
+      if (this.cluster.now() - start >= timeoutMs)
+        throw new Error(`condition not met within ${timeoutMs} ms`);
+      this.advance(SETTLE_CHECK_MS);
+    }
+    return this.cluster.now() - start;
+  }
+
+  /** Advances until the leader has this number of voters, all committed. */
+  untilVoters(count: number): number {
+    return this.until(() => {
+      const committed = this.cluster.history.configuration.voters.length;
+      return this.voterIds().length === count && committed === count;
+    });
+  }
+
+  /** Commits a change; returns its latency and the messages sent meanwhile. */
+  commit(): {readonly tookMs: number; readonly messages: number} {
+    const {cluster} = this;
+    const {history} = cluster;
+    const before = {sent: cluster.sentCount, accepted: history.acceptedCount};
+    const start = cluster.now();
+    this.leader().propose(cluster.nextHolder());
+    while (history.acceptedCount === before.accepted) {
+      if (cluster.now() - start > SETTLE_TIMEOUT_MS)
+        throw new Error('the change was not committed');
+      this.advance(1);
+    }
+    const tookMs = cluster.now() - start;
+    return {tookMs, messages: cluster.sentCount - before.sent};
+  }
+
+  /** Messages per second without changes. */
+  idleMessagesPerSecond(): number {
+    const before = this.cluster.sentCount;
+    const seconds = 5;
+    this.advance(seconds * 1_000);
+    return (this.cluster.sentCount - before) / seconds;
+  }
+
+  private report(): void {
+    const {cluster, shape} = this;
+    if (shape.hasReports === false) return;
+    if (cluster.now() % REPORT_PERIOD_MS !== 0) return;
+    const leader = cluster.leader();
+    if (leader === undefined) return;
+    for (const id of cluster.ids)
+      if (cluster.canReach(id, leader.id))
+        this.reportedAt.set(`${id}>${leader.id}`, cluster.now());
+  }
+
+  private voterLimit(self: string): VoterLimit {
+    const maxVoters = () => this.maxVoters;
+    return {
+      get maxVoters() {
+        return maxVoters();
+      },
+      zoneOf: id => this.zoneOf(id),
+      lastReportMs: id => this.reportedAt.get(`${id}>${self}`),
+    };
+  }
+}
+
+/** Id of the node with this index; founders come first in the order of ids. */
+function nodeId(index: number): string {
+  return `node-${String(index).padStart(3, '0')}`;
+}
--- a/bench/fuzz/logInstance.ts
+++ b/bench/fuzz/logInstance.ts
@@ -29,6 +29,11 @@
   readonly syncMs: number;
 }
 
+/** Settings of the log that differ from the defaults of the model. */
+export type LogSettings = Partial<
+  Pick<CoreOptions, 'peerIds' | 'founders' | 'voterEviction' | 'voterLimit'>
+>;
+
 /** Clock, network and history that all instances share. */
 export interface LogEnvironment {
   readonly ids: readonly string[];
@@ -37,6 +42,7 @@
   readonly sizes: LogSizes;
   readonly timing: LogTiming;
   now(): number;
+  settingsOf(id: string): LogSettings;
   send(from: string, to: string, message: LogMessage): void;
 }
 
@@ -172,6 +178,7 @@
       batchChars: sizes.batchChars,
       chunkChars: sizes.chunkChars,
       trailingEntries: sizes.trailingEntries,
+      ...this.environment.settingsOf(this.id),
     };
   }
 
--- a/bench/fuzz/schedule.ts
+++ b/bench/fuzz/schedule.ts
@@ -77,6 +77,10 @@
     this.cutLinks.add(`${from}>${to}`);
   }
 
+  isCut(from: string, to: string): boolean {
+    return this.cutLinks.has(`${from}>${to}`);
+  }
+
   heal(): void {
     this.cutLinks.clear();
   }
--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -8,6 +8,7 @@
 import {entryOverhead} from './measures/entryOverhead';
 import {fairness} from './measures/fairness';
 import {fleet} from './measures/fleet';
+import {logMessages} from './measures/logMessages';
 import {rebalanceCost} from './measures/rebalanceCost';
 import {stepTimeSkew} from './measures/stepTimeSkew';
 import {subsets} from './measures/subsets';
@@ -26,4 +27,5 @@
   controlCost,
   bounds,
   fleet,
+  logMessages,
 ];
--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -7,7 +7,7 @@
 
 import type {Command} from '../state/command';
 import type {LogEntry, LogSnapshot, LogWrite} from './entry';
-import type {VoterEviction} from './logOptions';
+import type {VoterEviction, VoterLimit} from './logOptions';
 import type {CoreReply, CoreRequest} from './messages';
 
 /** An input of the core. Each is passed in with the current time. */
@@ -130,6 +130,8 @@
   readonly founders?: readonly string[];
   /** When to remove a silent voter from the group; never when absent. */
   readonly voterEviction?: VoterEviction;
+  /** Bounds the number of voters; when absent, every instance becomes one. */
+  readonly voterLimit?: VoterLimit;
   /** Returns a number from 0 up to, but not including, 1. */
   readonly random: () => number;
   readonly timing: LogTiming;
--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -11,6 +11,7 @@
 } from './entry';
 import {quorumOf} from './entry';
 import {EntryLog} from './entryLog';
+import type {MemberContact} from './memberContact';
 import type {CoreReply} from './messages';
 import type {LogRole} from './replicatedLog';
 
@@ -52,6 +53,16 @@
   roundTickets: readonly number[];
   /** Read barriers requested after the latest round started. */
   waitingTickets: readonly number[];
+  readonly contact: MemberContact;
+  /** With a voter limit: the instance that is about to become a voter. */
+  candidate?: string;
+  /** With a voter limit: leader's clock when a candidate did not reply, by id. */
+  readonly passedOverAt: Map<string, number>;
+  /**
+   * With a voter limit: index of the configuration without the voter, by the id
+   * of a removed voter that may not know of it.
+   */
+  readonly removedAt: Map<string, number>;
 }
 
 /** Phase of an election and the incarnations that granted their vote. */
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -1,5 +1,6 @@
 /** Elections: terms, pre-votes, votes and step-down. */
 
+import {noteRemovedVoter} from './audience';
 import type {CoreState} from './coreState';
 import type {ReplyOf, RequestOf} from './messages';
 import {becomeLeader} from './replication';
@@ -21,6 +22,18 @@
   state.resetElectionTimer();
 }
 
+/**
+ * Forgets a leader that sends nothing. With a voter limit, an instance without a
+ * vote gets no messages of later leaders and would name the old one forever.
+ */
+export function forgetLostLeader(state: CoreState): void {
+  const {voterLimit, timing} = state.options;
+  if (voterLimit === undefined || state.leaderId === undefined) return;
+  if (state.isVoter) return;
+  if (state.now - state.lastLeaderContact > timing.electionMaxMs)
+    state.leaderId = undefined;
+}
+
 function stopLeading(state: CoreState): void {
   const {leadership} = state;
   if (leadership === undefined) return;
@@ -144,6 +157,7 @@
   ticket: number,
   message: VoteRequest
 ): void {
+  noteRemovedVoter(state, message.from, message.fromIncarnation);
   const granted =
     message.kind === 'vote'
       ? grantVote(state, message)
--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -134,14 +134,15 @@
   }
 
   private createCore(durable: DurableState): RaftCore {
-    const {id, peers, random, timing, limits, founders, voterEviction} =
-      this.options;
+    const {id, peers, random, timing, limits, founders} = this.options;
+    const {voterEviction, voterLimit} = this.options;
     return new RaftCore(
       {
         id,
         peerIds: () => peers.ids(),
         founders,
         voterEviction,
+        voterLimit,
         random,
         timing,
         batchEntries: limits.batchEntries,
--- a/src/control/log/logOptions.ts
+++ b/src/control/log/logOptions.ts
@@ -31,6 +31,21 @@
   readonly minVoters: number;
 }
 
+/**
+ * Bounds the number of voters in a group of many instances. In force only while
+ * more instances than `maxVoters` are known.
+ */
+export interface VoterLimit {
+  readonly maxVoters: number;
+  /** Availability zone of an instance; undefined while it is not known. */
+  zoneOf(id: string): string | undefined;
+  /**
+   * Time of the last message that came from an instance outside the log, on the
+   * clock of the log (`performance.now()`); undefined without one.
+   */
+  lastReportMs(id: string): number | undefined;
+}
+
 /** Creates a fixed set of peers. */
 export function staticPeers(peers: readonly LogPeer[]): LogPeers {
   const byId = new Map(peers.map(peer => [peer.id, peer]));
@@ -56,6 +71,8 @@
    * remain in the quorum forever.
    */
   readonly voterEviction?: VoterEviction;
+  /** Bounds the number of voters; when absent, every instance becomes one. */
+  readonly voterLimit?: VoterLimit;
   /** Directory for durable state, used by this instance only. */
   readonly dataDir: string;
   readonly stateMachine: StateMachine;
--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -10,6 +10,14 @@
 
 import type {CoreState, Leadership} from './coreState';
 import type {Voter} from './entry';
+import {updateAudience, voterPool} from './audience';
+import {
+  doAllVotersAnswer,
+  hasMajorityContact,
+  isLimited,
+  isSilent,
+} from './memberContact';
+import {surplusVoter} from './voterChoice';
 import {appendAsLeader, hasCommittedOwnTerm} from './replication';
 
 /** Proposes the next membership change if one is due and allowed. */
@@ -19,9 +27,26 @@
   if (!hasCommittedOwnTerm(state, leadership)) return;
   // One change at a time: the previous one must be committed first.
   if (state.log.configuration().index > state.commitIndex) return;
+  if (!hasMajorityContact(state, leadership)) return;
   const voters = nextVoters(state, leadership);
   if (voters === undefined) return;
-  appendAsLeader(state, {kind: 'configuration', configuration: {voters}});
+  for (const voter of state.voters)
+    if (!voters.some(({id}) => id === voter.id))
+      noteRemoval(state, leadership, voter);
+  const configuration = {voters};
+  appendAsLeader(state, {kind: 'configuration', configuration});
+  updateAudience(state, leadership);
+}
+
+/** The voter has to learn of it; a silent one should not be the next candidate. */
+function noteRemoval(
+  state: CoreState,
+  leadership: Leadership,
+  voter: Voter
+): void {
+  leadership.removedAt.set(voter.id, state.log.lastIndex + 1);
+  if (isSilent(state, leadership, voter))
+    leadership.passedOverAt.set(voter.id, state.now);
 }
 
 function nextVoters(
@@ -35,10 +60,39 @@
     if (matchIndex < state.commitIndex) continue;
     const voter = state.voters.find(voter => voter.id === id);
     if (voter?.incarnation === incarnation) continue;
+    if (voter === undefined && !mayBecomeVoter(state, leadership, id)) continue;
     if (voter === undefined) return [...state.voters, {id, incarnation}];
     return state.voters.filter(other => other.id !== id);
   }
-  return withoutSilentVoter(state, leadership);
+  return (
+    withoutSilentVoter(state, leadership) ??
+    withoutSurplusVoter(state, leadership)
+  );
+}
+
+function mayBecomeVoter(
+  state: CoreState,
+  leadership: Leadership,
+  id: string
+): boolean {
+  return !isLimited(state, leadership) || leadership.candidate === id;
+}
+
+/**
+ * The voters without one of those that exceed the limit. A group of a version
+ * without a limit may have many. While one does not answer, all others are kept:
+ * each may be needed for the quorum.
+ */
+function withoutSurplusVoter(
+  state: CoreState,
+  leadership: Leadership
+): Voter[] | undefined {
+  if (!isLimited(state, leadership)) return undefined;
+  if (!doAllVotersAnswer(state, leadership)) return undefined;
+  const pool = voterPool(state, leadership);
+  const surplus = surplusVoter(pool, state.options.id);
+  if (surplus === undefined) return undefined;
+  return state.voters.filter(({id}) => id !== surplus);
 }
 
 /**
@@ -55,11 +109,7 @@
   const {voterEviction} = state.options;
   if (voterEviction === undefined) return undefined;
   if (state.voters.length <= voterEviction.minVoters) return undefined;
-  const silent = state.voters.find(voter => {
-    if (state.isSelf(voter)) return false;
-    const lastReplyAt = leadership.progress.get(voter.id)?.lastReplyAt ?? 0;
-    return state.now - lastReplyAt >= voterEviction.silentMs;
-  });
+  const silent = state.voters.find(voter => isSilent(state, leadership, voter));
   if (silent === undefined) return undefined;
   return state.voters.filter(voter => voter !== silent);
 }
--- a/src/control/log/raftCore.ts
+++ b/src/control/log/raftCore.ts
@@ -10,6 +10,7 @@
 import type {CoreEffect, CoreEvent, CoreOptions} from './coreEvents';
 import {CoreState} from './coreState';
 import {
+  forgetLostLeader,
   onResign,
   onVoteReply,
   onVoteRequest,
@@ -78,6 +79,7 @@
 
   private tick(): void {
     const {state} = this;
+    forgetLostLeader(state);
     if (state.leadership !== undefined) tickLeader(state, state.leadership);
     else if (state.isEmpty) this.founding.tick();
     else if (state.isVoter && state.now >= state.electionDeadline)
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -4,6 +4,15 @@
 import type {EntryBody, LogEntry, Voter} from './entry';
 import {quorumOf} from './entry';
 import type {ReplyOf, RequestOf} from './messages';
+import {updateAudience} from './audience';
+import {
+  hasMajorityContact,
+  isLimited,
+  newMemberContact,
+  noteAnswer,
+  onProbeReply,
+  probeMembers,
+} from './memberContact';
 import {maybeReconfigure} from './membership';
 import {advanceCommit} from './commit';
 import {confirmReads} from './readIndex';
@@ -14,29 +23,26 @@
 
 /** Becomes the leader and starts the term with a no-op entry. */
 export function becomeLeader(state: CoreState): void {
-  const progress = new Map<string, PeerProgress>();
-  for (const id of state.options.peerIds())
-    progress.set(id, newProgress(state, voterOf(state, id)?.incarnation));
-  for (const {id} of state.voters)
-    if (!progress.has(id) && id !== state.options.id)
-      progress.set(id, newProgress(state, voterOf(state, id)?.incarnation));
-  state.leadership = {
-    progress,
+  const leadership: Leadership = {
+    progress: new Map(),
     noopIndex: state.log.lastIndex + 1,
     nextHeartbeatAt: state.now + state.options.timing.heartbeatMs,
     round: 0,
     roundTickets: [],
     waitingTickets: [],
+    contact: newMemberContact(),
+    passedOverAt: new Map(),
+    removedAt: new Map(),
   };
+  state.leadership = leadership;
+  updateAudience(state, leadership);
   state.emit({kind: 'elected', term: state.term});
   appendAsLeader(state, {kind: 'command', command: {kind: 'noop'}});
+  probeMembers(state, leadership);
 }
 
-function voterOf(state: CoreState, id: string): Voter | undefined {
-  return state.voters.find(voter => voter.id === id);
-}
-
-function newProgress(
+/** Progress of a peer whose log is not known yet. */
+export function newProgress(
   state: CoreState,
   incarnation: string | undefined
 ): PeerProgress {
@@ -171,20 +177,14 @@
   const {leadership} = state;
   if (leadership === undefined) return;
   leadership.nextHeartbeatAt = state.now + state.options.timing.heartbeatMs;
-  addNewPeers(state, leadership);
+  updateAudience(state, leadership);
+  probeMembers(state, leadership);
   for (const [id, progress] of leadership.progress) {
     if (progress.incarnation === undefined) sendHello(state, id);
     else sendHeartbeat(state, id, progress);
   }
 }
 
-/** Starts to replicate to peers that became known after the election. */
-function addNewPeers(state: CoreState, leadership: Leadership): void {
-  for (const id of state.options.peerIds())
-    if (!leadership.progress.has(id) && id !== state.options.id)
-      leadership.progress.set(id, newProgress(state, undefined));
-}
-
 function sendHeartbeat(
   state: CoreState,
   id: string,
@@ -220,6 +220,8 @@
     if (state.now >= leadership.nextHeartbeatAt) replicate(state, id);
   }
   if (state.now >= leadership.nextHeartbeatAt) sendHeartbeats(state);
+  // Entries that waited for contact with the other instances.
+  if (isLimited(state, leadership)) commitByQuorum(state, leadership);
 }
 
 /**
@@ -264,6 +266,7 @@
   if (message.asker !== state.incarnation) return;
   if (message.incarnation !== progress.incarnation) return;
   progress.lastReplyAt = state.now;
+  noteAnswer(leadership, from, message.sentAt);
   const isReplyToInFlight = message.seq === progress.inFlight;
   if (isReplyToInFlight) progress.inFlight = undefined;
   progress.ackedSentAt = Math.max(progress.ackedSentAt, message.sentAt);
@@ -320,13 +323,16 @@
   replicate(state, from);
 }
 
-/** Stores the incarnation of a peer that replied to a hello. */
+/** Records contact, and the incarnation of a peer that was not known. */
 export function onHelloReply(
   state: CoreState,
   from: string,
   message: ReplyOf<'hello'>
 ): void {
-  const progress = state.leadership?.progress.get(from);
+  const {leadership} = state;
+  if (leadership === undefined) return;
+  onProbeReply(leadership, from, message);
+  const progress = leadership.progress.get(from);
   if (progress === undefined || progress.incarnation !== undefined) return;
   progress.incarnation = message.incarnation;
   replicate(state, from);
@@ -348,6 +354,7 @@
   const index = matches[quorumOf(matches.length) - 1] ?? 0;
   if (index <= state.commitIndex) return;
   if (state.log.termAt(index) !== state.term) return;
+  if (!hasMajorityContact(state, leadership)) return;
   advanceCommit(state, index);
   confirmReads(state);
   maybeReconfigure(state);
