--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -279,12 +279,17 @@
 
   private addMethods(): void {
     const {server} = this;
-    server.addMethod(NODE_METHODS.hello, HELLO_PARAMS, async ({from}) => {
-      this.directory.markSeen([from]);
-      const {leader} = this.leaderClient;
-      const nodes = this.directory.all();
-      return {self: this.directory.self, nodes, leader};
-    });
+    server.addMethod(
+      NODE_METHODS.hello,
+      HELLO_PARAMS,
+      async ({from, leads}) => {
+        this.directory.markSeen([from]);
+        if (leads === true) this.leaderClient.noteLeader(from.ip);
+        const {leader} = this.leaderClient;
+        const nodes = this.directory.all();
+        return {self: this.directory.self, nodes, leader};
+      }
+    );
     const logParams = z.object({message: z.unknown()});
     server.addMethod(NODE_METHODS.log, logParams, async ({message}) => {
       const log = this.replica?.current?.log;
--- a/src/cluster/leaderClient.ts
+++ b/src/cluster/leaderClient.ts
@@ -41,6 +41,11 @@
     return this.leaderFromLog() ?? this.cachedLeader;
   }
 
+  /** Takes a node's word that it leads; used unless this node's log names one. */
+  noteLeader(ip: string): void {
+    this.cacheLeader(ip);
+  }
+
   /** Tries one node after the other; rejects when no leader replied. */
   async call<T extends {readonly kind: string}>(
     call: LeaderCall<T>
@@ -85,10 +90,18 @@
     this.cachedLeader = undefined;
   }
 
-  /** Rotates through all nodes, so that one that hangs is not tried each time. */
+  /**
+   * Rotates through all nodes, so that one that hangs is not tried each time. Only
+   * few of many nodes vote and know a new leader at once. Seeds do as founders,
+   * and every second node that is tried is one of them.
+   */
   private nextNode(): string | undefined {
-    const addresses = this.directory.probeAddresses();
+    const {self} = this.directory;
+    const seeds = this.directory.seedAddresses().filter(ip => ip !== self.ip);
+    const all = this.directory.probeAddresses();
+    const index = this.nextIndex++;
+    const addresses = index % 2 === 0 && seeds.length > 0 ? seeds : all;
     if (addresses.length === 0) return undefined;
-    return addresses[this.nextIndex++ % addresses.length];
+    return addresses[Math.floor(index / 2) % addresses.length];
   }
 }
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -85,7 +85,8 @@
   /** Handles a report of any node, including this one. */
   async sync(params: SyncParams): Promise<SyncReply> {
     const {directory, coordinator, site} = this.parts;
-    directory.markSeen([params.from]);
+    // Recorded first: commits, and so the barrier below, may wait for contact.
+    directory.noteContact(params.from);
     if (!this.leads) return this.notLeader();
     const opened = this.open();
     const {term} = this;
--- a/src/cluster/logReplica.ts
+++ b/src/cluster/logReplica.ts
@@ -7,7 +7,7 @@
 import type {Logger} from '../core/logger';
 import {createReplicatedLog} from '../control/log/createReplicatedLog';
 import type {LogTiming} from '../control/log/coreEvents';
-import type {VoterEviction} from '../control/log/logOptions';
+import type {VoterEviction, VoterLimit} from '../control/log/logOptions';
 import type {ReplicatedLog} from '../control/log/replicatedLog';
 import {ControlState} from '../control/state/controlState';
 import type {NodeDirectory} from './nodeDirectory';
@@ -28,6 +28,11 @@
  * restarts keeps its vote.
  */
 const REMOVE_SILENT_VOTER_AFTER_MS = 8_000;
+/**
+ * Most voters, unless the intended losses need more. Three in each of three
+ * zones: the loss of a zone and of one more voter leaves a quorum.
+ */
+const MAX_VOTERS = 9;
 /**
  * Shorter than the defaults of the log. After the loss of the leader or a
  * restart of all nodes, callers may find no site document and targets no granted
@@ -111,12 +116,18 @@
       silentMs: REMOVE_SILENT_VOTER_AFTER_MS,
       minVoters: 2 * this.options.lossesBorne + 1,
     };
+    const voterLimit: VoterLimit = {
+      maxVoters: Math.max(MAX_VOTERS, voterEviction.minVoters),
+      zoneOf: ip => directory.zoneOf(ip),
+      lastReportMs: ip => directory.lastContactMs(ip),
+    };
     const log = await createReplicatedLog({
       id: directory.self.ip,
       peers: directory,
       founders,
       mayFound: isFirstStart && founders.length > 0,
       voterEviction,
+      voterLimit,
       dataDir: this.options.dataDir,
       stateMachine: state,
       logger,
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -27,7 +27,11 @@
 export type NodeInfo = z.infer<typeof NODE_INFO>;
 
 /** Introduces the sender; the reply lists the nodes that the receiver knows. */
-export const HELLO_PARAMS = z.object({from: NODE_INFO});
+export const HELLO_PARAMS = z.object({
+  from: NODE_INFO,
+  /** Whether the sender leads; absent from a node of an older version. */
+  leads: z.boolean().optional(),
+});
 
 /** Reply to a hello. */
 export const HELLO_REPLY = z.object({
--- a/src/cluster/nodeDirectory.ts
+++ b/src/cluster/nodeDirectory.ts
@@ -12,6 +12,8 @@
 interface KnownNode {
   readonly info: NodeInfo;
   readonly seenAtMs: number;
+  /** Time of the last message that came from the node itself. */
+  readonly contactAtMs?: number;
 }
 
 /** Known nodes by IP address. */
@@ -43,10 +45,30 @@
     for (const info of infos) {
       if (info.ip === this.self.ip) continue;
       if (!this.nodes.has(info.ip)) this.lastRevision++;
-      this.nodes.set(info.ip, {info, seenAtMs: this.nowMs()});
+      const contactAtMs = this.nodes.get(info.ip)?.contactAtMs;
+      this.nodes.set(info.ip, {info, seenAtMs: this.nowMs(), contactAtMs});
     }
   }
 
+  /** Records a message that came from the node itself just now. */
+  noteContact(info: NodeInfo): void {
+    this.markSeen([info]);
+    if (info.ip === this.self.ip) return;
+    const nowMs = this.nowMs();
+    this.nodes.set(info.ip, {info, seenAtMs: nowMs, contactAtMs: nowMs});
+  }
+
+  /** Time of the last message that came from the node itself, if any. */
+  lastContactMs(ip: string): number | undefined {
+    return this.nodes.get(ip)?.contactAtMs;
+  }
+
+  /** Zone of a known node, empty if it states none; undefined if unknown. */
+  zoneOf(ip: string): string | undefined {
+    const info = ip === this.self.ip ? this.self : this.nodes.get(ip)?.info;
+    return info === undefined ? undefined : (info.availabilityZone ?? '');
+  }
+
   /** Increases with each node that is added or dropped. */
   get revision(): number {
     this.evictExpired();
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -119,7 +119,8 @@
   ): void {
     if (this.cursor.isStale(reply)) return;
     const {nodes, table, pushback} = this.parts;
-    nodes.markSeen(reply.nodes);
+    // The leader's own list must not renew itself: lost nodes would never expire.
+    if (!isLeader) nodes.markSeen(reply.nodes);
     const isNewLeader = this.cursor.advance(reply, nowMs);
     if (isNewLeader) this.heard.requeueRecent(nowMs);
     if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
--- a/src/cluster/peerDiscovery.ts
+++ b/src/cluster/peerDiscovery.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Logger} from '../core/logger';
+import type {HelloReply} from './messages';
 import {HELLO_REPLY, NODE_METHODS} from './messages';
 import type {NodeDirectory} from './nodeDirectory';
 import type {RpcClient} from './rpcClient';
@@ -33,21 +34,33 @@
     const count = Math.min(CONCURRENT_PROBES, addresses.length);
     for (let i = 0; i < count; i++) {
       const ip = addresses[this.nextIndex++ % addresses.length];
-      if (ip !== undefined) void this.probe(ip);
+      if (ip !== undefined) void this.findNodes(ip);
     }
   }
 
-  /** For the leader: announces this node to the seeds when due. */
+  /**
+   * For the leader: announces this node to the seeds when due. The nodes that a
+   * seed names are not added. The seed has them from the leader, and a lost node
+   * would pass between the two forever; nodes that run report to the leader.
+   */
   announceToSeeds(nowMs: number): void {
     if (nowMs - this.announcedAtMs < SEED_ANNOUNCE_INTERVAL_MS) return;
     this.announcedAtMs = nowMs;
     const {self} = this.directory;
     for (const ip of this.directory.seedAddresses())
-      if (ip !== self.ip) void this.probe(ip);
+      if (ip !== self.ip) void this.probe(ip, true);
   }
 
-  private async probe(ip: string): Promise<void> {
-    const params = {from: this.directory.self};
+  private async findNodes(ip: string): Promise<void> {
+    const reply = await this.probe(ip, false);
+    if (reply !== undefined) this.directory.addUnknown(reply.nodes);
+  }
+
+  private async probe(
+    ip: string,
+    leads: boolean
+  ): Promise<HelloReply | undefined> {
+    const params = {from: this.directory.self, leads};
     try {
       const result = await this.rpc.call(
         ip,
@@ -57,9 +70,10 @@
       );
       const reply = HELLO_REPLY.parse(result);
       this.directory.markSeen([reply.self]);
-      this.directory.addUnknown(reply.nodes);
+      return reply;
     } catch (err) {
       this.logger.debug({event: 'node.silent', ip, err: String(err)}, ip);
+      return undefined;
     }
   }
 }
