--- a/src/control/log/founding.ts
+++ b/src/control/log/founding.ts
@@ -53,6 +53,10 @@
   /** Handles a peer's hello reply. */
   onHelloReply(from: string, message: ReplyOf<'hello'>): void {
     if (message.round !== this.round || !this.mayFound()) return;
+    if (!this.peerIds().includes(from)) {
+      if (!message.empty) this.state.setHardState({mayFound: false});
+      return;
+    }
     if (!message.empty) return;
     this.answers.set(from, message.incarnation);
     this.finishRound();
@@ -76,7 +80,19 @@
     const {options} = this.state;
     this.round = Math.floor(options.random() * ROUND_ID_RANGE);
     this.answers = new Map();
-    for (const id of this.peerIds()) sendHello(this.state, id, this.round);
+    for (const id of [...this.peerIds(), ...this.otherPeerIds()])
+      sendHello(this.state, id, this.round);
+  }
+
+  /**
+   * With a voter limit, the known instances that are not founders. The voters may
+   * all be among them, and founders that were wiped one after the other are empty
+   * without a vote. An instance that holds entries shows that the group exists.
+   */
+  private otherPeerIds(): readonly string[] {
+    const {founders, peerIds, voterLimit} = this.state.options;
+    if (founders === undefined || voterLimit === undefined) return [];
+    return peerIds().filter(id => !founders.includes(id));
   }
 
   private finishRound(): void {
--- a/tests/logVoterLimit.spec.ts
+++ b/tests/logVoterLimit.spec.ts
@@ -1,4 +1,10 @@
 import {DiskNodes} from '../bench/fuzz/diskNodes';
+import {
+  CORE_OPTIONS,
+  DrivenCore,
+  EMPTY_STATE,
+  sentRequests,
+} from './drivenCore';
 
 const SEED = 5;
 const MAX_VOTERS = 9;
@@ -284,3 +290,39 @@
     expect(disks.voterIds()).toHaveLength(30);
   });
 });
+
+describe('founding in a cluster with more nodes than voters', () => {
+  // All founders were wiped, one after the other, and have no vote: the voters
+  // are other nodes. A second group would lose what the first one accepted.
+  it('should not found a group when another node holds entries', () => {
+    const log = new DrivenCore(EMPTY_STATE, true, {
+      ...CORE_OPTIONS,
+      peerIds: () => ['b', 'c', 'd'],
+      founders: ['a', 'b', 'c'],
+      voterLimit: {
+        maxVoters: 3,
+        zoneOf: () => '',
+        lastReportMs: () => undefined,
+      },
+    });
+    const hellos = sentRequests(log.after(1_000), 'hello');
+    const rounds = hellos.map(effect =>
+      effect.kind === 'send' && effect.message.kind === 'hello'
+        ? effect.message.round
+        : -1
+    );
+    expect(rounds).toHaveLength(3);
+    const round = rounds[0]!;
+    const answer = (incarnation: string, empty: boolean) =>
+      log.answer(incarnation.slice(0, 1), {
+        kind: 'hello',
+        incarnation,
+        round,
+        empty,
+      });
+    answer('d/1', false);
+    answer('b/2', true);
+    expect(sentRequests(answer('c/2', true), 'hello')).toHaveLength(0);
+    expect(sentRequests(log.after(5_000), 'hello')).toHaveLength(0);
+  });
+});
