--- a/src/control/log/raftCore.ts
+++ b/src/control/log/raftCore.ts
@@ -6,10 +6,12 @@
 
 import {unreachable} from '../../core/errors';
 import type {Command} from '../state/command';
+import {noteRemovedVoter} from './audience';
 import {onSnapshotTaken} from './commit';
 import type {CoreEffect, CoreEvent, CoreOptions} from './coreEvents';
 import {CoreState} from './coreState';
 import {
+  forgetLostLeader,
   onResign,
   onVoteReply,
   onVoteRequest,
@@ -78,6 +80,7 @@
 
   private tick(): void {
     const {state} = this;
+    forgetLostLeader(state);
     if (state.leadership !== undefined) tickLeader(state, state.leadership);
     else if (state.isEmpty) this.founding.tick();
     else if (state.isVoter && state.now >= state.electionDeadline)
@@ -141,6 +144,8 @@
     const addressed = message.toIncarnation === state.incarnation;
     const sameGroup = state.isEmpty || group === message.group;
     if (addressed && sameGroup) return false;
+    if (message.kind === 'preVote' && sameGroup)
+      noteRemovedVoter(state, message.from, message.fromIncarnation);
     if (addressed) this.abandonFailedFounding(message);
     state.reply(ticket, {
       kind: 'stranger',
