--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -104,7 +104,11 @@
       logger,
       nowMs,
       heartbeatMs * SILENT_AFTER_HEARTBEATS,
-      (service, group) => this.outlookOf(service, group)
+      (service, group) => this.outlookOf(service, group),
+      options.admissionFloor
+    );
+    options.metrics.registerCustomerGauges(() =>
+      this.leads ? this.coordinator.admission.customerWork() : []
     );
     this.leaderService = new LeaderService({
       replica: () => this.replica,
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -5,14 +5,12 @@
  */
 
 import type {Logger} from '../core/logger';
-import {
-  unusedConcurrency,
-  allocateConcurrency,
-} from '../policy/admission/concurrencyAllocation';
+import {unusedConcurrency} from '../policy/admission/concurrencyAllocation';
 import {GroupLimits} from '../policy/admission/groupLimits';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
+import {DEFAULT_ADMISSION_FLOOR, LeaderAdmission} from './leaderAdmission';
 import {LeaderRateLimits} from './leaderRateLimits';
 import {LimitChangeLogger} from './limitChangeLogger';
 import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
@@ -74,6 +72,8 @@
   private expireCheckedAtMs = -Infinity;
   private readonly limitLogger: LimitChangeLogger;
   private readonly rateLimits: LeaderRateLimits;
+  /** Ratios by which nodes shed load of prioritized services. */
+  readonly admission: LeaderAdmission;
 
   constructor(
     private readonly table: TargetTable,
@@ -85,10 +85,13 @@
     private readonly outlookOf: (
       service: string,
       group: string
-    ) => MapOutlook | undefined
+    ) => MapOutlook | undefined,
+    /** Part of its demand that each urgency keeps under overload. */
+    admissionFloor = DEFAULT_ADMISSION_FLOOR
   ) {
     this.limitLogger = new LimitChangeLogger(logger);
     this.rateLimits = new LeaderRateLimits(table, logger);
+    this.admission = new LeaderAdmission(logger, admissionFloor);
   }
 
   /**
@@ -100,6 +103,7 @@
   reset(): void {
     this.reports.clear();
     this.permits.clear();
+    this.admission.reset();
     this.table.markAllSeen(this.nowMs());
     this.resetAtMs = this.nowMs();
     this.rateLimits.reset(this.nowMs());
@@ -117,7 +121,9 @@
       if (this.table.merge(record, now))
         this.logMergedRecord(params.from, record.id);
     this.expire(now);
+    const sinceLastMs = this.reports.sinceLastMs(params, now);
     this.reports.add(params, now);
+    this.admission.handleReport(params, site, {nowMs: now, sinceLastMs});
     const isSameTerm = params.tableTerm === replicated.term;
     const {leaderTimeMs = -Infinity} = params;
     const {limits = [], from, records} = params;
@@ -128,7 +134,7 @@
       {earliestMs: isSameTerm ? leaderTimeMs : -Infinity, latestMs: now},
       now
     );
-    const grants = this.grantsFor(from.ip, site, replicated.zonesOut);
+    const grants = this.grantsFor(from.ip, site, replicated.zonesOut, nodes);
     const sinceRevision = isSameTerm ? params.tableRevision : 0;
     const {term, index, siteVersion, packedSite, zonesOut} = replicated;
     return {
@@ -186,11 +192,12 @@
   private grantsFor(
     node: string,
     site: Site | undefined,
-    zonesOut: readonly string[]
+    zonesOut: readonly string[],
+    nodes: NodeList
   ): ServiceGrant[] {
     if (site === undefined) return [];
     const reports = this.reports.active(this.nowMs());
-    this.updateShares(site, reports, zonesOut);
+    this.updateShares(site, reports, zonesOut, nodes);
     return [...site.services.keys()].map(service => ({
       service,
       concurrency: this.shares.get(service)?.byNode.get(node) ?? 1,
@@ -198,6 +205,7 @@
       free: this.shares.get(service)?.free ?? 0,
       permits: this.permitsOf(node, service),
       shiftSkews: this.shiftSkewsOf(service),
+      ...this.admission.grantOf(service),
     }));
   }
 
@@ -223,7 +231,8 @@
   private updateShares(
     site: Site,
     reports: readonly NodeReport[],
-    zonesOut: readonly string[]
+    zonesOut: readonly string[],
+    nodes: NodeList
   ): void {
     const now = this.nowMs();
     if (now - this.sharesUpdatedAtMs < SHARES_INTERVAL_MS) return;
@@ -251,9 +260,15 @@
         });
         this.limitLogger.logIfChanged(name, concurrency, loads);
         this.updatePermits(name, concurrency);
-        const demands = demandsOf(name, reports);
-        const byNode = allocateConcurrency(concurrency.total, demands);
-        const free = unusedConcurrency(concurrency.total, demands);
+        const {total} = concurrency;
+        const byNode = this.admission.allocate(name, reports, {
+          capacity: total,
+          knownNodes: nodes.all().length,
+          isCollecting: !this.allNodesReported,
+          periodMs: this.reports.periodMs,
+          nowMs: now,
+        });
+        const free = unusedConcurrency(total, demandsOf(name, reports));
         return [name, {byNode, free, concurrency}];
       })
     );
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -141,6 +141,11 @@
    */
   records: z.array(TARGET_RECORD),
   loads: z.array(SERVICE_LOAD),
+  /**
+   * Time in which the arrivals of `loads` came, milliseconds: since the last report,
+   * also one that was lost. Only beside `demand`; absent from the first report.
+   */
+  loadsMs: COUNT.optional(),
   /** Targets that state a rate limit; absent for none. */
   limits: z.array(LIMIT_REPORT).optional(),
   /** Targets that want nothing from the node: at rest, or leaving; absent for none. */
--- a/src/cluster/nodeReports.ts
+++ b/src/cluster/nodeReports.ts
@@ -2,7 +2,10 @@
 
 import {sum} from '../core/sum';
 import {reportPeriodMs} from '../policy/reportPeriod';
-import type {NodeDemand} from '../policy/admission/concurrencyAllocation';
+import type {
+  NodeDemand,
+  UrgentNodeDemand,
+} from '../policy/admission/concurrencyAllocation';
 import type {NodeInfo, ServiceLoad, SyncParams} from './messages';
 
 /** A node whose last report is older gets no share. */
@@ -60,6 +63,14 @@
     });
   }
 
+  /** Time since the last report of the node; one period before its first one. */
+  sinceLastMs({from, bootId}: SyncParams, nowMs: number): number {
+    const last = this.reports.get(from.ip);
+    const isKnown =
+      last?.bootId === bootId && nowMs - last.atMs <= ACTIVE_WITHIN_MS;
+    return isKnown ? nowMs - last.atMs : this.periodMs;
+  }
+
   /** Reports of the nodes that serve callers now. */
   active(nowMs: number): readonly NodeReport[] {
     return this.reportedSince(nowMs - ACTIVE_WITHIN_MS);
@@ -113,3 +124,15 @@
     };
   });
 }
+
+/** Demand of these nodes for a prioritized service, by urgency. */
+export function urgentDemandsOf(
+  service: string,
+  reports: readonly NodeReport[]
+): readonly UrgentNodeDemand[] {
+  return demandsOf(service, reports).map((demand, i) => {
+    const load = reports[i]?.loads.get(service);
+    const inFlight = load?.inFlight ?? 0;
+    return {...demand, inFlight, waiting: load?.waitingByUrgency ?? {}};
+  });
+}
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -53,6 +53,7 @@
   private readonly activeSite: ActiveSite;
   private readonly heard = new LocalAnnouncements();
   private readonly cursor = new SyncCursor();
+  private loadsTakenAtMs: number | undefined;
 
   constructor(private readonly parts: NodeSyncParts) {
     this.activeSite = new ActiveSite(parts.decodeSite, parts.logger);
@@ -97,12 +98,21 @@
       siteVersion: this.siteVersion,
       ...this.cursor.reportParams(nowMs),
       records: [...this.heard.takeUnsent()],
-      loads: [...this.parts.takeLoads()],
+      ...this.takeLoads(nowMs),
       limits: unlessEmpty(this.parts.pushback.takeReports(nowMs)),
       closed: unlessEmpty(this.parts.pushback.closedIds(nowMs)),
     };
   }
 
+  private takeLoads(nowMs: number): Pick<SyncParams, 'loads' | 'loadsMs'> {
+    const loads = [...this.parts.takeLoads()];
+    const earlierMs = this.loadsTakenAtMs;
+    this.loadsTakenAtMs = nowMs;
+    const hasDemand = loads.some(({demand}) => demand !== undefined);
+    if (!hasDemand || earlierMs === undefined) return {loads};
+    return {loads, loadsMs: nowMs - earlierMs};
+  }
+
   /** Repeats the announcements of a report that the leader may not have received. */
   requeue({records}: SyncParams): void {
     this.heard.requeue(records);
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -41,6 +41,17 @@
   readonly passMs: number;
 }
 
+/** Work of one customer at one service per second, output tokens. */
+export interface CustomerWorkGauge {
+  readonly service: string;
+  /** Name of the customer; empty for callers without a key. */
+  readonly customer: string;
+  /** Work that is admitted. */
+  readonly used: number;
+  /** Work that may be admitted. */
+  readonly allowed: number;
+}
+
 /** Timings of one request that a target answered, milliseconds. */
 export interface RequestTimings {
   /** From the arrival of the request until the queue admitted it. */
@@ -181,6 +192,20 @@
     );
   }
 
+  /** Registers the gauges of the leader's shares of customers. */
+  registerCustomerGauges(read: () => readonly CustomerWorkGauge[]): void {
+    this.customerGauge(
+      'work',
+      'work per second that is admitted, on the leader',
+      () => read().map(gauge => ({...gauge, value: gauge.used}))
+    );
+    this.customerGauge(
+      'share',
+      'work per second that may be admitted, on the leader',
+      () => read().map(gauge => ({...gauge, value: gauge.allowed}))
+    );
+  }
+
   /** The metrics in the exposition format. */
   text(): Promise<string> {
     return this.registry.metrics();
@@ -225,6 +250,24 @@
     });
   }
 
+  private customerGauge(
+    name: string,
+    help: string,
+    read: () => readonly {service: string; customer: string; value: number}[]
+  ): void {
+    new Gauge({
+      name: `marlpulley_customer_${name}`,
+      help: `${help}, by service and customer`,
+      labelNames: ['service', 'customer'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const {service, customer, value} of read())
+          this.set({service, customer}, value);
+      },
+    });
+  }
+
   private poolGauge(
     name: string,
     help: string,
--- a/src/policy/admission/concurrencyAllocation.ts
+++ b/src/policy/admission/concurrencyAllocation.ts
@@ -6,6 +6,8 @@
  * have free slots.
  */
 
+import {compareUrgency, parseUrgency, type UrgencyKey} from './urgency';
+
 /** Demand of one node. */
 export interface NodeDemand {
   readonly node: string;
@@ -15,6 +17,14 @@
   readonly arrivals: number;
 }
 
+/** Demand of one node for a prioritized service. */
+export interface UrgentNodeDemand extends NodeDemand {
+  /** Requests in flight, which `wanted` includes. */
+  readonly inFlight: number;
+  /** Queued requests by urgency text; the rest of `wanted` is the least urgent. */
+  readonly waiting: Readonly<Record<UrgencyKey, number>>;
+}
+
 /** Added to the arrivals, so that an idle node also gets surplus slots. */
 const IDLE_WEIGHT = 0.5;
 /** A node without a slot could not find out whether targets respond. */
@@ -28,11 +38,58 @@
   const wanted = totalWanted(demands);
   const granted =
     wanted > concurrency
-      ? splitMaxMin(concurrency, demands)
+      ? splitMaxMin(
+          concurrency,
+          demands.map(demand => demand.wanted)
+        )
       : splitWithSurplus(concurrency - wanted, demands);
   return roundGrants(concurrency, demands, granted);
 }
 
+/**
+ * As `allocateConcurrency`, by urgency: first requests in flight, then waiting
+ * requests in the order of urgency, max-min fair among nodes at each step.
+ */
+export function allocateByUrgency(
+  concurrency: number,
+  demands: readonly UrgentNodeDemand[]
+): ReadonlyMap<string, number> {
+  if (totalWanted(demands) <= concurrency)
+    return allocateConcurrency(concurrency, demands);
+  const granted = demands.map(() => 0);
+  let left = concurrency;
+  for (const step of stepsByUrgency(demands)) {
+    const parts = splitMaxMin(left, step);
+    parts.forEach((part, i) => {
+      granted[i] = (granted[i] ?? 0) + part;
+      left -= part;
+    });
+    if (left <= 0) break;
+  }
+  return roundGrants(concurrency, demands, granted);
+}
+
+/** What each node wants at each step; the steps add up to all that is wanted. */
+function stepsByUrgency(
+  demands: readonly UrgentNodeDemand[]
+): readonly (readonly number[])[] {
+  const keys = new Set(demands.flatMap(({waiting}) => Object.keys(waiting)));
+  const ordered = [...keys]
+    .flatMap(key => {
+      const urgency = parseUrgency(key);
+      return urgency === undefined ? [] : [{key, urgency}];
+    })
+    .sort((a, b) => compareUrgency(a.urgency, b.urgency));
+  const steps = [
+    demands.map(({inFlight}) => inFlight),
+    ...ordered.map(({key}) => demands.map(({waiting}) => waiting[key] ?? 0)),
+  ];
+  const rest = demands.map(({wanted}, i) =>
+    Math.max(0, wanted - steps.reduce((sum, step) => sum + (step[i] ?? 0), 0))
+  );
+  return [...steps, rest];
+}
+
 /** Slots beyond the demand of all nodes, rounded down. */
 export function unusedConcurrency(
   concurrency: number,
@@ -48,12 +105,12 @@
 /** Max-min fair split: what some nodes do not want goes to the others. */
 function splitMaxMin(
   concurrency: number,
-  demands: readonly NodeDemand[]
+  wantedByNode: readonly number[]
 ): readonly number[] {
-  const order = demands
-    .map(({wanted}, index) => ({wanted, index}))
+  const order = wantedByNode
+    .map((wanted, index) => ({wanted, index}))
     .sort((a, b) => a.wanted - b.wanted);
-  const granted = demands.map(() => 0);
+  const granted = wantedByNode.map(() => 0);
   let left = concurrency;
   order.forEach(({wanted, index}, position) => {
     const part = Math.min(wanted, left / (order.length - position));
