--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -1,6 +1,7 @@
 /** List of the models that the fuzz command and CI run. */
 
 import type {FuzzModel} from './fuzzModel';
+import {ADMISSION_MODEL} from './admissionModel';
 import {FRESHNESS_MODEL} from './freshnessModel';
 import {LOG_MODEL} from './logModel';
 import {MAP_MODEL} from './mapModel';
@@ -13,6 +14,7 @@
 
 /** One model per decision state machine. */
 export const FUZZ_MODELS: readonly FuzzModel[] = [
+  ADMISSION_MODEL,
   FRESHNESS_MODEL,
   LOG_MODEL,
   MAP_MODEL,
--- a/src/cluster/admissionChangeLogger.ts
+++ b/src/cluster/admissionChangeLogger.ts
@@ -1,7 +1,7 @@
 /** Logs changes of admission ratios, which are recomputed all the time. */
 
 import type {Logger} from '../core/logger';
-import type {UrgencyState} from '../policy/admission/admissionPlan';
+import type {AdmissionPlan} from '../policy/admission/admissionPlan';
 
 /** Change of a ratio above which it is logged. */
 const MIN_LOGGED_CHANGE = 0.1;
@@ -15,7 +15,7 @@
   logIfChanged(
     service: string,
     capacity: number,
-    states: readonly UrgencyState[]
+    {states, wanted}: Pick<AdmissionPlan, 'states' | 'wanted'>
   ): void {
     const last = this.logged.get(service) ?? new Map();
     const ratios = new Map(states.map(({urgency, ratio}) => [urgency, ratio]));
@@ -26,7 +26,7 @@
         event: 'admission.changed',
         service,
         places: Math.round(capacity),
-        wanted: Math.round(states.reduce((sum, {slots}) => sum + slots, 0)),
+        wanted: Math.round(wanted),
         urgencies: states.map(({urgency, slots, ratio}) => ({
           urgency,
           wanted: Math.round(slots),
--- a/src/cluster/leaderAdmission.ts
+++ b/src/cluster/leaderAdmission.ts
@@ -82,8 +82,8 @@
   private update(service: string, input: PlanInput): void {
     const plan = this.planOf(service);
     plan.update(input);
-    const {ratios, states} = plan;
-    this.changeLogger.logIfChanged(service, input.capacity, states);
+    const {ratios} = plan;
+    this.changeLogger.logIfChanged(service, input.capacity, plan);
     if (ratios === undefined) this.ratios.delete(service);
     else this.ratios.set(service, ratios.map(toMessage));
   }
--- a/src/policy/admission/admissionPlan.ts
+++ b/src/policy/admission/admissionPlan.ts
@@ -76,6 +76,9 @@
   /** Ratios by urgency, the most urgent first; undefined when all is admitted. */
   ratios: readonly UrgencyRatio[] | undefined;
 
+  /** Demand for slots at all nodes, also at those that declare no urgency. */
+  wanted = 0;
+
   /** Demand that the last ratios were computed from. */
   states: readonly UrgencyState[] = [];
 
@@ -89,10 +92,12 @@
 
   /** Computes the ratios anew. */
   update(input: PlanInput): void {
-    const {capacity, periodMs, nowMs, isCollecting} = input;
+    const {capacity, periodMs, nowMs} = input;
     const elapsedMs = Math.min(periodMs, nowMs - this.updatedAtMs);
     this.updatedAtMs = nowMs;
     this.totals.expire(nowMs);
+    const {reportedNodes} = this.totals;
+    const isCollecting = input.isCollecting && reportedNodes < input.knownNodes;
     this.totals.smooth(
       elapsedMs,
       isCollecting ? 0 : Math.max(MIN_SMOOTHING_MS, SMOOTHING_MS - periodMs / 2)
@@ -100,10 +105,11 @@
     if (!this.isShedding) this.totals.removeIdleLevels();
     const {levels} = this.totals;
     const demands = this.demandsInSlots(input);
-    const total = demands.reduce((sum, demand) => sum + demand, 0);
+    this.wanted = demands.reduce((sum, demand) => sum + demand, 0);
     // Without any capacity there is an outage, which the queues answer.
     const hasCapacity = Number.isFinite(capacity) && capacity > 0;
-    if (hasCapacity && total > capacity * START_RATIO) this.isShedding = true;
+    if (hasCapacity && this.wanted > capacity * START_RATIO)
+      this.isShedding = true;
     if (!hasCapacity) this.stopShedding();
     const targets = this.isShedding
       ? urgencyRatios(capacity, demands, this.floor)
@@ -188,7 +194,11 @@
     const urgencyRatio = this.ratioOf.get(key) ?? 1;
     const ratio = toStep(urgencyRatio);
     const demands = [...customers.values()];
-    const work = demands.reduce((sum, demand) => sum + demand.work, 0);
+    // The steady rate of a customer that begins to flood lags behind, and the share of
+    // the others must not fall meanwhile.
+    const steady = demands.reduce((sum, demand) => sum + demand.work, 0);
+    const recent = demands.reduce((sum, demand) => sum + demand.recentWork, 0);
+    const work = Math.max(steady, recent);
     const level =
       urgencyRatio === 1 ? Infinity : waterLevel(urgencyRatio * work, demands);
     this.levelOf.set(key, level);
--- a/src/policy/admission/customerDemand.ts
+++ b/src/policy/admission/customerDemand.ts
@@ -9,6 +9,11 @@
 const CHANGE_DEVIATIONS = 3;
 /** Variance of the work of a request, relative to requests of equal work. */
 const WORK_DISPERSION = 2;
+/**
+ * Time without requests after which a customer is forgotten. A forgotten customer gets
+ * the ratio of its urgency, although it is far below its share.
+ */
+const FORGOTTEN_AFTER_MS = 60_000;
 /** Rates below this, in requests per second, count as none. */
 const MIN_RATE = 0.001;
 
@@ -25,6 +30,7 @@
   private reported = NO_DEMAND;
   private recent = NO_DEMAND;
   private steady = NO_DEMAND;
+  private idleMs = 0;
 
   /** Adds the rate of one node, or takes one away with the sign -1. */
   add(rate: DemandRate, sign: 1 | -1): void {
@@ -42,6 +48,8 @@
 
   /** Moves the averages by `elapsedMs`; `recentMs` is the shorter time constant. */
   smooth(elapsedMs: number, recentMs: number): void {
+    const isIdle = this.reported.arrivals < MIN_RATE;
+    this.idleMs = isIdle ? this.idleMs + elapsedMs : 0;
     this.recent = approach(this.recent, this.reported, elapsedMs / recentMs);
     this.steady = this.hasChanged
       ? this.recent
@@ -53,14 +61,18 @@
     return this.recent.arrivals;
   }
 
+  /** Work per second, smoothed over half a second. */
+  get recentWork(): number {
+    return this.recent.work;
+  }
+
   /** Work per second, smoothed over seconds; follows a flood at once. */
   get work(): number {
     return this.steady.work;
   }
 
-  get isIdle(): boolean {
-    const rates = [this.reported, this.recent, this.steady];
-    return rates.every(({arrivals}) => arrivals < MIN_RATE);
+  get isForgotten(): boolean {
+    return this.idleMs > FORGOTTEN_AFTER_MS;
   }
 
   /** Whether the recent work differs from the steady work by more than chance. */
--- a/src/policy/admission/demandTotals.ts
+++ b/src/policy/admission/demandTotals.ts
@@ -13,6 +13,8 @@
 
 /** A node whose last report is older no longer counts. */
 const REPORT_VALID_MS = 2_000;
+/** A shorter time says little of the rate: one request would count as hundreds. */
+const MIN_COVERED_MS = 50;
 const MS_PER_S = 1_000;
 /** Urgency of requests whose urgency cannot be read. */
 const LEAST_URGENT: Urgency = {
@@ -72,7 +74,8 @@
   /** Replaces what the node reported before. */
   add(node: string, report: DemandReport, nowMs: number): void {
     this.remove(node);
-    const perSecond = MS_PER_S / Math.max(1, report.coveredMs);
+    const perSecond =
+      MS_PER_S / Math.max(MIN_COVERED_MS, validCount(report.coveredMs));
     const rates = (report.demand ?? []).map(entry => ({
       demand: this.demandOf(entry),
       rate: {
@@ -96,7 +99,7 @@
       for (const [name, demand] of customers) {
         if (recentMs === 0) demand.restart();
         else demand.smooth(elapsedMs, recentMs);
-        if (demand.isIdle) customers.delete(name);
+        if (demand.isForgotten) customers.delete(name);
       }
   }
 
--- a/tests/shareAllocation.spec.ts
+++ b/tests/shareAllocation.spec.ts
@@ -1,4 +1,7 @@
-import {allocateConcurrency} from '../src/policy/admission/concurrencyAllocation';
+import {
+  allocateByUrgency,
+  allocateConcurrency,
+} from '../src/policy/admission/concurrencyAllocation';
 
 function sum(shares: ReadonlyMap<string, number>): number {
   return [...shares.values()].reduce((total, share) => total + share, 0);
@@ -39,3 +42,39 @@
     expect(shares.get('b')).toBeGreaterThanOrEqual(1);
   });
 });
+
+describe('slots of a prioritized service', () => {
+  const node = (
+    name: string,
+    inFlight: number,
+    waiting: Record<string, number>,
+    undeclared = 0
+  ) => {
+    const queued = Object.values(waiting).reduce((a, b) => a + b, undeclared);
+    const wanted = inFlight + queued;
+    return {node: name, inFlight, waiting, wanted, arrivals: 1};
+  };
+
+  it('should go to what runs, then to what waits by urgency', () => {
+    const shares = allocateByUrgency(30, [
+      node('a', 10, {'1/1': 40}),
+      node('b', 10, {'0/0': 4, '1/1': 40}),
+      node('c', 0, {}, 40),
+    ]);
+    // The node that declares nothing keeps one slot to find out whether targets work.
+    expect([...shares.values()]).toEqual([13, 17, 1]);
+  });
+
+  it('should be divided as for other services while they suffice', () => {
+    const demands = [node('a', 5, {'1/1': 10}), node('b', 3, {'0/0': 1})];
+    expect(allocateByUrgency(60, demands)).toEqual(
+      allocateConcurrency(60, demands)
+    );
+  });
+
+  // An urgency that cannot be read was lost, and its requests got no slot.
+  it('should count an unknown urgency as the least urgent', () => {
+    const demands = [node('a', 0, {x: 10}), node('b', 0, {'1/1': 10})];
+    expect(allocateByUrgency(16, demands).get('a')).toBe(6);
+  });
+});
