--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -28,7 +28,8 @@
   coldRequestsPerSecond: 0,
 };
 
-const SITE: Site = {
+/** A site with this service only. */
+export const SIMULATED_SITE: Site = {
   version: 1,
   routes: [],
   services: new Map([[SERVICE.name, SERVICE]]),
@@ -95,7 +96,7 @@
       table: this.table,
       pushback: this.pushback,
       logger: LOGGER,
-      decodeSite: () => ({ok: true, site: SITE}),
+      decodeSite: () => ({ok: true, site: SIMULATED_SITE}),
       takeLoads: () => this.gateway.takeLoads(),
     });
     this.coordinator = new Coordinator(
--- a/src/cluster/admissionChangeLogger.ts
+++ b/src/cluster/admissionChangeLogger.ts
@@ -1,26 +1,34 @@
 /** Logs changes of admission ratios, which are recomputed all the time. */
 
 import type {Logger} from '../core/logger';
-import type {AdmissionPlan} from '../policy/admission/admissionPlan';
+import type {AdmissionPlan, PlanInput} from '../policy/admission/admissionPlan';
 
 /** Change of a ratio above which it is logged. */
 const MIN_LOGGED_CHANGE = 0.1;
+/** Least time between two lines of a service; ratios fall over several reports. */
+const MIN_INTERVAL_MS = 1_000;
+
+interface LoggedRatios {
+  readonly atMs: number;
+  readonly ratios: ReadonlyMap<string, number>;
+}
 
 /** Compares the ratios of each service with those logged last. */
 export class AdmissionChangeLogger {
-  private readonly logged = new Map<string, ReadonlyMap<string, number>>();
+  private readonly logged = new Map<string, LoggedRatios>();
 
   constructor(private readonly logger: Logger) {}
 
   logIfChanged(
     service: string,
-    capacity: number,
+    {capacity, nowMs}: PlanInput,
     {states, wanted}: Pick<AdmissionPlan, 'states' | 'wanted'>
   ): void {
-    const last = this.logged.get(service) ?? new Map();
+    const last = this.logged.get(service);
+    if (nowMs - (last?.atMs ?? -Infinity) < MIN_INTERVAL_MS) return;
     const ratios = new Map(states.map(({urgency, ratio}) => [urgency, ratio]));
-    if (!hasClearChange(last, ratios)) return;
-    this.logged.set(service, ratios);
+    if (!hasClearChange(last?.ratios ?? new Map(), ratios)) return;
+    this.logged.set(service, {atMs: nowMs, ratios});
     this.logger.info(
       {
         event: 'admission.changed',
--- a/src/cluster/leaderAdmission.ts
+++ b/src/cluster/leaderAdmission.ts
@@ -83,7 +83,7 @@
     const plan = this.planOf(service);
     plan.update(input);
     const {ratios} = plan;
-    this.changeLogger.logIfChanged(service, input.capacity, plan);
+    this.changeLogger.logIfChanged(service, input, plan);
     if (ratios === undefined) this.ratios.delete(service);
     else this.ratios.set(service, ratios.map(toMessage));
   }
--- a/src/policy/admission/admissionPlan.ts
+++ b/src/policy/admission/admissionPlan.ts
@@ -194,11 +194,7 @@
     const urgencyRatio = this.ratioOf.get(key) ?? 1;
     const ratio = toStep(urgencyRatio);
     const demands = [...customers.values()];
-    // The steady rate of a customer that begins to flood lags behind, and the share of
-    // the others must not fall meanwhile.
-    const steady = demands.reduce((sum, demand) => sum + demand.work, 0);
-    const recent = demands.reduce((sum, demand) => sum + demand.recentWork, 0);
-    const work = Math.max(steady, recent);
+    const work = demands.reduce((sum, demand) => sum + demand.work, 0);
     const level =
       urgencyRatio === 1 ? Infinity : waterLevel(urgencyRatio * work, demands);
     this.levelOf.set(key, level);
--- a/src/policy/admission/customerDemand.ts
+++ b/src/policy/admission/customerDemand.ts
@@ -31,6 +31,8 @@
   private recent = NO_DEMAND;
   private steady = NO_DEMAND;
   private idleMs = 0;
+  /** Time that the steady rate covers, at most `STEADY_MS`. */
+  private steadyMs = 0;
 
   /** Adds the rate of one node, or takes one away with the sign -1. */
   add(rate: DemandRate, sign: 1 | -1): void {
@@ -44,6 +46,7 @@
   restart(): void {
     this.recent = this.reported;
     this.steady = this.reported;
+    this.steadyMs = 0;
   }
 
   /** Moves the averages by `elapsedMs`; `recentMs` is the shorter time constant. */
@@ -51,9 +54,18 @@
     const isIdle = this.reported.arrivals < MIN_RATE;
     this.idleMs = isIdle ? this.idleMs + elapsedMs : 0;
     this.recent = approach(this.recent, this.reported, elapsedMs / recentMs);
-    this.steady = this.hasChanged
-      ? this.recent
-      : approach(this.steady, this.recent, elapsedMs / STEADY_MS);
+    if (this.hasChanged) {
+      this.steady = this.recent;
+      this.steadyMs = 0;
+      return;
+    }
+    this.steadyMs = Math.min(STEADY_MS, this.steadyMs + elapsedMs);
+    const timeConstantMs = Math.max(recentMs, this.steadyMs);
+    this.steady = approach(
+      this.steady,
+      this.recent,
+      elapsedMs / timeConstantMs
+    );
   }
 
   /** Requests per second, smoothed over half a second. */
@@ -61,11 +73,6 @@
     return this.recent.arrivals;
   }
 
-  /** Work per second, smoothed over half a second. */
-  get recentWork(): number {
-    return this.recent.work;
-  }
-
   /** Work per second, smoothed over seconds; follows a flood at once. */
   get work(): number {
     return this.steady.work;
