--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -1,6 +1,7 @@
 /** The measures of `npm run bench`, in the order of the report. */
 
 import type {Measure} from './measure';
+import {admissionCost} from './measures/admissionCost';
 import {balance} from './measures/balance';
 import {bounds} from './measures/bounds';
 import {coldStart} from './measures/coldStart';
@@ -26,4 +27,5 @@
   controlCost,
   bounds,
   fleet,
+  admissionCost,
 ];
--- a/tests/customerShares.spec.ts
+++ b/tests/customerShares.spec.ts
@@ -111,6 +111,22 @@
     expect(work('c0') / left).toBeLessThan(1.1);
   });
 
+  // At a few requests per second the rate of half a second exceeds the share by chance.
+  it('should keep customers of few requests that are within their share', () => {
+    const {world, callers} = fixture(75);
+    for (const caller of callers) caller.perSecond = 4;
+    world.run(5_000);
+    callers[0]!.perSecond = 150;
+    world.run(10_000);
+    const fromMs = 6_000;
+    const refused = world.arrivals.filter(
+      ({atMs, caller, isAdmitted}) =>
+        atMs > fromMs && caller.customer !== 'c0' && !isAdmitted
+    );
+    // Less than 2 in 100 of 36 requests per second over 9 s.
+    expect(refused.length).toBeLessThan(0.02 * 36 * 9);
+  });
+
   it('should divide the work with an error of at most 2%', () => {
     // With fewer requests the sizes of the admitted ones differ more by chance.
     const {world, callers} = fixture(4_000);
