--- a/src/cluster/leaderAdmission.ts
+++ b/src/cluster/leaderAdmission.ts
@@ -17,7 +17,7 @@
 import {prioritizedServices} from '../site/prioritizedServices';
 import type {Site} from '../site/site';
 import {AdmissionChangeLogger} from './admissionChangeLogger';
-import type {AdmissionRatio, SyncParams} from './messages';
+import type {AdmissionRatio, ServiceLoad, SyncParams} from './messages';
 import type {NodeReport} from './nodeReports';
 import {demandsOf, urgentDemandsOf} from './nodeReports';
 
@@ -61,7 +61,11 @@
     if (site !== this.site) this.setSite(site);
     for (const load of loads) {
       if (!this.isPrioritized(load.service)) continue;
-      const report = {...load, coveredMs: loadsMs ?? sinceLastMs};
+      const report = {
+        ...load,
+        demand: demandIn(load),
+        coveredMs: loadsMs ?? sinceLastMs,
+      };
       this.planOf(load.service).report(from.ip, report, nowMs);
     }
   }
@@ -122,6 +126,11 @@
   }
 }
 
+/** Undefined from a node of an older version; a newer one may have no arrivals. */
+function demandIn({demand, waitingByUrgency}: ServiceLoad) {
+  return demand ?? (waitingByUrgency === undefined ? undefined : []);
+}
+
 function toMessage({urgency, ratio, customers}: UrgencyRatio): AdmissionRatio {
   return {urgency, ratio, customers: Object.fromEntries(customers)};
 }
--- a/src/policy/admission/admissionPlan.ts
+++ b/src/policy/admission/admissionPlan.ts
@@ -103,29 +103,20 @@
       isCollecting ? 0 : Math.max(MIN_SMOOTHING_MS, SMOOTHING_MS - periodMs / 2)
     );
     if (!this.isShedding) this.totals.removeIdleLevels();
-    const {levels} = this.totals;
     const demands = this.demandsInSlots(input);
     this.wanted = demands.reduce((sum, demand) => sum + demand, 0);
     // Without any capacity there is an outage, which the queues answer.
     const hasCapacity = Number.isFinite(capacity) && capacity > 0;
-    if (hasCapacity && this.wanted > capacity * START_RATIO)
-      this.isShedding = true;
     if (!hasCapacity) this.stopShedding();
-    const targets = this.isShedding
-      ? urgencyRatios(capacity, demands, this.floor)
-      : [];
-    const risePart = isCollecting
-      ? 1
-      : 1 - Math.pow(RISE_LEFT_PER_PERIOD, elapsedMs / periodMs);
-    this.moveRatios(levels, targets, risePart);
-    this.states = levels.map(({key}, i) => ({
-      urgency: key,
-      slots: demands[i] ?? 0,
-      ratio: this.ratioOf.get(key) ?? 1,
-    }));
-    this.ratios = this.isShedding
-      ? levels.map(level => this.customerRatios(level))
-      : undefined;
+    else if (this.wanted > capacity * START_RATIO) this.isShedding = true;
+    if (this.isShedding)
+      this.moveRatios(
+        urgencyRatios(capacity, demands, this.floor),
+        isCollecting
+          ? 1
+          : 1 - Math.pow(RISE_LEFT_PER_PERIOD, elapsedMs / periodMs)
+      );
+    this.publish(demands);
   }
 
   /** Use and share of each customer, over all urgencies. */
@@ -164,14 +155,9 @@
   }
 
   /** Ratios fall at once and rise by a part of the way. */
-  private moveRatios(
-    levels: readonly UrgencyLevel[],
-    targets: readonly number[],
-    risePart: number
-  ): void {
-    if (!this.isShedding) return;
+  private moveRatios(targets: readonly number[], risePart: number): void {
     let moreUrgent = 1;
-    levels.forEach(({key}, i) => {
+    this.totals.levels.forEach(({key}, i) => {
       const ratio = this.ratioOf.get(key) ?? 1;
       const target = targets[i] ?? 1;
       const moved = ratio + Math.max(0, target - ratio) * risePart;
@@ -183,6 +169,18 @@
     if (moreUrgent === 1) this.stopShedding();
   }
 
+  private publish(demands: readonly number[]): void {
+    const {levels} = this.totals;
+    this.states = levels.map(({key}, i) => ({
+      urgency: key,
+      slots: demands[i] ?? 0,
+      ratio: this.ratioOf.get(key) ?? 1,
+    }));
+    this.ratios = this.isShedding
+      ? levels.map(level => this.customerRatios(level))
+      : undefined;
+  }
+
   private stopShedding(): void {
     this.isShedding = false;
     this.ratioOf.clear();
