--- a/src/policy/admission/limitRise.ts
+++ b/src/policy/admission/limitRise.ts
@@ -7,13 +7,14 @@
  */
 
 /** Part of the limit by which it may rise in a second. */
-const MAX_RISE_PER_SECOND = 0.1;
+const MAX_RISE_PER_SECOND = 0.25;
 /**
- * Up to this part of the bound, the limit rises at once while passes are in time:
- * requests may cost twice the estimate before callers notice. At a tenth a second,
- * a group that ran a few probe requests would refuse callers for half a minute.
+ * Up to this part of the bound, the limit rises at once while passes are in time. After
+ * a lost leader or an outage all callers return together, and a group that opened
+ * slowly refused most of them for seconds while its passes took a third of the
+ * accepted pause.
  */
-const OPEN_RATIO = 0.5;
+const OPEN_RATIO = 0.85;
 /** Part of the bound that is open while nodes report to a new leader. */
 const COLLECT_RATIO = 0.1;
 /** A group with fewer requests is idle. */
