--- a/src/gateway/admitRequest.ts
+++ b/src/gateway/admitRequest.ts
@@ -78,6 +78,8 @@
   state: RequestState,
   routed: RoutedRequest
 ): Promise<AdmissionResult> {
+  // Its cancellation came before the queue listens for it.
+  if (state.stopped !== undefined) return stopRefusal(state);
   const pool = gateway.pool(routed.service.name);
   const {admission} = pool;
   const request = arrivingRequest(pool, state, routed);
