--- a/src/policy/admission/lengthEstimate.ts
+++ b/src/policy/admission/lengthEstimate.ts
@@ -24,9 +24,12 @@
     this.ratios.set(route, ratio + EWMA_ALPHA * (sample - ratio));
   }
 
-  /** Expected output tokens, at most `maxTokens` unless that is 0. */
+  /**
+   * Expected output tokens, at most `maxTokens` unless that is 0; `maxTokens` in place
+   * of a hint that is not positive.
+   */
   outputTokens(route: string, hintedTokens: number, maxTokens: number): number {
-    if (!isPositive(hintedTokens)) return 0;
+    if (!isPositive(hintedTokens)) return isPositive(maxTokens) ? maxTokens : 0;
     const estimate = hintedTokens * (this.ratios.get(route) ?? 1);
     return isPositive(maxTokens) ? Math.min(maxTokens, estimate) : estimate;
   }
