--- a/src/policy/admission/nodeAdmission.ts
+++ b/src/policy/admission/nodeAdmission.ts
@@ -9,7 +9,7 @@
 import {DemandCounter} from './demandCounter';
 import {QueueRetry} from './queueRetry';
 import {RefusedRequests} from './refusedRequests';
-import {ReturnSchedule} from './returnSchedule';
+import {ReturnSchedule, latestReturnMs} from './returnSchedule';
 import type {UrgencyKey} from './urgency';
 
 /** A request as it arrives. */
@@ -101,11 +101,12 @@
 
   /** Counts a refusal by the queue and returns its Retry-After, milliseconds. */
   refuseInQueue(request: ArrivingRequest, nowMs: number): number {
-    const {customer, promptId, urgency} = request;
+    const {customer, promptId, urgency, remainingMs} = request;
     const quickMs = this.queueRetry.recordRefusal(urgency, nowMs);
     if (quickMs === undefined) return this.assignReturn(request, nowMs);
-    // Due at once: a caller with little time left returns before Retry-After.
-    this.refused.record(customer, promptId, nowMs, nowMs);
+    // A caller with little time left returns before Retry-After.
+    const waitMs = Math.min(quickMs, latestReturnMs(remainingMs));
+    this.refused.record(customer, promptId, nowMs + waitMs, nowMs);
     return quickMs;
   }
 
--- a/src/policy/admission/returnSchedule.ts
+++ b/src/policy/admission/returnSchedule.ts
@@ -51,7 +51,8 @@
   }
 }
 
-function latestReturnMs(remainingMs: number): number {
+/** Longest wait that a caller with this time left obeys, milliseconds. */
+export function latestReturnMs(remainingMs: number): number {
   if (Number.isNaN(remainingMs)) return LATEST_RETURN_MS;
   const obeyedMs = Math.max(0, remainingMs) * MAX_WAIT_RATIO;
   return Math.min(LATEST_RETURN_MS, obeyedMs);
--- a/tests/nodeAdmission.spec.ts
+++ b/tests/nodeAdmission.spec.ts
@@ -72,6 +72,22 @@
     expect(node.refuseInQueue(request('p2'), 1_000)).toBeGreaterThan(700);
   });
 
+  // Guards against callers who hammer: one that the queue refused was due at once,
+  // and so went before all others.
+  it('should refuse a request that returns early after a refusal by the queue', () => {
+    const {node, request, arrive} = createNode(0.01);
+    const toldMs = node.refuseInQueue(request('p'), 0);
+    expect(arrive('p', 10)).toMatchObject({retryInMs: toldMs - 10});
+    expect(arrive('p', toldMs)).toMatchObject({isReturning: true});
+  });
+
+  // Guards against refusing callers who cannot wait as long as told.
+  it('should expect a caller with little time left sooner', () => {
+    const {node, request, arrive} = createNode(0.01);
+    node.refuseInQueue({...request('p'), remainingMs: 300}, 0);
+    expect(arrive('p', 100)).toMatchObject({isReturning: true});
+  });
+
   // Guards against callers who all return after 0.7 s during an overload that the
   // leader does not know yet: everything is admitted, and slots are few.
   it('should tell returns at the rate of slots that become free', () => {
