--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -265,11 +265,14 @@
         });
         this.limitLogger.logIfChanged(name, concurrency, loads);
         this.updatePermits(name, concurrency);
-        const {total} = concurrency;
+        const {total, groups} = concurrency;
+        const isCollecting = !this.allNodesReported;
         const byNode = this.admission.allocate(name, reports, {
           capacity: total,
+          isCapacityPartial:
+            isCollecting && groups.some(({reason}) => reason === 'rise'),
           knownNodes: nodes.all().length,
-          isCollecting: !this.allNodesReported,
+          isCollecting,
           periodMs: this.reports.periodMs,
           nowMs: now,
         });
--- a/src/policy/admission/admissionPlan.ts
+++ b/src/policy/admission/admissionPlan.ts
@@ -32,6 +32,8 @@
 export interface PlanInput {
   /** Requests that the service may run at once. */
   readonly capacity: number;
+  /** Whether `capacity` covers only the nodes that have reported; false if absent. */
+  readonly isCapacityPartial?: boolean;
   /** Nodes that serve callers, also those that have not reported yet. */
   readonly knownNodes: number;
   /** Whether nodes have not had time to report to this leader. */
@@ -92,7 +94,7 @@
 
   /** Computes the ratios anew. */
   update(input: PlanInput): void {
-    const {capacity, periodMs, nowMs} = input;
+    const {periodMs, nowMs} = input;
     const elapsedMs = Math.min(periodMs, nowMs - this.updatedAtMs);
     this.updatedAtMs = nowMs;
     this.totals.expire(nowMs);
@@ -103,7 +105,9 @@
       isCollecting ? 0 : Math.max(MIN_SMOOTHING_MS, SMOOTHING_MS - periodMs / 2)
     );
     if (!this.isShedding) this.totals.removeIdleLevels();
-    const demands = this.demandsInSlots(input);
+    const scale = this.unreportedScale(input);
+    const capacity = input.capacity * (input.isCapacityPartial ? scale : 1);
+    const demands = this.demandsInSlots(scale);
     this.wanted = demands.reduce((sum, demand) => sum + demand, 0);
     // Without any capacity there is an outage, which the queues answer.
     const hasCapacity = Number.isFinite(capacity) && capacity > 0;
@@ -136,17 +140,17 @@
     return [...uses.values()];
   }
 
+  /** Until all nodes have reported, the others count as the mean of those that have. */
+  private unreportedScale({isCollecting, knownNodes}: PlanInput): number {
+    const {reportedNodes} = this.totals;
+    return isCollecting && reportedNodes > 0
+      ? Math.max(1, knownNodes / reportedNodes)
+      : 1;
+  }
+
   /** Demand of each level, and last that of the nodes which declare none. */
-  private demandsInSlots({
-    isCollecting,
-    knownNodes,
-  }: PlanInput): readonly number[] {
-    const {levels, serviceTimeMs, undeclared, reportedNodes} = this.totals;
-    // Until all nodes have reported, the others count as the mean of those that have.
-    const scale =
-      isCollecting && reportedNodes > 0
-        ? Math.max(1, knownNodes / reportedNodes)
-        : 1;
+  private demandsInSlots(scale: number): readonly number[] {
+    const {levels, serviceTimeMs, undeclared} = this.totals;
     const slotsPerRate = (scale * serviceTimeMs) / MS_PER_S;
     const declared = levels.map(
       ({customers}) => arrivalsOf(customers.values()) * slotsPerRate
--- a/tests/coordinator.spec.ts
+++ b/tests/coordinator.spec.ts
@@ -165,4 +165,35 @@
     sync('n1', 4, [], 60);
     expect(coordinator.passMs('s', '')).toBe(60);
   });
+
+  // A limit that counted the running requests of the first node alone was compared
+  // with the demand of all nodes: a new leader admitted a quarter of what fits.
+  it('should not shed what fits while nodes report to a new leader', () => {
+    const route = {repeat: 'stream', gapTargetMs: 150, latencyTargetMs: 1_000};
+    const routes = [0, 1].map(priority => {
+      return {...route, priority, split: [{service: 's', weight: 1}]};
+    });
+    const site = {...SITE, routes} as unknown as Site;
+    const ips = Array.from({length: 6}, (_, i) => `n${i}`);
+    const all = () => ips.map(ip => ({ip, hasDisk: false}));
+    const {coordinator, wait} = fixture();
+    const agreed = {term: 1, index: 1, siteVersion: 1, packedSite: 'x'};
+    coordinator.reset();
+    const grants = ips.map(ip => {
+      wait(51);
+      const params = report(ip, 2, 40);
+      const demand = [{urgency: '0/0', customer: '', arrivals: 1, work: 1}];
+      const loads = params.loads.map(load => {
+        return {...load, demand, serviceTimeMs: 200};
+      });
+      return coordinator.sync(
+        {...params, loads, loadsMs: 100},
+        {...agreed, zonesOut: []},
+        site,
+        {revision: 1, all}
+      ).grants[0];
+    });
+    expect(grants.map(grant => grant?.boundBy)).toContain('rise');
+    for (const grant of grants) expect(grant).not.toHaveProperty('admission');
+  });
 });
