--- a/src/gateway/servicePool.ts
+++ b/src/gateway/servicePool.ts
@@ -128,6 +128,7 @@
   takeLoad(isPrioritized: boolean): ServiceLoad {
     const {arrivals} = this;
     this.arrivals = 0;
+    const urgencyLoad = this.takeUrgencyLoad();
     return {
       service: this.service,
       inFlight: this.queue.inFlight,
@@ -135,7 +136,7 @@
       arrivals,
       byTarget: Object.fromEntries(this.ownInFlight),
       pacesMs: this.streams.pacesMs(performance.now()),
-      ...(isPrioritized ? this.takeUrgencyLoad() : {}),
+      ...(isPrioritized ? urgencyLoad : {}),
     };
   }
 
--- a/tests/admitRequest.spec.ts
+++ b/tests/admitRequest.spec.ts
@@ -2,6 +2,7 @@
 import {admitRequest} from '../src/gateway/admitRequest';
 import {Gateway} from '../src/gateway/gateway';
 import {RequestState} from '../src/gateway/requestState';
+import {ServicePool} from '../src/gateway/servicePool';
 
 describe('a request that ended while its body was read', () => {
   // Guards against requests that count as demand, use credit and wait in the queue
@@ -35,3 +36,14 @@
     expect(load).toMatchObject({inFlight: 0, waiting: 0, demand: []});
   });
 });
+
+// Guards against old arrivals that count as those of one report period once the
+// routes differ in priority again.
+it('should drop the demand of a service that is not prioritized', () => {
+  const bounds = {nodeId: 'n', coldMultiplier: 1, coldSlack: 0};
+  const pool = new ServicePool('s', {...bounds, retries: {} as never});
+  const request = {urgency: {customer: 0, route: 0}, customer: '', work: 1};
+  pool.admission.arrive({...request, remainingMs: 1, freedPerSecond: 1}, 0);
+  expect(pool.takeLoad(false)).not.toHaveProperty('demand');
+  expect(pool.takeLoad(true)).toMatchObject({demand: []});
+});
