--- a/tests/controlProcess.spec.ts
+++ b/tests/controlProcess.spec.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {reservePorts} from '../bench/deployment/freePorts';
 import {ControlProcess} from '../src/control/controlProcess';
-import {createLogger} from '../src/core/logger';
+import {createLineLogger, createLogger} from '../src/core/logger';
 import {Metrics} from '../src/core/metrics';
 import {METHODS} from '../src/rpc/messages';
 import {PeerClient, createPeerHttpsAgent} from '../src/rpc/peerClient';
@@ -25,6 +25,17 @@
 interface Instance {
   readonly running: ControlProcess;
   readonly client: PeerClient;
+  /** What the instance logged, by line. */
+  readonly lines: readonly string[];
+}
+
+interface InstanceStatus {
+  readonly instance: {
+    readonly role: string;
+    readonly term: number;
+    readonly leaderId?: string;
+    readonly commitIndex: number;
+  };
 }
 
 async function startInstances(): Promise<readonly Instance[]> {
@@ -37,34 +48,58 @@
   await release();
   return Promise.all(
     instances.map(async address => {
+      const lines: string[] = [];
+      const write = (line: string) => void lines.push(line.trim());
       const running = await ControlProcess.start({
         ...address,
         secret: SECRET,
         instances,
         dataDir: path.join(folder, address.id),
-        logger,
+        logger: createLineLogger('control', address.id, 'info', {write}),
         metrics: new Metrics(address.id),
         onFatal: () => undefined,
       });
       onCleanup(() => running.stop());
-      return {running, client: new PeerClient(address, agent)};
+      return {running, client: new PeerClient(address, agent), lines};
     })
   );
 }
 
-/** Waits until one of the instances leads. */
-function leaderOf(instances: readonly Instance[]): Promise<Instance> {
-  return eventually('a leader', async () => {
-    for (const instance of instances) {
-      const status = await instance.client.call<{instance: {role: string}}>(
-        METHODS.status,
-        {},
-        1_000
-      );
-      if (status.instance.role === 'leader') return instance;
-    }
-    return undefined;
-  });
+/**
+ * Waits until one of `candidates` leads a group that is founded; an error
+ * describes `instances`. A leader that has committed nothing may be the only
+ * holder of the configuration, and no other instance can be elected without it.
+ */
+async function leaderOf(
+  candidates: readonly Instance[],
+  instances = candidates
+): Promise<Instance> {
+  try {
+    return await eventually('a leader', async () => {
+      for (const candidate of candidates) {
+        const {instance} = await statusOf(candidate);
+        const {role, commitIndex} = instance;
+        if (role === 'leader' && commitIndex > 0) return candidate;
+      }
+      return undefined;
+    });
+  } catch (err) {
+    const states = await Promise.all(instances.map(describeInstance));
+    throw new Error([String(err), ...states].join('\n'));
+  }
+}
+
+function statusOf({client}: Instance): Promise<InstanceStatus> {
+  return client.call(METHODS.status, {}, 1_000);
+}
+
+/** Role, term, leader and log lines of an instance, for a failure message. */
+async function describeInstance(one: Instance): Promise<string> {
+  const state = await statusOf(one).then(
+    ({instance}) => JSON.stringify(instance),
+    String
+  );
+  return [`${one.client.address.id}: ${state}`, ...one.lines].join('\n');
 }
 
 describe('a control instance that stops', () => {
@@ -78,7 +113,7 @@
     jest.spyOn(PeerServer.prototype, 'close').mockReturnValueOnce(promise);
     void leader.running.stop();
     const others = instances.filter(one => one !== leader);
-    expect(others).toContain(await leaderOf(others));
+    expect(others).toContain(await leaderOf(others, instances));
   }, 40_000);
 
   // A peer that connects and then hangs. Such a connection held up the exit of
