--- a/src/policy/admission/nodeAdmission.ts
+++ b/src/policy/admission/nodeAdmission.ts
@@ -40,8 +40,7 @@
 
 /**
  * Part of the slots that become free which is assigned to returning requests. The
- * rest absorbs the variation of service times: with 60 slots under twice the load, 1.8
- * in 100 requests were refused twice, and 2.4 at a ratio of 1.
+ * rest absorbs the variation of service times, which has callers refused twice.
  */
 const RETURN_CAPACITY_RATIO = 0.9;
 
