--- a/src/policy/admission/admissionQueue.ts
+++ b/src/policy/admission/admissionQueue.ts
@@ -34,6 +34,12 @@
 
 /** Weight of one sample in the moving average of the service time. */
 const SERVICE_TIME_EWMA_ALPHA = 0.03;
+/**
+ * The same for the measured time, of which the leader takes the mean over all nodes.
+ * After a slow time it must fall within seconds, or the leader refuses requests for
+ * which targets have long had free slots.
+ */
+const MEASURED_TIME_EWMA_ALPHA = 0.15;
 /**
  * A request that can wait at least this long may be queued for slots that other
  * nodes leave unused: the leader moves them here after the next report of this
@@ -131,7 +137,7 @@
     this.ended++;
     this.measuredTimeMs +=
       (heldMs - this.measuredTimeMs) *
-      Math.max(SERVICE_TIME_EWMA_ALPHA, 1 / this.ended);
+      Math.max(MEASURED_TIME_EWMA_ALPHA, 1 / this.ended);
     this.startNext();
   }
 
--- a/src/policy/admission/measuredCost.ts
+++ b/src/policy/admission/measuredCost.ts
@@ -61,10 +61,15 @@
       ...since(this.latest, nowMs - LATEST_MS),
       {atMs: nowMs, value: lateCost},
     ];
-    if (load < minRequests || varyingMs === 0) return;
-    this.costs.record(varyingMs / load, nowMs);
-    if (expectedMs > 0)
-      this.ratios.record(varyingMs / load / expectedMs, nowMs);
+    if (load === 0 || varyingMs === 0) return;
+    const cost = varyingMs / load;
+    const known = this.costs.value ?? 0;
+    // Few requests show too high a cost, so a lower one than known is news. Without
+    // it a group that was slow would stay nearly closed: with few requests, no
+    // measurement would count, and the limit would admit only few.
+    if (load < minRequests && cost >= known) return;
+    this.costs.record(cost, nowMs);
+    if (expectedMs > 0) this.ratios.record(cost / expectedMs, nowMs);
   }
 
   /** Measured over expected cost, as known last; 1 before it is known. */
--- a/tests/admissionLimit.spec.ts
+++ b/tests/admissionLimit.spec.ts
@@ -109,6 +109,21 @@
     expect(cost.ratio).toBeCloseTo(1, 2);
   });
 
+  // A rank was slow, and the limit fell to a few requests. They showed no cost, so the
+  // group stayed nearly closed for eight seconds after the rank had recovered.
+  it('should learn from few requests that passes are cheap again', () => {
+    const cost = new MeasuredCost();
+    const pass = {fixedMs: 20, expectedMs: 0.1, limitMs: 150, minRequests: 72};
+    let nowMs = 0;
+    for (; nowMs < 4_000; nowMs += 50)
+      cost.record({...pass, passMs: 500}, 200, nowMs);
+    expect(cost.sustainedMs(0.1, nowMs)).toBeCloseTo(2.4, 1);
+    for (; nowMs < 10_000; nowMs += 50)
+      cost.record({...pass, passMs: 45}, 60, nowMs);
+    expect(cost.sustainedMs(0.1, nowMs)).toBeLessThan(0.5);
+    expect(cost.ratio).toBeLessThan(5);
+  });
+
   // One rank is slow, and passes last longer than after any shift.
   it('should fall at once when passes are slower than after a shift', () => {
     const slow = Array.from({length: 8}, () => group(8));
--- a/tests/admissionQueue.spec.ts
+++ b/tests/admissionQueue.spec.ts
@@ -116,4 +116,14 @@
     expect(queue.measuredServiceTimeMs).toBeCloseTo(2_500);
     expect(queue.freedPerSecond).toBeCloseTo(3 / 2.5);
   });
+
+  // After a slow time the leader took the old service time for demand, and refused two
+  // of three requests while most slots were free.
+  it('should measure a service time that falls within a few requests', () => {
+    const {queue, enter} = fixture(80);
+    for (let i = 0; i < 80; i++) enter(`r${i}`);
+    for (let i = 0; i < 60; i++) queue.leave(5_000);
+    for (let i = 0; i < 15; i++) queue.leave(500);
+    expect(queue.measuredServiceTimeMs).toBeLessThan(1_000);
+  });
 });
