--- a/src/policy/admission/limitRise.ts
+++ b/src/policy/admission/limitRise.ts
@@ -15,8 +15,6 @@
  * accepted pause.
  */
 const OPEN_RATIO = 0.85;
-/** Part of the bound that is open while nodes report to a new leader. */
-const COLLECT_RATIO = 0.1;
 /** A group with fewer requests is idle. */
 const MIN_BUSY_REQUESTS = 4;
 /** Least time between two changes of the limit's direction. */
@@ -74,7 +72,9 @@
   state: LimitRise | undefined,
   {bound, running}: LimitRiseInput
 ): LimitRise {
-  const known = Math.max(state?.limit ?? 0, running, bound * COLLECT_RATIO);
+  // Nodes that have not reported run requests too: a lower limit would take their
+  // slots away and refuse callers until all of them have reported.
+  const known = Math.max(state?.limit ?? 0, running, bound * OPEN_RATIO);
   return {kind: 'collecting', limit: Math.min(bound, known)};
 }
 
