Name each node that a search for the leader tried, and why it failed

The error lists every try: "10.2.0.40 timeout; 10.1.0.12 does not lead, names 10.2.0.40". leader.found and leader.lost state how long no leader was known, or for how long one was. A node that leads forgets the leader before it, which it would otherwise call first once it leads no more.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -97,7 +97,8 @@
       this.rpc,
       this.directory,
       logger,
-      () => this.replica?.leader
+      () => this.replica?.leader,
+      nowMs
     );
     this.coordinator = new Coordinator(
       this.table,
@@ -331,7 +332,9 @@
       );
       this.peerDiscovery.probePeers();
     }
-    if (this.leads) this.peerDiscovery.announceToSeeds(performance.now());
+    if (!this.leads) return;
+    this.leaderClient.noteSelfLeads();
+    this.peerDiscovery.announceToSeeds(performance.now());
   }
 
   private async syncOnce(): Promise<void> {
--- a/src/cluster/leaderClient.ts
+++ b/src/cluster/leaderClient.ts
@@ -1,6 +1,7 @@
 /** Calls to the leader, which is found by trying the known nodes. */
 
 import type * as z from 'zod';
+import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {NodeDirectory} from './nodeDirectory';
 import type {RpcClient} from './rpcClient';
@@ -26,6 +27,8 @@
 /** Finds the leader and caches its address. */
 export class LeaderClient {
   private cachedLeader: string | undefined;
+  /** When a leader was last found or lost. */
+  private changedAtMs: number;
   private nextIndex = 0;
 
   constructor(
@@ -33,8 +36,11 @@
     private readonly directory: NodeDirectory,
     private readonly logger: Logger,
     /** Leader by this node's own log; undefined without one. */
-    private readonly leaderFromLog: () => string | undefined
-  ) {}
+    private readonly leaderFromLog: () => string | undefined,
+    private readonly nowMs: () => number
+  ) {
+    this.changedAtMs = nowMs();
+  }
 
   /** The leader, if known. */
   get leader(): string | undefined {
@@ -46,12 +52,18 @@
     this.cacheLeader(ip);
   }
 
+  /** Forgets earlier leaders while this node leads. */
+  noteSelfLeads(): void {
+    this.cachedLeader = undefined;
+    this.changedAtMs = this.nowMs();
+  }
+
   /** Tries one node after the other; rejects when no leader replied. */
   async call<T extends {readonly kind: string}>(
     call: LeaderCall<T>
   ): Promise<Exclude<T, NotLeader>> {
     let hint = this.leader;
-    let failure: unknown = new Error('no other node is known that may lead');
+    const failures: string[] = [];
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const ip = hint ?? this.nextNode();
       if (ip === undefined || ip === this.directory.self.ip) break;
@@ -64,30 +76,44 @@
           return reply as Exclude<T, NotLeader>;
         }
         const {leader} = reply as NotLeader;
-        failure = new Error(`node ${ip} does not lead`);
+        failures.push(describeNotLeader(ip, leader));
         hint = leader === ip ? undefined : leader;
       } catch (err) {
-        failure = err;
+        failures.push(describeFailure(ip, err));
         hint = undefined;
       }
-      if (this.cachedLeader === ip) this.clearLeader(failure);
+      if (this.cachedLeader === ip) this.clearLeader(failures.at(-1));
     }
-    throw failure;
+    throw new Error(
+      failures.length === 0
+        ? 'no other node is known that may lead'
+        : `no leader: ${failures.join('; ')}`
+    );
   }
 
   private cacheLeader(ip: string): void {
-    if (this.cachedLeader !== ip)
-      this.logger.info({event: 'leader.found', ip}, `found leader ${ip}`);
+    if (this.cachedLeader === ip) return;
+    const nowMs = this.nowMs();
+    const isChange = this.cachedLeader !== undefined;
+    const leaderlessMs = isChange ? 0 : Math.round(nowMs - this.changedAtMs);
     this.cachedLeader = ip;
+    this.changedAtMs = nowMs;
+    this.logger.info(
+      {event: 'leader.found', ip, leaderlessMs},
+      `found leader ${ip} after ${leaderlessMs} ms without one`
+    );
   }
 
-  private clearLeader(failure: unknown): void {
-    const err = String(failure);
+  private clearLeader(err: string | undefined): void {
+    const ip = this.cachedLeader;
+    const nowMs = this.nowMs();
+    const knownMs = Math.round(nowMs - this.changedAtMs);
+    this.cachedLeader = undefined;
+    this.changedAtMs = nowMs;
     this.logger.warn(
-      {event: 'leader.lost', ip: this.cachedLeader, err},
-      `lost leader ${this.cachedLeader}`
+      {event: 'leader.lost', ip, err, knownMs},
+      `lost leader ${ip}, known for ${knownMs} ms`
     );
-    this.cachedLeader = undefined;
   }
 
   /**
@@ -105,3 +131,14 @@
     return addresses[Math.floor(index / 2) % addresses.length];
   }
 }
+
+function describeNotLeader(ip: string, leader: string | undefined): string {
+  const named = leader === undefined ? '' : `, names ${leader}`;
+  return `${ip} does not lead${named}`;
+}
+
+function describeFailure(ip: string, err: unknown): string {
+  if (!(err instanceof PeerError)) return `${ip} ${String(err)}`;
+  const {kind} = err.fault;
+  return kind === 'rejected' ? `${ip} ${kind}: ${err.detail}` : `${ip} ${kind}`;
+}
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -19,7 +19,7 @@
     readonly fault: PeerFault,
     readonly step: string,
     readonly peer: string,
-    detail: string
+    readonly detail: string
   ) {
     super(`${step}: ${peer}: ${fault.kind}: ${detail}`);
     this.name = 'PeerError';
--- a/tests/manyNodes.spec.ts
+++ b/tests/manyNodes.spec.ts
@@ -113,7 +113,8 @@
       rpc,
       directory,
       SILENT_LOGGER,
-      () => undefined
+      () => undefined,
+      () => 0
     );
     const find = () =>
       client.call({
