Log why no leader is elected, and why the voters change

A group without a leader said nothing but log.changed of each node, and only all of them side by side told whether voters were gone, had another disk or denied.

A voter that knows no leader for 2 s warns, every 5 s at most, with the term, the quorum, the votes it has, and for each other voter whether it denied, replied with another incarnation or did not reply (election.stalled). The leader states which voter it adds or removes and why (voters.changed). The core emits both as effects; the driver logs them.

--- a/src/control/log/coreEvents.ts
+++ b/src/control/log/coreEvents.ts
@@ -6,9 +6,11 @@
  */
 
 import type {Command} from '../state/command';
+import type {ElectionStall} from './electionWatch';
 import type {LogEntry, LogSnapshot, LogWrite} from './entry';
 import type {VoterEviction, VoterLimit} from './logOptions';
 import type {CoreReply, CoreRequest} from './messages';
+import type {VoterChange} from './voterChange';
 
 /** An input of the core. Each is passed in with the current time. */
 export type CoreEvent =
@@ -82,6 +84,10 @@
       readonly index: number;
     }
   | {readonly kind: 'elected'; readonly term: number}
+  /** A voter knows no leader for long; for logs. */
+  | {readonly kind: 'electionStalled'; readonly stall: ElectionStall}
+  /** The leader adds or removes a voter; for logs. */
+  | {readonly kind: 'votersChanged'; readonly change: VoterChange}
   /** This instance will not learn the outcome of its open proposals. */
   | {readonly kind: 'leadershipLost'}
   /**
--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -9,6 +9,7 @@
   LogWrite,
   Voter,
 } from './entry';
+import {VoteRecord} from './electionWatch';
 import {quorumOf} from './entry';
 import {EntryLog} from './entryLog';
 import type {MemberContact} from './memberContact';
@@ -102,6 +103,7 @@
   electionDeadline = 0;
   leadership: Leadership | undefined;
   candidacy: Candidacy | undefined;
+  readonly voteRecord = new VoteRecord();
   /** Snapshot that is being received. */
   incoming: IncomingSnapshot | undefined;
   /** Sequence number of the last request sent; numbers are never reused. */
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -61,6 +61,7 @@
   state.leaderId = undefined;
   state.startRetryTimer();
   state.candidacy.granted.add(state.incarnation);
+  state.voteRecord.askedAt = state.now;
   requestVotes(state, 'preVote', state.term + 1);
   askOthers(state);
   countVotes(state);
--- a/src/control/log/logDriver.ts
+++ b/src/control/log/logDriver.ts
@@ -6,6 +6,7 @@
 import type {Command, CommandResult} from '../state/command';
 import type {LogLimits, LogPeers, ReplicatedLogOptions} from './logOptions';
 import type {CoreEffect, CoreEvent, LogTiming} from './coreEvents';
+import type {ElectionStall} from './electionWatch';
 import type {DurableState, LogEntry} from './entry';
 import {LinearizableReads} from './linearizableReads';
 import {LogApplier} from './logApplier';
@@ -17,6 +18,7 @@
 import {PendingCalls} from './pendingCalls';
 import {RaftCore} from './raftCore';
 import type {LogStatus, ReplicatedLog} from './replicatedLog';
+import type {VoterChange} from './voterChange';
 
 const TICK_MS = 25;
 /** Maximum wait at shutdown for peers to receive the resignation. */
@@ -209,6 +211,10 @@
         return this.calls.ready(effect.ticket, effect.index);
       case 'elected':
         return this.reportElected(effect.term);
+      case 'electionStalled':
+        return this.logStall(effect.stall);
+      case 'votersChanged':
+        return this.logVoterChange(effect.change);
       case 'leadershipLost':
         return this.rejectOpenProposals();
       case 'rejoin':
@@ -282,6 +288,22 @@
     );
   }
 
+  private logStall(stall: ElectionStall): void {
+    const {leaderlessMs, granted, quorum} = stall;
+    this.options.logger.warn(
+      {event: 'election.stalled', ...stall},
+      `no leader for ${Math.round(leaderlessMs)} ms: ${granted.length} of ${quorum} votes`
+    );
+  }
+
+  private logVoterChange(change: VoterChange): void {
+    const {kind, id, reason} = change;
+    this.options.logger.info(
+      {event: 'voters.changed', ...change},
+      `voter ${id} ${kind}: ${reason}`
+    );
+  }
+
   private rejectOpenProposals(): void {
     this.options.logger.warn(
       {step: 'election'},
--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -17,6 +17,7 @@
   isLimited,
   isSilent,
 } from './memberContact';
+import {reportVoterChange} from './voterChange';
 import {surplusVoter} from './voterChoice';
 import {appendAsLeader, hasCommittedOwnTerm} from './replication';
 
@@ -30,6 +31,7 @@
   if (!hasMajorityContact(state, leadership)) return;
   const voters = nextVoters(state, leadership);
   if (voters === undefined) return;
+  reportVoterChange(state, leadership, voters);
   for (const voter of state.voters)
     if (!voters.some(({id}) => id === voter.id))
       noteRemoval(state, leadership, voter);
--- a/src/control/log/raftCore.ts
+++ b/src/control/log/raftCore.ts
@@ -18,6 +18,7 @@
   resign,
   startPreVote,
 } from './election';
+import {noteVoteReply, reportStalledElection} from './electionWatch';
 import type {DurableState} from './entry';
 import {onAppend} from './followerLog';
 import {onSnapshot} from './followerSnapshot';
@@ -85,6 +86,7 @@
     else if (state.isEmpty) this.founding.tick();
     else if (state.isVoter && state.now >= state.electionDeadline)
       startPreVote(state);
+    reportStalledElection(state);
   }
 
   private handle(event: CoreEvent): void {
@@ -168,6 +170,7 @@
 
   private onReply(from: string, message: CoreReply): void {
     const {state} = this;
+    noteVoteReply(state, from, message);
     switch (message.kind) {
       case 'hello':
         if (state.leadership !== undefined)
