Log how long ago a leader confirmed the site document

Callers got 404 from nodes whose document was one version behind, and no line said when a node last had its document confirmed: a node without a leader and one that took an older document for the newest looked alike.

NodeSync keeps the send time of the last report that a leader replied to, in the view as confirmedAtMs. A document that could not be decoded confirms nothing, and replies out of order never set it back. request.refused carries siteAgeMs, site.unconfirmed and site.confirmed mark the time without a confirmation, and marlpulley_site_age_seconds shows the age. The bound of the warning comes from the setting [bounds] apply-ms. What nodes answer is unchanged.

--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -52,6 +52,7 @@
 } as unknown as Logger;
 const METRICS = new NodeMetrics();
 const SILENT_AFTER_MS = 4_200;
+const MAX_SITE_AGE_MS = 1_900;
 /** Longest wait in the queue, and its priority, of all requests. */
 const QUEUED = {urgency: {customer: 1, route: 1}, maxWaitMs: 200};
 
@@ -96,6 +97,7 @@
       table: this.table,
       pushback: this.pushback,
       logger: LOGGER,
+      maxSiteAgeMs: MAX_SITE_AGE_MS,
       decodeSite: () => ({ok: true, site: SIMULATED_SITE}),
       takeLoads: () => this.gateway.takeLoads(),
     });
--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -4,7 +4,7 @@
  * all that a gateway needs, also while no other node can be reached.
  */
 
-import {Subscription, defer, repeat, timer} from 'rxjs';
+import {Subscription, defer, interval, repeat, timer} from 'rxjs';
 import type {Site} from '../site/site';
 import type {TargetAnnouncement} from '../site/announcement';
 import {unpackText} from '../site/packText';
@@ -40,6 +40,8 @@
 /** After this long, the next report is worth as much as a late reply. */
 const SYNC_TIMEOUT_MS = 700;
 const LOG_TIMEOUT_MS = 1_000;
+/** Interval of the check that the leader still confirms the document. */
+const CONFIRMATION_CHECK_INTERVAL_MS = 200;
 /** Delay before a log that could not be opened is tried again. */
 const OPEN_RETRY_MS = 400;
 /** A commit waits for two disk syncs; a slow one takes a quarter of a second. */
@@ -130,6 +132,11 @@
         .pipe(repeat({delay: () => timer(node.syncDelayMs)}))
         .subscribe()
     );
+    node.subscription.add(
+      interval(CONFIRMATION_CHECK_INTERVAL_MS).subscribe(() =>
+        node.reports.checkConfirmation(node.knowsLeader, performance.now())
+      )
+    );
     if (options.self.hasDisk) void node.joinLog();
     return node;
   }
--- a/src/cluster/clusterNodeOptions.ts
+++ b/src/cluster/clusterNodeOptions.ts
@@ -20,6 +20,8 @@
   readonly admissionFloor: number;
   /** Period of the targets' announcements, milliseconds. */
   readonly heartbeatMs: number;
+  /** Age of a confirmation after which a newer document may be in force, ms. */
+  readonly maxSiteAgeMs: number;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
   decodeSite(text: string): DecodedSite;
--- a/src/cluster/clusterView.ts
+++ b/src/cluster/clusterView.ts
@@ -6,6 +6,11 @@
 /** State by which a gateway routes and admits requests. */
 export interface ClusterView {
   readonly index: SiteIndex | undefined;
+  /**
+   * Time as of which a leader confirmed the document as the newest, milliseconds;
+   * absent before the first.
+   */
+  readonly confirmedAtMs?: number;
   readonly zonesOut: ReadonlySet<string>;
   readonly grants: ReadonlyMap<string, ServiceGrant>;
   /** When the grants were received, milliseconds; absent before the first. */
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -12,6 +12,7 @@
 import type {ClusterView} from './clusterView';
 import {LocalAnnouncements} from './localAnnouncements';
 import type {NodeInfo, ServiceLoad, SyncParams, SyncState} from './messages';
+import {SiteConfirmation} from './siteConfirmation';
 import {SyncCursor} from './syncCursor';
 import type {TargetPushback} from './targetPushback';
 import type {TargetTable} from './targetTable';
@@ -28,6 +29,8 @@
   readonly table: TargetTable;
   readonly pushback: TargetPushback;
   readonly logger: Logger;
+  /** Age of a confirmation after which a newer document may be in force, ms. */
+  readonly maxSiteAgeMs: number;
   decodeSite(text: string): DecodedSite;
   /** Loads by service; arrivals are counted since the last call. */
   takeLoads(): readonly ServiceLoad[];
@@ -53,10 +56,13 @@
   private readonly activeSite: ActiveSite;
   private readonly heard = new LocalAnnouncements();
   private readonly cursor = new SyncCursor();
+  private readonly confirmation: SiteConfirmation;
   private loadsTakenAtMs: number | undefined;
 
   constructor(private readonly parts: NodeSyncParts) {
-    this.activeSite = new ActiveSite(parts.decodeSite, parts.logger);
+    const {decodeSite, logger, maxSiteAgeMs} = parts;
+    this.activeSite = new ActiveSite(decodeSite, logger);
+    this.confirmation = new SiteConfirmation(maxSiteAgeMs, logger);
   }
 
   get view(): ClusterView {
@@ -77,6 +83,11 @@
     return this.activeSite.packed;
   }
 
+  /** Logs when the document has not been confirmed for too long. */
+  checkConfirmation(knowsLeader: boolean, nowMs: number): void {
+    this.confirmation.check(this.siteVersion, knowsLeader, nowMs);
+  }
+
   /** Merges an announcement of a target; false when it is outdated. */
   handleAnnouncement(announcement: TargetAnnouncement, nowMs: number): boolean {
     const isNew = this.parts.table.merge(announcement, nowMs);
@@ -136,8 +147,14 @@
     if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
     if (!isLeader)
       for (const record of reply.records) table.mergeShared(record, nowMs);
+    const index = this.activeSite.update(reply.siteVersion, reply.packedSite);
+    const version = index?.site.version ?? NO_SITE_VERSION;
+    // A document that could not be decoded leaves an older one in force.
+    if (version >= reply.siteVersion)
+      this.confirmation.confirm(sentAtMs, version, nowMs);
     this.current = {
-      index: this.activeSite.update(reply.siteVersion, reply.packedSite),
+      index,
+      confirmedAtMs: this.confirmation.atMs,
       zonesOut: new Set(reply.zonesOut),
       grants: new Map(reply.grants.map(grant => [grant.service, grant])),
       grantedAtMs: nowMs,
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -22,6 +22,8 @@
   /** 1 when this node is the leader, otherwise 0. */
   isLeader(): number;
   siteVersion(): number;
+  /** Time since a leader confirmed the site document; NaN before the first. */
+  siteAgeMs(): number;
   /** Nodes that have recently reported to the leader. */
   activeNodes(): number;
   /** Log lines dropped since the start. */
@@ -186,6 +188,11 @@
       'version of the document in force here',
       gauges.siteVersion
     );
+    this.gauge(
+      'marlpulley_site_age_seconds',
+      'time since a leader confirmed the document as the newest',
+      () => gauges.siteAgeMs() / MS_PER_S
+    );
     this.gauge(
       'marlpulley_active_nodes',
       'nodes that share the places of services',
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -4,6 +4,7 @@
  */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ClusterView} from '../cluster/clusterView';
 import {unreachable} from '../core/errors';
 import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
 import {restRetryMs} from '../policy/admission/restRetry';
@@ -126,6 +127,7 @@
 ): void {
   const {res, caller} = state;
   const {callers, logger, metrics} = gateway.parts;
+  const {view} = gateway;
   const response = callers.refuse(refusal);
   metrics.refused(refusal.kind);
   logger.info(
@@ -135,7 +137,8 @@
       refusal,
       ...rounded(state.refusalFigures),
       ...state.refusalCause,
-      siteVersion: gateway.view?.index?.site.version,
+      siteVersion: view?.index?.site.version,
+      ...rounded(siteAge(view)),
       ageMs: Math.round(state.ageMs),
       tried: [...state.tried],
     },
@@ -148,3 +151,10 @@
   });
   res.end(response.body);
 }
+
+/** Time since a leader confirmed the document, milliseconds. */
+function siteAge(view: ClusterView | undefined): {siteAgeMs?: number} {
+  const confirmedAtMs = view?.confirmedAtMs;
+  if (confirmedAtMs === undefined) return {};
+  return {siteAgeMs: performance.now() - confirmedAtMs};
+}
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -19,6 +19,7 @@
 import {GroupControllerManager} from '../ranks/groupControllerManager';
 import {relayToRanks} from '../ranks/rankRelay';
 import {RELAY_METHOD, RELAY_PARAMS} from '../ranks/relayMessages';
+import {maxSiteAgeMs} from '../policy/siteAge';
 import type {NodeSettings} from '../settings/settings';
 import {ControlServer} from './controlServer';
 import {serveMetrics} from './metricsServer';
@@ -146,6 +147,7 @@
     metrics.registerGauges({
       isLeader: () => Number(node.leads),
       siteVersion: () => node.view.index?.site.version ?? 0,
+      siteAgeMs: () => performance.now() - (node.view.confirmedAtMs ?? NaN),
       activeNodes: () => node.view.activeNodes,
       droppedLines: this.parts.droppedLines,
       pools: () => gateway.poolGauges(),
@@ -210,6 +212,7 @@
     lossesBorne: cluster.lossesBorne,
     admissionFloor: bounds.admissionFloor,
     heartbeatMs: bounds.heartbeatMs,
+    maxSiteAgeMs: maxSiteAgeMs(bounds.applyMs),
     logger,
     metrics,
     decodeSite: codecs.control.decodeSite,
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -206,6 +206,10 @@
     decimal(0.5, 3600),
     'time from SIGTERM until the process is killed, seconds'
   ),
+  'apply-ms': setting(
+    integer(1000, MINUTE_MS).default(2000),
+    'time from the commit of a document until no node may refuse by an older one'
+  ),
   'admission-floor': setting(
     decimal(0, 1).default(0.4),
     'part of its requests that each urgency keeps when not all can be served'
--- a/tests/leaderAdmission.spec.ts
+++ b/tests/leaderAdmission.spec.ts
@@ -192,6 +192,7 @@
       table: new TargetTable(),
       pushback: {takeReports: () => [], closedIds: () => []} as never,
       logger: SILENT_LOGGER,
+      maxSiteAgeMs: 1_900,
       decodeSite: () => ({ok: false, problem: ''}),
       takeLoads: () => [load as never],
     });
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -121,6 +121,7 @@
     this.metrics.registerGauges({
       isLeader: zero,
       siteVersion: zero,
+      siteAgeMs: zero,
       activeNodes: zero,
       droppedLines: zero,
       pools: () => this.gateway?.poolGauges() ?? [],
--- a/tests/platform/platformSettings.ts
+++ b/tests/platform/platformSettings.ts
@@ -19,6 +19,7 @@
   dataDir: '/data/my-front',
   heartbeatMs: '1200',
   'faultTolerance.machines': '1',
+  'bounds.configApplyMs': '2000',
   'bounds.graceS': '8',
   'bounds.retryBudgetRatio': '0.2',
   'bounds.retryWindowS': '10',
