Move the nodes' voter policy and log timing into modules of their own

Cause: the models kept a copy of the eviction time, and used the default timing of the log, so that a change of the product's values left them behind.

Change: `voterPolicy.ts` gives the eviction rule and the most voters for the losses that a deployment bears, `logTiming.ts` the timers. `DiskNodes` uses the policy: its shape states the losses borne instead of the fewest voters. No value changes.

--- a/bench/fuzz/diskNodes.ts
+++ b/bench/fuzz/diskNodes.ts
@@ -3,6 +3,7 @@
  * and the others may become voters.
  */
 
+import {voterEviction} from '../../src/cluster/voterPolicy';
 import type {VoterLimit} from '../../src/control/log/logOptions';
 import type {LogInstance} from './logInstance';
 import {LogCluster} from './logModel';
@@ -10,7 +11,6 @@
 const FOUNDERS = 3;
 const SETTLE_CHECK_MS = 250;
 const SETTLE_TIMEOUT_MS = 120_000;
-const SILENT_MS = 8_000;
 /** Report period of 300 nodes. */
 const REPORT_PERIOD_MS = 900;
 
@@ -21,7 +21,8 @@
   readonly zoneAt?: (index: number) => string;
   /** Most voters; unlimited when absent. */
   readonly maxVoters?: number;
-  readonly minVoters?: number;
+  /** Losses of voters that the group bears at the same time; 1 when absent. */
+  readonly lossesBorne?: number;
   /** Whether nodes report to the leader outside the log; true when absent. */
   readonly hasReports?: boolean;
 }
@@ -49,7 +50,7 @@
         peerIds: () =>
           ids.filter(other => other !== id && !this.forgotten.has(other)),
         founders: ids.slice(0, FOUNDERS),
-        voterEviction: {silentMs: SILENT_MS, minVoters: shape.minVoters ?? 3},
+        voterEviction: voterEviction(shape.lossesBorne ?? 1),
         voterLimit: this.voterLimit(id),
       }),
     });
--- a/src/cluster/logReplica.ts
+++ b/src/cluster/logReplica.ts
@@ -6,11 +6,12 @@
 import {distinctUntilChanged, map} from 'rxjs';
 import type {Logger} from '../core/logger';
 import {createReplicatedLog} from '../control/log/createReplicatedLog';
-import type {LogTiming} from '../control/log/coreEvents';
-import type {VoterEviction, VoterLimit} from '../control/log/logOptions';
+import type {VoterLimit} from '../control/log/logOptions';
 import type {ReplicatedLog} from '../control/log/replicatedLog';
 import {ControlState} from '../control/state/controlState';
+import {LOG_TIMING} from './logTiming';
 import type {NodeDirectory} from './nodeDirectory';
+import {maxVoters, voterEviction} from './voterPolicy';
 
 /**
  * Log bytes between two snapshots. Snapshots are small, and the disk of a node
@@ -22,32 +23,6 @@
  * them may fill the disk.
  */
 const TRAILING_ENTRIES = 64;
-/**
- * Silence after which a voter is removed. Exceeds the longest restart of a
- * killed process by twice the longest election timeout, so that a voter that
- * restarts keeps its vote.
- */
-const REMOVE_SILENT_VOTER_AFTER_MS = 8_000;
-/**
- * Most voters, unless the intended losses need more. Three in each of three
- * zones: the loss of a zone and of one more voter leaves a quorum.
- */
-const MAX_VOTERS = 9;
-/**
- * Shorter than the defaults of the log. After the loss of the leader or a
- * restart of all nodes, callers may find no site document and targets no granted
- * slots until a leader is elected: 1.2 s with the defaults, half of it with
- * these values. Heartbeats every 100 ms to a handful of voters cost next to
- * nothing, and three of them fit into the shortest election timeout.
- */
-const LOG_TIMING: LogTiming = {
-  heartbeatMs: 100,
-  electionMinMs: 350,
-  electionMaxMs: 700,
-  checkQuorumMs: 700,
-  resendMs: 400,
-  firstElectionMaxMs: 250,
-};
 /**
  * Delay before a failed log is opened again: a disk that was full for some
  * seconds is in use again within one second of having space.
@@ -110,14 +85,11 @@
   }
 
   private async openLog(): Promise<OpenLog> {
-    const {directory, founders, isFirstStart, logger} = this.options;
+    const {directory, founders, isFirstStart, lossesBorne, logger} =
+      this.options;
     const state = new ControlState();
-    const voterEviction: VoterEviction = {
-      silentMs: REMOVE_SILENT_VOTER_AFTER_MS,
-      minVoters: 2 * this.options.lossesBorne + 1,
-    };
     const voterLimit: VoterLimit = {
-      maxVoters: Math.max(MAX_VOTERS, voterEviction.minVoters),
+      maxVoters: maxVoters(lossesBorne),
       zoneOf: ip => directory.zoneOf(ip),
       lastReportMs: ip => directory.lastContactMs(ip),
     };
@@ -126,7 +98,7 @@
       peers: directory,
       founders,
       mayFound: isFirstStart && founders.length > 0,
-      voterEviction,
+      voterEviction: voterEviction(lossesBorne),
       voterLimit,
       dataDir: this.options.dataDir,
       stateMachine: state,
--- a/tests/logVoterLimit.spec.ts
+++ b/tests/logVoterLimit.spec.ts
@@ -103,7 +103,7 @@
   // With as many voters as the intended losses need, none could be removed: the
   // lost one would have kept its seat, and no other node could have had it.
   it('should replace a lost voter when the limit is the minimum', () => {
-    const disks = started({...HUNDRED, minVoters: MAX_VOTERS});
+    const disks = started({...HUNDRED, lossesBorne: 4});
     const lost = otherVoter(disks);
     disks.instance(lost).crash();
     disks.until(() => !disks.voterIds().includes(lost));
