Model losses by the rule of a deployment, and show that voters do not bear them

Seen: a group of which one machine after the other was replaced had no leader for ever. No model played it: they took a disk only if the configuration of the group bore its loss, so that a slow repair only made losses rarer.

Change: `lossModel` draws losses by the rule of a deployment. The timers of the log are those of nodes.

--- a/bench/fuzz/diskNodes.ts
+++ b/bench/fuzz/diskNodes.ts
@@ -6,7 +6,7 @@
 import {voterEviction} from '../../src/cluster/voterPolicy';
 import type {VoterLimit} from '../../src/control/log/logOptions';
 import type {LogInstance} from './logInstance';
-import {LogCluster} from './logModel';
+import {LogCluster, type LogShape} from './logModel';
 
 const FOUNDERS = 3;
 const SETTLE_CHECK_MS = 250;
@@ -15,8 +15,14 @@
 const REPORT_PERIOD_MS = 900;
 
 /** Shape of a cluster of nodes with disks. */
-export interface DiskNodesShape {
+export interface DiskNodesShape extends Pick<
+  LogShape,
+  'timing' | 'delayMs' | 'sizes'
+> {
+  /** Nodes at the start. */
   readonly nodes: number;
+  /** Empty machines that may start later; none when absent. */
+  readonly spares?: number;
   /** Zone of the node with this index; three zones in turn when absent. */
   readonly zoneAt?: (index: number) => string;
   /** Most voters; unlimited when absent. */
@@ -32,6 +38,7 @@
   readonly cluster: LogCluster;
   /** Nodes that the others no longer know, for example replaced machines. */
   readonly forgotten = new Set<string>();
+  private readonly spares: string[];
   private readonly zones: ReadonlyMap<string, string>;
   private maxVoters: number;
   private readonly reportedAt = new Map<string, number>();
@@ -41,11 +48,15 @@
     private readonly shape: DiskNodesShape
   ) {
     this.maxVoters = shape.maxVoters ?? Infinity;
-    const {nodes, zoneAt = index => 'abc'[index % 3] ?? ''} = shape;
-    const ids = Array.from({length: nodes}, (_, index) => nodeId(index));
+    const {nodes, spares = 0} = shape;
+    const {zoneAt = index => 'abc'[index % 3] ?? ''} = shape;
+    const ids = Array.from({length: nodes + spares}, (_, i) => nodeId(i));
     this.zones = new Map(ids.map((id, index) => [id, zoneAt(index)]));
     this.cluster = new LogCluster(seed, {
       ids,
+      timing: shape.timing,
+      delayMs: shape.delayMs,
+      sizes: shape.sizes,
       settingsOf: id => ({
         peerIds: () =>
           ids.filter(other => other !== id && !this.forgotten.has(other)),
@@ -55,6 +66,23 @@
       }),
     });
     this.cluster.endFaults();
+    this.spares = ids.slice(nodes);
+    for (const id of this.spares) this.remove(id);
+  }
+
+  /** The machine and its disk are gone, and the others forget it. */
+  remove(id: string): void {
+    this.instance(id).wipe();
+    this.forgotten.add(id);
+  }
+
+  /** Starts the next spare machine with an empty disk, and returns its id. */
+  startSpare(): string {
+    const id = this.spares.shift();
+    if (id === undefined) throw new Error('no spare machine');
+    this.forgotten.delete(id);
+    this.instance(id).boot(false);
+    return id;
   }
 
   /** As if all nodes were replaced by a version with another limit. */
--- a/bench/fuzz/logModel.ts
+++ b/bench/fuzz/logModel.ts
@@ -38,6 +38,12 @@
   readonly ids: readonly string[];
   /** Settings of the log at one instance. */
   settingsOf(id: string): LogSettings;
+  /** Timers of the log; drawn from the seed when absent. */
+  readonly timing?: LogTiming;
+  /** Longest delay of a message that is not late, in ms; drawn when absent. */
+  readonly delayMs?: number;
+  /** Sizes and times that are not drawn from the seed. */
+  readonly sizes?: Partial<LogSizes>;
 }
 
 /** A group of instances in virtual time. */
@@ -86,18 +92,21 @@
       batchChars: random.pick([500, 100_000]),
       chunkChars: random.pick([200, 2000]),
       syncMs: random.pick([0, 10, 60]),
+      ...shape?.sizes,
     };
     this.drawn = {
       drop: random.pick([0, 0.02, 0.15]),
       late: random.pick([0, 0, 0.02, 0.1]),
     };
     this.startFaults();
-    this.delayMs = random.pick([5, 40, 150]);
-    this.timing = {
+    const drawnDelayMs = random.pick([5, 40, 150]);
+    this.delayMs = shape?.delayMs ?? drawnDelayMs;
+    const drawnTiming = {
       ...DEFAULT_TIMING,
       // Safety must not depend on how soon an old leader steps down.
       checkQuorumMs: random.pick([DEFAULT_TIMING.checkQuorumMs, 6000]),
     };
+    this.timing = shape?.timing ?? drawnTiming;
     this.faults = {
       drop: 0,
       duplicate: random.pick([0, 0.1]),
@@ -142,6 +151,14 @@
         if (side.has(a) !== side.has(b)) this.network.cut(a, b);
   }
 
+  /** Restores the links of an instance that was cut off. */
+  reconnect(id: string): void {
+    for (const other of this.ids) {
+      this.network.restore(id, other);
+      this.network.restore(other, id);
+    }
+  }
+
   send(from: string, to: string, message: LogMessage): void {
     this.sentCount++;
     if (this.random.chance(this.dropChance)) return;
--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -4,6 +4,7 @@
 import {ADMISSION_MODEL} from './admissionModel';
 import {FRESHNESS_MODEL} from './freshnessModel';
 import {LOG_MODEL} from './logModel';
+import {LOSS_MODEL} from './lossModel';
 import {MAP_MODEL} from './mapModel';
 import {ONCE_MODEL} from './onceModel';
 import {QUEUE_MODEL} from './queueModel';
@@ -18,6 +19,7 @@
   ADMISSION_MODEL,
   FRESHNESS_MODEL,
   LOG_MODEL,
+  LOSS_MODEL,
   MAP_MODEL,
   ONCE_MODEL,
   QUEUE_MODEL,
--- a/bench/fuzz/schedule.ts
+++ b/bench/fuzz/schedule.ts
@@ -77,6 +77,11 @@
     this.cutLinks.add(`${from}>${to}`);
   }
 
+  /** Restores the link in one direction. */
+  restore(from: string, to: string): void {
+    this.cutLinks.delete(`${from}>${to}`);
+  }
+
   isCut(from: string, to: string): boolean {
     return this.cutLinks.has(`${from}>${to}`);
   }
--- a/tests/logReplacement.spec.ts
+++ b/tests/logReplacement.spec.ts
@@ -1,3 +1,5 @@
+import {DiskNodes} from '../bench/fuzz/diskNodes';
+import {LOG_TIMING} from '../src/cluster/logTiming';
 import {
   CORE_OPTIONS,
   DrivenCore,
@@ -8,6 +10,7 @@
 
 const EVICTION_MS = 8_000;
 const STEP_MS = 200;
+const SEED = 5;
 
 /** Makes `a` the leader, with voter eviction. Only `b` has replied so far. */
 function startLeader(minVoters: number, peers: () => readonly string[]) {
@@ -76,6 +79,20 @@
     expect(log.status.voterIds).toEqual(['a', 'b', 'd']);
   });
 
+  // The replaced leader kept its vote for 8 s: two of four voters were left.
+  it('should bear the loss of a disk 4 s after the leader was replaced at another address', () => {
+    const shape = {nodes: 3, spares: 1, timing: LOG_TIMING, delayMs: 5};
+    const disks = new DiskNodes(SEED, shape);
+    disks.untilVoters(3);
+    disks.remove(disks.leader().id);
+    const successor = disks.startSpare();
+    disks.advance(4_000);
+    disks.instance(successor).wipe();
+    disks.advance(1_000);
+    disks.commit();
+    expect(disks.voterIds()).toHaveLength(3);
+  });
+
   // An instance that is not a founder starts with an empty disk at the same
   // time as the founders. A group of its own would accept changes
   // independently.
