Show that a lost leader is called again on each node's word

LeaderClient.call follows the address that a node names although it has just failed in the same call, and with many addresses gone, seeds or replaced machines, most tries go to them; each costs a whole timeout.

--- a/tests/leaderClient.spec.ts
+++ b/tests/leaderClient.spec.ts
@@ -1,7 +1,10 @@
-import type {LeaderCall} from '../src/cluster/leaderClient';
 import {LeaderClient} from '../src/cluster/leaderClient';
 import type {NodeInfo} from '../src/cluster/messages';
-import {NODE_METHODS, PROPOSE_REPLY} from '../src/cluster/messages';
+import {
+  NODE_METHODS,
+  PROPOSE_REPLY,
+  READ_SITE_REPLY,
+} from '../src/cluster/messages';
 import {NodeDirectory} from '../src/cluster/nodeDirectory';
 import type {RpcClient} from '../src/cluster/rpcClient';
 import {PeerError} from '../src/core/errors';
@@ -13,6 +16,17 @@
   reply: PROPOSE_REPLY,
   timeoutMs: 2_500,
 };
+const READ = {
+  method: NODE_METHODS.readSite,
+  params: {heldVersion: 0},
+  reply: READ_SITE_REPLY,
+  timeoutMs: 700,
+};
+/** Time from a failed read to the next one. */
+const RETRY_MS = 50;
+const STEP_MS = 10;
+/** Nodes that are not seen drop out of the directory soon after. */
+const MAX_SEARCH_MS = 18_000;
 const nodeIp = (n: number) => `10.0.0.${n}`;
 const nowMs = () => performance.now();
 
@@ -70,7 +84,12 @@
   ): Promise<unknown> {
     this.called.push(ip);
     const behavior = this.behaviors.get(ip) ?? 'hangs';
-    if (behavior === 'leads') return Promise.resolve({kind: 'committed'});
+    if (behavior === 'leads')
+      return Promise.resolve(
+        method === NODE_METHODS.propose
+          ? {kind: 'committed'}
+          : {kind: 'site', version: 1}
+      );
     if (typeof behavior === 'object')
       return Promise.resolve({kind: 'notLeader', leader: behavior.names});
     const fault =
@@ -84,18 +103,25 @@
   }
 }
 
-/** The outcome of a call, and how long it took in virtual time. */
-async function run<T extends {readonly kind: string}>(
-  {client}: FakeCluster,
-  call: LeaderCall<T>
-): Promise<{readonly err?: Error; readonly tookMs: number}> {
-  const startedAtMs = nowMs();
-  const outcome = client.call(call).then(
-    () => ({tookMs: nowMs() - startedAtMs}),
-    (err: Error) => ({err, tookMs: nowMs() - startedAtMs})
+/** Advances virtual time until the promise is settled; returns how it ended. */
+async function settle(promise: Promise<unknown>): Promise<Error | undefined> {
+  let outcome: {readonly err?: Error} | undefined;
+  promise.then(
+    () => (outcome = {}),
+    (err: Error) => (outcome = {err})
   );
-  await jest.advanceTimersByTimeAsync(15_000);
-  return outcome;
+  while (outcome === undefined) await jest.advanceTimersByTimeAsync(STEP_MS);
+  return outcome.err;
+}
+
+/** Virtual time until a node that reads again and again finds the leader. */
+async function timeToFind({client}: FakeCluster): Promise<number> {
+  const startedAtMs = nowMs();
+  while ((await settle(client.call(READ))) !== undefined) {
+    await jest.advanceTimersByTimeAsync(RETRY_MS);
+    if (nowMs() - startedAtMs > MAX_SEARCH_MS) return Infinity;
+  }
+  return nowMs() - startedAtMs;
 }
 
 describe('the search for the leader', () => {
@@ -109,26 +135,65 @@
       [],
       ['hangs', {names: undefined}, 'refuses']
     );
-    const {err} = await run(cluster, PROPOSAL);
+    const err = await settle(cluster.client.call(PROPOSAL));
     expect(err?.message).toMatch(/^no leader: /);
     for (const part of ['1 timeout', '2 does not lead', '3 unreachable'])
       expect(err?.message).toContain(`10.0.0.${part}`);
     cluster.set(2, {names: nodeIp(1)});
-    const named = await run(cluster, PROPOSAL);
-    expect(named.err?.message).toContain(`does not lead, names ${nodeIp(1)}`);
+    const named = await settle(cluster.client.call(PROPOSAL));
+    expect(named?.message).toContain(`does not lead, names ${nodeIp(1)}`);
   });
 
   it('should log how long no leader was known', async () => {
     const cluster = new FakeCluster([], ['leads']);
     jest.advanceTimersByTime(300);
-    await run(cluster, PROPOSAL);
+    await settle(cluster.client.call(PROPOSAL));
+    jest.advanceTimersByTime(500);
     cluster.set(1, 'refuses');
-    await run(cluster, PROPOSAL);
+    await settle(cluster.client.call(PROPOSAL));
     expect(cluster.log.events('leader.found')).toMatchObject([
       {ip: nodeIp(1), leaderlessMs: 300},
     ]);
     expect(cluster.log.events('leader.lost')).toMatchObject([
-      {ip: nodeIp(1), err: `${nodeIp(1)} unreachable`, knownMs: 15_000},
+      {ip: nodeIp(1), err: `${nodeIp(1)} unreachable`, knownMs: 510},
     ]);
   });
+
+  // A node that lost its leader called the lost one again each time another node
+  // named it, and waited for each timeout.
+  it('should find a new leader while others still name the lost one', async () => {
+    const names = {names: nodeIp(1)};
+    const cluster = new FakeCluster(
+      [1, 2, 3],
+      ['leads', names, names, names, names, 'hangs']
+    );
+    await settle(cluster.client.call(READ));
+    cluster.set(1, 'hangs');
+    cluster.set(6, 'leads');
+    expect(await timeToFind(cluster)).toBeLessThan(1_000);
+  });
+
+  // Dead seeds and machines that were replaced took every second try.
+  it('should find a leader among many addresses that are gone', async () => {
+    const dead = Array.from({length: 12}, () => 'hangs' as const);
+    const cluster = new FakeCluster(
+      [1, 2, 3],
+      [...dead, {names: undefined}, 'leads']
+    );
+    expect(await timeToFind(cluster)).toBeLessThan(2_000);
+  });
+
+  it('should propose to a leader that is found while an earlier one hangs', async () => {
+    const cluster = new FakeCluster([1], ['leads', 'leads']);
+    await settle(cluster.client.call(PROPOSAL));
+    cluster.set(1, 'hangs');
+    cluster.called.length = 0;
+    const startedAtMs = nowMs();
+    const outcome = cluster.client.call(PROPOSAL);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(cluster.called).toEqual([nodeIp(1)]);
+    cluster.client.noteLeader(nodeIp(2));
+    expect(await settle(outcome)).toBeUndefined();
+    expect(nowMs() - startedAtMs).toBeLessThan(1_100);
+  });
 });
