--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -55,6 +55,21 @@
     expect(fixture.receivedRequests).toHaveLength(0);
   });
 
+  // No leader has replied for longer than the bound: a newer document may be in force
+  // that has the route, the key and the limit, and callers would not try again.
+  it('should not refuse by a document that may be outdated', async () => {
+    fixture = await GatewayFixture.start([OK], {}, {isConfirmed: false});
+    const answers = [
+      await fixture.call('/nowhere'),
+      await fixture.call('/once/x', {authorization: 'Bearer new'}),
+      await fixture.call('/once/x', {}, 'x'.repeat(2_000)),
+    ];
+    expect(answers.map(({status}) => status)).toEqual([503, 503, 503]);
+    for (const {headers} of answers)
+      expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+    expect((await fixture.call('/once/x')).status).toBe(200);
+  });
+
   // The target reads the request and closes the connection: the request may have
   // run. A retry could record an award twice, so there is none, and the caller is
   // told that the outcome is unknown.
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -65,6 +65,8 @@
   /** Priority of the route `once`; another one than 1 makes the service prioritized. */
   readonly oncePriority?: number;
   readonly grant?: Partial<ServiceGrant>;
+  /** Whether a leader confirms the site document; true by default. */
+  readonly isConfirmed?: boolean;
 }
 
 /** One gateway and its targets. */
@@ -144,7 +146,8 @@
   /** Sends a POST request as a caller; `headers` override those sent by default. */
   call(
     path: string,
-    headers: Readonly<Record<string, string>> = {}
+    headers: Readonly<Record<string, string>> = {},
+    body = 'question'
   ): Promise<CallerResponse> {
     return new Promise((resolve, reject) => {
       const req = http.request(
@@ -176,7 +179,7 @@
         }
       );
       req.on('error', reject);
-      req.end('question');
+      req.end(body);
     });
   }
 
@@ -250,6 +253,7 @@
     };
     const view: ClusterView = {
       index,
+      confirmedAtMs: this.cluster.isConfirmed === false ? -Infinity : Infinity,
       zonesOut: new Set(),
       grants: new Map([['s', grant]]),
       activeNodes: 1,
