Refuse by the site document only while a leader confirms it

Callers got 404 and 401 on routes and keys of a version that had been acknowledged 2 s and more before. The last change reaches a node by the reply to its next report only, so that a leader lost within 100 ms of a commit leaves most nodes one version behind, and nothing bounded how long they denied by it.

A node now answers 503 staleSite in place of 404, 401 and 413 once the last confirmation of its document is older than apply-ms less the time of a response.

The time of the report alone proves too much: a leader that was frozen or deposed replies until it notices. Taking its whole 700 ms off the bound was ruled out, since one lost report at 300 nodes would then turn all refusals of a node into 503. The leader states instead how old its last read barrier is, renews it at most every 100 ms beside the reports, in place of a heartbeat, and nodes count from there. A leader of an older version, which states nothing, is taken to be 700 ms behind.

--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -86,6 +86,7 @@
         coldMultiplier: 1.5,
         coldSlack: 5,
       },
+      maxSiteAgeMs: MAX_SITE_AGE_MS,
       availabilityZone: info.availabilityZone ?? '',
       logger: LOGGER,
       metrics: METRICS,
--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -120,6 +120,7 @@
       site: () => this.reports.site,
       leader: () => this.leaderClient.leader,
       logger,
+      nowMs,
     });
   }
 
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -5,6 +5,7 @@
 
 import type {Logger} from '../core/logger';
 import type {Site} from '../site/site';
+import {LeadershipProof} from './leadershipProof';
 import type {LogReplica, OpenLog} from './logReplica';
 import type {Coordinator} from './coordinator';
 import type {OperatorCommand, SyncParams, SyncReply} from './messages';
@@ -19,6 +20,7 @@
   /** The leader that this node knows, if any. */
   leader(): string | undefined;
   readonly logger: Logger;
+  nowMs(): number;
 }
 
 interface NotLeader {
@@ -30,8 +32,11 @@
 export class LeaderService {
   private coordinatorTerm = -1;
   private caughtUpTerm = -1;
+  private readonly proof: LeadershipProof;
 
-  constructor(private readonly parts: LeaderServiceParts) {}
+  constructor(private readonly parts: LeaderServiceParts) {
+    this.proof = new LeadershipProof(parts.nowMs);
+  }
 
   get term(): number {
     return this.parts.replica()?.current?.log.status().term ?? 0;
@@ -96,9 +101,10 @@
     }
     if (this.caughtUpTerm !== term) {
       // Commits of earlier leaders may not be applied here yet.
-      await opened.log.readBarrier();
+      await this.proof.renew(opened.log);
       this.caughtUpTerm = term;
     }
+    this.proof.renewIfDue(opened.log);
     const {version, packed, zonesOut} = opened.state.site;
     const replicated = {
       term,
@@ -107,7 +113,8 @@
       packedSite: packed,
       zonesOut,
     };
-    return coordinator.sync(params, replicated, site(), directory);
+    const reply = coordinator.sync(params, replicated, site(), directory);
+    return {...reply, provenAgeMs: this.proof.ageMs};
   }
 
   private get leads(): boolean {
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -223,6 +223,11 @@
     tokens: z.record(TEXT, COUNT).optional(),
     /** Time on the leader's clock, whole milliseconds. */
     leaderTimeMs: z.number().optional(),
+    /**
+     * Time since a quorum last confirmed that the leader has all that was committed,
+     * milliseconds; absent from a leader of an older version.
+     */
+    provenAgeMs: COUNT.optional(),
     /** Nodes that serve callers now. */
     activeNodes: z.number(),
   }),
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -17,6 +17,12 @@
 import type {TargetPushback} from './targetPushback';
 import type {TargetTable} from './targetTable';
 
+/**
+ * Proof of a leader of an older version, which states none: after this time it
+ * notices that no quorum follows it.
+ */
+const DEFAULT_PROVEN_AGE_MS = 700;
+
 /** The nodes that this node knows. */
 export interface KnownNodes {
   readonly self: NodeInfo;
@@ -147,11 +153,12 @@
     if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
     if (!isLeader)
       for (const record of reply.records) table.mergeShared(record, nowMs);
+    const {provenAgeMs = DEFAULT_PROVEN_AGE_MS} = reply;
     const index = this.activeSite.update(reply.siteVersion, reply.packedSite);
     const version = index?.site.version ?? NO_SITE_VERSION;
     // A document that could not be decoded leaves an older one in force.
     if (version >= reply.siteVersion)
-      this.confirmation.confirm(sentAtMs, version, nowMs);
+      this.confirmation.confirm(sentAtMs - provenAgeMs, version, nowMs);
     this.current = {
       index,
       confirmedAtMs: this.confirmation.atMs,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,8 @@
   readonly targets: TargetCodec;
   readonly bounds: PoolBounds;
   readonly availabilityZone: string;
+  /** Age of a confirmation up to which the site document may refuse, ms. */
+  readonly maxSiteAgeMs: number;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
   /** Returns 0 up to but excluding 1. */
--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -18,6 +18,8 @@
   readonly service?: string;
   /** What limits its concurrency. */
   readonly boundBy?: string;
+  /** Refusal by a site document that may be outdated. */
+  readonly withheld?: 'unknownRoute' | 'unknownKey' | 'bodyTooLarge';
   /** This and all that follows only for prioritized services. */
   readonly refusedBy?: 'ratio' | 'queue';
   readonly urgency?: UrgencyKey;
--- a/src/gateway/routeRequest.ts
+++ b/src/gateway/routeRequest.ts
@@ -1,6 +1,6 @@
 /** Finds the route, the customer and the service of a request. */
 
-import type {CallerRequest, GatewayRefusal} from '../ports/callerPort';
+import type {CallerRequest} from '../ports/callerPort';
 import type {SiteCustomer, SiteRoute, SiteService} from '../site/site';
 import type {SiteIndex} from '../site/siteIndex';
 
@@ -12,7 +12,10 @@
       readonly service: SiteService;
       readonly customer?: SiteCustomer;
     }
-  | {readonly kind: 'refused'; readonly refusal: GatewayRefusal};
+  | {
+      readonly kind: 'refused';
+      readonly refusal: {readonly kind: 'unknownRoute' | 'unknownKey'};
+    };
 
 /** Routes by one version of the site; `random` returns a number in [0, 1). */
 export function routeRequest(
@@ -21,18 +24,18 @@
   random: () => number
 ): RouteResult {
   const route = index.findRoute(caller.host, caller.path);
-  if (route === undefined) return refused({kind: 'unknownRoute'});
+  if (route === undefined) return refused('unknownRoute');
   const customer =
     caller.key === undefined ? undefined : index.findCustomer(caller.key);
   const needsKey = index.requiresKeys && !route.isPublic;
-  if (needsKey && customer === undefined) return refused({kind: 'unknownKey'});
+  if (needsKey && customer === undefined) return refused('unknownKey');
   const service = index.site.services.get(pickService(route, random));
-  if (service === undefined) return refused({kind: 'unknownRoute'});
+  if (service === undefined) return refused('unknownRoute');
   return {kind: 'routed', route, service, customer};
 }
 
-function refused(refusal: GatewayRefusal): RouteResult {
-  return {kind: 'refused', refusal};
+function refused(kind: 'unknownRoute' | 'unknownKey'): RouteResult {
+  return {kind: 'refused', refusal: {kind}};
 }
 
 function pickService(route: SiteRoute, random: () => number): string {
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -18,6 +18,7 @@
 import {routeRequest} from './routeRequest';
 import {rounded} from '../core/rounded';
 import {runAttempts} from './runAttempts';
+import {siteRefusal} from './siteRefusal';
 import {stopRefusal} from './stopRefusal';
 import {TargetSelection} from './targetSelection';
 
@@ -64,7 +65,8 @@
     return {kind: 'noSite', retryInMs};
   }
   const routing = routeRequest(view.index, state.caller, Math.random);
-  if (routing.kind === 'refused') return routing.refusal;
+  if (routing.kind === 'refused')
+    return siteRefusal(gateway, state, view, routing.refusal);
   const {route, service, customer} = routing;
   const urgency = urgencyOf(route.priority, customer?.priority);
   state.startDeadline(Math.min(route.timeoutMs, waitMs));
@@ -74,7 +76,7 @@
   );
   switch (bodyResult.kind) {
     case 'tooLarge':
-      return {kind: 'bodyTooLarge'};
+      return siteRefusal(gateway, state, view, {kind: 'bodyTooLarge'});
     case 'gone':
       return undefined;
     case 'body':
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -178,6 +178,7 @@
     availabilityZone: settings.process.availabilityZone,
     logger,
     metrics,
+    maxSiteAgeMs: maxSiteAgeMs(bounds.applyMs),
     bounds: {
       nodeId: settings.process.host,
       retries: {
--- a/src/ports/callerPort.ts
+++ b/src/ports/callerPort.ts
@@ -28,6 +28,8 @@
 export type GatewayRefusal =
   /** No site is known yet. Nothing has run. */
   | {readonly kind: 'noSite'; readonly retryInMs: number}
+  /** A newer site may route it; this one is unconfirmed. Nothing has run. */
+  | {readonly kind: 'staleSite'; readonly retryInMs: number}
   | {readonly kind: 'unknownRoute'}
   | {readonly kind: 'unknownKey'}
   | {readonly kind: 'badRequest'; readonly detail: string}
--- a/tests/platform/gateway.spec.ts
+++ b/tests/platform/gateway.spec.ts
@@ -65,8 +65,16 @@
       await fixture.call('/once/x', {}, 'x'.repeat(2_000)),
     ];
     expect(answers.map(({status}) => status)).toEqual([503, 503, 503]);
-    for (const {headers} of answers)
+    for (const {headers} of answers) {
       expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+      expect(headers.connection).toBe('close');
+    }
+    expect(fixture.log.events('request.refused')).toMatchObject(
+      ['unknownRoute', 'unknownKey', 'bodyTooLarge'].map(withheld => ({
+        refusal: {kind: 'staleSite'},
+        withheld,
+      }))
+    );
     expect((await fixture.call('/once/x')).status).toBe(200);
   });
 
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -270,6 +270,7 @@
         coldSlack: 5,
       },
       availabilityZone: 'a',
+      maxSiteAgeMs: 1_900,
       logger: this.log.logger,
       metrics,
       random: Math.random,
--- a/tests/platform/requestHeaders.spec.ts
+++ b/tests/platform/requestHeaders.spec.ts
@@ -71,6 +71,7 @@
   it.each([
     [{kind: 'overloaded', retryInMs: 1_250}, 503, '1.250'],
     [{kind: 'noTarget', retryInMs: 400}, 503, '0.400'],
+    [{kind: 'staleSite', retryInMs: 500}, 503, '0.500'],
     [{kind: 'outcomeUnknown'}, 502, undefined],
     [{kind: 'timedOut'}, 504, undefined],
     [{kind: 'unknownKey'}, 401, undefined],
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -1,3 +1,4 @@
+import {LeaderService} from '../src/cluster/leaderService';
 import {NodeSync} from '../src/cluster/nodeSync';
 import type {SyncState} from '../src/cluster/messages';
 import {TargetTable} from '../src/cluster/targetTable';
@@ -39,36 +40,87 @@
 }
 
 const VERSION_1 = {siteVersion: 1, packedSite: packText('1')};
+const PROVEN = {provenAgeMs: 0};
 
 describe('confirmation of the site document', () => {
   it('should count from the report that the leader replied to', () => {
     const {sync, reply} = nodeSync();
     expect(sync.view.confirmedAtMs).toBeUndefined();
-    reply(VERSION_1, 1_000, 1_600);
-    expect(sync.view.confirmedAtMs).toBe(1_000);
-    reply(VERSION_1, 900, 1_700);
-    expect(sync.view.confirmedAtMs).toBe(1_000);
+    reply({...VERSION_1, provenAgeMs: 50}, 1_000, 1_600);
+    expect(sync.view.confirmedAtMs).toBe(950);
+    reply({...VERSION_1, provenAgeMs: 50}, 900, 1_700);
+    expect(sync.view.confirmedAtMs).toBe(950);
+  });
+
+  // A leader without a proof may have been deposed, and not have noticed yet.
+  it('should be assumed older from a leader that states no proof', () => {
+    const {sync, reply} = nodeSync();
+    reply(VERSION_1, 1_000, 1_001);
+    expect(sync.view.confirmedAtMs).toBe(300);
   });
 
   // A node that can't decode the newest document still has an older one in force.
   it('should not come with a document that could not be decoded', () => {
     const {sync, reply} = nodeSync();
-    reply(VERSION_1, 1_000, 1_001);
-    reply({siteVersion: 2, packedSite: packText('broken')}, 2_000, 2_001);
+    reply({...VERSION_1, ...PROVEN}, 1_000, 1_001);
+    reply(
+      {...PROVEN, siteVersion: 2, packedSite: packText('broken')},
+      2_000,
+      2_001
+    );
     expect(sync.view.confirmedAtMs).toBe(1_000);
   });
 
   it('should be logged once when it is overdue, and when it is back', () => {
     const {sync, reply, log} = nodeSync();
-    reply(VERSION_1, 1_000, 1_001);
+    reply({...VERSION_1, ...PROVEN}, 1_000, 1_001);
     for (const nowMs of [2_900, 2_901, 3_500])
       sync.checkConfirmation(true, nowMs);
     expect(log.events('site.unconfirmed')).toEqual([
       expect.objectContaining({version: 1, ageMs: 1_901, knowsLeader: true}),
     ]);
-    reply(VERSION_1, 4_000, 4_001);
+    reply({...VERSION_1, ...PROVEN}, 4_000, 4_001);
     expect(log.events('site.confirmed')).toEqual([
       expect.objectContaining({version: 1, ageMs: 3_001}),
     ]);
   });
 });
+
+describe('proof in the reply of a leader', () => {
+  // A leader that was frozen, or cut off, replies to reports before it notices that
+  // another one leads: its document was confirmed to nodes as the newest.
+  it('should be as old as the last read barrier of a quorum', async () => {
+    let nowMs = 0;
+    let hasQuorum = true;
+    let barrierMs = 30;
+    const readBarrier = () => {
+      nowMs += barrierMs;
+      return hasQuorum ? Promise.resolve() : new Promise<void>(() => undefined);
+    };
+    const log = {status: () => ({term: 1, commitIndex: 1}), readBarrier};
+    const state = {site: {version: 1, packed: '', zonesOut: []}};
+    const service = new LeaderService({
+      replica: () => ({leads: true, current: {log, state}}) as never,
+      directory: {noteContact: () => undefined} as never,
+      coordinator: {reset: () => undefined, sync: () => syncState()} as never,
+      site: () => undefined,
+      leader: () => undefined,
+      logger: recordingLogger().logger,
+      nowMs: () => nowMs,
+    });
+    const provenAge = async (atMs: number) => {
+      nowMs = atMs;
+      const reply = await service.sync({} as never);
+      return reply.kind === 'state' ? reply.provenAgeMs : undefined;
+    };
+    expect(await provenAge(1_000)).toBe(30);
+    barrierMs = 0;
+    expect(await provenAge(1_200)).toBe(200);
+    expect(await provenAge(1_250)).toBe(50);
+    hasQuorum = false;
+    expect(await provenAge(6_200)).toBe(5_000);
+    hasQuorum = true;
+    await provenAge(6_300);
+    expect(await provenAge(6_350)).toBe(50);
+  });
+});
