Take newer committed state from peers while no leader replies

Nodes stayed one version behind for as long as no leader answered, although another node that they reached had the newest document: the last change came to a node by a leader's reply alone, and the probes of peers after a failed report asked for addresses only.

The reply to a hello names the commit index and the site version of the state that the peer has. A node that is behind fetches document, zones out and index of one leader reply by readCommitted, one fetch at a time, and adopts them if its index is still lower. Only committed state is in a leader's reply, and a new leader replies after its read barrier, so that its index is never lower than an adopted one; the late reply of a deposed leader is ignored. Adopted state confirms nothing and leaves grants, permits and tokens alone. Nodes that no leader ever replied to adopt nothing: without targets and grants they would be ready and refuse their callers. Old nodes omit the field and are asked for nothing.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -16,6 +16,7 @@
 import {Coordinator} from './coordinator';
 import {LeaderService} from './leaderService';
 import {findFounders} from './findFounders';
+import {PeerCatchUp} from './peerCatchUp';
 import {PeerDiscovery} from './peerDiscovery';
 import {LeaderClient} from './leaderClient';
 import type {NodeInfo, OperatorCommand} from './messages';
@@ -24,6 +25,7 @@
   NODE_METHODS,
   PROPOSE_PARAMS,
   PROPOSE_REPLY,
+  READ_COMMITTED_PARAMS,
   READ_SITE_PARAMS,
   READ_SITE_REPLY,
   SYNC_PARAMS,
@@ -94,7 +96,15 @@
     );
     const {table, pushback, directory: nodes} = this;
     this.reports = new NodeSync({...options, nodes, table, pushback});
-    this.peerDiscovery = new PeerDiscovery(this.directory, this.rpc, logger);
+    const catchUp = new PeerCatchUp(this.reports, this.rpc, logger);
+    this.peerDiscovery = new PeerDiscovery(
+      this.directory,
+      this.rpc,
+      logger,
+      (ip, {committed}) => {
+        if (committed !== undefined) void catchUp.handleOffer(ip, committed);
+      }
+    );
     this.leaderClient = new LeaderClient(
       this.rpc,
       this.directory,
@@ -303,7 +313,8 @@
         if (leads === true) this.leaderClient.noteLeader(from.ip);
         const {leader} = this.leaderClient;
         const nodes = this.directory.all();
-        return {self: this.directory.self, nodes, leader};
+        const {committed} = this.reports;
+        return {self: this.directory.self, nodes, leader, committed};
       }
     );
     const logParams = z.object({message: z.unknown()});
@@ -323,6 +334,11 @@
     server.addMethod(NODE_METHODS.readSite, READ_SITE_PARAMS, ({heldVersion}) =>
       leaderService.handleReadSite(heldVersion)
     );
+    server.addMethod(
+      NODE_METHODS.readCommitted,
+      READ_COMMITTED_PARAMS,
+      async params => this.reports.readCommitted(params)
+    );
   }
 
   /** Delay until the next report; 0 when the last one exceeded the period. */
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -13,6 +13,7 @@
   sync: 'sync',
   propose: 'propose',
   readSite: 'readSite',
+  readCommitted: 'readCommitted',
 } as const;
 
 /** A node as others know it. */
@@ -33,11 +34,22 @@
   leads: z.boolean().optional(),
 });
 
+/** Position in the log of the committed state that a node has. */
+export const COMMITTED_POSITION = z.object({
+  /** Commit index of the leader's reply that brought the state. */
+  index: COUNT,
+  siteVersion: z.number(),
+});
+/** Position in the log of the committed state that a node has. */
+export type CommittedPosition = z.infer<typeof COMMITTED_POSITION>;
+
 /** Reply to a hello. */
 export const HELLO_REPLY = z.object({
   self: NODE_INFO,
   nodes: z.array(NODE_INFO),
   leader: TEXT.optional(),
+  /** Absent before the first, and from a node of an older version. */
+  committed: COMMITTED_POSITION.optional(),
 });
 /** Reply to a hello. */
 export type HelloReply = z.infer<typeof HELLO_REPLY>;
@@ -270,3 +282,23 @@
     packed: TEXT.optional(),
   }),
 ]);
+
+/** Requests the committed state that a node has, which may be outdated. */
+export const READ_COMMITTED_PARAMS = z.object({heldVersion: z.number()});
+/** Requests the committed state that a node has, which may be outdated. */
+export type ReadCommittedParams = z.infer<typeof READ_COMMITTED_PARAMS>;
+
+/** Reply with the committed state of one leader's reply. */
+export const READ_COMMITTED_REPLY = z.discriminatedUnion('kind', [
+  z.object({kind: z.literal('none')}),
+  COMMITTED_POSITION.extend({
+    kind: z.literal('state'),
+    /** Absent when the requester has this version. */
+    packedSite: TEXT.optional(),
+    zonesOut: z.array(TEXT),
+  }),
+]);
+/** Reply with the committed state of one leader's reply. */
+export type ReadCommittedReply = z.infer<typeof READ_COMMITTED_REPLY>;
+/** Committed state of one leader's reply. */
+export type CommittedState = Extract<ReadCommittedReply, {kind: 'state'}>;
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -11,7 +11,17 @@
 import {ActiveSite} from './activeSite';
 import type {ClusterView} from './clusterView';
 import {LocalAnnouncements} from './localAnnouncements';
-import type {NodeInfo, ServiceLoad, SyncParams, SyncState} from './messages';
+import type {
+  CommittedPosition,
+  CommittedState,
+  NodeInfo,
+  ReadCommittedParams,
+  ReadCommittedReply,
+  ServiceLoad,
+  SyncParams,
+  SyncState,
+} from './messages';
+import type {CommittedStateHolder} from './peerCatchUp';
 import {SiteConfirmation} from './siteConfirmation';
 import {SyncCursor} from './syncCursor';
 import type {TargetPushback} from './targetPushback';
@@ -51,7 +61,7 @@
 }
 
 /** What this node reports, and its view of the cluster. */
-export class NodeSync {
+export class NodeSync implements CommittedStateHolder {
   private current: ClusterView = {
     index: undefined,
     zonesOut: new Set(),
@@ -63,6 +73,7 @@
   private readonly heard = new LocalAnnouncements();
   private readonly cursor = new SyncCursor();
   private readonly confirmation: SiteConfirmation;
+  private position: CommittedPosition | undefined;
   private loadsTakenAtMs: number | undefined;
 
   constructor(private readonly parts: NodeSyncParts) {
@@ -157,8 +168,12 @@
     const index = this.activeSite.update(reply.siteVersion, reply.packedSite);
     const version = index?.site.version ?? NO_SITE_VERSION;
     // A document that could not be decoded leaves an older one in force.
-    if (version >= reply.siteVersion)
+    const isWhole = version >= reply.siteVersion;
+    if (isWhole)
       this.confirmation.confirm(sentAtMs - provenAgeMs, version, nowMs);
+    this.position = isWhole
+      ? {index: reply.index, siteVersion: version}
+      : undefined;
     this.current = {
       index,
       confirmedAtMs: this.confirmation.atMs,
@@ -169,6 +184,55 @@
     };
     pushback.applyReply(reply, params.limits ?? [], sentAtMs, nowMs);
   }
+
+  /** Position of the state for other nodes; undefined before the first. */
+  get committed(): CommittedPosition | undefined {
+    return this.position;
+  }
+
+  /** The state for a node that has this version of the document. */
+  readCommitted({heldVersion}: ReadCommittedParams): ReadCommittedReply {
+    const {position} = this;
+    if (position === undefined) return {kind: 'none'};
+    const isHeld = position.siteVersion <= heldVersion;
+    return {
+      kind: 'state',
+      ...position,
+      packedSite: isHeld ? undefined : this.packedSite,
+      zonesOut: [...this.current.zonesOut],
+    };
+  }
+
+  /**
+   * Whether another node's state is newer. A node that no leader has replied to has
+   * no targets and no grants; it stays not ready.
+   */
+  wants({index, siteVersion}: CommittedPosition): boolean {
+    return (
+      this.current.grantedAtMs !== undefined &&
+      index > this.cursor.commitIndex &&
+      siteVersion >= this.siteVersion
+    );
+  }
+
+  /**
+   * Takes newer state from another node. Only committed state is in a leader's reply,
+   * so that no later leader takes it back; it confirms nothing and grants nothing.
+   */
+  adopt(state: CommittedState): boolean {
+    if (!this.wants(state)) return false;
+    const index = this.activeSite.update(state.siteVersion, state.packedSite);
+    const version = index?.site.version ?? NO_SITE_VERSION;
+    if (version !== state.siteVersion) return false;
+    this.cursor.advanceIndex(state.index);
+    this.position = {index: state.index, siteVersion: version};
+    this.current = {
+      ...this.current,
+      index,
+      zonesOut: new Set(state.zonesOut),
+    };
+    return true;
+  }
 }
 
 /** Leaves a list out of a message that is sent all the time. */
--- a/src/cluster/peerDiscovery.ts
+++ b/src/cluster/peerDiscovery.ts
@@ -25,7 +25,10 @@
   constructor(
     private readonly directory: NodeDirectory,
     private readonly rpc: RpcClient,
-    private readonly logger: Logger
+    private readonly logger: Logger,
+    /** Called with the reply of a peer that was probed. */
+    private readonly onReply: (ip: string, reply: HelloReply) => void = () =>
+      undefined
   ) {}
 
   /** Queries some peers, in rotation, for the nodes that they know. */
@@ -53,7 +56,9 @@
 
   private async findNodes(ip: string): Promise<void> {
     const reply = await this.probe(ip, false);
-    if (reply !== undefined) this.directory.addUnknown(reply.nodes);
+    if (reply === undefined) return;
+    this.directory.addUnknown(reply.nodes);
+    this.onReply(ip, reply);
   }
 
   private async probe(
--- a/src/cluster/syncCursor.ts
+++ b/src/cluster/syncCursor.ts
@@ -36,6 +36,16 @@
     };
   }
 
+  /** Commit index of the replicated state; -1 before the first. */
+  get commitIndex(): number {
+    return this.index;
+  }
+
+  /** Advances to committed state that came from a peer. */
+  advanceIndex(index: number): void {
+    this.index = Math.max(this.index, index);
+  }
+
   /** Whether a reply is from an earlier leader or log position. */
   isStale({term, index}: SyncState): boolean {
     return term < this.term || index < this.index;
--- a/tests/platform/nodes.spec.ts
+++ b/tests/platform/nodes.spec.ts
@@ -100,12 +100,27 @@
   }
 
   /** Resolves once the node has logged that it is a voter. */
-  async untilVoter(ip: string): Promise<void> {
-    await eventually(`${ip} is a voter`, async () =>
-      /"event":"log.changed"[^\n]*"voter":true/.test(this.lines.get(ip) ?? '')
+  untilVoter(ip: string): Promise<void> {
+    return this.untilLogged(ip, /"event":"log.changed"[^\n]*"voter":true/);
+  }
+
+  /** Resolves once the node has this version of the document. */
+  untilApplied(ip: string, version: number): Promise<void> {
+    const line = `"event":"site.applied"[^\n]*"version":${version}[,}]`;
+    return this.untilLogged(ip, new RegExp(line));
+  }
+
+  private async untilLogged(ip: string, line: RegExp): Promise<void> {
+    await eventually(`${ip} logs ${line}`, async () =>
+      line.test(this.lines.get(ip) ?? '')
     );
   }
 
+  /** Sends a signal, such as SIGSTOP, to the process of a node. */
+  signal(ip: string, signal: NodeJS.Signals): void {
+    this.running.get(ip)?.kill(signal);
+  }
+
   async kill(ip: string): Promise<void> {
     const child = this.running.get(ip);
     this.running.delete(ip);
@@ -293,3 +308,33 @@
       );
   }, 30_000);
 });
+
+describe('nodes whose leader is lost after a commit', () => {
+  const [LEADER, PEER, BEHIND] = [
+    '127.0.0.27',
+    '127.0.0.28',
+    '127.0.0.29',
+  ] as const;
+  let nodes: Nodes;
+
+  beforeAll(async () => {
+    nodes = new Nodes([LEADER]);
+    await nodes.choosePorts();
+    nodes.start(LEADER, true);
+    for (const ip of [PEER, BEHIND]) nodes.start(ip, false, false);
+    await nodes.order(LEADER, 'PUT', '/-/config', document(4));
+    for (const ip of [PEER, BEHIND]) await nodes.untilApplied(ip, 4);
+  }, 30_000);
+  afterAll(() => nodes.stop());
+
+  // Only one other node knows of the commit when the leader is gone for good: all
+  // others would keep the version before.
+  it('should take the newest document from a node while no leader replies', async () => {
+    nodes.signal(BEHIND, 'SIGSTOP');
+    await nodes.order(LEADER, 'PUT', '/-/config', document(5));
+    await nodes.untilApplied(PEER, 5);
+    await nodes.kill(LEADER);
+    nodes.signal(BEHIND, 'SIGCONT');
+    await nodes.untilApplied(BEHIND, 5);
+  }, 30_000);
+});
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -1,6 +1,7 @@
 import {LeaderService} from '../src/cluster/leaderService';
 import {NodeSync} from '../src/cluster/nodeSync';
 import type {SyncState} from '../src/cluster/messages';
+import {PeerCatchUp} from '../src/cluster/peerCatchUp';
 import {TargetTable} from '../src/cluster/targetTable';
 import {packText} from '../src/site/packText';
 import {recordingLogger} from './fixtures/recordingLogger';
@@ -86,6 +87,69 @@
   });
 });
 
+describe('committed state of another node', () => {
+  const STATE_7 = {
+    kind: 'state' as const,
+    index: 7,
+    siteVersion: 2,
+    packedSite: packText('2'),
+    zonesOut: ['b'],
+  };
+
+  it('should replace an older one, but confirm and grant nothing', () => {
+    const [{sync: ahead, reply: replyAhead}, {sync, reply}] = [
+      nodeSync(),
+      nodeSync(),
+    ];
+    replyAhead(STATE_7, 900, 901);
+    reply({...VERSION_1, ...PROVEN, index: 5}, 1_000, 1_001);
+    const {grants, grantedAtMs, confirmedAtMs} = sync.view;
+    expect(ahead.committed).toEqual({index: 7, siteVersion: 2});
+    expect(ahead.readCommitted({heldVersion: 2})).not.toHaveProperty(
+      'packedSite',
+      STATE_7.packedSite
+    );
+    expect(ahead.readCommitted({heldVersion: 1})).toEqual(STATE_7);
+    expect(sync.adopt(STATE_7)).toBe(true);
+    expect(sync.siteVersion).toBe(2);
+    expect(sync.view).toMatchObject({grantedAtMs, confirmedAtMs});
+    expect(sync.view.grants).toBe(grants);
+    expect([...sync.view.zonesOut]).toEqual(['b']);
+  });
+
+  // A deposed leader's late reply, or a peer that is behind, would revert a change.
+  it('should not be replaced by an older one', () => {
+    const {sync, reply} = nodeSync();
+    reply({...VERSION_1, ...PROVEN, index: 5}, 1_000, 1_001);
+    sync.adopt(STATE_7);
+    reply({...PROVEN, index: 6}, 1_100, 1_101);
+    expect(sync.adopt({...STATE_7, index: 6, zonesOut: []})).toBe(false);
+    expect(sync.committed).toEqual({index: 7, siteVersion: 2});
+    expect([...sync.view.zonesOut]).toEqual(['b']);
+    expect(sync.view.confirmedAtMs).toBe(1_000);
+  });
+
+  // A node without targets and grants would be ready, and refuse its callers.
+  it('should not be taken before the first reply of a leader', () => {
+    const {sync} = nodeSync();
+    expect(sync.adopt(STATE_7)).toBe(false);
+  });
+
+  // A document may have 16 MB, and several peers offer the same one at once.
+  it('should be fetched from one peer at a time', async () => {
+    const {sync, reply, log} = nodeSync();
+    reply({...VERSION_1, ...PROVEN, index: 5}, 1_000, 1_001);
+    const call = jest.fn(() => Promise.resolve(STATE_7));
+    const catchUp = new PeerCatchUp(sync, {call} as never, log.logger);
+    const offers = ['a', 'b', 'c'].map(ip => catchUp.handleOffer(ip, STATE_7));
+    await Promise.all(offers);
+    await catchUp.handleOffer('d', STATE_7);
+    expect(call).toHaveBeenCalledTimes(1);
+    expect(sync.siteVersion).toBe(2);
+    expect(log.events('site.adopted')).toHaveLength(1);
+  });
+});
+
 describe('proof in the reply of a leader', () => {
   // A leader that was frozen, or cut off, replies to reports before it notices that
   // another one leads: its document was confirmed to nodes as the newest.
