Show in running nodes that refusals end with the confirmations

The bound of a gateway is derived in the process from the settings, which the tests of the gateway replace. A node whose only leader is killed goes from 404 to 503 staleSite.

--- a/tests/platform/nodes.spec.ts
+++ b/tests/platform/nodes.spec.ts
@@ -337,4 +337,15 @@
     nodes.signal(BEHIND, 'SIGCONT');
     await nodes.untilApplied(BEHIND, 5);
   }, 30_000);
+
+  // A newer document may be in force elsewhere that has the route.
+  it('should not deny for long by a document that no leader confirms', async () => {
+    await nodes.kill(LEADER);
+    const {callers} = nodes.ports;
+    const headers = {host: 'a.example'};
+    await eventually('503 in place of 404', async () => {
+      const reply = await call(PEER, callers, 'GET', '/none', '', headers);
+      return reply.status === 503 && reply.body.includes('staleSite');
+    });
+  }, 30_000);
 });
