Count the calls in search of the leader by outcome

Log lines name single searches; how many calls of a node time out, are refused or reach a node that does not lead could not be seen over time.

marlpulley_leader_calls_total{outcome} counts each try: done, notLeader, invalid (a reply that cannot be read), or the kind of the failure. tests/leaderClient.spec.ts covers three outcomes.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -105,13 +105,14 @@
         if (committed !== undefined) void catchUp.handleOffer(ip, committed);
       }
     );
-    this.leaderClient = new LeaderClient(
-      this.rpc,
-      this.directory,
+    this.leaderClient = new LeaderClient({
+      rpc: this.rpc,
+      directory: this.directory,
       logger,
-      () => this.replica?.leader,
-      nowMs
-    );
+      metrics: options.metrics,
+      leaderFromLog: () => this.replica?.leader,
+      nowMs,
+    });
     this.coordinator = new Coordinator(
       this.table,
       logger,
--- a/src/cluster/leaderClient.ts
+++ b/src/cluster/leaderClient.ts
@@ -1,6 +1,7 @@
 /** Calls to the leader, which is found by trying the known nodes. */
 
 import type {Logger} from '../core/logger';
+import type {NodeMetrics} from '../core/nodeMetrics';
 import {LeaderCandidates} from './leaderCandidates';
 import type {LeaderCall, NotLeader} from './leaderSearch';
 import {LeaderSearch} from './leaderSearch';
@@ -8,6 +9,17 @@
 import type {RpcClient} from './rpcClient';
 import {UnresponsiveNodes} from './unresponsiveNodes';
 
+/** Dependencies of the calls to the leader. */
+export interface LeaderClientParts {
+  readonly rpc: RpcClient;
+  readonly directory: NodeDirectory;
+  readonly logger: Logger;
+  readonly metrics: Pick<NodeMetrics, 'leaderCalled'>;
+  /** Leader by this node's own log; undefined without one. */
+  leaderFromLog(): string | undefined;
+  nowMs(): number;
+}
+
 /** Finds the leader and caches its address. */
 export class LeaderClient {
   private cachedLeader: string | undefined;
@@ -17,21 +29,15 @@
   private readonly candidates: LeaderCandidates;
   private readonly searches = new Set<Pick<LeaderSearch<never>, 'onClaim'>>();
 
-  constructor(
-    private readonly rpc: RpcClient,
-    directory: NodeDirectory,
-    private readonly logger: Logger,
-    /** Leader by this node's own log; undefined without one. */
-    private readonly leaderFromLog: () => string | undefined,
-    private readonly nowMs: () => number
-  ) {
+  constructor(private readonly parts: LeaderClientParts) {
+    const {directory, nowMs} = parts;
     this.changedAtMs = nowMs();
     this.candidates = new LeaderCandidates(directory, this.unresponsive, nowMs);
   }
 
   /** The leader, if known. */
   get leader(): string | undefined {
-    return this.leaderFromLog() ?? this.cachedLeader;
+    return this.parts.leaderFromLog() ?? this.cachedLeader;
   }
 
   /** Takes a node's word that it leads; used unless this node's log names one. */
@@ -48,7 +54,7 @@
   /** Forgets earlier leaders while this node leads. */
   noteSelfLeads(): void {
     this.cachedLeader = undefined;
-    this.changedAtMs = this.nowMs();
+    this.changedAtMs = this.parts.nowMs();
   }
 
   /** Tries nodes until the leader replies; rejects when none did. */
@@ -59,16 +65,18 @@
       leader: () => this.leader,
       nextCandidate: state => this.candidates.next(state),
       send: (ip, {method, params, timeoutMs}) =>
-        this.rpc.call(ip, method, params, timeoutMs),
-      onFailed: (ip, {text, hasAnswered}) => {
+        this.parts.rpc.call(ip, method, params, timeoutMs),
+      onFailed: (ip, {outcome, text, hasAnswered}) => {
+        this.parts.metrics.leaderCalled(outcome);
         if (hasAnswered) this.noteContact(ip);
-        else this.unresponsive.add(ip, this.nowMs());
+        else this.unresponsive.add(ip, this.parts.nowMs());
         if (this.cachedLeader === ip) this.clearLeader(text);
       },
     });
     this.searches.add(search);
     try {
       const {ip, reply} = await search.run();
+      this.parts.metrics.leaderCalled('done');
       this.noteLeader(ip);
       return reply;
     } finally {
@@ -78,12 +86,12 @@
 
   private cacheLeader(ip: string): void {
     if (this.cachedLeader === ip) return;
-    const nowMs = this.nowMs();
+    const nowMs = this.parts.nowMs();
     const isChange = this.cachedLeader !== undefined;
     const leaderlessMs = isChange ? 0 : Math.round(nowMs - this.changedAtMs);
     this.cachedLeader = ip;
     this.changedAtMs = nowMs;
-    this.logger.info(
+    this.parts.logger.info(
       {event: 'leader.found', ip, leaderlessMs},
       `found leader ${ip} after ${leaderlessMs} ms without one`
     );
@@ -92,11 +100,11 @@
 
   private clearLeader(err: string): void {
     const ip = this.cachedLeader;
-    const nowMs = this.nowMs();
+    const nowMs = this.parts.nowMs();
     const knownMs = Math.round(nowMs - this.changedAtMs);
     this.cachedLeader = undefined;
     this.changedAtMs = nowMs;
-    this.logger.warn(
+    this.parts.logger.warn(
       {event: 'leader.lost', ip, err, knownMs},
       `lost leader ${ip}, known for ${knownMs} ms`
     );
--- a/src/cluster/leaderSearch.ts
+++ b/src/cluster/leaderSearch.ts
@@ -2,6 +2,7 @@
 
 import type * as z from 'zod';
 import {PeerError} from '../core/errors';
+import type {LeaderCallOutcome} from '../core/nodeMetrics';
 import type {SearchState} from './leaderCandidates';
 
 /** Reply of a node that does not lead, with the leader if it knows one. */
@@ -36,6 +37,7 @@
 
 /** Why a try found no leader. */
 export interface FailedTry {
+  readonly outcome: LeaderCallOutcome;
   readonly text: string;
   /** Whether a message of the node arrived. */
   readonly hasAnswered: boolean;
@@ -138,7 +140,7 @@
       const {leader} = reply as NotLeader;
       this.replies++;
       if (leader !== undefined) this.named = [leader, ...this.named];
-      failure = {text: describeNotLeader(ip, leader), hasAnswered: true};
+      failure = describeNotLeader(ip, leader);
     } catch (err) {
       failure = describeFailure(ip, err);
     }
@@ -161,16 +163,21 @@
 type SearchResult<T> =
   ({readonly kind: 'found'} & LeaderReply<T>) | {readonly kind: 'notFound'};
 
-function describeNotLeader(ip: string, leader: string | undefined): string {
+function describeNotLeader(ip: string, leader: string | undefined): FailedTry {
   const named = leader === undefined ? '' : `, names ${leader}`;
-  return `${ip} does not lead${named}`;
+  const text = `${ip} does not lead${named}`;
+  return {outcome: 'notLeader', text, hasAnswered: true};
 }
 
 function describeFailure(ip: string, err: unknown): FailedTry {
   if (!(err instanceof PeerError))
-    return {text: `${ip} ${String(err)}`, hasAnswered: true};
-  const {fault, detail} = err;
-  if (fault.kind !== 'rejected')
-    return {text: `${ip} ${fault.kind}`, hasAnswered: false};
-  return {text: `${ip} ${fault.kind}: ${detail}`, hasAnswered: true};
+    return {
+      outcome: 'invalid',
+      text: `${ip} ${String(err)}`,
+      hasAnswered: true,
+    };
+  const outcome = err.fault.kind;
+  const hasAnswered = outcome === 'rejected';
+  const text = `${ip} ${outcome}${hasAnswered ? `: ${err.detail}` : ''}`;
+  return {outcome, text, hasAnswered};
 }
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -5,6 +5,7 @@
  */
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {PeerFault} from './errors';
 
 /**
  * From the response time of an idle target to the longest timeouts in use,
@@ -49,6 +50,10 @@
 export type AdmissionOutcome =
   'admitted' | 'refused_by_ratio' | 'refused_by_queue';
 
+/** How a call to a node that should lead ended. */
+export type LeaderCallOutcome =
+  'done' | 'notLeader' | 'invalid' | PeerFault['kind'];
+
 /** Work of one customer at one service per second, output tokens. */
 export interface CustomerWorkGauge {
   readonly service: string;
@@ -98,6 +103,11 @@
     'reports to the leader, by outcome',
     ['outcome']
   );
+  private readonly leaderCalls = this.counter(
+    'marlpulley_leader_calls_total',
+    'calls to other nodes in search of the leader, by outcome',
+    ['outcome']
+  );
   private readonly limitedTargetCalls = this.counter(
     'marlpulley_limited_target_calls_total',
     'calls to targets that state a rate limit, by kind',
@@ -180,6 +190,11 @@
     this.reports.inc({outcome});
   }
 
+  /** Counts a call to a node that should lead. */
+  leaderCalled(outcome: LeaderCallOutcome): void {
+    this.leaderCalls.inc({outcome});
+  }
+
   /** Registers the gauges, which are read at each scrape. */
   registerGauges(gauges: NodeGauges): void {
     this.gauge('marlpulley_leads', 'whether this node leads', gauges.isLeader);
--- a/tests/leaderClient.spec.ts
+++ b/tests/leaderClient.spec.ts
@@ -49,6 +49,7 @@
   readonly behaviors = new Map<string, Behavior>();
   /** Addresses in the order of the calls. */
   readonly called: string[] = [];
+  readonly outcomes: string[] = [];
   readonly directory: NodeDirectory;
   readonly client: LeaderClient;
   readonly log = recordingLogger();
@@ -68,13 +69,14 @@
     const rpc = {
       call: (...args: Parameters<RpcClient['call']>) => this.answer(...args),
     };
-    this.client = new LeaderClient(
-      rpc as RpcClient,
-      this.directory,
-      this.log.logger,
-      () => undefined,
-      nowMs
-    );
+    this.client = new LeaderClient({
+      rpc: rpc as RpcClient,
+      directory: this.directory,
+      logger: this.log.logger,
+      metrics: {leaderCalled: outcome => this.outcomes.push(outcome)},
+      leaderFromLog: () => undefined,
+      nowMs,
+    });
   }
 
   set(n: number, behavior: Behavior): void {
@@ -145,6 +147,9 @@
     expect(err?.message).toMatch(/^no leader: /);
     for (const part of ['1 timeout', '2 does not lead', '3 unreachable'])
       expect(err?.message).toContain(`10.0.0.${part}`);
+    expect(new Set(cluster.outcomes)).toEqual(
+      new Set(['timeout', 'notLeader', 'unreachable'])
+    );
     cluster.set(2, {names: nodeIp(1)});
     const named = await settle(cluster.client.call(PROPOSAL));
     expect(named?.message).toContain(`does not lead, names ${nodeIp(1)}`);
--- a/tests/manyNodes.spec.ts
+++ b/tests/manyNodes.spec.ts
@@ -109,13 +109,14 @@
       const isSeed = seeds.slice(1).some(seed => seed.ip === ip);
       return {kind: 'notLeader', leader: isSeed ? LEADER.ip : undefined};
     });
-    const client = new LeaderClient(
+    const client = new LeaderClient({
       rpc,
       directory,
-      SILENT_LOGGER,
-      () => undefined,
-      () => 0
-    );
+      logger: SILENT_LOGGER,
+      metrics: {leaderCalled: () => {}},
+      leaderFromLog: () => undefined,
+      nowMs: () => 0,
+    });
     const find = () =>
       client.call({
         method: NODE_METHODS.propose,
