Apply a change at the node that acknowledges it

The node that had acknowledged it did not have it in force: like all nodes it waits for the reply to its next report.

The reply to a proposal now carries the commit index, the version and the zones out; the proposer has the document, and applies the change before it answers. The others take it from that node if the leader is lost. A leader of an older version omits the field, and the node waits for its next report as before.

tests/platform/nodes.spec.ts stops the leader right after the acknowledgement: before, the node does not have the change within 15 s; now it has.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -241,19 +241,19 @@
     await this.syncOnce();
   }
 
-  /** Resolves once the command is durable on a quorum. */
+  /** Resolves once the command is durable on a quorum and in force here. */
   async propose(command: OperatorCommand): Promise<void> {
-    if (this.replica?.leads === true) {
-      await this.leaderService.propose(command);
-      return;
-    }
-    await this.leaderClient.call({
-      method: NODE_METHODS.propose,
-      params: {command},
-      reply: PROPOSE_REPLY,
-      timeoutMs: PROPOSE_TIMEOUT_MS,
-      mayOverlap: false,
-    });
+    const {state} =
+      this.replica?.leads === true
+        ? {state: await this.leaderService.propose(command)}
+        : await this.leaderClient.call({
+            method: NODE_METHODS.propose,
+            params: {command},
+            reply: PROPOSE_REPLY,
+            timeoutMs: PROPOSE_TIMEOUT_MS,
+            mayOverlap: false,
+          });
+    if (state !== undefined) this.reports.applyChange(command, state);
   }
 
   /** The newest site document, confirmed by a quorum; rejects without one. */
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -8,7 +8,12 @@
 import {LeadershipProof} from './leadershipProof';
 import type {LogReplica, OpenLog} from './logReplica';
 import type {Coordinator} from './coordinator';
-import type {OperatorCommand, SyncParams, SyncReply} from './messages';
+import type {
+  OperatorCommand,
+  StateAfterChange,
+  SyncParams,
+  SyncReply,
+} from './messages';
 import type {NodeDirectory} from './nodeDirectory';
 
 /** Dependencies of the leader service. */
@@ -48,8 +53,8 @@
     return leads && this.caughtUpTerm === this.term;
   }
 
-  /** Resolves once the command is durable on a quorum. */
-  async propose(command: OperatorCommand): Promise<void> {
+  /** Resolves with the state once the command is durable on a quorum. */
+  async propose(command: OperatorCommand): Promise<StateAfterChange> {
     const {log, state} = this.open();
     // A superseded document changes nothing, so the log is spared a copy. The
     // reply still needs a quorum to confirm that the newer version is committed.
@@ -62,15 +67,17 @@
       {event: 'change.agreed', kind},
       `change of kind ${kind} is committed`
     );
+    const {version, zonesOut} = state.site;
+    const index = log.status().commitIndex;
+    return {index, siteVersion: version, zonesOut: [...zonesOut]};
   }
 
   /** Handles a proposal of another node. */
   async handleProposal(
     command: OperatorCommand
-  ): Promise<NotLeader | {kind: 'committed'}> {
+  ): Promise<NotLeader | {kind: 'committed'; state: StateAfterChange}> {
     if (!this.leads) return this.notLeader();
-    await this.propose(command);
-    return {kind: 'committed'};
+    return {kind: 'committed', state: await this.propose(command)};
   }
 
   /** The newest site document, confirmed by a quorum. */
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -263,10 +263,21 @@
 /** A change that an operator submits to the log. */
 export type OperatorCommand = z.infer<typeof PROPOSE_PARAMS>['command'];
 
+/** Committed state right after a change, without the document. */
+export const STATE_AFTER_CHANGE = COMMITTED_POSITION.extend({
+  zonesOut: z.array(TEXT),
+});
+/** Committed state right after a change, without the document. */
+export type StateAfterChange = z.infer<typeof STATE_AFTER_CHANGE>;
+
 /** Reply to a proposal. */
 export const PROPOSE_REPLY = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('notLeader'), leader: TEXT.optional()}),
-  z.object({kind: z.literal('committed')}),
+  z.object({
+    kind: z.literal('committed'),
+    /** Absent from a leader of an older version. */
+    state: STATE_AFTER_CHANGE.optional(),
+  }),
 ]);
 
 /** Requests the newest site document, confirmed by a quorum. */
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -15,9 +15,11 @@
   CommittedPosition,
   CommittedState,
   NodeInfo,
+  OperatorCommand,
   ReadCommittedParams,
   ReadCommittedReply,
   ServiceLoad,
+  StateAfterChange,
   SyncParams,
   SyncState,
 } from './messages';
@@ -215,6 +217,17 @@
     );
   }
 
+  /**
+   * Applies a change that this node is about to acknowledge. The leader may be lost
+   * before the next report, and no other node would have the change.
+   */
+  applyChange(command: OperatorCommand, state: StateAfterChange): void {
+    const isNewest =
+      command.kind === 'site' && command.version === state.siteVersion;
+    const packedSite = isNewest ? command.packed : undefined;
+    this.adopt({kind: 'state', ...state, packedSite});
+  }
+
   /**
    * Takes newer state from another node. Only committed state is in a leader's reply,
    * so that no later leader takes it back; it confirms nothing and grants nothing.
--- a/tests/platform/nodes.spec.ts
+++ b/tests/platform/nodes.spec.ts
@@ -327,15 +327,23 @@
   }, 30_000);
   afterAll(() => nodes.stop());
 
+  // The leader was lost before the next report of the node, and with it the change.
+  it('should have a change in force when they acknowledge it', async () => {
+    await nodes.order(PEER, 'PUT', '/-/config', document(5));
+    nodes.signal(LEADER, 'SIGSTOP');
+    await nodes.untilApplied(PEER, 5);
+    nodes.signal(LEADER, 'SIGCONT');
+  }, 30_000);
+
   // Only one other node knows of the commit when the leader is gone for good: all
   // others would keep the version before.
   it('should take the newest document from a node while no leader replies', async () => {
     nodes.signal(BEHIND, 'SIGSTOP');
-    await nodes.order(LEADER, 'PUT', '/-/config', document(5));
-    await nodes.untilApplied(PEER, 5);
+    await nodes.order(LEADER, 'PUT', '/-/config', document(6));
+    await nodes.untilApplied(PEER, 6);
     await nodes.kill(LEADER);
     nodes.signal(BEHIND, 'SIGCONT');
-    await nodes.untilApplied(BEHIND, 5);
+    await nodes.untilApplied(BEHIND, 6);
   }, 30_000);
 
   // A newer document may be in force elsewhere that has the route.
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -93,6 +93,21 @@
     expect(sync.view.grants).toBe(grants);
   });
 
+  // Only the leader, lost within 100 ms, had a change that this node acknowledged.
+  it('should include a change when the node acknowledges it', () => {
+    const {sync, reply} = nodeSync();
+    reply(1_000);
+    const site = {kind: 'site' as const, version: 2, packed: packText('2')};
+    sync.applyChange(site, {index: 7, siteVersion: 2, zonesOut: []});
+    const zone = {kind: 'zone' as const, availabilityZone: 'b', out: true};
+    sync.applyChange(zone, {index: 8, siteVersion: 2, zonesOut: ['b']});
+    expect(sync.siteVersion).toBe(2);
+    expect([...sync.view.zonesOut]).toEqual(['b']);
+    // Another operator's newer document is in force, which is not known here.
+    sync.applyChange(site, {index: 9, siteVersion: 3, zonesOut: []});
+    expect(sync.committed).toEqual({index: 8, siteVersion: 2});
+  });
+
   // A deposed leader's late reply, or a peer that is behind, would revert a change.
   it('should not be replaced by an older one', () => {
     const {sync, reply} = nodeSync();
