Call a leader that was found while the log names a lost one

The log of a node names a lost leader until its election timeout, and a node that had found the next one through others did not call it: the address of the log hid it, and the search began anew with each call.

A search tries both, the log's leader first unless it did not answer lately. The test saw three needless calls before the right one; now the first call is right.

--- a/src/cluster/leaderClient.ts
+++ b/src/cluster/leaderClient.ts
@@ -62,7 +62,7 @@
     call: LeaderCall<T>
   ): Promise<Exclude<T, NotLeader>> {
     const search = new LeaderSearch(call, {
-      leader: () => this.leader,
+      leaders: () => this.knownLeaders,
       nextCandidate: state => this.candidates.next(state),
       send: (ip, {method, params, timeoutMs}) =>
         this.parts.rpc.call(ip, method, params, timeoutMs),
@@ -84,6 +84,12 @@
     }
   }
 
+  /** This node's log may still name a leader that is lost. */
+  private get knownLeaders(): readonly string[] {
+    const leaders = [this.parts.leaderFromLog(), this.cachedLeader];
+    return leaders.filter(ip => ip !== undefined);
+  }
+
   private cacheLeader(ip: string): void {
     if (this.cachedLeader === ip) return;
     const nowMs = this.parts.nowMs();
--- a/src/cluster/leaderSearch.ts
+++ b/src/cluster/leaderSearch.ts
@@ -27,8 +27,8 @@
 
 /** What a search needs of the client that runs it. */
 export interface LeaderSearchParts {
-  /** The leader, if known. */
-  leader(): string | undefined;
+  /** Addresses of the known leader, the most credible first. */
+  leaders(): readonly string[];
   nextCandidate(state: SearchState): string | undefined;
   send(ip: string, call: LeaderCall<unknown>): Promise<unknown>;
   /** Handles a try that found no leader, also one that ends late. */
@@ -108,13 +108,12 @@
   private nextCandidate(): string | undefined {
     const {triesLeft, tried} = this;
     if (triesLeft <= 0) return undefined;
-    const leader = this.parts.leader();
-    const named = leader === undefined ? this.named : [leader, ...this.named];
+    const named = [...this.parts.leaders(), ...this.named];
     return this.parts.nextCandidate({tried, named, isLastTry: triesLeft === 1});
   }
 
   private try(ip: string): void {
-    const isKnownLeader = ip === this.parts.leader();
+    const isKnownLeader = this.parts.leaders().includes(ip);
     this.tries++;
     this.tried.add(ip);
     this.pending.add(ip);
--- a/tests/leaderClient.spec.ts
+++ b/tests/leaderClient.spec.ts
@@ -53,6 +53,7 @@
   readonly directory: NodeDirectory;
   readonly client: LeaderClient;
   readonly log = recordingLogger();
+  leaderFromLog: string | undefined;
 
   constructor(seeds: readonly number[], behaviors: readonly Behavior[]) {
     const infos = behaviors.map((behavior, i): NodeInfo => {
@@ -74,7 +75,7 @@
       directory: this.directory,
       logger: this.log.logger,
       metrics: {leaderCalled: outcome => this.outcomes.push(outcome)},
-      leaderFromLog: () => undefined,
+      leaderFromLog: () => this.leaderFromLog,
       nowMs,
     });
   }
@@ -223,6 +224,21 @@
     expect(cluster.called.at(-1)).not.toBe(nodeIp(1));
   });
 
+  // A node's own log names a lost leader until its election timeout.
+  it('should call a leader that it found while its log names a lost one', async () => {
+    const names = {names: nodeIp(1)};
+    const cluster = new FakeCluster(
+      [2],
+      ['hangs', names, names, 'leads', names]
+    );
+    cluster.leaderFromLog = nodeIp(1);
+    await settle(cluster.client.call(READ));
+    await jest.advanceTimersByTimeAsync(READ.timeoutMs);
+    cluster.called.length = 0;
+    await settle(cluster.client.call(READ));
+    expect(cluster.called).toEqual([nodeIp(4)]);
+  });
+
   it('should call few other nodes while the leader is slow', async () => {
     const others = Array.from({length: 20}, () => ({names: nodeIp(1)}));
     const cluster = new FakeCluster([1], ['leadsSlowly', ...others]);
