Let a node join a group that exists although a seed is gone

A node with a disk that starts for the first time waits for all seeds, and never opened its log if one of them was gone by then, although the others had founded the group and led.

It now joins without founders once it knows a leader. That founds no second group: a leader exists only after the logs of all founders have answered, and a node without founders never founds. tests/manyNodes.spec.ts: without the check the call is still waiting after 1 s of virtual time.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -285,7 +285,7 @@
     const {directory, rpc} = this;
     const {dataDir, isFirstStart, lossesBorne, logger} = this.options;
     const founders = isFirstStart
-      ? await findFounders(directory, rpc, logger)
+      ? await findFounders(directory, rpc, logger, () => this.knowsLeader)
       : [];
     try {
       this.replica = await LogReplica.open({
--- a/src/cluster/findFounders.ts
+++ b/src/cluster/findFounders.ts
@@ -15,14 +15,18 @@
 const RETRY_INTERVAL_MS = 150;
 const HELLO_TIMEOUT_MS = 600;
 
-/** Resolves with the founders' addresses once every seed has responded. */
+/**
+ * Resolves with the founders' addresses once every seed has responded, or without
+ * any once the group exists: a seed may be gone for good then.
+ */
 export async function findFounders(
   directory: NodeDirectory,
   rpc: RpcClient,
-  logger: Logger
+  logger: Logger,
+  isFounded: () => boolean
 ): Promise<readonly string[]> {
   const from = directory.self;
-  for (;;) {
+  while (!isFounded()) {
     const seeds = directory.seedAddresses();
     try {
       const replies = await Promise.all(
@@ -43,6 +47,7 @@
       await firstValueFrom(timer(RETRY_INTERVAL_MS));
     }
   }
+  return [];
 }
 
 function foundersAmong(
--- a/tests/manyNodes.spec.ts
+++ b/tests/manyNodes.spec.ts
@@ -1,5 +1,6 @@
 import {SimulatedNode} from '../bench/fuzz/simulatedNode';
 import {LeaderClient} from '../src/cluster/leaderClient';
+import {findFounders} from '../src/cluster/findFounders';
 import type {NodeInfo} from '../src/cluster/messages';
 import {NODE_METHODS, PROPOSE_REPLY} from '../src/cluster/messages';
 import {NodeDirectory} from '../src/cluster/nodeDirectory';
@@ -39,6 +40,8 @@
 }
 
 describe('many nodes', () => {
+  afterEach(() => jest.useRealTimers());
+
   // The leader took its own list of nodes as news, so that lost nodes stayed
   // known forever. They would count as nodes without contact, and after enough
   // replaced machines the leader would commit nothing.
@@ -132,6 +135,24 @@
     expect(client.leader).toBe(LEADER.ip);
   });
 
+  // A node with a disk that started for the first time waited for a seed that was
+  // gone, and never got a log, although the others had founded the group.
+  it('should join a group that exists although a seed is gone', async () => {
+    jest.useFakeTimers();
+    let isFounded = false;
+    const rpc = rpcOf(() => {
+      isFounded = true;
+      throw new Error('gone');
+    });
+    const directory = directoryOf([infoOf(1)]);
+    let founders: readonly string[] | undefined;
+    void findFounders(directory, rpc, SILENT_LOGGER, () => isFounded).then(
+      found => (founders = found)
+    );
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(founders).toEqual([]);
+  });
+
   it('should count only messages of a node itself as contact', () => {
     let nowMs = 0;
     const directory = directoryOf([], () => nowMs);
