Make no machine that is gone a candidate for a vote

Cause: the directory names a replaced machine for 20 s. A new leader does not know which candidates were passed over, took the replaced one, and waited 3 s for its reply.

Ruled out: a shorter wait for candidates alone; several machines that are gone would each cost it.

Change: a node becomes the candidate only if it was heard within 3 s.

--- a/src/control/log/audience.ts
+++ b/src/control/log/audience.ts
@@ -5,7 +5,12 @@
  */
 
 import type {CoreState, Leadership} from './coreState';
-import {isLimited, isSilent, updateKnown} from './memberContact';
+import {
+  hasRecentContact,
+  isLimited,
+  isSilent,
+  updateKnown,
+} from './memberContact';
 import {newProgress} from './replication';
 import type {VoterPool} from './voterChoice';
 import {nextVoter} from './voterChoice';
@@ -76,7 +81,7 @@
 /** Keeps the candidate while it replies and is still needed. */
 function updateCandidate(state: CoreState, leadership: Leadership): void {
   passOverSilentCandidate(state, leadership);
-  const pool = voterPool(state, leadership);
+  const pool = reachablePool(state, leadership);
   const {candidate} = leadership;
   const next = nextVoter(pool);
   const isKept =
@@ -87,6 +92,15 @@
   if (!isKept) leadership.candidate = next;
 }
 
+/** Without instances that are gone: each would delay the addition of a voter. */
+function reachablePool(state: CoreState, leadership: Leadership): VoterPool {
+  const pool = voterPool(state, leadership);
+  return {
+    ...pool,
+    others: pool.others.filter(id => hasRecentContact(state, leadership, id)),
+  };
+}
+
 function passOverSilentCandidate(
   state: CoreState,
   leadership: Leadership
--- a/src/control/log/memberContact.ts
+++ b/src/control/log/memberContact.ts
@@ -65,14 +65,23 @@
 ): boolean {
   if (!isLimited(state, leadership)) return true;
   const {known} = leadership.contact;
-  const since = state.now - CONTACT_TIMEOUT_MS;
   let count = 0;
   for (const id of known)
-    if (id === state.options.id || lastContactAt(state, leadership, id) > since)
+    if (id === state.options.id || hasRecentContact(state, leadership, id))
       count++;
   return 2 * count > known.size;
 }
 
+/** Whether contact with an instance is not lost. */
+export function hasRecentContact(
+  state: CoreState,
+  leadership: Leadership,
+  id: string
+): boolean {
+  const since = state.now - CONTACT_TIMEOUT_MS;
+  return lastContactAt(state, leadership, id) > since;
+}
+
 function lastContactAt(
   state: CoreState,
   {contact}: Leadership,
