Remove a replaced voter before the next loss may come

Seen: after the leader was replaced at another address and a further machine lost its disk, the group had no leader for ever, and nodes served by old versions of the document.

Cause: a silent voter was removed after 8 s, counted by a new leader from its election. The successor is added first, so that until then three of four voters had to agree, one of them gone: the group bore no loss, although the next one may come 3 s after the successor started.

Ruled out: a shorter time alone. Removing first and adding next: a group at its minimum would bear less.

Change: a voter is removed after 1.5 s of silence, never below the minimum, and a new leader counts silence from its last contact with the former one, at most one election timeout ago. Each change is still one voter, committed by a quorum.

--- a/src/cluster/voterPolicy.ts
+++ b/src/cluster/voterPolicy.ts
@@ -3,11 +3,12 @@
 import type {VoterEviction} from '../control/log/logOptions';
 
 /**
- * Silence after which a voter is removed. Exceeds the longest restart of a
- * killed process by twice the longest election timeout, so that a voter that
- * restarts keeps its vote.
+ * Silence after which a voter is removed. A voter that is gone must have no vote
+ * when the next loss may come, 3 s after its successor has started, and a new
+ * leader is elected first if it led. Exceeds twice the time in which a leader
+ * without a quorum steps down, so that one lost connection costs no vote.
  */
-const REMOVE_SILENT_VOTER_AFTER_MS = 8_000;
+const REMOVE_SILENT_VOTER_AFTER_MS = 1_500;
 /**
  * Most voters, unless the intended losses need more. Three in each of three
  * zones: the loss of a zone and of one more voter leaves a quorum.
--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -35,11 +35,28 @@
   };
   state.leadership = leadership;
   updateAudience(state, leadership);
+  startSilenceClocks(state, leadership);
   state.emit({kind: 'elected', term: state.term});
   appendAsLeader(state, {kind: 'command', command: {kind: 'noop'}});
   probeMembers(state, leadership);
 }
 
+/**
+ * Counts the silence of voters from the last contact with the former leader, at
+ * most one election timeout ago. Otherwise each election would delay the removal
+ * of a voter that is gone, such as the former leader, by its own duration.
+ */
+function startSilenceClocks(state: CoreState, {progress}: Leadership): void {
+  const {now, lastLeaderContact, options, voters} = state;
+  if (lastLeaderContact === -Infinity) return;
+  const earliest = now - options.timing.electionMaxMs;
+  const since = Math.max(earliest, lastLeaderContact);
+  for (const {id} of voters) {
+    const voter = progress.get(id);
+    if (voter !== undefined) voter.lastReplyAt = since;
+  }
+}
+
 /** Progress of a peer whose log is not known yet. */
 export function newProgress(
   state: CoreState,
