Put other content of a version in force at no node

A node that was sent other content under a version that another node had just committed put it in force, returned it on reads and offered it to its peers. The leader commits nothing then and confirms the version, and the node took the confirmation for its own document.

The leader replies with the state only if the proposed document is the one in force. Comparing versions at the node was ruled out: the version is the same.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -241,7 +241,10 @@
     await this.syncOnce();
   }
 
-  /** Resolves once the command is durable on a quorum and in force here. */
+  /**
+   * Resolves once the command is durable on a quorum. Then it is in force here, unless
+   * another document is.
+   */
   async propose(command: OperatorCommand): Promise<void> {
     const {state} =
       this.replica?.leads === true
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -53,8 +53,13 @@
     return leads && this.caughtUpTerm === this.term;
   }
 
-  /** Resolves with the state once the command is durable on a quorum. */
-  async propose(command: OperatorCommand): Promise<StateAfterChange> {
+  /**
+   * Resolves once the command is durable on a quorum: with the state, unless another
+   * document than the proposed one is in force.
+   */
+  async propose(
+    command: OperatorCommand
+  ): Promise<StateAfterChange | undefined> {
     const {log, state} = this.open();
     // A superseded document changes nothing, so the log is spared a copy. The
     // reply still needs a quorum to confirm that the newer version is committed.
@@ -67,7 +72,8 @@
       {event: 'change.agreed', kind},
       `change of kind ${kind} is committed`
     );
-    const {version, zonesOut} = state.site;
+    const {version, packed, zonesOut} = state.site;
+    if (command.kind === 'site' && command.packed !== packed) return undefined;
     const index = log.status().commitIndex;
     return {index, siteVersion: version, zonesOut: [...zonesOut]};
   }
@@ -75,7 +81,7 @@
   /** Handles a proposal of another node. */
   async handleProposal(
     command: OperatorCommand
-  ): Promise<NotLeader | {kind: 'committed'; state: StateAfterChange}> {
+  ): Promise<NotLeader | {kind: 'committed'; state?: StateAfterChange}> {
     if (!this.leads) return this.notLeader();
     return {kind: 'committed', state: await this.propose(command)};
   }
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -275,7 +275,10 @@
   z.object({kind: z.literal('notLeader'), leader: TEXT.optional()}),
   z.object({
     kind: z.literal('committed'),
-    /** Absent from a leader of an older version. */
+    /**
+     * Absent if another document than the proposed one is in force, and from a leader
+     * of an older version.
+     */
     state: STATE_AFTER_CHANGE.optional(),
   }),
 ]);
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -222,9 +222,7 @@
    * before the next report, and no other node would have the change.
    */
   applyChange(command: OperatorCommand, state: StateAfterChange): void {
-    const isNewest =
-      command.kind === 'site' && command.version === state.siteVersion;
-    const packedSite = isNewest ? command.packed : undefined;
+    const packedSite = command.kind === 'site' ? command.packed : undefined;
     this.adopt({kind: 'state', ...state, packedSite});
   }
 
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -108,6 +108,21 @@
     expect(sync.committed).toEqual({index: 8, siteVersion: 2});
   });
 
+  // A node put other content in force under a version that was committed already.
+  it('should be replied only to a proposal of the document in force', async () => {
+    const packed = packText('2');
+    const state = {site: {version: 2, packed, zonesOut: []}};
+    const log = {status: () => ({commitIndex: 7}), readBarrier: async () => {}};
+    const service = new LeaderService({
+      replica: () => ({leads: true, current: {log, state}}),
+      logger: recordingLogger().logger,
+    } as never);
+    const propose = (text: string) =>
+      service.propose({kind: 'site', version: 2, packed: packText(text)});
+    expect(await propose('2')).toMatchObject({index: 7, siteVersion: 2});
+    expect(await propose('other')).toBeUndefined();
+  });
+
   // A deposed leader's late reply, or a peer that is behind, would revert a change.
   it('should not be replaced by an older one', () => {
     const {sync, reply} = nodeSync();
