Count the same instances when voters are added and removed

Additions leave out instances that are gone, so that two zones remain and 8 voters are due; removals counted the lost zone's nodes, whose third then allows 7.

Both ask the pool of instances that were heard lately.

--- a/src/control/log/audience.ts
+++ b/src/control/log/audience.ts
@@ -92,8 +92,11 @@
   if (!isKept) leadership.candidate = next;
 }
 
-/** Without instances that are gone: each would delay the addition of a voter. */
-function reachablePool(state: CoreState, leadership: Leadership): VoterPool {
+/** The pool without instances that are gone, which can't become voters. */
+export function reachablePool(
+  state: CoreState,
+  leadership: Leadership
+): VoterPool {
   const pool = voterPool(state, leadership);
   return {
     ...pool,
--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -10,7 +10,7 @@
 
 import type {CoreState, Leadership} from './coreState';
 import type {Voter} from './entry';
-import {updateAudience, voterPool} from './audience';
+import {reachablePool, updateAudience} from './audience';
 import {
   doAllVotersAnswer,
   hasMajorityContact,
@@ -99,7 +99,8 @@
 ): Voter[] | undefined {
   if (!isLimited(state, leadership)) return undefined;
   if (!doAllVotersAnswer(state, leadership)) return undefined;
-  const pool = voterPool(state, leadership);
+  // The additions count on the same instances; otherwise each would undo the other.
+  const pool = reachablePool(state, leadership);
   const surplus = surplusVoter(pool, state.options.id);
   if (surplus === undefined) return undefined;
   return state.voters.filter(({id}) => id !== surplus);
--- a/tests/logVoterLimit.spec.ts
+++ b/tests/logVoterLimit.spec.ts
@@ -110,6 +110,21 @@
     disks.untilVoters(MAX_VOTERS);
   });
 
+  // The nodes of the lost zone counted for the removal of voters, not for their
+  // addition, and voters were added and removed in turn.
+  it('should settle after a zone is lost', () => {
+    const disks = started({nodes: 12, maxVoters: MAX_VOTERS});
+    const {cluster} = disks;
+    const changes = cluster.history.configurationChangeCount;
+    const lostZone = disks.zoneOf(otherVoter(disks));
+    for (const id of cluster.ids)
+      if (disks.zoneOf(id) === lostZone) disks.instance(id).crash();
+    disks.advance(16_000);
+    expect(disks.votersByZone()[lostZone ?? '']).toBeUndefined();
+    const added = cluster.history.configurationChangeCount - changes;
+    expect(added).toBeLessThanOrEqual(2 * MAX_VOTERS);
+  });
+
   // A node whose log cannot be opened answers no message of the log, but reports.
   it('should pass over a node that does not reply to the leader', () => {
     const disks = new DiskNodes(SEED, HUNDRED);
