--- a/src/control/log/memberContact.ts
+++ b/src/control/log/memberContact.ts
@@ -58,27 +58,32 @@
   contact.known = new Set([...current, ...kept]);
 }
 
-/** Whether more than half of the known instances replied recently. */
+/** Whether more than half of the known instances were heard within `withinMs`. */
 export function hasMajorityContact(
   state: CoreState,
-  leadership: Leadership
+  leadership: Leadership,
+  withinMs = CONTACT_TIMEOUT_MS
 ): boolean {
   if (!isLimited(state, leadership)) return true;
   const {known} = leadership.contact;
   let count = 0;
   for (const id of known)
-    if (id === state.options.id || hasRecentContact(state, leadership, id))
+    if (
+      id === state.options.id ||
+      hasRecentContact(state, leadership, id, withinMs)
+    )
       count++;
   return 2 * count > known.size;
 }
 
-/** Whether contact with an instance is not lost. */
+/** Whether an instance was heard within `withinMs`. */
 export function hasRecentContact(
   state: CoreState,
   leadership: Leadership,
-  id: string
+  id: string,
+  withinMs = CONTACT_TIMEOUT_MS
 ): boolean {
-  const since = state.now - CONTACT_TIMEOUT_MS;
+  const since = state.now - withinMs;
   return lastContactAt(state, leadership, id) > since;
 }
 
--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -119,7 +119,11 @@
 ): Voter[] | undefined {
   const {voterEviction} = state.options;
   if (voterEviction === undefined) return undefined;
-  if (state.voters.length <= voterEviction.minVoters) return undefined;
+  const {minVoters, silentMs} = voterEviction;
+  if (state.voters.length <= minVoters) return undefined;
+  // The smaller side of a partition must not move the votes to itself before it
+  // notices that it lost contact with the rest.
+  if (!hasMajorityContact(state, leadership, silentMs)) return undefined;
   const silent = state.voters.find(voter => isSilent(state, leadership, voter));
   if (silent === undefined) return undefined;
   return state.voters.filter(voter => voter !== silent);
--- a/tests/logVoterLimit.spec.ts
+++ b/tests/logVoterLimit.spec.ts
@@ -110,6 +110,22 @@
     disks.untilVoters(MAX_VOTERS);
   });
 
+  // A leader with most voters on the smaller side of a partition removed the others
+  // before it noticed that it had lost contact with most nodes.
+  it('should keep the votes of the larger side of a partition', () => {
+    const disks = started({
+      nodes: 20,
+      maxVoters: MAX_VOTERS,
+      zoneAt: () => 'a',
+    });
+    const leader = disks.leader().id;
+    const others = disks.voterIds().filter(id => id !== leader);
+    disks.cluster.partition(new Set([leader, ...others.slice(0, 4)]));
+    disks.advance(6_000);
+    const {voters} = disks.cluster.history.configuration;
+    expect(voters).toHaveLength(MAX_VOTERS);
+  });
+
   // The nodes of the lost zone counted for the removal of voters, not for their
   // addition, and voters were added and removed in turn.
   it('should settle after a zone is lost', () => {
