Report at the period of all known nodes before a leader replied

A node that has just started counts itself alone and reports, or searches for the leader, each 100 ms. If a fleet of 100 nodes is restarted as a whole, that is three times the load that its period allows, from nodes that are busy starting.

The period counts the nodes of the directory too, which the first replies to a hello fill. With 33 nodes or fewer nothing differs.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -347,7 +347,10 @@
 
   /** Delay until the next report; 0 when the last one exceeded the period. */
   private get syncDelayMs(): number {
-    const periodMs = reportPeriodMs(this.view.activeNodes);
+    // A node that has just started has no view yet. If all were restarted, each would
+    // search for the leader as often as in a small fleet.
+    const nodes = Math.max(this.view.activeNodes, this.directory.all().length);
+    const periodMs = reportPeriodMs(nodes);
     return Math.max(0, this.syncStartedAtMs + periodMs - performance.now());
   }
 
