Count a disk that is taken now among the lost ones of the model

The trace: the model took the disk of a voter and, 1.3 s later, that of the instance that the leader was about to add. These are two losses at once in a group that bears one. The budget counted instances without a vote only once their disk had been taken, not while it was.

The budget now counts it, as it already did for all earlier losses. What must hold after the faults is unchanged.

--- a/bench/fuzz/logModel.ts
+++ b/bench/fuzz/logModel.ts
@@ -243,10 +243,11 @@
     if (this.shape === undefined)
       return lost.size <= Math.floor((this.ids.length - 1) / 2);
     // Not every instance votes: the configurations that may be in force count. The
-    // leader may still add an instance whose disk was lost a moment ago, so that
-    // this counts as a lost voter too (seed 3262 of the voter model).
+    // leader may still add an instance whose disk is lost now or was a moment ago,
+    // so that this counts as a lost voter too (seeds 806 and 3262 of the voter model).
     const since = this.now() - RECENT_WIPE_MS;
-    const recent = [...this.wipedAt].filter(([, atMs]) => atMs > since);
+    const wipes = [...this.wipedAt].filter(([, atMs]) => atMs > since);
+    const recent = new Set([id, ...wipes.map(([one]) => one)]);
     return this.lastConfigurations().every(({voters}) => {
       const gone = voters.filter(
         voter =>
@@ -255,7 +256,7 @@
             voter.incarnation
       );
       const isVoter = (one: string) => voters.some(voter => voter.id === one);
-      const added = recent.filter(([one]) => !isVoter(one)).length;
+      const added = [...recent].filter(one => !isVoter(one)).length;
       return gone.length + added <= Math.floor((voters.length - 1) / 2);
     });
   }
