--- a/src/control/log/replication.ts
+++ b/src/control/log/replication.ts
@@ -44,7 +44,8 @@
 /**
  * Counts the silence of voters from the last contact with the former leader, at
  * most one election timeout ago. Otherwise each election would delay the removal
- * of a voter that is gone, such as the former leader, by its own duration.
+ * of a voter that is gone, such as the former leader, by its own duration. An
+ * instance that led before has no later contact, and the limit applies.
  */
 function startSilenceClocks(state: CoreState, {progress}: Leadership): void {
   const {now, lastLeaderContact, options, voters} = state;
@@ -240,16 +241,16 @@
 }
 
 /**
- * Whether a quorum has replied to messages sent within the last `ms`. The
+ * Whether a quorum has replied to messages sent within `withinMs`. The
  * send time counts, not the arrival of the reply: after a pause a leader finds
  * old replies waiting, which do not prove that it is still the leader.
  */
 export function isQuorumActive(
   state: CoreState,
   leadership: Leadership,
-  ms: number
+  withinMs: number
 ): boolean {
-  const since = state.now - ms;
+  const since = state.now - withinMs;
   return state.hasQuorum(
     voter =>
       state.isSelf(voter) ||
--- a/src/policy/siteAge.ts
+++ b/src/policy/siteAge.ts
@@ -1,6 +1,6 @@
 /**
- * Longest time without a confirmation by the leader after which a node may still
- * refuse requests as its site document says.
+ * For how long after a confirmation by the leader a node may refuse requests as its
+ * site document says.
  */
 
 /** Time from the decision until a refusal has reached the caller. */
