Rename what stopped a reader in the search for the leader

A method named try, and nodes that were hopeful. The comment of the log's timers said how the values compare; it says why they are short. No behaviour changes.

--- a/src/cluster/leaderCandidates.ts
+++ b/src/cluster/leaderCandidates.ts
@@ -32,12 +32,16 @@
     const nowMs = this.nowMs();
     const isUntried = (ip: string) =>
       !tried.has(ip) && ip !== this.directory.self.ip;
-    const isHopeful = (ip: string) =>
+    const isResponsive = (ip: string) =>
       isUntried(ip) && !this.unresponsive.has(ip, nowMs);
     const fallback = named.find(isUntried);
-    const first = named.find(isHopeful) ?? (isLastTry ? fallback : undefined);
+    const first =
+      named.find(isResponsive) ?? (isLastTry ? fallback : undefined);
     return (
-      first ?? this.nextNode(isHopeful) ?? fallback ?? this.nextNode(isUntried)
+      first ??
+      this.nextNode(isResponsive) ??
+      fallback ??
+      this.nextNode(isUntried)
     );
   }
 
--- a/src/cluster/leaderSearch.ts
+++ b/src/cluster/leaderSearch.ts
@@ -90,7 +90,7 @@
   /** Calls a node that claims to lead, also if it failed in this search. */
   onClaim(ip: string): void {
     if (this.settle === undefined || this.pending.has(ip)) return;
-    if (this.triesLeft > 0) this.try(ip);
+    if (this.triesLeft > 0) this.callNode(ip);
   }
 
   private get triesLeft(): number {
@@ -101,7 +101,7 @@
 
   private tryNext(): void {
     const ip = this.nextCandidate();
-    if (ip !== undefined) this.try(ip);
+    if (ip !== undefined) this.callNode(ip);
     else if (this.pending.size === 0) this.settle?.({kind: 'notFound'});
   }
 
@@ -112,7 +112,7 @@
     return this.parts.nextCandidate({tried, named, isLastTry: triesLeft === 1});
   }
 
-  private try(ip: string): void {
+  private callNode(ip: string): void {
     const isKnownLeader = this.parts.leaders().includes(ip);
     this.tries++;
     this.tried.add(ip);
--- a/src/cluster/logTiming.ts
+++ b/src/cluster/logTiming.ts
@@ -3,11 +3,10 @@
 import type {LogTiming} from '../control/log/coreEvents';
 
 /**
- * Shorter than the defaults of the log. After the loss of the leader or a
- * restart of all nodes, callers may find no site document and targets no granted
- * slots until a leader is elected: 1.2 s with the defaults, half of it with
- * these values. Heartbeats every 100 ms to a handful of voters cost next to
- * nothing, and three of them fit into the shortest election timeout.
+ * Shorter than the defaults of the log: after the loss of the leader or a restart
+ * of all nodes, callers may find no site document and targets no granted slots
+ * until a leader is elected. Three heartbeats fit into the shortest election
+ * timeout, so that a lost one or two start no election.
  */
 export const LOG_TIMING: LogTiming = {
   heartbeatMs: 100,
