Say which schedule of the voter model an old seed showed

Seed 504 failed before the model counted a disk that is taken from an instance without a vote; it draws other faults since. The comment said that it still shows the fault.

--- a/tests/voterModel.spec.ts
+++ b/tests/voterModel.spec.ts
@@ -3,8 +3,9 @@
 
 const SCHEDULES = 60;
 /**
- * A removed voter asked for votes forever, unknown to the leader (1046). A removal
- * that could not be committed made its leader deny all votes (504).
+ * Schedules that failed once: a removed voter asked for votes forever, unknown to
+ * the leader (1046); a removal could not be committed, and its leader denied all
+ * votes (504, before the model counted disks of instances without a vote).
  */
 const FAULT_SEEDS = [504, 1046];
 
