Log what marks the end of a response, and why an attempt was lost

The log of an incident could not tell three hypotheses apart: a body that ends with its connection, an empty body that is framed as complete, and a reset that is taken for an end. request.attempt now names the framing, the events, the reason of a lost attempt and how the connection failed; marlpulley_responses_total counts responses by framing and end.

Node's parser calls a body without a length complete when its connection is reset, and libuv reports a reset that arrives together with data as an orderly end.

--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -5,6 +5,7 @@
  */
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {BodyFraming} from './bodyFraming';
 import type {PeerFault} from './errors';
 
 /**
@@ -88,6 +89,11 @@
     'sends to targets, by service and how they ended',
     ['service', 'end']
   );
+  private readonly responses = this.counter(
+    'marlpulley_responses_total',
+    'responses of targets, by service, what marks the end of the body, and how the attempt ended',
+    ['service', 'framing', 'end']
+  );
   private readonly orders = this.counter(
     'marlpulley_map_orders_total',
     'orders to ranks, by kind and answer',
@@ -155,6 +161,11 @@
     this.targetTime.observe({service}, tookMs / MS_PER_S);
   }
 
+  /** Counts a response whose headers arrived. */
+  responded(service: string, framing: BodyFraming, end: string): void {
+    this.responses.inc({service, framing, end});
+  }
+
   answered(service: string, marks: RequestTimings): void {
     this.slotWait.observe({service}, marks.placeMs / MS_PER_S);
     if (marks.firstEventMs === 0) return;
--- a/src/gateway/callTarget.ts
+++ b/src/gateway/callTarget.ts
@@ -11,6 +11,8 @@
 
 import http from 'node:http';
 import type {CancelSignal} from '../core/cancellation';
+import type {ConnectionState} from '../core/connectionReset';
+import {watchConnection} from '../core/connectionReset';
 
 /**
  * A machine without power never responds to a connection attempt. Ten times the
@@ -34,7 +36,11 @@
 
 /** Result of a call up to the response headers. */
 export type TargetOutcome =
-  | {readonly kind: 'answered'; readonly res: http.IncomingMessage}
+  | {
+      readonly kind: 'answered';
+      readonly res: http.IncomingMessage;
+      readonly connection: ConnectionState;
+    }
   /** No connection was established, so nothing was sent. */
   | {readonly kind: 'unsent'; readonly reason: string}
   /** It was sent and may have run, but no response headers arrived. */
@@ -57,6 +63,7 @@
     });
     let connected = false;
     let settled = false;
+    const connection = watchConnection(req);
     const timers: NodeJS.Timeout[] = [];
     const settle = (outcome: TargetOutcome) => {
       if (settled) return;
@@ -93,12 +100,9 @@
       res.once('close', () =>
         call.cancelSignal.removeEventListener('abort', onCancel)
       );
-      settle({kind: 'answered', res});
+      settle({kind: 'answered', res, connection});
     });
-    if (call.cancelSignal.aborted) {
-      onCancel();
-      return;
-    }
+    if (call.cancelSignal.aborted) return onCancel();
     call.cancelSignal.addEventListener('abort', onCancel, {once: true});
     req.end(call.body);
   });
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -1,16 +1,19 @@
 /** Sends a request to targets until one responds or no more attempts are allowed. */
 
 import type {IncomingMessage} from 'node:http';
+import {framingOf} from '../core/bodyFraming';
 import {unreachable} from '../core/errors';
 import type {GatewayRefusal} from '../ports/callerPort';
 import type {TargetHead} from '../ports/targetPort';
 import type {TargetRecord} from '../site/announcement';
 import {groupNameOf} from '../site/groupStatus';
+import type {AttemptEnd, ResponseTrace} from './attemptEnd';
 import {callTarget} from './callTarget';
 import {CallerStream} from './callerStream';
 import type {Gateway} from './gateway';
 import {readResponseBody} from './readResponseBody';
 import {relayEvents} from './relayEvents';
+import {isRelayable, isResponseTo} from './responseChecks';
 import type {RequestState, RoutedRequest} from './requestState';
 import {rounded} from '../core/rounded';
 import {stopRefusal} from './stopRefusal';
@@ -18,19 +21,6 @@
 import type {WholeResponse} from './wholeResponse';
 import {isFramed, writeWholeResponse} from './wholeResponse';
 
-/** Outcome of an attempt, which decides whether a retry may follow. */
-type AttemptEnd =
-  /** The response was relayed to the caller as complete. */
-  | {readonly kind: 'answered'}
-  /** The target did not run the request. */
-  | {readonly kind: 'notRun'; readonly wasSent: boolean}
-  /** It may have run; no complete response to this request arrived. */
-  | {readonly kind: 'lost'}
-  /** The target responded with a server error, which may be relayed. */
-  | {readonly kind: 'failed'; readonly answer: WholeResponse}
-  /** The request was cancelled; see `StopReason`. */
-  | {readonly kind: 'stopped'};
-
 /** All nodes learn of a lost target within a second. */
 const NO_TARGET_RETRY_MS = 400;
 /** A target's full queue has room again after a few passes. */
@@ -60,6 +50,7 @@
   private readonly targets: TargetSelection;
   private sendCount = 0;
   private lastErrorResponse: WholeResponse | undefined;
+  private trace: ResponseTrace = {eventCount: 0};
 
   constructor(
     private readonly gateway: Gateway,
@@ -150,6 +141,7 @@
     const {state, routed, gateway} = this;
     const pool = gateway.pool(routed.service.name);
     const startedAtMs = performance.now();
+    this.trace = {eventCount: 0};
     state.tried.add(target.id);
     pool.begin(target.id, startedAtMs);
     gateway.pushback?.noteRequest(target, startedAtMs);
@@ -188,7 +180,7 @@
     if (outcome.kind === 'unsent') {
       if (state.stopped !== undefined) return {kind: 'stopped'};
       pool.noteAttempt(target.id, {kind: 'unreachable'}, nowMs);
-      return {kind: 'notRun', wasSent: false};
+      return {kind: 'notRun', wasSent: false, reason: outcome.reason};
     }
     this.countSend(nowMs);
     switch (outcome.kind) {
@@ -198,8 +190,10 @@
         return {kind: 'stopped'};
       case 'lost':
         pool.noteAttempt(target.id, {kind: 'failed'}, nowMs);
-        return {kind: 'lost'};
+        return {kind: 'lost', reason: outcome.reason};
       case 'answered':
+        this.trace.framing = framingOf(outcome.res);
+        this.trace.connection = outcome.connection;
         return this.handleResponse(target, outcome.res, startedAtMs);
       default:
         return unreachable(outcome);
@@ -237,12 +231,12 @@
     if (head.notRun) {
       pool.noteAttempt(target.id, {kind: 'full'}, performance.now());
       res.destroy();
-      return {kind: 'notRun', wasSent: true};
+      return {kind: 'notRun', wasSent: true, reason: 'rejected'};
     }
     if (!isRelayable(head, state)) {
       pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
       res.destroy();
-      return {kind: 'lost'};
+      return {kind: 'lost', reason: 'not a response to this attempt'};
     }
     if (head.isStream && head.status < FIRST_SERVER_ERROR)
       return this.relayStream(target, res, head, startedAtMs);
@@ -271,13 +265,13 @@
       isGood ? {kind: 'good', latencyMs} : {kind: 'failed'},
       nowMs
     );
-    if (!isWhole) return {kind: 'lost'};
+    if (!isWhole) return {kind: 'lost', reason: 'incomplete body'};
     const headers = gateway.parts.targets.responseHeaders(res);
     const {status} = head;
     const response = {status, headers, body, isFramed: isFramed(res)};
     if (!isGood) return {kind: 'failed', answer: response};
     // The caller already has the beginning of a stream.
-    if (stream.hasBegun) return {kind: 'lost'};
+    if (stream.hasBegun) return {kind: 'lost', reason: 'not a stream'};
     writeWholeResponse(state.res, response);
     return {kind: 'answered'};
   }
@@ -322,6 +316,7 @@
       },
       onEvent: nowMs => {
         state.eventCount++;
+        this.trace.eventCount++;
         stallWatch.noteEvent(nowMs);
       },
       onGap: ms => {
@@ -341,7 +336,7 @@
       return {kind: 'answered'};
     }
     pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
-    return {kind: 'lost'};
+    return {kind: 'lost', reason: end.reason};
   }
 
   /** Each token is one event; a stream that the caller resumed is not whole. */
@@ -357,7 +352,9 @@
     const {attemptId} = this.state.caller;
     const {logger, metrics} = this.gateway.parts;
     const {name} = this.routed.service;
+    const {framing, connection, eventCount} = this.trace;
     metrics.attempted(name, end.kind, tookMs);
+    if (framing !== undefined) metrics.responded(name, framing, end.kind);
     if (end.kind === 'answered') metrics.answered(name, this.state.marks);
     logger.info(
       {
@@ -366,27 +363,15 @@
         service: name,
         target: target.id,
         end: end.kind,
+        reason: 'reason' in end ? end.reason : undefined,
         tookMs: Math.round(tookMs),
         ...rounded(this.state.marks),
+        framing,
+        events: eventCount,
+        connectionError: connection?.error,
         lastEventId: this.stream.lastEventId,
       },
       end.kind
     );
   }
 }
-
-/**
- * Whether the response may be relayed: it names this attempt, so that a late
- * response to another request is not relayed instead, and its body has no
- * content encoding.
- */
-function isRelayable(head: TargetHead, {caller}: RequestState): boolean {
-  if (!head.isPlainBody) return false;
-  if (caller.attemptId === undefined) return true;
-  return head.attemptId === caller.attemptId;
-}
-
-/** Whether the response is to this attempt, or names none. */
-function isResponseTo({attemptId}: TargetHead, {caller}: RequestState) {
-  return attemptId === undefined || attemptId === caller.attemptId;
-}
