--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -4,6 +4,7 @@
 import {GatewayFixture} from './gatewayFixture';
 
 const EVENT = 'id: 1\ndata: x\n\n';
+const EMPTY_STREAM = {framing: 'close', end: 'fin', isStream: true} as const;
 
 function raw(response: RawResponse): Handler {
   return req => writeRaw(req, response);
@@ -57,3 +58,31 @@
     expect(attempt?.['connectionError']).toBeUndefined();
   });
 });
+
+// Such a stream has neither a length nor chunks and ends with its connection. The
+// gateway must not mark an end that its target left open.
+describe('a stream whose end nothing marks', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  // The target broke off before the first event. The caller got an empty stream that
+  // was framed as complete.
+  it('should be retried if it ends before its first event', async () => {
+    let calls = 0;
+    const shared: Handler = (req, res) => {
+      if (calls++ === 0) writeRaw(req, EMPTY_STREAM);
+      else res.writeHead(200, {'content-type': 'text/event-stream'}).end(EVENT);
+    };
+    fixture = await GatewayFixture.start([shared, shared]);
+    const answer = await fixture.call('/stream/x');
+    expect(answer).toMatchObject({status: 200, body: EVENT, isWhole: true});
+  });
+
+  // As above, on a route that allows no second run.
+  it('should not be relayed without an event where no retry is allowed', async () => {
+    fixture = await GatewayFixture.start([raw(EMPTY_STREAM)], {
+      resumable: false,
+    });
+    expect((await fixture.call('/stream/x')).status).toBe(502);
+  });
+});
