Do not mark the end of a stream that its target left open

Cause: a response without a length and without chunks ends with its connection, and Node's parser calls every such end complete. The gateway wrote the stream in chunks, so that its own last chunk marked an end that nothing had marked. The rule existed for responses that are relayed whole, and not for streams.

Change: such a stream reaches the caller without a mark, as it came. Without any event it counts as lost: it is retried where the route allows it, refused as unknown where it does not, and passed on only to a caller that resumes, since nothing may have been left. A response that has begun in chunks is not completed by an unmarked end; it is resumed elsewhere or aborted. The length of such a stream is not recorded for estimates.

Ruled out: breaking every such stream off, since most are whole and each would be resumed for nothing.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -6,12 +6,15 @@
 
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
+import {leaveEndUnmarked} from '../core/responseEnd';
 
-/** Status and headers of the response, taken from the first target. */
+/** Head of the response, taken from the first target. */
 export interface StreamHead {
   readonly status: number;
   /** Flat list of names and values, as in `rawHeaders`. */
   readonly headers: readonly string[];
+  /** Whether a Content-Length or a last chunk marks the end of the target's body. */
+  readonly isEndMarked: boolean;
 }
 
 /** The response stream of one caller. */
@@ -26,6 +29,11 @@
     return this.headSent;
   }
 
+  /** Whether the response that has begun can be completed by a mark. */
+  get isEndMarked(): boolean {
+    return this.res.chunkedEncoding;
+  }
+
   /** Id of the last event that was written. */
   get lastEventId(): string | undefined {
     return this.lastId;
@@ -38,19 +46,16 @@
     id: string | undefined
   ): Promise<void> {
     const {res} = this;
-    if (!this.headSent) {
-      this.headSent = true;
-      res.writeHead(head.status, [...head.headers]);
-    }
+    this.begin(head);
     if (id !== undefined) this.lastId = id;
     const hasCapacity = res.write(Buffer.from(raw, 'latin1'));
     if (!hasCapacity && !res.destroyed)
       await Promise.race([once(res, 'drain'), once(res, 'close')]);
   }
 
-  /** Ends the response as complete. */
+  /** Ends the response, as complete if the first target marks its end. */
   end(head: StreamHead): void {
-    if (!this.headSent) this.res.writeHead(head.status, [...head.headers]);
+    this.begin(head);
     this.res.end();
   }
 
@@ -58,4 +63,10 @@
   abort(): void {
     this.res.destroy();
   }
+  private begin(head: StreamHead): void {
+    if (this.headSent) return;
+    this.headSent = true;
+    if (!head.isEndMarked) leaveEndUnmarked(this.res);
+    this.res.writeHead(head.status, [...head.headers]);
+  }
 }
--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -7,6 +7,8 @@
 /** How the response stream of one target ended. */
 export type RelayEnd =
   | {readonly kind: 'complete'}
+  /** It ended with its connection, and after a whole event if it had any. */
+  | {readonly kind: 'unmarked'}
   /** It ended early; only whole events were relayed. */
   | {readonly kind: 'broken'; readonly reason: string};
 
@@ -47,7 +49,7 @@
   // The HTTP body is complete, but the target stopped in the middle of an event.
   if (parser.pendingChars > 0)
     return broken(res, 'stream ended in the middle of an event');
-  return {kind: 'complete'};
+  return {kind: head.isEndMarked ? 'complete' : 'unmarked'};
 }
 
 function broken(res: IncomingMessage, reason: string): RelayEnd {
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -9,13 +9,14 @@
 import {groupNameOf} from '../site/groupStatus';
 import type {AttemptEnd, ResponseTrace} from './attemptEnd';
 import {callTarget} from './callTarget';
+import type {StreamHead} from './callerStream';
 import {CallerStream} from './callerStream';
 import type {Gateway} from './gateway';
+import {logAttempt} from './logAttempt';
 import {readResponseBody} from './readResponseBody';
 import {relayEvents} from './relayEvents';
 import {isRelayable, isResponseTo} from './responseChecks';
 import type {RequestState, RoutedRequest} from './requestState';
-import {rounded} from '../core/rounded';
 import {stopRefusal} from './stopRefusal';
 import {TargetSelection} from './targetSelection';
 import type {WholeResponse} from './wholeResponse';
@@ -50,6 +51,8 @@
   private readonly targets: TargetSelection;
   private sendCount = 0;
   private lastErrorResponse: WholeResponse | undefined;
+  /** Head of an empty stream that may be whole. */
+  private emptyStreamHead: StreamHead | undefined;
   private trace: ResponseTrace = {eventCount: 0};
 
   constructor(
@@ -119,6 +122,10 @@
       writeWholeResponse(state.res, lastErrorResponse);
       return undefined;
     }
+    if (this.emptyStreamHead !== undefined) {
+      stream.end(this.emptyStreamHead);
+      return undefined;
+    }
     if (state.mayHaveRun) return {kind: 'outcomeUnknown'};
     return this.sendCount > 0
       ? {
@@ -147,7 +154,16 @@
     gateway.pushback?.noteRequest(target, startedAtMs);
     try {
       const end = await this.send(target, startedAtMs);
-      this.log(target, end, performance.now() - startedAtMs);
+      const {trace, stream} = this;
+      const tookMs = performance.now() - startedAtMs;
+      const {lastEventId} = stream;
+      logAttempt(gateway, state, routed, {
+        targetId: target.id,
+        end,
+        trace,
+        tookMs,
+        lastEventId,
+      });
       return end;
     } finally {
       pool.done(target.id);
@@ -302,6 +318,7 @@
     const callerHead = {
       status: head.status,
       headers: gateway.parts.targets.responseHeaders(res),
+      isEndMarked: framingOf(res) !== 'close',
     };
     let hasBegun = false;
     const end = await relayEvents(res, callerHead, stream, {
@@ -330,13 +347,38 @@
       state.mayHaveRun = true;
       return {kind: 'stopped'};
     }
-    if (end.kind === 'complete') {
-      stream.end(callerHead);
-      this.recordLength();
+    switch (end.kind) {
+      case 'complete':
+        stream.end(callerHead);
+        this.recordLength();
+        return {kind: 'answered'};
+      case 'unmarked':
+        return this.endUnmarked(target, callerHead);
+      case 'broken':
+        pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
+        return {kind: 'lost', reason: end.reason};
+      default:
+        return unreachable(end);
+    }
+  }
+
+  /**
+   * Ends a stream that may or may not be whole. The caller gets the same unmarked end
+   * if its response allows that, and if any event arrived.
+   */
+  private endUnmarked(target: TargetRecord, head: StreamHead): AttemptEnd {
+    const {gateway, state, routed, stream, trace} = this;
+    if (trace.eventCount > 0 && !stream.isEndMarked) {
+      stream.end(head);
       return {kind: 'answered'};
     }
-    pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
-    return {kind: 'lost', reason: end.reason};
+    if (trace.eventCount === 0) {
+      // After the last event that the caller named there may be none.
+      if (state.caller.lastEventId !== undefined) this.emptyStreamHead = head;
+      const pool = gateway.pool(routed.service.name);
+      pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
+    }
+    return {kind: 'lost', reason: 'nothing marks the end of the stream'};
   }
 
   /** Each token is one event; a stream that the caller resumed is not whole. */
@@ -347,31 +389,4 @@
     const {lengths} = gateway.pool(routed.service.name);
     lengths.record(routed.route.name, expectedOutputTokens, state.eventCount);
   }
-
-  private log(target: TargetRecord, end: AttemptEnd, tookMs: number): void {
-    const {attemptId} = this.state.caller;
-    const {logger, metrics} = this.gateway.parts;
-    const {name} = this.routed.service;
-    const {framing, connection, eventCount} = this.trace;
-    metrics.attempted(name, end.kind, tookMs);
-    if (framing !== undefined) metrics.responded(name, framing, end.kind);
-    if (end.kind === 'answered') metrics.answered(name, this.state.marks);
-    logger.info(
-      {
-        event: 'request.attempt',
-        attemptId,
-        service: name,
-        target: target.id,
-        end: end.kind,
-        reason: 'reason' in end ? end.reason : undefined,
-        tookMs: Math.round(tookMs),
-        ...rounded(this.state.marks),
-        framing,
-        events: eventCount,
-        connectionError: connection?.error,
-        lastEventId: this.stream.lastEventId,
-      },
-      end.kind
-    );
-  }
 }
--- a/src/gateway/wholeResponse.ts
+++ b/src/gateway/wholeResponse.ts
@@ -1,6 +1,7 @@
 /** A complete response of a target that is relayed as a whole. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {leaveEndUnmarked} from '../core/responseEnd';
 
 /** Status, headers and body of a target's response. */
 export interface WholeResponse {
@@ -26,12 +27,7 @@
   response: WholeResponse
 ): void {
   if (res.destroyed) return;
-  // An unframed response may have been truncated when the target closed the
-  // connection. A Content-Length or chunked encoding would declare it complete.
-  if (!response.isFramed) {
-    res.useChunkedEncodingByDefault = false;
-    res.shouldKeepAlive = false;
-  }
+  if (!response.isFramed) leaveEndUnmarked(res);
   res.writeHead(response.status, [...response.headers]);
   res.end(response.body);
 }
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -4,6 +4,7 @@
 import {GatewayFixture} from './gatewayFixture';
 
 const EVENT = 'id: 1\ndata: x\n\n';
+const NEXT_EVENT = 'id: 2\ndata: y\n\n';
 const EMPTY_STREAM = {framing: 'close', end: 'fin', isStream: true} as const;
 
 function raw(response: RawResponse): Handler {
@@ -85,4 +86,44 @@
     });
     expect((await fixture.call('/stream/x')).status).toBe(502);
   });
+
+  // Most such streams are whole. Broken off by the gateway, each of them would be
+  // resumed for nothing.
+  it('should reach the caller with its end unmarked', async () => {
+    fixture = await GatewayFixture.start([raw({...EMPTY_STREAM, body: EVENT})]);
+    const answer = await fixture.call('/stream/x');
+    expect(answer).toMatchObject({status: 200, body: EVENT});
+    expect(answer.headers).toMatchObject({connection: 'close'});
+    expect(answer.headers).not.toHaveProperty('transfer-encoding');
+    expect(answer.headers).not.toHaveProperty('content-length');
+  });
+
+  // The response to the caller has begun in chunks, so that its last chunk would mark
+  // the end that the second target left open.
+  it('should not complete a response that has begun in chunks', async () => {
+    let calls = 0;
+    const shared: Handler = req => {
+      const isFirst = calls++ === 0;
+      const response = isFirst
+        ? ({framing: 'chunked', end: 'early', body: EVENT} as const)
+        : ({framing: 'close', end: 'fin', body: NEXT_EVENT} as const);
+      writeRaw(req, {...response, isStream: true});
+    };
+    fixture = await GatewayFixture.start([shared, shared]);
+    const answer = await fixture.call('/stream/x');
+    expect(answer).toMatchObject({body: EVENT + NEXT_EVENT, isWhole: false});
+  });
+
+  // A caller that resumes after the last event gets an empty stream. Refused instead,
+  // it could never learn that it has all events.
+  it('should reach a caller that resumes, even without an event', async () => {
+    fixture = await GatewayFixture.start([
+      raw(EMPTY_STREAM),
+      raw(EMPTY_STREAM),
+    ]);
+    const answer = await fixture.call('/stream/x', {'last-event-id': '1'});
+    expect(answer).toMatchObject({status: 200, body: ''});
+    expect(answer.headers).not.toHaveProperty('transfer-encoding');
+    expect(fixture.receivedRequests).toHaveLength(2);
+  });
 });
