Reset the connection of an aborted response that ends with it

A response without a length and without chunks, to any caller of HTTP/1.0 or after a target that framed its own so, is whole for its caller unless the connection is reset. The gateway, the entry and the agent closed it in order, so that a stream which they knew to be broken looked whole.

Change: abortResponse resets the connection where only its end marks the end of the response, and closes it otherwise. TLS connections are closed as before: only agents serve on them, always with a length or in chunks.

Measured: two of the three new tests failed before (a stream that breaks off inside an event, and a stream to an HTTP/1.0 caller) and pass.

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -10,9 +10,9 @@
   relayedHeaders,
 } from '../core/httpHeaders';
 import {refuse} from '../core/refusal';
+import {abortResponse} from '../core/responseEnd';
 import {
   UpstreamError,
-  abortConnection,
   hasBody,
   relayBody,
   sendUpstream,
@@ -155,7 +155,7 @@
         return this.onResponseComplete(response);
       case 'source cut':
         this.failed();
-        return abortConnection(res);
+        return abortResponse(res);
       case 'sink closed':
         return this.onCallerGone(response);
     }
--- a/src/core/responseEnd.ts
+++ b/src/core/responseEnd.ts
@@ -1,6 +1,9 @@
 /** Ends of responses that this process writes. */
 
-import type {ServerResponse} from 'node:http';
+import {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import type {Writable} from 'node:stream';
+import {TLSSocket} from 'node:tls';
 
 /**
  * Lets the response end with its connection, since a Content-Length or a last chunk
@@ -10,3 +13,21 @@
   res.useChunkedEncodingByDefault = false;
   res.shouldKeepAlive = false;
 }
+
+/**
+ * Closes the connection so that the caller sees an incomplete response. A response
+ * that ends with its connection is complete unless the connection is reset.
+ */
+export function abortResponse(res: Writable): void {
+  const socket = res instanceof ServerResponse ? socketToReset(res) : null;
+  if (socket === null) res.destroy();
+  else socket.resetAndDestroy();
+}
+
+/** Null if the end of the response is marked, or its connection can't be reset. */
+function socketToReset(res: ServerResponse): Socket | null {
+  const endsWithConnection = res.headersSent && !res.chunkedEncoding;
+  return endsWithConnection && !(res.socket instanceof TLSSocket)
+    ? res.socket
+    : null;
+}
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -5,7 +5,7 @@
 
 import http from 'node:http';
 import https from 'node:https';
-import type {Readable, Writable} from 'node:stream';
+import type {Readable} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import type {CancelSignal} from './cancellation';
 import {endToEndHeaders, headerPairs} from './httpHeaders';
@@ -155,11 +155,6 @@
   return req.headers['transfer-encoding'] !== undefined;
 }
 
-/** Aborts the connection, lest the reader consider the body complete. */
-export function abortConnection(sink: Writable): void {
-  sink.destroy();
-}
-
 /** End-to-end trailers of a message that was read to its end. */
 export function trailersOf({
   rawTrailers,
--- a/src/entry/chat/relayResponse.ts
+++ b/src/entry/chat/relayResponse.ts
@@ -7,6 +7,7 @@
 
 import type {Readable, Writable} from 'node:stream';
 import type {CancelSignal} from '../../core/cancellation';
+import {abortResponse} from '../../core/responseEnd';
 
 /** The response of one target. */
 export interface ResponseSource {
@@ -81,7 +82,7 @@
     const detail = err instanceof Error ? err.message : String(err);
     if (caller.destroyed) return {kind: 'caller gone'};
     if (!heldResponse.released) return {kind: 'lost', detail};
-    caller.destroy();
+    abortResponse(caller);
     return {kind: 'cut', detail};
   } finally {
     caller.off('close', destroySource);
--- a/src/entry/chat/streamResumer.ts
+++ b/src/entry/chat/streamResumer.ts
@@ -6,6 +6,7 @@
 import type {Readable, Writable} from 'node:stream';
 import type {CancelSignal} from '../../core/cancellation';
 import {Refusal, RefusalError} from '../../core/refusal';
+import {abortResponse} from '../../core/responseEnd';
 import {
   CutCause,
   LossCause,
@@ -159,7 +160,7 @@
   return new Promise(resolve => {
     const end = () => {
       clearTimeout(closeTimer);
-      relay.caller.destroy();
+      abortResponse(relay.caller);
       resolve({kind: 'cut', delivered, refusal});
     };
     const closeTimer = setTimeout(end, relay.callerTimeoutMs);
--- a/src/entry/sendRefusal.ts
+++ b/src/entry/sendRefusal.ts
@@ -3,7 +3,7 @@
 import type {ServerResponse} from 'node:http';
 import {REFUSALS, Refusal} from '../core/refusal';
 import {sendJson} from '../core/sendJson';
-import {abortConnection} from '../core/upstream';
+import {abortResponse} from '../core/responseEnd';
 
 /**
  * Sends the refusal as a JSON body and as headers. If the head of a response
@@ -15,7 +15,7 @@
   refusal: Refusal
 ): void {
   if (res.headersSent) {
-    abortConnection(res);
+    abortResponse(res);
     return;
   }
   const {reason, step, peer, detail, retryAfterMs} = refusal;
--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -6,7 +6,7 @@
 
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
-import {leaveEndUnmarked} from '../core/responseEnd';
+import {abortResponse, leaveEndUnmarked} from '../core/responseEnd';
 
 /** Head of the response, taken from the first target. */
 export interface StreamHead {
@@ -61,7 +61,7 @@
 
   /** Closes the connection so that the caller sees an incomplete response. */
   abort(): void {
-    this.res.destroy();
+    abortResponse(this.res);
   }
   private begin(head: StreamHead): void {
     if (this.headSent) return;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -6,6 +6,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {ClusterView} from '../cluster/clusterView';
 import {unreachable} from '../core/errors';
+import {abortResponse} from '../core/responseEnd';
 import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
 import {restRetryMs} from '../policy/admission/restRetry';
 import {urgencyOf} from '../policy/admission/urgency';
@@ -42,7 +43,7 @@
       'internal error while serving the request'
     );
     if (!res.headersSent) refuseInternalError(gateway, state);
-    else res.destroy();
+    else abortResponse(res);
   }
 }
 
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -9,11 +9,13 @@
 import type {ClusterView} from '../../src/cluster/clusterView';
 import {TargetPushback} from '../../src/cluster/targetPushback';
 import {TargetTable} from '../../src/cluster/targetTable';
+import {watchConnection} from '../../src/core/connectionReset';
 import {NodeMetrics} from '../../src/core/nodeMetrics';
 import {Gateway} from '../../src/gateway/gateway';
 import {serveRequest} from '../../src/gateway/serveRequest';
 import {SiteIndex} from '../../src/site/siteIndex';
 import type {RetrySemantics, SiteRoute} from '../../src/site/site';
+import {readUntilClosed} from '../fixtures/rawCalls';
 import {recordingLogger} from '../fixtures/recordingLogger';
 
 /** Handles one request at a fake target. */
@@ -165,6 +167,7 @@
           },
         },
         res => {
+          req.off('error', reject);
           let body = '';
           const end = (isWhole: boolean) =>
             resolve({
@@ -175,14 +178,29 @@
             });
           res.on('data', chunk => (body += String(chunk)));
           res.on('error', () => end(false));
-          res.on('end', () => end(res.complete));
+          res.on('close', () =>
+            end(res.complete && connection.error === undefined)
+          );
         }
       );
+      const connection = watchConnection(req);
       req.on('error', reject);
       req.end(body);
     });
   }
 
+  /** Sends a POST request without a body as an HTTP/1.0 caller, who reads to the end. */
+  callByHttp10(path: string) {
+    const lines = [
+      `POST ${path} HTTP/1.0`,
+      'Host: a.example',
+      `X-Attempt-Id: a${this.nextId++}`,
+      'Authorization: Bearer key',
+      'Content-Length: 0',
+    ];
+    return readUntilClosed(this.port, `${lines.join('\r\n')}\r\n\r\n`);
+  }
+
   private async addTarget(target: number, handler: Handler): Promise<void> {
     const server = http.createServer((req, res) => {
       this.receivedRequests.push({target, headers: req.headers});
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -127,3 +127,42 @@
     expect(fixture.receivedRequests).toHaveLength(2);
   });
 });
+
+// Such a response ends with its connection, and a caller takes it for whole unless the
+// connection is reset.
+describe('a response to the caller whose end nothing marks', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  const INSIDE_EVENT = `${EVENT}id: 2\nda`;
+
+  // The target's stream ends with its connection, inside an event.
+  it('should be reset when a stream breaks off', async () => {
+    fixture = await GatewayFixture.start(
+      [raw({...EMPTY_STREAM, body: INSIDE_EVENT})],
+      {maxAttempts: 1}
+    );
+    expect(await fixture.call('/stream/x')).toMatchObject({isWhole: false});
+  });
+
+  // HTTP/1.0 has no chunks.
+  it('should be reset when a stream to an HTTP/1.0 caller breaks off', async () => {
+    const isStream = true;
+    fixture = await GatewayFixture.start(
+      [raw({framing: 'chunked', end: 'early', body: EVENT, isStream})],
+      {maxAttempts: 1}
+    );
+    const {wasReset} = await fixture.callByHttp10('/stream/x');
+    expect(wasReset).toBe(true);
+  });
+
+  it('should end in order for an HTTP/1.0 caller of a whole stream', async () => {
+    const isStream = true;
+    fixture = await GatewayFixture.start([
+      raw({framing: 'chunked', end: 'fin', body: EVENT, isStream}),
+    ]);
+    const {text, wasReset} = await fixture.callByHttp10('/stream/x');
+    expect(text.endsWith(EVENT)).toBe(true);
+    expect(wasReset).toBe(false);
+  });
+});
