Fail a response that ends with its connection when that is reset

A target's response without a length and without chunks was relayed as whole when its connection was reset (MIXED in the users' rules).

Cause: on an error of the socket Node finishes the parser, which calls a body without a length complete; and libuv reports a reset that arrives together with data as an orderly end, without an error.

Change: watchConnection, until now only for the log, destroys such a body with the error, for requests to targets from the gateway and the agent.

Measured: six of six new tests failed before and pass: a response that is relayed whole, one that may be retried, a stream, each with the reset after the body and together with it.

Not changed: calls between nodes and to ranks, whose bodies are parsed as JSON, so that a shortened one is no reply.

--- a/src/core/connectionReset.ts
+++ b/src/core/connectionReset.ts
@@ -1,7 +1,8 @@
 /** Detects that the connection of a request was reset after the response head. */
 
-import type {ClientRequest} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
+import {framingOf} from './bodyFraming';
 
 /** The connection of a request. */
 export interface ConnectionState {
@@ -10,15 +11,23 @@
 }
 
 /**
- * Tells a connection that failed or was reset from one that the peer closed. Node's
- * parser reports a body that ends with its connection as complete in both cases.
+ * Tells a connection that failed or was reset from one that the peer closed, and fails
+ * a response body that ends with such a connection: Node's parser reports it as
+ * complete.
  */
 export function watchConnection(req: ClientRequest): ConnectionState {
   const state: {error?: string} = {};
-  req.once('error', err => (state.error = err.message));
+  let response: IncomingMessage | undefined;
+  const fail = (err: Error) => {
+    state.error ??= err.message;
+    if (response !== undefined && framingOf(response) === 'close')
+      response.destroy(err);
+  };
+  req.once('response', res => (response = res));
+  req.once('error', fail);
   req.once('socket', socket => {
     const onEnd = () => {
-      if (isReset(socket)) state.error ??= 'connection reset';
+      if (isReset(socket)) fail(new Error('connection reset'));
     };
     socket.prependListener('end', onEnd);
     req.once('close', () => socket.off('end', onEnd));
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -8,6 +8,7 @@
 import type {Readable} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import type {CancelSignal} from './cancellation';
+import {watchConnection} from './connectionReset';
 import {endToEndHeaders, headerPairs} from './httpHeaders';
 
 /** A request that failed before the head of its response arrived. */
@@ -58,6 +59,7 @@
       headers: headers as unknown as http.OutgoingHttpHeaders,
       setHost: false,
     });
+    watchConnection(req);
     destroyOnAbort(req, signal);
     req.on('socket', socket => {
       // A reused connection may send bytes at once, even if the peer closes it.
--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -4,6 +4,7 @@
  */
 
 import http from 'node:http';
+import {watchConnection} from '../core/connectionReset';
 import {PeerError} from '../core/errors';
 import type {PeerFault} from '../core/errors';
 
@@ -89,6 +90,7 @@
       agent,
       signal,
     });
+    watchConnection(req);
     const done = this.readResponse(req, signal);
     req.end(body);
     return {req, done};
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -166,3 +166,43 @@
     expect(wasReset).toBe(false);
   });
 });
+
+// Node's parser calls a body without a length complete when its connection is reset.
+// Such a body was relayed as whole.
+describe.each(['reset', 'resetAtOnce'] as const)(
+  'a response that ends by a %s',
+  end => {
+    let fixture: GatewayFixture;
+    afterEach(() => fixture.close());
+
+    it('should not be relayed as whole', async () => {
+      fixture = await GatewayFixture.start([
+        raw({framing: 'close', end, body: 'half'}),
+      ]);
+      const answer = await fixture.call('/once/x');
+      expect(answer.status).toBe(502);
+      expect(answer.body).not.toContain('half');
+    });
+
+    it('should be retried where the route allows it', async () => {
+      let calls = 0;
+      const shared: Handler = (req, res) => {
+        if (calls++ > 0) res.end('whole');
+        else writeRaw(req, {framing: 'close', end, body: 'half'});
+      };
+      fixture = await GatewayFixture.start([shared, shared]);
+      const answer = await fixture.call('/idempotent/x');
+      expect(answer).toMatchObject({status: 200, body: 'whole'});
+    });
+
+    it('should break off the stream to the caller', async () => {
+      fixture = await GatewayFixture.start(
+        [raw({framing: 'close', end, body: EVENT, isStream: true})],
+        {maxAttempts: 1}
+      );
+      // A reset that overtakes the event leaves nothing of the stream to relay.
+      const answer = await fixture.call('/stream/x');
+      expect(answer.status === 502 || !answer.isWhole).toBe(true);
+    });
+  }
+);
