Take only chunks and a length for the mark of a body's end

A response with any Transfer-Encoding counted as one whose end is marked, and was relayed as complete at the end of its connection. Node reads a body to the end of the connection unless the last coding is chunked, and decodes no other coding, so that callers also got coded bytes as the body.

Change: the framing is chunked, a length, none or the end of the connection; a coding that was not asked for is no response. identity, which is obsolete, changes nothing and marks nothing.

Measured: four of four new tests failed before and pass: gzip, gzip and chunked in either order, identity.

--- a/src/core/bodyFraming.ts
+++ b/src/core/bodyFraming.ts
@@ -27,7 +27,15 @@
   )
     return 'none';
   const coding = headers['transfer-encoding']?.toLowerCase();
-  if (coding !== undefined)
-    return coding === 'chunked' ? 'chunked' : 'unsupported';
-  return headers['content-length'] === undefined ? 'close' : 'length';
+  switch (coding) {
+    case undefined:
+      return headers['content-length'] === undefined ? 'close' : 'length';
+    case 'chunked':
+      return 'chunked';
+    // Obsolete; the body was not changed, and its end not marked.
+    case 'identity':
+      return 'close';
+    default:
+      return 'unsupported';
+  }
 }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -20,7 +20,7 @@
 import {stopRefusal} from './stopRefusal';
 import {TargetSelection} from './targetSelection';
 import type {WholeResponse} from './wholeResponse';
-import {isFramed, writeWholeResponse} from './wholeResponse';
+import {writeWholeResponse} from './wholeResponse';
 
 /** All nodes learn of a lost target within a second. */
 const NO_TARGET_RETRY_MS = 400;
@@ -249,7 +249,7 @@
       res.destroy();
       return {kind: 'notRun', wasSent: true, reason: 'rejected'};
     }
-    if (!isRelayable(head, state)) {
+    if (!isRelayable(head, state) || framingOf(res) === 'unsupported') {
       pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
       res.destroy();
       return {kind: 'lost', reason: 'not a response to this attempt'};
@@ -284,7 +284,7 @@
     if (!isWhole) return {kind: 'lost', reason: 'incomplete body'};
     const headers = gateway.parts.targets.responseHeaders(res);
     const {status} = head;
-    const response = {status, headers, body, isFramed: isFramed(res)};
+    const response = {status, headers, body, framing: framingOf(res)};
     if (!isGood) return {kind: 'failed', answer: response};
     // The caller already has the beginning of a stream.
     if (stream.hasBegun) return {kind: 'lost', reason: 'not a stream'};
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -206,3 +206,33 @@
     });
   }
 );
+
+// Only `chunked` marks the end of a body. With any other coding the gateway took the
+// end of the connection for one, and relayed the coded bytes as the body.
+describe('a response with a transfer coding that was not asked for', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  it.each(['gzip', 'gzip, chunked', 'chunked, gzip'])(
+    'should not be relayed: %s',
+    async coding => {
+      const headers = [`Transfer-Encoding: ${coding}`];
+      const body = '1\r\nx\r\n0\r\n\r\n';
+      fixture = await GatewayFixture.start([
+        raw({framing: 'close', end: 'fin', headers, body}),
+      ]);
+      expect((await fixture.call('/once/x')).status).toBe(502);
+    }
+  );
+
+  it('should be relayed with its end unmarked where it changes nothing', async () => {
+    const headers = ['Transfer-Encoding: identity'];
+    fixture = await GatewayFixture.start([
+      raw({framing: 'close', end: 'fin', headers, body: 'text'}),
+    ]);
+    const answer = await fixture.call('/once/x');
+    expect(answer).toMatchObject({status: 200, body: 'text'});
+    expect(answer.headers).not.toHaveProperty('transfer-encoding');
+    expect(answer.headers).not.toHaveProperty('content-length');
+  });
+});
