Do not pass on the length of a stream that another target may continue

The gateway passed on the Content-Length of the first target's stream. If that target broke off and another one continued it, the caller's response had the length of a run that never ended: callers cut the stream there and took it for whole, or waited for bytes that never came.

Measured: the new test failed before and passes.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -6,6 +6,7 @@
 
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
+import {withoutHeader} from '../core/httpHeaders';
 import {abortResponse, leaveEndUnmarked} from '../core/responseEnd';
 
 /** Head of the response, taken from the first target. */
@@ -67,6 +68,8 @@
     if (this.headSent) return;
     this.headSent = true;
     if (!head.isEndMarked) leaveEndUnmarked(this.res);
-    this.res.writeHead(head.status, [...head.headers]);
+    // Another target may continue the stream with fewer or more bytes.
+    const headers = withoutHeader(head.headers, 'content-length');
+    this.res.writeHead(head.status, headers);
   }
 }
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -236,3 +236,27 @@
     expect(answer.headers).not.toHaveProperty('content-length');
   });
 });
+
+// The first target stated a length and broke off; the second one continues with more
+// bytes. Cut at the length of the first, the stream looked whole to the caller.
+describe('a stream with a length', () => {
+  let fixture: GatewayFixture;
+  afterEach(() => fixture.close());
+
+  it('should be whole after another target continued it', async () => {
+    let calls = 0;
+    const last = `id: 2\ndata: ${'y'.repeat(50)}\n\n`;
+    const shared: Handler = req => {
+      const isFirst = calls++ === 0;
+      writeRaw(req, {
+        framing: 'length',
+        end: isFirst ? 'early' : 'fin',
+        body: isFirst ? EVENT : last,
+        isStream: true,
+      });
+    };
+    fixture = await GatewayFixture.start([shared, shared]);
+    const answer = await fixture.call('/stream/x');
+    expect(answer).toMatchObject({body: EVENT + last, isWhole: true});
+  });
+});
