Leave the end of a response unmarked through agent, entry and records

A service's response without a length and without chunks reached the caller as complete: the agent wrote it to the entry in chunks, the entry to the caller, and the record of a call that runs once got a Content-Length with each resend.

Change: the agent's report and the recorded answer say that the end is unmarked (endUnmarked), and the entry lets the caller's response end with its connection. Builds that do not know the field go on as before. A transfer coding that was not asked for ends as outcome unknown.

The fake service can send such responses, whole or reset.

--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -24,6 +24,8 @@
     'closeBeforeRead',
     'truncate',
     'refuse',
+    'answerUnmarked',
+    'resetUnmarked',
   ]),
   /** Number of requests that the fault still applies to. */
   times: z.number().int().positive().default(1),
@@ -34,6 +36,9 @@
 });
 type Fault = z.infer<typeof FAULT>;
 
+/** Body of responses that end with their connection. */
+const UNMARKED_BODY = 'recorded';
+
 /** Settings of the service; times in milliseconds. */
 export interface LedgerConfig {
   readonly port: number;
@@ -126,6 +131,8 @@
     this.running--;
     if (fault?.kind === 'closeAfterRun') return void res.destroy();
     if (fault?.kind === 'truncate') return truncate(res);
+    if (fault?.kind === 'answerUnmarked') return sendUnmarked(res, 'fin');
+    if (fault?.kind === 'resetUnmarked') return sendUnmarked(res, 'reset');
     this.answer(req, res, body);
   }
 
@@ -193,6 +200,15 @@
   res.write('{"cut":', () => res.destroy());
 }
 
+/** Sends a body that ends with its connection, which may be reset. */
+function sendUnmarked(res: http.ServerResponse, end: 'fin' | 'reset'): void {
+  res.useChunkedEncodingByDefault = false;
+  res.shouldKeepAlive = false;
+  res.writeHead(201, {'content-type': 'text/plain'});
+  if (end === 'fin') res.end(UNMARKED_BODY);
+  else res.write(UNMARKED_BODY, () => res.socket?.resetAndDestroy());
+}
+
 /**
  * Echoes the request; `?bytes=N` returns a body of that size instead, and
  * `?chunks=N` a chunked body with a trailer.
--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -1,6 +1,7 @@
 /** Serves one dispatch, from its admission to the end of its response. */
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
+import {framingOf} from '../core/bodyFraming';
 import {CancelSignal, Cancellation} from '../core/cancellation';
 import type {RecordedAnswer} from '../core/claims';
 import {headerJson} from '../core/headerJson';
@@ -17,7 +18,7 @@
   relayBody,
   sendUpstream,
 } from '../core/upstream';
-import {Dispatch, REPORT_HEADER} from '../core/wire';
+import {Dispatch, DispatchReport, REPORT_HEADER} from '../core/wire';
 import {enginePriority} from '../policy/enginePriority';
 import type {AgentCore} from './agentCore';
 import {awaitRevision} from './awaitRevision';
@@ -71,6 +72,10 @@
   return response.readableLength > 0 || response.complete;
 }
 
+function endMarkOf(response: IncomingMessage): {endUnmarked?: true} {
+  return framingOf(response) === 'close' ? {endUnmarked: true} : {};
+}
+
 /** Lets only the first dispatch of a claim pass; refuses the others. */
 function beginClaim(
   core: AgentCore,
@@ -141,6 +146,10 @@
     res: ServerResponse
   ): Promise<void> {
     const response = await this.send(req);
+    if (framingOf(response) === 'unsupported') {
+      response.destroy();
+      throw this.sendFailed(new UpstreamError(true, 'unknown transfer coding'));
+    }
     if (this.callerGone.aborted)
       return this.onResponseAfterCallerGone(response);
     res.writeHead(
@@ -248,9 +257,12 @@
   }
 
   private responseHeaders(response: IncomingMessage): string[] {
-    const report = headerJson(this.core.report(this.slot.queuedMs));
+    const report: DispatchReport = {
+      ...this.core.report(this.slot.queuedMs),
+      ...endMarkOf(response),
+    };
     return relayedHeaders(response.rawHeaders, {
-      [REPORT_HEADER]: report,
+      [REPORT_HEADER]: headerJson(report),
     });
   }
 
@@ -284,6 +296,7 @@
       status: response.statusCode ?? 502,
       headers: headerPairs(endToEndHeaders(response.rawHeaders)),
       bodyBase64: Buffer.concat(this.recorded).toString('base64'),
+      ...endMarkOf(response),
     };
   }
 
--- a/src/core/claims.ts
+++ b/src/core/claims.ts
@@ -5,6 +5,8 @@
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
   readonly bodyBase64: string;
+  /** Present when nothing but the end of the connection ended the body. */
+  readonly endUnmarked?: true;
 }
 
 /** How a claim ended. */
--- a/src/core/wire.ts
+++ b/src/core/wire.ts
@@ -214,4 +214,6 @@
   readonly queuedMs: number;
   /** Present when the agent refused; the target then received nothing. */
   readonly refusal?: Refusal;
+  /** Present when nothing but the end of the connection ended the target's body. */
+  readonly endUnmarked?: true;
 }
--- a/src/entry/relayPlain.ts
+++ b/src/entry/relayPlain.ts
@@ -2,6 +2,7 @@
 
 import {relayedHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
+import {leaveEndUnmarked} from '../core/responseEnd';
 import {trailersOf} from '../core/upstream';
 import type {AnsweredAttempt, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
@@ -133,6 +134,7 @@
     'marlpulley-target': report.targetId,
   };
   const headers = relayedHeaders(answer.rawHeaders, own);
+  if (report.endUnmarked === true) leaveEndUnmarked(res);
   res.writeHead(answer.statusCode ?? 502, answer.statusMessage, headers);
 }
 
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -6,7 +6,6 @@
  */
 
 import {createHash} from 'node:crypto';
-import type {IncomingMessage} from 'node:http';
 import type {
   ClaimResult,
   LookupResult,
@@ -16,6 +15,7 @@
 import {PeerError, unreachable} from '../core/errors';
 import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
+import {leaveEndUnmarked} from '../core/responseEnd';
 import {readBody} from '../core/upstream';
 import {
   ClaimRequest,
@@ -26,6 +26,7 @@
 import {fenceClaimAtAgent} from './fenceClaimAtAgent';
 import type {ClassifiedCall} from './call';
 import {callLogger} from './callLogger';
+import type {AttemptOutcome} from './dispatchAttempt';
 import {dispatchAttempt} from './dispatchAttempt';
 import type {EntryCore} from './entryCore';
 import {
@@ -202,7 +203,7 @@
         signal: call.progress.signal,
       });
       if (outcome.kind === 'refused') return outcome;
-      return await this.readResponse(outcome.answer, targetId);
+      return await this.readResponse(outcome, targetId);
     } finally {
       core.load.ended(targetId, 1);
     }
@@ -217,7 +218,7 @@
   }
 
   private async readResponse(
-    answer: IncomingMessage,
+    {answer, report}: Extract<AttemptOutcome, {kind: 'answered'}>,
     peer: string
   ): Promise<OnceEvent> {
     const body = await readBody(answer, MAX_RESPONSE_BYTES).catch(
@@ -234,6 +235,7 @@
       status: answer.statusCode ?? 502,
       headers: headerPairs(endToEndHeaders(answer.rawHeaders)),
       bodyBase64: body.toString('base64'),
+      ...(report.endUnmarked === true ? {endUnmarked: true} : {}),
     };
     return {kind: 'answered', answer: recorded};
   }
@@ -292,10 +294,9 @@
   recorded: RecordedAnswer
 ): void {
   const body = Buffer.from(recorded.bodyBase64, 'base64');
-  const own = {
-    'marlpulley-request-id': requestId,
-    'content-length': String(body.length),
-  };
+  const own: Record<string, string> = {'marlpulley-request-id': requestId};
+  if (recorded.endUnmarked === true) leaveEndUnmarked(res);
+  else own['content-length'] = String(body.length);
   res.writeHead(recorded.status, withHeaders(recorded.headers.flat(), own));
   res.end(body);
 }
--- a/src/rpc/messages.ts
+++ b/src/rpc/messages.ts
@@ -126,6 +126,7 @@
   status: z.int(),
   headers: z.array(z.tuple([z.string(), z.string()])),
   bodyBase64: z.string(),
+  endUnmarked: z.literal(true).optional(),
 });
 
 const settlement: z.ZodType<Settlement> = z.discriminatedUnion('kind', [
--- a/tests/agentPort.spec.ts
+++ b/tests/agentPort.spec.ts
@@ -15,7 +15,12 @@
 } from './fixtures/agentPort';
 import {sendBytes} from './fixtures/rawCalls';
 import {eventually} from './fixtures/testSystem';
-import {runCleanups, onCleanup, startFake} from './fixtures/targets';
+import {
+  runCleanups,
+  onCleanup,
+  startFake,
+  startScriptedServer,
+} from './fixtures/targets';
 
 let ledger: FakeLedger;
 let testAgent: AgentUnderTest;
@@ -95,6 +100,20 @@
   // An entry learns one poll late that the agent is leaving, and may dispatch
   // to it meanwhile. If the port closed at once, or during the call, the
   // outcome would be unknown. A refusal states that the call has not run.
+  // The agent can't decode the body, and nothing marks its end.
+  it('should relay no response with a transfer coding that was not asked for', async () => {
+    const {port} = await startScriptedServer(req =>
+      req.socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nx')
+    );
+    testAgent = await startAgent(port);
+    await eventually(
+      'the agent accepts work',
+      async () => announced().limit > 0
+    );
+    const {reason} = await dispatch();
+    expect(reason).toBe('outcome-unknown');
+  });
+
   it('should refuse late dispatches for a while when it leaves', async () => {
     const drained = testAgent.agent.drain();
     for (let i = 0; i < 10; i++)
--- a/tests/processes/onceCalls.spec.ts
+++ b/tests/processes/onceCalls.spec.ts
@@ -14,6 +14,8 @@
   {kind: 'closeBeforeRead', expectedRuns: 0, firstReason: 'outcome-unknown'},
   {kind: 'answerLate', expectedRuns: 1, firstReason: ''},
   {kind: 'refuse', expectedRuns: 0, firstReason: ''},
+  {kind: 'answerUnmarked', expectedRuns: 1, firstReason: ''},
+  {kind: 'resetUnmarked', expectedRuns: 1, firstReason: 'outcome-unknown'},
 ] as const;
 
 /** Starts an assignment that takes the ledger 1.5 s; resolves once it runs. */
