--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -235,7 +235,13 @@
 
   private admit(call: ChatCall, res: http.ServerResponse): void {
     const {batch, cache, experts, model, modelVersion} = this.state;
-    const writer = new ChatWriter(res, call, model, modelVersion);
+    const writer = new ChatWriter(
+      res,
+      call,
+      model,
+      modelVersion,
+      this.cfg.statedStreamBytes
+    );
     const cached = cache.cachedBlocks(call.prefixes);
     cache.store(call.prefixes, Date.now());
     const work: Work = {
--- a/fakes/engine/chat.ts
+++ b/fakes/engine/chat.ts
@@ -76,7 +76,8 @@
     private readonly res: http.ServerResponse,
     private readonly call: ChatCall,
     private readonly model: string,
-    private readonly modelVersion: string
+    private readonly modelVersion: string,
+    statedStreamBytes: number
   ) {
     this.id = `chatcmpl-${call.requestId}`;
     this.chunkPrefix = JSON.stringify({
@@ -89,6 +90,7 @@
     res.writeHead(200, {
       'content-type': 'text/event-stream',
       'cache-control': 'no-store',
+      ...(statedStreamBytes > 0 ? {'content-length': statedStreamBytes} : {}),
     });
     res.flushHeaders();
   }
--- a/fakes/engine/engineConfig.ts
+++ b/fakes/engine/engineConfig.ts
@@ -33,6 +33,8 @@
   /** Time to load a model or a model version. */
   readonly loadMs: number;
   readonly cancelOnDisconnect: boolean;
+  /** Content-Length that streams state, whatever their length; 0 states none. */
+  readonly statedStreamBytes: number;
   readonly refuseOldFences: boolean;
   /** Number of experts; 0 for a dense model. */
   readonly experts: number;
@@ -72,6 +74,7 @@
   loadMs: 0,
   cancelOnDisconnect: true,
   refuseOldFences: true,
+  statedStreamBytes: 0,
   experts: 0,
   rank: 0,
   ranks: 1,
--- a/src/entry/relayChat.ts
+++ b/src/entry/relayChat.ts
@@ -1,6 +1,6 @@
 /** Relays a token stream, resuming it at another target after a loss. */
 
-import {relayedHeaders} from '../core/httpHeaders';
+import {relayedHeaders, withoutHeader} from '../core/httpHeaders';
 import {REFUSALS, Refusal} from '../core/refusal';
 import type {AnsweredAttempt, Attempts} from './attempts';
 import type {ClassifiedCall} from './call';
@@ -79,7 +79,8 @@
   if (target.modelVersion !== undefined)
     own['marlpulley-model-version'] = target.modelVersion;
   // A stream that goes on elsewhere keeps no length that its first head named.
-  const headers = relayedHeaders(answer.rawHeaders, own);
+  const relayed = relayedHeaders(answer.rawHeaders, own);
+  const headers = withoutHeader(relayed, 'content-length');
   res.writeHead(HTTP_OK, headers);
   res.flushHeaders();
 }
--- a/tests/processes/unmarkedEnds.spec.ts
+++ b/tests/processes/unmarkedEnds.spec.ts
@@ -1,4 +1,4 @@
-import {assign, newIdempotencyKey} from '../../bench/deployment/callers';
+import {assign, chat, newIdempotencyKey} from '../../bench/deployment/callers';
 import {readUntilClosed, request} from '../fixtures/rawCalls';
 import {TestSystem} from '../fixtures/testSystem';
 
@@ -7,7 +7,19 @@
 let system: TestSystem;
 
 beforeAll(async () => {
-  system = await TestSystem.start({controls: 1, entries: 1});
+  system = await TestSystem.start({
+    controls: 1,
+    entries: 1,
+    pools: [
+      {
+        pool: 'planner',
+        kind: 'engine',
+        count: 1,
+        fakeArgs: ['--stated-stream-bytes', '100000'],
+      },
+      {pool: 'allocation', kind: 'service', count: 2, fakeArgs: []},
+    ],
+  });
 }, 60_000);
 afterAll(() => system.stop());
 
@@ -69,3 +81,12 @@
     ]);
   });
 });
+
+// The engine states a length that its stream doesn't have, as after a resumption at
+// another engine. The caller waited for the rest.
+describe('a token stream with a length', () => {
+  it('should reach the caller without it, and whole', async () => {
+    const {body} = await chat(system.port(0), 'which slot', 5, true);
+    expect(body.trimEnd().endsWith('data: [DONE]')).toBe(true);
+  });
+});
