Let targets of the soak break off responses of all framings

The soak's targets answered with a length only, plainly and whole, so that no soak could show a broken response that looked complete. They now answer in a length's place with chunks or with neither, plainly and in events, break off before, between and inside events, in order or by a reset, and resume streams. Callers read all three kinds of route and check that a marked end has the whole body, and an unmarked one whole events.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -20,6 +20,7 @@
 const HOST = 'soak.example';
 const SERVICE = 'soak';
 const OK = 200;
+const CALL_KINDS = ['idempotent', 'once', 'stream'] as const;
 /** Intervals of calls, of document changes and of document reads. */
 const CALL_INTERVAL_MS = 15;
 const CHANGE_INTERVAL_MS = 220;
@@ -53,6 +54,10 @@
   return () => (generator.next() >>> 0) / 2 ** 32;
 }
 
+function pickFrom<T>(items: readonly [T, ...T[]], random: () => number): T {
+  return items[Math.floor(random() * items.length)] ?? items[0];
+}
+
 /** Repeats `step` until it succeeds or the time is over; resolves with whether it succeeded. */
 async function retryUntil(limitMs: number, step: () => Promise<boolean>) {
   const endMs = performance.now() + limitMs;
@@ -81,7 +86,7 @@
   const faults = new SoakFaults(nodes, random);
   const timers = [
     setInterval(
-      () => void callers.call(pick(), random() < 0.5),
+      () => void callers.call(pick(), pickFrom(CALL_KINDS, random)),
       CALL_INTERVAL_MS
     ),
     setInterval(() => void operator.change(pick()), CHANGE_INTERVAL_MS),
@@ -94,7 +99,7 @@
     hasRecovered &&= await retryUntil(RECOVERY_MS, () => operator.read(ip));
     hasRecovered &&= await retryUntil(
       RECOVERY_MS,
-      async () => (await callers.call(ip, false)) === OK
+      async () => (await callers.call(ip, 'idempotent')) === OK
     );
   }
   await nodes.stop();
--- a/bench/soak/send.ts
+++ b/bench/soak/send.ts
@@ -1,6 +1,8 @@
 /** Sends one request of a caller, an operator or a target on its own connection. */
 
 import http from 'node:http';
+import {framingOf} from '../../src/core/bodyFraming';
+import {watchConnection} from '../../src/core/connectionReset';
 
 /** The request to send. */
 export interface SoakCall {
@@ -12,11 +14,13 @@
   readonly body?: string;
 }
 
-/** A complete response. */
+/** A response that was read to its end, whether marked or not. */
 export interface SoakAnswer {
   readonly status: number;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: string;
+  /** Whether a length or a last chunk marks its end. */
+  readonly isEndMarked: boolean;
 }
 
 const TIMEOUT_MS = 3_000;
@@ -33,10 +37,14 @@
       res.on('error', () => resolve(undefined));
       res.on('close', () => {
         const {statusCode: status = 0} = res;
-        const answer = {status, headers: res.headers, body: text};
-        resolve(res.complete ? answer : undefined);
+        const isEndMarked = framingOf(res) !== 'close';
+        const answer = {status, headers: res.headers, body: text, isEndMarked};
+        resolve(
+          res.complete && connection.error === undefined ? answer : undefined
+        );
       });
     });
+    const connection = watchConnection(req);
     req.setTimeout(TIMEOUT_MS, () => req.destroy());
     req.on('error', () => resolve(undefined));
     req.end(body);
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -7,6 +7,7 @@
 } from '../../platform/counterpart';
 import type {SoakAnswer} from './send';
 import {send} from './send';
+import {piecesOf, problemOf} from './soakResponses';
 
 /** Status codes that promise that the request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -28,7 +29,17 @@
   readonly detail: string;
 }
 
-/** Sends idempotent and non-idempotent calls and records what their responses promise. */
+/** Kind of a call. */
+export type SoakCallKind = 'idempotent' | 'once' | 'stream';
+
+/** Path of each kind of call, on its own route. */
+const PATHS: Readonly<Record<SoakCallKind, string>> = {
+  idempotent: '/i/x',
+  once: '/o/x',
+  stream: '/s/x',
+};
+
+/** Sends calls of all kinds and records what their responses promise. */
 export class SoakCallers {
   readonly counts: Record<string, number> = {};
   private readonly notRun = new Set<string>();
@@ -42,22 +53,22 @@
     private readonly port: number
   ) {}
 
-  async call(ip: string, isOnce: boolean): Promise<number> {
+  async call(ip: string, kind: SoakCallKind): Promise<number> {
     const id = `r${this.nextId++}`;
-    if (isOnce) this.once.add(id);
+    if (kind === 'once') this.once.add(id);
     this.nodeById.set(id, ip);
     const answer = await send({
       ip,
       port: this.port,
-      method: isOnce ? 'POST' : 'GET',
-      path: isOnce ? '/o/x' : '/i/x',
+      method: kind === 'once' ? 'POST' : 'GET',
+      path: PATHS[kind],
       headers: callerHeaders(
         id,
         this.host,
         ROUTE_TIMEOUT_MS + RESPONSE_SLACK_MS
       ),
     });
-    this.checkResponse(id, answer);
+    this.checkResponse(id, kind, answer);
     return answer?.status ?? 0;
   }
 
@@ -81,17 +92,22 @@
     return found;
   }
 
-  private checkResponse(id: string, answer: SoakAnswer | undefined): void {
+  private checkResponse(
+    id: string,
+    kind: SoakCallKind,
+    answer: SoakAnswer | undefined
+  ): void {
     const status = answer?.status ?? 0;
     this.counts[status] = (this.counts[status] ?? 0) + 1;
     if (answer === undefined) return;
     if (NOT_RUN.has(status)) this.notRun.add(id);
     if (status !== OK) return;
-    const isWhole =
-      answer.body === `served ${id}` &&
+    const problem = problemOf(answer, piecesOf(id, kind === 'stream'));
+    const isOwn =
       answer.headers[ECHO_HEADER] === id &&
       answer.headers[SEAL_HEADER] === `seal-${id}`;
-    const detail = `${id}: ${answer.body}`;
-    if (!isWhole) this.wrong.push({promise: 'wholeAnswer', detail});
+    if (problem === undefined && isOwn) return;
+    const detail = `${kind} ${id}: ${problem ?? 'the response to another'}`;
+    this.wrong.push({promise: 'wholeAnswer', detail});
   }
 }
--- /dev/null
+++ b/bench/soak/soakResponses.ts
@@ -0,0 +1,73 @@
+/**
+ * Responses of the soak's targets: plain or in events, with any framing, whole or broken
+ * off anywhere; and the check of what reaches a caller.
+ */
+
+import type http from 'node:http';
+import {leaveEndUnmarked} from '../../src/core/responseEnd';
+import type {SoakAnswer} from './send';
+
+/** Part of the responses that have neither a length nor chunks. */
+const UNMARKED_SHARE = 0.3;
+/** Part of the responses that a target breaks off, between two pieces or in one. */
+const BROKEN_SHARE = 0.08;
+/** Part of those that are reset, and part that ends inside a piece. */
+const RESET_SHARE = 0.4;
+const INSIDE_PIECE_SHARE = 0.4;
+const EVENT_COUNT = 6;
+const EVENT_INTERVAL_MS = 4;
+
+/** The pieces of the response to a request. */
+export function piecesOf(id: string, isStream: boolean): readonly string[] {
+  if (!isStream) return [`served ${id}`];
+  return Array.from(
+    {length: EVENT_COUNT},
+    (_, i) => `id: ${i + 1}\ndata: ${id} ${i + 1}\n\n`
+  );
+}
+
+/** Writes the pieces from the index `from` on, in a framing and to an end drawn at random. */
+export async function writeResponse(
+  res: http.ServerResponse,
+  pieces: readonly string[],
+  from: number,
+  random: () => number
+): Promise<void> {
+  const isUnmarked = random() < UNMARKED_SHARE;
+  const isBroken = random() < BROKEN_SHARE;
+  const end = isBroken
+    ? from + Math.floor(random() * (pieces.length - from))
+    : pieces.length;
+  const isInsidePiece = random() < INSIDE_PIECE_SHARE;
+  const isReset = random() < RESET_SHARE;
+  if (isUnmarked) leaveEndUnmarked(res);
+  res.flushHeaders();
+  for (const piece of pieces.slice(from, end)) {
+    res.write(piece);
+    await new Promise(resolve => setTimeout(resolve, EVENT_INTERVAL_MS));
+  }
+  if (!isBroken) return void res.end();
+  const next = pieces[end] ?? '';
+  if (isInsidePiece) res.write(next.slice(0, next.length / 2));
+  if (isReset) res.socket?.resetAndDestroy();
+  else if (isUnmarked) res.end();
+  else res.destroy();
+}
+
+/**
+ * What is wrong with a response that a caller read to its end; undefined if nothing. A
+ * marked end promises the whole body. An unmarked one promises whole events only, since
+ * a target may have closed the connection after any of them.
+ */
+export function problemOf(
+  answer: SoakAnswer,
+  pieces: readonly string[]
+): string | undefined {
+  const whole = pieces.join('');
+  if (answer.body === whole) return undefined;
+  if (answer.isEndMarked) return `framed as complete: ${answer.body}`;
+  const isPart = whole.startsWith(answer.body);
+  const isStream = pieces.length > 1;
+  const endsInEvent = isStream && !answer.body.endsWith('\n\n');
+  return isPart && !endsInEvent ? undefined : `not whole: ${answer.body}`;
+}
--- a/bench/soak/soakTargets.ts
+++ b/bench/soak/soakTargets.ts
@@ -7,12 +7,15 @@
 import type {AddressInfo} from 'node:net';
 import {
   ECHO_HEADER,
+  LAST_EVENT_HEADER,
   NOT_RUN_HEADER,
   SEAL_HEADER,
+  STREAM_TYPE,
   announcement,
   announcementPath,
 } from '../../platform/counterpart';
 import {send} from './send';
+import {piecesOf, writeResponse} from './soakResponses';
 import type {Violation} from './soakCallers';
 import type {NodeEvent} from './statementLog';
 import {StatementLog} from './statementLog';
@@ -138,10 +141,21 @@
     const isLost = sample > 1 - RESET_AFTER_RUN_SHARE;
     setTimeout(() => {
       if (isLost) req.socket.destroy();
-      else
-        res
-          .writeHead(200, {[ECHO_HEADER]: id, [SEAL_HEADER]: `seal-${id}`})
-          .end(`served ${id}`);
+      else void this.serve(id, req, res);
     }, this.random() * MAX_WORK_MS);
   }
+
+  private serve(
+    id: string,
+    req: http.IncomingMessage,
+    res: http.ServerResponse
+  ): Promise<void> {
+    const isStream = req.url?.startsWith('/s/') === true;
+    res.setHeader(ECHO_HEADER, id);
+    res.setHeader(SEAL_HEADER, `seal-${id}`);
+    res.setHeader('content-type', isStream ? STREAM_TYPE : 'text/plain');
+    const lastEventId = Number(req.headers[LAST_EVENT_HEADER] ?? 0);
+    const pieces = piecesOf(id, isStream);
+    return writeResponse(res, pieces, lastEventId, this.random);
+  }
 }
