Reset unmarked responses when a node stops before they end

A node that stops waits for its requests until its grace period is over. The kernel then closes the connections in order, which ends a response that has neither a length nor chunks as if it were whole. A node that is killed still ends so: no process can prevent that.

Measured: the new test fails with the connections closed as before, and passes.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,8 +1,10 @@
 /** HTTP server for callers: connections, their timeouts, and draining. */
 
 import http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {Subscription, interval} from 'rxjs';
 import type {Gateway} from './gateway';
+import {abortResponse} from '../core/responseEnd';
 import {serveRequest} from './serveRequest';
 
 /** Timeouts until a site is known; the limits of the site replace them. */
@@ -19,7 +21,7 @@
 export class GatewayServer {
   private readonly server: http.Server;
   private readonly subscription = new Subscription();
-  private activeRequests = 0;
+  private readonly activeResponses = new Set<http.ServerResponse>();
   /** Whether new requests are refused without reading their bodies. */
   private refusesRequests = false;
   private draining = false;
@@ -40,10 +42,13 @@
     );
   }
 
-  listen({host, port}: {host: string; port: number}): Promise<void> {
+  /** Resolves with the port. */
+  listen({host, port}: {host: string; port: number}): Promise<number> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
+      this.server.listen(port, host, () =>
+        resolve((this.server.address() as AddressInfo).port)
+      );
     });
   }
 
@@ -60,7 +65,7 @@
   /** Resolves when no request is in progress, or after `ms`. */
   async waitUntilIdle(ms: number): Promise<void> {
     const endMs = performance.now() + ms;
-    while (this.activeRequests > 0 && performance.now() < endMs)
+    while (this.activeResponses.size > 0 && performance.now() < endMs)
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_INTERVAL_MS));
   }
 
@@ -70,17 +75,22 @@
     this.server.closeIdleConnections();
   }
 
+  /** Aborts what is in progress: the end of the process would look like its end. */
+  abortResponses(): void {
+    for (const res of this.activeResponses) abortResponse(res);
+  }
+
   private async serve(
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
-    this.activeRequests++;
+    this.activeResponses.add(res);
     try {
       if (this.draining) res.shouldKeepAlive = false;
       if (this.refusesRequests) this.refuseAsStopping(res);
       else await serveRequest(this.gateway, req, res);
     } finally {
-      this.activeRequests--;
+      this.activeResponses.delete(res);
     }
   }
 
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -140,6 +140,7 @@
     this.metricsServer?.close();
     this.subscription.unsubscribe();
     await this.node.stop();
+    this.callers.abortResponses();
   }
 
   private registerGauges(metrics: NodeMetrics, gateway: Gateway): void {
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -12,7 +12,7 @@
 import {watchConnection} from '../../src/core/connectionReset';
 import {NodeMetrics} from '../../src/core/nodeMetrics';
 import {Gateway} from '../../src/gateway/gateway';
-import {serveRequest} from '../../src/gateway/serveRequest';
+import {GatewayServer} from '../../src/gateway/gatewayServer';
 import {SiteIndex} from '../../src/site/siteIndex';
 import type {RetrySemantics, SiteRoute} from '../../src/site/site';
 import {readUntilClosed} from '../fixtures/rawCalls';
@@ -84,6 +84,7 @@
   private readonly metrics = new NodeMetrics();
   private readonly servers: http.Server[] = [];
   private gateway: Gateway | undefined;
+  private server: GatewayServer | undefined;
   private port = 0;
   private nextId = 0;
 
@@ -138,7 +139,14 @@
     return this.takeLoads().reduce((sum, load) => sum + load.arrivals, 0);
   }
 
+  /** Aborts the responses in progress, as at the end of the process. */
+  abortResponses(): void {
+    this.server?.abortResponses();
+  }
+
   async close(): Promise<void> {
+    this.abortResponses();
+    this.server?.close();
     for (const server of this.servers) {
       server.closeAllConnections();
       await new Promise(resolve => server.close(resolve));
@@ -149,7 +157,8 @@
   call(
     path: string,
     headers: Readonly<Record<string, string>> = {},
-    body = 'question'
+    body = 'question',
+    onData?: () => void
   ): Promise<CallerResponse> {
     return new Promise((resolve, reject) => {
       const req = http.request(
@@ -176,7 +185,10 @@
               body,
               isWhole,
             });
-          res.on('data', chunk => (body += String(chunk)));
+          res.on('data', chunk => {
+            body += String(chunk);
+            onData?.();
+          });
           res.on('error', () => end(false));
           res.on('close', () =>
             end(res.complete && connection.error === undefined)
@@ -294,10 +306,7 @@
       random: Math.random,
       node: () => node,
     });
-    const server = http.createServer(
-      (req, res) => void serveRequest(this.gateway!, req, res)
-    );
-    this.servers.push(server);
-    this.port = await listen(server);
+    this.server = new GatewayServer(this.gateway);
+    this.port = await this.server.listen({host: '127.0.0.1', port: 0});
   }
 }
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -145,6 +145,16 @@
     expect(await fixture.call('/stream/x')).toMatchObject({isWhole: false});
   });
 
+  // The kernel closes the connections of a process that ends in order.
+  it('should be reset when the process stops before its end', async () => {
+    fixture = await GatewayFixture.start([
+      raw({...EMPTY_STREAM, body: EVENT, end: 'never'}),
+    ]);
+    const stop = () => fixture.abortResponses();
+    const answer = await fixture.call('/stream/x', {}, '', stop);
+    expect(answer).toMatchObject({isWhole: false});
+  });
+
   // HTTP/1.0 has no chunks.
   it('should be reset when a stream to an HTTP/1.0 caller breaks off', async () => {
     const isStream = true;
