--- a/src/core/responseEnd.ts
+++ b/src/core/responseEnd.ts
@@ -26,7 +26,10 @@
 
 /** Null if the end of the response is marked, or its connection can't be reset. */
 function socketToReset(res: ServerResponse): Socket | null {
-  const endsWithConnection = res.headersSent && !res.chunkedEncoding;
+  // Node chooses chunks by default where neither HTTP/1.0 nor `leaveEndUnmarked` rules
+  // them out; a response that then has none states a length.
+  const endsWithConnection =
+    res.headersSent && !res.chunkedEncoding && !res.useChunkedEncodingByDefault;
   return endsWithConnection && !(res.socket instanceof TLSSocket)
     ? res.socket
     : null;
