Break off a stream of events through the entry that ends inside one

The entry relays streams that are not token streams without reading their events. One whose last chunk came in the middle of an event looked complete to the caller; the gateway has long treated it as broken off.

Measured: the new test of the relay failed before (the body arrived as whole) and passes.

--- a/fakes/ledger.ts
+++ b/fakes/ledger.ts
@@ -26,6 +26,7 @@
     'refuse',
     'answerUnmarked',
     'resetUnmarked',
+    'endInsideEvent',
   ]),
   /** Number of requests that the fault still applies to. */
   times: z.number().int().positive().default(1),
@@ -133,6 +134,7 @@
     if (fault?.kind === 'truncate') return truncate(res);
     if (fault?.kind === 'answerUnmarked') return sendUnmarked(res, 'fin');
     if (fault?.kind === 'resetUnmarked') return sendUnmarked(res, 'reset');
+    if (fault?.kind === 'endInsideEvent') return endInsideEvent(res);
     this.answer(req, res, body);
   }
 
@@ -209,6 +211,12 @@
   else res.write(UNMARKED_BODY, () => res.socket?.resetAndDestroy());
 }
 
+/** Ends a stream of events, by its last chunk, inside its second event. */
+function endInsideEvent(res: http.ServerResponse): void {
+  res.writeHead(200, {'content-type': 'text/event-stream'});
+  res.end('data: 1\n\ndata: 2');
+}
+
 /**
  * Echoes the request; `?bytes=N` returns a body of that size instead, and
  * `?chunks=N` a chunked body with a trailer.
--- a/src/entry/chat/relayResponse.ts
+++ b/src/entry/chat/relayResponse.ts
@@ -12,7 +12,7 @@
 /** The response of one target. */
 export interface ResponseSource {
   readonly body: Readable;
-  /** Whether the whole body arrived, by its content length or last chunk. */
+  /** Whether the whole body arrived, as far as its framing and its events tell. */
   complete(): boolean;
   cancel(): void;
 }
--- a/src/entry/relayPlain.ts
+++ b/src/entry/relayPlain.ts
@@ -1,5 +1,6 @@
 /** Relays every response that is not a token stream. */
 
+import {EventBoundary} from '../core/eventBoundary';
 import {relayedHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
 import {leaveEndUnmarked} from '../core/responseEnd';
@@ -15,6 +16,7 @@
 } from './chat/relayResponse';
 import type {EntryCore} from './entryCore';
 import {countTokens} from './countTokens';
+import {isEventStream} from './relayChat';
 import {withDeadline} from './serveCall';
 
 /** Responses up to this size are held back until they are complete. */
@@ -140,10 +142,13 @@
 
 function sourceOf(answered: AnsweredAttempt): PlainSource {
   const {answer} = answered;
+  const boundary = new EventBoundary();
+  if (isEventStream(answered))
+    answer.on('data', (chunk: Buffer) => boundary.add(chunk));
   return {
     answered,
     body: answer,
-    complete: () => answer.complete,
+    complete: () => answer.complete && boundary.isReached,
     cancel: () => {
       answered.done();
       answer.destroy();
--- a/tests/processes/unmarkedEnds.spec.ts
+++ b/tests/processes/unmarkedEnds.spec.ts
@@ -1,4 +1,9 @@
-import {assign, chat, newIdempotencyKey} from '../../bench/deployment/callers';
+import {
+  assign,
+  call,
+  chat,
+  newIdempotencyKey,
+} from '../../bench/deployment/callers';
 import {readUntilClosed, request} from '../fixtures/rawCalls';
 import {TestSystem} from '../fixtures/testSystem';
 
@@ -90,3 +95,13 @@
     expect(body.trimEnd().endsWith('data: [DONE]')).toBe(true);
   });
 });
+
+// The service ends the response by its last chunk, but in the middle of an event.
+describe('a stream of events that is no token stream', () => {
+  it('should not look complete if it ends inside an event', async () => {
+    const path = '/echo/feed';
+    await system.setLedgerFault({kind: 'endInsideEvent', path});
+    const answer = call(system.port(0), path);
+    await expect(answer).rejects.toThrow('terminated');
+  });
+});
