State the length of a whole response that came in chunks

An HTTP/1.0 caller got a response that its target had completed by a last chunk without any mark of its end, although the gateway reads such a response to its end before it writes it.

Measured: the new test failed before and passes.

--- a/src/gateway/wholeResponse.ts
+++ b/src/gateway/wholeResponse.ts
@@ -20,6 +20,12 @@
 ): void {
   if (res.destroyed) return;
   if (response.framing === 'close') leaveEndUnmarked(res);
-  res.writeHead(response.status, [...response.headers]);
+  res.writeHead(response.status, callerHeaders(response));
   res.end(response.body);
 }
+
+/** The length of a chunked body is known by now; HTTP/1.0 callers know no chunks. */
+function callerHeaders({framing, headers, body}: WholeResponse): string[] {
+  if (framing !== 'chunked') return [...headers];
+  return [...headers, 'content-length', String(body.length)];
+}
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -166,6 +166,14 @@
     expect(wasReset).toBe(true);
   });
 
+  it('should get a length for an HTTP/1.0 caller if it is whole', async () => {
+    fixture = await GatewayFixture.start([
+      raw({framing: 'chunked', end: 'fin', body: 'text'}),
+    ]);
+    const {text} = await fixture.callByHttp10('/once/x');
+    expect(text).toMatch(/content-length: 4\r\n/i);
+  });
+
   it('should end in order for an HTTP/1.0 caller of a whole stream', async () => {
     const isStream = true;
     fixture = await GatewayFixture.start([
