Take no beginning of a health report for a report

A service's health response that ends with its connection in the middle of its JSON counted as a report without details, which shows a loading service as ready.

Measured: the new test failed before and passes.

--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -4,6 +4,7 @@
  */
 
 import http from 'node:http';
+import {framingOf} from '../core/bodyFraming';
 import {watchConnection} from '../core/connectionReset';
 import {PeerError} from '../core/errors';
 import type {PeerFault} from '../core/errors';
@@ -112,10 +113,12 @@
       };
       req.on('error', fail);
       req.on('response', res => {
-        readText(res).then(
-          text => resolve({status: res.statusCode ?? 0, body: parseJson(text)}),
-          fail
-        );
+        readText(res).then(text => {
+          const body = parseJson(text);
+          if (body === undefined && mayBeCutJson(res))
+            fail(new Error('the JSON of the response is incomplete'));
+          else resolve({status: res.statusCode ?? 0, body});
+        }, fail);
       });
     });
   }
@@ -145,6 +148,12 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
+/** Whether a body that is no JSON may be the beginning of some. */
+function mayBeCutJson(res: http.IncomingMessage): boolean {
+  const isJson = res.headers['content-type']?.includes('json') === true;
+  return isJson && framingOf(res) === 'close';
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/tests/targetAdapter.spec.ts
+++ b/tests/targetAdapter.spec.ts
@@ -261,6 +261,18 @@
 });
 
 describe('service adapter', () => {
+  // The health report ends with its connection, before its end. Taken for a report
+  // without details, it showed a loading service as ready.
+  it('should not take the beginning of a health report for one', async () => {
+    const {port} = await startScriptedServer(req =>
+      req.socket.end(
+        'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"state":"loa'
+      )
+    );
+    const adapter = createAdapter('service', port, '/health');
+    await expect(adapter.observe(neverAborted)).rejects.toThrow('incomplete');
+  });
+
   it('should observe a service by its health path, or by a TCP connect', async () => {
     const ledger = await startFake(new FakeLedger());
     const probed = await createAdapter(
