--- a/src/core/bodyFraming.ts
+++ b/src/core/bodyFraming.ts
@@ -32,7 +32,7 @@
       return headers['content-length'] === undefined ? 'close' : 'length';
     case 'chunked':
       return 'chunked';
-    // Obsolete; the body was not changed, and its end not marked.
+    // Obsolete: the body is not encoded, and nothing marks its end.
     case 'identity':
       return 'close';
     default:
--- a/src/core/responseEnd.ts
+++ b/src/core/responseEnd.ts
@@ -26,8 +26,8 @@
 
 /** Null if the end of the response is marked, or its connection can't be reset. */
 function socketToReset(res: ServerResponse): Socket | null {
-  // Node chooses chunks by default where neither HTTP/1.0 nor `leaveEndUnmarked` rules
-  // them out; a response that then has none states a length.
+  // Only HTTP/1.0 and `leaveEndUnmarked` turn chunks off; any other response without
+  // chunks has a Content-Length.
   const endsWithConnection =
     res.headersSent && !res.chunkedEncoding && !res.useChunkedEncodingByDefault;
   return endsWithConnection && !(res.socket instanceof TLSSocket)
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -75,7 +75,10 @@
     this.server.closeIdleConnections();
   }
 
-  /** Aborts what is in progress: the end of the process would look like its end. */
+  /**
+   * Aborts the responses in progress. Otherwise the kernel closes their connections in
+   * order when the process exits.
+   */
   abortResponses(): void {
     for (const res of this.activeResponses) abortResponse(res);
   }
