Bind the soak's check of departures to the boot that stated them

The check notes a departure when the response has ended, now up to 60 ms after its headers; the target's next boot had begun in between, so that the note bound nodes to rest of a boot that had said nothing. The start itself is not in the logs and is inferred.

The check now drops a note of a boot that has ended. It is as strict for the boot that stated it: a node that was told keeps its note until the next start.

--- a/bench/soak/targetStates.ts
+++ b/bench/soak/targetStates.ts
@@ -164,9 +164,12 @@
   apply({ip, res}: TargetRequest): boolean {
     if (!this.alternation.isOn) return true;
     res.setHeader(LEAVING_HEADER, '1');
-    res.once('finish', () =>
-      this.log.departures.push({atMs: performance.now(), ip})
-    );
+    const {bornMs} = this;
+    res.once('finish', () => {
+      // A response of an earlier boot says nothing of the present one.
+      if (bornMs === this.bornMs)
+        this.log.departures.push({atMs: performance.now(), ip});
+    });
     return true;
   }
 
