Remove a voter whose disk is lost before one that is away

Change: a voter in whose place another incarnation replies is removed first, and without waiting for silence. Of the voters that are left one more can be lost than before, as long as the smallest group allows a removal. The model's schedule takes a second disk from a group that states one loss; the rule of the model, a minority of the voters, is unchanged.

--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -124,7 +124,18 @@
   // The smaller side of a partition must not move the votes to itself before it
   // notices that it lost contact with the rest.
   if (!hasMajorityContact(state, leadership, silentMs)) return undefined;
-  const silent = state.voters.find(voter => isSilent(state, leadership, voter));
+  const silent =
+    state.voters.find(voter => hasLostDisk(leadership, voter)) ??
+    state.voters.find(voter => isSilent(state, leadership, voter));
   if (silent === undefined) return undefined;
   return state.voters.filter(voter => voter !== silent);
 }
+
+/** Whether another incarnation replies in the voter's place; it never votes again. */
+function hasLostDisk(
+  {progress}: Leadership,
+  {id, incarnation}: Voter
+): boolean {
+  const current = progress.get(id)?.incarnation;
+  return current !== undefined && current !== incarnation;
+}
--- a/tests/voterModel.spec.ts
+++ b/tests/voterModel.spec.ts
@@ -5,9 +5,10 @@
 /**
  * Schedules that failed once: a removed voter asked for votes forever, unknown to
  * the leader (1046); a removal could not be committed, and its leader denied all
- * votes (504, before the model counted disks of instances without a vote).
+ * votes (504, before the model counted disks of instances without a vote); a voter
+ * that was away was removed before one whose disk was lost (6400).
  */
-const FAULT_SEEDS = [504, 1046];
+const FAULT_SEEDS = [504, 1046, 6400];
 
 describe('bounded voters under seeded schedules', () => {
   it('should keep its promises, and recover, whatever fails', () => {
