Give each deployment of tests a key of its own

KNOWN-RED has a run beside load in which processes of partition.spec stated a revision that only control.spec reaches: suspected, not shown, that a process of one file took a port that the other had just freed. All deployments had the same internal key, so that such a process would be believed. It is refused now; whether that was the cause stays open.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -11,8 +11,6 @@
 import type {DeploymentShape, PoolShape} from './shape';
 import {VIA_RELAYS} from './viaRelaysEnv';
 
-/** The internal key that all processes share. */
-export const SECRET = 'a shared secret for one machine';
 const HOST = '127.0.0.1';
 const START_BATCH_SIZE = 4;
 
@@ -34,6 +32,11 @@
 /** A running deployment, whose processes are ended and restarted by name. */
 export class Deployment {
   readonly folder = mkdtempSync(path.join(tmpdir(), 'marlpulley-'));
+  /**
+   * The internal key that all processes share. Another deployment on the machine has
+   * another one, so that its processes get no answer on a port that was freed here.
+   */
+  private readonly secret = `secret of ${this.folder}`;
   readonly targets: TargetPair[] = [];
   /** Relays of the connections that the shape routes through them. */
   readonly links = new Links();
@@ -380,7 +383,7 @@
   ): Promise<readonly string[]> {
     return [
       '[internal]',
-      `key = ${SECRET}`,
+      `key = ${this.secret}`,
       ...extra,
       '[control]',
       `instances = ${await this.controlList(processId)}`,
