--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -7,14 +7,24 @@
 const NEXT_EVENT = 'id: 2\ndata: y\n\n';
 const EMPTY_STREAM = {framing: 'close', end: 'fin', isStream: true} as const;
 
+let fixture: GatewayFixture;
+afterEach(() => fixture.close());
+
 function raw(response: RawResponse): Handler {
   return req => writeRaw(req, response);
 }
 
-describe('log and metrics of the end of a response', () => {
-  let fixture: GatewayFixture;
-  afterEach(() => fixture.close());
+/** Two targets, of which the one that is called first responds with `first`. */
+function firstThen(first: Handler, then: Handler): readonly [Handler, Handler] {
+  let calls = 0;
+  const shared: Handler = (req, res) =>
+    (calls++ === 0 ? first : then)(req, res);
+  return [shared, shared];
+}
+
+const WHOLE = {framing: 'chunked', end: 'fin'} as const;
 
+describe('log and metrics of the end of a response', () => {
   async function attemptOf(response: RawResponse, path: string) {
     fixture = await GatewayFixture.start([raw(response)], {maxAttempts: 1});
     await fixture.call(path);
@@ -63,9 +73,6 @@
 // Such a stream has neither a length nor chunks and ends with its connection. The
 // gateway must not mark an end that its target left open.
 describe('a stream whose end nothing marks', () => {
-  let fixture: GatewayFixture;
-  afterEach(() => fixture.close());
-
   // The target broke off before the first event. The caller got an empty stream that
   // was framed as complete.
   it('should be retried if it ends before its first event', async () => {
@@ -101,15 +108,9 @@
   // The response to the caller has begun in chunks, so that its last chunk would mark
   // the end that the second target left open.
   it('should not complete a response that has begun in chunks', async () => {
-    let calls = 0;
-    const shared: Handler = req => {
-      const isFirst = calls++ === 0;
-      const response = isFirst
-        ? ({framing: 'chunked', end: 'early', body: EVENT} as const)
-        : ({framing: 'close', end: 'fin', body: NEXT_EVENT} as const);
-      writeRaw(req, {...response, isStream: true});
-    };
-    fixture = await GatewayFixture.start([shared, shared]);
+    const first = raw({...WHOLE, end: 'early', body: EVENT, isStream: true});
+    const then = raw({...EMPTY_STREAM, body: NEXT_EVENT});
+    fixture = await GatewayFixture.start(firstThen(first, then));
     const answer = await fixture.call('/stream/x');
     expect(answer).toMatchObject({body: EVENT + NEXT_EVENT, isWhole: false});
   });
@@ -131,9 +132,6 @@
 // Such a response ends with its connection, and a caller takes it for whole unless the
 // connection is reset.
 describe('a response to the caller whose end nothing marks', () => {
-  let fixture: GatewayFixture;
-  afterEach(() => fixture.close());
-
   const INSIDE_EVENT = `${EVENT}id: 2\nda`;
 
   // The target's stream ends with its connection, inside an event.
@@ -190,9 +188,6 @@
 describe.each(['reset', 'resetAtOnce'] as const)(
   'a response that ends by a %s',
   end => {
-    let fixture: GatewayFixture;
-    afterEach(() => fixture.close());
-
     it('should not be relayed as whole', async () => {
       fixture = await GatewayFixture.start([
         raw({framing: 'close', end, body: 'half'}),
@@ -203,12 +198,9 @@
     });
 
     it('should be retried where the route allows it', async () => {
-      let calls = 0;
-      const shared: Handler = (req, res) => {
-        if (calls++ > 0) res.end('whole');
-        else writeRaw(req, {framing: 'close', end, body: 'half'});
-      };
-      fixture = await GatewayFixture.start([shared, shared]);
+      const first = raw({framing: 'close', end, body: 'half'});
+      const then = raw({...WHOLE, body: 'whole'});
+      fixture = await GatewayFixture.start(firstThen(first, then));
       const answer = await fixture.call('/idempotent/x');
       expect(answer).toMatchObject({status: 200, body: 'whole'});
     });
@@ -228,9 +220,6 @@
 // Only `chunked` marks the end of a body. With any other coding the gateway took the
 // end of the connection for one, and relayed the coded bytes as the body.
 describe('a response with a transfer coding that was not asked for', () => {
-  let fixture: GatewayFixture;
-  afterEach(() => fixture.close());
-
   it.each(['gzip', 'gzip, chunked', 'chunked, gzip'])(
     'should not be relayed: %s',
     async coding => {
@@ -258,22 +247,12 @@
 // The first target stated a length and broke off; the second one continues with more
 // bytes. Cut at the length of the first, the stream looked whole to the caller.
 describe('a stream with a length', () => {
-  let fixture: GatewayFixture;
-  afterEach(() => fixture.close());
-
   it('should be whole after another target continued it', async () => {
-    let calls = 0;
     const last = `id: 2\ndata: ${'y'.repeat(50)}\n\n`;
-    const shared: Handler = req => {
-      const isFirst = calls++ === 0;
-      writeRaw(req, {
-        framing: 'length',
-        end: isFirst ? 'early' : 'fin',
-        body: isFirst ? EVENT : last,
-        isStream: true,
-      });
-    };
-    fixture = await GatewayFixture.start([shared, shared]);
+    const stream = {framing: 'length', isStream: true} as const;
+    const first = raw({...stream, end: 'early', body: EVENT});
+    const then = raw({...stream, end: 'fin', body: last});
+    fixture = await GatewayFixture.start(firstThen(first, then));
     const answer = await fixture.call('/stream/x');
     expect(answer).toMatchObject({body: EVENT + last, isWhole: true});
   });
