Let the soak see an end in order that its node knew to be broken

A caller of the soak accepted every unmarked end after a whole event. It now accepts it only if a run of the request left its end open without a sign, or if its node was disturbed meanwhile, as the kernel closes the connections of a killed node in order.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -105,7 +105,7 @@
   await nodes.stop();
   targets.stop();
   const violations = [
-    ...callers.violations(targets.runs),
+    ...callers.violations(targets.runs, targets.openEnds, nodes.disturbances),
     ...operator.violations,
     ...targets.violations(nodes.disturbances),
   ];
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -7,7 +7,8 @@
 } from '../../platform/counterpart';
 import type {SoakAnswer} from './send';
 import {send} from './send';
-import {piecesOf, problemOf} from './soakResponses';
+import {checkBody, piecesOf} from './soakResponses';
+import type {NodeEvent} from './statementLog';
 
 /** Status codes that promise that the request did not run. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
@@ -39,6 +40,14 @@
   stream: '/s/x',
 };
 
+/** A response that ended in order before its end, without a mark of it. */
+interface ShortenedResponse {
+  readonly id: string;
+  readonly ip: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
 /** Sends calls of all kinds and records what their responses promise. */
 export class SoakCallers {
   readonly counts: Record<string, number> = {};
@@ -46,6 +55,7 @@
   private readonly once = new Set<string>();
   private readonly nodeById = new Map<string, string>();
   private readonly wrong: Violation[] = [];
+  private readonly shortened: ShortenedResponse[] = [];
   private nextId = 0;
 
   constructor(
@@ -57,6 +67,7 @@
     const id = `r${this.nextId++}`;
     if (kind === 'once') this.once.add(id);
     this.nodeById.set(id, ip);
+    const fromMs = performance.now();
     const answer = await send({
       ip,
       port: this.port,
@@ -68,7 +79,9 @@
         ROUTE_TIMEOUT_MS + RESPONSE_SLACK_MS
       ),
     });
-    this.checkResponse(id, kind, answer);
+    const isShortened = this.checkResponse(id, kind, answer);
+    const untilMs = performance.now();
+    if (isShortened) this.shortened.push({id, ip, fromMs, untilMs});
     return answer?.status ?? 0;
   }
 
@@ -78,8 +91,24 @@
   }
 
   /** All violations; to be called at the end, since late runs count too. */
-  violations(runs: ReadonlyMap<string, number>): readonly Violation[] {
+  violations(
+    runs: ReadonlyMap<string, number>,
+    openEnds: ReadonlySet<string>,
+    disturbances: readonly NodeEvent[]
+  ): readonly Violation[] {
     const found = [...this.wrong];
+    for (const {id, ip, fromMs, untilMs} of this.shortened) {
+      // The kernel closes the connections of a killed node in order.
+      const isExcused = disturbances.some(
+        event =>
+          event.ip === ip && event.atMs >= fromMs && event.atMs <= untilMs
+      );
+      if (!isExcused && !openEnds.has(id))
+        found.push({
+          promise: 'wholeAnswer',
+          detail: `${id}: ended in order, known to be broken`,
+        });
+    }
     for (const id of this.once)
       if ((runs.get(id) ?? 0) > 1)
         found.push({
@@ -92,22 +121,25 @@
     return found;
   }
 
+  /** Returns whether the response was shortened without a sign of it. */
   private checkResponse(
     id: string,
     kind: SoakCallKind,
     answer: SoakAnswer | undefined
-  ): void {
+  ): boolean {
     const status = answer?.status ?? 0;
     this.counts[status] = (this.counts[status] ?? 0) + 1;
-    if (answer === undefined) return;
+    if (answer === undefined) return false;
     if (NOT_RUN.has(status)) this.notRun.add(id);
-    if (status !== OK) return;
-    const problem = problemOf(answer, piecesOf(id, kind === 'stream'));
+    if (status !== OK) return false;
+    const body = checkBody(answer, piecesOf(id, kind === 'stream'));
     const isOwn =
       answer.headers[ECHO_HEADER] === id &&
       answer.headers[SEAL_HEADER] === `seal-${id}`;
-    if (problem === undefined && isOwn) return;
+    const problem = body.kind === 'wrong' ? body.detail : undefined;
+    if (problem === undefined && isOwn) return body.kind === 'shortened';
     const detail = `${kind} ${id}: ${problem ?? 'the response to another'}`;
     this.wrong.push({promise: 'wholeAnswer', detail});
+    return false;
   }
 }
--- a/bench/soak/soakResponses.ts
+++ b/bench/soak/soakResponses.ts
@@ -26,13 +26,16 @@
   );
 }
 
-/** Writes the pieces from the index `from` on, in a framing and to an end drawn at random. */
+/**
+ * Writes the pieces from the index `from` on, in a framing and to an end drawn at random.
+ * Resolves with whether nothing shows the gateway that pieces are missing.
+ */
 export async function writeResponse(
   res: http.ServerResponse,
   pieces: readonly string[],
   from: number,
   random: () => number
-): Promise<void> {
+): Promise<boolean> {
   const isUnmarked = random() < UNMARKED_SHARE;
   const isBroken = random() < BROKEN_SHARE;
   const end = isBroken
@@ -46,28 +49,42 @@
     res.write(piece);
     await new Promise(resolve => setTimeout(resolve, EVENT_INTERVAL_MS));
   }
-  if (!isBroken) return void res.end();
+  if (!isBroken) {
+    res.end();
+    return false;
+  }
   const next = pieces[end] ?? '';
   if (isInsidePiece) res.write(next.slice(0, next.length / 2));
   if (isReset) res.socket?.resetAndDestroy();
   else if (isUnmarked) res.end();
   else res.destroy();
+  const isSeenInPiece = isInsidePiece && pieces.length > 1;
+  return isUnmarked && !isReset && !isSeenInPiece;
 }
 
+/** What a caller read to the end that its connection had in order. */
+export type SoakBody =
+  | {readonly kind: 'whole'}
+  /** Nothing marks the end, and whole events or bytes are missing before it. */
+  | {readonly kind: 'shortened'}
+  | {readonly kind: 'wrong'; readonly detail: string};
+
 /**
- * What is wrong with a response that a caller read to its end; undefined if nothing. A
- * marked end promises the whole body. An unmarked one promises whole events only, since
- * a target may have closed the connection after any of them.
+ * Checks a body. A marked end promises the whole body. An unmarked one promises whole
+ * events only, since a target may have closed the connection after any of them.
  */
-export function problemOf(
+export function checkBody(
   answer: SoakAnswer,
   pieces: readonly string[]
-): string | undefined {
+): SoakBody {
   const whole = pieces.join('');
-  if (answer.body === whole) return undefined;
-  if (answer.isEndMarked) return `framed as complete: ${answer.body}`;
+  if (answer.body === whole) return {kind: 'whole'};
+  if (answer.isEndMarked)
+    return {kind: 'wrong', detail: `framed as complete: ${answer.body}`};
   const isPart = whole.startsWith(answer.body);
   const isStream = pieces.length > 1;
   const endsInEvent = isStream && !answer.body.endsWith('\n\n');
-  return isPart && !endsInEvent ? undefined : `not whole: ${answer.body}`;
+  return isPart && !endsInEvent
+    ? {kind: 'shortened'}
+    : {kind: 'wrong', detail: `not whole: ${answer.body}`};
 }
--- a/bench/soak/soakTargets.ts
+++ b/bench/soak/soakTargets.ts
@@ -53,6 +53,8 @@
 export class SoakTargets {
   /** Runs by attempt id. */
   readonly runs = new Map<string, number>();
+  /** Attempt ids of which a run ended early without a sign of it. */
+  readonly openEnds = new Set<string>();
   private readonly targets: Target[] = [];
   private timer: NodeJS.Timeout | undefined;
   private sequence = 0;
@@ -145,7 +147,7 @@
     }, this.random() * MAX_WORK_MS);
   }
 
-  private serve(
+  private async serve(
     id: string,
     req: http.IncomingMessage,
     res: http.ServerResponse
@@ -156,6 +158,8 @@
     res.setHeader('content-type', isStream ? STREAM_TYPE : 'text/plain');
     const lastEventId = Number(req.headers[LAST_EVENT_HEADER] ?? 0);
     const pieces = piecesOf(id, isStream);
-    return writeResponse(res, pieces, lastEventId, this.random);
+    const {random} = this;
+    const isOpen = await writeResponse(res, pieces, lastEventId, random);
+    if (isOpen) this.openEnds.add(id);
   }
 }
