Do not take an empty line after the last event for another event

A stream with a line end more after its last event, or one whose last chunk split a CRLF there, counted as broken off inside an event: it was resumed or aborted although it was whole.

--- a/src/core/sseParser.ts
+++ b/src/core/sseParser.ts
@@ -4,6 +4,7 @@
 
 /** An empty line ends an event; a line ends in LF, CRLF or CR. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?!\n))/g;
+const NOT_LINE_END = /[^\r\n]/;
 const LINE_END = /\r\n|\n|\r/;
 
 /** One server-sent event. */
@@ -34,6 +35,11 @@
     return this.pending.length;
   }
 
+  /** Whether an event has begun; line ends alone begin none. */
+  get isInsideEvent(): boolean {
+    return NOT_LINE_END.test(this.pending);
+  }
+
   /** Returns the events that the chunk completes. */
   push(chunk: Buffer): readonly SseEvent[] {
     this.pending += this.decoder.write(chunk);
--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -47,7 +47,7 @@
   if (!res.complete)
     return broken(res, 'connection closed before the end of the stream');
   // The HTTP body is complete, but the target stopped in the middle of an event.
-  if (parser.pendingChars > 0)
+  if (parser.isInsideEvent)
     return broken(res, 'stream ended in the middle of an event');
   return {kind: head.isEndMarked ? 'complete' : 'unmarked'};
 }
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -257,3 +257,15 @@
     expect(answer).toMatchObject({body: EVENT + last, isWhole: true});
   });
 });
+
+// An empty line after the last event counted as the beginning of another one, and the
+// whole stream as broken off.
+describe('a stream with an empty line after its last event', () => {
+  it('should be whole', async () => {
+    fixture = await GatewayFixture.start([
+      raw({...WHOLE, body: `${EVENT}\n`, isStream: true}),
+    ]);
+    const answer = await fixture.call('/stream/x');
+    expect(answer).toMatchObject({body: EVENT, isWhole: true});
+  });
+});
