--- a/src/control/log/membership.ts
+++ b/src/control/log/membership.ts
@@ -131,7 +131,7 @@
   return state.voters.filter(voter => voter !== silent);
 }
 
-/** Whether another incarnation replies in the voter's place; it never votes again. */
+/** Whether the voter's machine lost its disk and runs another incarnation now. */
 function hasLostDisk(
   {progress}: Leadership,
   {id, incarnation}: Voter
--- a/src/core/sseParser.ts
+++ b/src/core/sseParser.ts
@@ -35,7 +35,7 @@
     return this.pending.length;
   }
 
-  /** Whether an event has begun; line ends alone begin none. */
+  /** Whether the buffer holds the beginning of an event; empty lines are none. */
   get isInsideEvent(): boolean {
     return NOT_LINE_END.test(this.pending);
   }
--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -30,7 +30,7 @@
     return this.headSent;
   }
 
-  /** Whether the response that has begun can be completed by a mark. */
+  /** Whether a last chunk marks the end of the response that has begun. */
   get isEndMarked(): boolean {
     return this.res.chunkedEncoding;
   }
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -252,7 +252,7 @@
     if (!isRelayable(head, state) || framingOf(res) === 'unsupported') {
       pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
       res.destroy();
-      return {kind: 'lost', reason: 'not a response to this attempt'};
+      return {kind: 'lost', reason: 'response that must not be relayed'};
     }
     if (head.isStream && head.status < FIRST_SERVER_ERROR)
       return this.relayStream(target, res, head, startedAtMs);
@@ -373,7 +373,7 @@
       return {kind: 'answered'};
     }
     if (trace.eventCount === 0) {
-      // After the last event that the caller named there may be none.
+      // The caller may already have the last event.
       if (state.caller.lastEventId !== undefined) this.emptyStreamHead = head;
       const pool = gateway.pool(routed.service.name);
       pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
--- a/src/gateway/wholeResponse.ts
+++ b/src/gateway/wholeResponse.ts
@@ -24,7 +24,7 @@
   res.end(response.body);
 }
 
-/** The length of a chunked body is known by now; HTTP/1.0 callers know no chunks. */
+/** Adds the length of a body that came in chunks, which HTTP/1.0 doesn't have. */
 function callerHeaders({framing, headers, body}: WholeResponse): string[] {
   if (framing !== 'chunked') return [...headers];
   return [...headers, 'content-length', String(body.length)];
--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -148,7 +148,7 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
-/** Whether a body that is no JSON may be the beginning of some. */
+/** Whether a body that does not parse may be truncated JSON. */
 function mayBeCutJson(res: http.IncomingMessage): boolean {
   const isJson = res.headers['content-type']?.includes('json') === true;
   return isJson && framingOf(res) === 'close';
