--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -10,7 +10,8 @@
 import {Target, sealedHeaders} from '../lib/target.mjs';
 
 const REQUESTS = 400;
-const INTERVAL_MS = 50;
+/** All requests fall into the five seconds that the site file gives spoiled answers. */
+const INTERVAL_MS = 11;
 /** One response in 50, of one worker in two. */
 const SPOILED_EVERY = 50;
 const BODY = '{"box":"MSKU4471203","slot":"B-17"}';
