--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -113,6 +113,7 @@
 
 async function send(deployment, recorder, host, attemptId) {
   const bytes = `${requestHead('GET', '/status/slot', attemptId)}\r\nConnection: close\r\n\r\n`;
+  recorder.note(`caller sends ${attemptId} to ${host}`);
   const answer = await exchange({host, port: deployment.ports.callers, bytes});
   recorder.note(
     `caller gets ${answer.status || answer.ended} for ${attemptId} from ${host}`
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -77,6 +77,7 @@
 
     leaving.stopCheckIns();
     isLeaving = true;
+    recorder.note(`target ${leaving.id} sends DELETE to ${leader}`);
     const reply = await call({
       host: leader,
       port: deployment.ports.control,
@@ -86,9 +87,8 @@
     const acknowledgedAtMs = performance.now();
     if (reply.status !== 200)
       throw new Error(`the departure got ${reply.status}`);
-    const killed = hasTrouble ? deployment.kill(leader) : undefined;
     recorder.note(`node ${leader} acknowledged that ${leaving.id} leaves`);
-    await killed;
+    if (hasTrouble) await deployment.kill(leader);
     await delay(RESTART_MS);
     if (hasTrouble) deployment.startNode(leader);
     const stableAtMs = performance.now() + CONTACT_MS;
@@ -118,6 +118,7 @@
 
 async function send(deployment, recorder, host, attemptId) {
   const bytes = `${requestHead('GET', '/status/slot', attemptId)}\r\nConnection: close\r\n\r\n`;
+  recorder.note(`caller sends ${attemptId} to ${host}`);
   const answer = await exchange({host, port: deployment.ports.callers, bytes});
   recorder.note(
     `caller gets ${answer.status || answer.ended} for ${attemptId} from ${host}`
--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -23,6 +23,14 @@
       this.#serve(req, res)
     );
     this.server.keepAliveTimeout = 5_000;
+    // Bytes after a request that asked to close: it is answered all the same.
+    this.server.on('clientError', ({rawPacket}, socket) => {
+      const bytes = JSON.stringify(rawPacket?.toString('latin1') ?? '');
+      this.deployment.recorder.note(
+        `target ${this.id} gets bytes that belong to no request: ${bytes}`
+      );
+      socket.setTimeout(1_000, () => socket.destroy());
+    });
   }
 
   get address() {
