Relay no target's 408, 429 or 503 without its proof

Callers saw: the status of a target that had run a request and answered 503, 429 or 408 without X-Not-Executed; they take these for the promise that nothing has run, and send a non-idempotent request again. Cause: such responses were relayed as the target's own, the last one also after all attempts; the proof was read only to decide on a retry. Change: such a status without the proof is a lost response, 502 where no retry is allowed. The proof holds only in a response that names this attempt or none.

--- a/src/ports/targetPort.ts
+++ b/src/ports/targetPort.ts
@@ -26,6 +26,8 @@
   readonly attemptId?: string;
   /** The target states that it did not run the request. */
   readonly notRun: boolean;
+  /** Callers take the status for a promise that the request has not run. */
+  readonly readsAsNotRun: boolean;
   /** Whether it carries the target's seal, which proves its origin. */
   readonly isSealed: boolean;
   readonly isStream: boolean;
--- a/tests/platform/spoiledResponses.spec.ts
+++ b/tests/platform/spoiledResponses.spec.ts
@@ -91,6 +91,31 @@
   );
 });
 
+describe('a status that promises that the request has not run', () => {
+  // Only the target's own statement proves it. Relayed without that, the status made a
+  // caller send a request again that had run.
+  it.each([408, 429, 503])(
+    'should not be relayed without the proof: %i',
+    async status => {
+      const isSent: Handler = (_req, res) => res.writeHead(status).end('x');
+      fixture = await GatewayFixture.start([isSent]);
+      expect((await fixture.call('/once/x')).status).toBe(502);
+      expect(fixture.receivedRequests).toHaveLength(1);
+    }
+  );
+
+  it('should prove nothing in a response to another request', async () => {
+    const isStray: Handler = (_req, res) => {
+      res.setHeader('x-attempt-id', 'another');
+      res.setHeader('x-not-executed', '1');
+      res.writeHead(503).end();
+    };
+    fixture = await GatewayFixture.start([isStray, isStray]);
+    expect((await fixture.call('/once/x')).status).toBe(502);
+    expect(fixture.receivedRequests).toHaveLength(1);
+  });
+});
+
 describe('an exception while a request is served', () => {
   // "Not run" was the default until an attempt had ended; an exception before that made
   // it a false promise.
