Relay only heads that were checked, and successes only with a seal

Cause: readHead read isSealed, and no decision rested on it. The record of the case shows that the target's own response lacks the header, so the gateway doesn't drop it. The same on streams, HEAD, 204 and resumed streams; there, a failure with the type of an event stream was joined to the success. Change: only RelayableHead.check makes a RelayableHead, and callers' writers take nothing else. A success without a seal, or one that states that it did not run, is a lost response; a stream goes on only with a success. request.attempt names the reason.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -8,15 +8,7 @@
 import {once} from 'node:events';
 import {withoutHeader} from '../core/httpHeaders';
 import {abortResponse, leaveEndUnmarked} from '../core/responseEnd';
-
-/** Head of the response, taken from the first target. */
-export interface StreamHead {
-  readonly status: number;
-  /** Flat list of names and values, as in `rawHeaders`. */
-  readonly headers: readonly string[];
-  /** Whether a Content-Length or a last chunk marks the end of the target's body. */
-  readonly isEndMarked: boolean;
-}
+import type {RelayableHead} from './relayableHead';
 
 /** The response stream of one caller. */
 export class CallerStream {
@@ -40,9 +32,12 @@
     return this.lastId;
   }
 
-  /** Writes one event; resolves when more may be written. */
+  /**
+   * Writes one event, after the head of the first target; resolves when more may be
+   * written.
+   */
   async write(
-    head: StreamHead,
+    head: RelayableHead,
     raw: string,
     id: string | undefined
   ): Promise<void> {
@@ -55,7 +50,7 @@
   }
 
   /** Ends the response, as complete if the first target marks its end. */
-  end(head: StreamHead): void {
+  end(head: RelayableHead): void {
     this.begin(head);
     this.res.end();
   }
@@ -64,7 +59,8 @@
   abort(): void {
     abortResponse(this.res);
   }
-  private begin(head: StreamHead): void {
+
+  private begin(head: RelayableHead): void {
     if (this.headSent) return;
     this.headSent = true;
     if (!head.isEndMarked) leaveEndUnmarked(this.res);
--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -2,7 +2,8 @@
 
 import type {IncomingMessage} from 'node:http';
 import {SseParser} from '../core/sseParser';
-import type {CallerStream, StreamHead} from './callerStream';
+import type {CallerStream} from './callerStream';
+import type {RelayableHead} from './relayableHead';
 
 /** How the response stream of one target ended. */
 export type RelayEnd =
@@ -22,7 +23,7 @@
 /** Relays until the target's stream ends or breaks. */
 export async function relayEvents(
   res: IncomingMessage,
-  head: StreamHead,
+  head: RelayableHead,
   caller: CallerStream,
   observer: RelayObserver
 ): Promise<RelayEnd> {
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -5,12 +5,10 @@
 import {unreachable} from '../core/errors';
 import type {RecordedAttempt} from '../core/executionRecord';
 import type {GatewayRefusal} from '../ports/callerPort';
-import type {TargetHead} from '../ports/targetPort';
 import type {TargetRecord} from '../site/announcement';
 import {groupNameOf} from '../site/groupStatus';
 import type {AttemptEnd, ResponseTrace} from './attemptEnd';
 import {callTarget} from './callTarget';
-import type {StreamHead} from './callerStream';
 import {CallerStream} from './callerStream';
 import type {Gateway} from './gateway';
 import {headTimeoutMs, isRetrySafe} from './retryRules';
@@ -19,8 +17,8 @@
 import {relayEvents} from './relayEvents';
 import {isQuarantined, QUARANTINE_RETRY_MS} from './quarantineRefusal';
 import {recordLength} from './recordLength';
+import {RelayableHead, isResponseTo} from './relayableHead';
 import {RequestExposure} from './requestExposure';
-import {isRelayable, isResponseTo} from './responseChecks';
 import type {RequestState, RoutedRequest} from './requestState';
 import {stopRefusal} from './stopRefusal';
 import {TargetSelection} from './targetSelection';
@@ -28,8 +26,6 @@
 import type {WholeResponse} from './wholeResponse';
 import {writeWholeResponse} from './wholeResponse';
 
-const FIRST_SERVER_ERROR = 500;
-
 /**
  * Runs all attempts. Returns undefined if the response was written or the
  * connection closed; otherwise the refusal that is still to be sent.
@@ -49,7 +45,7 @@
   private sendCount = 0;
   private lastErrorResponse: WholeResponse | undefined;
   /** Head of an empty stream that may be whole. */
-  private emptyStreamHead: StreamHead | undefined;
+  private emptyStreamHead: RelayableHead | undefined;
   private trace: ResponseTrace = {eventCount: 0};
   /** Of the present attempt, as `trace` is. */
   private exposure: RequestExposure | undefined;
@@ -232,31 +228,45 @@
   ): Promise<AttemptEnd> {
     const {gateway, state, routed} = this;
     const pool = gateway.pool(routed.service.name);
-    const head = gateway.parts.targets.readHead(res);
-    if (isResponseTo(head, state)) {
+    const {targets} = gateway.parts;
+    if (isResponseTo(targets.readHead(res), state)) {
       const response = {res, sentAtMs: startedAtMs};
       gateway.pushback?.noteResponse(target, response, performance.now());
     }
-    if (head.notRun && isResponseTo(head, state)) {
-      execution.provenNotRun();
-      pool.noteAttempt(target.id, {kind: 'full'}, performance.now());
-      res.destroy();
-      return {kind: 'notRun', wasSent: true, reason: 'rejected'};
-    }
-    if (!isRelayable(head, state)) {
-      pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
-      res.destroy();
-      return {kind: 'lost', reason: 'response that must not be relayed'};
+    const checked = RelayableHead.check(res, targets, state);
+    switch (checked.kind) {
+      case 'notRun':
+        execution.provenNotRun();
+        pool.noteAttempt(target.id, {kind: 'full'}, performance.now());
+        res.destroy();
+        return {kind: 'notRun', wasSent: true, reason: 'rejected'};
+      case 'rejected':
+        pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
+        res.destroy();
+        return {kind: 'lost', reason: checked.reason};
+      case 'relayable': {
+        const {head} = checked;
+        if (this.stream.hasBegun && !head.isSuccess) {
+          // The caller already has a success, which a failure can't continue.
+          res.destroy();
+          return {
+            kind: 'lost',
+            reason: `status ${head.status} to a resumption`,
+          };
+        }
+        return head.isStream && !head.isServerError
+          ? this.relayStream(target, res, head, startedAtMs)
+          : this.relayWhole(target, res, head, startedAtMs);
+      }
+      default:
+        return unreachable(checked);
     }
-    if (head.isStream && head.status < FIRST_SERVER_ERROR)
-      return this.relayStream(target, res, head, startedAtMs);
-    return this.relayWhole(target, res, head, startedAtMs);
   }
 
   private async relayWhole(
     target: TargetRecord,
     res: IncomingMessage,
-    head: TargetHead,
+    head: RelayableHead,
     startedAtMs: number
   ): Promise<AttemptEnd> {
     const {gateway, state, routed, stream} = this;
@@ -265,7 +275,7 @@
     if (state.stopped !== undefined) return {kind: 'stopped'};
     const nowMs = performance.now();
     const isWhole = body !== undefined;
-    const isGood = isWhole && head.status < FIRST_SERVER_ERROR;
+    const isGood = isWhole && !head.isServerError;
     const latencyMs = nowMs - startedAtMs;
     pool.noteAttempt(
       target.id,
@@ -273,9 +283,7 @@
       nowMs
     );
     if (!isWhole) return {kind: 'lost', reason: 'incomplete body'};
-    const headers = gateway.parts.targets.responseHeaders(res);
-    const {status} = head;
-    const response = {status, headers, body, framing: framingOf(res)};
+    const response = {head, body};
     if (!isGood) return {kind: 'failed', answer: response};
     // The caller already has the beginning of a stream.
     if (stream.hasBegun) return {kind: 'lost', reason: 'not a stream'};
@@ -301,7 +309,7 @@
   private async relayStream(
     target: TargetRecord,
     res: IncomingMessage,
-    head: TargetHead,
+    head: RelayableHead,
     startedAtMs: number
   ): Promise<AttemptEnd> {
     const {gateway, state, routed, stream} = this;
@@ -310,13 +318,8 @@
       groupNameOf(target)
     );
     const release = this.closeOnCancel(res);
-    const callerHead = {
-      status: head.status,
-      headers: gateway.parts.targets.responseHeaders(res),
-      isEndMarked: framingOf(res) !== 'close',
-    };
     let hasBegun = false;
-    const end = await relayEvents(res, callerHead, stream, {
+    const end = await relayEvents(res, head, stream, {
       onFirstEvent: () => {
         const nowMs = performance.now();
         stallWatch.streamStarted();
@@ -342,11 +345,11 @@
     if (state.stopped !== undefined) return {kind: 'stopped'};
     switch (end.kind) {
       case 'complete':
-        stream.end(callerHead);
+        stream.end(head);
         recordLength(gateway, state, routed);
         return {kind: 'answered'};
       case 'unmarked':
-        return this.endUnmarked(target, callerHead);
+        return this.endUnmarked(target, head);
       case 'broken':
         pool.noteAttempt(target.id, {kind: 'failed'}, performance.now());
         return {kind: 'lost', reason: end.reason};
@@ -359,7 +362,7 @@
    * Ends a stream that may or may not be whole. The caller gets the same unmarked end
    * if its response allows that, and if any event arrived.
    */
-  private endUnmarked(target: TargetRecord, head: StreamHead): AttemptEnd {
+  private endUnmarked(target: TargetRecord, head: RelayableHead): AttemptEnd {
     const {gateway, state, routed, stream, trace} = this;
     trace.endUnmarked = true;
     if (trace.eventCount > 0 && !stream.isEndMarked) {
