Apply an order of a zone only to the revision that its node knew

Cause: zone orders had no version and were applied in order of arrival. Ruled out: an old view of the frozen node, since other nodes sent the requests and change.agreed at the leader follows the wake-up. Change: each zone has a revision, the log index of its last order; an order is compared and set in the log. Orders without a version pass a gate: none is taken right after the process stood still, or if its sender is gone once the node has reached the leader; it gets 503.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -23,7 +23,12 @@
 import {PeerCatchUp} from './peerCatchUp';
 import {PeerDiscovery} from './peerDiscovery';
 import {LeaderClient} from './leaderClient';
-import type {HelloReply, NodeInfo, OperatorCommand} from './messages';
+import type {
+  HelloReply,
+  NodeInfo,
+  OperatorCommand,
+  ProposalEnd,
+} from './messages';
 import {
   NODE_METHODS,
   PROPOSE_REPLY,
@@ -260,12 +265,12 @@
 
   /**
    * Resolves once the command is durable on a quorum. Then it is in force here, unless
-   * another document is.
+   * another document is, or a later order came before it.
    */
-  async propose(command: OperatorCommand): Promise<void> {
-    const {state} =
+  async propose(command: OperatorCommand): Promise<ProposalEnd['kind']> {
+    const end =
       this.replica?.leads === true
-        ? {state: await this.leaderService.propose(command)}
+        ? await this.leaderService.propose(command)
         : await this.leaderClient.call({
             method: NODE_METHODS.propose,
             params: {command},
@@ -273,7 +278,9 @@
             timeoutMs: PROPOSE_TIMEOUT_MS,
             mayOverlap: false,
           });
-    if (state !== undefined) this.reports.applyChange(command, state);
+    if (end.kind === 'committed' && end.state !== undefined)
+      this.reports.applyChange(command, end.state);
+    return end.kind;
   }
 
   /**
--- a/src/cluster/clusterView.ts
+++ b/src/cluster/clusterView.ts
@@ -1,5 +1,6 @@
 /** What a node knows of the cluster, as its gateway uses it. */
 
+import type {ZoneRevisions} from '../control/state/siteState';
 import type {SiteIndex} from '../site/siteIndex';
 import type {ServiceGrant} from './messages';
 
@@ -12,6 +13,8 @@
    */
   readonly confirmedAtMs?: number;
   readonly zonesOut: ReadonlySet<string>;
+  /** Last order of each zone that had one; absent from a leader of an older version. */
+  readonly zoneRevisions?: ZoneRevisions;
   readonly grants: ReadonlyMap<string, ServiceGrant>;
   /** When the grants were received, milliseconds; absent before the first. */
   readonly grantedAtMs?: number;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -10,6 +10,7 @@
 import type {MapOutlook} from '../policy/mapOutlook';
 import {NO_GOALS, streamGoals} from '../site/streamGoals';
 import type {Site} from '../site/site';
+import type {ZoneRevisions} from '../control/state/siteState';
 import {DEFAULT_ADMISSION_FLOOR, LeaderAdmission} from './leaderAdmission';
 import {LeaderQuarantine} from './leaderQuarantine';
 import {LeaderRateLimits} from './leaderRateLimits';
@@ -61,6 +62,7 @@
   readonly siteVersion: number;
   readonly packedSite: string;
   readonly zonesOut: readonly string[];
+  readonly zoneRevisions?: ZoneRevisions;
 }
 
 /** Handles the reports of nodes on the leader. */
@@ -143,7 +145,8 @@
     this.quarantine.handleReport(params.quarantine, now);
     const grants = this.grantsFor(from.ip, site, replicated.zonesOut, nodes);
     const sinceRevision = isSameTerm ? params.tableRevision : 0;
-    const {term, index, siteVersion, packedSite, zonesOut} = replicated;
+    const {term, index, siteVersion, packedSite, zonesOut, zoneRevisions} =
+      replicated;
     return {
       kind: 'state',
       term,
@@ -156,6 +159,7 @@
       siteVersion,
       ...(params.siteVersion < siteVersion ? {packedSite} : {}),
       zonesOut: [...zonesOut],
+      zoneRevisions,
       tableRevision: this.table.revision,
       records: [...this.table.changedSince(sinceRevision)],
       grants,
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -6,11 +6,12 @@
 import type {Logger} from '../core/logger';
 import type {Site} from '../site/site';
 import {LeadershipProof} from './leadershipProof';
+import type {CommandResult} from '../control/state/command';
 import type {LogReplica, OpenLog} from './logReplica';
 import type {Coordinator} from './coordinator';
 import type {
   OperatorCommand,
-  StateAfterChange,
+  ProposalEnd,
   SyncParams,
   SyncReply,
 } from './messages';
@@ -56,35 +57,45 @@
 
   /**
    * Resolves once the command is durable on a quorum: with the state, unless another
-   * document than the proposed one is in force.
+   * document than the proposed one is in force. An order that was overtaken is
+   * `outdated`.
    */
-  async propose(
-    command: OperatorCommand
-  ): Promise<StateAfterChange | undefined> {
+  async propose(command: OperatorCommand): Promise<ProposalEnd> {
     const {log, state} = this.open();
     // A superseded document changes nothing, so the log is spared a copy. The
     // reply still needs a quorum to confirm that the newer version is committed.
     const isSuperseded =
       command.kind === 'site' && command.version <= state.site.version;
-    if (isSuperseded) await log.readBarrier();
-    else await log.propose(command);
     const {kind} = command;
+    if (isSuperseded) await log.readBarrier();
+    else if (isOutdated(await log.propose(command))) {
+      this.parts.logger.warn({event: 'change.outdated', command}, kind);
+      return {kind: 'outdated'};
+    }
     this.parts.logger.info(
       {event: 'change.agreed', kind},
       `change of kind ${kind} is committed`
     );
-    const {version, packed, zonesOut} = state.site;
-    if (command.kind === 'site' && command.packed !== packed) return undefined;
+    const {version, packed, zonesOut, zoneRevisions} = state.site;
+    if (command.kind === 'site' && command.packed !== packed)
+      return {kind: 'committed'};
     const index = log.status().commitIndex;
-    return {index, siteVersion: version, zonesOut: [...zonesOut]};
+    return {
+      kind: 'committed',
+      state: {
+        index,
+        siteVersion: version,
+        zonesOut: [...zonesOut],
+        zoneRevisions,
+      },
+    };
   }
 
   /** Handles a proposal of another node. */
   async handleProposal(
     command: OperatorCommand
-  ): Promise<NotLeader | {kind: 'committed'; state?: StateAfterChange}> {
-    if (!this.leads) return this.notLeader();
-    return {kind: 'committed', state: await this.propose(command)};
+  ): Promise<NotLeader | ProposalEnd> {
+    return this.leads ? this.propose(command) : this.notLeader();
   }
 
   /** The newest site document, confirmed by a quorum. */
@@ -128,13 +139,14 @@
       this.caughtUpTerm = term;
     }
     this.proof.renewIfDue(opened.log);
-    const {version, packed, zonesOut} = opened.state.site;
+    const {version, packed, zonesOut, zoneRevisions} = opened.state.site;
     const replicated = {
       term,
       index: opened.log.status().commitIndex,
       siteVersion: version,
       packedSite: packed,
       zonesOut,
+      zoneRevisions,
     };
     const reply = coordinator.sync(params, replicated, site(), directory);
     return {...reply, provenAgeMs: this.proof.ageMs};
@@ -156,3 +168,7 @@
     return {kind: 'notLeader', leader: isOther ? leader : undefined};
   }
 }
+
+function isOutdated(result: CommandResult): boolean {
+  return result.command === 'zone' && result.result.kind === 'outdated';
+}
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -7,6 +7,9 @@
 const COUNT = z.number().nonnegative();
 const TEXT = z.string();
 
+/** Last order of each zone, by log index; absent from a node of an older version. */
+const ZONE_REVISIONS = z.record(TEXT, COUNT).optional();
+
 /** Names of the methods on the internal port. */
 export const NODE_METHODS = {
   hello: 'hello',
@@ -232,6 +235,7 @@
     /** Only when the node has an older version. */
     packedSite: TEXT.optional(),
     zonesOut: z.array(TEXT),
+    zoneRevisions: ZONE_REVISIONS,
     tableRevision: z.number(),
     records: z.array(TARGET_RECORD),
     /** In place of `records`, compressed; only for a node that reads them. */
@@ -271,6 +275,8 @@
       kind: z.literal('zone'),
       availabilityZone: TEXT,
       out: z.boolean(),
+      /** Absent from a node of an older version. */
+      seenRevision: COUNT.optional(),
     }),
   ]),
 });
@@ -280,6 +286,7 @@
 /** Committed state right after a change, without the document. */
 export const STATE_AFTER_CHANGE = COMMITTED_POSITION.extend({
   zonesOut: z.array(TEXT),
+  zoneRevisions: ZONE_REVISIONS,
 });
 /** Committed state right after a change, without the document. */
 export type StateAfterChange = z.infer<typeof STATE_AFTER_CHANGE>;
@@ -295,7 +302,14 @@
      */
     state: STATE_AFTER_CHANGE.optional(),
   }),
+  /** The order was overtaken by another one and changed nothing. */
+  z.object({kind: z.literal('outdated')}),
 ]);
+/** What became of a change that was proposed to the leader. */
+export type ProposalEnd = Exclude<
+  z.infer<typeof PROPOSE_REPLY>,
+  {readonly kind: 'notLeader'}
+>;
 
 /** Requests the newest site document, confirmed by a quorum. */
 export const READ_SITE_PARAMS = z.object({heldVersion: z.number()});
@@ -324,6 +338,7 @@
     /** Absent when the requester has this version. */
     packedSite: TEXT.optional(),
     zonesOut: z.array(TEXT),
+    zoneRevisions: ZONE_REVISIONS,
   }),
 ]);
 /** Reply with the committed state of one leader's reply. */
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -184,6 +184,7 @@
       index,
       confirmedAtMs: this.confirmation.atMs,
       zonesOut: new Set(reply.zonesOut),
+      zoneRevisions: reply.zoneRevisions,
       grants: new Map(reply.grants.map(grant => [grant.service, grant])),
       grantedAtMs: nowMs,
       activeNodes: Math.max(1, reply.activeNodes),
@@ -209,6 +210,7 @@
       ...position,
       packedSite: isHeld ? undefined : this.packedSite,
       zonesOut: [...this.current.zonesOut],
+      zoneRevisions: this.current.zoneRevisions,
     };
   }
 
@@ -248,6 +250,7 @@
       ...this.current,
       index,
       zonesOut: new Set(state.zonesOut),
+      zoneRevisions: state.zoneRevisions,
     };
     return true;
   }
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -99,11 +99,19 @@
   readonly packed: string;
 }
 
-/** Takes an availability zone out of service or returns it to service. */
+/**
+ * Takes an availability zone out of service or returns it to service, unless the zone
+ * has changed since the order was taken.
+ */
 export interface ZoneCommand {
   readonly kind: 'zone';
   readonly availabilityZone: string;
   readonly out: boolean;
+  /**
+   * Revision of the zone that the proposing node knew when it took the order; absent
+   * from a node of an older version, whose orders are always applied.
+   */
+  readonly seenRevision?: number;
 }
 
 /** Written by a new leader to commit the entries of earlier terms. */
@@ -137,6 +145,11 @@
   readonly version: number;
 }
 
+/** Whether an order took effect, or a later one came before it. */
+export interface ZoneResult {
+  readonly kind: 'applied' | 'outdated';
+}
+
 /** Result of any command. */
 export type CommandResult =
   | {readonly command: 'submit'; readonly result: SubmitResult}
@@ -153,6 +166,6 @@
       readonly result: {readonly kind: 'recorded' | 'fenced'};
     }
   | {readonly command: 'site'; readonly result: SiteResult}
-  | {readonly command: 'zone'}
+  | {readonly command: 'zone'; readonly result: ZoneResult}
   | {readonly command: 'usage'}
   | {readonly command: 'noop'};
--- a/src/control/state/controlState.ts
+++ b/src/control/state/controlState.ts
@@ -30,7 +30,7 @@
   readonly fleet = new FleetState();
   readonly site = new SiteState();
 
-  apply(command: Command, _index: number): CommandResult {
+  apply(command: Command, index: number): CommandResult {
     switch (command.kind) {
       case 'submit':
         return {command: 'submit', result: this.rules.apply(command)};
@@ -60,8 +60,7 @@
       case 'site':
         return {command: 'site', result: this.site.applySite(command)};
       case 'zone':
-        this.site.applyZone(command);
-        return {command: 'zone'};
+        return {command: 'zone', result: this.site.applyZone(command, index)};
       case 'noop':
         return {command: 'noop'};
       default:
--- a/src/control/state/siteState.ts
+++ b/src/control/state/siteState.ts
@@ -1,22 +1,30 @@
 /** The applied site document and the availability zones out of service. */
 
-import type {SiteCommand, SiteResult, ZoneCommand} from './command';
+import type {SiteCommand, SiteResult, ZoneCommand, ZoneResult} from './command';
 
 /** The site state as stored in snapshots. */
 export interface SiteSnapshot {
   readonly version: number;
   readonly packed: string;
   readonly zonesOut: readonly string[];
+  /** Absent in snapshots of versions whose zone orders had no revision. */
+  readonly zoneRevisions?: ZoneRevisions;
 }
 
+/** Log index of the last order of each zone. */
+export type ZoneRevisions = Readonly<Record<string, number>>;
+
 /** Version before the first document is accepted. */
 export const NO_SITE_VERSION = -1;
+/** Revision of a zone before its first order. */
+export const NO_ZONE_REVISION = 0;
 
 /** Applies site documents; the highest version wins in any order of arrival. */
 export class SiteState {
   private siteVersion = NO_SITE_VERSION;
   private packedText = '';
   private readonly out = new Set<string>();
+  private readonly revisions = new Map<string, number>();
 
   /** Version of the applied document; `NO_SITE_VERSION` before the first. */
   get version(): number {
@@ -33,6 +41,11 @@
     return [...this.out];
   }
 
+  /** Revisions of the zones; `NO_ZONE_REVISION` where one is absent. */
+  get zoneRevisions(): ZoneRevisions {
+    return Object.fromEntries(this.revisions);
+  }
+
   /**
    * A repeated or outdated document changes nothing and is not an error: an
    * operator whose reply was lost must be able to repeat the call.
@@ -45,20 +58,37 @@
     return {kind: 'accepted', version};
   }
 
-  applyZone({availabilityZone, out}: ZoneCommand): void {
+  /**
+   * Compares and sets: an order that waited somewhere must not undo a later one. An
+   * order for the state that holds changes only the revision, so that it is not undone
+   * either.
+   */
+  applyZone(
+    {availabilityZone, out, seenRevision}: ZoneCommand,
+    index: number
+  ): ZoneResult {
+    const revision = this.revisions.get(availabilityZone) ?? NO_ZONE_REVISION;
+    const isCurrent = seenRevision === undefined || seenRevision === revision;
+    if (!isCurrent && this.out.has(availabilityZone) !== out)
+      return {kind: 'outdated'};
     if (out) this.out.add(availabilityZone);
     else this.out.delete(availabilityZone);
+    this.revisions.set(availabilityZone, index);
+    return {kind: 'applied'};
   }
 
   snapshot(): SiteSnapshot {
-    const {version, packed, zonesOut} = this;
-    return {version, packed, zonesOut};
+    const {version, packed, zonesOut, zoneRevisions} = this;
+    return {version, packed, zonesOut, zoneRevisions};
   }
 
-  restore({version, packed, zonesOut}: SiteSnapshot): void {
+  restore({version, packed, zonesOut, zoneRevisions = {}}: SiteSnapshot): void {
     this.siteVersion = version;
     this.packedText = packed;
     this.out.clear();
     for (const zone of zonesOut) this.out.add(zone);
+    this.revisions.clear();
+    for (const [zone, revision] of Object.entries(zoneRevisions))
+      this.revisions.set(zone, revision);
   }
 }
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -7,7 +7,11 @@
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
+import {NO_ZONE_REVISION} from '../control/state/siteState';
 import {packText} from '../site/packText';
+import {OrderGate} from './orderGate';
+import type {TakenOrder} from './orderGate';
+import {SuspensionWatch} from './suspensionWatch';
 
 /** Room for a site document with a few thousand routes. */
 const MAX_BODY_BYTES = 16 << 20;
@@ -20,6 +24,11 @@
 }
 
 const OK: Reply = {status: 200, body: '{}'};
+/** The order may have waited while a later one was carried out. */
+const OUTDATED: Reply = {
+  status: 503,
+  body: '{"error":"may be outdated; send it again"}',
+};
 const UNAVAILABLE: Reply = {status: 503, body: '{"error":"no leader"}'};
 
 /** Dependencies of the control server. */
@@ -35,7 +44,11 @@
     void this.answer(req, res);
   });
 
+  private readonly suspension = new SuspensionWatch();
+  private readonly gate: OrderGate;
+
   constructor(private readonly parts: ControlServerParts) {
+    this.gate = new OrderGate(parts.node, this.suspension);
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
 
@@ -47,6 +60,7 @@
   }
 
   close(): void {
+    this.suspension.close();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -57,10 +71,11 @@
   ): Promise<void> {
     const {codec, logger} = this.parts;
     const call = codec.readCall(req.method ?? '', req.url ?? '');
+    const order = this.gate.take(req, res);
     try {
       const text = await readText(req, MAX_BODY_BYTES);
       const {status, body = ''} =
-        call === undefined ? NOT_FOUND : await this.handle(call, text);
+        call === undefined ? NOT_FOUND : await this.handle(call, text, order);
       if (status !== OK.status)
         logger.warn(
           {event: 'control.refused', call: loggable(call), status, body},
@@ -80,7 +95,11 @@
     }
   }
 
-  private async handle(call: ControlCall, text: string): Promise<Reply> {
+  private async handle(
+    call: ControlCall,
+    text: string,
+    order: TakenOrder | undefined
+  ): Promise<Reply> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, text);
@@ -94,13 +113,13 @@
       case 'listQuarantine':
         return this.listQuarantine();
       case 'changeQuarantine':
-        return this.changeQuarantine(call);
+        return (
+          (await this.rejectOutdated(order)) ?? this.changeQuarantine(call)
+        );
       case 'liftRequest':
-        return (await this.parts.node.crashedRequests.lift(call.digest))
-          ? OK
-          : UNKNOWN_REQUEST;
+        return (await this.rejectOutdated(order)) ?? this.liftRequest(call);
       case 'zone':
-        return this.propose(call);
+        return this.changeZone(call, order);
       default:
         return unreachable(call);
     }
@@ -142,8 +161,8 @@
     command: Parameters<ClusterNode['propose']>[0]
   ): Promise<Reply> {
     try {
-      await this.parts.node.propose(command);
-      return OK;
+      const end = await this.parts.node.propose(command);
+      return end === 'outdated' ? OUTDATED : OK;
     } catch (err) {
       const detail = String(err);
       this.parts.logger.warn({event: 'propose.failed', err: detail}, detail);
@@ -151,6 +170,37 @@
     }
   }
 
+  private async changeZone(
+    {availabilityZone, out}: Extract<ControlCall, {kind: 'zone'}>,
+    order: TakenOrder | undefined
+  ): Promise<Reply> {
+    const rejection = await this.rejectOutdated(order);
+    if (rejection !== undefined) return rejection;
+    const zoneRevisions = order?.view.zoneRevisions;
+    // A leader of an older version states no revisions.
+    const seenRevision =
+      zoneRevisions && (zoneRevisions[availabilityZone] ?? NO_ZONE_REVISION);
+    return this.propose({kind: 'zone', availabilityZone, out, seenRevision});
+  }
+
+  /** Undefined for an order that may be carried out now. */
+  private async rejectOutdated(
+    order: TakenOrder | undefined
+  ): Promise<Reply | undefined> {
+    if (order === undefined) return OUTDATED;
+    // The end of a connection that the sender gave up is read meanwhile.
+    const reported = await this.reportToLeader();
+    if (reported !== OK) return reported;
+    return order.isAwaited() ? undefined : OUTDATED;
+  }
+
+  private async liftRequest({
+    digest,
+  }: Extract<ControlCall, {kind: 'liftRequest'}>): Promise<Reply> {
+    const isKnown = await this.parts.node.crashedRequests.lift(digest);
+    return isKnown ? OK : UNKNOWN_REQUEST;
+  }
+
   private listQuarantine(): Reply {
     const {quarantine, crashedRequests} = this.parts.node;
     const list: QuarantineList = {
