Keep departures in the log before they are acknowledged

Cause: the departure was in the leader's memory only; a new leader rebuilds its table from what nodes report again, and the node that had it was the one that ended. Ruled out: a new leader that has it and forgets it. Change: departures, draining ones as well, are commands of the log. TargetTable asks it about each record that it merges, and a new leader applies them before its first reply. DELETE is about the boot that the node knew when it read the call, and gets 404 for a target that nobody knows. OperatorCommand is ProposedCommand now.

--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -6,7 +6,8 @@
 
 import {Subscription, defer, interval, repeat, timer} from 'rxjs';
 import type {Site} from '../site/site';
-import type {TargetAnnouncement} from '../site/announcement';
+import type {DepartureCommand} from '../control/state/command';
+import type {TargetAnnouncement, TargetRecord} from '../site/announcement';
 import {unpackText} from '../site/packText';
 import type {MapOutlook} from '../policy/mapOutlook';
 import {reportPeriodMs} from '../policy/reportPeriod';
@@ -26,7 +27,7 @@
 import type {
   HelloReply,
   NodeInfo,
-  OperatorCommand,
+  ProposedCommand,
   ProposalEnd,
 } from './messages';
 import {
@@ -68,7 +69,9 @@
 
 /** A running node. */
 export class ClusterNode {
-  readonly table = new TargetTable();
+  readonly table = new TargetTable(({id, bornMs}) =>
+    this.replica?.current?.state.departures.find(id, bornMs)
+  );
   readonly pushback: TargetPushback;
   readonly quarantine = new NodeQuarantine();
   readonly crashedRequests: CrashedRequests;
@@ -253,9 +256,19 @@
     return this.reports.handleAnnouncement(announcement, performance.now());
   }
 
-  /** Marks a target that announced its departure as gone. */
-  handleLeave(id: string): void {
-    this.reports.handleLeave(id, performance.now());
+  /**
+   * Marks a target that leaves: at once here, and in the log. Resolves once no loss that
+   * the settings allow brings it back.
+   */
+  async recordDeparture(
+    {id, bornMs, sequence}: TargetRecord,
+    state: DepartureCommand['state']
+  ): Promise<void> {
+    if (state === 'gone')
+      this.reports.handleLeave({id, bornMs}, performance.now());
+    await this.report();
+    const kind = 'departure';
+    await this.propose({kind, targetId: id, bornMs, state, sequence});
   }
 
   /** Reports now; resolves once the leader has this node's announcements. */
@@ -267,7 +280,7 @@
    * Resolves once the command is durable on a quorum. Then it is in force here, unless
    * another document is, or a later order came before it.
    */
-  async propose(command: OperatorCommand): Promise<ProposalEnd['kind']> {
+  async propose(command: ProposedCommand): Promise<ProposalEnd['kind']> {
     const end =
       this.replica?.leads === true
         ? await this.leaderService.propose(command)
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -117,6 +117,16 @@
     this.quarantine.reset(this.nowMs());
   }
 
+  /** Applies all departures in the log to the table, in a new term. */
+  applyDepartures(): void {
+    for (const {id} of this.table.records()) this.applyDeparture(id);
+  }
+
+  /** Applies the departure of a target, which the log has by now. */
+  applyDeparture(id: string): void {
+    this.table.applyDeparture(id, this.nowMs());
+  }
+
   /** Handles a report; replies with what the node lacks of the view. */
   sync(
     params: SyncParams,
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -3,14 +3,16 @@
  * that a quorum confirms. Other nodes reply with the leader that they know.
  */
 
+import {unreachable} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Site} from '../site/site';
 import {LeadershipProof} from './leadershipProof';
 import type {CommandResult} from '../control/state/command';
+import type {ControlState} from '../control/state/controlState';
 import type {LogReplica, OpenLog} from './logReplica';
 import type {Coordinator} from './coordinator';
 import type {
-  OperatorCommand,
+  ProposedCommand,
   ProposalEnd,
   SyncParams,
   SyncReply,
@@ -60,14 +62,12 @@
    * document than the proposed one is in force. An order that was overtaken is
    * `outdated`.
    */
-  async propose(command: OperatorCommand): Promise<ProposalEnd> {
+  async propose(command: ProposedCommand): Promise<ProposalEnd> {
     const {log, state} = this.open();
-    // A superseded document changes nothing, so the log is spared a copy. The
-    // reply still needs a quorum to confirm that the newer version is committed.
-    const isSuperseded =
-      command.kind === 'site' && command.version <= state.site.version;
     const {kind} = command;
-    if (isSuperseded) await log.readBarrier();
+    // What changes nothing is not copied to the log. The reply still needs a quorum to
+    // confirm that what holds is committed.
+    if (isHeld(command, state)) await log.readBarrier();
     else if (isOutdated(await log.propose(command))) {
       this.parts.logger.warn({event: 'change.outdated', command}, kind);
       return {kind: 'outdated'};
@@ -76,6 +76,8 @@
       {event: 'change.agreed', kind},
       `change of kind ${kind} is committed`
     );
+    if (command.kind === 'departure')
+      this.parts.coordinator.applyDeparture(command.targetId);
     const {version, packed, zonesOut, zoneRevisions} = state.site;
     if (command.kind === 'site' && command.packed !== packed)
       return {kind: 'committed'};
@@ -93,7 +95,7 @@
 
   /** Handles a proposal of another node. */
   async handleProposal(
-    command: OperatorCommand
+    command: ProposedCommand
   ): Promise<NotLeader | ProposalEnd> {
     return this.leads ? this.propose(command) : this.notLeader();
   }
@@ -137,6 +139,7 @@
       // Commits of earlier leaders may not be applied here yet.
       await this.proof.renew(opened.log);
       this.caughtUpTerm = term;
+      coordinator.applyDepartures();
     }
     this.proof.renewIfDue(opened.log);
     const {version, packed, zonesOut, zoneRevisions} = opened.state.site;
@@ -169,6 +172,20 @@
   }
 }
 
+/** Whether the command would change nothing. */
+function isHeld(command: ProposedCommand, state: ControlState): boolean {
+  switch (command.kind) {
+    case 'site':
+      return command.version <= state.site.version;
+    case 'departure':
+      return state.departures.holds(command);
+    case 'zone':
+      return false;
+    default:
+      return unreachable(command);
+  }
+}
+
 function isOutdated(result: CommandResult): boolean {
   return result.command === 'zone' && result.result.kind === 'outdated';
 }
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -267,7 +267,7 @@
 /** The reply of a node that leads, with its view. */
 export type SyncState = Extract<SyncReply, {kind: 'state'}>;
 
-/** A change that an operator submits to the log. */
+/** A change for the log, by an operator or by a target that leaves. */
 export const PROPOSE_PARAMS = z.object({
   command: z.discriminatedUnion('kind', [
     z.object({kind: z.literal('site'), version: z.number(), packed: TEXT}),
@@ -278,10 +278,17 @@
       /** Absent from a node of an older version. */
       seenRevision: COUNT.optional(),
     }),
+    z.object({
+      kind: z.literal('departure'),
+      targetId: TEXT,
+      bornMs: z.number(),
+      state: z.enum(['draining', 'gone']),
+      sequence: z.number(),
+    }),
   ]),
 });
-/** A change that an operator submits to the log. */
-export type OperatorCommand = z.infer<typeof PROPOSE_PARAMS>['command'];
+/** A change for the log, by an operator or by a target that leaves. */
+export type ProposedCommand = z.infer<typeof PROPOSE_PARAMS>['command'];
 
 /** Committed state right after a change, without the document. */
 export const STATE_AFTER_CHANGE = COMMITTED_POSITION.extend({
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -15,7 +15,7 @@
   CommittedPosition,
   CommittedState,
   NodeInfo,
-  OperatorCommand,
+  ProposedCommand,
   ReadCommittedParams,
   ReadCommittedReply,
   ServiceLoad,
@@ -25,6 +25,7 @@
 } from './messages';
 import type {CommittedStateHolder} from './peerCatchUp';
 import type {NodeQuarantine} from './nodeQuarantine';
+import type {TargetBoot} from './nodeRateLimits';
 import {SiteConfirmation} from './siteConfirmation';
 import {SyncCursor} from './syncCursor';
 import type {TargetPushback} from './targetPushback';
@@ -116,9 +117,11 @@
     return isNew;
   }
 
-  /** Marks a target that announced its departure as gone. */
-  handleLeave(id: string, nowMs: number): void {
-    const record = this.parts.table.leave(id, nowMs);
+  /** Marks a boot that announced its departure as gone, unless a later one is known. */
+  handleLeave({id, bornMs}: TargetBoot, nowMs: number): void {
+    const {table} = this.parts;
+    if (table.find(id)?.bornMs !== bornMs) return;
+    const record = table.leave(id, nowMs);
     if (record !== undefined) this.heard.add(record, nowMs);
   }
 
@@ -230,7 +233,7 @@
    * Applies a change that this node is about to acknowledge. The leader may be lost
    * before the next report, and no other node would have the change.
    */
-  applyChange(command: OperatorCommand, state: StateAfterChange): void {
+  applyChange(command: ProposedCommand, state: StateAfterChange): void {
     const packedSite = command.kind === 'site' ? command.packed : undefined;
     this.adopt({kind: 'state', ...state, packedSite});
   }
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -3,6 +3,7 @@
  * leader keeps the shared table and numbers its changes; each node keeps a copy.
  */
 
+import type {Departure} from '../control/state/departureState';
 import type {TargetRecord} from '../site/announcement';
 
 /**
@@ -19,6 +20,11 @@
   readonly seenAtMs: number;
 }
 
+/** State in which the log has the departure of a boot; undefined if it stays. */
+export type DepartureLookup = (
+  record: TargetRecord
+) => Pick<Departure, 'state' | 'sequence'> | undefined;
+
 /** Records by id. An address belongs to the latest boot known there. */
 export class TargetTable {
   private readonly entries = new Map<string, Entry>();
@@ -26,6 +32,10 @@
   private readonly idsByAddress = new Map<string, Set<string>>();
   private lastRevision = 0;
 
+  constructor(
+    private readonly departureOf: DepartureLookup = () => undefined
+  ) {}
+
   /** Revision of the latest change. */
   get revision(): number {
     return this.lastRevision;
@@ -57,7 +67,8 @@
   }
 
   /** Merges one record; false when a newer one is known. */
-  merge(record: TargetRecord, nowMs: number): boolean {
+  merge(announced: TargetRecord, nowMs: number): boolean {
+    const record = this.withDeparture(announced);
     const known = this.entries.get(record.id);
     if (known !== undefined && !isNewer(record, known.record)) return false;
     if (record.state !== 'gone' && this.isSuperseded(record)) return false;
@@ -77,7 +88,8 @@
   }
 
   /** Merges a record of the leader's table, unless a newer one is known. */
-  mergeShared(record: TargetRecord, nowMs: number): void {
+  mergeShared(shared: TargetRecord, nowMs: number): void {
+    const record = this.withDeparture(shared);
     const known = this.entries.get(record.id)?.record;
     if (known !== undefined) {
       if (record.bornMs < known.bornMs) return;
@@ -93,7 +105,7 @@
     this.putChange(record, nowMs);
   }
 
-  /** Marks a target that leaves as gone; ignored when the id is not known. */
+  /** Marks the known boot of a target that leaves as gone; undefined without one. */
   leave(id: string, nowMs: number): TargetRecord | undefined {
     const known = this.entries.get(id)?.record;
     if (known === undefined) return undefined;
@@ -102,6 +114,14 @@
     return record;
   }
 
+  /** Applies the departure of the known boot, if there is one in the log. */
+  applyDeparture(id: string, nowMs: number): void {
+    const known = this.entries.get(id)?.record;
+    if (known === undefined) return;
+    const record = this.withDeparture(known);
+    if (record !== known) this.putChange(record, nowMs);
+  }
+
   /** Restarts all silence timers; gone and silent targets keep their state. */
   markAllSeen(nowMs: number): void {
     for (const [id, entry] of this.entries)
@@ -119,6 +139,16 @@
     }
   }
 
+  /** The record in the state that an acknowledged departure leaves it in. */
+  private withDeparture(record: TargetRecord): TargetRecord {
+    const departure = this.departureOf(record);
+    if (departure === undefined || record.state === 'gone') return record;
+    const {state, sequence} = departure;
+    if (state === 'gone') return {...record, state};
+    const isEarlier = record.sequence <= sequence;
+    return record.state === 'ready' && isEarlier ? {...record, state} : record;
+  }
+
   private putChange(record: TargetRecord, seenAtMs: number): void {
     const revision = ++this.lastRevision;
     this.set({record, revision, seenAtMs});
--- a/src/control/state/command.ts
+++ b/src/control/state/command.ts
@@ -114,6 +114,17 @@
   readonly seenRevision?: number;
 }
 
+/** Records that one boot of a target leaves, before that is acknowledged to it. */
+export interface DepartureCommand {
+  readonly kind: 'departure';
+  readonly targetId: string;
+  /** Start of the boot, Unix milliseconds. */
+  readonly bornMs: number;
+  readonly state: 'draining' | 'gone';
+  /** Sequence number of its last announcement; a later one may say otherwise. */
+  readonly sequence: number;
+}
+
 /** Written by a new leader to commit the entries of earlier terms. */
 export interface NoopCommand {
   readonly kind: 'noop';
@@ -132,6 +143,7 @@
   | FleetEndCommand
   | SiteCommand
   | ZoneCommand
+  | DepartureCommand
   | NoopCommand;
 
 /** Result of a settlement; `ignored` if the attempt is not open for it. */
@@ -167,5 +179,6 @@
     }
   | {readonly command: 'site'; readonly result: SiteResult}
   | {readonly command: 'zone'; readonly result: ZoneResult}
+  | {readonly command: 'departure'}
   | {readonly command: 'usage'}
   | {readonly command: 'noop'};
--- a/src/control/state/controlState.ts
+++ b/src/control/state/controlState.ts
@@ -6,6 +6,7 @@
 import {MapSnapshot, MapState} from '../maps/mapState';
 import {ClaimState, ClaimsSnapshot} from './claimState';
 import type {Command, CommandResult} from './command';
+import {DepartureSnapshot, DepartureState} from './departureState';
 import {RulesSnapshot, RulesState} from './rulesState';
 import {SiteSnapshot, SiteState} from './siteState';
 import {UsageSnapshot, UsageState} from './usageState';
@@ -19,6 +20,8 @@
   readonly fleet?: FleetSnapshot;
   /** Absent in snapshots of deployments that use rule files instead. */
   readonly site?: SiteSnapshot;
+  /** Absent in snapshots of versions that kept no departures. */
+  readonly departures?: DepartureSnapshot;
 }
 
 /** Applies committed commands in log order, with equal results everywhere. */
@@ -29,6 +32,7 @@
   readonly maps = new MapState();
   readonly fleet = new FleetState();
   readonly site = new SiteState();
+  readonly departures = new DepartureState();
 
   apply(command: Command, index: number): CommandResult {
     switch (command.kind) {
@@ -61,6 +65,9 @@
         return {command: 'site', result: this.site.applySite(command)};
       case 'zone':
         return {command: 'zone', result: this.site.applyZone(command, index)};
+      case 'departure':
+        this.departures.apply(command);
+        return {command: 'departure'};
       case 'noop':
         return {command: 'noop'};
       default:
@@ -76,6 +83,7 @@
       maps: this.maps.snapshot(),
       fleet: this.fleet.snapshot(),
       site: this.site.snapshot(),
+      departures: this.departures.snapshot(),
     };
     return JSON.stringify(snapshot);
   }
@@ -88,5 +96,6 @@
     this.maps.restore(snapshot.maps);
     if (snapshot.fleet !== undefined) this.fleet.restore(snapshot.fleet);
     if (snapshot.site !== undefined) this.site.restore(snapshot.site);
+    this.departures.restore(snapshot.departures ?? []);
   }
 }
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -8,6 +8,7 @@
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
 import {NO_ZONE_REVISION} from '../control/state/siteState';
+import type {TargetRecord} from '../site/announcement';
 import {packText} from '../site/packText';
 import {OrderGate} from './orderGate';
 import type {TakenOrder} from './orderGate';
@@ -31,6 +32,13 @@
 };
 const UNAVAILABLE: Reply = {status: 503, body: '{"error":"no leader"}'};
 
+/** What this node knew when it read the head of a call. */
+interface CallBasis {
+  readonly order: TakenOrder | undefined;
+  /** The boot of a target that says that it leaves. */
+  readonly leaving: TargetRecord | undefined;
+}
+
 /** Dependencies of the control server. */
 export interface ControlServerParts {
   readonly node: ClusterNode;
@@ -69,13 +77,17 @@
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
-    const {codec, logger} = this.parts;
+    const {codec, logger, node} = this.parts;
     const call = codec.readCall(req.method ?? '', req.url ?? '');
     const order = this.gate.take(req, res);
+    const leaving =
+      call?.kind === 'leave' ? node.table.find(call.id) : undefined;
     try {
       const text = await readText(req, MAX_BODY_BYTES);
       const {status, body = ''} =
-        call === undefined ? NOT_FOUND : await this.handle(call, text, order);
+        call === undefined
+          ? NOT_FOUND
+          : await this.handle(call, text, {order, leaving});
       if (status !== OK.status)
         logger.warn(
           {event: 'control.refused', call: loggable(call), status, body},
@@ -98,14 +110,13 @@
   private async handle(
     call: ControlCall,
     text: string,
-    order: TakenOrder | undefined
+    {order, leaving}: CallBasis
   ): Promise<Reply> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, text);
       case 'leave':
-        this.parts.node.handleLeave(call.id);
-        return this.reportToLeader();
+        return order === undefined ? OUTDATED : this.leave(call.id, leaving);
       case 'putSite':
         return this.putSite(text);
       case 'getSite':
@@ -126,15 +137,47 @@
   }
 
   /**
-   * A draining target is confirmed only after the leader knows of it. From then
-   * on no node may send to the target, and only the leader reaches all nodes.
+   * A draining target is confirmed only after the leader and the log have that. From
+   * then on no node may send to the target, and only the leader reaches all nodes.
    */
   private async announce(id: string, text: string): Promise<Reply> {
     const {node, codec} = this.parts;
     const announcement = codec.decodeAnnouncement(id, text);
     if (announcement === undefined) return INVALID_ANNOUNCEMENT;
     node.handleAnnouncement(announcement);
-    return announcement.state === 'draining' ? this.reportToLeader() : OK;
+    const {state} = announcement;
+    return state === 'draining'
+      ? this.recordDeparture(announcement, state)
+      : OK;
+  }
+
+  /** `leaving`: the boot that was known when the order was taken. */
+  private async leave(
+    id: string,
+    leaving: TargetRecord | undefined
+  ): Promise<Reply> {
+    if (leaving !== undefined) return this.recordDeparture(leaving, 'gone');
+    // It may have announced itself to another node just before.
+    const reported = await this.reportToLeader();
+    if (reported !== OK) return reported;
+    const boot = this.parts.node.table.find(id);
+    return boot === undefined
+      ? UNKNOWN_TARGET
+      : this.recordDeparture(boot, 'gone');
+  }
+
+  private async recordDeparture(
+    boot: TargetRecord,
+    state: 'draining' | 'gone'
+  ): Promise<Reply> {
+    try {
+      await this.parts.node.recordDeparture(boot, state);
+      return OK;
+    } catch (err) {
+      const detail = String(err);
+      this.parts.logger.warn({event: 'report.failed', err: detail}, detail);
+      return UNAVAILABLE;
+    }
   }
 
   private async reportToLeader(): Promise<Reply> {
@@ -246,6 +289,10 @@
   return {kind, change, service};
 }
 
+const UNKNOWN_TARGET: Reply = {
+  status: 404,
+  body: '{"error":"no such target"}',
+};
 const UNKNOWN_REQUEST: Reply = {
   status: 404,
   body: '{"error":"no target crashed under such a request"}',
