Bound what is held of a response, and what comes without end

Cause: whole responses were held until their end whatever their size, events were joined and searched anew with each chunk, interim responses weren't counted, and each wait for a slow caller left its listeners behind. A stopping process counted a response as done once it was handed to its connection. Change: HeldBytes bounds what is held for a response and for the node (two settings); a larger success is relayed at the caller's pace and not repeated, a larger failure is cut off and answered with 502 or a retry. Events, comments and interim responses are bounded. Responses count as in progress until their connection has them.

--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -92,6 +92,7 @@
       availabilityZone: info.availabilityZone ?? '',
       logger: LOGGER,
       metrics: METRICS,
+      heldBytes: {perResponse: 0, total: 0},
       random,
       node: () => this as unknown as ClusterNode,
     });
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -32,6 +32,8 @@
   activeNodes(): number;
   /** Log lines dropped since the start. */
   droppedLines(): number;
+  /** Bytes of responses that are held until they are whole. */
+  heldBytes(): number;
   /** One entry per service. */
   pools(): readonly PoolGauge[];
 }
@@ -253,6 +255,11 @@
       'log lines that nobody read in time, since the start',
       gauges.droppedLines
     );
+    this.gauge(
+      'marlpulley_held_response_bytes',
+      'bytes of responses that are held until they are whole',
+      gauges.heldBytes
+    );
     this.poolGauge('places', 'places lent to this node', gauges, p => p.places);
     this.poolGauge('in_flight', 'places in use', gauges, p => p.inFlight);
     this.poolGauge('waiting', 'requests that wait', gauges, p => p.waiting);
--- a/src/core/sseParser.ts
+++ b/src/core/sseParser.ts
@@ -4,6 +4,8 @@
 
 /** An empty line ends an event; a line ends in LF, CRLF or CR. */
 const EVENT_END = /(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?!\n))/g;
+/** An empty line has up to four characters. */
+const SEAM_CHARS = 3;
 const NOT_LINE_END = /[^\r\n]/;
 const LINE_END = /\r\n|\n|\r/;
 
@@ -21,7 +23,11 @@
 /** Incremental parser; buffers at most one incomplete event. */
 export class SseParser {
   private readonly decoder: StringDecoder;
-  private pending = '';
+  /** The incomplete event; joined only when it ends, since each join copies it. */
+  private parts: string[] = [];
+  private partChars = 0;
+  /** Last characters of the parts, in which an empty line may have begun. */
+  private seam = '';
 
   /**
    * With `latin1` each byte becomes one character, so that `raw` is lossless.
@@ -32,27 +38,43 @@
 
   /** Length of the incomplete event. */
   get pendingChars(): number {
-    return this.pending.length;
+    return this.partChars;
   }
 
   /** Whether the buffer holds the beginning of an event; empty lines are none. */
   get isInsideEvent(): boolean {
-    return NOT_LINE_END.test(this.pending);
+    return this.parts.some(part => NOT_LINE_END.test(part));
   }
 
   /** Returns the events that the chunk completes. */
   push(chunk: Buffer): readonly SseEvent[] {
-    this.pending += this.decoder.write(chunk);
+    const text = this.decoder.write(chunk);
+    EVENT_END.lastIndex = 0;
+    if (!EVENT_END.test(this.seam + text)) {
+      this.keep(text);
+      return [];
+    }
+    const pending = this.parts.join('') + text;
     const events: SseEvent[] = [];
     let start = 0;
     EVENT_END.lastIndex = 0;
-    while (EVENT_END.test(this.pending)) {
-      events.push(parseEvent(this.pending.slice(start, EVENT_END.lastIndex)));
+    while (EVENT_END.test(pending)) {
+      events.push(parseEvent(pending.slice(start, EVENT_END.lastIndex)));
       start = EVENT_END.lastIndex;
     }
-    this.pending = this.pending.slice(start);
+    this.parts = [];
+    this.partChars = 0;
+    this.seam = '';
+    this.keep(pending.slice(start));
     return events;
   }
+
+  private keep(text: string): void {
+    if (text === '') return;
+    this.parts.push(text);
+    this.partChars += text.length;
+    this.seam = (this.seam + text).slice(-SEAM_CHARS);
+  }
 }
 
 function parseEvent(raw: string): SseEvent {
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -12,6 +12,7 @@
 import {forwardedFraming} from './bodyFraming';
 import type {RequestFraming} from './bodyFraming';
 import {endToEndHeaders, headerPairs, withFraming} from './httpHeaders';
+import {limitInterimResponses} from './interimResponses';
 import {responseHeadProblem} from './responseHead';
 
 /** A request that failed before a sound head of its response arrived. */
@@ -80,6 +81,7 @@
       socket.once(ready, () => (sent = true));
     });
     req.on('error', err => reject(new UpstreamError(sent, err.message)));
+    limitInterimResponses(req, reason => req.destroy(new Error(reason)));
     req.on('response', res => {
       const problem = responseHeadProblem(res);
       if (problem === undefined) return resolve(res);
--- a/src/gateway/attemptEnd.ts
+++ b/src/gateway/attemptEnd.ts
@@ -18,6 +18,8 @@
   | {readonly kind: 'lost'; readonly reason: string}
   /** The target responded with a server error, which may be relayed. */
   | {readonly kind: 'failed'; readonly answer: WholeResponse}
+  /** The caller got a part of the response, and its connection was closed. */
+  | {readonly kind: 'cut'; readonly reason: string}
   /** The request was cancelled; see `StopReason`. */
   | {readonly kind: 'stopped'};
 
--- a/src/gateway/callTarget.ts
+++ b/src/gateway/callTarget.ts
@@ -13,7 +13,9 @@
 import type {CancelSignal} from '../core/cancellation';
 import type {ConnectionState} from '../core/connectionReset';
 import {watchConnection} from '../core/connectionReset';
+import {parseHostPort} from '../core/hostPort';
 import {withFraming} from '../core/httpHeaders';
+import {limitInterimResponses} from '../core/interimResponses';
 import {responseHeadProblem} from '../core/responseHead';
 
 /**
@@ -63,10 +65,10 @@
 
 /** Throws for an address or a head that Node refuses. */
 function openRequest(call: TargetCall): http.ClientRequest {
-  const [host, port] = call.address.split(':');
+  const hostPort = parseHostPort(call.address);
+  if (hostPort === undefined) throw new Error(`no address: ${call.address}`);
   return http.request({
-    host,
-    port: Number(port),
+    ...hostPort,
     method: call.method,
     path: call.url,
     headers: withFraming(call.headers, {
@@ -118,6 +120,7 @@
     );
     req.on('error', err => fail(err.message));
     req.on('close', () => fail('connection closed'));
+    limitInterimResponses(req, fail);
     req.on('response', res => {
       const problem = responseHeadProblem(res);
       if (problem !== undefined) return fail(problem);
--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -5,7 +5,6 @@
  */
 
 import type {ServerResponse} from 'node:http';
-import {once} from 'node:events';
 import {withoutHeader} from '../core/httpHeaders';
 import {abortResponse, leaveEndUnmarked} from '../core/responseEnd';
 import type {RelayableHead} from './relayableHead';
@@ -45,8 +44,7 @@
     this.begin(head);
     if (id !== undefined) this.lastId = id;
     const hasCapacity = res.write(Buffer.from(raw, 'latin1'));
-    if (!hasCapacity && !res.destroyed)
-      await Promise.race([once(res, 'drain'), once(res, 'close')]);
+    if (!hasCapacity && !res.destroyed) await drained(res);
   }
 
   /** Ends the response, as complete if the first target marks its end. */
@@ -69,3 +67,16 @@
     this.res.writeHead(head.status, headers);
   }
 }
+
+/** Resolves when more may be written, or never will be; leaves no listener behind. */
+function drained(res: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const settle = () => {
+      res.off('drain', settle);
+      res.off('close', settle);
+      resolve();
+    };
+    res.once('drain', settle);
+    res.once('close', settle);
+  });
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,8 @@
 import {reportPeriodMs} from '../policy/reportPeriod';
 import type {TargetCrash} from './crashDetector';
 import {CrashDetector} from './crashDetector';
+import type {HeldByteLimits} from './heldBytes';
+import {HeldBytes} from './heldBytes';
 import {probeTarget} from './probeTarget';
 import type {ChoiceInput, PoolBounds} from './servicePool';
 import {ServicePool} from './servicePool';
@@ -34,6 +36,7 @@
   readonly targets: TargetCodec;
   readonly bounds: PoolBounds;
   readonly availabilityZone: string;
+  readonly heldBytes: HeldByteLimits;
   /** Age of a confirmation up to which the site document may refuse, ms. */
   readonly maxSiteAgeMs: number;
   readonly logger: Logger;
@@ -50,6 +53,7 @@
     probe: probeTarget,
     onCrash: crash => this.noteCrash(crash),
   });
+  readonly heldBytes: HeldBytes;
   private readonly pools = new Map<string, ServicePool>();
   /** By site version and service, as each request needs them. */
   private readonly ranks = new WeakMap<
@@ -58,7 +62,9 @@
   >();
   private appliedGrants: ClusterView['grants'] | undefined;
 
-  constructor(readonly parts: GatewayParts) {}
+  constructor(readonly parts: GatewayParts) {
+    this.heldBytes = new HeldBytes(parts.heldBytes);
+  }
 
   /**
    * Current view of the cluster; undefined until the cluster node has started.
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -88,13 +88,11 @@
     res: http.ServerResponse
   ): Promise<void> {
     this.activeResponses.add(res);
-    try {
-      if (this.draining) res.shouldKeepAlive = false;
-      if (this.refusesRequests) this.refuseAsStopping(res);
-      else await serveRequest(this.gateway, req, res);
-    } finally {
-      this.activeResponses.delete(res);
-    }
+    // A response that was written may still be on its way to a slow reader.
+    res.once('close', () => this.activeResponses.delete(res));
+    if (this.draining) res.shouldKeepAlive = false;
+    if (this.refusesRequests) this.refuseAsStopping(res);
+    else await serveRequest(this.gateway, req, res);
   }
 
   private refuseAsStopping(res: http.ServerResponse): void {
--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -5,6 +5,9 @@
 import type {CallerStream} from './callerStream';
 import type {RelayableHead} from './relayableHead';
 
+/** An event holds a few tokens; one without end is cut off. */
+const MAX_EVENT_CHARS = 1 << 20;
+
 /** How the response stream of one target ended. */
 export type RelayEnd =
   | {readonly kind: 'complete'}
@@ -29,9 +32,12 @@
 ): Promise<RelayEnd> {
   const parser = new SseParser('latin1');
   let lastEventAtMs: number | undefined;
+  let commentChars = 0;
   try {
     for await (const chunk of res as AsyncIterable<Buffer>) {
       for (const event of parser.push(chunk)) {
+        const isComment = event.id === undefined && event.data === '';
+        commentChars = isComment ? commentChars + event.raw.length : 0;
         const problem = sequenceProblem(caller.lastEventId, event.id);
         if (problem !== undefined) return broken(res, problem);
         const nowMs = performance.now();
@@ -41,6 +47,10 @@
         lastEventAtMs = nowMs;
         await caller.write(head, event.raw, event.id);
       }
+      if (parser.pendingChars > MAX_EVENT_CHARS)
+        return broken(res, 'event over the bound');
+      if (commentChars > MAX_EVENT_CHARS)
+        return broken(res, 'comments over the bound');
     }
   } catch (err) {
     return broken(res, err instanceof Error ? err.message : String(err));
--- a/src/gateway/requestExposure.ts
+++ b/src/gateway/requestExposure.ts
@@ -38,6 +38,7 @@
   async noteEnd(end: AttemptEnd, {endUnmarked}: ResponseTrace) {
     this.isCancelled = end.kind === 'stopped';
     if (end.kind === 'lost') return this.isInDoubt();
+    if (end.kind === 'cut') void this.hasCrashed();
     if (endUnmarked === true) void this.hasCrashed();
     else if (end.kind === 'answered') {
       this.gateway.crashes.noteResponse(this.target, performance.now());
--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Cancellation} from '../core/cancellation';
 import {ExecutionRecord} from '../core/executionRecord';
+import type {HeldResponse} from './heldBytes';
 import type {Urgency, UrgencyKey} from '../policy/admission/urgency';
 import type {RequestTry} from '../policy/quarantine/crashCounts';
 import type {CallerRequest} from '../ports/callerPort';
@@ -55,6 +56,7 @@
   /** See `requestDigest`; undefined until its body was read. */
   digest: string | undefined;
   readonly execution = new ExecutionRecord();
+  private readonly heldResponses: HeldResponse[] = [];
   private reason: StopReason | undefined;
   private deadlineTimer: NodeJS.Timeout | undefined;
 
@@ -66,6 +68,7 @@
     res.once('close', () => {
       if (!res.writableFinished) this.stop('callerGone');
       clearTimeout(this.deadlineTimer);
+      for (const held of this.heldResponses) held.release();
     });
   }
 
@@ -99,6 +102,12 @@
     );
   }
 
+  /** Ends the account of a response once the caller has it. */
+  releaseAtEnd(held: HeldResponse): void {
+    if (this.res.closed) held.release();
+    else this.heldResponses.push(held);
+  }
+
   /** Cancels it because its prompt crashes targets. */
   quarantine(): void {
     this.stop('quarantined');
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -9,11 +9,13 @@
 import {groupNameOf} from '../site/groupStatus';
 import type {AttemptEnd, ResponseTrace} from './attemptEnd';
 import {callTarget} from './callTarget';
+import {closeOnCancel} from './closeOnCancel';
 import {CallerStream} from './callerStream';
 import type {Gateway} from './gateway';
 import {headTimeoutMs, isRetrySafe} from './retryRules';
 import {logAttempt} from './logAttempt';
 import {readResponseBody} from './readResponseBody';
+import {relayLargeBody} from './relayLargeBody';
 import {relayEvents} from './relayEvents';
 import {isQuarantined, QUARANTINE_RETRY_MS} from './quarantineRefusal';
 import {recordLength} from './recordLength';
@@ -70,6 +72,7 @@
       const end = await this.attempt(target);
       switch (end.kind) {
         case 'answered':
+        case 'cut':
           return undefined;
         case 'stopped':
           return this.endStopped();
@@ -271,19 +274,36 @@
   ): Promise<AttemptEnd> {
     const {gateway, state, routed, stream} = this;
     const pool = gateway.pool(routed.service.name);
-    const body = await this.readWhole(res);
+    const held = gateway.heldBytes.open();
+    state.releaseAtEnd(held);
+    const release = closeOnCancel(state.cancellation, res);
+    const read = await readResponseBody(res, held);
+    release();
     if (state.stopped !== undefined) return {kind: 'stopped'};
     const nowMs = performance.now();
-    const isWhole = body !== undefined;
-    const isGood = isWhole && !head.isServerError;
     const latencyMs = nowMs - startedAtMs;
+    if (read.kind === 'large' && head.isSuccess && !stream.hasBegun) {
+      held.release();
+      const {begun} = read;
+      const {id: targetId} = target;
+      const large = {res, head, begun, targetId, latencyMs};
+      return relayLargeBody(state, pool, large);
+    }
+    const isWhole = read.kind === 'whole';
+    const isGood = isWhole && !head.isServerError;
     pool.noteAttempt(
       target.id,
       isGood ? {kind: 'good', latencyMs} : {kind: 'failed'},
       nowMs
     );
-    if (!isWhole) return {kind: 'lost', reason: 'incomplete body'};
-    const response = {head, body};
+    if (!isWhole) {
+      held.release();
+      res.destroy();
+      const reason =
+        read.kind === 'large' ? 'body over the bound' : 'incomplete body';
+      return {kind: 'lost', reason};
+    }
+    const response = {head, body: read.body};
     if (!isGood) return {kind: 'failed', answer: response};
     // The caller already has the beginning of a stream.
     if (stream.hasBegun) return {kind: 'lost', reason: 'not a stream'};
@@ -291,21 +311,6 @@
     return {kind: 'answered'};
   }
 
-  private async readWhole(res: IncomingMessage): Promise<Buffer | undefined> {
-    const release = this.closeOnCancel(res);
-    const body = await readResponseBody(res);
-    release();
-    return body;
-  }
-
-  /** Closes the connection when the request is cancelled, until the returned call. */
-  private closeOnCancel(res: IncomingMessage): () => void {
-    const {cancellation} = this.state;
-    const onCancel = () => res.destroy();
-    cancellation.addEventListener('abort', onCancel);
-    return () => cancellation.removeEventListener('abort', onCancel);
-  }
-
   private async relayStream(
     target: TargetRecord,
     res: IncomingMessage,
@@ -317,7 +322,7 @@
     const {passDuration, stallWatch} = pool.streams.forGroup(
       groupNameOf(target)
     );
-    const release = this.closeOnCancel(res);
+    const release = closeOnCancel(state.cancellation, res);
     let hasBegun = false;
     const end = await relayEvents(res, head, stream, {
       onFirstEvent: () => {
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -49,6 +49,7 @@
 /** Part of the grace period that is kept for the shutdown after the drain. */
 const SHUTDOWN_RESERVE_MS = 600;
 const MS_PER_S = 1_000;
+const BYTES_PER_KIB = 1_024;
 /**
  * Most orders to ranks follow directly from a reply; the tick covers those that
  * are resent or become due. A map switch waits for a tick three times, while
@@ -151,6 +152,7 @@
       siteAgeMs: () => performance.now() - (node.view.confirmedAtMs ?? NaN),
       activeNodes: () => node.view.activeNodes,
       droppedLines: this.parts.droppedLines,
+      heldBytes: () => gateway.heldBytes.total,
       pools: () => gateway.poolGauges(),
     });
   }
@@ -190,6 +192,10 @@
       coldMultiplier: bounds.coldMultiplier,
       coldSlack: bounds.coldSlack,
     },
+    heldBytes: {
+      perResponse: bounds.heldResponseKb * BYTES_PER_KIB,
+      total: bounds.heldTotalKb * BYTES_PER_KIB,
+    },
     random: Math.random,
     node,
   });
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -214,6 +214,14 @@
     decimal(0, 1).default(0.4),
     'part of its requests that each urgency keeps when not all can be served'
   ),
+  'held-response-kb': setting(
+    integer(1, 1_048_576).default(1_024),
+    'largest response that is held until it is whole, KiB; one beyond that is relayed as it arrives and not repeated'
+  ),
+  'held-total-kb': setting(
+    integer(1, 1_048_576).default(32_768),
+    'the same for all responses of the process together, KiB'
+  ),
 });
 
 /** Settings schemas by role. */
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -1,6 +1,8 @@
 /** A gateway with fake targets, all in this process, on loopback. */
 
+import {once} from 'node:events';
 import http from 'node:http';
+import net from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {CALLER_CODEC} from '../../platform/callerHeaders';
 import {TARGET_CODEC} from '../../platform/targetHeaders';
@@ -15,11 +17,13 @@
 import {watchConnection} from '../../src/core/connectionReset';
 import {NodeMetrics} from '../../src/core/nodeMetrics';
 import {Gateway} from '../../src/gateway/gateway';
+import type {HeldByteLimits} from '../../src/gateway/heldBytes';
 import {GatewayServer} from '../../src/gateway/gatewayServer';
 import {SiteIndex} from '../../src/site/siteIndex';
 import type {RetrySemantics, SiteRoute} from '../../src/site/site';
 import {readUntilClosed} from '../fixtures/rawCalls';
 import {recordingLogger} from '../fixtures/recordingLogger';
+import {eventually} from '../fixtures/testSystem';
 
 /** Handles one request at a fake target. */
 export type Handler = (
@@ -27,6 +31,8 @@
   res: http.ServerResponse
 ) => void;
 
+const DEFAULT_HELD_BYTES = {perResponse: 1 << 20, total: 32 << 20};
+
 /** A response as the caller received it. */
 export interface CallerResponse {
   readonly status: number;
@@ -72,6 +78,7 @@
   readonly grant?: Partial<ServiceGrant>;
   /** Notifies another node of crashes; there is none by default. */
   readonly notifyPeer?: (notices: CrashNotices) => Promise<void>;
+  readonly heldBytes?: HeldByteLimits;
   /** Whether a leader confirms the site document; true by default. */
   readonly isConfirmed?: boolean;
 }
@@ -146,6 +153,7 @@
       siteAgeMs: zero,
       activeNodes: zero,
       droppedLines: zero,
+      heldBytes: () => this.heldBytes,
       pools: () => this.gateway?.poolGauges() ?? [],
     });
     return this.metrics.text();
@@ -156,6 +164,11 @@
     return this.takeLoads().reduce((sum, load) => sum + load.arrivals, 0);
   }
 
+  /** Resolves when no response is in progress, or after `ms`. */
+  waitUntilIdle(ms: number): Promise<void> | undefined {
+    return this.server?.waitUntilIdle(ms);
+  }
+
   /** Aborts the responses in progress, as at the end of the process. */
   abortResponses(): void {
     this.server?.abortResponses();
@@ -167,6 +180,38 @@
     this.servers[target]?.closeAllConnections();
   }
 
+  /** Bytes of responses that the gateway holds. */
+  get heldBytes(): number {
+    return this.gateway?.heldBytes.total ?? 0;
+  }
+
+  /** Resolves once a value stays the same for a while. */
+  async untilStill(read: () => number): Promise<void> {
+    let last = -1;
+    await eventually('no change', async () => {
+      const isSame = read() === last && last > 0;
+      last = read();
+      return isSame;
+    });
+  }
+
+  /** Sends a request, and reads nothing of its response. */
+  async openSlowly(path: string): Promise<net.Socket> {
+    const socket = net.connect(this.port, '127.0.0.1');
+    await once(socket, 'connect');
+    socket.pause();
+    const head = `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\n`;
+    socket.write(
+      `${head}X-Attempt-Id: a${this.nextId++}\r\nContent-Length: 0\r\n\r\n`
+    );
+    return socket;
+  }
+
+  /** Closes all connections of the targets. */
+  closeTargets(): void {
+    for (const server of this.servers) server.closeAllConnections();
+  }
+
   async close(): Promise<void> {
     this.abortResponses();
     this.server?.close();
@@ -336,6 +381,7 @@
       },
       availabilityZone: 'a',
       maxSiteAgeMs: 1_900,
+      heldBytes: this.cluster.heldBytes ?? DEFAULT_HELD_BYTES,
       logger: this.log.logger,
       metrics,
       random: Math.random,
