Reject check-ins and documents whose values mean nothing

Operators saw: one check-in with port 99999 ended the leader and its successor; numbers near 2^53 stopped nodes; a document with an unknown service beside a split was accepted. Cause: addresses and numbers of a check-in had no range; the call to such a rank threw in a promise that nobody handled. A service beside a split was not looked up. Change: ranges at the edge, 400 with the name of the field; records beyond them are ignored in the table; an impossible address is the outcome of its call, and responses of ranks are bounded. Decoding tells the problem, so two checks of controlCalls.spec read `ok` in place of undefined. acknowledgedDeparture.spec gets addresses of its own: it shared three with crashingPart.spec and failed beside it in a run of all tests.

--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -4,7 +4,9 @@
  */
 
 import type {Departure} from '../control/state/departureState';
+import {parseHostPort} from '../core/hostPort';
 import type {TargetRecord} from '../site/announcement';
+import {MAX_SLOTS} from '../site/announcement';
 
 /**
  * Records of gone and silent targets are kept this long, so that late
@@ -66,8 +68,9 @@
       .map(({record}) => record);
   }
 
-  /** Merges one record; false when a newer one is known. */
+  /** Merges one record; false when a newer one is known, or it names no address. */
   merge(announced: TargetRecord, nowMs: number): boolean {
+    if (!isSound(announced)) return false;
     const record = this.withDeparture(announced);
     const known = this.entries.get(record.id);
     if (known !== undefined && !isNewer(record, known.record)) return false;
@@ -89,6 +92,7 @@
 
   /** Merges a record of the leader's table, unless a newer one is known. */
   mergeShared(shared: TargetRecord, nowMs: number): void {
+    if (!isSound(shared)) return;
     const record = this.withDeparture(shared);
     const known = this.entries.get(record.id)?.record;
     if (known !== undefined) {
@@ -192,6 +196,11 @@
   }
 }
 
+/** A node of an older version may have accepted values that can't be used. */
+function isSound({address, slots}: TargetRecord): boolean {
+  return parseHostPort(address) !== undefined && slots <= MAX_SLOTS;
+}
+
 /**
  * A boot that has left, or drains, never becomes ready again: a late
  * announcement must not bring it back.
--- a/src/gateway/probeTarget.ts
+++ b/src/gateway/probeTarget.ts
@@ -1,6 +1,7 @@
 /** Tells whether a process listens at the address of a target. */
 
 import net from 'node:net';
+import {parseHostPort} from '../core/hostPort';
 
 /** What the address of a target shows of its process. */
 export type TargetStatus =
@@ -15,9 +16,10 @@
 
 /** Connects to HOST:PORT and closes the connection at once; never rejects. */
 export function probeTarget(address: string): Promise<TargetStatus> {
-  const [host, port] = address.split(':');
+  const hostPort = parseHostPort(address);
+  if (hostPort === undefined) return Promise.resolve('unknown');
   return new Promise(resolve => {
-    const socket = net.connect({host, port: Number(port)});
+    const socket = net.connect(hostPort);
     const settle = (status: TargetStatus) => {
       clearTimeout(timer);
       socket.destroy();
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -142,8 +142,10 @@
    */
   private async announce(id: string, text: string): Promise<Reply> {
     const {node, codec} = this.parts;
-    const announcement = codec.decodeAnnouncement(id, text);
-    if (announcement === undefined) return INVALID_ANNOUNCEMENT;
+    const decoded = codec.decodeAnnouncement(id, text);
+    if (!decoded.ok)
+      return {status: 400, body: JSON.stringify({error: decoded.problem})};
+    const {announcement} = decoded;
     node.handleAnnouncement(announcement);
     const {state} = announcement;
     return state === 'draining'
@@ -302,7 +304,3 @@
   body: '{"error":"no such service"}',
 };
 const NOT_FOUND: Reply = {status: 404, body: '{"error":"no such call"}'};
-const INVALID_ANNOUNCEMENT: Reply = {
-  status: 400,
-  body: '{"error":"not understood"}',
-};
--- a/src/ports/controlPort.ts
+++ b/src/ports/controlPort.ts
@@ -1,6 +1,6 @@
 /** Interface through which targets announce themselves and operators configure. */
 
-import type {TargetAnnouncement} from '../site/announcement';
+import type {DecodedAnnouncement} from '../site/announcement';
 import type {DecodedSite} from '../site/site';
 
 /** A call at the control address. */
@@ -34,6 +34,5 @@
   /** Undefined if the method and URL match no call. */
   readCall(method: string, url: string): ControlCall | undefined;
   decodeSite(text: string): DecodedSite;
-  /** Undefined when the text is not a valid announcement. */
-  decodeAnnouncement(id: string, text: string): TargetAnnouncement | undefined;
+  decodeAnnouncement(id: string, text: string): DecodedAnnouncement;
 }
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -2,6 +2,8 @@
 
 import type {IncomingMessage} from 'node:http';
 import http from 'node:http';
+import {parseHostPort} from '../core/hostPort';
+import {limitInterimResponses} from '../core/interimResponses';
 import type {RankCall} from '../ports/rankPort';
 
 /** HTTP response of a rank. */
@@ -18,26 +20,35 @@
   response: {readonly res: IncomingMessage; readonly sentAtMs: number}
 ) => void;
 
-/** Resolves with undefined on an error, or without a response in time. */
+/** The lists and counts of a rank with thousands of experts. */
+const MAX_RESPONSE_BYTES = 4 << 20;
+
+/** Resolves with undefined on an error, or without a sound response in time. */
 export function callRank(
   address: string,
   call: RankCall,
   timeoutMs: number,
   onResponse: OnRankResponse
 ): Promise<RankAnswer | undefined> {
+  const hostPort = parseHostPort(address);
+  if (hostPort === undefined) return Promise.resolve(undefined);
   return new Promise(resolve => {
-    const [host, port] = address.split(':');
     const {method, path, body = ''} = call;
     const headers = {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
     };
     const sentAtMs = performance.now();
-    const options = {host, port: Number(port), method, path, headers};
+    const options = {...hostPort, method, path, headers};
     const req = http.request({...options, agent: false}, res => {
       onResponse(address, {res, sentAtMs});
       const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let bytes = 0;
+      res.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > MAX_RESPONSE_BYTES) finish(undefined);
+        else chunks.push(chunk);
+      });
       res.on('error', () => finish(undefined));
       res.on('end', () => {
         const text = Buffer.concat(chunks).toString('utf8');
@@ -46,6 +57,7 @@
         finish(complete ? {status, text, tookMs} : undefined);
       });
     });
+    limitInterimResponses(req, () => finish(undefined));
     const timer = setTimeout(() => finish(undefined), timeoutMs);
     const finish = (answer: RankAnswer | undefined) => {
       clearTimeout(timer);
--- a/src/site/announcement.ts
+++ b/src/site/announcement.ts
@@ -12,6 +12,9 @@
   readonly open: boolean;
 }
 
+/** Concurrent requests of one target; far beyond any that can be served. */
+export const MAX_SLOTS = 100_000;
+
 /** One announcement; a later one of the same boot replaces it. */
 export interface TargetAnnouncement {
   readonly id: string;
@@ -31,6 +34,11 @@
   readonly group?: GroupMembership;
 }
 
+/** Result of decoding an announcement; `problem` names the field. */
+export type DecodedAnnouncement =
+  | {readonly ok: true; readonly announcement: TargetAnnouncement}
+  | {readonly ok: false; readonly problem: string};
+
 /** A target as nodes share it: its last announcement, or that it is lost. */
 export type TargetRecord = Omit<TargetAnnouncement, 'state'> & {
   readonly state: 'ready' | 'draining' | 'silent' | 'gone';
--- a/tests/platform/acknowledgedDeparture.spec.ts
+++ b/tests/platform/acknowledgedDeparture.spec.ts
@@ -8,7 +8,7 @@
 import {Nodes, call} from '../fixtures/nodeCluster';
 import {eventually} from '../fixtures/testSystem';
 
-const IPS = ['127.0.0.41', '127.0.0.42', '127.0.0.43'] as const;
+const IPS = ['127.0.0.61', '127.0.0.62', '127.0.0.63'] as const;
 const OK = 200;
 const UNAVAILABLE = 503;
 const HOST = 'leaving.example';
--- a/tests/platform/controlCalls.spec.ts
+++ b/tests/platform/controlCalls.spec.ts
@@ -58,7 +58,8 @@
 
   it('should decode the announcement of a rank of a group', () => {
     const text = JSON.stringify(ANNOUNCEMENT);
-    expect(CONTROL_CODEC.decodeAnnouncement('i-1', text)).toEqual({
+    const decoded = CONTROL_CODEC.decodeAnnouncement('i-1', text);
+    expect(decoded.ok && decoded.announcement).toEqual({
       id: 'i-1',
       bornMs: 1_700_000_000_000,
       sequence: 4,
@@ -84,6 +85,33 @@
     ['no address', JSON.stringify({...ANNOUNCEMENT, address: undefined})],
     ['a fractional start time', JSON.stringify({...ANNOUNCEMENT, born: 1.5})],
   ])('should ignore an announcement with %s', (_what, text) => {
-    expect(CONTROL_CODEC.decodeAnnouncement('i-1', text)).toBeUndefined();
+    expect(CONTROL_CODEC.decodeAnnouncement('i-1', text).ok).toBe(false);
+  });
+
+  // One such check-in ended the leader, and then its successor.
+  it.each([
+    ['a port out of range', 'address', {address: '10.0.0.9:99999'}],
+    ['port 0', 'address', {address: '10.0.0.9:0'}],
+    ['an impossible address', 'address', {address: '10.0.0.999:80'}],
+    [
+      'the most slots a number holds',
+      'slots',
+      {slots: Number.MAX_SAFE_INTEGER},
+    ],
+    ['a cold start of years', 'coldRemainingMs', {coldRemainingMs: 1e15}],
+    ['a negative sequence', 'sequence', {sequence: -1}],
+    ['too many ranks', 'size', {size: Number.MAX_SAFE_INTEGER}],
+    [
+      'an impossible rank',
+      'group.rank',
+      {group: {...ANNOUNCEMENT.group, rank: Number.MAX_SAFE_INTEGER}},
+    ],
+  ])('should reject %s, and name the field', (_what, field, change) => {
+    const text = JSON.stringify({...ANNOUNCEMENT, ...change});
+    const decoded = CONTROL_CODEC.decodeAnnouncement('i-1', text);
+    expect(decoded).toMatchObject({
+      ok: false,
+      problem: expect.stringMatching(`^${field}: `) as string,
+    });
   });
 });
--- a/tests/platform/siteDocument.spec.ts
+++ b/tests/platform/siteDocument.spec.ts
@@ -64,6 +64,18 @@
     ['no version', text({version: undefined})],
     ['a fractional version', text({version: 1.5})],
     ['an unknown service', text({routes: [{...ROUTE, service: 'none'}]})],
+    [
+      'an unknown service beside a split',
+      text({
+        routes: [
+          {
+            ...ROUTE,
+            service: 'none',
+            trafficSplit: [{service: 'llm', weight: 1}],
+          },
+        ],
+      }),
+    ],
     ['no service at all', text({routes: [{...ROUTE, service: undefined}]})],
     [
       'weights of 0',
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -172,7 +172,11 @@
     const service = new LeaderService({
       replica: () => ({leads: true, current: {log, state}}),
       directory: {noteContact: () => undefined},
-      coordinator: {reset: () => undefined, sync: () => syncState()},
+      coordinator: {
+        reset: () => undefined,
+        applyDepartures: () => undefined,
+        sync: () => syncState(),
+      },
       site: () => undefined,
       nowMs: () => nowMs,
     } as never);
