Answer no stray bytes while a whole request is in progress

Callers saw: 400, or 408 once a head is late, on a connection whose request was running; both came from Node, for the bytes after it, and 408 promises that nothing has run. Change: such bytes close the connection while a whole request is in progress there. A request whose own body is malformed is not sent on, and still gets 400.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -2,8 +2,10 @@
 
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import {Subscription, interval} from 'rxjs';
 import type {Gateway} from './gateway';
+import {clientErrorStatus} from '../core/clientErrorStatus';
 import {abortResponse} from '../core/responseEnd';
 import {serveRequest} from './serveRequest';
 
@@ -31,6 +33,9 @@
       {maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000},
       (req, res) => void this.serve(req, res)
     );
+    this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
+      this.handleClientError(err, socket)
+    );
     this.server.keepAliveTimeout = DEFAULT_IDLE_TIMEOUT_MS;
     this.server.headersTimeout = DEFAULT_HEADER_TIMEOUT_MS;
     this.server.requestTimeout = 0;
@@ -95,6 +100,21 @@
     else await serveRequest(this.gateway, req, res);
   }
 
+  /**
+   * Answers bytes that are no request, or a head that is late. After a whole request that
+   * is in progress, its caller would take that for the answer to it, and it may have run.
+   */
+  private handleClientError(err: NodeJS.ErrnoException, socket: Duplex): void {
+    const isInProgress = [...this.activeResponses].some(
+      res => res.socket === socket && res.req.complete
+    );
+    if (isInProgress || !socket.writable) socket.destroy();
+    else
+      socket.end(
+        `HTTP/1.1 ${clientErrorStatus(err.code)}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`
+      );
+  }
+
   private refuseAsStopping(res: http.ServerResponse): void {
     const refusal = {kind: 'stopping', retryInMs: STOPPING_RETRY_MS} as const;
     const response = this.gateway.parts.callers.refuse(refusal);
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -279,8 +279,13 @@
     return this.callRaw(`POST ${path} HTTP/1.0`, ['Content-Length: 0']);
   }
 
-  /** Sends a request as these bytes, and reads until the connection closes. */
-  callRaw(requestLine: string, headers: readonly string[] = [], body = '') {
+  /** Sends a request as these bytes, then `laterBytes` once it resolves, and reads until the connection closes. */
+  callRaw(
+    requestLine: string,
+    headers: readonly string[] = [],
+    body = '',
+    laterBytes?: Promise<string>
+  ) {
     const lines = [
       requestLine,
       'Host: a.example',
@@ -289,7 +294,7 @@
       ...headers,
     ];
     const bytes = `${lines.join('\r\n')}\r\n\r\n${body}`;
-    return readUntilClosed(this.port, bytes);
+    return readUntilClosed(this.port, bytes, laterBytes);
   }
 
   private async addTarget(target: number, handler: Handler): Promise<void> {
--- a/tests/platform/spoiledResponses.spec.ts
+++ b/tests/platform/spoiledResponses.spec.ts
@@ -116,6 +116,25 @@
   });
 });
 
+describe('bytes that are no request, after one in progress', () => {
+  // Node answers them with 400, or 408 once a head is late, and the caller took that for
+  // the answer to the request that ran.
+  it.each([
+    ['garbage', 'no request\r\n\r\n'],
+    ['a head that is never whole', 'POST /once/x HTTP/1.1\r\nHost: a'],
+  ])('should get no answer: %s', async (_name, bytes) => {
+    let begin: (bytes: string) => void = () => undefined;
+    const isRunning = new Promise<string>(resolve => (begin = resolve));
+    fixture = await GatewayFixture.start([() => begin(bytes)], {
+      timeoutMs: 10_000,
+    });
+    const line = 'POST /once/x HTTP/1.1';
+    const headers = ['Content-Length: 0'];
+    const {text} = await fixture.callRaw(line, headers, '', isRunning);
+    expect(text).toBe('');
+  });
+});
+
 describe('an exception while a request is served', () => {
   // "Not run" was the default until an attempt had ended; an exception before that made
   // it a false promise.
