--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -7,6 +7,8 @@
 
 /** An event holds a few tokens; one without end is cut off. */
 const MAX_EVENT_CHARS = 1 << 20;
+/** Comments between two events, which keep a connection alive. */
+const MAX_COMMENT_CHARS = 64 << 10;
 
 /** How the response stream of one target ended. */
 export type RelayEnd =
@@ -49,7 +51,7 @@
       }
       if (parser.pendingChars > MAX_EVENT_CHARS)
         return broken(res, 'event over the bound');
-      if (commentChars > MAX_EVENT_CHARS)
+      if (commentChars > MAX_COMMENT_CHARS)
         return broken(res, 'comments over the bound');
     }
   } catch (err) {
