Count no response as in progress after its connection has closed

Cause: since a response counts until its connection has it, one that is queued behind another was kept for good when the caller left: it gets no close event of its own. A stopping process waited for it, and the set of responses grew.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -93,8 +93,15 @@
     res: http.ServerResponse
   ): Promise<void> {
     this.activeResponses.add(res);
-    // A response that was written may still be on its way to a slow reader.
-    res.once('close', () => this.activeResponses.delete(res));
+    const {socket} = req;
+    const onClose = () => {
+      this.activeResponses.delete(res);
+      socket.off('close', onClose);
+    };
+    // A response that was written may still be on its way to a slow reader. One that is
+    // queued behind another gets no event of its own when their connection closes.
+    res.once('close', onClose);
+    socket.once('close', onClose);
     if (this.draining) res.shouldKeepAlive = false;
     if (this.refusesRequests) this.refuseAsStopping(res);
     else await serveRequest(this.gateway, req, res);
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -195,15 +195,16 @@
     });
   }
 
-  /** Sends a request, and reads nothing of its response. */
-  async openSlowly(path: string): Promise<net.Socket> {
+  /** Sends requests at once, and reads nothing of their responses. */
+  async openSlowly(path: string, count = 1): Promise<net.Socket> {
     const socket = net.connect(this.port, '127.0.0.1');
     await once(socket, 'connect');
     socket.pause();
     const head = `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\n`;
-    socket.write(
-      `${head}X-Attempt-Id: a${this.nextId++}\r\nContent-Length: 0\r\n\r\n`
-    );
+    for (let i = 0; i < count; i++)
+      socket.write(
+        `${head}X-Attempt-Id: a${this.nextId++}\r\nContent-Length: 0\r\n\r\n`
+      );
     return socket;
   }
 
--- a/tests/platform/responseEnd.spec.ts
+++ b/tests/platform/responseEnd.spec.ts
@@ -131,6 +131,20 @@
 
 // Such a response ends with its connection, and a caller takes it for whole unless the
 // connection is reset.
+describe('requests of a caller that sent several at once and left', () => {
+  // The response that is queued behind another got no event when the connection closed,
+  // and counted as in progress for good.
+  it('should not keep a stopping process', async () => {
+    let begin: () => void = () => undefined;
+    const isRunning = new Promise<void>(resolve => (begin = resolve));
+    fixture = await GatewayFixture.start([() => begin()]);
+    const caller = await fixture.openSlowly('/once/x', 2);
+    await isRunning;
+    caller.destroy();
+    await fixture.waitUntilIdle(60_000);
+  });
+});
+
 describe('a response to the caller whose end nothing marks', () => {
   const INSIDE_EVENT = `${EVENT}id: 2\nda`;
 
