--- a/tests/rankClient.spec.ts
+++ b/tests/rankClient.spec.ts
@@ -2,7 +2,7 @@
 import {probeTarget} from '../src/gateway/probeTarget';
 import {runCleanups, startScriptedServer} from './fixtures/targets';
 
-const CALL = {method: 'GET', path: '/-/report'} as const;
+const CALL = {method: 'GET', path: '/state'} as const;
 const TIMEOUT_MS = 2_000;
 const ignore = () => undefined;
 
