Make a body cost its bytes, not its chunks

Callers saw: connections refused, since the node had ended. Cause: each chunk was kept as a Buffer until the end of its body, in eight loops of the same form; a chunk of one byte takes some hundred on the heap, which no limit counted. A body that is passed on without being kept waited in the writable streams in the same way.

Change: one reader, which copies into blocks of 64 KiB, for requests at all ports and for responses of targets, ranks, agents and nodes; a first chunk that is the whole body is not copied. Bodies that are passed on are written in larger parts. Ruled out: doubling one buffer, which left as much garbage as the body has; and the memory of evicted bodies, which a listener kept through its scope, is given up at once.

The chunks also took the processor: 10 bodies of 1 MiB in chunks of one byte made an ordinary request wait for 0.5 to 0.9 s. Pausing a connection from a microtask did not hold: the request resumes it after each chunk of what was read already.

--- a/src/agent/serveDispatch.ts
+++ b/src/agent/serveDispatch.ts
@@ -1,6 +1,7 @@
 /** Serves one dispatch, from its admission to the end of its response. */
 
 import http, {IncomingMessage, ServerResponse} from 'node:http';
+import {ByteBuffer} from '../core/byteBuffer';
 import {framingOf} from '../core/bodyFraming';
 import {CancelSignal, Cancellation} from '../core/cancellation';
 import type {RecordedAnswer} from '../core/claims';
@@ -112,8 +113,7 @@
 /** One request at the target, up to the release of its slot. */
 class Exchange {
   private readonly startedAtMs = performance.now();
-  private readonly recorded: Buffer[] = [];
-  private recordedBytes = 0;
+  private readonly recorded = new ByteBuffer();
   private isStream = false;
   private isPrefilling = false;
   private lastTokenAtMs: number | undefined;
@@ -278,11 +278,10 @@
   private record(chunk: Buffer): void {
     if (
       this.claimId === undefined ||
-      this.recordedBytes > MAX_RECORDED_BODY_BYTES
+      this.recorded.length > MAX_RECORDED_BODY_BYTES
     )
       return;
-    this.recordedBytes += chunk.length;
-    this.recorded.push(chunk);
+    this.recorded.append(chunk);
   }
 
   private onResponseComplete(response: IncomingMessage): void {
@@ -300,11 +299,11 @@
   private answerForRecord(
     response: IncomingMessage
   ): RecordedAnswer | undefined {
-    if (this.recordedBytes > MAX_RECORDED_BODY_BYTES) return undefined;
+    if (this.recorded.length > MAX_RECORDED_BODY_BYTES) return undefined;
     return {
       status: response.statusCode ?? 502,
       headers: headerPairs(endToEndHeaders(response.rawHeaders)),
-      bodyBase64: Buffer.concat(this.recorded).toString('base64'),
+      bodyBase64: this.recorded.bytes().toString('base64'),
       ...endMarkOf(response),
     };
   }
--- a/src/cli/quarantineCommand.ts
+++ b/src/cli/quarantineCommand.ts
@@ -8,7 +8,7 @@
 } from '../../platform/controlCalls';
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import {QUARANTINE_LIST} from '../cluster/quarantineMessages';
-import {readText} from '../core/readText';
+import {readText} from '../core/readBody';
 import {EXIT_CODES} from './exitCodes';
 import {UsageError, runReportingErrors} from './runCommand';
 import {formatTable} from './table';
@@ -136,7 +136,7 @@
       {host, port, method, path, agent: false, timeout: TIMEOUT_MS},
       res => {
         const status = res.statusCode ?? 0;
-        readText(res, MAX_BODY_BYTES).then(
+        readText(res, {maxBytes: MAX_BODY_BYTES}).then(
           body => resolve({status, body}),
           reject
         );
--- a/src/cluster/rpcClient.ts
+++ b/src/cluster/rpcClient.ts
@@ -5,6 +5,7 @@
 import type {JSONRPCResponse} from 'json-rpc-2.0';
 import type {PeerFault} from '../core/errors';
 import {PeerError} from '../core/errors';
+import {readText} from '../core/readBody';
 
 /**
  * Idle connections close after this. Longer than the interval between two
@@ -14,6 +15,8 @@
 /** Concurrent calls to one node; the log alone may have a few in flight. */
 const MAX_SOCKETS_PER_NODE = 8;
 const HTTP_OK = 200;
+/** Records of all targets, and snapshots of the log in parts, are far smaller. */
+const MAX_REPLY_BYTES = 64 << 20;
 
 /** Calls methods of other nodes by their IP address. */
 export class RpcClient {
@@ -76,17 +79,18 @@
       };
       const options = {host: ip, port, method: 'POST', agent, headers};
       const req = http.request(options, res => {
-        const chunks: Buffer[] = [];
-        res.on('data', (chunk: Buffer) => chunks.push(chunk));
-        res.on('error', err => fail({kind: 'lost'}, err.message));
-        res.on('end', () => {
-          clearTimeout(timer);
-          const {statusCode = 0} = res;
-          if (!res.complete) fail({kind: 'lost'}, 'incomplete response');
-          else if (statusCode !== HTTP_OK)
+        readText(res, {maxBytes: MAX_REPLY_BYTES}).then(
+          text => {
+            clearTimeout(timer);
+            const {statusCode = 0} = res;
+            if (statusCode === HTTP_OK) return resolve(text);
             fail({kind: 'rejected', code: statusCode}, `status ${statusCode}`);
-          else resolve(Buffer.concat(chunks).toString('utf8'));
-        });
+          },
+          (err: unknown) => {
+            fail({kind: 'lost'}, String(err));
+            req.destroy();
+          }
+        );
       });
       const timer = setTimeout(() => {
         fail({kind: 'timeout'}, `no response within ${timeoutMs} ms`);
--- a/src/cluster/rpcServer.ts
+++ b/src/cluster/rpcServer.ts
@@ -5,7 +5,7 @@
 import type {JSONRPCRequest} from 'json-rpc-2.0';
 import type * as z from 'zod';
 import type {Logger} from '../core/logger';
-import {readText} from '../core/readText';
+import {readText} from '../core/readBody';
 
 /** A snapshot of the log arrives in chunks of 1 MiB characters. */
 const MAX_BODY_BYTES = 8 << 20;
@@ -55,7 +55,7 @@
   ): Promise<void> {
     try {
       const request = JSON.parse(
-        await readText(req, MAX_BODY_BYTES)
+        await readText(req, {maxBytes: MAX_BODY_BYTES})
       ) as JSONRPCRequest;
       const response = await this.methods.receive(request);
       res.setHeader('content-type', 'application/json');
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -5,12 +5,12 @@
 
 import http from 'node:http';
 import https from 'node:https';
-import type {Readable} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import type {CancelSignal} from './cancellation';
 import {watchConnection} from './connectionReset';
 import {forwardedFraming} from './bodyFraming';
 import type {RequestFraming} from './bodyFraming';
+import {pipeBody} from './pipeBody';
 import {endToEndHeaders, headerPairs, withFraming} from './httpHeaders';
 import {limitInterimResponses} from './interimResponses';
 import {responseHeadProblem} from './responseHead';
@@ -116,6 +116,7 @@
     req.end(body);
     return;
   }
+  pipeBody(body, req);
   body.on('end', () => {
     const trailers = trailersOf(body);
     if (trailers.length > 0) req.addTrailers(trailers);
@@ -127,7 +128,6 @@
     if (!body.readableEnded)
       req.destroy(new Error('the caller broke off the body'));
   });
-  body.pipe(req, {end: false});
 }
 
 /** How relaying the body of a response ended. */
@@ -144,6 +144,7 @@
 ): Promise<BodyEnd> {
   return new Promise(resolve => {
     if (onChunk !== undefined) source.on('data', onChunk);
+    pipeBody(source, sink);
     source.on('end', () => {
       if (!source.complete) return resolve('source cut');
       const trailers = trailersOf(source);
@@ -155,25 +156,9 @@
       if (!source.readableEnded) resolve('source cut');
     });
     sink.on('close', () => resolve('sink closed'));
-    source.pipe(sink, {end: false});
   });
 }
 
-/** Reads a whole body; undefined when it exceeds `maxBytes`. */
-export async function readBody(
-  source: Readable,
-  maxBytes: number
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of source as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** Whether a request has a body. */
 export function hasBody(req: http.IncomingMessage): boolean {
   const length = req.headers['content-length'];
--- a/src/entry/chat/chatUsage.ts
+++ b/src/entry/chat/chatUsage.ts
@@ -1,6 +1,7 @@
 /** Reads the output tokens of a chat completion that is not streamed. */
 
 import * as z from 'zod';
+import {ByteBuffer} from '../../core/byteBuffer';
 
 /** A larger response is not parsed, so its tokens are not counted. */
 const MAX_PARSED_BYTES = 1024 * 1024;
@@ -11,17 +12,17 @@
 
 /** Collects the body of a response while it is relayed. */
 export class ChatUsage {
-  private chunks: Buffer[] = [];
+  private body = new ByteBuffer();
   private size = 0;
 
   addChunk(chunk: Buffer): void {
     this.size += chunk.length;
-    if (this.size <= MAX_PARSED_BYTES) this.chunks.push(chunk);
+    if (this.size <= MAX_PARSED_BYTES) this.body.append(chunk);
   }
 
   /** Discards what was collected, before another target's response. */
   reset(): void {
-    this.chunks = [];
+    this.body = new ByteBuffer();
     this.size = 0;
   }
 
@@ -29,7 +30,7 @@
   completionTokens(): number {
     if (this.size > MAX_PARSED_BYTES) return 0;
     try {
-      const body: unknown = JSON.parse(Buffer.concat(this.chunks).toString());
+      const body: unknown = JSON.parse(this.body.bytes().toString());
       return COMPLETION.parse(body).usage.completion_tokens;
     } catch {
       return 0;
--- a/src/entry/chat/relayResponse.ts
+++ b/src/entry/chat/relayResponse.ts
@@ -6,6 +6,7 @@
  */
 
 import type {Readable, Writable} from 'node:stream';
+import {ByteBuffer} from '../../core/byteBuffer';
 import type {CancelSignal} from '../../core/cancellation';
 import {abortResponse} from '../../core/responseEnd';
 
@@ -92,7 +93,7 @@
 
 /** Holds back the head and first bytes of a response, up to `maxHeldBytes`. */
 class HeldResponse<S extends ResponseSource> {
-  private held: Buffer[] = [];
+  private held = new ByteBuffer();
   private size = 0;
   released = false;
 
@@ -105,7 +106,7 @@
   pass(chunk: Buffer): boolean {
     this.size += chunk.length;
     if (!this.released && this.size <= this.relay.maxHeldBytes) {
-      this.held.push(chunk);
+      this.held.append(chunk);
       return true;
     }
     this.release();
@@ -116,7 +117,8 @@
     if (this.released) return;
     this.released = true;
     this.relay.writeHead(this.source);
-    for (const chunk of this.held.splice(0)) this.relay.caller.write(chunk);
+    if (this.held.length > 0) this.relay.caller.write(this.held.bytes());
+    this.held = new ByteBuffer();
   }
 }
 
--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -151,14 +151,11 @@
   // Sent only after the checks above, so that a refused caller sends no body.
   if (req.headers.expect !== undefined) res.writeContinue();
   if (isStreamed) return {kind: 'streaming'};
-  const bytes = await readBodyBeforeDeadline(
-    req,
-    maxBodyBytes,
+  const bytes = await readBodyBeforeDeadline(req, {
+    maxBytes: maxBodyBytes,
     progress,
-    entryId
-  );
-  if (bytes === undefined)
-    throw refuse('body-too-large', 'classify', entryId, tooLarge);
+    entryId,
+  });
   return {kind: 'buffered', bytes};
 }
 
--- a/src/entry/readBodyBeforeDeadline.ts
+++ b/src/entry/readBodyBeforeDeadline.ts
@@ -2,41 +2,46 @@
 
 import type {IncomingMessage} from 'node:http';
 import type {CallContext} from '../core/callContext';
+import {unreachable} from '../core/errors';
+import {readBody} from '../core/readBody';
+import type {BodyRoom} from '../core/readBody';
 import {refuse} from '../core/refusal';
-import {readBody} from '../core/upstream';
 
-/**
- * Resolves like `readBody`; rejects with a RefusalError when the body is late
- * or breaks off. Without the timeout, a body that never ends would keep its
- * request and the bytes received so far in memory for as long as the caller
- * likes.
- */
+/** Bounds of a caller's body at an entry. */
+export interface CallerBodyLimits {
+  readonly maxBytes: number;
+  readonly progress: CallContext;
+  readonly entryId: string;
+  readonly room?: BodyRoom;
+}
+
+/** Rejects with a RefusalError when the body is late, too large or breaks off. */
 export async function readBodyBeforeDeadline(
   req: IncomingMessage,
-  maxBytes: number,
-  progress: CallContext,
-  entryId: string
-): Promise<Buffer | undefined> {
-  let timer: NodeJS.Timeout | undefined;
-  const timeout = new Promise<never>((_, reject) => {
-    timer = setTimeout(
-      () =>
-        reject(
-          refuse('body-timeout', 'classify', entryId, 'the body did not end')
-        ),
-      progress.remainingMs()
-    );
-  });
-  const read = readBody(req, maxBytes).catch((err: unknown) => {
-    const detail = `the body broke off: ${String(err)}`;
-    throw refuse('malformed-request', 'classify', entryId, detail);
-  });
-  // After a timeout this promise is still pending. It settles when the
-  // connection closes, and its error is ignored.
-  read.catch(() => undefined);
-  try {
-    return await Promise.race([read, timeout]);
-  } finally {
-    clearTimeout(timer);
+  {maxBytes, progress, entryId, room}: CallerBodyLimits
+): Promise<Buffer> {
+  const timeoutMs = progress.remainingMs();
+  const read = await readBody(req, {maxBytes, room, timeoutMs});
+  switch (read.kind) {
+    case 'whole':
+      return read.body;
+    case 'tooLarge': {
+      const detail = `more than ${maxBytes} bytes`;
+      throw refuse('body-too-large', 'classify', entryId, detail);
+    }
+    case 'noRoom': {
+      const detail = 'no memory is free for the body';
+      throw refuse('overloaded', 'classify', entryId, detail);
+    }
+    case 'cut': {
+      const detail = 'the body broke off';
+      throw refuse('malformed-request', 'classify', entryId, detail);
+    }
+    case 'stopped': {
+      const detail = 'the body did not end';
+      throw refuse('body-timeout', 'classify', entryId, detail);
+    }
+    default:
+      return unreachable(read);
   }
 }
--- a/src/entry/serveOnce.ts
+++ b/src/entry/serveOnce.ts
@@ -16,7 +16,7 @@
 import {endToEndHeaders, headerPairs, withHeaders} from '../core/httpHeaders';
 import {RefusalError} from '../core/refusal';
 import {leaveEndUnmarked} from '../core/responseEnd';
-import {readBody} from '../core/upstream';
+import {readBody} from '../core/readBody';
 import {
   ClaimRequest,
   LookupRequest,
@@ -221,10 +221,8 @@
     {answer, report}: Extract<AttemptOutcome, {kind: 'answered'}>,
     peer: string
   ): Promise<OnceEvent> {
-    const body = await readBody(answer, MAX_RESPONSE_BYTES).catch(
-      () => undefined
-    );
-    if (body === undefined || !answer.complete) {
+    const read = await readBody(answer, {maxBytes: MAX_RESPONSE_BYTES});
+    if (read.kind !== 'whole') {
       const detail = 'the answer broke off';
       return {
         kind: 'refused',
@@ -234,7 +232,7 @@
     const recorded: RecordedAnswer = {
       status: answer.statusCode ?? 502,
       headers: headerPairs(endToEndHeaders(answer.rawHeaders)),
-      bodyBase64: body.toString('base64'),
+      bodyBase64: read.body.toString('base64'),
       ...(report.endUnmarked === true ? {endUnmarked: true} : {}),
     };
     return {kind: 'answered', answer: recorded};
--- a/src/gateway/heldBytes.ts
+++ b/src/gateway/heldBytes.ts
@@ -25,12 +25,12 @@
   open(): HeldResponse {
     let bytes = 0;
     return {
-      add: count => {
-        const {perResponse, total} = this.limits;
-        if (bytes + count > perResponse || this.held + count > total)
-          return false;
-        bytes += count;
-        this.held += count;
+      maxBytes: this.limits.perResponse,
+      grow: newBytes => {
+        const held = this.held + newBytes - bytes;
+        if (held > this.limits.total) return false;
+        this.held = held;
+        bytes = newBytes;
         return true;
       },
       release: () => {
@@ -43,8 +43,10 @@
 
 /** The account of one response. */
 export interface HeldResponse {
-  /** Counts bytes that are to be held; false if they exceed a bound. */
-  add(bytes: number): boolean;
+  /** Bound of this response, bytes. */
+  readonly maxBytes: number;
+  /** Counts what is to be held of it in all, bytes; false if that exceeds the bound of all. */
+  grow(bytes: number): boolean;
   /** Ends the account; safe to call twice. */
   release(): void;
 }
--- a/src/gateway/relayLargeBody.ts
+++ b/src/gateway/relayLargeBody.ts
@@ -16,7 +16,7 @@
   readonly res: IncomingMessage;
   readonly head: RelayableHead;
   /** What was read of the body. */
-  readonly begun: readonly Buffer[];
+  readonly begun: Buffer;
   readonly targetId: string;
   /** Time until it was known to be large, milliseconds. */
   readonly latencyMs: number;
@@ -55,12 +55,12 @@
   source: IncomingMessage,
   caller: ServerResponse,
   head: RelayableHead,
-  begun: readonly Buffer[]
+  begun: Buffer
 ): Promise<BodyEnd> {
   if (caller.destroyed) return 'sink closed';
   if (source.destroyed) return 'source cut';
   if (!head.isEndMarked) leaveEndUnmarked(caller);
   caller.writeHead(head.status, [...head.headers]);
-  for (const chunk of begun) caller.write(chunk);
+  if (begun.length > 0) caller.write(begun);
   return relayBody(source, caller);
 }
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -7,6 +7,7 @@
 import type {ClusterView} from '../cluster/clusterView';
 import {hasUnknownCoding} from '../core/bodyFraming';
 import {unreachable} from '../core/errors';
+import {readBody} from '../core/readBody';
 import {abortResponse} from '../core/responseEnd';
 import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
 import {restRetryMs} from '../policy/admission/restRetry';
@@ -14,7 +15,6 @@
 import type {GatewayRefusal} from '../ports/callerPort';
 import {admitRequest} from './admitRequest';
 import type {Gateway} from './gateway';
-import {readBody} from './readBody';
 import type {RoutedRequest} from './requestState';
 import {RequestState} from './requestState';
 import {requestDigest} from './requestDigest';
@@ -80,27 +80,27 @@
   const {route, service, customer} = routing;
   const urgency = urgencyOf(route.priority, customer?.priority);
   state.startDeadline(Math.min(route.timeoutMs, waitMs));
-  const bodyResult = await readBody(
-    state.req,
-    view.index.site.limits.maxBodyBytes
-  );
-  switch (bodyResult.kind) {
+  const {maxBodyBytes: maxBytes} = view.index.site.limits;
+  const read = await readBody(state.req, {maxBytes});
+  switch (read.kind) {
     case 'tooLarge':
+    case 'noRoom':
       return siteRefusal(gateway, state, view, {kind: 'bodyTooLarge'});
-    case 'gone':
+    case 'cut':
+    case 'stopped':
       return undefined;
-    case 'body':
-      state.digest = requestDigest(state.req, state.caller, bodyResult.body);
+    case 'whole':
+      state.digest = requestDigest(state.req, state.caller, read.body);
       return runUnlessQuarantined(gateway, state, {
         route,
         service,
         customer,
         urgency,
         urgencyRank: gateway.urgencyRank(view.index, service.name, urgency),
-        body: bodyResult.body,
+        body: read.body,
       });
     default:
-      return unreachable(bodyResult);
+      return unreachable(read);
   }
 }
 
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import {unreachable} from '../core/errors';
 import type {Logger} from '../core/logger';
-import {readText} from '../core/readText';
+import {readText} from '../core/readBody';
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
@@ -83,7 +83,7 @@
     const leaving =
       call?.kind === 'leave' ? node.table.find(call.id) : undefined;
     try {
-      const text = await readText(req, MAX_BODY_BYTES);
+      const text = await readText(req, {maxBytes: MAX_BODY_BYTES});
       const {status, body = ''} =
         call === undefined
           ? NOT_FOUND
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import http from 'node:http';
 import {parseHostPort} from '../core/hostPort';
+import {readText} from '../core/readBody';
 import {limitInterimResponses} from '../core/interimResponses';
 import type {RankCall} from '../ports/rankPort';
 
@@ -42,20 +43,13 @@
     const options = {...hostPort, method, path, headers};
     const req = http.request({...options, agent: false}, res => {
       onResponse(address, {res, sentAtMs});
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      res.on('data', (chunk: Buffer) => {
-        bytes += chunk.length;
-        if (bytes > MAX_RESPONSE_BYTES) finish(undefined);
-        else chunks.push(chunk);
-      });
-      res.on('error', () => finish(undefined));
-      res.on('end', () => {
-        const text = Buffer.concat(chunks).toString('utf8');
-        const {statusCode: status = 0, complete} = res;
-        const tookMs = performance.now() - sentAtMs;
-        finish(complete ? {status, text, tookMs} : undefined);
-      });
+      readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(
+        text => {
+          const {statusCode: status = 0} = res;
+          finish({status, text, tookMs: performance.now() - sentAtMs});
+        },
+        () => finish(undefined)
+      );
     });
     limitInterimResponses(req, () => finish(undefined));
     const timer = setTimeout(() => finish(undefined), timeoutMs);
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -1,10 +1,12 @@
 /** JSON-RPC client for calls to a peer process. */
 
+import type {IncomingMessage} from 'node:http';
 import https from 'node:https';
 import {JSONRPCClient, JSONRPCErrorException} from 'json-rpc-2.0';
 import {PeerError, PeerFault} from '../core/errors';
+import {readText} from '../core/readBody';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
-import {PROTOCOL_HEADER, RPC_PATH} from './peerServer';
+import {MAX_MESSAGE_BYTES, PROTOCOL_HEADER, RPC_PATH} from './peerServer';
 import type {PeerTraffic} from './peerTraffic';
 import {clientTls} from './peerTls';
 
@@ -125,25 +127,18 @@
         );
       });
       req.on('response', res => {
-        const chunks: Buffer[] = [];
-        res.on('data', (chunk: Buffer) => chunks.push(chunk));
-        res.on('error', err => fail({kind: 'lost'}, err.message));
-        res.on('end', () => {
-          const text = Buffer.concat(chunks).toString('utf8');
-          this.traffic?.addRecordOverhead('read', text.length);
-          if (res.statusCode === 200) return resolve(text);
-          if (res.statusCode === 426) {
-            const peerVersion = String(res.headers[PROTOCOL_HEADER]);
-            return fail(
-              {kind: 'version', theirs: peerVersion},
-              `peer speaks version ${peerVersion}`
-            );
+        readText(res, {maxBytes: MAX_MESSAGE_BYTES}).then(
+          text => {
+            this.traffic?.addRecordOverhead('read', text.length);
+            const rejection = rejectionOf(res);
+            if (rejection === undefined) resolve(text);
+            else fail(rejection.fault, rejection.detail);
+          },
+          (err: unknown) => {
+            fail({kind: 'lost'}, String(err));
+            req.destroy();
           }
-          return fail(
-            {kind: 'rejected', code: res.statusCode ?? 0},
-            'unexpected status'
-          );
-        });
+        );
       });
       req.end(body);
     });
@@ -163,3 +158,22 @@
     return new PeerError({kind: 'lost'}, step, id, String(err));
   }
 }
+
+/** Why a response holds no reply; undefined if it does. */
+function rejectionOf(
+  res: IncomingMessage
+): {readonly fault: PeerFault; readonly detail: string} | undefined {
+  switch (res.statusCode) {
+    case 200:
+      return undefined;
+    case 426: {
+      const theirs = String(res.headers[PROTOCOL_HEADER]);
+      const detail = `peer speaks version ${theirs}`;
+      return {fault: {kind: 'version', theirs}, detail};
+    }
+    default: {
+      const code = res.statusCode ?? 0;
+      return {fault: {kind: 'rejected', code}, detail: 'unexpected status'};
+    }
+  }
+}
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -8,6 +8,7 @@
 import {PeerError} from '../core/errors';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
+import {readText} from '../core/readBody';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import type {PeerTraffic} from './peerTraffic';
 import {peerIdentity, serverTls} from './peerTls';
@@ -16,7 +17,8 @@
 export const RPC_PATH = '/rpc';
 /** HTTP header with the protocol version of the sender. */
 export const PROTOCOL_HEADER = 'marlpulley-protocol';
-const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+/** Largest message in either direction, bytes. */
+export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
 /**
  * JSON-RPC error codes: the standard one for invalid parameters, and our own
@@ -162,7 +164,7 @@
         .end();
       return;
     }
-    const text = await readBody(req);
+    const text = await readText(req, {maxBytes: MAX_MESSAGE_BYTES});
     const reply = await this.rpc.receiveJSON(text, {
       peer: peerIdentity(req.socket),
     });
@@ -197,15 +199,3 @@
   const detail = err instanceof PeerError ? err.fault : undefined;
   return new JSONRPCErrorException(String(err), RPC_CODES.failed, detail);
 }
-
-async function readBody(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_MESSAGE_BYTES)
-      throw new Error(`message exceeds ${MAX_MESSAGE_BYTES} bytes`);
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -7,6 +7,7 @@
 import {framingOf} from '../core/bodyFraming';
 import {watchConnection} from '../core/connectionReset';
 import {PeerError} from '../core/errors';
+import {readText} from '../core/readBody';
 import type {PeerFault} from '../core/errors';
 
 const MAX_RESPONSE_BYTES = 4 << 20;
@@ -113,7 +114,7 @@
       };
       req.on('error', fail);
       req.on('response', res => {
-        readText(res).then(text => {
+        readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(text => {
           const body = parseJson(text);
           if (body === undefined && mayBeCutJson(res))
             fail(new Error('the JSON of the response is incomplete'));
@@ -134,20 +135,6 @@
   return aborted ? {kind: 'timeout'} : {kind: 'lost'};
 }
 
-async function readText(res: http.IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of res as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > MAX_RESPONSE_BYTES)
-      throw new Error(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`);
-    chunks.push(chunk);
-  }
-  if (!res.complete)
-    throw new Error('the connection closed before the end of the response');
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 /** Whether a body that does not parse may be truncated JSON. */
 function mayBeCutJson(res: http.IncomingMessage): boolean {
   const isJson = res.headers['content-type']?.includes('json') === true;
