Bound what all requests hold by the machine's memory

Callers saw: nodes of 350 MB that took 0.5 GB and more with 100 bodies of 4 MiB, whole or stopped short, at the ports for callers, control and nodes; the platform ends them then. Cause: responses had a bound for all together, request bodies had none.

Bodies that are read, wait or are kept count, and so do held responses; at all ports. When it is full, incomplete bodies are ended with 503, the largest first; what would be larger than all of them is refused; whole ones stay. Callers leave room for operators, both for the other nodes, and bodies over 64 KiB for smaller ones. Ruled out: reserving what Content-Length announces, by which a few clients that send nothing take all.

--- a/bench/fuzz/simulatedNode.ts
+++ b/bench/fuzz/simulatedNode.ts
@@ -16,6 +16,7 @@
 import {unreachable} from '../../src/core/errors';
 import type {Logger} from '../../src/core/logger';
 import {NodeMetrics} from '../../src/core/nodeMetrics';
+import {MemoryAccount} from '../../src/inbound/memoryAccount';
 import {Gateway} from '../../src/gateway/gateway';
 import type {TargetRecord} from '../../src/site/announcement';
 import type {Site, SiteService} from '../../src/site/site';
@@ -93,6 +94,7 @@
       logger: LOGGER,
       metrics: METRICS,
       heldBytes: {perResponse: 0, total: 0},
+      memory: new MemoryAccount(0),
       random,
       node: () => this as unknown as ClusterNode,
     });
--- a/src/agent/agentProcess.ts
+++ b/src/agent/agentProcess.ts
@@ -8,6 +8,7 @@
 import {PeerClient, createPeerHttpsAgent} from '../rpc/peerClient';
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {PeerServer} from '../rpc/peerServer';
+import {createInbound} from '../rpc/createInbound';
 import type {AgentSettings} from '../settings/settings';
 import {ControlSync} from '../sync/controlSync';
 import {createTargetAdapter} from '../target/createTargetAdapter';
@@ -52,15 +53,7 @@
       logger,
       metrics,
     });
-    const server = new PeerServer({
-      host,
-      port: internal.port,
-      secret: internal.key,
-      acceptSecret: internal.acceptKey,
-      logger,
-      metrics,
-      fallback: dispatchHandler(core),
-    });
+    const server = createServer(settings, core);
     server.addMethod(METHODS.fenceClaim, {
       params: fenceClaimRequest,
       handle: request => fenceClaim(core, request),
@@ -191,3 +184,20 @@
     )
     .subscribe(() => core.gate.recheckQueued());
 }
+
+function createServer(
+  {process, internal, machine}: AgentSettings,
+  core: AgentCore
+): PeerServer {
+  const {logger, metrics} = core;
+  return new PeerServer({
+    host: process.host,
+    port: internal.port,
+    secret: internal.key,
+    acceptSecret: internal.acceptKey,
+    logger,
+    metrics,
+    inbound: createInbound(machine, logger, metrics),
+    fallback: dispatchHandler(core),
+  });
+}
--- a/src/cli/controlCommand.ts
+++ b/src/cli/controlCommand.ts
@@ -4,6 +4,7 @@
  */
 
 import {ControlProcess} from '../control/controlProcess';
+import {createInbound} from '../rpc/createInbound';
 import {runRole} from './roleCommand';
 
 const DISK_FAILURE_EXIT_CODE = 1;
@@ -12,6 +13,7 @@
 export function runControl(argv: readonly string[]): Promise<number> {
   return runRole('control', argv, async ({settings, logger, metrics}) => {
     const {process: processSettings, internal, control, data} = settings;
+    const inbound = createInbound(settings.machine, logger, metrics);
     const running = await ControlProcess.start({
       id: processSettings.id,
       host: processSettings.host,
@@ -22,6 +24,7 @@
       dataDir: data.folder,
       logger,
       metrics,
+      inbound,
       // After a failed write the durable state, including the recorded vote, is
       // unknown. The process exits instead of serving from memory.
       onFatal: err => {
--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -98,7 +98,7 @@
       nodeIds: () => this.directory.addresses(),
     });
     this.rpc = new RpcClient(port);
-    this.server = new RpcServer(logger);
+    this.server = new RpcServer(logger, options.inbound);
     this.directory = new NodeDirectory(
       self,
       seeds,
--- a/src/cluster/clusterNodeOptions.ts
+++ b/src/cluster/clusterNodeOptions.ts
@@ -3,6 +3,7 @@
 import type {Logger} from '../core/logger';
 import type {NodeMetrics} from '../core/nodeMetrics';
 import type {IncomingMessage} from 'node:http';
+import type {Inbound} from '../inbound/inbound';
 import type {DecodedSite} from '../site/site';
 import type {TargetNotice} from '../site/targetNotice';
 import type {NodeInfo, ServiceLoad} from './messages';
@@ -24,6 +25,7 @@
   readonly maxSiteAgeMs: number;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
+  readonly inbound: Inbound;
   decodeSite(text: string): DecodedSite;
   /** Undefined for a response of another target than the one that was called. */
   readNotice(res: IncomingMessage): TargetNotice | undefined;
--- a/src/cluster/rpcServer.ts
+++ b/src/cluster/rpcServer.ts
@@ -6,6 +6,7 @@
 import type * as z from 'zod';
 import type {Logger} from '../core/logger';
 import {readText} from '../core/readBody';
+import type {Inbound} from '../inbound/inbound';
 
 /** A snapshot of the log arrives in chunks of 1 MiB characters. */
 const MAX_BODY_BYTES = 8 << 20;
@@ -22,7 +23,10 @@
     void this.answer(req, res);
   });
 
-  constructor(private readonly logger: Logger) {
+  constructor(
+    private readonly logger: Logger,
+    private readonly inbound: Inbound
+  ) {
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MS;
   }
 
@@ -53,16 +57,21 @@
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
+    const room = this.inbound.memory.open('nodes');
     try {
-      const request = JSON.parse(
-        await readText(req, {maxBytes: MAX_BODY_BYTES})
-      ) as JSONRPCRequest;
+      const text = await readText(req, {
+        maxBytes: MAX_BODY_BYTES,
+        room,
+      });
+      const request = JSON.parse(text) as JSONRPCRequest;
       const response = await this.methods.receive(request);
       res.setHeader('content-type', 'application/json');
       res.end(JSON.stringify(response));
     } catch (err) {
       this.logger.warn({step: 'rpc', err: String(err)}, 'RPC request failed');
       res.destroy();
+    } finally {
+      room.release();
     }
   }
 }
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -4,6 +4,7 @@
 import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
+import type {Inbound} from '../inbound/inbound';
 import * as z from 'zod';
 import {METHODS} from '../rpc/messages';
 import {
@@ -52,6 +53,7 @@
   readonly dataDir: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly inbound: Inbound;
   /** Called when the disk can no longer be trusted; the process must exit. */
   readonly onFatal: (err: unknown) => void;
 }
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -19,6 +19,7 @@
   'rules.unproven': 'times the freshness proof ran out',
   'rules.regressed': 'older revisions that were ignored',
   'peer.bytes': 'bytes of the calls between processes, by direction',
+  'client.limited': 'limits of clients that took effect, by port and reason',
   'peer.rejected': 'internal connections or messages refused, by reason',
   'log.elected': 'elections won by this instance',
   'log.synced': 'durable writes',
--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -34,6 +34,8 @@
   droppedLines(): number;
   /** Bytes of responses that are held until they are whole. */
   heldBytes(): number;
+  /** Bytes that requests hold in all: bodies and responses. */
+  requestBytes(): number;
   /** One entry per service. */
   pools(): readonly PoolGauge[];
 }
@@ -88,6 +90,11 @@
     'requests that this node answered itself, by reason',
     ['reason']
   );
+  private readonly limited = this.counter(
+    'marlpulley_client_limits_total',
+    'limits of clients that took effect, by port and reason',
+    ['port', 'reason']
+  );
   private readonly attempts = this.counter(
     'marlpulley_attempts_total',
     'sends to targets, by service and how they ended',
@@ -170,6 +177,11 @@
     this.refusals.inc({reason});
   }
 
+  /** Counts a limit of clients that took effect at a port. */
+  clientLimited(port: string, reason: string): void {
+    this.limited.inc({port, reason});
+  }
+
   attempted(service: string, end: string, tookMs: number): void {
     this.attempts.inc({service, end});
     this.targetTime.observe({service}, tookMs / MS_PER_S);
@@ -260,6 +272,11 @@
       'bytes of responses that are held until they are whole',
       gauges.heldBytes
     );
+    this.gauge(
+      'marlpulley_request_bytes',
+      'bytes that requests hold in all: bodies, and responses until they are whole',
+      gauges.requestBytes
+    );
     this.poolGauge('places', 'places lent to this node', gauges, p => p.places);
     this.poolGauge('in_flight', 'places in use', gauges, p => p.inFlight);
     this.poolGauge('waiting', 'requests that wait', gauges, p => p.waiting);
--- a/src/core/textSchemas.ts
+++ b/src/core/textSchemas.ts
@@ -51,6 +51,19 @@
   );
 }
 
+/** A whole number that may be left empty, which reads as 0. */
+export function integerOrNothing(low: number, high: number) {
+  return textSchema(
+    `0, nothing, or a whole number from ${low} to ${high}`,
+    text => {
+      if (text === '' || text === '0') return 0;
+      return /^\d{1,15}$/.test(text)
+        ? within(Number(text), low, high)
+        : undefined;
+    }
+  );
+}
+
 /** One of a few words. */
 export function oneOf<const T extends readonly string[]>(...words: T) {
   const quoted = words.map(word => `"${word}"`).join(', ');
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,6 +6,7 @@
 import type {Duplex} from 'node:stream';
 import {Refusal, RefusalError, refuse} from '../core/refusal';
 import {sendJson} from '../core/sendJson';
+import type {Inbound} from '../inbound/inbound';
 import type {EntrySettings} from '../settings/settings';
 import {sendClientError} from './sendClientError';
 import {sendRefusal} from './sendRefusal';
@@ -39,14 +40,15 @@
 
   constructor(
     private readonly core: EntryCore,
-    private readonly settings: EntrySettings
+    private readonly settings: EntrySettings,
+    inbound: Inbound
   ) {
     const {callers, customerKeys} = settings;
     const {entryId, random} = core;
     const {customerHeader, maxBodyBytes} = callers;
     this.filters = chain(
       identify({entryId, customerHeader, customerKeys}),
-      classify({entryId, maxBodyBytes, random})
+      classify({entryId, maxBodyBytes, memory: inbound.memory, random})
     );
     const options = {
       maxHeaderSize: callers.maxHeaderBytes,
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -5,6 +5,7 @@
 import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import type {Metrics} from '../core/metrics';
+import {createInbound} from '../rpc/createInbound';
 import {PeerClient, createPeerHttpsAgent} from '../rpc/peerClient';
 import {PeerTraffic} from '../rpc/peerTraffic';
 import {clientTls} from '../rpc/peerTls';
@@ -70,7 +71,8 @@
         metrics,
         random: Math.random,
       },
-      settings
+      settings,
+      createInbound(settings.machine, logger, metrics)
     );
     const port = await server.listen();
     sync.start();
--- a/src/entry/filters/classify.ts
+++ b/src/entry/filters/classify.ts
@@ -4,6 +4,7 @@
 import {CallContext} from '../../core/callContext';
 import {refuse} from '../../core/refusal';
 import {hasBody} from '../../core/upstream';
+import type {MemoryAccount, MemoryHolding} from '../../inbound/memoryAccount';
 import type {RouteCandidate, RuleIndex} from '../../rules/ruleIndex';
 import type {CallBody, ClassifiedCall, Filter, IdentifiedCall} from '../call';
 import {
@@ -25,6 +26,7 @@
 export interface ClassifyOptions {
   readonly entryId: string;
   readonly maxBodyBytes: number;
+  readonly memory: MemoryAccount;
   readonly random: () => number;
 }
 
@@ -33,63 +35,80 @@
   options: ClassifyOptions
 ): Filter<IdentifiedCall, ClassifiedCall> {
   return async (call, next) => {
-    const {req, res, rules, customer, requestId} = call;
-    const path = req.url ?? '/';
-    if (hasUnknownCoding(req))
-      throw refuse(
-        'malformed-request',
-        'classify',
-        options.entryId,
-        'unknown transfer coding'
-      );
-    const pool = pickPool(rules.routes(customer, path), options.random);
-    if (pool === undefined) {
-      throw refuse(
-        'no-route',
-        'classify',
-        options.entryId,
-        `no route for ${customer} and this path`
-      );
+    const room = options.memory.open('callers');
+    try {
+      await next(await classifyCall(call, options, room));
+    } finally {
+      room.release();
     }
-    const limit = rules.limit(pool);
-    const once = rules.onceRule(req.method ?? 'GET', path);
-    const isChat =
-      rules.poolKind(pool) === 'engine' &&
-      isChatCompletion(req.method ?? 'GET', path);
-    const progress = new CallContext(
-      requestId,
-      performance.now() + limit.timeoutMs,
-      options.entryId
-    );
-    const body = await readOrStreamBody(
-      call,
-      progress,
-      isChat || once !== undefined,
-      options
+  };
+}
+
+async function classifyCall(
+  call: IdentifiedCall,
+  options: ClassifyOptions,
+  room: MemoryHolding
+): Promise<ClassifiedCall> {
+  const {req, res, rules, customer, requestId} = call;
+  const path = req.url ?? '/';
+  if (hasUnknownCoding(req))
+    throw refuse(
+      'malformed-request',
+      'classify',
+      options.entryId,
+      'unknown transfer coding'
     );
-    const chat = isChat ? readChat(body, options.entryId) : undefined;
-    assertModelServed(rules, pool, chat, options.entryId);
-    const resume =
-      chat?.stream === true ? readResume(call, options.entryId) : undefined;
-    const priority = priorityOf(call);
-    await next({
-      req,
-      res,
-      requestId,
-      rules,
-      customer,
-      progress,
-      pool,
-      limit,
-      once,
-      body,
-      chat,
-      resume,
-      priority,
-    });
+  const pool = poolOf(call, path, options);
+  const limit = rules.limit(pool);
+  const once = rules.onceRule(req.method ?? 'GET', path);
+  const isChat =
+    rules.poolKind(pool) === 'engine' &&
+    isChatCompletion(req.method ?? 'GET', path);
+  const progress = new CallContext(
+    requestId,
+    performance.now() + limit.timeoutMs,
+    options.entryId
+  );
+  const body = await readOrStreamBody(
+    call,
+    progress,
+    isChat || once !== undefined,
+    options,
+    room
+  );
+  const chat = isChat ? readChat(body, options.entryId) : undefined;
+  assertModelServed(rules, pool, chat, options.entryId);
+  const resume =
+    chat?.stream === true ? readResume(call, options.entryId) : undefined;
+  const priority = priorityOf(call);
+  return {
+    req,
+    res,
+    requestId,
+    rules,
+    customer,
+    progress,
+    pool,
+    limit,
+    once,
+    body,
+    chat,
+    resume,
+    priority,
   };
 }
 
+function poolOf(
+  {rules, customer}: IdentifiedCall,
+  path: string,
+  {entryId, random}: ClassifyOptions
+): string {
+  const pool = pickPool(rules.routes(customer, path), random);
+  if (pool !== undefined) return pool;
+  const detail = `no route for ${customer} and this path`;
+  throw refuse('no-route', 'classify', entryId, detail);
+}
+
 /** Refuses a model that the pool's rules do not list: no target serves it. */
 function assertModelServed(
   rules: RuleIndex,
@@ -139,7 +158,8 @@
   {req, res}: IdentifiedCall,
   progress: CallContext,
   mustBuffer: boolean,
-  {entryId, maxBodyBytes}: ClassifyOptions
+  {entryId, maxBodyBytes}: ClassifyOptions,
+  room: MemoryHolding
 ): Promise<CallBody> {
   if (!hasBody(req)) return {kind: 'none'};
   const length = Number(req.headers['content-length'] ?? Infinity);
@@ -155,6 +175,7 @@
     maxBytes: maxBodyBytes,
     progress,
     entryId,
+    room,
   });
   return {kind: 'buffered', bytes};
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import type {TargetPushback} from '../cluster/targetPushback';
 import type {Logger} from '../core/logger';
 import type {NodeMetrics, PoolGauge} from '../core/nodeMetrics';
+import type {MemoryAccount} from '../inbound/memoryAccount';
 import type {CallerCodec} from '../ports/callerPort';
 import type {TargetCodec} from '../ports/targetPort';
 import type {SiteService} from '../site/site';
@@ -37,6 +38,7 @@
   readonly bounds: PoolBounds;
   readonly availabilityZone: string;
   readonly heldBytes: HeldByteLimits;
+  readonly memory: MemoryAccount;
   /** Age of a confirmation up to which the site document may refuse, ms. */
   readonly maxSiteAgeMs: number;
   readonly logger: Logger;
@@ -63,7 +65,7 @@
   private appliedGrants: ClusterView['grants'] | undefined;
 
   constructor(readonly parts: GatewayParts) {
-    this.heldBytes = new HeldBytes(parts.heldBytes);
+    this.heldBytes = new HeldBytes(parts.heldBytes, parts.memory);
   }
 
   /**
--- a/src/gateway/heldBytes.ts
+++ b/src/gateway/heldBytes.ts
@@ -1,9 +1,11 @@
 /**
  * Bytes of responses that are held until they are whole, so that another attempt may
- * follow. They are bounded for each response and for all of a node together; a response
- * beyond that is relayed while it arrives.
+ * follow. They are bounded for each response and for all of a node together, and take part
+ * in its account of memory; a response beyond that is relayed while it arrives.
  */
 
+import type {MemoryAccount} from '../inbound/memoryAccount';
+
 /** Bounds, bytes. */
 export interface HeldByteLimits {
   readonly perResponse: number;
@@ -14,7 +16,10 @@
 export class HeldBytes {
   private held = 0;
 
-  constructor(private readonly limits: HeldByteLimits) {}
+  constructor(
+    private readonly limits: HeldByteLimits,
+    private readonly memory: MemoryAccount
+  ) {}
 
   /** Bytes that are held now. */
   get total(): number {
@@ -23,19 +28,18 @@
 
   /** Starts the account of one response. */
   open(): HeldResponse {
-    let bytes = 0;
+    const holding = this.memory.open('callers');
     return {
       maxBytes: this.limits.perResponse,
       grow: newBytes => {
-        const held = this.held + newBytes - bytes;
-        if (held > this.limits.total) return false;
+        const held = this.held + newBytes - holding.bytes;
+        if (held > this.limits.total || !holding.grow(newBytes)) return false;
         this.held = held;
-        bytes = newBytes;
         return true;
       },
       release: () => {
-        this.held -= bytes;
-        bytes = 0;
+        this.held -= holding.bytes;
+        holding.release();
       },
     };
   }
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -9,6 +9,7 @@
 import {unreachable} from '../core/errors';
 import {readBody} from '../core/readBody';
 import {abortResponse} from '../core/responseEnd';
+import type {MemoryHolding} from '../inbound/memoryAccount';
 import {noSiteRetryMs, outageRetryMs} from '../policy/admission/outageRetry';
 import {restRetryMs} from '../policy/admission/restRetry';
 import {urgencyOf} from '../policy/admission/urgency';
@@ -31,6 +32,8 @@
 import {TargetSelection} from './targetSelection';
 
 const INTERNAL_ERROR_RETRY_MS = 500;
+const MIN_MEMORY_RETRY_MS = 500;
+const MEMORY_RETRY_SPREAD_MS = 1_000;
 
 /** Serves one request until its response has ended; never rejects. */
 export async function serveRequest(
@@ -80,30 +83,55 @@
   const {route, service, customer} = routing;
   const urgency = urgencyOf(route.priority, customer?.priority);
   state.startDeadline(Math.min(route.timeoutMs, waitMs));
-  const {maxBodyBytes: maxBytes} = view.index.site.limits;
-  const read = await readBody(state.req, {maxBytes});
+  const room = gateway.parts.memory.open('callers');
+  try {
+    const {maxBodyBytes} = view.index.site.limits;
+    const body = await readCallerBody(gateway, state, view, maxBodyBytes, room);
+    if (!Buffer.isBuffer(body)) return body;
+    state.digest = requestDigest(state.req, state.caller, body);
+    return await runUnlessQuarantined(gateway, state, {
+      route,
+      service,
+      customer,
+      urgency,
+      urgencyRank: gateway.urgencyRank(view.index, service.name, urgency),
+      body,
+    });
+  } finally {
+    room.release();
+  }
+}
+
+/** The body, or why there is none; undefined if its caller left. */
+async function readCallerBody(
+  gateway: Gateway,
+  state: RequestState,
+  view: ClusterView,
+  maxBytes: number,
+  room: MemoryHolding
+): Promise<Buffer | GatewayRefusal | undefined> {
+  const read = await readBody(state.req, {maxBytes, room});
   switch (read.kind) {
+    case 'whole':
+      return read.body;
     case 'tooLarge':
-    case 'noRoom':
       return siteRefusal(gateway, state, view, {kind: 'bodyTooLarge'});
-    case 'cut':
+    case 'noRoom':
+      state.refusalCause = {boundBy: 'memory'};
+      return {kind: 'overloaded', retryInMs: memoryRetryMs(Math.random)};
     case 'stopped':
+    case 'cut':
       return undefined;
-    case 'whole':
-      state.digest = requestDigest(state.req, state.caller, read.body);
-      return runUnlessQuarantined(gateway, state, {
-        route,
-        service,
-        customer,
-        urgency,
-        urgencyRank: gateway.urgencyRank(view.index, service.name, urgency),
-        body: read.body,
-      });
     default:
       return unreachable(read);
   }
 }
 
+/** Incomplete bodies, which give memory back, last for seconds. */
+function memoryRetryMs(random: () => number): number {
+  return MIN_MEMORY_RETRY_MS + random() * MEMORY_RETRY_SPREAD_MS;
+}
+
 async function runUnlessQuarantined(
   gateway: Gateway,
   state: RequestState,
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -3,7 +3,8 @@
 import http from 'node:http';
 import {unreachable} from '../core/errors';
 import type {Logger} from '../core/logger';
-import {readText} from '../core/readBody';
+import {readBody} from '../core/readBody';
+import type {Inbound} from '../inbound/inbound';
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
@@ -43,6 +44,7 @@
 export interface ControlServerParts {
   readonly node: ClusterNode;
   readonly codec: ControlCodec;
+  readonly inbound: Inbound;
   readonly logger: Logger;
 }
 
@@ -83,11 +85,10 @@
     const leaving =
       call?.kind === 'leave' ? node.table.find(call.id) : undefined;
     try {
-      const text = await readText(req, {maxBytes: MAX_BODY_BYTES});
       const {status, body = ''} =
         call === undefined
           ? NOT_FOUND
-          : await this.handle(call, text, {order, leaving});
+          : await this.readAndHandle(req, call, {order, leaving});
       if (status !== OK.status)
         logger.warn(
           {event: 'control.refused', call: loggable(call), status, body},
@@ -107,6 +108,24 @@
     }
   }
 
+  private async readAndHandle(
+    req: http.IncomingMessage,
+    call: ControlCall,
+    basis: CallBasis
+  ): Promise<Reply> {
+    const room = this.parts.inbound.memory.open('operators');
+    try {
+      const read = await readBody(req, {
+        maxBytes: MAX_BODY_BYTES,
+        room,
+      });
+      if (read.kind !== 'whole') return UNREAD_REPLIES[read.kind];
+      return await this.handle(call, read.body.toString('utf8'), basis);
+    } finally {
+      room.release();
+    }
+  }
+
   private async handle(
     call: ControlCall,
     text: string,
@@ -303,4 +322,11 @@
   status: 404,
   body: '{"error":"no such service"}',
 };
+/** Replies to calls whose bodies were not read to the end. */
+const UNREAD_REPLIES = {
+  tooLarge: {status: 413, body: '{"error":"the body is too large"}'},
+  noRoom: {status: 503, body: '{"error":"no memory is free for the body"}'},
+  stopped: {status: 408, body: '{"error":"the body did not end in time"}'},
+  cut: {status: 400, body: '{"error":"the body broke off"}'},
+} as const satisfies Readonly<Record<string, Reply>>;
 const NOT_FOUND: Reply = {status: 404, body: '{"error":"no such call"}'};
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -12,6 +12,8 @@
 import {ClusterNode} from '../cluster/clusterNode';
 import {Gateway} from '../gateway/gateway';
 import {GatewayServer} from '../gateway/gatewayServer';
+import {Inbound} from '../inbound/inbound';
+import {machineOf} from '../inbound/machine';
 import type {CallerCodec} from '../ports/callerPort';
 import type {ControlCodec} from '../ports/controlPort';
 import type {RankCodec} from '../ports/rankPort';
@@ -75,15 +77,23 @@
     const {settings, codecs, logger} = parts;
     const {listen} = settings;
     const metrics = new NodeMetrics();
+    const inbound = createInbound(parts, metrics);
     let node: ClusterNode | undefined = undefined;
-    const gateway = createGateway(parts, metrics, () => node);
-    node = await ClusterNode.start(clusterOptions(parts, gateway, metrics));
+    const gateway = createGateway(parts, metrics, inbound, () => node);
+    node = await ClusterNode.start(
+      clusterOptions(parts, gateway, metrics, inbound)
+    );
     serveRankRelay(node);
     const callers = new GatewayServer(gateway);
-    const control = new ControlServer({node, codec: codecs.control, logger});
+    const control = new ControlServer({
+      node,
+      codec: codecs.control,
+      inbound,
+      logger,
+    });
     const readyServer = http.createServer();
     const running = new NodeProcess(parts, node, callers, control, readyServer);
-    running.registerGauges(metrics, gateway);
+    running.registerGauges(metrics, gateway, inbound);
     if (listen.metrics !== undefined)
       running.metricsServer = await serveMetrics(metrics, listen.metrics);
     readyServer.on('request', (req, res) => running.serveReady(req, res));
@@ -144,7 +154,11 @@
     this.callers.abortResponses();
   }
 
-  private registerGauges(metrics: NodeMetrics, gateway: Gateway): void {
+  private registerGauges(
+    metrics: NodeMetrics,
+    gateway: Gateway,
+    inbound: Inbound
+  ): void {
     const {node} = this;
     metrics.registerGauges({
       isLeader: () => Number(node.leads),
@@ -153,6 +167,7 @@
       activeNodes: () => node.view.activeNodes,
       droppedLines: this.parts.droppedLines,
       heldBytes: () => gateway.heldBytes.total,
+      requestBytes: () => inbound.memory.heldBytes,
       pools: () => gateway.poolGauges(),
     });
   }
@@ -169,9 +184,23 @@
   }
 }
 
+function createInbound(
+  {settings, logger}: NodeParts,
+  metrics: NodeMetrics
+): Inbound {
+  const {machine} = settings;
+  return new Inbound({
+    machine: machineOf(machine),
+    requestsPerConnection: machine.requestsPerConnection,
+    logger,
+    countLimited: (port, reason) => metrics.clientLimited(port, reason),
+  });
+}
+
 function createGateway(
   {settings, codecs, logger}: NodeParts,
   metrics: NodeMetrics,
+  {memory}: Inbound,
   node: () => ClusterNode | undefined
 ): Gateway {
   const {bounds} = settings;
@@ -196,6 +225,7 @@
       perResponse: bounds.heldResponseKb * BYTES_PER_KIB,
       total: bounds.heldTotalKb * BYTES_PER_KIB,
     },
+    memory,
     random: Math.random,
     node,
   });
@@ -204,7 +234,8 @@
 function clusterOptions(
   {settings, codecs, logger}: NodeParts,
   gateway: Gateway,
-  metrics: NodeMetrics
+  metrics: NodeMetrics,
+  inbound: Inbound
 ) {
   const {cluster, bounds} = settings;
   return {
@@ -223,6 +254,7 @@
     maxSiteAgeMs: maxSiteAgeMs(bounds.applyMs),
     logger,
     metrics,
+    inbound,
     decodeSite: codecs.control.decodeSite,
     readNotice: codecs.targets.readNotice,
     takeLoads: () => gateway.takeLoads(),
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -10,6 +10,7 @@
 import type {Metrics} from '../core/metrics';
 import {readText} from '../core/readBody';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
+import type {Inbound} from '../inbound/inbound';
 import type {PeerTraffic} from './peerTraffic';
 import {peerIdentity, serverTls} from './peerTls';
 
@@ -57,6 +58,7 @@
   readonly acceptSecret?: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly inbound: Inbound;
   /** Counts all bytes through the port, those of dispatches included. */
   readonly traffic?: PeerTraffic;
   /** Handles requests other than RPC calls, such as dispatches to an agent. */
@@ -164,7 +166,11 @@
         .end();
       return;
     }
-    const text = await readText(req, {maxBytes: MAX_MESSAGE_BYTES});
+    const room = this.options.inbound.memory.open('nodes');
+    const text = await readText(req, {
+      maxBytes: MAX_MESSAGE_BYTES,
+      room,
+    }).finally(() => room.release());
     const reply = await this.rpc.receiveJSON(text, {
       peer: peerIdentity(req.socket),
     });
--- a/src/settings/sections.ts
+++ b/src/settings/sections.ts
@@ -3,7 +3,13 @@
  */
 
 import * as z from 'zod';
-import {integer, name, oneOf, textSchema} from '../core/textSchemas';
+import {
+  integer,
+  integerOrNothing,
+  name,
+  oneOf,
+  textSchema,
+} from '../core/textSchemas';
 import {
   ipAddressList,
   anyPort,
@@ -224,10 +230,26 @@
   ),
 });
 
+const MACHINE = z.strictObject({
+  'memory-mb': setting(
+    integerOrNothing(64, 16 * MIB).default(0),
+    'memory of this process, MiB, of which requests may hold an eighth; what the kernel reports, without a value'
+  ),
+  descriptors: setting(
+    integerOrNothing(256, 10 * MIB).default(0),
+    'descriptors of this process, which bound its connections; what the kernel allows, without a value'
+  ),
+  'requests-per-connection': setting(
+    integer(1, 1_000).default(16),
+    'requests in progress on one connection; no more of it is read meanwhile'
+  ),
+});
+
 /** Settings schemas by role. */
 export const SECTIONS = {
   entry: z.strictObject({
     process: PROCESS,
+    machine: MACHINE,
     internal: INTERNAL,
     control: ENTRY_CONTROL,
     callers: CALLERS,
@@ -235,18 +257,21 @@
   }),
   agent: z.strictObject({
     process: PROCESS,
+    machine: MACHINE,
     internal: INTERNAL,
     control: CONTROL,
     target: TARGET,
   }),
   control: z.strictObject({
     process: PROCESS,
+    machine: MACHINE,
     internal: INTERNAL_FIXED_PORT,
     control: z.strictObject({instances: INSTANCES}),
     data: DATA,
   }),
   node: z.strictObject({
     process: PROCESS,
+    machine: MACHINE,
     cluster: NODE_CLUSTER,
     listen: LISTEN,
     bounds: BOUNDS,
--- a/tests/callerServer.spec.ts
+++ b/tests/callerServer.spec.ts
@@ -4,6 +4,7 @@
 import {CallerServer} from '../src/entry/callerServer';
 import type {EntryCore} from '../src/entry/entryCore';
 import type {EntrySettings} from '../src/settings/settings';
+import {openInbound} from './fixtures/openInbound';
 
 const HOST = '127.0.0.1';
 const SETTINGS = {
@@ -27,7 +28,7 @@
     ['has sent nothing', ''],
     ['is late with a head', 'GET / HTTP/1.1\r\n'],
   ])('should close while a connection %s', async (_, sent) => {
-    const server = new CallerServer(CORE, SETTINGS);
+    const server = new CallerServer(CORE, SETTINGS, openInbound());
     const port = await server.listen();
     socket = net.connect(port, HOST);
     socket.on('error', () => undefined);
--- a/tests/controlProcess.spec.ts
+++ b/tests/controlProcess.spec.ts
@@ -12,6 +12,7 @@
 import {PeerServer} from '../src/rpc/peerServer';
 import {eventually} from './fixtures/testSystem';
 import {onCleanup, runCleanups} from './fixtures/targets';
+import {openInbound} from './fixtures/openInbound';
 
 const SECRET = 'a shared secret';
 const HOST = '127.0.0.1';
@@ -57,6 +58,7 @@
         dataDir: path.join(folder, address.id),
         logger: createLineLogger('control', address.id, 'info', {write}),
         metrics: new Metrics(address.id),
+        inbound: openInbound(),
         onFatal: () => undefined,
       });
       onCleanup(() => running.stop());
@@ -125,6 +127,7 @@
       secret: SECRET,
       logger,
       metrics: new Metrics('c'),
+      inbound: openInbound(),
     });
     const port = await server.listen();
     const accepted = once(server.server, 'connection');
--- a/tests/peerKeys.spec.ts
+++ b/tests/peerKeys.spec.ts
@@ -4,6 +4,7 @@
 import {PeerClient, createPeerHttpsAgent} from '../src/rpc/peerClient';
 import {PeerServer} from '../src/rpc/peerServer';
 import {runCleanups, onCleanup} from './fixtures/targets';
+import {openInbound} from './fixtures/openInbound';
 
 afterEach(runCleanups);
 
@@ -33,6 +34,7 @@
     port: 0,
     logger,
     metrics,
+    inbound: openInbound(),
     ...server,
   });
   peer.addMethod('who', {
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -19,11 +19,14 @@
 import {Gateway} from '../../src/gateway/gateway';
 import type {HeldByteLimits} from '../../src/gateway/heldBytes';
 import {GatewayServer} from '../../src/gateway/gatewayServer';
+import type {Inbound, InboundOptions} from '../../src/inbound/inbound';
 import {SiteIndex} from '../../src/site/siteIndex';
-import type {RetrySemantics, SiteRoute} from '../../src/site/site';
+import type {SiteRoute} from '../../src/site/site';
 import {readUntilClosed} from '../fixtures/rawCalls';
+import {openInbound} from '../fixtures/openInbound';
 import {recordingLogger} from '../fixtures/recordingLogger';
 import {eventually} from '../fixtures/testSystem';
+import {route} from './testRoute';
 
 /** Handles one request at a fake target. */
 export type Handler = (
@@ -50,27 +53,6 @@
   );
 }
 
-function route(
-  repeat: RetrySemantics,
-  overrides: Partial<SiteRoute>
-): SiteRoute {
-  return {
-    name: repeat,
-    host: 'a.example',
-    pathPrefix: `/${repeat}/`,
-    repeat,
-    resumable: true,
-    timeoutMs: 2_000,
-    latencyTargetMs: 400,
-    gapTargetMs: 0,
-    priority: 1,
-    split: [{service: 's', weight: 1}],
-    maxAttempts: 2,
-    isPublic: false,
-    ...overrides,
-  };
-}
-
 /** What the gateway learns of the cluster, beside its targets. */
 export interface ClusterOverrides {
   /** Priority of the route `once`; another one than 1 makes the service prioritized. */
@@ -79,6 +61,8 @@
   /** Notifies another node of crashes; there is none by default. */
   readonly notifyPeer?: (notices: CrashNotices) => Promise<void>;
   readonly heldBytes?: HeldByteLimits;
+  /** Limits of the machine and of connections. */
+  readonly inbound?: Partial<InboundOptions>;
   /** Whether a leader confirms the site document; true by default. */
   readonly isConfirmed?: boolean;
 }
@@ -96,6 +80,7 @@
   /** What the gateway logs. */
   readonly log = recordingLogger();
   private readonly metrics = new NodeMetrics();
+  private readonly inbound: Inbound;
   private readonly servers: http.Server[] = [];
   private gateway: Gateway | undefined;
   private server: GatewayServer | undefined;
@@ -104,6 +89,7 @@
 
   private constructor(private readonly cluster: ClusterOverrides) {
     const {metrics} = this;
+    this.inbound = openInbound({...cluster.inbound, logger: this.log.logger});
     this.crashedRequests = new CrashedRequests({
       logger: this.log.logger,
       nowMs: () => performance.now(),
@@ -154,6 +140,7 @@
       activeNodes: zero,
       droppedLines: zero,
       heldBytes: () => this.heldBytes,
+      requestBytes: () => this.inbound.memory.heldBytes,
       pools: () => this.gateway?.poolGauges() ?? [],
     });
     return this.metrics.text();
@@ -388,6 +375,7 @@
       availabilityZone: 'a',
       maxSiteAgeMs: 1_900,
       heldBytes: this.cluster.heldBytes ?? DEFAULT_HELD_BYTES,
+      memory: this.inbound.memory,
       logger: this.log.logger,
       metrics,
       random: Math.random,
--- a/tests/rpcControlClient.spec.ts
+++ b/tests/rpcControlClient.spec.ts
@@ -4,6 +4,7 @@
 import {createLogger} from '../src/core/logger';
 import {Metrics} from '../src/core/metrics';
 import {PeerServer, RPC_CODES, RpcFailure} from '../src/rpc/peerServer';
+import {openInbound} from './fixtures/openInbound';
 
 const SECRET = '0123456789abcdef';
 const ANY_PARAMS = z.unknown();
@@ -35,6 +36,7 @@
       secret: SECRET,
       logger: createLogger('control', 'c', 'fatal'),
       metrics: new Metrics('c'),
+      inbound: openInbound(),
     });
     server.addMethod('submit', {params: ANY_PARAMS, handle: handler});
     server.addMethod('status', {params: ANY_PARAMS, handle: status});
