Give every body a time limit and its client an answer

Callers saw: no answer to a body that stops short, and its bytes held until they left. Cause: the deadline of a request cancelled its attempts, and nothing listened while its body was read; servers had no time limit for requests, or that of 300 s.

Change: the reader ends at the deadline of a caller's request, which is answered 408 bodyTimeout (nothing was sent to a target), after 10 s at the ports for control and for nodes, 60 s between entries, agents and control instances; heads have limits there too.

--- a/src/cluster/rpcServer.ts
+++ b/src/cluster/rpcServer.ts
@@ -12,6 +12,9 @@
 const MAX_BODY_BYTES = 8 << 20;
 /** Longer than `RpcClient` keeps idle connections, so that it closes them first. */
 const IDLE_TIMEOUT_MS = 15_000;
+/** Nodes give a call up sooner. */
+const BODY_TIMEOUT_MS = 10_000;
+const CHECK_INTERVAL_MS = 1_000;
 
 /** The internal port of a node. */
 export class RpcServer {
@@ -19,15 +22,17 @@
     errorListener: (message, data) =>
       this.logger.debug({step: 'rpc', data: String(data)}, message),
   });
-  private readonly server = http.createServer((req, res) => {
-    void this.answer(req, res);
-  });
+  private readonly server = http.createServer(
+    {connectionsCheckingInterval: CHECK_INTERVAL_MS},
+    (req, res) => void this.answer(req, res)
+  );
 
   constructor(
     private readonly logger: Logger,
     private readonly inbound: Inbound
   ) {
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MS;
+    this.server.headersTimeout = BODY_TIMEOUT_MS;
   }
 
   /** Registers a method; its parameters are validated by the schema. */
@@ -61,6 +66,7 @@
     try {
       const text = await readText(req, {
         maxBytes: MAX_BODY_BYTES,
+        timeoutMs: BODY_TIMEOUT_MS,
         room,
       });
       const request = JSON.parse(text) as JSONRPCRequest;
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -110,7 +110,8 @@
   maxBytes: number,
   room: MemoryHolding
 ): Promise<Buffer | GatewayRefusal | undefined> {
-  const read = await readBody(state.req, {maxBytes, room});
+  const {cancellation: signal} = state;
+  const read = await readBody(state.req, {maxBytes, room, signal});
   switch (read.kind) {
     case 'whole':
       return read.body;
@@ -120,6 +121,7 @@
       state.refusalCause = {boundBy: 'memory'};
       return {kind: 'overloaded', retryInMs: memoryRetryMs(Math.random)};
     case 'stopped':
+      return state.stopped === 'timedOut' ? {kind: 'bodyTimeout'} : undefined;
     case 'cut':
       return undefined;
     default:
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -17,6 +17,9 @@
 
 /** Room for a site document with a few thousand routes. */
 const MAX_BODY_BYTES = 16 << 20;
+/** Operators and targets repeat a call sooner. */
+const BODY_TIMEOUT_MS = 10_000;
+const CHECK_INTERVAL_MS = 1_000;
 /** Targets announce themselves more often than this and keep their connection. */
 const KEEP_ALIVE_TIMEOUT_MS = 15_000;
 
@@ -50,9 +53,10 @@
 
 /** Handles calls at the control address. */
 export class ControlServer {
-  private readonly server = http.createServer((req, res) => {
-    void this.answer(req, res);
-  });
+  private readonly server = http.createServer(
+    {connectionsCheckingInterval: CHECK_INTERVAL_MS},
+    (req, res) => void this.answer(req, res)
+  );
 
   private readonly suspension = new SuspensionWatch();
   private readonly gate: OrderGate;
@@ -60,6 +64,7 @@
   constructor(private readonly parts: ControlServerParts) {
     this.gate = new OrderGate(parts.node, this.suspension);
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    this.server.headersTimeout = BODY_TIMEOUT_MS;
   }
 
   listen({host, port}: {host: string; port: number}): Promise<void> {
@@ -117,6 +122,7 @@
     try {
       const read = await readBody(req, {
         maxBytes: MAX_BODY_BYTES,
+        timeoutMs: BODY_TIMEOUT_MS,
         room,
       });
       if (read.kind !== 'whole') return UNREAD_REPLIES[read.kind];
--- a/src/ports/callerPort.ts
+++ b/src/ports/callerPort.ts
@@ -38,6 +38,8 @@
   | {readonly kind: 'unknownKey'}
   | {readonly kind: 'badRequest'; readonly detail: string}
   | {readonly kind: 'bodyTooLarge'}
+  /** The body did not end before the deadline. Nothing has run. */
+  | {readonly kind: 'bodyTimeout'}
   /** No slot was free in time. Nothing has run. */
   | {readonly kind: 'overloaded'; readonly retryInMs: number}
   /** No target can take it now. Nothing has run. */
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -18,6 +18,10 @@
 export const RPC_PATH = '/rpc';
 /** HTTP header with the protocol version of the sender. */
 export const PROTOCOL_HEADER = 'marlpulley-protocol';
+/** A message of the largest size takes less over a slow link. */
+const MESSAGE_TIMEOUT_MS = 60_000;
+const HANDSHAKE_TIMEOUT_MS = 10_000;
+const CHECK_INTERVAL_MS = 1_000;
 /** Largest message in either direction, bytes. */
 export const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
@@ -77,8 +81,13 @@
 
   constructor(private readonly options: PeerServerOptions) {
     const tls = serverTls(options.secret, options.acceptSecret);
-    this.server = https.createServer(tls, (req, res) =>
-      this.handleRequest(req, res)
+    this.server = https.createServer(
+      {
+        ...tls,
+        handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      },
+      (req, res) => this.handleRequest(req, res)
     );
     // Emitted with the TCP socket underneath TLS.
     this.server.on('connection', (socket: Socket) => {
@@ -169,6 +178,7 @@
     const room = this.options.inbound.memory.open('nodes');
     const text = await readText(req, {
       maxBytes: MAX_MESSAGE_BYTES,
+      timeoutMs: MESSAGE_TIMEOUT_MS,
       room,
     }).finally(() => room.release());
     const reply = await this.rpc.receiveJSON(text, {
