Read no more of a body whose request was answered

Callers saw: 401, 404 or 413 at once, and a connection that stayed open while the rest of the body was read, for ever if it had no end. Cause: Node reads what is left of a body once its response is sent; with Connection: close it resets the connection at once, and the response may be lost.

Change: one guard between each server and its handler.

--- a/src/cluster/rpcServer.ts
+++ b/src/cluster/rpcServer.ts
@@ -22,10 +22,9 @@
     errorListener: (message, data) =>
       this.logger.debug({step: 'rpc', data: String(data)}, message),
   });
-  private readonly server = http.createServer(
-    {connectionsCheckingInterval: CHECK_INTERVAL_MS},
-    (req, res) => void this.answer(req, res)
-  );
+  private readonly server = http.createServer({
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+  });
 
   constructor(
     private readonly logger: Logger,
@@ -33,6 +32,9 @@
   ) {
     this.server.keepAliveTimeout = IDLE_TIMEOUT_MS;
     this.server.headersTimeout = BODY_TIMEOUT_MS;
+    const handler = (req: http.IncomingMessage, res: http.ServerResponse) =>
+      void this.answer(req, res);
+    inbound.guard('internal', handler).attach(this.server);
   }
 
   /** Registers a method; its parameters are validated by the schema. */
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -55,14 +55,16 @@
       headersTimeout: callers.headerTimeoutMs,
       connectionsCheckingInterval: HEADER_TIMEOUT_CHECK_MS,
     };
-    this.server = http.createServer(options, (req, res) =>
+    this.server = http.createServer(options);
+    const guard = inbound.guard('callers', (req, res) =>
       this.received(req, res)
     );
+    guard.attach(this.server);
     // Such a request gets its 100 Continue later, from `classify`, so that a
     // refused caller sends no body.
     this.server.on(
       'checkContinue',
-      (req: IncomingMessage, res: ServerResponse) => this.received(req, res)
+      (req: IncomingMessage, res: ServerResponse) => guard.handle(req, res)
     );
     this.server.on('connection', (socket: Duplex) => {
       this.sockets.add(socket);
--- a/src/entry/sendClientError.ts
+++ b/src/entry/sendClientError.ts
@@ -1,6 +1,7 @@
 /** Responds to bytes that are not a valid HTTP request. */
 
 import type {Duplex} from 'node:stream';
+import {closeAfterLinger} from '../inbound/lingeringClose';
 import {clientErrorStatus} from '../core/clientErrorStatus';
 
 /** Writes a raw HTTP response, since there is no ServerResponse, and closes. */
@@ -25,5 +26,5 @@
     'marlpulley-outcome: not run',
     'connection: close',
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  closeAfterLinger(socket, `${head.join('\r\n')}\r\n\r\n${body}`);
 }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -4,6 +4,9 @@
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {Subscription, interval} from 'rxjs';
+import type {Inbound} from '../inbound/inbound';
+import type {ServerGuard} from '../inbound/serverGuard';
+import {closeAfterLinger} from '../inbound/lingeringClose';
 import type {Gateway} from './gateway';
 import {clientErrorStatus} from '../core/clientErrorStatus';
 import {abortResponse} from '../core/responseEnd';
@@ -22,17 +25,24 @@
 /** Serves requests of callers. */
 export class GatewayServer {
   private readonly server: http.Server;
+  private readonly guard: ServerGuard;
   private readonly subscription = new Subscription();
   private readonly activeResponses = new Set<http.ServerResponse>();
   /** Whether new requests are refused without reading their bodies. */
   private refusesRequests = false;
-  private draining = false;
 
-  constructor(private readonly gateway: Gateway) {
-    this.server = http.createServer(
-      {maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000},
-      (req, res) => void this.serve(req, res)
-    );
+  constructor(
+    private readonly gateway: Gateway,
+    inbound: Inbound
+  ) {
+    this.server = http.createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: 1_000,
+    });
+    const handler = (req: http.IncomingMessage, res: http.ServerResponse) =>
+      void this.serve(req, res);
+    this.guard = inbound.guard('callers', handler);
+    this.guard.attach(this.server);
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket) =>
       this.handleClientError(err, socket)
     );
@@ -59,7 +69,7 @@
 
   /** Closes the connection of each request that arrives from now on. */
   beginDrain(): void {
-    this.draining = true;
+    this.guard.beginDrain();
   }
 
   /** Refuses all new requests; those in progress continue. */
@@ -102,7 +112,6 @@
     // queued behind another gets no event of its own when their connection closes.
     res.once('close', onClose);
     socket.once('close', onClose);
-    if (this.draining) res.shouldKeepAlive = false;
     if (this.refusesRequests) this.refuseAsStopping(res);
     else await serveRequest(this.gateway, req, res);
   }
@@ -117,7 +126,8 @@
     );
     if (isInProgress || !socket.writable) socket.destroy();
     else
-      socket.end(
+      closeAfterLinger(
+        socket,
         `HTTP/1.1 ${clientErrorStatus(err.code)}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`
       );
   }
--- a/src/inbound/inbound.ts
+++ b/src/inbound/inbound.ts
@@ -7,6 +7,8 @@
 import type {Machine} from './machine';
 import type {MemoryUse} from './memoryAccount';
 import {MemoryAccount} from './memoryAccount';
+import type {RequestHandler} from './serverGuard';
+import {ServerGuard} from './serverGuard';
 
 /** Part of the machine's memory that requests may hold. */
 const MEMORY_RATIO = 1 / 8;
@@ -31,6 +33,11 @@
       this.reporter.report({port: portOf(use), reason: 'memory'})
     );
   }
+
+  /** Creates the guard of a port; requests that it lets through go to the handler. */
+  guard(port: PortName, handler: RequestHandler): ServerGuard {
+    return new ServerGuard({port, reporter: this.reporter}, handler);
+  }
 }
 
 function portOf(use: MemoryUse): PortName {
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -53,10 +53,9 @@
 
 /** Handles calls at the control address. */
 export class ControlServer {
-  private readonly server = http.createServer(
-    {connectionsCheckingInterval: CHECK_INTERVAL_MS},
-    (req, res) => void this.answer(req, res)
-  );
+  private readonly server = http.createServer({
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+  });
 
   private readonly suspension = new SuspensionWatch();
   private readonly gate: OrderGate;
@@ -65,6 +64,9 @@
     this.gate = new OrderGate(parts.node, this.suspension);
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
     this.server.headersTimeout = BODY_TIMEOUT_MS;
+    const handler = (req: http.IncomingMessage, res: http.ServerResponse) =>
+      void this.answer(req, res);
+    parts.inbound.guard('control', handler).attach(this.server);
   }
 
   listen({host, port}: {host: string; port: number}): Promise<void> {
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -14,6 +14,7 @@
 import {GatewayServer} from '../gateway/gatewayServer';
 import {Inbound} from '../inbound/inbound';
 import {machineOf} from '../inbound/machine';
+import {QUICK_REQUEST_TIMEOUTS} from '../inbound/quickRequests';
 import type {CallerCodec} from '../ports/callerPort';
 import type {ControlCodec} from '../ports/controlPort';
 import type {RankCodec} from '../ports/rankPort';
@@ -84,19 +85,25 @@
       clusterOptions(parts, gateway, metrics, inbound)
     );
     serveRankRelay(node);
-    const callers = new GatewayServer(gateway);
+    const callers = new GatewayServer(gateway, inbound);
     const control = new ControlServer({
       node,
       codec: codecs.control,
       inbound,
       logger,
     });
-    const readyServer = http.createServer();
+    const readyServer = http.createServer(QUICK_REQUEST_TIMEOUTS);
     const running = new NodeProcess(parts, node, callers, control, readyServer);
     running.registerGauges(metrics, gateway, inbound);
     if (listen.metrics !== undefined)
-      running.metricsServer = await serveMetrics(metrics, listen.metrics);
-    readyServer.on('request', (req, res) => running.serveReady(req, res));
+      running.metricsServer = await serveMetrics(
+        metrics,
+        inbound,
+        listen.metrics
+      );
+    inbound
+      .guard('ready', (req, res) => running.serveReady(req, res))
+      .attach(readyServer);
     await callers.listen(listen.callers);
     await control.listen(listen.control);
     await new Promise<void>((resolve, reject) => {
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -81,14 +81,14 @@
 
   constructor(private readonly options: PeerServerOptions) {
     const tls = serverTls(options.secret, options.acceptSecret);
-    this.server = https.createServer(
-      {
-        ...tls,
-        handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
-        connectionsCheckingInterval: CHECK_INTERVAL_MS,
-      },
-      (req, res) => this.handleRequest(req, res)
-    );
+    this.server = https.createServer({
+      ...tls,
+      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    });
+    options.inbound
+      .guard('internal', (req, res) => this.handleRequest(req, res))
+      .attach(this.server);
     // Emitted with the TCP socket underneath TLS.
     this.server.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -381,7 +381,7 @@
       random: Math.random,
       node: () => node,
     });
-    this.server = new GatewayServer(this.gateway);
+    this.server = new GatewayServer(this.gateway, this.inbound);
     this.port = await this.server.listen({host: '127.0.0.1', port: 0});
   }
 }
