--- a/src/core/nodeMetrics.ts
+++ b/src/core/nodeMetrics.ts
@@ -36,6 +36,8 @@
   heldBytes(): number;
   /** Bytes that requests hold in all: bodies and responses. */
   requestBytes(): number;
+  /** Open connections of clients by port. */
+  connections(): ReadonlyMap<string, number>;
   /** One entry per service. */
   pools(): readonly PoolGauge[];
 }
@@ -277,6 +279,7 @@
       'bytes that requests hold in all: bodies, and responses until they are whole',
       gauges.requestBytes
     );
+    this.connectionGauge(gauges);
     this.poolGauge('places', 'places lent to this node', gauges, p => p.places);
     this.poolGauge('in_flight', 'places in use', gauges, p => p.inFlight);
     this.poolGauge('waiting', 'requests that wait', gauges, p => p.waiting);
@@ -347,6 +350,20 @@
     });
   }
 
+  private connectionGauge(gauges: NodeGauges): void {
+    new Gauge({
+      name: 'marlpulley_connections',
+      help: 'open connections of clients, by port',
+      labelNames: ['port'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [port, count] of gauges.connections())
+          this.set({port}, count);
+      },
+    });
+  }
+
   private admissionRatioGauge(gauges: NodeGauges): void {
     new Gauge({
       name: 'marlpulley_admission_ratio',
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -175,6 +175,7 @@
       droppedLines: this.parts.droppedLines,
       heldBytes: () => gateway.heldBytes.total,
       requestBytes: () => inbound.memory.heldBytes,
+      connections: () => inbound.connectionCounts(),
       pools: () => gateway.poolGauges(),
     });
   }
--- a/src/rpc/peerServer.ts
+++ b/src/rpc/peerServer.ts
@@ -88,7 +88,7 @@
     });
     options.inbound
       .guard('internal', (req, res) => this.handleRequest(req, res))
-      .attach(this.server);
+      .attachSecure(this.server);
     // Emitted with the TCP socket underneath TLS.
     this.server.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
--- a/tests/platform/gatewayFixture.ts
+++ b/tests/platform/gatewayFixture.ts
@@ -141,6 +141,7 @@
       droppedLines: zero,
       heldBytes: () => this.heldBytes,
       requestBytes: () => this.inbound.memory.heldBytes,
+      connections: () => this.inbound.connectionCounts(),
       pools: () => this.gateway?.poolGauges() ?? [],
     });
     return this.metrics.text();
