Tell nodes of departures that a restarted leader has no record of

Callers saw: requests to a target whose departure the leader had acknowledged, for 15 s and more.

Cause: the departure is in the log, and a leader applies it to the records of its table. One whose process restarted and leads again has an empty table, and the target announces itself to nobody any more: no record, so nothing to tell the others, which keep theirs. Ruled out: a reply that is lost or late, as both nodes kept the target to the end.

Change: the first reply of a term to a node also names the departures in the log of which the leader has no record; the node applies them to the boots that it knows.

--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -127,6 +127,11 @@
     this.table.applyDeparture(id, this.nowMs());
   }
 
+  /** Whether a record of the target is in the table. */
+  hasRecord(id: string): boolean {
+    return this.table.find(id) !== undefined;
+  }
+
   /** Handles a report; replies with what the node lacks of the view. */
   sync(
     params: SyncParams,
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -152,7 +152,13 @@
       zoneRevisions,
     };
     const reply = coordinator.sync(params, replicated, site(), directory);
-    return {...reply, provenAgeMs: this.proof.ageMs};
+    const provenAgeMs = this.proof.ageMs;
+    if (params.tableTerm === term) return {...reply, provenAgeMs};
+    // A leader that has restarted has no records by which to tell of them.
+    const departures = opened.state.departures
+      .snapshot()
+      .filter(({targetId}) => !coordinator.hasRecord(targetId));
+    return {...reply, provenAgeMs, departures};
   }
 
   private get leads(): boolean {
--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -220,6 +220,14 @@
 /** What the leader grants one node of one service. */
 export type ServiceGrant = z.infer<typeof SERVICE_GRANT>;
 
+/** Departure of one boot of a target. */
+const DEPARTURE = z.object({
+  targetId: TEXT,
+  bornMs: z.number(),
+  state: z.enum(['draining', 'gone']),
+  sequence: z.number(),
+});
+
 /** The leader's reply to a report. */
 export const SYNC_REPLY = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('notLeader'), leader: TEXT.optional()}),
@@ -238,6 +246,11 @@
     zoneRevisions: ZONE_REVISIONS,
     tableRevision: z.number(),
     records: z.array(TARGET_RECORD),
+    /**
+     * Departures in the log of which the leader has no record, for a node that had none
+     * of its replies yet; absent from a leader of an older version.
+     */
+    departures: z.array(DEPARTURE).optional(),
     /** In place of `records`, compressed; only for a node that reads them. */
     packedRecords: TEXT.optional(),
     grants: z.array(SERVICE_GRANT),
@@ -278,13 +291,7 @@
       /** Absent from a node of an older version. */
       seenRevision: COUNT.optional(),
     }),
-    z.object({
-      kind: z.literal('departure'),
-      targetId: TEXT,
-      bornMs: z.number(),
-      state: z.enum(['draining', 'gone']),
-      sequence: z.number(),
-    }),
+    DEPARTURE.extend({kind: z.literal('departure')}),
   ]),
 });
 /** A change for the log, by an operator or by a target that leaves. */
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -173,6 +173,8 @@
     if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
     if (!isLeader)
       for (const record of reply.records) table.mergeShared(record, nowMs);
+    for (const departure of reply.departures ?? [])
+      table.depart(departure, nowMs);
     const {provenAgeMs = DEFAULT_PROVEN_AGE_MS} = reply;
     const index = this.activeSite.update(reply.siteVersion, reply.packedSite);
     const version = index?.site.version ?? NO_SITE_VERSION;
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -126,6 +126,14 @@
     if (record !== known) this.putChange(record, nowMs);
   }
 
+  /** Applies a departure that the leader's log has; other boots stay as they are. */
+  depart({targetId, bornMs, ...departure}: Departure, nowMs: number): void {
+    const known = this.entries.get(targetId)?.record;
+    if (known?.bornMs !== bornMs) return;
+    const record = departed(known, departure);
+    if (record !== known) this.putChange(record, nowMs);
+  }
+
   /** Restarts all silence timers; gone and silent targets keep their state. */
   markAllSeen(nowMs: number): void {
     for (const [id, entry] of this.entries)
@@ -146,11 +154,7 @@
   /** The record in the state that an acknowledged departure leaves it in. */
   private withDeparture(record: TargetRecord): TargetRecord {
     const departure = this.departureOf(record);
-    if (departure === undefined || record.state === 'gone') return record;
-    const {state, sequence} = departure;
-    if (state === 'gone') return {...record, state};
-    const isEarlier = record.sequence <= sequence;
-    return record.state === 'ready' && isEarlier ? {...record, state} : record;
+    return departure === undefined ? record : departed(record, departure);
   }
 
   private putChange(record: TargetRecord, seenAtMs: number): void {
@@ -196,6 +200,17 @@
   }
 }
 
+/** The record of a boot in the state that its departure leaves it in. */
+function departed(
+  record: TargetRecord,
+  {state, sequence}: Pick<Departure, 'state' | 'sequence'>
+): TargetRecord {
+  if (record.state === 'gone') return record;
+  if (state === 'gone') return {...record, state};
+  const isEarlier = record.sequence <= sequence;
+  return record.state === 'ready' && isEarlier ? {...record, state} : record;
+}
+
 /** A node of an older version may have accepted values that can't be used. */
 function isSound({address, slots}: TargetRecord): boolean {
   return parseHostPort(address) !== undefined && slots <= MAX_SLOTS;
--- a/tests/departureState.spec.ts
+++ b/tests/departureState.spec.ts
@@ -48,6 +48,16 @@
     expect(table.changedSince(revision)).toMatchObject([{state: 'gone'}]);
   });
 
+  // A leader that restarted has no record of the target, by which others learn of it.
+  it('should apply to the records of other nodes', () => {
+    const table = new TargetTable();
+    table.merge(targetRecord({bornMs: 1}), 0);
+    table.depart({...GONE, bornMs: 0}, 1);
+    expect(table.find('t')?.state).toBe('ready');
+    table.depart(GONE, 1);
+    expect(table.find('t')?.state).toBe('gone');
+  });
+
   it('should leave the next boot alone', () => {
     const table = tableOf(stateWith(GONE));
     table.merge(targetRecord({bornMs: 2}), 0);
--- a/tests/siteAge.spec.ts
+++ b/tests/siteAge.spec.ts
@@ -168,7 +168,8 @@
       return hasQuorum ? Promise.resolve() : new Promise<void>(() => undefined);
     };
     const log = {status: () => ({term: 1, commitIndex: 1}), readBarrier};
-    const state = {site: {version: 1, packed: '', zonesOut: []}};
+    const site = {version: 1, packed: '', zonesOut: []};
+    const state = {site, departures: {snapshot: () => []}};
     const service = new LeaderService({
       replica: () => ({leads: true, current: {log, state}}),
       directory: {noteContact: () => undefined},
