--- a/tests/memoryAccount.spec.ts
+++ b/tests/memoryAccount.spec.ts
@@ -68,6 +68,7 @@
 
   it('should have room for small bodies beside large ones', () => {
     for (let i = 0; i < 9; i++) whole(MIB);
+    expect(account.open('callers').grow(65 * KIB)).toBe(false);
     for (let i = 0; i < 48; i++) whole(64 * KIB);
     expect(account.heldBytes).toBe(12 * MIB);
   });
