--- a/tests/crowds/otherPorts.spec.ts
+++ b/tests/crowds/otherPorts.spec.ts
@@ -1,3 +1,5 @@
+import {CONTROL_CODEC} from '../../platform/controlCalls';
+import {DOCUMENT_PATH} from '../../platform/counterpart';
 import type {Payload} from '../fixtures/crowd';
 import {
   Crowd,
@@ -35,7 +37,7 @@
   await eventually('an ordinary request', () => node.isServing());
 }
 
-const PUT = 'PUT /-/config';
+const PUT = `PUT ${DOCUMENT_PATH}`;
 const STOPS_SHORT = {unit: LARGE_CHUNK, count: 4 * UNITS_PER_MIB - 2};
 const IN_BYTES = {unit: TINY_CHUNKS, count: UNITS_PER_MIB};
 const ENDLESS = {unit: LARGE_CHUNK, count: 24 * UNITS_PER_MIB};
@@ -74,12 +76,12 @@
     'ready',
     'bodies in chunks of one byte',
     40,
-    chunkedHead('GET /-/readiness'),
+    chunkedHead(`GET ${CONTROL_CODEC.readinessPath}`),
     IN_BYTES,
   ],
 ];
 
-// The bounds of the port for callers are worth nothing if another port has none.
+// Only the port for callers had limits of its own.
 describe('a crowd at another port', () => {
   it.each(CASES)(
     'should neither end a node nor lock callers out: %s, %s',
