--- a/review/lib-2/nodes.mjs
+++ b/review/lib-2/nodes.mjs
@@ -61,6 +61,10 @@
     this.subnet = subnet;
     this.folder = mkdtempSync(path.join(tmpdir(), 'review-'));
     this.children = new Map();
+    // Also when the case is given up.
+    process.once('exit', () => {
+      for (const child of this.children.values()) child.kill('SIGKILL');
+    });
     this.leaderTerms = new Map();
     this.nodes = plan.map(({zone, hasDisk}, i) => ({
       ip: `${subnet}.${i + 1}`,
