--- a/review/lib-2/nodes.mjs
+++ b/review/lib-2/nodes.mjs
@@ -91,10 +91,11 @@
     for (const {ip} of this.nodes) this.start(ip, true);
   }
 
-  start(ip, isFirstStart = false) {
+  /** `disk` names another, empty disk than the one that the node had before. */
+  start(ip, isFirstStart = false, disk = 'data') {
     const node = this.nodes.find(one => one.ip === ip);
     const file = path.join(this.folder, `${ip}.ini`);
-    const dataDir = path.join(this.folder, `data-${ip}`);
+    const dataDir = path.join(this.folder, `${disk}-${ip}`);
     if (node.hasDisk) mkdirSync(dataDir, {recursive: true});
     const seeds = this.nodes
       .filter(({hasDisk}) => hasDisk)
