Compare an order with the state before it was sent

Cause: an order without a version was compared with the zone's revision as of its arrival. An order that a link holds up while its sender repeats it elsewhere arrives after the later evacuation and matches it. Ruled out as the whole cause: that the leader doesn't read the end of the connection. Without an end the order was carried out as well.

Change: the gate keeps what the node knew when the connection was opened or its last response was sent, when the sender had not given up, and an order is compared with that.

--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -66,6 +66,7 @@
     this.server.headersTimeout = BODY_TIMEOUT_MS;
     const handler = (req: http.IncomingMessage, res: http.ServerResponse) =>
       void this.answer(req, res);
+    this.gate.attach(this.server);
     parts.inbound.guard('control', handler).attach(this.server);
   }
 
@@ -248,7 +249,7 @@
   ): Promise<Reply> {
     const rejection = await this.rejectOutdated(order);
     if (rejection !== undefined) return rejection;
-    const zoneRevisions = order?.view.zoneRevisions;
+    const zoneRevisions = order?.basis.zoneRevisions;
     // A leader of an older version states no revisions.
     const seenRevision =
       zoneRevisions && (zoneRevisions[availabilityZone] ?? NO_ZONE_REVISION);
@@ -260,10 +261,9 @@
     order: TakenOrder | undefined
   ): Promise<Reply | undefined> {
     if (order === undefined) return OUTDATED;
-    // The end of a connection that the sender gave up is read meanwhile.
     const reported = await this.reportToLeader();
     if (reported !== OK) return reported;
-    return order.isAwaited() ? undefined : OUTDATED;
+    return (await order.isAwaited()) ? undefined : OUTDATED;
   }
 
   private async liftRequest({
--- a/tests/platform/lateOrders.spec.ts
+++ b/tests/platform/lateOrders.spec.ts
@@ -16,39 +16,52 @@
 const HOST = 'late.example';
 /** Zone of the only target. */
 const ZONE_URL = '/-/evacuations/a';
+const TARGET_URL = '/-/instances/i-1';
 
 // An order that waited, while its sender gave up and repeated it at another node, must
 // not undo what was ordered since.
 describe('orders that were overtaken', () => {
   let nodes: Nodes;
-  let target: http.Server;
+  /** Lifetimes of the only target. */
+  const lifetimes: http.Server[] = [];
 
   beforeAll(async () => {
     nodes = new Nodes([A, B, C]);
     await nodes.choosePorts();
     for (const ip of [A, B, C]) nodes.start(ip, true);
     nodes.start(D, true, false);
-    target = http.createServer((req, res) => {
-      res.setHeader('x-attempt-id', String(req.headers['x-attempt-id']));
-      res.setHeader('x-response-seal', 'seal');
-      res.end('served');
-    });
-    await new Promise<void>(done => target.listen(0, '127.0.0.1', done));
-    const {port} = target.address() as AddressInfo;
     await nodes.order(A, 'PUT', '/-/config', documentText(1, HOST, 's'));
-    const text = announcement('s', `127.0.0.1:${port}`, 1, 1);
-    await nodes.order(A, 'PUT', '/-/instances/i-1', text);
+    await startTarget(A);
     for (const ip of [A, B, C, D]) await untilServed(ip);
   }, 30_000);
   afterAll(async () => {
-    target.close();
+    for (const target of lifetimes) target.close();
     await nodes.stop();
   });
 
-  async function statusAt(ip: string): Promise<number> {
+  /** Starts the target anew under its id; responses name its lifetime. */
+  async function startTarget(ip: string): Promise<string> {
+    const bornMs = lifetimes.length + 1;
+    const target = http.createServer((req, res) => {
+      res.setHeader('x-attempt-id', String(req.headers['x-attempt-id']));
+      res.setHeader('x-response-seal', 'seal');
+      res.end(`lifetime ${bornMs}`);
+    });
+    lifetimes.push(target);
+    await new Promise<void>(done => target.listen(0, '127.0.0.1', done));
+    const {port} = target.address() as AddressInfo;
+    const text = announcement('s', `127.0.0.1:${port}`, bornMs, 1);
+    await nodes.order(ip, 'PUT', TARGET_URL, text);
+    return `lifetime ${bornMs}`;
+  }
+
+  function callAt(ip: string) {
     const headers = {host: HOST, 'x-attempt-id': 'one'};
-    const {callers} = nodes.ports;
-    return (await call(ip, callers, 'GET', '/i/x', '', headers)).status;
+    return call(ip, nodes.ports.callers, 'GET', '/i/x', '', headers);
+  }
+
+  async function statusAt(ip: string): Promise<number> {
+    return (await callAt(ip)).status;
   }
 
   function untilServed(ip: string): Promise<unknown> {
@@ -62,8 +75,8 @@
     );
   }
 
-  /** Opens a withdrawal at a node; `bytes` are those of its head that are sent. */
-  async function openWithdrawal(ip: string, bytes: string) {
+  /** Opens a connection to a node; `bytes` are sent at once. */
+  async function openConnection(ip: string, bytes: string) {
     const socket = net.connect(nodes.ports.control, ip);
     socket.on('error', () => undefined);
     await new Promise<void>(done => socket.once('connect', done));
@@ -75,7 +88,7 @@
     await nodes.order(A, 'POST', ZONE_URL);
     await untilEvacuated(B);
     const head = `DELETE ${ZONE_URL} HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n`;
-    const late = await openWithdrawal(B, head);
+    const late = await openConnection(B, head);
     const reply = new Promise<string>(resolve =>
       late.once('data', data => resolve(String(data)))
     );
@@ -94,7 +107,7 @@
     await nodes.order(A, 'POST', ZONE_URL);
     await untilEvacuated(D);
     nodes.signal(D, 'SIGSTOP');
-    const given = await openWithdrawal(
+    const given = await openConnection(
       D,
       `DELETE ${ZONE_URL} HTTP/1.1\r\nHost: x\r\n\r\n`
     );
@@ -111,4 +124,50 @@
     await nodes.order(D, 'DELETE', ZONE_URL);
     for (const ip of [A, D]) await untilServed(ip);
   });
+
+  /** Sends bytes on a connection; resolves with the next bytes that it receives. */
+  function exchange(socket: net.Socket, bytes: string): Promise<string> {
+    const reply = new Promise<string>(resolve =>
+      socket.once('data', data => resolve(String(data)))
+    );
+    socket.write(bytes);
+    return reply;
+  }
+
+  // A link may hold up the bytes of an order for longer than their sender waits, and the
+  // end of its connection for even longer. One of these nodes leads.
+  describe.each([A, B, C, D])('over a link that held them up to %s', ip => {
+    const other = ip === A ? B : A;
+    const withdrawal = `DELETE ${ZONE_URL} HTTP/1.1\r\nHost: x\r\n\r\n`;
+
+    async function evacuateAgain(): Promise<void> {
+      await nodes.order(other, 'DELETE', ZONE_URL);
+      await untilServed(ip);
+      await nodes.order(other, 'POST', ZONE_URL);
+      await untilEvacuated(ip);
+    }
+
+    it('should not undo a later evacuation', async () => {
+      await nodes.order(other, 'POST', ZONE_URL);
+      await untilEvacuated(ip);
+      const late = await openConnection(ip, '');
+      await evacuateAgain();
+      expect(await exchange(late, withdrawal)).toMatch(/^HTTP\/1\.1 503 /);
+      late.destroy();
+      expect(await statusAt(ip)).toBe(UNAVAILABLE);
+    });
+
+    it('should not undo one on a connection that stood idle', async () => {
+      const late = await openConnection(ip, '');
+      const list = 'GET /-/quarantine HTTP/1.1\r\nHost: x\r\n\r\n';
+      expect(await exchange(late, list)).toMatch(/^HTTP\/1\.1 200 /);
+      await evacuateAgain();
+      expect(await exchange(late, withdrawal)).toMatch(/^HTTP\/1\.1 503 /);
+      expect(await statusAt(ip)).toBe(UNAVAILABLE);
+      // The response shows that the sender still waits: it may send the order again.
+      expect(await exchange(late, withdrawal)).toMatch(/^HTTP\/1\.1 200 /);
+      late.destroy();
+      await untilServed(ip);
+    });
+  });
 });
