Match a departure to the lifetime that its sender had

Cause: the order names no lifetime, and the node took the one known at its arrival. Ruled out: the comparison of lifetimes in the log, which is right.

Change: the table keeps since when a boot is known. A departure that was sent before, by its connection, gets 503; so does one in the first 5 s of a boot that follows another.

--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -14,14 +14,27 @@
  */
 const KEEP_ABSENT_MS = 60_000;
 
+/**
+ * A target that has restarted does not leave so soon; an order to take it out is a late
+ * one of its previous boot.
+ */
+const MIN_LIFETIME_MS = 5_000;
+
 interface Entry {
   readonly record: TargetRecord;
   /** Table revision of the last change of the record. */
   readonly revision: number;
   /** Local time of its last announcement. */
   readonly seenAtMs: number;
+  /** Local time from which this boot is known. */
+  readonly knownSinceMs: number;
+  /** Whether an earlier boot of the target was known before. */
+  readonly isRestart: boolean;
 }
 
+/** An entry as it is put into the table, which adds what it knows of the boot. */
+type EntryUpdate = Omit<Entry, 'knownSinceMs' | 'isRestart'>;
+
 /** State in which the log has the departure of a boot; undefined if it stays. */
 export type DepartureLookup = (
   record: TargetRecord
@@ -52,6 +65,18 @@
     return this.entries.get(id)?.record;
   }
 
+  /**
+   * Whether an order to take a target out that was sent at `sentAtMs` or later can be
+   * meant for the known boot, and not for the one before.
+   */
+  canLeave(id: string, sentAtMs: number, nowMs: number): boolean {
+    const known = this.entries.get(id);
+    if (known === undefined) return false;
+    const {knownSinceMs, isRestart} = known;
+    const isYoung = isRestart && nowMs - knownSinceMs < MIN_LIFETIME_MS;
+    return knownSinceMs <= sentAtMs && !isYoung;
+  }
+
   /** The latest boot that is known at an address; undefined after it left. */
   findByAddress(address: string): TargetRecord | undefined {
     const records = [...(this.idsByAddress.get(address) ?? [])].flatMap(
@@ -78,7 +103,7 @@
     const changed = known === undefined || !isEquivalent(known.record, record);
     const revision = changed ? ++this.lastRevision : known.revision;
     const merged = withLimitOf(known?.record, record);
-    this.set({record: merged, revision, seenAtMs: nowMs});
+    this.set({record: merged, revision, seenAtMs: nowMs}, nowMs);
     if (changed) this.retireEarlierBoots(record, nowMs);
     return true;
   }
@@ -159,13 +184,18 @@
 
   private putChange(record: TargetRecord, seenAtMs: number): void {
     const revision = ++this.lastRevision;
-    this.set({record, revision, seenAtMs});
+    this.set({record, revision, seenAtMs}, seenAtMs);
   }
 
-  private set(entry: Entry): void {
-    const {id, address} = entry.record;
-    if (this.entries.get(id)?.record.address !== address) this.delete(id);
-    this.entries.set(id, entry);
+  private set(update: EntryUpdate, nowMs: number): void {
+    const {id, address, bornMs} = update.record;
+    const known = this.entries.get(id);
+    const isSameBoot = known?.record.bornMs === bornMs;
+    const {knownSinceMs, isRestart} = isSameBoot
+      ? known
+      : {knownSinceMs: nowMs, isRestart: known !== undefined};
+    if (known?.record.address !== address) this.delete(id);
+    this.entries.set(id, {...update, knownSinceMs, isRestart});
     const ids = this.idsByAddress.get(address) ?? new Set();
     this.idsByAddress.set(address, ids.add(id));
   }
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -36,13 +36,6 @@
 };
 const UNAVAILABLE: Reply = {status: 503, body: '{"error":"no leader"}'};
 
-/** What this node knew when it read the head of a call. */
-interface CallBasis {
-  readonly order: TakenOrder | undefined;
-  /** The boot of a target that says that it leaves. */
-  readonly leaving: TargetRecord | undefined;
-}
-
 /** Dependencies of the control server. */
 export interface ControlServerParts {
   readonly node: ClusterNode;
@@ -87,16 +80,14 @@
     req: http.IncomingMessage,
     res: http.ServerResponse
   ): Promise<void> {
-    const {codec, logger, node} = this.parts;
+    const {codec, logger} = this.parts;
     const call = codec.readCall(req.method ?? '', req.url ?? '');
     const order = this.gate.take(req, res);
-    const leaving =
-      call?.kind === 'leave' ? node.table.find(call.id) : undefined;
     try {
       const {status, body = ''} =
         call === undefined
           ? NOT_FOUND
-          : await this.readAndHandle(req, call, {order, leaving});
+          : await this.readAndHandle(req, call, order);
       if (status !== OK.status)
         logger.warn(
           {event: 'control.refused', call: loggable(call), status, body},
@@ -119,7 +110,7 @@
   private async readAndHandle(
     req: http.IncomingMessage,
     call: ControlCall,
-    basis: CallBasis
+    order: TakenOrder | undefined
   ): Promise<Reply> {
     const room = this.parts.inbound.memory.open('operators');
     try {
@@ -129,7 +120,7 @@
         room,
       });
       if (read.kind !== 'whole') return UNREAD_REPLIES[read.kind];
-      return await this.handle(call, read.body.toString('utf8'), basis);
+      return await this.handle(call, read.body.toString('utf8'), order);
     } finally {
       room.release();
     }
@@ -138,13 +129,13 @@
   private async handle(
     call: ControlCall,
     text: string,
-    {order, leaving}: CallBasis
+    order: TakenOrder | undefined
   ): Promise<Reply> {
     switch (call.kind) {
       case 'announce':
         return this.announce(call.id, text);
       case 'leave':
-        return order === undefined ? OUTDATED : this.leave(call.id, leaving);
+        return order === undefined ? OUTDATED : this.leave(call.id, order);
       case 'putSite':
         return this.putSite(text);
       case 'getSite':
@@ -181,19 +172,19 @@
       : OK;
   }
 
-  /** `leaving`: the boot that was known when the order was taken. */
-  private async leave(
-    id: string,
-    leaving: TargetRecord | undefined
-  ): Promise<Reply> {
-    if (leaving !== undefined) return this.recordDeparture(leaving, 'gone');
-    // It may have announced itself to another node just before.
-    const reported = await this.reportToLeader();
-    if (reported !== OK) return reported;
-    const boot = this.parts.node.table.find(id);
-    return boot === undefined
-      ? UNKNOWN_TARGET
-      : this.recordDeparture(boot, 'gone');
+  /** The order names no boot of the target: it is meant for one that its sender knew. */
+  private async leave(id: string, order: TakenOrder): Promise<Reply> {
+    const {table} = this.parts.node;
+    if (table.find(id) === undefined) {
+      // It may have announced itself to another node just before.
+      const reported = await this.reportToLeader();
+      if (reported !== OK) return reported;
+    }
+    const boot = table.find(id);
+    if (boot === undefined) return UNKNOWN_TARGET;
+    return table.canLeave(id, order.basis.atMs, performance.now())
+      ? this.recordDeparture(boot, 'gone')
+      : OUTDATED;
   }
 
   private async recordDeparture(
--- a/src/node/orderGate.ts
+++ b/src/node/orderGate.ts
@@ -16,6 +16,8 @@
 
 /** What this node knew before an order was sent. */
 export interface OrderBasis {
+  /** The order was sent at this time or later. */
+  readonly atMs: number;
   /** Undefined from a leader of an older version, which states none. */
   readonly zoneRevisions: ZoneRevisions | undefined;
 }
@@ -80,6 +82,6 @@
   private currentBasis(): OrderBasis | undefined {
     const {view} = this.node;
     if (view.grantedAtMs === undefined) return undefined;
-    return {zoneRevisions: view.zoneRevisions};
+    return {atMs: performance.now(), zoneRevisions: view.zoneRevisions};
   }
 }
--- a/tests/platform/lateOrders.spec.ts
+++ b/tests/platform/lateOrders.spec.ts
@@ -169,5 +169,26 @@
       late.destroy();
       await untilServed(ip);
     });
+
+    it('should not take the next lifetime of a target out', async () => {
+      const late = await openConnection(ip, '');
+      const next = await startTarget(other);
+      await eventually(
+        `${ip} knows of the restart`,
+        async () => (await callAt(ip)).body === next
+      );
+      const departure = `DELETE ${TARGET_URL} HTTP/1.1\r\nHost: x\r\n\r\n`;
+      expect(await exchange(late, departure)).toMatch(/^HTTP\/1\.1 503 /);
+      late.destroy();
+      expect(await statusAt(ip)).toBe(OK);
+    });
+  });
+
+  // Some senders open their connection only once their link is whole again.
+  it('should not take out a lifetime that has just begun', async () => {
+    await startTarget(A);
+    const {status} = await call(A, nodes.ports.control, 'DELETE', TARGET_URL);
+    expect(status).toBe(UNAVAILABLE);
+    expect(await statusAt(A)).toBe(OK);
   });
 });
