Compare changes of the quarantine and lifts with the state before they were sent

A late lift of a request also cleared crashes that came after it.

Change: the leader names the last change by an operator, nodes learn it with their reports, and an order states the one known before it was sent. A lift is refused if a target crashed since. The client repeats what got 503. Not affected: check-ins as draining, which name lifetime and sequence.

--- a/src/cli/quarantineCommand.ts
+++ b/src/cli/quarantineCommand.ts
@@ -1,6 +1,7 @@
 /** `quarantine`: shows, adds and lifts parts of prompts and requests that crash targets. */
 
 import http from 'node:http';
+import {setTimeout} from 'node:timers/promises';
 import {
   QUARANTINE_PATH,
   crashedRequestPath,
@@ -35,9 +36,13 @@
     2  wrong arguments, or no such service or request
 `;
 const TIMEOUT_MS = 5_000;
+/** A node that has not caught up with an earlier change refuses the next one. */
+const MAX_ATTEMPTS = 4;
+const RETRY_DELAY_MS = 500;
 const MAX_BODY_BYTES = 1 << 20;
 const OK = 200;
 const NOT_FOUND = 404;
+const UNAVAILABLE = 503;
 const MS_PER_S = 1_000;
 
 interface Reply {
@@ -61,7 +66,7 @@
     if (!isChange || service === undefined || part === undefined)
       throw new UsageError('expected add or lift, SERVICE and PART');
     const method = change === 'add' ? 'PUT' : 'DELETE';
-    return report(await call(node, method, quarantinePath(service, part)));
+    return report(await order(node, method, quarantinePath(service, part)));
   });
 }
 
@@ -71,7 +76,20 @@
 ): Promise<number> {
   if (digest === undefined || extra !== undefined)
     throw new UsageError('expected lift-request REQUEST');
-  return report(await call(node, 'DELETE', crashedRequestPath(digest)));
+  return report(await order(node, 'DELETE', crashedRequestPath(digest)));
+}
+
+/** Sends a change, again while the node can't carry it out. */
+async function order(
+  node: string,
+  method: string,
+  path: string
+): Promise<Reply> {
+  for (let attempt = 1; ; attempt++) {
+    const reply = await call(node, method, path);
+    if (reply.status !== UNAVAILABLE || attempt === MAX_ATTEMPTS) return reply;
+    await setTimeout(RETRY_DELAY_MS);
+  }
 }
 
 function report({status, body}: Reply): number {
--- a/src/cluster/clusterNode.ts
+++ b/src/cluster/clusterNode.ts
@@ -298,19 +298,21 @@
 
   /**
    * Adds a part of prompts to the quarantine or lifts it. Resolves once the leader has
-   * it; the other nodes follow with their next reports.
+   * it, with false if another one came first; the other nodes follow with their reports.
    */
-  async changeQuarantine(change: QuarantineChange): Promise<void> {
-    if (this.leads) this.coordinator.changeQuarantine(change);
-    else
-      await this.leaderClient.call({
-        method: NODE_METHODS.quarantine,
-        params: change,
-        reply: QUARANTINE_CHANGE_REPLY,
-        timeoutMs: READ_TIMEOUT_MS,
-        mayOverlap: false,
-      });
-    this.quarantine.applyChange(change, performance.now());
+  async changeQuarantine(change: QuarantineChange): Promise<boolean> {
+    const end = this.leads
+      ? this.coordinator.changeQuarantine(change)
+      : await this.leaderClient.call({
+          method: NODE_METHODS.quarantine,
+          params: change,
+          reply: QUARANTINE_CHANGE_REPLY,
+          timeoutMs: READ_TIMEOUT_MS,
+          mayOverlap: false,
+        });
+    if (end.kind === 'changed')
+      this.quarantine.applyChange(change, performance.now(), end.lastChange);
+    return end.kind === 'changed';
   }
 
   /** The newest site document, confirmed by a quorum; rejects without one. */
@@ -408,8 +410,7 @@
             });
       if (reply.kind !== 'state') throw new Error('this node no longer leads');
       const report = {params, sentAtMs, isLeader: this.leads};
-      const state = unpackRecords(reply);
-      this.reports.applyReply(state, report, performance.now());
+      this.reports.applyReply(unpackRecords(reply), report, performance.now());
     } catch (err) {
       this.reports.requeue(params);
       throw err;
--- a/src/cluster/coordinator.ts
+++ b/src/cluster/coordinator.ts
@@ -17,7 +17,7 @@
 import {LimitChangeLogger} from './limitChangeLogger';
 import type {NodeInfo, ServiceGrant, SyncParams, SyncState} from './messages';
 import type {NodeReport} from './nodeReports';
-import type {QuarantineChange} from './quarantineMessages';
+import type {QuarantineChange, QuarantineChangeEnd} from './quarantineMessages';
 import {
   NodeReports,
   demandsOf,
@@ -186,8 +186,8 @@
   }
 
   /** Applies a change of an operator to the parts in quarantine. */
-  changeQuarantine(change: QuarantineChange): void {
-    this.quarantine.change(change, this.nowMs());
+  changeQuarantine(change: QuarantineChange): QuarantineChangeEnd {
+    return this.quarantine.change(change, this.nowMs());
   }
 
   /** Counts a call to a target that was made without a token. */
--- a/src/cluster/crashedRequests.ts
+++ b/src/cluster/crashedRequests.ts
@@ -149,6 +149,12 @@
     if (this.merge(served)) void this.share([served]);
   }
 
+  /** Whether a target crashed under the request later than at `atMs`. */
+  hasCrashedSince(digest: string, atMs: number): boolean {
+    const crashes = this.counts.find(digest)?.crashes ?? [];
+    return crashes.some(crash => crash.atMs > atMs);
+  }
+
   /** Lets targets get the request again, at all nodes; false for an unknown one. */
   async lift(digest: string): Promise<boolean> {
     const evidence = this.counts.find(digest);
--- a/src/cluster/leaderQuarantine.ts
+++ b/src/cluster/leaderQuarantine.ts
@@ -4,6 +4,7 @@
  * new leader rebuilds it from the reports of the nodes.
  */
 
+import {newBootId} from '../core/bootId';
 import type {Logger} from '../core/logger';
 import {CrashAttribution} from '../policy/quarantine/crashAttribution';
 import type {QuarantineTerm} from '../policy/quarantine/quarantineTerm';
@@ -12,6 +13,7 @@
 import {partKey} from './partKey';
 import type {
   QuarantineChange,
+  QuarantineChangeEnd,
   QuarantineReport,
   QuarantineState,
   QuarantinedPart,
@@ -43,6 +45,8 @@
   private suspects: QuarantineState['suspects'] = [];
   private decidedAtMs = -Infinity;
   private collectUntilMs = -Infinity;
+  /** See `QUARANTINE_STATE`. */
+  private lastChange = newBootId();
 
   constructor(private readonly logger: Logger) {}
 
@@ -54,6 +58,7 @@
     this.relapses.clear();
     this.liftedAtMs.clear();
     this.suspects = [];
+    this.lastChange = newBootId();
   }
 
   /** Takes the report of a node. */
@@ -89,11 +94,29 @@
         return {service, part, cause, crashes, ageMs};
       }
     );
-    return {parts, suspects: this.suspects};
+    return {parts, suspects: this.suspects, lastChange: this.lastChange};
   }
 
-  /** Applies a change of an operator. */
-  change({kind, service, part}: QuarantineChange, nowMs: number): void {
+  /**
+   * Applies a change of an operator, unless another one came first: it may have waited
+   * while its sender repeated it elsewhere. One that is in force already only holds.
+   */
+  change(change: QuarantineChange, nowMs: number): QuarantineChangeEnd {
+    const {seenChange = this.lastChange} = change;
+    if (seenChange !== this.lastChange && !this.holds(change))
+      return {kind: 'outdated'};
+    this.apply(change, nowMs);
+    this.lastChange = newBootId();
+    return {kind: 'changed', lastChange: this.lastChange};
+  }
+
+  /** A lift also drops evidence, so that none is in force already. */
+  private holds({kind, service, part}: QuarantineChange): boolean {
+    const entry = this.entries.get(partKey({service, part}));
+    return kind === 'add' && entry?.cause === 'operator';
+  }
+
+  private apply({kind, service, part}: QuarantineChange, nowMs: number): void {
     const key = partKey({service, part});
     switch (kind) {
       case 'add':
--- a/src/cluster/leaderService.ts
+++ b/src/cluster/leaderService.ts
@@ -18,7 +18,7 @@
   SyncReply,
 } from './messages';
 import type {NodeDirectory} from './nodeDirectory';
-import type {QuarantineChange} from './quarantineMessages';
+import type {QuarantineChange, QuarantineChangeEnd} from './quarantineMessages';
 
 /** Dependencies of the leader service. */
 export interface LeaderServiceParts {
@@ -115,12 +115,10 @@
   }
 
   /** Handles a change of the quarantine by another node. */
-  changeQuarantine(
-    change: QuarantineChange
-  ): NotLeader | {readonly kind: 'changed'} {
-    if (!this.isCaughtUp) return this.notLeader();
-    this.parts.coordinator.changeQuarantine(change);
-    return {kind: 'changed'};
+  changeQuarantine(change: QuarantineChange): NotLeader | QuarantineChangeEnd {
+    return this.isCaughtUp
+      ? this.parts.coordinator.changeQuarantine(change)
+      : this.notLeader();
   }
 
   /** Handles a report of any node, including this one. */
--- a/src/cluster/nodeQuarantine.ts
+++ b/src/cluster/nodeQuarantine.ts
@@ -72,6 +72,7 @@
   /** Keys of parts that this node did not serve since a crash that it saw. */
   private readonly unserved = new Set<string>();
   private suspects: QuarantineState['suspects'] = [];
+  private seenChange: string | undefined;
   private suspectCrashes = new Map<string, number>();
   private repliedAtMs = -Infinity;
   private activeNodes = 1;
@@ -118,6 +119,11 @@
     this.changed$.next();
   }
 
+  /** See `QUARANTINE_STATE`. */
+  get lastChange(): string | undefined {
+    return this.seenChange;
+  }
+
   /** All parts in quarantine, and the suspects that the leader listed. */
   list(nowMs: number): QuarantineState {
     const parts = [...this.entries.values()].map(entry => toPart(entry, nowMs));
@@ -125,7 +131,12 @@
   }
 
   /** Applies a change that the leader has made. */
-  applyChange({kind, service, part}: QuarantineChange, nowMs: number): void {
+  applyChange(
+    {kind, service, part}: QuarantineChange,
+    nowMs: number,
+    lastChange?: string
+  ): void {
+    this.seenChange = lastChange;
     const key = partKey({service, part});
     if (kind === 'lift') this.drop(key);
     else
@@ -221,6 +232,7 @@
     for (const {ageMs, ...part} of listed.values())
       this.put({...part, sinceMs: nowMs - ageMs, isAcknowledged: true});
     this.suspects = state.suspects;
+    this.seenChange = state.lastChange;
     this.suspectCrashes = new Map(
       state.suspects.map(suspect => [partKey(suspect), suspect.crashes])
     );
--- a/src/cluster/quarantineMessages.ts
+++ b/src/cluster/quarantineMessages.ts
@@ -61,6 +61,11 @@
   parts: z.array(QUARANTINED_PART),
   /** Parts that may have caused crashes. */
   suspects: z.array(z.object({service: TEXT, part: TEXT, crashes: COUNT})),
+  /**
+   * Identifies the last change by an operator, or the leader's term before the first;
+   * absent from a leader of an older version.
+   */
+  lastChange: TEXT.optional(),
 });
 /** What the leader decided. */
 export type QuarantineState = z.infer<typeof QUARANTINE_STATE>;
@@ -78,6 +83,11 @@
   kind: z.enum(['add', 'lift']),
   service: TEXT,
   part: TEXT,
+  /**
+   * The last change that the node knew before the operator sent this one; absent from a
+   * node of an older version, whose changes are always applied.
+   */
+  seenChange: TEXT.optional(),
 });
 /** A change by an operator. */
 export type QuarantineChange = z.infer<typeof QUARANTINE_CHANGE>;
@@ -85,5 +95,12 @@
 /** Reply to a change. */
 export const QUARANTINE_CHANGE_REPLY = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('notLeader'), leader: TEXT.optional()}),
-  z.object({kind: z.literal('changed')}),
+  z.object({kind: z.literal('changed'), lastChange: TEXT.optional()}),
+  /** It was overtaken by another one and changed nothing. */
+  z.object({kind: z.literal('outdated')}),
 ]);
+/** What became of a change that was sent to the leader. */
+export type QuarantineChangeEnd = Exclude<
+  z.infer<typeof QUARANTINE_CHANGE_REPLY>,
+  {readonly kind: 'notLeader'}
+>;
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -143,11 +143,9 @@
       case 'listQuarantine':
         return this.listQuarantine();
       case 'changeQuarantine':
-        return (
-          (await this.rejectOutdated(order)) ?? this.changeQuarantine(call)
-        );
+        return this.changeQuarantine(call, order);
       case 'liftRequest':
-        return (await this.rejectOutdated(order)) ?? this.liftRequest(call);
+        return this.liftRequest(call, order);
       case 'zone':
         return this.changeZone(call, order);
       default:
@@ -257,11 +255,17 @@
     return (await order.isAwaited()) ? undefined : OUTDATED;
   }
 
-  private async liftRequest({
-    digest,
-  }: Extract<ControlCall, {kind: 'liftRequest'}>): Promise<Reply> {
-    const isKnown = await this.parts.node.crashedRequests.lift(digest);
-    return isKnown ? OK : UNKNOWN_REQUEST;
+  private async liftRequest(
+    {digest}: Extract<ControlCall, {kind: 'liftRequest'}>,
+    order: TakenOrder | undefined
+  ): Promise<Reply> {
+    const rejection = await this.rejectOutdated(order);
+    if (rejection !== undefined) return rejection;
+    const {crashedRequests} = this.parts.node;
+    // Its sender did not know of these crashes.
+    if (crashedRequests.hasCrashedSince(digest, order?.basis.atMs ?? 0))
+      return OUTDATED;
+    return (await crashedRequests.lift(digest)) ? OK : UNKNOWN_REQUEST;
   }
 
   private listQuarantine(): Reply {
@@ -273,16 +277,23 @@
     return {status: 200, body: `${JSON.stringify(list)}\n`};
   }
 
-  private async changeQuarantine({
-    change,
-    service,
-    part,
-  }: Extract<ControlCall, {kind: 'changeQuarantine'}>): Promise<Reply> {
+  private async changeQuarantine(
+    {change, service, part}: Extract<ControlCall, {kind: 'changeQuarantine'}>,
+    order: TakenOrder | undefined
+  ): Promise<Reply> {
+    const rejection = await this.rejectOutdated(order);
+    if (rejection !== undefined) return rejection;
     const {node, logger} = this.parts;
     if (node.site?.services.has(service) !== true) return UNKNOWN_SERVICE;
+    const seenChange = order?.basis.quarantineChange;
     try {
-      await node.changeQuarantine({kind: change, service, part});
-      return OK;
+      const isDone = await node.changeQuarantine({
+        kind: change,
+        service,
+        part,
+        seenChange,
+      });
+      return isDone ? OK : OUTDATED;
     } catch (err) {
       const detail = String(err);
       logger.warn({event: 'quarantine.failed', err: detail}, detail);
--- a/src/node/orderGate.ts
+++ b/src/node/orderGate.ts
@@ -20,6 +20,8 @@
   readonly atMs: number;
   /** Undefined from a leader of an older version, which states none. */
   readonly zoneRevisions: ZoneRevisions | undefined;
+  /** Last change of the quarantine; see `QUARANTINE_STATE`. */
+  readonly quarantineChange: string | undefined;
 }
 
 /** An order that was read. */
@@ -43,7 +45,7 @@
   private readonly bases = new WeakMap<IncomingMessage, OrderBasis>();
 
   constructor(
-    private readonly node: Pick<ClusterNode, 'view'>,
+    private readonly node: Pick<ClusterNode, 'view' | 'quarantine'>,
     private readonly suspension: Pick<SuspensionWatch, 'mayHaveBacklog'>
   ) {}
 
@@ -80,8 +82,12 @@
   }
 
   private currentBasis(): OrderBasis | undefined {
-    const {view} = this.node;
+    const {view, quarantine} = this.node;
     if (view.grantedAtMs === undefined) return undefined;
-    return {atMs: performance.now(), zoneRevisions: view.zoneRevisions};
+    return {
+      atMs: performance.now(),
+      zoneRevisions: view.zoneRevisions,
+      quarantineChange: quarantine.lastChange,
+    };
   }
 }
--- a/tests/crashedRequests.spec.ts
+++ b/tests/crashedRequests.spec.ts
@@ -221,6 +221,16 @@
     expect(cluster.node('n0').list()).toEqual([]);
   });
 
+  // A late order to lift a request would also clear what happened after it was sent.
+  it('should tell whether a target crashed since an order was sent', async () => {
+    const cluster = new Cluster(3);
+    const atMs = Date.now();
+    await cluster.node('n0').noteCrash({...crash('b1', 'd'), atMs});
+    expect(cluster.node('n0').hasCrashedSince('d', atMs - 1)).toBe(true);
+    expect(cluster.node('n0').hasCrashedSince('d', atMs)).toBe(false);
+    expect(cluster.node('n0').hasCrashedSince('unknown', 0)).toBe(false);
+  });
+
   it('should not tell of services of other requests', async () => {
     const cluster = new Cluster(3);
     cluster.node('n0').noteServed('sound');
--- a/tests/platform/lateOrders.spec.ts
+++ b/tests/platform/lateOrders.spec.ts
@@ -191,4 +191,26 @@
     expect(status).toBe(UNAVAILABLE);
     expect(await statusAt(A)).toBe(OK);
   });
+
+  it('should not lift a part of prompts that was added since', async () => {
+    const url = '/-/quarantine/s/5c';
+    const late = await openConnection(A, '');
+    await nodes.order(B, 'PUT', url);
+    const lift = `DELETE ${url} HTTP/1.1\r\nHost: x\r\n\r\n`;
+    expect(await exchange(late, lift)).toMatch(/^HTTP\/1\.1 503 /);
+    late.destroy();
+    const list = await nodes.order(B, 'GET', '/-/quarantine');
+    expect(list.body).toContain('"part":"5c"');
+  });
+
+  it('should not add a part of prompts that was lifted since', async () => {
+    const url = '/-/quarantine/s/5c';
+    const late = await openConnection(A, '');
+    await nodes.order(B, 'DELETE', url);
+    const addition = `PUT ${url} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n`;
+    expect(await exchange(late, addition)).toMatch(/^HTTP\/1\.1 503 /);
+    late.destroy();
+    const list = await nodes.order(B, 'GET', '/-/quarantine');
+    expect(list.body).not.toContain('"part":"5c"');
+  });
 });
