Take only what can end in a planned stop, and answer the rest

Causes: no look at the time left; requests in progress at the end were dropped; a response that closes its connection dropped a pipelined request behind it. plannedStop.spec.ts shows each of them.

Change: during a stop a request is taken if its time limit, or the longest recent request of its route, ends in time. At the end all others are cancelled and answered 503 or 502. The last request on a connection closes it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import type {HeldByteLimits} from './heldBytes';
 import {HeldBytes} from './heldBytes';
 import {probeTarget} from './probeTarget';
+import {RequestsInProgress} from './requestsInProgress';
 import type {ChoiceInput, PoolBounds} from './servicePool';
 import {ServicePool} from './servicePool';
 import {urgencyRanks} from './urgencyRanks';
@@ -56,6 +57,7 @@
     onCrash: crash => this.noteCrash(crash),
   });
   readonly heldBytes: HeldBytes;
+  readonly requests = new RequestsInProgress();
   private readonly pools = new Map<string, ServicePool>();
   /** By site version and service, as each request needs them. */
   private readonly ranks = new WeakMap<
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,6 +11,7 @@
 import {clientErrorStatus} from '../core/clientErrorStatus';
 import {abortResponse} from '../core/responseEnd';
 import {serveRequest} from './serveRequest';
+import {STOPPING_REFUSAL} from './stopRefusal';
 
 /** Timeouts until a site is known; the limits of the site replace them. */
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
@@ -67,9 +68,13 @@
     });
   }
 
-  /** Closes the connection of each request that arrives from now on. */
-  beginDrain(): void {
+  /**
+   * Closes the connection of each request that arrives from now on, and refuses those
+   * that can't end within `ms`.
+   */
+  beginDrain(ms: number): void {
     this.guard.beginDrain();
+    this.gateway.requests.beginStop(performance.now() + ms);
   }
 
   /** Refuses all new requests; those in progress continue. */
@@ -84,6 +89,12 @@
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_INTERVAL_MS));
   }
 
+  /** Answers the requests in progress; resolves when that is written, or after `ms`. */
+  async endRequests(ms: number): Promise<void> {
+    this.gateway.requests.endAll();
+    await this.waitUntilIdle(ms);
+  }
+
   close(): void {
     this.subscription.unsubscribe();
     this.server.close();
@@ -133,8 +144,7 @@
   }
 
   private refuseAsStopping(res: http.ServerResponse): void {
-    const refusal = {kind: 'stopping', retryInMs: STOPPING_RETRY_MS} as const;
-    const response = this.gateway.parts.callers.refuse(refusal);
+    const response = this.gateway.parts.callers.refuse(STOPPING_REFUSAL);
     res.writeHead(response.status, {
       ...response.headers,
       'content-length': Buffer.byteLength(response.body),
@@ -149,6 +159,3 @@
     this.server.headersTimeout = limits.headerTimeoutMs;
   }
 }
-
-/** Retry-After while stopping: another node can take the retry at once. */
-const STOPPING_RETRY_MS = 50;
--- a/src/gateway/requestState.ts
+++ b/src/gateway/requestState.ts
@@ -10,10 +10,11 @@
 import type {SiteCustomer, SiteRoute, SiteService} from '../site/site';
 
 /**
- * Why a request was cancelled: the caller closed the connection before the
- * response was complete, the deadline passed, or its prompt was found to crash targets.
+ * Why a request was cancelled: the caller closed the connection before the response was
+ * complete, the deadline passed, its prompt was found to crash targets, or this process
+ * stops.
  */
-export type StopReason = 'callerGone' | 'timedOut' | 'quarantined';
+export type StopReason = 'callerGone' | 'timedOut' | 'quarantined' | 'stopping';
 
 /** Why a request was not admitted, as logged. */
 export interface RefusalCause {
@@ -113,6 +114,11 @@
     this.stop('quarantined');
   }
 
+  /** Cancels it because this process stops. */
+  endForStop(): void {
+    this.stop('stopping');
+  }
+
   /** Time until the deadline, milliseconds; negative after it. */
   get remainingMs(): number {
     return this.deadlineMs - performance.now();
--- a/src/gateway/serveRequest.ts
+++ b/src/gateway/serveRequest.ts
@@ -28,7 +28,7 @@
 import {rounded} from '../core/rounded';
 import {runAttempts} from './runAttempts';
 import {siteRefusal} from './siteRefusal';
-import {stopRefusal} from './stopRefusal';
+import {STOPPING_REFUSAL, stopRefusal} from './stopRefusal';
 import {TargetSelection} from './targetSelection';
 
 const INTERNAL_ERROR_RETRY_MS = 500;
@@ -43,6 +43,7 @@
 ): Promise<void> {
   const {callers, logger} = gateway.parts;
   const state = new RequestState(req, res, callers.read(req));
+  gateway.requests.add(state);
   try {
     const refusal = await routeAndRun(gateway, state);
     if (refusal !== undefined) sendRefusal(gateway, state, refusal);
@@ -54,6 +55,8 @@
     );
     if (!res.headersSent) refuseInternalError(gateway, state);
     else abortResponse(res);
+  } finally {
+    gateway.requests.delete(state);
   }
 }
 
@@ -83,6 +86,8 @@
   const {route, service, customer} = routing;
   const urgency = urgencyOf(route.priority, customer?.priority);
   state.startDeadline(Math.min(route.timeoutMs, waitMs));
+  if (!gateway.requests.canEndInTime(route.name, state))
+    return STOPPING_REFUSAL;
   const room = gateway.parts.memory.open('callers');
   try {
     const {maxBodyBytes} = view.index.site.limits;
@@ -121,7 +126,9 @@
       state.refusalCause = {boundBy: 'memory'};
       return {kind: 'overloaded', retryInMs: memoryRetryMs(Math.random)};
     case 'stopped':
-      return state.stopped === 'timedOut' ? {kind: 'bodyTimeout'} : undefined;
+      return state.stopped === 'timedOut'
+        ? {kind: 'bodyTimeout'}
+        : stopRefusal(state);
     case 'cut':
       return undefined;
     default:
@@ -175,6 +182,7 @@
     return await runAttempts(gateway, state, routed);
   } finally {
     pool.queue.leave(performance.now() - admittedAtMs);
+    gateway.requests.recordDuration(routed.route.name, state);
   }
 }
 
--- a/src/gateway/stopRefusal.ts
+++ b/src/gateway/stopRefusal.ts
@@ -11,6 +11,9 @@
  */
 export const EXPIRED_RETRY_MS = 150;
 
+/** Nothing has run; another node can take the retry at once. */
+export const STOPPING_REFUSAL = {kind: 'stopping', retryInMs: 50} as const;
+
 /** The refusal; undefined if the caller is gone. */
 export function stopRefusal({
   stopped,
@@ -28,6 +31,8 @@
       return mayHaveRun
         ? {kind: 'outcomeUnknown'}
         : {kind: 'quarantined', retryInMs: QUARANTINE_RETRY_MS};
+    case 'stopping':
+      return mayHaveRun ? {kind: 'outcomeUnknown'} : STOPPING_REFUSAL;
     default:
       return unreachable(stopped);
   }
--- a/src/inbound/connectionTable.ts
+++ b/src/inbound/connectionTable.ts
@@ -19,6 +19,8 @@
   /** Goes on reading; undefined unless the reading is on hold. */
   resumeReading: (() => void) | undefined;
   private isHeadless = true;
+  /** The response that closes the connection in a planned stop. */
+  private lastResponse: ServerResponse | undefined;
 
   constructor(
     readonly socket: Socket,
@@ -36,6 +38,22 @@
     return areWritten ? 'unread' : 'busy';
   }
 
+  /**
+   * Closes the connection after this response, in place of the one before. False if that
+   * one says already that it is the last: a request that came with it is not read.
+   */
+  closeAfter(res: ServerResponse): boolean {
+    const {lastResponse} = this;
+    if (lastResponse !== undefined) {
+      if (lastResponse.headersSent) return false;
+      lastResponse.shouldKeepAlive = true;
+    }
+    if (!res.shouldKeepAlive) return true;
+    res.shouldKeepAlive = false;
+    this.lastResponse = res;
+    return true;
+  }
+
   begin(res: ServerResponse): void {
     this.isHeadless = false;
     this.responses.add(res);
--- a/src/inbound/serverGuard.ts
+++ b/src/inbound/serverGuard.ts
@@ -108,8 +108,8 @@
     req: IncomingMessage,
     res: ServerResponse
   ): void {
+    if (this.isDraining && !connection.closeAfter(res)) return;
     connection.begin(res);
-    if (this.isDraining) res.shouldKeepAlive = false;
     boundUnreadBody(req, res, () => this.report(connection, 'unreadBody'));
     res.once('close', () => this.end(connection, res));
     this.handler(req, res);
--- a/src/node/nodeProcess.ts
+++ b/src/node/nodeProcess.ts
@@ -51,6 +51,8 @@
 const READINESS_PROPAGATION_MS = 3_000;
 /** Part of the grace period that is kept for the shutdown after the drain. */
 const SHUTDOWN_RESERVE_MS = 600;
+/** Of that, the time for the last answers to be written. */
+const LAST_ANSWERS_MS = 200;
 const MS_PER_S = 1_000;
 const BYTES_PER_KIB = 1_024;
 /**
@@ -140,18 +142,20 @@
   }
 
   /**
-   * Fails the readiness probes until callers are sent elsewhere, then refuses new
-   * requests and waits for those in progress. A leader then hands leadership over
-   * at once.
+   * Fails the readiness probes until callers are sent elsewhere, and takes what can end
+   * in time; then refuses new requests, waits for those in progress, and answers what is
+   * left of them. A leader then hands leadership over at once.
    */
   async drain(): Promise<void> {
     const graceMs = this.parts.settings.bounds.graceS * MS_PER_S;
+    const takeMs = Math.min(READINESS_PROPAGATION_MS, graceMs / 2);
+    const drainMs = Math.max(takeMs, graceMs - SHUTDOWN_RESERVE_MS);
     this.ready = false;
-    this.callers.beginDrain();
-    await delay(Math.min(READINESS_PROPAGATION_MS, graceMs / 2));
+    this.callers.beginDrain(drainMs);
+    await delay(takeMs);
     this.callers.refuseNewRequests();
-    const leftMs = graceMs - READINESS_PROPAGATION_MS - SHUTDOWN_RESERVE_MS;
-    await this.callers.waitUntilIdle(Math.max(0, leftMs));
+    await this.callers.waitUntilIdle(drainMs - takeMs);
+    await this.callers.endRequests(LAST_ANSWERS_MS);
     this.callers.close();
     this.control.close();
     this.readyServer.close();
