Refuse a document that can't be replicated when it is read

A valid document of 12 to 15 MB that packs badly ended the leader or left the nodes without one (users' measurement on; here 503 for 14 MB).

Cause: the control address took 16 MiB, calls between nodes take 8, and the command was in the leader's log before it was sent. Ruled out: the size alone; 8 MiB that pack well are in force within a second.

Change: 413 with the limit above 8 MiB or 3 MiB packed; other bodies at the control address are bounded by 64 KiB; the leader checks calls alike.

--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -2,6 +2,7 @@
 
 import * as z from 'zod';
 import type {TargetRecord} from '../site/announcement';
+import {MAX_PACKED_CHARS} from '../site/packText';
 import {QUARANTINE_REPORT, QUARANTINE_STATE} from './quarantineMessages';
 
 const COUNT = z.number().nonnegative();
@@ -283,7 +284,11 @@
 /** A change for the log, by an operator or by a target that leaves. */
 export const PROPOSE_PARAMS = z.object({
   command: z.discriminatedUnion('kind', [
-    z.object({kind: z.literal('site'), version: z.number(), packed: TEXT}),
+    z.object({
+      kind: z.literal('site'),
+      version: z.number(),
+      packed: TEXT.max(MAX_PACKED_CHARS),
+    }),
     z.object({
       kind: z.literal('zone'),
       availabilityZone: TEXT,
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -10,13 +10,15 @@
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
 import {NO_ZONE_REVISION} from '../control/state/siteState';
 import type {TargetRecord} from '../site/announcement';
-import {packText} from '../site/packText';
+import {MAX_PACKED_CHARS, packText} from '../site/packText';
 import {OrderGate} from './orderGate';
 import type {TakenOrder} from './orderGate';
 import {SuspensionWatch} from './suspensionWatch';
 
-/** Room for a site document with a few thousand routes. */
-const MAX_BODY_BYTES = 16 << 20;
+/** Room for a site document with more than twenty thousand routes. */
+const MAX_DOCUMENT_BYTES = 8 << 20;
+/** Check-ins are far smaller; the other calls have no body. */
+const MAX_BODY_BYTES = 64 << 10;
 /** Operators and targets repeat a call sooner. */
 const BODY_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
@@ -113,12 +115,18 @@
     order: TakenOrder | undefined
   ): Promise<Reply> {
     const room = this.parts.inbound.memory.open('operators');
+    const maxBytes =
+      call.kind === 'putSite' ? MAX_DOCUMENT_BYTES : MAX_BODY_BYTES;
     try {
       const read = await readBody(req, {
-        maxBytes: MAX_BODY_BYTES,
+        maxBytes,
         timeoutMs: BODY_TIMEOUT_MS,
         room,
       });
+      if (read.kind === 'tooLarge')
+        return tooLarge(
+          `the body is too large; the limit is ${maxBytes} bytes`
+        );
       if (read.kind !== 'whole') return UNREAD_REPLIES[read.kind];
       return await this.handle(call, read.body.toString('utf8'), order);
     } finally {
@@ -216,7 +224,12 @@
     if (!decoded.ok)
       return {status: 400, body: JSON.stringify({error: decoded.problem})};
     const {version} = decoded.site;
-    return this.propose({kind: 'site', version, packed: packText(text)});
+    const packed = packText(text);
+    return packed.length > MAX_PACKED_CHARS
+      ? tooLarge(
+          `the document takes ${packed.length} bytes packed; the limit is ${MAX_PACKED_CHARS} bytes packed`
+        )
+      : this.propose({kind: 'site', version, packed});
   }
 
   private async propose(
@@ -332,9 +345,12 @@
   status: 404,
   body: '{"error":"no such service"}',
 };
+function tooLarge(problem: string): Reply {
+  return {status: 413, body: JSON.stringify({error: problem})};
+}
+
 /** Replies to calls whose bodies were not read to the end. */
 const UNREAD_REPLIES = {
-  tooLarge: {status: 413, body: '{"error":"the body is too large"}'},
   noRoom: {status: 503, body: '{"error":"no memory is free for the body"}'},
   stopped: {status: 408, body: '{"error":"the body did not end in time"}'},
   cut: {status: 400, body: '{"error":"the body broke off"}'},
--- a/src/site/packText.ts
+++ b/src/site/packText.ts
@@ -5,6 +5,12 @@
 
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 
+/**
+ * Characters of a packed document. Nodes hold copies of it while they send it to all
+ * others, and their calls to each other take 8 MiB.
+ */
+export const MAX_PACKED_CHARS = 3 << 20;
+
 /** Favors speed: higher levels hardly reduce the size of repetitive texts. */
 const DEFLATE_LEVEL = 1;
 
