Let a sound target outlast odd check-ins, and bound what they make nodes keep

Cause: a greater start or sequence number outweighed all others without an end; texts, records, reports and zones had no bound. Ruled out: that requests go to the odd record's address as the only effect, and that the memory is that of decoding.

Change: born over ten minutes ahead gets 400. A boot that goes on while what outweighs it is silent is let back in. Departures are kept by boot. Names have 256 characters, tables 10,000 records, reports 2,000, 128 zones.

--- a/src/cluster/localAnnouncements.ts
+++ b/src/cluster/localAnnouncements.ts
@@ -1,6 +1,7 @@
 /** Records of targets that announced themselves to this node, for the leader. */
 
 import type {TargetRecord} from '../site/announcement';
+import {MAX_TARGETS} from '../site/announcement';
 
 /**
  * Age up to which a ready target is reported to a new leader. A few heartbeats
@@ -13,6 +14,9 @@
  */
 const RESEND_LEAVING_FOR_MS = 60_000;
 
+/** Bounds a report; the others follow with the next one. */
+const MAX_RECORDS_IN_REPORT = 2_000;
+
 interface TimedRecord {
   readonly record: TargetRecord;
   readonly atMs: number;
@@ -20,15 +24,17 @@
 
 /** Records to send with the next report, and recent ones for a new leader. */
 export class LocalAnnouncements {
-  private unsent = new Map<string, TargetRecord>();
+  private readonly unsent = new Map<string, TargetRecord>();
   private readonly recent = new Map<string, TimedRecord>();
 
   /** Adds the record of an announcement that this node received. */
   add(record: TargetRecord, nowMs: number): void {
     this.unsent.set(record.id, record);
+    evictOldest(this.unsent);
     // Reinserted at the end: `evictOld` expects the oldest first.
     this.recent.delete(record.id);
     this.recent.set(record.id, {record, atMs: nowMs});
+    evictOldest(this.recent);
     this.evictOld(nowMs);
   }
 
@@ -39,10 +45,10 @@
     }
   }
 
-  /** Returns and clears the records that were not sent to the leader yet. */
+  /** Takes out records that were not sent to the leader yet, as many as a report may have. */
   takeUnsent(): readonly TargetRecord[] {
-    const records = [...this.unsent.values()];
-    this.unsent = new Map();
+    const records = [...this.unsent.values()].slice(0, MAX_RECORDS_IN_REPORT);
+    for (const {id} of records) this.unsent.delete(id);
     return records;
   }
 
@@ -62,3 +68,10 @@
     }
   }
 }
+
+/** Bounds the records, the oldest of which come first. */
+function evictOldest(records: Map<string, unknown>): void {
+  const [oldest] = records.keys();
+  if (records.size > MAX_TARGETS && oldest !== undefined)
+    records.delete(oldest);
+}
--- a/src/cluster/nodeSync.ts
+++ b/src/cluster/nodeSync.ts
@@ -173,6 +173,7 @@
     if (isNewLeader) pushback.reportLimitsMissingIn(reply.records);
     if (!isLeader)
       for (const record of reply.records) table.mergeShared(record, nowMs);
+    if (!isLeader) table.evictAbsent(nowMs);
     for (const departure of reply.departures ?? [])
       table.depart(departure, nowMs);
     const {provenAgeMs = DEFAULT_PROVEN_AGE_MS} = reply;
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -6,13 +6,17 @@
 import type {Departure} from '../control/state/departureState';
 import {parseHostPort} from '../core/hostPort';
 import type {TargetRecord} from '../site/announcement';
-import {MAX_SLOTS} from '../site/announcement';
+import {MAX_NAME_CHARS, MAX_SLOTS, MAX_TARGETS} from '../site/announcement';
+import {OutdatedBoots} from './outdatedBoots';
 
 /**
  * Records of gone and silent targets are kept this long, so that late
  * announcements are recognized as outdated.
  */
 const KEEP_ABSENT_MS = 60_000;
+/** Copies keep them for longer than the leader, which may send them again. */
+const EVICT_ABSENT_MS = 2 * KEEP_ABSENT_MS;
+const EVICT_INTERVAL_MS = 5_000;
 
 /**
  * A target that has restarted does not leave so soon; an order to take it out is a late
@@ -45,7 +49,9 @@
   private readonly entries = new Map<string, Entry>();
   /** Ids of all boots known at an address. */
   private readonly idsByAddress = new Map<string, Set<string>>();
+  private readonly outdatedBoots = new OutdatedBoots();
   private lastRevision = 0;
+  private evictedAtMs = -Infinity;
 
   constructor(
     private readonly departureOf: DepartureLookup = () => undefined
@@ -98,8 +104,8 @@
     if (!isSound(announced)) return false;
     const record = this.withDeparture(announced);
     const known = this.entries.get(record.id);
-    if (known !== undefined && !isNewer(record, known.record)) return false;
-    if (record.state !== 'gone' && this.isSuperseded(record)) return false;
+    if (!this.makeRoomFor(record.id)) return false;
+    if (this.isOutdated(record) && !this.outlasts(record, nowMs)) return false;
     const changed = known === undefined || !isEquivalent(known.record, record);
     const revision = changed ? ++this.lastRevision : known.revision;
     const merged = withLimitOf(known?.record, record);
@@ -120,7 +126,10 @@
     if (!isSound(shared)) return;
     const record = this.withDeparture(shared);
     const known = this.entries.get(record.id)?.record;
-    if (known !== undefined) {
+    if (known === undefined && !this.makeRoomFor(record.id)) return;
+    // The leader lets an earlier boot, or announcement, back in only then.
+    const isOutlasted = known?.state === 'silent' || this.isRetired(known);
+    if (known !== undefined && !isOutlasted) {
       if (record.bornMs < known.bornMs) return;
       const isSameBoot = record.bornMs === known.bornMs;
       const isOlder = isSameBoot && record.sequence < known.sequence;
@@ -176,6 +185,26 @@
     }
   }
 
+  /** Drops the records of targets that left or fell silent long ago. */
+  evictAbsent(nowMs: number): void {
+    if (nowMs - this.evictedAtMs < EVICT_INTERVAL_MS) return;
+    this.evictedAtMs = nowMs;
+    for (const [id, entry] of this.entries)
+      if (isAbsent(entry) && nowMs - entry.seenAtMs >= EVICT_ABSENT_MS)
+        this.delete(id);
+  }
+
+  /** Evicts an absent target if need be; false if all are present and it is a new one. */
+  makeRoomFor(id: string): boolean {
+    if (this.entries.size < MAX_TARGETS || this.entries.has(id)) return true;
+    for (const [known, entry] of this.entries) {
+      if (!isAbsent(entry)) continue;
+      this.delete(known);
+      return true;
+    }
+    return false;
+  }
+
   /** The record in the state that an acknowledged departure leaves it in. */
   private withDeparture(record: TargetRecord): TargetRecord {
     const departure = this.departureOf(record);
@@ -194,16 +223,21 @@
     const {knownSinceMs, isRestart} = isSameBoot
       ? known
       : {knownSinceMs: nowMs, isRestart: known !== undefined};
-    if (known?.record.address !== address) this.delete(id);
+    if (known?.record.address !== address) this.removeAddress(id);
     this.entries.set(id, {...update, knownSinceMs, isRestart});
     const ids = this.idsByAddress.get(address) ?? new Set();
     this.idsByAddress.set(address, ids.add(id));
   }
 
   private delete(id: string): void {
+    this.removeAddress(id);
+    this.entries.delete(id);
+    this.outdatedBoots.delete(id);
+  }
+
+  private removeAddress(id: string): void {
     const address = this.entries.get(id)?.record.address;
     if (address === undefined) return;
-    this.entries.delete(id);
     const ids = this.idsByAddress.get(address);
     ids?.delete(id);
     if (ids?.size === 0) this.idsByAddress.delete(address);
@@ -217,9 +251,53 @@
       .flatMap(other => this.entries.get(other)?.record ?? []);
   }
 
-  /** Whether a later boot is known at the same address. */
-  private isSuperseded(record: TargetRecord): boolean {
-    return this.othersAt(record).some(({bornMs}) => bornMs > record.bornMs);
+  private isOutdated(record: TargetRecord): boolean {
+    const known = this.find(record.id);
+    if (known !== undefined && !isNewer(record, known)) return true;
+    if (record.state === 'gone') return false;
+    // It may have outlasted a later boot at its address before.
+    const isPresent = known !== undefined && !isAbsentState(known.state);
+    const goesOn =
+      isPresent &&
+      known.bornMs === record.bornMs &&
+      known.address === record.address;
+    return !goesOn && this.laterAt(record).length > 0;
+  }
+
+  /**
+   * Whether an outdated boot goes on announcing itself while nothing is heard of what
+   * outweighs it: a start or a sequence number that was announced wrongly.
+   */
+  private outlasts(record: TargetRecord, nowMs: number): boolean {
+    if (record.state === 'gone') return false;
+    const {id, bornMs} = record;
+    const known = this.find(id);
+    const isSameBoot = known?.bornMs === bornMs;
+    if (isSameBoot && known.sequence === record.sequence) return false;
+    const hasLeft = isSameBoot && known.state === 'gone';
+    if (hasLeft && !this.isRetired(known)) return false;
+    const isRepeated = this.outdatedBoots.note(record, nowMs);
+    const later = this.laterAt(record);
+    const outweighing = known === undefined ? later : [known, ...later];
+    if (!isRepeated || outweighing.some(({state}) => !isAbsentState(state)))
+      return false;
+    this.outdatedBoots.delete(id);
+    for (const other of later)
+      if (other.state !== 'gone')
+        this.putChange({...other, state: 'gone'}, nowMs);
+    return true;
+  }
+
+  /** Whether the boot is gone only because of a later one at its address, now absent. */
+  private isRetired(record: TargetRecord | undefined): boolean {
+    if (record?.state !== 'gone') return false;
+    const later = this.laterAt(record);
+    return later.length > 0 && later.every(({state}) => isAbsentState(state));
+  }
+
+  /** Later boots of other targets at the address of a record. */
+  private laterAt(record: TargetRecord): readonly TargetRecord[] {
+    return this.othersAt(record).filter(({bornMs}) => bornMs > record.bornMs);
   }
 
   /** Marks earlier boots at the address gone: it belongs to the latest one. */
@@ -242,8 +320,22 @@
 }
 
 /** A node of an older version may have accepted values that can't be used. */
-function isSound({address, slots}: TargetRecord): boolean {
-  return parseHostPort(address) !== undefined && slots <= MAX_SLOTS;
+function isSound(record: TargetRecord): boolean {
+  const {id, address, service, availabilityZone, slots, group} = record;
+  const names = [id, service, availabilityZone, group?.name ?? ''];
+  return (
+    parseHostPort(address) !== undefined &&
+    slots <= MAX_SLOTS &&
+    names.every(name => name.length <= MAX_NAME_CHARS)
+  );
+}
+
+function isAbsent({record}: Entry): boolean {
+  return isAbsentState(record.state);
+}
+
+function isAbsentState(state: TargetRecord['state']): boolean {
+  return state === 'silent' || state === 'gone';
 }
 
 /**
--- a/src/control/state/departureState.ts
+++ b/src/control/state/departureState.ts
@@ -14,21 +14,26 @@
 /** Departures as stored in snapshots, the oldest first. */
 export type DepartureSnapshot = readonly Departure[];
 
-/** Last departure by target id. */
+/** The part of a departure that names the boot. */
+type Boot = Pick<Departure, 'targetId' | 'bornMs'>;
+
+/**
+ * Departures by boot. One of a boot that claims a later start must not hide those of the
+ * others under its id.
+ */
 export class DepartureState {
   private readonly departures = new Map<string, Departure>();
 
   /** The departure of this boot; undefined for one that stays. */
   find(targetId: string, bornMs: number): Departure | undefined {
-    const departure = this.departures.get(targetId);
-    return departure?.bornMs === bornMs ? departure : undefined;
+    return this.departures.get(bootKey({targetId, bornMs}));
   }
 
   /** Whether the command would change nothing. */
   holds({targetId, bornMs, state, sequence}: DepartureCommand): boolean {
-    const known = this.departures.get(targetId);
-    if (known === undefined || known.bornMs < bornMs) return false;
-    if (known.bornMs > bornMs || known.state === 'gone') return true;
+    const known = this.find(targetId, bornMs);
+    if (known === undefined) return false;
+    if (known.state === 'gone') return true;
     return state === 'draining' && known.sequence >= sequence;
   }
 
@@ -36,8 +41,9 @@
     if (this.holds(command)) return;
     const {targetId, bornMs, state, sequence} = command;
     // Reinserted at the end: the oldest is evicted first.
-    this.departures.delete(targetId);
-    this.departures.set(targetId, {targetId, bornMs, state, sequence});
+    const key = bootKey(command);
+    this.departures.delete(key);
+    this.departures.set(key, {targetId, bornMs, state, sequence});
     if (this.departures.size <= MAX_DEPARTURES) return;
     const [oldest] = this.departures.keys();
     if (oldest !== undefined) this.departures.delete(oldest);
@@ -50,6 +56,10 @@
   restore(snapshot: DepartureSnapshot): void {
     this.departures.clear();
     for (const departure of snapshot)
-      this.departures.set(departure.targetId, departure);
+      this.departures.set(bootKey(departure), departure);
   }
 }
+
+function bootKey({targetId, bornMs}: Boot): string {
+  return `${bornMs} ${targetId}`;
+}
--- a/src/control/state/siteState.ts
+++ b/src/control/state/siteState.ts
@@ -16,6 +16,8 @@
 
 /** Version before the first document is accepted. */
 export const NO_SITE_VERSION = -1;
+/** Zones that may be out of service at once, and whose last orders are known. */
+export const MAX_ZONES = 128;
 /** Revision of a zone before its first order. */
 export const NO_ZONE_REVISION = 0;
 
@@ -71,12 +73,25 @@
     const isCurrent = seenRevision === undefined || seenRevision === revision;
     if (!isCurrent && this.out.has(availabilityZone) !== out)
       return {kind: 'outdated'};
+    const isNewOut = out && !this.out.has(availabilityZone);
+    if (isNewOut && this.out.size >= MAX_ZONES) return {kind: 'outdated'};
     if (out) this.out.add(availabilityZone);
     else this.out.delete(availabilityZone);
+    // Reinserted at the end: the oldest is evicted first.
+    this.revisions.delete(availabilityZone);
     this.revisions.set(availabilityZone, index);
+    this.evictRevision();
     return {kind: 'applied'};
   }
 
+  private evictRevision(): void {
+    if (this.revisions.size <= MAX_ZONES) return;
+    const inService = [...this.revisions.keys()].find(
+      zone => !this.out.has(zone)
+    );
+    if (inService !== undefined) this.revisions.delete(inService);
+  }
+
   snapshot(): SiteSnapshot {
     const {version, packed, zonesOut, zoneRevisions} = this;
     return {version, packed, zonesOut, zoneRevisions};
--- a/src/node/controlServer.ts
+++ b/src/node/controlServer.ts
@@ -8,8 +8,9 @@
 import type {ClusterNode} from '../cluster/clusterNode';
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import type {ControlCall, ControlCodec} from '../ports/controlPort';
-import {NO_ZONE_REVISION} from '../control/state/siteState';
+import {MAX_ZONES, NO_ZONE_REVISION} from '../control/state/siteState';
 import type {TargetRecord} from '../site/announcement';
+import {MAX_TARGETS, bornProblem} from '../site/announcement';
 import {MAX_PACKED_CHARS, packText} from '../site/packText';
 import {OrderGate} from './orderGate';
 import type {TakenOrder} from './orderGate';
@@ -171,6 +172,10 @@
     if (!decoded.ok)
       return {status: 400, body: JSON.stringify({error: decoded.problem})};
     const {announcement} = decoded;
+    const problem = bornProblem(announcement, Date.now());
+    if (problem !== undefined)
+      return {status: 400, body: JSON.stringify({error: problem})};
+    if (!node.table.makeRoomFor(id)) return TOO_MANY_TARGETS;
     node.handleAnnouncement(announcement);
     const {state} = announcement;
     return state === 'draining'
@@ -251,6 +256,9 @@
   ): Promise<Reply> {
     const rejection = await this.rejectOutdated(order);
     if (rejection !== undefined) return rejection;
+    const {zonesOut} = this.parts.node.view;
+    if (out && zonesOut.size >= MAX_ZONES && !zonesOut.has(availabilityZone))
+      return TOO_MANY_ZONES;
     const zoneRevisions = order?.basis.zoneRevisions;
     // A leader of an older version states no revisions.
     const seenRevision =
@@ -333,6 +341,14 @@
   return {kind, change, service};
 }
 
+const TOO_MANY_ZONES: Reply = {
+  status: 400,
+  body: `{"error":"too many zones are out; the limit is ${MAX_ZONES}"}`,
+};
+const TOO_MANY_TARGETS: Reply = {
+  status: 503,
+  body: `{"error":"too many targets; the limit is ${MAX_TARGETS}"}`,
+};
 const UNKNOWN_TARGET: Reply = {
   status: 404,
   body: '{"error":"no such target"}',
--- a/src/site/announcement.ts
+++ b/src/site/announcement.ts
@@ -12,6 +12,15 @@
   readonly open: boolean;
 }
 
+/** Characters of the names in an announcement; nodes keep them for each target. */
+export const MAX_NAME_CHARS = 256;
+
+/** Targets that nodes keep records of, with those that left lately. */
+export const MAX_TARGETS = 10_000;
+
+/** How far a boot may begin after the present of a node's clock, milliseconds. */
+export const MAX_BORN_AHEAD_MS = 600_000;
+
 /** Concurrent requests of one target; far beyond any that can be served. */
 export const MAX_SLOTS = 100_000;
 
@@ -34,6 +43,16 @@
   readonly group?: GroupMembership;
 }
 
+/** What is wrong with the start that an announcement states; undefined for nothing. */
+export function bornProblem(
+  {bornMs}: Pick<TargetAnnouncement, 'bornMs'>,
+  wallMs: number
+): string | undefined {
+  return bornMs > wallMs + MAX_BORN_AHEAD_MS
+    ? `born: more than ${MAX_BORN_AHEAD_MS} ms ahead of this node's clock`
+    : undefined;
+}
+
 /** Result of decoding an announcement; `problem` names the field. */
 export type DecodedAnnouncement =
   | {readonly ok: true; readonly announcement: TargetAnnouncement}
--- a/tests/platform/controlCalls.spec.ts
+++ b/tests/platform/controlCalls.spec.ts
@@ -51,6 +51,8 @@
     ['PUT', `/-/quarantine/s/${'x'.repeat(65)}`, undefined],
     ['POST', '/-/config', undefined],
     ['PUT', '/-/instances/%E0%A4%A', undefined],
+    ['PUT', `/-/instances/${'x'.repeat(257)}`, undefined],
+    ['POST', `/-/evacuations/${'x'.repeat(257)}`, undefined],
     ['GET', '/', undefined],
   ])('should read %s %s', (method, url, call) => {
     expect(CONTROL_CODEC.readCall(method, url)).toEqual(call);
@@ -101,6 +103,13 @@
     ['a cold start of years', 'coldRemainingMs', {coldRemainingMs: 1e15}],
     ['a negative sequence', 'sequence', {sequence: -1}],
     ['too many ranks', 'size', {size: Number.MAX_SAFE_INTEGER}],
+    ['a long service', 'service', {service: 'x'.repeat(257)}],
+    ['a long zone', 'zone', {zone: 'x'.repeat(257)}],
+    [
+      'a long name of a group',
+      'group.name',
+      {group: {...ANNOUNCEMENT.group, name: 'x'.repeat(257)}},
+    ],
     [
       'an impossible rank',
       'group.rank',
--- a/tests/siteState.spec.ts
+++ b/tests/siteState.spec.ts
@@ -1,5 +1,6 @@
 import {ControlState} from '../src/control/state/controlState';
 import type {ZoneCommand} from '../src/control/state/command';
+import {MAX_ZONES} from '../src/control/state/siteState';
 
 /** Orders of one zone, in log order; the index of the first is 1. */
 function play(
@@ -52,4 +53,18 @@
     expect(restored.site.zoneRevisions).toEqual({c: 1});
     expect(restored.site.zonesOut).toEqual(['c']);
   });
+
+  // Each name that was ever ordered stayed in the log's state, and in all replies.
+  it('should be kept of a bounded number of zones, those that are out first', () => {
+    const {state} = play([{out: true, seenRevision: 0}]);
+    for (let i = 0; i < 2 * MAX_ZONES; i++)
+      for (const out of [true, false])
+        state.apply(
+          {kind: 'zone', availabilityZone: `z${i}`, out, seenRevision: 0},
+          i
+        );
+    const {zoneRevisions} = state.site;
+    expect(Object.keys(zoneRevisions).length).toBeLessThanOrEqual(MAX_ZONES);
+    expect(zoneRevisions).toHaveProperty('c');
+  });
 });
--- a/tests/targetTable.spec.ts
+++ b/tests/targetTable.spec.ts
@@ -1,5 +1,6 @@
 import {TargetTable} from '../src/cluster/targetTable';
 import type {TargetRecord} from '../src/site/announcement';
+import {MAX_TARGETS} from '../src/site/announcement';
 
 function record(change: Partial<TargetRecord> = {}): TargetRecord {
   return {
@@ -66,4 +67,93 @@
       'draining',
     ]);
   });
+
+  // One announcement with an impossible start or sequence number shut a sound target out
+  // for good.
+  describe('after a wrong announcement', () => {
+    const AHEAD = 9_000_000;
+
+    function silenced(wrong: Partial<TargetRecord>): TargetTable {
+      const table = new TargetTable();
+      table.merge(record(), 0);
+      table.merge(record(wrong), 1);
+      table.expire(4_201, 4_200);
+      return table;
+    }
+
+    it.each([
+      ['a start ahead', {bornMs: AHEAD}],
+      ['a start ahead as draining', {bornMs: AHEAD, state: 'draining'}],
+      ['a start ahead of another service', {bornMs: AHEAD, service: 'plain'}],
+      ['a sequence number ahead', {sequence: AHEAD}],
+      ['its address under another id', {id: 'i-2', bornMs: AHEAD}],
+    ] as const)(
+      'should let a target back in that goes on: %s',
+      (_what, wrong) => {
+        const table = silenced(wrong);
+        expect(table.merge(record({sequence: 3}), 4_300)).toBe(false);
+        expect(table.merge(record({sequence: 4}), 5_500)).toBe(true);
+        expect(table.find('i-1')).toMatchObject({
+          state: 'ready',
+          bornMs: 1_000,
+        });
+        expect(table.findByAddress('10.0.0.1:80')?.id).toBe('i-1');
+        expect(table.merge(record({sequence: 5}), 6_700)).toBe(true);
+      }
+    );
+
+    it('should let it back in if the wrong one came twice', () => {
+      const table = new TargetTable();
+      table.merge(record(), 0);
+      for (const nowMs of [1, 2]) table.merge(record({sequence: AHEAD}), nowMs);
+      table.expire(4_202, 4_200);
+      table.merge(record({sequence: 3}), 4_300);
+      expect(table.merge(record({sequence: 4}), 5_500)).toBe(true);
+    });
+
+    it('should reach the copies of other nodes', () => {
+      const copy = new TargetTable();
+      copy.mergeShared(record({bornMs: AHEAD}), 0);
+      copy.mergeShared(record({bornMs: AHEAD, state: 'silent'}), 1);
+      copy.mergeShared(record({sequence: 4}), 2);
+      expect(copy.find('i-1')).toMatchObject({state: 'ready', bornMs: 1_000});
+    });
+
+    // Announcements that a cut held up arrive together, after the restart of their sender.
+    it('should not take late announcements for a target that goes on', () => {
+      const table = silenced({bornMs: AHEAD});
+      for (const sequence of [3, 4, 5])
+        expect(table.merge(record({sequence}), 4_300 + sequence)).toBe(false);
+      expect(table.merge(record({sequence: 5}), 6_000)).toBe(false);
+    });
+
+    it('should not let an earlier boot in beside one that announces itself', () => {
+      const table = new TargetTable();
+      table.merge(record({bornMs: 2_000}), 0);
+      expect(table.merge(record({sequence: 3}), 1_000)).toBe(false);
+      expect(table.merge(record({sequence: 4}), 2_000)).toBe(false);
+    });
+
+    it('should not let a boot in again that has left', () => {
+      const table = new TargetTable();
+      table.merge(record(), 0);
+      table.leave('i-1', 1);
+      expect(table.merge(record({sequence: 3}), 5_000)).toBe(false);
+      expect(table.merge(record({sequence: 4}), 6_000)).toBe(false);
+    });
+  });
+
+  // Announcements under ever new ids took the memory of all nodes.
+  it('should be bounded, and evict targets that are absent first', () => {
+    const table = new TargetTable();
+    for (let i = 0; i < MAX_TARGETS; i++) {
+      const address = `10.1.${i >> 8}.${i & 255}:80`;
+      expect(table.merge(record({id: `t${i}`, address}), 0)).toBe(true);
+    }
+    expect(table.merge(record({id: 'more'}), 1)).toBe(false);
+    table.leave('t7', 2);
+    expect(table.merge(record({id: 'more'}), 3)).toBe(true);
+    expect(table.find('t7')).toBeUndefined();
+    expect(table.records()).toHaveLength(MAX_TARGETS);
+  });
 });
