Take no status outside HTTP for a sound health check

A target whose health check was answered with status 000 (or 099, 101) counted as healthy at its agent, as only 400 and more failed. Interim responses or a body without end kept the connection open until the check's time limit, although the check had failed.

Cause: the client of the agent's own calls had neither the check of heads nor the bound on interim responses that relayed requests have. Not affected, by reading: ranks and processes take status 200 alone.

--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -7,8 +7,10 @@
 import {framingOf} from '../core/bodyFraming';
 import {watchConnection} from '../core/connectionReset';
 import {PeerError} from '../core/errors';
+import {limitInterimResponses} from '../core/interimResponses';
 import {readText} from '../core/readBody';
 import type {PeerFault} from '../core/errors';
+import {responseHeadProblem} from '../core/responseHead';
 
 const MAX_RESPONSE_BYTES = 4 << 20;
 const STEP = 'target';
@@ -111,9 +113,14 @@
       const fail = (err: NodeJS.ErrnoException) => {
         const fault = faultOf(err, connected, signal.aborted);
         reject(new PeerError(fault, STEP, this.peer, err.message));
+        // The target may go on sending.
+        req.destroy();
       };
       req.on('error', fail);
+      limitInterimResponses(req, reason => fail(new Error(reason)));
       req.on('response', res => {
+        const problem = responseHeadProblem(res);
+        if (problem !== undefined) return fail(new Error(problem));
         readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(text => {
           const body = parseJson(text);
           if (body === undefined && mayBeCutJson(res))
