Take no wait for a slow reader for a stall of targets

Causes: the stall detector counted streams from which nothing is read while their callers take nothing; and the wait for a caller ended only with its connection, so that the slot outlasted the time limit. Ruled out: a lack of slots as the reason of the refusals, which were noTarget with seven of ten slots free.

Change: such a stream is not counted while it waits, and the wait ends with the request's cancellation.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -5,6 +5,7 @@
  */
 
 import type {ServerResponse} from 'node:http';
+import type {CancelSignal} from '../core/cancellation';
 import {withoutHeader} from '../core/httpHeaders';
 import {abortResponse, leaveEndUnmarked} from '../core/responseEnd';
 import type {RelayableHead} from './relayableHead';
@@ -31,20 +32,29 @@
     return this.lastId;
   }
 
-  /**
-   * Writes one event, after the head of the first target; resolves when more may be
-   * written.
-   */
-  async write(
-    head: RelayableHead,
-    raw: string,
-    id: string | undefined
-  ): Promise<void> {
+  /** Writes one event, after the head of the first target; false if `drained` is due. */
+  write(head: RelayableHead, raw: string, id: string | undefined): boolean {
     const {res} = this;
     this.begin(head);
     if (id !== undefined) this.lastId = id;
-    const hasCapacity = res.write(Buffer.from(raw, 'latin1'));
-    if (!hasCapacity && !res.destroyed) await drained(res);
+    return res.write(Buffer.from(raw, 'latin1')) || res.destroyed;
+  }
+
+  /** Resolves when more may be written, or never will be, or the signal is aborted. */
+  drained(signal: CancelSignal): Promise<void> {
+    const {res} = this;
+    return new Promise(resolve => {
+      const settle = () => {
+        res.off('drain', settle);
+        res.off('close', settle);
+        signal.removeEventListener('abort', settle);
+        resolve();
+      };
+      if (signal.aborted) return resolve();
+      res.once('drain', settle);
+      res.once('close', settle);
+      signal.addEventListener('abort', settle);
+    });
   }
 
   /** Ends the response, as complete if the first target marks its end. */
@@ -67,16 +77,3 @@
     this.res.writeHead(head.status, headers);
   }
 }
-
-/** Resolves when more may be written, or never will be; leaves no listener behind. */
-function drained(res: ServerResponse): Promise<void> {
-  return new Promise(resolve => {
-    const settle = () => {
-      res.off('drain', settle);
-      res.off('close', settle);
-      resolve();
-    };
-    res.once('drain', settle);
-    res.once('close', settle);
-  });
-}
--- a/src/gateway/relayEvents.ts
+++ b/src/gateway/relayEvents.ts
@@ -1,6 +1,7 @@
 /** Relays the events of one target's response stream to the caller. */
 
 import type {IncomingMessage} from 'node:http';
+import type {CancelSignal} from '../core/cancellation';
 import {SseParser} from '../core/sseParser';
 import type {CallerStream} from './callerStream';
 import type {RelayableHead} from './relayableHead';
@@ -23,13 +24,17 @@
   onFirstEvent(): void;
   onEvent(nowMs: number): void;
   onGap(ms: number): void;
+  /** The target is not read from while the caller takes nothing. */
+  onCallerWait(): void;
+  onCallerReady(nowMs: number): void;
 }
 
-/** Relays until the target's stream ends or breaks. */
+/** Relays until the target's stream ends or breaks, or the signal is aborted. */
 export async function relayEvents(
   res: IncomingMessage,
   head: RelayableHead,
   caller: CallerStream,
+  signal: CancelSignal,
   observer: RelayObserver
 ): Promise<RelayEnd> {
   const parser = new SseParser('latin1');
@@ -47,7 +52,11 @@
         if (lastEventAtMs === undefined) observer.onFirstEvent();
         else observer.onGap(nowMs - lastEventAtMs);
         lastEventAtMs = nowMs;
-        await caller.write(head, event.raw, event.id);
+        if (caller.write(head, event.raw, event.id)) continue;
+        observer.onCallerWait();
+        await caller.drained(signal);
+        lastEventAtMs = performance.now();
+        observer.onCallerReady(lastEventAtMs);
       }
       if (parser.pendingChars > MAX_EVENT_CHARS)
         return broken(res, 'event over the bound');
--- a/src/gateway/runAttempts.ts
+++ b/src/gateway/runAttempts.ts
@@ -324,7 +324,7 @@
     );
     const release = closeOnCancel(state.cancellation, res);
     let hasBegun = false;
-    const end = await relayEvents(res, head, stream, {
+    const end = await relayEvents(res, head, stream, state.cancellation, {
       onFirstEvent: () => {
         const nowMs = performance.now();
         stallWatch.streamStarted();
@@ -344,6 +344,8 @@
         passDuration.recordPause(ms, performance.now());
         state.marks.longestGapMs = Math.max(state.marks.longestGapMs, ms);
       },
+      onCallerWait: () => stallWatch.streamPaused(),
+      onCallerReady: nowMs => stallWatch.streamResumed(nowMs),
     });
     if (hasBegun) stallWatch.streamEnded();
     release();
--- a/src/policy/stallDetector.ts
+++ b/src/policy/stallDetector.ts
@@ -26,6 +26,16 @@
     this.streams--;
   }
 
+  /** Records that a stream waits for its caller, whose silence shows nothing. */
+  streamPaused(): void {
+    this.streams--;
+  }
+
+  streamResumed(nowMs: number): void {
+    this.streams++;
+    this.eventAtMs = nowMs;
+  }
+
   noteEvent(nowMs: number): void {
     this.eventAtMs = nowMs;
   }
