--- a/tests/platform/largeDocuments.spec.ts
+++ b/tests/platform/largeDocuments.spec.ts
@@ -2,7 +2,7 @@
 import {DOCUMENT_PATH, documentText} from '../../platform/counterpart';
 import {Nodes, call} from '../fixtures/nodeCluster';
 
-const IPS = ['127.0.0.45', '127.0.0.46', '127.0.0.47', '127.0.0.48'] as const;
+const IPS = ['127.0.0.85', '127.0.0.86', '127.0.0.87', '127.0.0.88'] as const;
 const [A, B, C, D] = IPS;
 const HOST = 'large.example';
 const OK = 200;
--- a/tests/platform/oddAnnouncements.spec.ts
+++ b/tests/platform/oddAnnouncements.spec.ts
@@ -13,7 +13,7 @@
 import {Nodes, call} from '../fixtures/nodeCluster';
 import {eventually} from '../fixtures/testSystem';
 
-const IPS = ['127.0.0.51', '127.0.0.52', '127.0.0.53', '127.0.0.54'] as const;
+const IPS = ['127.0.0.91', '127.0.0.92', '127.0.0.93', '127.0.0.94'] as const;
 const [A, B, C, D] = IPS;
 const HOST = 'odd.example';
 const OK = 200;
--- a/tests/platform/plannedStop.spec.ts
+++ b/tests/platform/plannedStop.spec.ts
@@ -13,7 +13,7 @@
 import {Nodes, call} from '../fixtures/nodeCluster';
 import {eventually} from '../fixtures/testSystem';
 
-const IP = '127.0.0.44';
+const IP = '127.0.0.81';
 const HOST = 'stop.example';
 const OK = 200;
 const UNAVAILABLE = 503;
