--- a/tests/quarantine.spec.ts
+++ b/tests/quarantine.spec.ts
@@ -126,6 +126,27 @@
     expect(reports.blockedAt('bad')).toEqual([false, false]);
   });
 
+  // A link held a change up while its sender repeated it elsewhere.
+  it('should refuse a change that was sent before another', () => {
+    const leader = new LeaderQuarantine(recordingLogger().logger);
+    const part = {service: 's', part: 'bad'};
+    const {lastChange: seenChange} = leader.state(0, PERIOD_MS);
+    const add = {kind: 'add', ...part, seenChange} as const;
+    const lift = {kind: 'lift', ...part, seenChange} as const;
+    expect(leader.change(add, 1).kind).toBe('changed');
+    expect(leader.change(lift, 2)).toEqual({kind: 'outdated'});
+    expect(leader.state(3, PERIOD_MS).parts).toHaveLength(1);
+    // Its acknowledgement may have been lost.
+    expect(leader.change(add, 4).kind).toBe('changed');
+    const {lastChange} = leader.state(5, PERIOD_MS);
+    const next = leader.change({...lift, seenChange: lastChange}, 6);
+    expect(next.kind).toBe('changed');
+    leader.reset(7);
+    expect(leader.change({...add, seenChange: lastChange}, 8).kind).toBe(
+      'outdated'
+    );
+  });
+
   it('should bound what it keeps of crashes with many parts', () => {
     const parts = Array.from({length: 2_000}, (_, i) => `p${i}`);
     for (let i = 0; i < 200; i++)
--- a/tests/targetTable.spec.ts
+++ b/tests/targetTable.spec.ts
@@ -68,6 +68,21 @@
     ]);
   });
 
+  // A late order of the previous boot took the next one out.
+  it('should let a boot leave by an order that was sent after its start', () => {
+    const table = new TargetTable();
+    expect(table.canLeave('i-1', 0, 0)).toBe(false);
+    table.merge(record(), 100);
+    expect(table.canLeave('i-1', 99, 200)).toBe(false);
+    expect(table.canLeave('i-1', 100, 200)).toBe(true);
+    table.merge(record({sequence: 2}), 900);
+    expect(table.canLeave('i-1', 100, 900)).toBe(true);
+    table.merge(record({bornMs: 2_000}), 1_000);
+    expect(table.canLeave('i-1', 999, 9_000)).toBe(false);
+    expect(table.canLeave('i-1', 1_001, 5_999)).toBe(false);
+    expect(table.canLeave('i-1', 1_001, 6_000)).toBe(true);
+  });
+
   // One announcement with an impossible start or sequence number shut a sound target out
   // for good.
   describe('after a wrong announcement', () => {
