Tell copies which boots a target has outlasted

Cause: a copy took the record of an earlier boot only over a silent one. The odd record fell silent and the sound boot came back between two replies, so that the copy got the last of these changes alone. Ruled out: load itself; the other nodes served, and the node never did again.

Change: the leader's record names the latest start that the boot has outlasted, and copies up to that give way. Nothing else takes an earlier boot over a later one.

Measured: three unit tests of copies that missed the silence failed with the rule before; 53 of the table, departures and rate limits pass, and those of odd check-ins, late orders and nodes.

--- a/src/cluster/messages.ts
+++ b/src/cluster/messages.ts
@@ -82,6 +82,8 @@
   coldMs: z.number(),
   group: GROUP_MEMBERSHIP.optional(),
   rateLimit: COUNT.optional(),
+  /** Absent for almost all, and from a node of an older version. */
+  outlastedBornMs: COUNT.optional(),
 });
 
 /** Arrivals of one urgency and customer at one node since its last report. */
--- a/src/cluster/targetTable.ts
+++ b/src/cluster/targetTable.ts
@@ -105,10 +105,14 @@
     const record = this.withDeparture(announced);
     const known = this.entries.get(record.id);
     if (!this.makeRoomFor(record.id)) return false;
-    if (this.isOutdated(record) && !this.outlasts(record, nowMs)) return false;
+    let outlastedBornMs = outlastedBy(known?.record, record);
+    if (this.isOutdated(record)) {
+      outlastedBornMs = this.outlast(record, nowMs);
+      if (outlastedBornMs === undefined) return false;
+    }
     const changed = known === undefined || !isEquivalent(known.record, record);
     const revision = changed ? ++this.lastRevision : known.revision;
-    const merged = withLimitOf(known?.record, record);
+    const merged = {...withLimitOf(known?.record, record), outlastedBornMs};
     this.set({record: merged, revision, seenAtMs: nowMs}, nowMs);
     if (changed) this.retireEarlierBoots(record, nowMs);
     return true;
@@ -127,9 +131,7 @@
     const record = this.withDeparture(shared);
     const known = this.entries.get(record.id)?.record;
     if (known === undefined && !this.makeRoomFor(record.id)) return;
-    // The leader lets an earlier boot, or announcement, back in only then.
-    const isOutlasted = known?.state === 'silent' || this.isRetired(known);
-    if (known !== undefined && !isOutlasted) {
+    if (known !== undefined && !isOutlasted(known, record)) {
       if (record.bornMs < known.bornMs) return;
       const isSameBoot = record.bornMs === known.bornMs;
       const isOlder = isSameBoot && record.sequence < known.sequence;
@@ -265,27 +267,28 @@
   }
 
   /**
-   * Whether an outdated boot goes on announcing itself while nothing is heard of what
-   * outweighs it: a start or a sequence number that was announced wrongly.
+   * The latest start that an outdated boot has outlasted: it goes on announcing itself
+   * while nothing is heard of what outweighs it, whose start or sequence number was
+   * announced wrongly. Undefined if it has not.
    */
-  private outlasts(record: TargetRecord, nowMs: number): boolean {
-    if (record.state === 'gone') return false;
+  private outlast(record: TargetRecord, nowMs: number): number | undefined {
+    if (record.state === 'gone') return undefined;
     const {id, bornMs} = record;
     const known = this.find(id);
     const isSameBoot = known?.bornMs === bornMs;
-    if (isSameBoot && known.sequence === record.sequence) return false;
+    if (isSameBoot && known.sequence === record.sequence) return undefined;
     const hasLeft = isSameBoot && known.state === 'gone';
-    if (hasLeft && !this.isRetired(known)) return false;
+    if (hasLeft && !this.isRetired(known)) return undefined;
     const isRepeated = this.outdatedBoots.note(record, nowMs);
     const later = this.laterAt(record);
     const outweighing = known === undefined ? later : [known, ...later];
     if (!isRepeated || outweighing.some(({state}) => !isAbsentState(state)))
-      return false;
+      return undefined;
     this.outdatedBoots.delete(id);
     for (const other of later)
       if (other.state !== 'gone')
         this.putChange({...other, state: 'gone'}, nowMs);
-    return true;
+    return Math.max(...outweighing.map(other => other.bornMs));
   }
 
   /** Whether the boot is gone only because of a later one at its address, now absent. */
@@ -349,6 +352,27 @@
   return record.sequence > known.sequence;
 }
 
+/** What the boot has outlasted by its earlier announcements. */
+function outlastedBy(
+  known: TargetRecord | undefined,
+  record: TargetRecord
+): number | undefined {
+  return known?.bornMs === record.bornMs ? known.outlastedBornMs : undefined;
+}
+
+/**
+ * Whether a copy is of what the boot in the leader's record has outlasted. The copy may
+ * have missed that this fell silent.
+ */
+function isOutlasted(copy: TargetRecord, record: TargetRecord): boolean {
+  const {outlastedBornMs} = record;
+  if (outlastedBornMs === undefined || copy.bornMs > outlastedBornMs)
+    return false;
+  return (
+    copy.bornMs !== record.bornMs || copy.outlastedBornMs !== outlastedBornMs
+  );
+}
+
 /** An announcement of the same boot does not change its rate limit. */
 function withLimitOf(
   known: TargetRecord | undefined,
--- a/src/site/announcement.ts
+++ b/src/site/announcement.ts
@@ -66,4 +66,9 @@
    * in its responses; set by the leader.
    */
   readonly rateLimit?: number;
+  /**
+   * The latest start that this boot has outlasted, Unix milliseconds: of a boot that was
+   * announced wrongly. Copies of that one give way.
+   */
+  readonly outlastedBornMs?: number;
 };
