Check the bytes of a response head before the parser of the runtime gets them

Callers saw: a 200 with the target's seal whose body was the rest of the target's head (CR or LF before a name); `502 OK` without a second attempt, or a closed connection without a byte of a stream (a blank in a name, an empty name); a stream that was continued with raw chunks (a blank in `Transfer-Encoding`). Node 20.12 to 20.19.

Cause: which malformed heads pass was decided by llhttp, which changed within Node 20. Traced with Node's own client against raw bytes: 20.18.0 (llhttp 8.1.2) ends the head at the CR or LF and reports an unmarked body, and reports the names `X Other` and ''; 20.20.2 refuses all of them. `writeHead` then throws outside the attempt.

Ruled out: bytes of another response (each request has a connection of its own); a check of the parsed names alone, which can't see a head that ended early; a wrapper around the socket, which would hide resets from `watchConnection`.

Change: `ResponseScanner` refuses the first byte that doesn't fit the grammar of a head; `receiveResponse` runs it on the connection ahead of Node's parser, for `callTarget`, `sendUpstream` and `TargetClient`.

Status 000 and a head that stops after any byte reached no caller before either; the tests stay.

--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -7,13 +7,11 @@
 import https from 'node:https';
 import {TLSSocket} from 'node:tls';
 import type {CancelSignal} from './cancellation';
-import {watchConnection} from './connectionReset';
 import {forwardedFraming} from './bodyFraming';
 import type {RequestFraming} from './bodyFraming';
 import {pipeBody} from './pipeBody';
 import {endToEndHeaders, headerPairs, withFraming} from './httpHeaders';
-import {limitInterimResponses} from './interimResponses';
-import {responseHeadProblem} from './responseHead';
+import {receiveResponse} from './receiveResponse';
 
 /** A request that failed before a sound head of its response arrived. */
 export class UpstreamError extends Error {
@@ -71,7 +69,6 @@
     } catch (err) {
       return reject(new UpstreamError(sent, String(err)));
     }
-    watchConnection(req);
     destroyOnAbort(req, signal);
     req.on('socket', socket => {
       // A reused connection may send bytes at once, even if the peer closes it.
@@ -81,12 +78,9 @@
       socket.once(ready, () => (sent = true));
     });
     req.on('error', err => reject(new UpstreamError(sent, err.message)));
-    limitInterimResponses(req, reason => req.destroy(new Error(reason)));
-    req.on('response', res => {
-      const problem = responseHeadProblem(res);
-      if (problem === undefined) return resolve(res);
-      reject(new UpstreamError(true, problem));
-      req.destroy();
+    receiveResponse(req, {
+      onResponse: resolve,
+      onMalformed: reason => reject(new UpstreamError(true, reason)),
     });
     sendBody(req, request.body);
   });
--- a/src/gateway/callTarget.ts
+++ b/src/gateway/callTarget.ts
@@ -12,11 +12,9 @@
 import http from 'node:http';
 import type {CancelSignal} from '../core/cancellation';
 import type {ConnectionState} from '../core/connectionReset';
-import {watchConnection} from '../core/connectionReset';
 import {parseHostPort} from '../core/hostPort';
 import {withFraming} from '../core/httpHeaders';
-import {limitInterimResponses} from '../core/interimResponses';
-import {responseHeadProblem} from '../core/responseHead';
+import {receiveResponse} from '../core/receiveResponse';
 
 /**
  * A machine without power never responds to a connection attempt. Exceeds any latency
@@ -87,7 +85,6 @@
   return new Promise(resolve => {
     let connected = false;
     let settled = false;
-    const connection = watchConnection(req);
     const timers: NodeJS.Timeout[] = [];
     const settle = (outcome: TargetOutcome) => {
       if (settled) return;
@@ -120,14 +117,14 @@
     );
     req.on('error', err => fail(err.message));
     req.on('close', () => fail('connection closed'));
-    limitInterimResponses(req, fail);
-    req.on('response', res => {
-      const problem = responseHeadProblem(res);
-      if (problem !== undefined) return fail(problem);
-      res.once('close', () =>
-        call.cancelSignal.removeEventListener('abort', onCancel)
-      );
-      settle({kind: 'answered', res, connection});
+    const connection = receiveResponse(req, {
+      onResponse: res => {
+        res.once('close', () =>
+          call.cancelSignal.removeEventListener('abort', onCancel)
+        );
+        settle({kind: 'answered', res, connection});
+      },
+      onMalformed: fail,
     });
     if (call.cancelSignal.aborted) return onCancel();
     call.cancelSignal.addEventListener('abort', onCancel, {once: true});
--- a/src/target/targetClient.ts
+++ b/src/target/targetClient.ts
@@ -5,12 +5,10 @@
 
 import http from 'node:http';
 import {framingOf} from '../core/bodyFraming';
-import {watchConnection} from '../core/connectionReset';
 import {PeerError} from '../core/errors';
-import {limitInterimResponses} from '../core/interimResponses';
 import {readText} from '../core/readBody';
 import type {PeerFault} from '../core/errors';
-import {responseHeadProblem} from '../core/responseHead';
+import {receiveResponse} from '../core/receiveResponse';
 
 const MAX_RESPONSE_BYTES = 4 << 20;
 const STEP = 'target';
@@ -94,7 +92,6 @@
       agent,
       signal,
     });
-    watchConnection(req);
     const done = this.readResponse(req, signal);
     req.end(body);
     return {req, done};
@@ -117,16 +114,17 @@
         req.destroy();
       };
       req.on('error', fail);
-      limitInterimResponses(req, reason => fail(new Error(reason)));
-      req.on('response', res => {
-        const problem = responseHeadProblem(res);
-        if (problem !== undefined) return fail(new Error(problem));
+      const onResponse = (res: http.IncomingMessage) => {
         readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(text => {
           const body = parseJson(text);
           if (body === undefined && mayBeCutJson(res))
             fail(new Error('the JSON of the response is incomplete'));
           else resolve({status: res.statusCode ?? 0, body});
         }, fail);
+      };
+      receiveResponse(req, {
+        onResponse,
+        onMalformed: reason => fail(new Error(reason)),
       });
     });
   }
