Refuse responses of other protocols and versions

Callers saw: a target's `RTSP/1.1 200 OK`, `HTTP/2.0 200 OK` or `HTTP/0.9 200 OK` as `HTTP/1.1 200 OK`, with its body and seal.

Ruled out: a check of the parsed version, which is 1.1 for `RTSP/1.1`. Change: `StatusLineScanner` accepts `HTTP/1.0` and `HTTP/1.1`, letter by letter.

--- a/src/core/statusLineScanner.ts
+++ b/src/core/statusLineScanner.ts
@@ -7,15 +7,20 @@
 const SPACE = 0x20;
 const ZERO = 0x30;
 const NINE = 0x39;
+const VERSION_PREFIX = 'HTTP/1.';
+/** Minor versions that are spoken, as bytes. */
+const MINOR_VERSIONS = [ZERO, ZERO + 1];
 const STATUS_DIGITS = 3;
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
 
-type Position = 'version' | 'status' | 'reason' | 'lineEnd';
+type Position =
+  'prefix' | 'minorVersion' | 'space' | 'status' | 'reason' | 'lineEnd';
 
 /** Takes the bytes of the first line. */
 export class StatusLineScanner {
-  private position: Position = 'version';
+  private position: Position = 'prefix';
+  private prefixLength = 0;
   private digits = '';
 
   /** Status, once the line has ended. */
@@ -26,8 +31,19 @@
   /** Whether the line ends with this byte; throws MalformedResponseError. */
   push(byte: number): boolean {
     switch (this.position) {
-      case 'version':
-        if (byte === SPACE) this.position = 'status';
+      case 'prefix':
+        if (byte !== VERSION_PREFIX.charCodeAt(this.prefixLength++))
+          throw unknownVersion();
+        if (this.prefixLength === VERSION_PREFIX.length)
+          this.position = 'minorVersion';
+        return false;
+      case 'minorVersion':
+        if (!MINOR_VERSIONS.includes(byte)) throw unknownVersion();
+        this.position = 'space';
+        return false;
+      case 'space':
+        if (byte !== SPACE) throw unknownVersion();
+        this.position = 'status';
         return false;
       case 'status':
         this.pushStatus(byte);
@@ -65,3 +81,7 @@
       throw new MalformedResponseError('invalid reason phrase');
   }
 }
+
+function unknownVersion(): MalformedResponseError {
+  return new MalformedResponseError('neither HTTP/1.0 nor HTTP/1.1');
+}
--- a/tests/platform/spoiledResponses.spec.ts
+++ b/tests/platform/spoiledResponses.spec.ts
@@ -6,11 +6,15 @@
 const WHOLE = {framing: 'length', end: 'fin', body: 'text'} as const;
 const CHUNKED = {...WHOLE, framing: 'chunked'} as const;
 
-/** Heads that Node's parser accepts and its writer refuses. */
+/** Heads that Node's parser accepts. */
 const SPOILED_HEADS: readonly [string, RawResponse][] = [
   ['status 000', {...WHOLE, status: '000'}],
   ['status 099', {...WHOLE, status: '099'}],
   ['status 700', {...WHOLE, status: '700'}],
+  // These were passed on as HTTP/1.1 200 with their seal and body.
+  ['RTSP/1.1', {...WHOLE, version: 'RTSP/1.1'}],
+  ['HTTP/0.9', {...WHOLE, version: 'HTTP/0.9'}],
+  ['HTTP/2.0', {...WHOLE, version: 'HTTP/2.0'}],
   ['a control character in the reason', {...WHOLE, reason: 'O\u0001K'}],
 ];
 
--- a/tests/responseScanner.spec.ts
+++ b/tests/responseScanner.spec.ts
@@ -101,6 +101,14 @@
     expect(problemOf(bytes)).toBeDefined();
   });
 
+  it.each(['RTSP/1.1', 'HTTP/0.9', 'HTTP/1.2', 'HTTP/2.0', 'ICY', 'http/1.1'])(
+    'should be refused with the version %s',
+    version => {
+      const bytes = Buffer.from(`${version} 200 OK\r\n\r\n`);
+      expect(problemOf(bytes)).toBe('neither HTTP/1.0 nor HTTP/1.1');
+    }
+  );
+
   it('should be accepted without a reason phrase', () => {
     expect(problemOf(Buffer.from('HTTP/1.0 200\r\n\r\n'))).toBeUndefined();
   });
