Check chunks and trailers of responses before the parser of the runtime gets them

Callers saw: all connections of a node closed at once; the process ends with code 1 when a target sends a trailer with a blank in its name after a body over `held-response-kb` (Node 20.12 to 20.19). Smaller bodies and streams passed as whole.

Cause: the parser of these runtimes accepts the name; `addTrailers` throws ERR_INVALID_HTTP_TOKEN in a listener of `end`, which no `try` surrounds. Traced on with 20.18.0: that exception and exit code 1; with 20.20.2 the body is cut. Ruled out: a `try` around `addTrailers`, which would leave the decision to the parser. Change: `ChunkedBodyScanner` checks chunk sizes, extensions, ends of chunks and trailers. A response that is malformed there is destroyed with an error, so that it has no `end`. The parser of newer runtimes fails on the same bytes, a second error of the request, which `receiveResponse` ignores.

--- a/src/core/receiveResponse.ts
+++ b/src/core/receiveResponse.ts
@@ -8,13 +8,13 @@
 
 /** Gets the response, or why there is none; at most one of the two is called. */
 export interface ResponseHandlers {
-  /** Called with a valid head. */
+  /** Called with a valid head. The body fails if its chunks or trailers are malformed. */
   readonly onResponse: (res: IncomingMessage) => void;
   /** Called before the request is destroyed. */
   readonly onMalformed: (reason: string) => void;
 }
 
-/** Checks the bytes of the response head before Node's parser gets them. */
+/** Checks the bytes of the response before Node's parser gets them. */
 export function receiveResponse(
   req: ClientRequest,
   {onResponse, onMalformed}: ResponseHandlers
@@ -31,6 +31,8 @@
     onMalformed(reason);
     req.destroy(err);
   };
+  // The parser may fail on the same bytes, which is a second error of the request.
+  req.on('error', () => undefined);
   scanBytes(req, reject);
   limitInterimResponses(req, reject);
   req.on('response', res => {
--- a/src/core/responseScanner.ts
+++ b/src/core/responseScanner.ts
@@ -5,6 +5,7 @@
  */
 
 import {framingOf} from './bodyFraming';
+import {ChunkedBodyScanner} from './chunkedBodyScanner';
 import {unreachable} from './errors';
 import type {FramingHeaders} from './fieldSectionScanner';
 import {FieldSectionScanner} from './fieldSectionScanner';
@@ -21,7 +22,8 @@
       readonly status: number;
       readonly fields: FieldSectionScanner;
     }
-  /** The body. */
+  | {readonly kind: 'chunkedBody'; readonly body: ChunkedBodyScanner}
+  /** What is left of the body may hold any bytes; what follows belongs to no response. */
   | {readonly kind: 'unchecked'};
 
 /** Scans the response to a request with the given method. */
@@ -44,6 +46,10 @@
           if (stage.fields.push(bytes[at++]!))
             this.stage = this.afterHead(stage.status, stage.fields);
           break;
+        case 'chunkedBody':
+          at = stage.body.push(bytes, at);
+          if (stage.body.isWhole) this.stage = {kind: 'unchecked'};
+          break;
         case 'unchecked':
           return;
         default:
@@ -65,6 +71,7 @@
     const framing = framingOf({headers, statusCode, req: {method}});
     switch (framing) {
       case 'chunked':
+        return {kind: 'chunkedBody', body: new ChunkedBodyScanner()};
       case 'none':
       case 'length':
       case 'close':
--- a/tests/platform/spoiledResponses.spec.ts
+++ b/tests/platform/spoiledResponses.spec.ts
@@ -95,6 +95,47 @@
   );
 });
 
+describe('a response with a malformed trailer', () => {
+  const trailers = ['X Count: 1'];
+
+  // Passing it on threw an exception in a listener, which ended the node.
+  it.each([
+    [
+      'a body that is too large to be held',
+      '/once/x',
+      'x'.repeat(200),
+      'incomplete body',
+    ],
+    ['a stream', '/stream/x', 'id: 1\ndata: x\n\n', 'invalid field name'],
+  ])(
+    'should leave its body without an end: %s',
+    async (_name, path, body, reason) => {
+      let finish: () => void = () => undefined;
+      const isStream = path === '/stream/x';
+      const respond: Handler = req => {
+        writeRaw(req, {...CHUNKED, end: 'never', isStream, body});
+        finish = () => req.socket.end('0\r\nX Count: 1\r\n\r\n');
+      };
+      const heldBytes = {perResponse: 100, total: 1_000};
+      fixture = await GatewayFixture.start([respond], {}, {heldBytes});
+      const answer = await fixture.call(path, {}, '', () => finish());
+      expect(answer).toMatchObject({status: 200, body, isWhole: false});
+      expect(fixture.log.events('request.attempt')[0]?.reason).toBe(reason);
+    }
+  );
+
+  it('should be retried where the request may run twice', async () => {
+    let calls = 0;
+    const shared: Handler = (req, res) => {
+      if (calls++ === 0) writeRaw(req, {...CHUNKED, trailers});
+      else res.end('good');
+    };
+    fixture = await GatewayFixture.start([shared, shared]);
+    const answer = await fixture.call('/idempotent/x');
+    expect(answer).toMatchObject({status: 200, body: 'good'});
+  });
+});
+
 describe('a status that promises that the request has not run', () => {
   // Only the target's own statement proves it. Relayed without that, the status made a
   // caller send a request again that had run.
--- a/tests/responseScanner.spec.ts
+++ b/tests/responseScanner.spec.ts
@@ -136,14 +136,57 @@
 });
 
 describe('a body', () => {
-  it('should hold any bytes', () => {
-    const bytes = Buffer.concat([
-      head('Content-Length: 4'),
-      Buffer.from('\r\0\n:'),
-    ]);
-    expect(problemOf(bytes)).toBeUndefined();
+  const CHUNKED = head('Transfer-Encoding: chunked');
+  const chunked = (text: string) =>
+    Buffer.concat([CHUNKED, Buffer.from(text, 'latin1')]);
+
+  it.each([head('Content-Length: 4'), head('X: 1')])(
+    'should hold any bytes if it has no chunks',
+    fields => {
+      const bytes = Buffer.concat([fields, Buffer.from('\r\0\n:X Y')]);
+      expect(problemOf(bytes)).toBeUndefined();
+    }
+  );
+
+  it.each([
+    ['chunks', '4\r\n\r\0\n:\r\nA\r\n0123456789\r\n0\r\n\r\n'],
+    ['an extension', '1;a="b c"\r\nx\r\n000;d\r\n\r\n'],
+    ['trailers', '0\r\nX-Count: 1\r\nTransfer-Encoding: x\r\n\r\n'],
+    ['bytes after its end', '0\r\n\r\n\0X Y'],
+  ])('should be accepted with %s, in any parts', (_name, text) => {
+    expect(problemOf(chunked(text))).toBeUndefined();
+    const whole = chunked(text).toString('latin1');
+    expect(acceptedBytes(whole)).toBe(whole.length);
+  });
+
+  it.each([
+    ['a size without digits', '\r\n'],
+    ['a size that is none', 'x\r\n'],
+    ['a signed size', '+1\r\nx'],
+    ['a size beyond all bounds', 'fffffffffffffff\r\n'],
+    ['a blank after a size', '1 \r\nx'],
+    ['LF after a size', '1\nx'],
+    ['LF in an extension', '1;a\nx'],
+    ['a control byte in an extension', '1;\x01\r\nx'],
+    ['a chunk that is too long', '1\r\nxy\r\n'],
+    ['LF after a chunk', '1\r\nx\n0\r\n\r\n'],
+    ['a blank in the name of a trailer', '0\r\nX Y: 1\r\n\r\n'],
+    ['a control byte in a trailer', '0\r\nX: \x01\r\n\r\n'],
+    ['LF before a trailer', '0\r\n\nX: 1\r\n\r\n'],
+  ])('should be refused with %s', (_name, text) => {
+    expect(problemOf(chunked(text))).toBeDefined();
+  });
+
+  it.each([
+    ['a response to HEAD', 'HEAD', CHUNKED],
+    [
+      'a 304',
+      'GET',
+      Buffer.from('HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n'),
+    ],
+  ])('should not be expected of %s', (_name, method, bytes) => {
     expect(
-      problemOf(Buffer.concat([head('X: 1'), Buffer.from('\rX Y')]))
+      problemOf(Buffer.concat([bytes, Buffer.from('x')]), method)
     ).toBeUndefined();
   });
 });
