Check replies of ranks, nodes and peers as those of targets

Seen: a call to a rank notes what a malformed head states of limits and of leaving; calls between nodes, health checks and the operators' command take replies with malformed heads for sound ones. Nothing of this reaches a caller by itself.

Cause: each client listened for responses by itself; four of seven checked no heads. Ruled out: that only the callers' path is affected. Change: `callRank`, `RpcClient`, `PeerClient` and the command use `receiveResponse`.

--- a/src/cli/quarantineCommand.ts
+++ b/src/cli/quarantineCommand.ts
@@ -10,6 +10,7 @@
 import type {QuarantineList} from '../cluster/quarantineMessages';
 import {QUARANTINE_LIST} from '../cluster/quarantineMessages';
 import {readText} from '../core/readBody';
+import {receiveResponse} from '../core/receiveResponse';
 import {EXIT_CODES} from './exitCodes';
 import {UsageError, runReportingErrors} from './runCommand';
 import {formatTable} from './table';
@@ -150,16 +151,18 @@
 function call(node: string, method: string, path: string): Promise<Reply> {
   const [host, port] = node.split(':');
   return new Promise((resolve, reject) => {
-    const req = http.request(
-      {host, port, method, path, agent: false, timeout: TIMEOUT_MS},
-      res => {
+    const options = {host, port, method, path, agent: false as const};
+    const req = http.request({...options, timeout: TIMEOUT_MS});
+    receiveResponse(req, {
+      onResponse: res => {
         const status = res.statusCode ?? 0;
         readText(res, {maxBytes: MAX_BODY_BYTES}).then(
           body => resolve({status, body}),
           reject
         );
-      }
-    );
+      },
+      onMalformed: reason => reject(new Error(`${node}: ${reason}`)),
+    });
     req.once('timeout', () => req.destroy(new Error(`${node}: no answer`)));
     req.once('error', reject);
     req.end();
--- a/src/cluster/rpcClient.ts
+++ b/src/cluster/rpcClient.ts
@@ -6,6 +6,7 @@
 import type {PeerFault} from '../core/errors';
 import {PeerError} from '../core/errors';
 import {readText} from '../core/readBody';
+import {receiveResponse} from '../core/receiveResponse';
 
 /**
  * Idle connections close after this. Longer than the interval between two
@@ -78,7 +79,8 @@
         'content-length': Buffer.byteLength(body),
       };
       const options = {host: ip, port, method: 'POST', agent, headers};
-      const req = http.request(options, res => {
+      const req = http.request(options);
+      const onResponse = (res: http.IncomingMessage) => {
         readText(res, {maxBytes: MAX_REPLY_BYTES}).then(
           text => {
             clearTimeout(timer);
@@ -91,6 +93,10 @@
             req.destroy();
           }
         );
+      };
+      receiveResponse(req, {
+        onResponse,
+        onMalformed: reason => fail({kind: 'lost'}, reason),
       });
       const timer = setTimeout(() => {
         fail({kind: 'timeout'}, `no response within ${timeoutMs} ms`);
--- a/src/ranks/rankClient.ts
+++ b/src/ranks/rankClient.ts
@@ -4,7 +4,7 @@
 import http from 'node:http';
 import {parseHostPort} from '../core/hostPort';
 import {readText} from '../core/readBody';
-import {limitInterimResponses} from '../core/interimResponses';
+import {receiveResponse} from '../core/receiveResponse';
 import type {RankCall} from '../ports/rankPort';
 
 /** HTTP response of a rank. */
@@ -41,17 +41,20 @@
     };
     const sentAtMs = performance.now();
     const options = {...hostPort, method, path, headers};
-    const req = http.request({...options, agent: false}, res => {
-      onResponse(address, {res, sentAtMs});
-      readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(
-        text => {
-          const {statusCode: status = 0} = res;
-          finish({status, text, tookMs: performance.now() - sentAtMs});
-        },
-        () => finish(undefined)
-      );
+    const req = http.request({...options, agent: false});
+    receiveResponse(req, {
+      onResponse: res => {
+        onResponse(address, {res, sentAtMs});
+        readText(res, {maxBytes: MAX_RESPONSE_BYTES}).then(
+          text => {
+            const {statusCode: status = 0} = res;
+            finish({status, text, tookMs: performance.now() - sentAtMs});
+          },
+          () => finish(undefined)
+        );
+      },
+      onMalformed: () => finish(undefined),
     });
-    limitInterimResponses(req, () => finish(undefined));
     const timer = setTimeout(() => finish(undefined), timeoutMs);
     const finish = (answer: RankAnswer | undefined) => {
       clearTimeout(timer);
--- a/src/rpc/peerClient.ts
+++ b/src/rpc/peerClient.ts
@@ -5,6 +5,7 @@
 import {JSONRPCClient, JSONRPCErrorException} from 'json-rpc-2.0';
 import {PeerError, PeerFault} from '../core/errors';
 import {readText} from '../core/readBody';
+import {receiveResponse} from '../core/receiveResponse';
 import {PROTOCOL_VERSION} from '../core/protocolVersion';
 import {MAX_MESSAGE_BYTES, PROTOCOL_HEADER, RPC_PATH} from './peerServer';
 import type {PeerTraffic} from './peerTraffic';
@@ -126,7 +127,7 @@
           err.message
         );
       });
-      req.on('response', res => {
+      const onResponse = (res: IncomingMessage) => {
         readText(res, {maxBytes: MAX_MESSAGE_BYTES}).then(
           text => {
             this.traffic?.addRecordOverhead('read', text.length);
@@ -139,6 +140,10 @@
             req.destroy();
           }
         );
+      };
+      receiveResponse(req, {
+        onResponse,
+        onMalformed: reason => fail({kind: 'lost'}, reason),
       });
       req.end(body);
     });
--- a/tests/agentPort.spec.ts
+++ b/tests/agentPort.spec.ts
@@ -113,25 +113,33 @@
 
   // Writing such a head threw an exception: the slot stayed in use, and resends of the
   // key were told forever that the call was in progress.
-  it('should record a call as run whose response head is none by HTTP', async () => {
-    const {port} = await startScriptedServer(req =>
-      req.socket.end('HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\nx')
-    );
-    testAgent = await startAgent(port);
-    await eventually(
-      'the agent accepts work',
-      async () => announced().limit > 0
-    );
-    const claim = {key: 'key', attempt: 1};
-    const {reason} = await dispatch({dispatch: {idempotent: false, claim}});
-    expect(reason).toBe('outcome-unknown');
-    const state = await fenceClaim({customer: 'harbour', ...claim});
-    expect(state.kind).toBe('ran');
-    await eventually(
-      'the slot is free',
-      async () => announced().outstanding === 0
-    );
-  });
+  it.each([
+    'HTTP/1.1 000 OK',
+    'HTTP/2.0 200 OK',
+    'HTTP/1.1 200 OK\r\nX Y: 1',
+    'HTTP/1.1 200 OK\r\n\rX: 1',
+  ])(
+    'should record a call as run whose response head is malformed: %j',
+    async head => {
+      const {port} = await startScriptedServer(req =>
+        req.socket.end(`${head}\r\nContent-Length: 1\r\n\r\nx`)
+      );
+      testAgent = await startAgent(port);
+      await eventually(
+        'the agent accepts work',
+        async () => announced().limit > 0
+      );
+      const claim = {key: 'key', attempt: 1};
+      const {reason} = await dispatch({dispatch: {idempotent: false, claim}});
+      expect(reason).toBe('outcome-unknown');
+      const state = await fenceClaim({customer: 'harbour', ...claim});
+      expect(state.kind).toBe('ran');
+      await eventually(
+        'the slot is free',
+        async () => announced().outstanding === 0
+      );
+    }
+  );
 
   // An entry learns one poll late that the agent is leaving, and may dispatch
   // to it meanwhile. If the port closed at once, or during the call, the
