Refuse requests with field names that are no tokens at all ports

Callers saw: 503 "noTarget" for a request with `X Y: 1` (Node 20.12 to 20.19), and then for others, as each target that it was tried at counted as unreachable.

Cause: the parser of these runtimes accepts the name, `http.request` throws ERR_INVALID_HTTP_TOKEN, and the gateway takes that for a target that can't be reached. Traced on a gateway with 20.18.0 (`request.attempt` has `notRun` and that error); with 20.20.2 the server answers 400. Ruled out: smuggling to targets, whose requests are framed anew. A CR or LF before a name does end a request's head early on these runtimes (two requests were read from the bytes of one); that is left open, see the postmortem. Change: `ServerGuard` hands such a request to the server's `clientError`, as the parser does.

--- a/src/core/fieldSyntax.ts
+++ b/src/core/fieldSyntax.ts
@@ -15,6 +15,19 @@
   return TOKEN_BYTES[byte] === true;
 }
 
+/** Whether all names in a flat list of names and values are tokens. */
+export function hasOnlyTokenNames(raw: readonly string[]): boolean {
+  for (let i = 0; i < raw.length; i += 2)
+    if (!isToken(raw[i] ?? '')) return false;
+  return true;
+}
+
+function isToken(name: string): boolean {
+  for (let i = 0; i < name.length; i++)
+    if (!isTokenByte(name.charCodeAt(i))) return false;
+  return name.length > 0;
+}
+
 /** Whether a field value or a reason phrase may hold the byte. */
 export function isTextByte(byte: number): boolean {
   return byte === TAB || (byte >= FIRST_PRINTABLE && byte !== DELETE);
--- a/src/inbound/serverGuard.ts
+++ b/src/inbound/serverGuard.ts
@@ -2,10 +2,13 @@
 
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {clientErrorStatus} from '../core/clientErrorStatus';
+import {hasOnlyTokenNames} from '../core/fieldSyntax';
 import {holdReading} from '../core/holdReading';
 import {Connection, ConnectionTable} from './connectionTable';
 import type {LimitReason, LimitReporter, PortName} from './limitReporter';
 import type {MemoryAccount, MemoryUse} from './memoryAccount';
+import {closeAfterLinger} from './lingeringClose';
 import {boundUnreadBody} from './unreadBody';
 
 /** Requests that were read at once with one too many wait up to this number. */
@@ -34,6 +37,7 @@
 export class ServerGuard {
   private readonly connections: ConnectionTable;
   private isDraining = false;
+  private server: Server | undefined;
   /** Connections of a TLS server, by the client's address and port. */
   private readonly handshakes = new Map<string, Connection>();
 
@@ -56,12 +60,14 @@
 
   /** Guards a server. */
   attach(server: Server): void {
+    this.server = server;
     server.on('connection', (socket: Socket) => this.accept(socket));
     server.on('request', (req, res) => this.handle(req, res));
   }
 
   /** Guards a server whose requests come over the sockets inside of its connections. */
   attachSecure(server: Server): void {
+    this.server = server;
     server.on('connection', (socket: Socket) => {
       const key = clientOf(socket);
       this.handshakes.set(key, this.accept(socket));
@@ -79,6 +85,8 @@
     const connection = this.connections.find(req.socket);
     // It was closed while the bytes that it had sent were parsed.
     if (connection === undefined) return;
+    // The parsers of some runtimes accept such names, which can't be sent on.
+    if (!hasOnlyTokenNames(req.rawHeaders)) return this.refuse(req.socket);
     const {requestCount, holding} = connection;
     if (requestCount > 0 && !holding.grow(requestCount * REQUEST_BYTES))
       return this.close(connection, 'memory');
@@ -126,6 +134,14 @@
     connection.resumeReading = undefined;
   }
 
+  /** Handles a malformed request like one that the parser fails on. */
+  private refuse(socket: Socket): void {
+    const err = new Error('invalid field name');
+    if (this.server?.emit('clientError', err, socket) === true) return;
+    const head = `HTTP/1.1 ${clientErrorStatus(undefined)}\r\nconnection: close`;
+    closeAfterLinger(socket, `${head}\r\n\r\n`);
+  }
+
   private close(connection: Connection, reason: LimitReason): void {
     this.report(connection, reason);
     this.connections.remove(connection);
