Break off a relayed request whose trailers are malformed

Seen: an entry ends with code 1 on Node 20.12 to 20.19 when a caller sends a trailer with a blank in its name after a streamed body.

Cause: `addTrailers` throws ERR_INVALID_HTTP_TOKEN in a listener of `end` in `sendBody`. Traced with `sendUpstream` of between two servers: exit code 1 on 20.18.0, the request aborted on 20.20.2. Ruled out: nodes, which read bodies whole and pass no trailers on. Change: the request to the next hop is destroyed, as when the caller breaks off its body.

--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -9,6 +9,7 @@
 import type {CancelSignal} from './cancellation';
 import {forwardedFraming} from './bodyFraming';
 import type {RequestFraming} from './bodyFraming';
+import {hasOnlyTokenNames} from './fieldSyntax';
 import {pipeBody} from './pipeBody';
 import {endToEndHeaders, headerPairs, withFraming} from './httpHeaders';
 import {receiveResponse} from './receiveResponse';
@@ -112,6 +113,9 @@
   }
   pipeBody(body, req);
   body.on('end', () => {
+    // The parsers of some runtimes accept such names, and the writer throws.
+    if (!hasOnlyTokenNames(body.rawTrailers))
+      return void req.destroy(new Error('invalid name of a trailer'));
     const trailers = trailersOf(body);
     if (trailers.length > 0) req.addTrailers(trailers);
     req.end();
--- a/tests/malformedRequests.spec.ts
+++ b/tests/malformedRequests.spec.ts
@@ -1,7 +1,13 @@
 import http from 'node:http';
+import {UpstreamError, sendUpstream} from '../src/core/upstream';
 import {openInbound} from './fixtures/openInbound';
 import {sendBytes} from './fixtures/rawCalls';
-import {onCleanup, runCleanups} from './fixtures/targets';
+import {
+  neverAborted,
+  onCleanup,
+  runCleanups,
+  startScriptedServer,
+} from './fixtures/targets';
 import {GatewayFixture} from './platform/gatewayFixture';
 
 const HOST = '127.0.0.1';
@@ -39,3 +45,42 @@
     expect(isServed).not.toHaveBeenCalled();
   });
 });
+
+describe('a request with a malformed trailer', () => {
+  // Passing it on threw an exception in a listener, which ended the process.
+  it('should not look complete to the next hop', async () => {
+    const bodies: Promise<boolean>[] = [];
+    const target = await startScriptedServer((req, res) => {
+      req.resume();
+      bodies.push(
+        new Promise(done => req.once('close', () => done(req.complete)))
+      );
+      req.once('end', () => res.end());
+    });
+    let outcome: Promise<unknown> = Promise.resolve();
+    const relay = await startScriptedServer(req => {
+      req.on('error', () => undefined);
+      outcome = sendUpstream({
+        secure: false,
+        host: HOST,
+        port: target.port,
+        agent: false,
+        method: 'POST',
+        path: '/',
+        headers: ['host', HOST],
+        body: req,
+        signal: neverAborted,
+      }).catch((err: unknown) => err);
+      void outcome.then(() => req.socket.destroy());
+    });
+    let finish: (bytes: string) => void = () => undefined;
+    target.server.once('request', () => finish('0\r\nX Y: 1\r\n\r\n'));
+    await sendBytes(
+      relay.port,
+      'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n',
+      new Promise(resolve => (finish = resolve))
+    );
+    expect(await outcome).toBeInstanceOf(UpstreamError);
+    expect(await Promise.all(bodies)).toEqual([false]);
+  });
+});
