Resume a response that was paused when no more of it could be held

Callers saw: a closed connection at the end of the request's time, or only the first bytes of a response in chunks, while the node held as many bytes as it may.

Change: `relayLargeBody` resumes the body unless the caller has to drain.

--- a/src/gateway/relayLargeBody.ts
+++ b/src/gateway/relayLargeBody.ts
@@ -61,6 +61,9 @@
   if (source.destroyed) return 'source cut';
   if (!head.isEndMarked) leaveEndUnmarked(caller);
   caller.writeHead(head.status, [...head.headers]);
-  if (begun.length > 0) caller.write(begun);
-  return relayBody(source, caller);
+  const mustDrain = begun.length > 0 && !caller.write(begun);
+  const end = relayBody(source, caller);
+  // It was paused when no more could be held; a caller that drains resumes it.
+  if (!mustDrain) source.resume();
+  return end;
 }
--- a/tests/platform/endlessResponses.spec.ts
+++ b/tests/platform/endlessResponses.spec.ts
@@ -145,6 +145,20 @@
     expect(fixture.receivedRequests).toHaveLength(1);
   });
 
+  // Its reading was held, and nothing resumed it unless the caller had to drain: the
+  // response stopped at its first bytes until its time was over.
+  it('should go on when only a little may be held', async () => {
+    let finish: () => void = () => undefined;
+    const respond: Handler = (_req, res) => {
+      res.write('begun');
+      finish = () => res.end(' and ended');
+    };
+    const heldBytes = {perResponse: 1, total: 1};
+    fixture = await GatewayFixture.start([respond], {}, {heldBytes});
+    const answer = await fixture.call('/once/x', {}, '', () => finish());
+    expect(answer).toMatchObject({body: 'begun and ended', isWhole: true});
+  });
+
   it('should be relayed when others take all that may be held', async () => {
     const part: Handler = (_req, res) => res.write('z'.repeat(60 << 10));
     fixture = await start([part]);
