--- a/scripts/verify.sh
+++ b/scripts/verify.sh
@@ -24,10 +24,10 @@
 fi
 # Tests sync small files, which the writes of the installation and the build would delay.
 sync
-# Specs of whole processes sync files of their own; too many at once slow each other down.
-# Crowds of clients take the machine's memory and cores, so each runs alone.
 passed_over="^(?!(?:${red:-none})\$)"
+# Specs of whole processes sync files of their own; too many at once slow each other down.
 npx jest --ci -t "$passed_over" --maxWorkers=50% --testPathIgnorePatterns tests/crowds
+# Crowds of clients take the machine's memory and cores, so each runs alone.
 npx jest --ci -t "$passed_over" --runInBand tests/crowds
 # Versions of the runtime differ in which malformed messages their HTTP parser accepts, so
 # tests of messages between processes, and of whole nodes, also run on the oldest one.
