Let elections end while syncs outlast the retry timeout

Cause: a candidate's retry timer ran while its own vote was being stored, and the next candidacy discarded the vote and asked for another sync; a vote that a voter stored after the retry timeout was ignored, and its reply is lost after 1 s; voters stored term and vote one after the other; pre-votes of the next term were granted while votes were being stored.

Ruled out: the speed of the machine, lost messages and discovery. The log alone, in virtual time, without loss of messages, does the same: with syncs of up to 2 s no leader within 300 s in half of 200 schedules and more.

Change: no instance stands while its term or vote is not durable; votes of the current term count until the instance leads, follows or raises the term, and are asked for again; term and vote are one write; a voter denies pre-votes to others while it stores its vote and twice as long, 10 s at most. No vote counts before it is durable, and there is one a term.

--- a/bench/fuzz/logInstance.ts
+++ b/bench/fuzz/logInstance.ts
@@ -43,6 +43,10 @@
   readonly timing: LogTiming;
   now(): number;
   settingsOf(id: string): LogSettings;
+  /** Time without a reply after which its sender gives up; undefined for none. */
+  readonly replyTimeoutMs: number | undefined;
+  /** Duration of the next sync of one disk; undefined if drawn for each write. */
+  syncMsOf(id: string): number | undefined;
   send(from: string, to: string, message: LogMessage): void;
 }
 
@@ -61,7 +65,10 @@
   private holders: string[] = [];
   private appliedIndex = 0;
   private snapshotIndex = 0;
-  private requests = new Map<number, CoreRequest>();
+  private requests = new Map<
+    number,
+    {readonly message: CoreRequest; readonly arrivedAt: number}
+  >();
   /** Proposed holder by ticket. */
   private proposals = new Map<number, string>();
   /** Proposed holder by the log index of its entry. */
@@ -150,7 +157,8 @@
 
   request(message: CoreRequest): void {
     const ticket = ++this.tickets;
-    this.requests.set(ticket, message);
+    const arrivedAt = this.environment.now();
+    this.requests.set(ticket, {message, arrivedAt});
     this.step({kind: 'request', ticket, message});
   }
 
@@ -241,9 +249,7 @@
     effect: Extract<CoreEffect, {kind: 'persist'}>
   ): void {
     const {environment} = this;
-    const dueAt =
-      environment.now() + environment.random.int(0, environment.sizes.syncMs);
-    this.disk.write(effect.seq, effect.writes, dueAt);
+    this.disk.write(effect.seq, effect.writes, this.nextSyncAt());
     const {role, term} = core.status();
     if (role !== 'leader') return;
     for (const write of effect.writes) {
@@ -254,12 +260,25 @@
     }
   }
 
+  private nextSyncAt(): number {
+    const {environment, disk, id} = this;
+    const now = environment.now();
+    const syncMs = environment.syncMsOf(id);
+    return syncMs === undefined
+      ? now + environment.random.int(0, environment.sizes.syncMs)
+      : disk.nextSyncAt(now, syncMs);
+  }
+
   private reply(ticket: number, message: CoreReply): void {
-    const request = this.requests.get(ticket);
+    const {environment, requests} = this;
+    const request = requests.get(ticket);
     if (request === undefined) return;
-    this.requests.delete(ticket);
-    this.environment.history.onReply(request, message, this.disk);
-    this.environment.send(this.id, request.from, {kind: 'reply', message});
+    requests.delete(ticket);
+    environment.history.onReply(request.message, message, this.disk);
+    const waitedMs = environment.now() - request.arrivedAt;
+    if (waitedMs > (environment.replyTimeoutMs ?? Infinity)) return;
+    const to = request.message.from;
+    environment.send(this.id, to, {kind: 'reply', message});
   }
 
   private apply(core: RaftCore, entries: readonly LogEntry[]): void {
--- a/bench/fuzz/logModel.ts
+++ b/bench/fuzz/logModel.ts
@@ -38,6 +38,10 @@
   readonly ids: readonly string[];
   /** Settings of the log at one instance. */
   settingsOf(id: string): LogSettings;
+  /** Time without a reply after which its sender gives up; none when absent. */
+  readonly replyTimeoutMs?: number;
+  /** Duration of the next sync of one disk; drawn for each write when absent. */
+  readonly syncMsOf?: (id: string) => number;
   /** Timers of the log; drawn from the seed when absent. */
   readonly timing?: LogTiming;
   /** Longest delay of a message that is not late, in ms; drawn when absent. */
@@ -126,6 +130,14 @@
     return this.shape?.settingsOf(id) ?? {};
   }
 
+  get replyTimeoutMs(): number | undefined {
+    return this.shape?.replyTimeoutMs;
+  }
+
+  syncMsOf(id: string): number | undefined {
+    return this.shape?.syncMsOf?.(id);
+  }
+
   /** The instance that leads in the highest term. */
   leader(): LogInstance | undefined {
     const leaders = this.allInstances().filter(
--- a/bench/fuzz/memoryDisk.ts
+++ b/bench/fuzz/memoryDisk.ts
@@ -21,6 +21,14 @@
     this.queue = [...this.queue, queued];
   }
 
+  /** When a write that is queued now becomes durable, if queued writes share a sync. */
+  nextSyncAt(now: number, syncMs: number): number {
+    const running = this.queue.at(0)?.dueAt;
+    const last = this.queue.at(-1)?.dueAt;
+    if (running === undefined || last === undefined) return now + syncMs;
+    return last > running ? last : running + syncMs;
+  }
+
   /** Makes due writes durable; returns the sequence number of the last one. */
   sync(now: number): number | undefined {
     const due = this.queue.filter(({dueAt}) => dueAt <= now);
--- a/bench/fuzz/models.ts
+++ b/bench/fuzz/models.ts
@@ -13,6 +13,7 @@
 import {RAMP_MODEL} from './rampModel';
 import {RATE_LIMIT_MODEL} from './rateLimitModel';
 import {REST_MODEL} from './restModel';
+import {SLOW_DISK_MODEL} from './slowDiskModel';
 import {STREAM_MODEL} from './streamModel';
 import {VOTER_MODEL} from './voterModel';
 
@@ -30,6 +31,7 @@
   RAMP_MODEL,
   RATE_LIMIT_MODEL,
   REST_MODEL,
+  SLOW_DISK_MODEL,
   STREAM_MODEL,
   VOTER_MODEL,
 ];
--- a/src/control/log/coreState.ts
+++ b/src/control/log/coreState.ts
@@ -66,11 +66,10 @@
   readonly removedAt: Map<string, number>;
 }
 
-/** Phase of an election and the incarnations that granted their vote. */
-export interface Candidacy {
-  readonly phase: 'preVote' | 'vote';
-  readonly granted: Set<string>;
-}
+/** Phase of an election, with the incarnations that granted a pre-vote. */
+export type Candidacy =
+  | {readonly phase: 'preVote'; readonly granted: Set<string>}
+  | {readonly phase: 'vote'};
 
 /** A leader's snapshot that has been received in part. */
 export interface IncomingSnapshot {
@@ -101,8 +100,15 @@
   leaderId: string | undefined;
   lastLeaderContact = -Infinity;
   electionDeadline = 0;
+  /** Until when the other voters may still store their votes of the current term. */
+  votingUntil = -Infinity;
   leadership: Leadership | undefined;
   candidacy: Candidacy | undefined;
+  /**
+   * Incarnations that voted for this instance in the current term; undefined until
+   * its own vote is durable, and once it leads or follows.
+   */
+  ballot: Set<string> | undefined;
   readonly voteRecord = new VoteRecord();
   /** Snapshot that is being received. */
   incoming: IncomingSnapshot | undefined;
@@ -183,6 +189,11 @@
     return voters.length > 0 && count >= quorumOf(voters.length);
   }
 
+  /** Whether the term or vote as last issued is not durable yet. */
+  get isHardStatePending(): boolean {
+    return this.hardStateSeq > this.syncedSeq;
+  }
+
   emit(effect: CoreEffect): void {
     this.effects.push(effect);
   }
--- a/src/control/log/election.ts
+++ b/src/control/log/election.ts
@@ -12,19 +12,25 @@
 const OTHERS_PER_ROUND = 10;
 /** Addresses no incarnation; the receiver rejects the request. */
 const UNKNOWN_INCARNATION = 'unknown';
+/** A candidate and a voter store a vote one after the other. */
+const SYNCS_PER_VOTE = 2;
+const MAX_VOTING_MS = 10_000;
 
 type VoteRequest = RequestOf<'preVote'> | RequestOf<'vote'>;
 
 /**
- * Becomes a follower, in a new term if `term` is higher than the current one.
+ * Becomes a follower, in a new term if `term` is higher than the current one. Term
+ * and vote are stored with one sync.
  */
 export function becomeFollower(
   state: CoreState,
   term: number,
-  leaderId: string | undefined
+  leaderId: string | undefined,
+  votedFor?: string
 ): void {
-  if (term > state.term) state.setHardState({term, votedFor: undefined});
+  if (term > state.term) state.setHardState({term, votedFor});
   state.candidacy = undefined;
+  state.ballot = undefined;
   stopLeading(state);
   state.leaderId = leaderId;
   state.resetElectionTimer();
@@ -57,14 +63,18 @@
  * would return with ever higher terms and depose working leaders repeatedly.
  */
 export function startPreVote(state: CoreState): void {
-  state.candidacy = {phase: 'preVote', granted: new Set()};
+  state.candidacy = {
+    phase: 'preVote',
+    granted: new Set([state.incarnation]),
+  };
   state.leaderId = undefined;
   state.startRetryTimer();
-  state.candidacy.granted.add(state.incarnation);
   state.voteRecord.askedAt = state.now;
+  // Voters whose disks are slow may still grant the vote of the current term.
+  if (state.ballot !== undefined) requestVotes(state, 'vote', state.term);
   requestVotes(state, 'preVote', state.term + 1);
   askOthers(state);
-  countVotes(state);
+  countPreVotes(state);
 }
 
 /**
@@ -92,16 +102,18 @@
 }
 
 function startElection(state: CoreState): void {
-  const candidacy = {phase: 'vote' as const, granted: new Set<string>()};
-  state.candidacy = candidacy;
-  state.startRetryTimer();
   state.setHardState({term: state.term + 1, votedFor: state.incarnation});
+  const candidacy = {phase: 'vote' as const};
+  state.candidacy = candidacy;
+  state.ballot = undefined;
+  protectElection(state);
   // The vote for itself must be durable before it is counted and before other
   // votes are requested. Otherwise this instance could crash and then vote for
   // another candidate in the same term.
   state.whenAllSynced(() => {
     if (state.candidacy !== candidacy) return;
-    candidacy.granted.add(state.incarnation);
+    state.ballot = new Set([state.incarnation]);
+    state.startRetryTimer();
     requestVotes(state, 'vote', state.term);
     countVotes(state);
   });
@@ -135,16 +147,19 @@
   });
 }
 
-function countVotes(state: CoreState): void {
+function countPreVotes(state: CoreState): void {
   const {candidacy} = state;
-  if (candidacy === undefined) return;
-  if (!state.hasQuorum(voter => candidacy.granted.has(voter.incarnation)))
-    return;
-  if (candidacy.phase === 'preVote') {
+  if (candidacy?.phase !== 'preVote') return;
+  if (state.hasQuorum(voter => candidacy.granted.has(voter.incarnation)))
     startElection(state);
-    return;
-  }
+}
+
+function countVotes(state: CoreState): void {
+  const {ballot} = state;
+  if (ballot === undefined) return;
+  if (!state.hasQuorum(voter => ballot.has(voter.incarnation))) return;
   state.candidacy = undefined;
+  state.ballot = undefined;
   state.leaderId = state.options.id;
   becomeLeader(state);
 }
@@ -217,6 +232,7 @@
 function grantPreVote(state: CoreState, message: VoteRequest): boolean {
   if (hasLeaderContact(state) || message.term <= state.term) return false;
   if (!isLogUpToDate(state, message)) return false;
+  if (isVotingForOther(state, message.fromIncarnation)) return false;
   // Two concurrent candidates would split the votes, so this instance delays
   // its own election by one heartbeat. That is shorter than a candidate's
   // shortest retry timeout, so a candidate that receives no replies cannot
@@ -231,17 +247,46 @@
 
 function grantVote(state: CoreState, message: VoteRequest): boolean {
   if (hasLeaderContact(state) || message.term < state.term) return false;
-  if (message.term > state.term) becomeFollower(state, message.term, undefined);
-  const {votedFor} = state.hard;
-  if (votedFor !== undefined && votedFor !== message.fromIncarnation)
-    return false;
-  if (!isLogUpToDate(state, message)) return false;
-  if (votedFor === undefined)
-    state.setHardState({votedFor: message.fromIncarnation});
+  const candidate = message.fromIncarnation;
+  const isUpToDate = isLogUpToDate(state, message);
+  if (message.term > state.term) {
+    const votedFor = isUpToDate ? candidate : undefined;
+    becomeFollower(state, message.term, undefined, votedFor);
+  } else {
+    const {votedFor} = state.hard;
+    if (votedFor !== undefined) return isUpToDate && votedFor === candidate;
+    if (isUpToDate) state.setHardState({votedFor: candidate});
+  }
+  if (!isUpToDate) return false;
   state.resetElectionTimer();
+  protectElection(state);
   return true;
 }
 
+/**
+ * Holds the next election back until the other voters may have stored their votes,
+ * on disks as slow as this one.
+ */
+function protectElection(state: CoreState): void {
+  const {term, now: votedAt} = state;
+  state.whenAllSynced(() => {
+    if (state.term !== term) return;
+    const votingMs = SYNCS_PER_VOTE * (state.now - votedAt);
+    state.votingUntil = state.now + Math.min(MAX_VOTING_MS, votingMs);
+  });
+}
+
+/**
+ * Whether this instance voted for another candidate whose other voters may still
+ * store their votes. An election in the next term would make these worthless, and
+ * depose the candidate if it has become the leader meanwhile.
+ */
+function isVotingForOther(state: CoreState, candidate: string): boolean {
+  const {votedFor} = state.hard;
+  if (votedFor === undefined || votedFor === candidate) return false;
+  return state.isHardStatePending || state.now < state.votingUntil;
+}
+
 /** Whether a leader was active recently, so that votes are denied. */
 function hasLeaderContact(state: CoreState): boolean {
   if (state.leadership !== undefined) return true;
@@ -263,13 +308,25 @@
     becomeFollower(state, message.term, undefined);
     return;
   }
+  if (!message.granted || message.asker !== state.incarnation) return;
+  if (message.preVote) notePreVote(state, message);
+  else noteVote(state, message);
+}
+
+function notePreVote(state: CoreState, message: ReplyOf<'vote'>): void {
   const {candidacy} = state;
-  if (candidacy === undefined || !message.granted) return;
-  const expectedTerm =
-    candidacy.phase === 'preVote' ? state.term + 1 : state.term;
-  if (message.askedTerm !== expectedTerm) return;
-  if (message.asker !== state.incarnation) return;
-  if (message.preVote !== (candidacy.phase === 'preVote')) return;
+  if (candidacy?.phase !== 'preVote') return;
+  if (message.askedTerm !== state.term + 1) return;
   candidacy.granted.add(message.incarnation);
+  countPreVotes(state);
+}
+
+/**
+ * Counts a vote of the current term also after the retry timeout, since a vote
+ * that was granted is as good however long it took to store.
+ */
+function noteVote(state: CoreState, message: ReplyOf<'vote'>): void {
+  if (message.askedTerm !== state.term) return;
+  state.ballot?.add(message.incarnation);
   countVotes(state);
 }
--- a/src/control/log/raftCore.ts
+++ b/src/control/log/raftCore.ts
@@ -84,11 +84,21 @@
     forgetLostLeader(state);
     if (state.leadership !== undefined) tickLeader(state, state.leadership);
     else if (state.isEmpty) this.founding.tick();
-    else if (state.isVoter && state.now >= state.electionDeadline)
-      startPreVote(state);
+    else if (this.isElectionDue()) startPreVote(state);
     reportStalledElection(state);
   }
 
+  /**
+   * Whether to stand for election. Until a vote is durable it counts for nobody,
+   * and another term would need yet another sync: while syncs take longer than the
+   * retry timeout, no vote would ever be counted.
+   */
+  private isElectionDue(): boolean {
+    const {state} = this;
+    if (!state.isVoter || state.isHardStatePending) return false;
+    return state.now >= state.electionDeadline;
+  }
+
   private handle(event: CoreEvent): void {
     const {state} = this;
     switch (event.kind) {
--- a/tests/logCore.spec.ts
+++ b/tests/logCore.spec.ts
@@ -26,6 +26,75 @@
     expect(sentRequests(synced, 'vote')).toHaveLength(2);
   });
 
+  // While syncs took longer than the retry timeout, each attempt discarded the vote
+  // of the one before, and nobody ever led.
+  it('should not stand again while its own vote is being stored', () => {
+    const driven = new DrivenCore(MEMBER_STATE, false);
+    driven.after(electionMaxMs);
+    driven.grantVote('b/1', true);
+    driven.after(10 * electionMaxMs);
+    expect(driven.status.term).toBe(2);
+    driven.step({kind: 'synced', seq: 1});
+    driven.grantVote('b/1', false);
+    expect(driven.status.role).toBe('leader');
+  });
+
+  // A vote that a slow disk stored after the candidate's retry timeout was lost, and
+  // the next term needed another sync of the same disk.
+  it('should count a vote that comes after the retry timeout', () => {
+    const driven = new DrivenCore(MEMBER_STATE);
+    driven.after(electionMaxMs);
+    driven.grantVote('b/1', true);
+    const effects = driven.after(electionMaxMs);
+    expect(sentRequests(effects, 'vote')).toHaveLength(2);
+    driven.grantVote('b/1', false);
+    expect(driven.status).toMatchObject({role: 'leader', term: 2});
+  });
+
+  // Another instance leads in the term. A vote that arrives late must not make a
+  // second leader, with the quorum of a configuration that came meanwhile.
+  it('should count no late vote once it follows a leader of the term', () => {
+    const driven = new DrivenCore(MEMBER_STATE);
+    driven.after(electionMaxMs);
+    driven.grantVote('b/1', true);
+    driven.request(appendFromLeader({}));
+    driven.grantVote('c/1', false);
+    expect(driven.status).toMatchObject({role: 'follower', leaderId: 'b'});
+  });
+
+  // A candidate that gets no replies asks again and again. If each request restarted
+  // the timer of its voter, that would never stand itself.
+  it('should stand although its candidate repeats the request for its vote', () => {
+    const driven = new DrivenCore(MEMBER_STATE);
+    const header = {fromIncarnation: 'b/1', toIncarnation: 'a/1', group: 'a/1'};
+    const log = {lastIndex: 1, lastTerm: 1};
+    const sent = [0, 500, 1_000, 1_500].flatMap(at => {
+      driven.now = at;
+      const vote = {kind: 'vote' as const, from: 'b', ...header, ...log};
+      return driven.request({...vote, term: 2});
+    });
+    expect(sentRequests(sent, 'preVote')).not.toHaveLength(0);
+  });
+
+  // An election in the next term deposed a candidate as soon as slow disks had
+  // stored its votes, again and again.
+  it('should deny a pre-vote while it stores its vote for another candidate', () => {
+    const driven = new DrivenCore(MEMBER_STATE, false);
+    const header = {fromIncarnation: 'b/1', toIncarnation: 'a/1', group: 'a/1'};
+    const log = {lastIndex: 1, lastTerm: 1};
+    driven.request({kind: 'vote', from: 'b', ...header, ...log, term: 2});
+    const asked = {...header, ...log, term: 3, kind: 'preVote' as const};
+    driven.request({...asked, from: 'c', fromIncarnation: 'c/1'});
+    driven.request({...asked, from: 'b'});
+    driven.now += electionMaxMs;
+    const replies = driven.step({kind: 'synced', seq: 1});
+    expect(replies).toMatchObject([
+      {message: {preVote: false, granted: true}},
+      {message: {preVote: true, granted: false}},
+      {message: {preVote: true, granted: true}},
+    ]);
+  });
+
   // An accepted change could be lost: a new leader counts an entry of an
   // earlier term on a majority, commits it and crashes. An instance with a
   // later term that never received the entry may still be elected and replace
