Take hundreds of syncs out of two tests of the stored log

Cause: it copies the log some hundred times and loads each copy, and a load syncs two folders. The test judges what is read; nothing in it has to outlast a loss of power.

Change: both use the real file system without syncs.

--- a/tests/logStorage.spec.ts
+++ b/tests/logStorage.spec.ts
@@ -12,6 +12,7 @@
 import {applyWrite} from '../bench/fuzz/memoryDisk';
 import {MemoryFiles} from '../bench/fuzz/memoryFiles';
 import {SeededRandom} from '../bench/fuzz/schedule';
+import type {DiskFiles} from '../src/control/log/diskFiles';
 import {NODE_FILES} from '../src/control/log/diskFiles';
 import {DiskStorage} from '../src/control/log/diskStorage';
 import type {
@@ -38,6 +39,16 @@
   entries: indexes.map(index => entry(index)),
 });
 
+/** For tests of what is read or removed; hundreds of syncs would wait for the disk. */
+const UNSYNCED_FILES: DiskFiles = {
+  ...NODE_FILES,
+  openAppend: async file => ({
+    ...(await NODE_FILES.openAppend(file)),
+    sync: async () => undefined,
+  }),
+  syncDir: async () => undefined,
+};
+
 describe('log storage', () => {
   let dir: string;
 
@@ -54,7 +65,8 @@
     await storage.close();
   };
 
-  const load = (from = dir) => new DiskStorage(NODE_FILES, from).load();
+  const load = (from = dir, files: DiskFiles = NODE_FILES) =>
+    new DiskStorage(files, from).load();
 
   const loadedIndexes = async (from = dir): Promise<readonly number[]> => {
     const loaded = await load(from);
@@ -138,7 +150,11 @@
         const flipped = Buffer.from(bytes);
         flipped.writeUInt8(flipped.readUInt8(at) ^ (1 << (at % 8)), at);
         writeFileSync(path.join(copy, 'log', name), flipped);
-        expect({name, at, kind: (await load(copy)).kind}).toEqual({
+        expect({
+          name,
+          at,
+          kind: (await load(copy, UNSYNCED_FILES)).kind,
+        }).toEqual({
           name,
           at,
           kind: 'damaged',
@@ -173,7 +189,7 @@
   });
 
   it('should remove segments that a snapshot covers', async () => {
-    const storage = new DiskStorage(NODE_FILES, dir, 500);
+    const storage = new DiskStorage(UNSYNCED_FILES, dir, 500);
     await storage.load();
     await storage.write([{kind: 'hardState', hard: HARD}]);
     const counts: number[] = [];
