Run two specs of whole processes at once

Cause: four workers with some ten nodes each sync to one disk, and a sync of 100 bytes takes 0.1 to 0.9 s meanwhile, below 1 ms without them. An election takes the syncs of two disks and a change one more.

Change: these specs run two at a time, after the others. The same tests run as before.

--- a/scripts/verify.sh
+++ b/scripts/verify.sh
@@ -25,8 +25,10 @@
 # Tests sync small files, which the writes of the installation and the build would delay.
 sync
 passed_over="^(?!(?:${red:-none})\$)"
-# Specs of whole processes sync files of their own; too many at once slow each other down.
-npx jest --ci -t "$passed_over" --maxWorkers=50% --testPathIgnorePatterns tests/crowds
+npx jest --ci -t "$passed_over" --maxWorkers=50% \
+  --testPathIgnorePatterns tests/crowds tests/processes tests/platform
+# Whole processes sync files of their own; too many at once slow each other down.
+npx jest --ci -t "$passed_over" --maxWorkers=2 tests/processes tests/platform
 # Crowds of clients take the machine's memory and cores, so each runs alone.
 npx jest --ci -t "$passed_over" --runInBand tests/crowds
 # Versions of the runtime differ in which malformed messages their HTTP parser accepts, so
