--- a/tests/processes/shutdown.spec.ts
+++ b/tests/processes/shutdown.spec.ts
@@ -81,6 +81,7 @@
   const name = `${role}-${stream.targetId}`;
   await system.deployment.child(name).end('SIGKILL');
   const {text, broken} = await stream.end();
+  expect(/event: error[^]*/.exec(text)?.[0]).toBeUndefined();
   expect(broken).toBe(false);
   expect(isExactStream(text, STREAM_TOKENS)).toBe(true);
   await restartAndWait(name);
--- a/tests/processes/twoFaults.spec.ts
+++ b/tests/processes/twoFaults.spec.ts
@@ -53,20 +53,12 @@
   system.deployment.links.cut(isCut, direction);
 }
 
-/**
- * Restarts processes; waits for a new revision and for all targets to serve.
- */
+/** Restarts processes; waits until every entry knows that all targets serve. */
 async function restartAndWait(...names: readonly string[]): Promise<void> {
   await Promise.all(names.map(name => system.deployment.restart(name)));
   await system.submit();
   await system.waitForRevision();
-  await eventually('all targets serve', async () => {
-    const {targets} = await system.status();
-    return (
-      targets.length === system.deployment.targets.length &&
-      targets.every(one => one.state === 'serving' && one.limit > 0)
-    );
-  });
+  await system.waitForTargets();
 }
 
 describe('a cut between an entry and an agent', () => {
